--- /dev/null
+++ b/Makefile
@@ -0,0 +1,63 @@
+# sapphirestair: one Makefile for everything.
+B = build
+PKGS = glib-2.0 jansson libcurl libmicrohttpd libpq libprotobuf-c libxxhash
+CFLAGS ?= -O2 -g
+SAN ?=
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Werror
+CPPFLAGS += -I. -Isrc $(shell pkg-config --cflags $(PKGS))
+CSTD = -std=gnu11
+LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
+
+KERNEL = clock verdict counters log settings stream httpd
+CORE = $(basename $(notdir $(wildcard src/core/*.c)))
+KERNEL_O = $(KERNEL:%=$B/src/kernel/%.o) $B/src/kernel/toml_shim.o
+CORE_O = $(CORE:%=$B/src/core/%.o) $B/proto/peer.pb-c.o
+PLUGINS = pgserver pqtarget platform_http admin_http peer
+DAEMON_O = $(KERNEL_O) $(CORE_O) $B/src/kernel/plugin.o \
+  $(PLUGINS:%=$B/src/plugins/%.o) $B/src/plugins/pgwire.o \
+  $B/src/daemon/main.o
+TARGET_O = $(addprefix $B/standin/,target.o server.o store.o sql.o) \
+  $B/src/kernel/stream.o $B/src/plugins/pgwire.o
+PLATFORM_O = $B/standin/platform.o $B/src/kernel/httpd.o
+LOAD_O = $(addprefix $B/bench/,ss_load.o ledger.o)
+SCENARIO_O = $(addprefix $B/bench/,ss_scenario.o deploy.o)
+LINK_O = $B/standin/link.o $B/src/kernel/httpd.o $B/src/kernel/stream.o
+PROGRAMS = $(addprefix $B/,sapphirestaird ss-standin-target \
+  ss-standin-platform ss-standin-link ss-load ss-scenario)
+
+all: $(PROGRAMS)
+
+$B/sapphirestaird: $(DAEMON_O)
+	$(CXX) $(SAN) -o $@ $^ $(LIBS)
+$B/ss-standin-target: $(TARGET_O)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$B/ss-standin-platform: $(PLATFORM_O)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$B/ss-standin-link: $(LINK_O)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$B/ss-scenario: $(SCENARIO_O)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$B/ss-load: $(LOAD_O)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
+
+$B/proto/%.o: proto/%.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CSTD) $(CPPFLAGS) $(CFLAGS) $(SAN) -MMD -c -o $@ $<
+$B/%.o: %.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CSTD) $(CPPFLAGS) $(WARN) $(CFLAGS) $(SAN) -MMD -c -o $@ $<
+$B/%.o: %.cc
+	@mkdir -p $(dir $@)
+	$(CXX) -std=c++17 $(CPPFLAGS) -Wall -Wextra $(CFLAGS) $(SAN) -MMD -c -o $@ $<
+
+demo: all
+	$B/ss-scenario bench/demo.scn
+
+proto:
+	cd proto && protoc-c --c_out=. peer.proto
+
+clean:
+	rm -rf $B
+
+-include $(shell find $B -name '*.d' 2>/dev/null)
+.PHONY: all clean demo proto
--- /dev/null
+++ b/bench/deploy.c
@@ -0,0 +1,666 @@
+#include "bench/deploy.h"
+
+#include <curl/curl.h>
+#include <errno.h>
+#include <libpq-fe.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define READY_BOUND_MS 15000
+#define STEP_US 10000
+#define TARGET_IP_BASE 100
+#define PLATFORM_IP 200
+#define ADVERTISED_IP_BASE 50
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+void
+ss_deploy_init (SsDeploy *deploy, const char *programs)
+{
+  uint32_t pid = (uint32_t) getpid ();
+
+  memset (deploy, 0, sizeof *deploy);
+  deploy->programs = g_strdup (programs);
+  deploy->directory = g_dir_make_tmp ("sapphirestair-XXXXXX", NULL);
+  g_snprintf (deploy->network, sizeof deploy->network, "127.%u.%u",
+              20 + (pid >> 8) % 200, pid & 0xff);
+  g_strlcpy (deploy->service, "claims", sizeof deploy->service);
+  g_strlcpy (deploy->group, "claims-db", sizeof deploy->group);
+  deploy->max_connections = 20;
+  deploy->lookup_staleness_ms = 30000;
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+}
+
+/* --- processes --- */
+
+static void
+die_with_parent (gpointer data)
+{
+  (void) data;
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
+static bool
+spawn (SsDeploy *d, const char *name, char **argv, pid_t *pid)
+{
+  char *log = g_strdup_printf ("%s/%s.log", d->directory, name);
+  char *out = g_strdup_printf ("%s/%s.out", d->directory, name);
+  char *command = g_strdup_printf ("exec \"$0\" \"$@\" >>'%s' 2>>'%s'", out,
+                                   log);
+  GPtrArray *all = g_ptr_array_new ();
+  GPid child = 0;
+  bool ok;
+
+  g_ptr_array_add (all, (gpointer) "/bin/sh");
+  g_ptr_array_add (all, (gpointer) "-c");
+  g_ptr_array_add (all, command);
+  for (uint32_t i = 0; argv[i]; i++)
+    g_ptr_array_add (all, argv[i]);
+  g_ptr_array_add (all, NULL);
+  ok = g_spawn_async (NULL, (char **) all->pdata, NULL,
+                      G_SPAWN_DO_NOT_REAP_CHILD, die_with_parent, NULL,
+                      &child, NULL);
+  *pid = child;
+  g_ptr_array_free (all, TRUE);
+  g_free (command);
+  g_free (out);
+  g_free (log);
+  return ok;
+}
+
+static void
+end_process (SsDeployed *p)
+{
+  if (!p->pid)
+    return;
+  kill (p->pid, SIGKILL);
+  waitpid (p->pid, NULL, 0);
+  p->pid = 0;
+}
+
+void
+ss_deploy_signal (SsDeployed *process, int number)
+{
+  if (!process->pid)
+    return;
+  kill (process->pid, number);
+  if (number != SIGKILL)
+    return;
+  waitpid (process->pid, NULL, 0);
+  process->pid = 0;
+}
+
+bool
+ss_deploy_wait_exit (SsDeployed *process, int64_t bound_ms, int *code)
+{
+  int64_t due_ms = now_ms () + bound_ms;
+  int status;
+
+  while (now_ms () < due_ms)
+    {
+      if (waitpid (process->pid, &status, WNOHANG) == process->pid)
+        {
+          process->pid = 0;
+          *code = WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+          return true;
+        }
+      g_usleep (STEP_US);
+    }
+  return false;
+}
+
+void
+ss_deploy_finish (SsDeploy *deploy, bool keep)
+{
+  SsDeployed load = { .pid = deploy->load };
+
+  end_process (&load);
+  for (uint32_t i = 0; i < deploy->vm_count; i++)
+    end_process (&deploy->vms[i]);
+  for (uint32_t i = 0; i < deploy->target_count; i++)
+    end_process (&deploy->targets[i]);
+  end_process (&deploy->link);
+  end_process (&deploy->platform);
+  if (!keep)
+    {
+      char *argv[] = { (char *) "rm", (char *) "-rf", deploy->directory,
+                       NULL };
+
+      g_spawn_sync (NULL, argv, NULL, G_SPAWN_SEARCH_PATH, NULL, NULL, NULL,
+                    NULL, NULL, NULL);
+    }
+  g_free (deploy->directory);
+  g_free (deploy->programs);
+  g_free (deploy->load_output);
+}
+
+/* --- the platform --- */
+
+static size_t
+append_text (char *data, size_t size, size_t count, void *user)
+{
+  g_string_append_len (user, data, (gssize) (size * count));
+  return size * count;
+}
+
+long
+ss_deploy_http (const char *method, const char *url, const char *body,
+                char **answer)
+{
+  CURL *easy = curl_easy_init ();
+  GString *text = g_string_new (NULL);
+  long status = 0;
+
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
+  if (body)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, 3000L);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_text);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, text);
+  if (curl_easy_perform (easy) == CURLE_OK)
+    curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_cleanup (easy);
+  if (answer)
+    *answer = g_string_free (text, FALSE);
+  else
+    g_string_free (text, TRUE);
+  return status;
+}
+
+static char *
+platform_url (SsDeploy *d, const char *path)
+{
+  return g_strdup_printf ("http://%s:%d/%s", d->platform.ip,
+                          SS_DEPLOY_PLATFORM_PORT, path);
+}
+
+bool
+ss_deploy_platform_control (SsDeploy *deploy, const char *json)
+{
+  char *url = platform_url (deploy, "control");
+  long status = ss_deploy_http ("POST", url, json, NULL);
+
+  g_free (url);
+  return status == 200;
+}
+
+bool
+ss_deploy_put (SsDeploy *deploy, const char *key, const char *json)
+{
+  char *path = g_strdup_printf ("v1/objects/%s", key);
+  char *url = platform_url (deploy, path);
+  long status = ss_deploy_http ("PUT", url, json, NULL);
+
+  g_free (url);
+  g_free (path);
+  return status == 200;
+}
+
+static void
+advertised_ip (const SsDeploy *d, uint32_t vm, char *out, size_t bytes)
+{
+  g_snprintf (out, bytes, "%s.%u", d->network, ADVERTISED_IP_BASE + vm);
+}
+
+bool
+ss_deploy_list_vms (SsDeploy *deploy, int32_t leaving)
+{
+  GString *json = g_string_new ("{\"vms\":[");
+  bool ok;
+
+  for (uint32_t i = 0; i < deploy->vm_count; i++)
+    {
+      char ip[16];
+
+      advertised_ip (deploy, i, ip, sizeof ip);
+      g_string_append_printf (
+          json,
+          "%s{\"name\":\"%s\",\"failure_domain\":\"%s\",\"ip\":\"%s\","
+          "\"peer_port\":%d,\"state\":\"%s\"}",
+          i ? "," : "", deploy->vms[i].name, deploy->vms[i].failure_domain,
+          ip, SS_DEPLOY_PEER_PORT,
+          (int32_t) i == leaving ? "leaving" : "live");
+    }
+  g_string_append (json, "]}");
+  ok = ss_deploy_platform_control (deploy, json->str);
+  g_string_free (json, TRUE);
+  return ok;
+}
+
+static bool
+put_configuration (SsDeploy *d)
+{
+  char *key;
+  char *json;
+  bool ok = true;
+
+  for (uint32_t i = 0; i < d->target_count && ok; i++)
+    {
+      key = g_strdup_printf ("target/%s", d->targets[i].name);
+      json = g_strdup_printf (
+          "{\"group\":\"%s\",\"ip\":\"%s\",\"port\":%d,"
+          "\"failure_domain\":\"%s\",\"max_connections\":%u}",
+          d->group, d->targets[i].ip, SS_DEPLOY_TARGET_PORT,
+          d->targets[i].failure_domain, d->max_connections);
+      ok = ss_deploy_put (d, key, json);
+      g_free (key);
+      g_free (json);
+    }
+  key = g_strdup_printf ("group/%s", d->group);
+  json = g_strdup_printf ("{\"term\":1,\"primary\":\"%s\"}",
+                          d->targets[0].name);
+  ok = ok && ss_deploy_put (d, key, json);
+  g_free (key);
+  g_free (json);
+  key = g_strdup_printf ("service/%s", d->service);
+  json = g_strdup_printf ("{\"group\":\"%s\",\"kinds\":{\"report\":"
+                          "{\"staleness_ms\":%u}}}",
+                          d->group, d->lookup_staleness_ms);
+  ok = ok && ss_deploy_put (d, key, json);
+  g_free (key);
+  g_free (json);
+  return ok;
+}
+
+static bool
+wait_http (const char *url, long wanted, int64_t bound_ms)
+{
+  int64_t due_ms = now_ms () + bound_ms;
+
+  while (now_ms () < due_ms)
+    {
+      if (ss_deploy_http ("GET", url, NULL, NULL) == wanted)
+        return true;
+      g_usleep (STEP_US);
+    }
+  return false;
+}
+
+/* --- starting --- */
+
+static char *
+program (const SsDeploy *d, const char *name)
+{
+  return g_build_filename (d->programs, name, NULL);
+}
+
+static bool
+start_platform (SsDeploy *d)
+{
+  char *port = g_strdup_printf ("%d", SS_DEPLOY_PLATFORM_PORT);
+  char *argv[] = { program (d, "ss-standin-platform"), d->platform.ip, port,
+                   NULL };
+  char *url = platform_url (d, "v1/vms");
+  bool ok = spawn (d, "platform", argv, &d->platform.pid)
+            && wait_http (url, 200, READY_BOUND_MS);
+
+  g_free (argv[0]);
+  g_free (port);
+  g_free (url);
+  return ok;
+}
+
+bool
+ss_deploy_start_target (SsDeploy *deploy, uint32_t target)
+{
+  SsDeployed *t = &deploy->targets[target];
+  char *port = g_strdup_printf ("%d", SS_DEPLOY_TARGET_PORT);
+  char *data
+      = g_strdup_printf ("%s/%s.data", deploy->directory, t->name);
+  char *argv[] = { program (deploy, "ss-standin-target"), t->name, t->ip,
+                   port, data, NULL };
+  bool ok = spawn (deploy, t->name, argv, &t->pid);
+
+  g_free (argv[0]);
+  g_free (data);
+  g_free (port);
+  return ok;
+}
+
+static bool
+write_settings (SsDeploy *d, uint32_t vm, char **path)
+{
+  const SsDeployed *v = &d->vms[vm];
+  char advertised[16];
+  char *text;
+  bool ok;
+
+  advertised_ip (d, vm, advertised, sizeof advertised);
+  text = g_strdup_printf (
+      "[vm]\nname = \"%s\"\nfailure_domain = \"%s\"\nip = \"%s\"\n"
+      "advertised_ip = \"%s\"\ncaller_port = %d\npeer_port = %d\n"
+      "admin_port = %d\n\n"
+      "[platform]\nip = \"%s\"\nport = %d\n\n"
+      "[peers]\nseeds = \"%s.%d:%d %s.%d:%d\"\n",
+      v->name, v->failure_domain, v->ip, advertised, SS_DEPLOY_CALLER_PORT,
+      SS_DEPLOY_PEER_PORT, SS_DEPLOY_ADMIN_PORT, d->platform.ip,
+      SS_DEPLOY_PLATFORM_PORT, d->network, ADVERTISED_IP_BASE,
+      SS_DEPLOY_PEER_PORT, d->network, ADVERTISED_IP_BASE + 1,
+      SS_DEPLOY_PEER_PORT);
+  *path = g_strdup_printf ("%s/%s.toml", d->directory, v->name);
+  ok = g_file_set_contents (*path, text, -1, NULL);
+  g_free (text);
+  return ok;
+}
+
+bool
+ss_deploy_start_vm (SsDeploy *deploy, uint32_t vm)
+{
+  SsDeployed *v = &deploy->vms[vm];
+  char *path = NULL;
+  bool ok = write_settings (deploy, vm, &path);
+  char *argv[] = { program (deploy, "sapphirestaird"), (char *) "--config",
+                   path, NULL };
+
+  ok = ok && spawn (deploy, v->name, argv, &v->pid);
+  g_free (argv[0]);
+  g_free (path);
+  return ok;
+}
+
+/* The relay through which the vms reach each other, so that they can be cut
+ * off: it tells them apart by their addresses.
+ */
+static bool
+start_link (SsDeploy *d)
+{
+  GPtrArray *argv = g_ptr_array_new_with_free_func (g_free);
+  bool ok;
+
+  g_ptr_array_add (argv, program (d, "ss-standin-link"));
+  g_ptr_array_add (argv, g_strdup_printf ("%s.%d", d->network, PLATFORM_IP));
+  g_ptr_array_add (argv, g_strdup_printf ("%d", SS_DEPLOY_PLATFORM_PORT + 1));
+  for (uint32_t i = 0; i < d->vm_count; i++)
+    {
+      char ip[16];
+
+      advertised_ip (d, i, ip, sizeof ip);
+      g_ptr_array_add (argv,
+                       g_strdup_printf ("%s:%d=%s:%d", ip,
+                                        SS_DEPLOY_PEER_PORT, d->vms[i].ip,
+                                        SS_DEPLOY_PEER_PORT));
+    }
+  g_ptr_array_add (argv, NULL);
+  ok = spawn (d, "link", (char **) argv->pdata, &d->link.pid);
+  g_ptr_array_free (argv, TRUE);
+  return ok;
+}
+
+bool
+ss_deploy_wait_ready (SsDeploy *deploy, uint32_t vm, int64_t bound_ms)
+{
+  char *url = g_strdup_printf ("http://%s:%d/v1/health", deploy->vms[vm].ip,
+                               SS_DEPLOY_ADMIN_PORT);
+  bool ok = wait_http (url, 200, bound_ms);
+
+  g_free (url);
+  return ok;
+}
+
+static bool
+wait_primary (SsDeploy *d, int64_t bound_ms)
+{
+  int64_t due_ms = now_ms () + bound_ms;
+
+  while (now_ms () < due_ms)
+    {
+      char *answer
+          = ss_deploy_sql (d, 0, "", "SELECT count(*) FROM filings");
+      bool ok = strcmp (answer, "0") == 0;
+
+      g_free (answer);
+      if (ok)
+        return true;
+      g_usleep (STEP_US);
+    }
+  return false;
+}
+
+static void
+place (SsDeploy *d, const char *domains, uint32_t vms_per_domain,
+       uint32_t servers)
+{
+  char **names = g_strsplit (domains, ",", SS_DEPLOY_DOMAINS_MAX);
+
+  for (uint32_t i = 0; names[i]; i++)
+    g_strlcpy (d->domains[d->domain_count++], names[i],
+               sizeof d->domains[0]);
+  g_strfreev (names);
+  d->vm_count = MIN (d->domain_count * vms_per_domain, SS_DEPLOY_MAX);
+  d->target_count = MIN (servers, SS_DEPLOY_MAX);
+  for (uint32_t i = 0; i < d->vm_count; i++)
+    {
+      SsDeployed *v = &d->vms[i];
+      const char *domain = d->domains[i / vms_per_domain];
+
+      g_snprintf (v->name, sizeof v->name, "%s-%u", domain,
+                  i % vms_per_domain + 1);
+      g_strlcpy (v->failure_domain, domain, sizeof v->failure_domain);
+      g_snprintf (v->ip, sizeof v->ip, "%s.%u", d->network, 1 + i);
+    }
+  for (uint32_t i = 0; i < d->target_count; i++)
+    {
+      SsDeployed *t = &d->targets[i];
+
+      g_snprintf (t->name, sizeof t->name, "%s-%u", d->group, i + 1);
+      g_strlcpy (t->failure_domain, d->domains[i % d->domain_count],
+                 sizeof t->failure_domain);
+      g_snprintf (t->ip, sizeof t->ip, "%s.%u", d->network,
+                  TARGET_IP_BASE + i);
+    }
+  g_snprintf (d->platform.ip, sizeof d->platform.ip, "%s.%d", d->network,
+              PLATFORM_IP);
+}
+
+bool
+ss_deploy_start (SsDeploy *deploy, const char *domains,
+                 uint32_t vms_per_domain, uint32_t servers)
+{
+  bool ok;
+
+  place (deploy, domains, vms_per_domain, servers);
+  ok = start_platform (deploy) && start_link (deploy)
+       && ss_deploy_list_vms (deploy, -1) && put_configuration (deploy);
+  for (uint32_t i = 0; ok && i < deploy->target_count; i++)
+    ok = ss_deploy_start_target (deploy, i);
+  for (uint32_t i = 0; ok && i < deploy->vm_count; i++)
+    ok = ss_deploy_start_vm (deploy, i);
+  for (uint32_t i = 0; ok && i < deploy->vm_count; i++)
+    ok = ss_deploy_wait_ready (deploy, i, READY_BOUND_MS);
+  return ok && wait_primary (deploy, READY_BOUND_MS);
+}
+
+/* --- load --- */
+
+static void
+add_addresses (GPtrArray *argv, const char *option, const SsDeployed *list,
+               uint32_t count, int port)
+{
+  for (uint32_t i = 0; i < count; i++)
+    g_ptr_array_add (argv,
+                     g_strdup_printf ("%s=%s:%d", option, list[i].ip, port));
+}
+
+bool
+ss_deploy_load (SsDeploy *deploy, char *const *arguments)
+{
+  GPtrArray *argv = g_ptr_array_new_with_free_func (g_free);
+  static uint32_t runs;
+  char *name = g_strdup_printf ("load-%u", ++runs);
+  bool ok;
+
+  g_ptr_array_add (argv, program (deploy, "ss-load"));
+  add_addresses (argv, "--entry", deploy->vms, deploy->vm_count,
+                 SS_DEPLOY_CALLER_PORT);
+  add_addresses (argv, "--admin", deploy->vms, deploy->vm_count,
+                 SS_DEPLOY_ADMIN_PORT);
+  add_addresses (argv, "--target", deploy->targets, deploy->target_count,
+                 SS_DEPLOY_TARGET_PORT);
+  g_ptr_array_add (argv, g_strdup_printf ("--service=%s", deploy->service));
+  for (uint32_t i = 0; arguments[i]; i++)
+    g_ptr_array_add (argv, g_strdup (arguments[i]));
+  g_ptr_array_add (argv, NULL);
+  ok = spawn (deploy, name, (char **) argv->pdata, &deploy->load);
+  g_free (deploy->load_output);
+  deploy->load_output
+      = g_strdup_printf ("%s/%s.out", deploy->directory, name);
+  g_free (name);
+  g_ptr_array_free (argv, TRUE);
+  return ok;
+}
+
+char *
+ss_deploy_load_result (SsDeploy *deploy)
+{
+  char *text = NULL;
+  char *line;
+
+  while (deploy->load && waitpid (deploy->load, NULL, 0) < 0
+         && errno == EINTR)
+    continue;
+  deploy->load = 0;
+  if (!deploy->load_output
+      || !g_file_get_contents (deploy->load_output, &text, NULL, NULL))
+    return g_strdup ("");
+  g_strchomp (text);
+  line = strrchr (text, '\n');
+  line = g_strdup (line ? line + 1 : text);
+  g_free (text);
+  return line;
+}
+
+/* --- SQL --- */
+
+static PGconn *
+connect_to (const char *ip, int port, const char *database, const char *user,
+            const char *options)
+{
+  char *conninfo = g_strdup_printf (
+      "hostaddr=%s port=%d dbname=%s user=%s sslmode=disable "
+      "gssencmode=disable connect_timeout=2 %s",
+      ip, port, database, user, options);
+  PGconn *pq = PQconnectdb (conninfo);
+
+  g_free (conninfo);
+  return pq;
+}
+
+char *
+ss_deploy_sql (SsDeploy *deploy, uint32_t vm, const char *options,
+               const char *sql)
+{
+  PGconn *pq = connect_to (deploy->vms[vm].ip, SS_DEPLOY_CALLER_PORT,
+                           deploy->service, "check", options);
+  char *answer;
+  PGresult *r;
+
+  if (PQstatus (pq) != CONNECTION_OK)
+    {
+      PQfinish (pq);
+      return g_strdup ("no connection");
+    }
+  r = PQexec (pq, sql);
+  if (PQresultStatus (r) == PGRES_TUPLES_OK && PQntuples (r) > 0)
+    answer = g_strdup (PQgetvalue (r, 0, 0));
+  else if (PQresultStatus (r) == PGRES_COMMAND_OK
+           || PQresultStatus (r) == PGRES_TUPLES_OK)
+    answer = g_strdup (PQcmdStatus (r));
+  else
+    answer = g_strdup (PQresultErrorField (r, PG_DIAG_SQLSTATE));
+  PQclear (r);
+  PQfinish (pq);
+  return answer ? answer : g_strdup ("no answer");
+}
+
+bool
+ss_deploy_control (const SsDeployed *target, const char *name, int64_t value)
+{
+  char *sql = g_strdup_printf (
+      "SELECT sapphirestair_control('%s', %" G_GINT64_FORMAT ")", name,
+      value);
+  PGconn *pq = connect_to (target->ip, SS_DEPLOY_TARGET_PORT, "control",
+                           "replication", "");
+  PGresult *r = PQexec (pq, sql);
+  bool ok = PQresultStatus (r) == PGRES_TUPLES_OK;
+
+  PQclear (r);
+  PQfinish (pq);
+  g_free (sql);
+  return ok;
+}
+
+int32_t
+ss_deploy_primary (SsDeploy *deploy, uint64_t *term)
+{
+  int32_t best = -1;
+  uint64_t best_term = 0;
+
+  for (uint32_t i = 0; i < deploy->target_count; i++)
+    {
+      const SsDeployed *t = &deploy->targets[i];
+      PGconn *pq;
+      PGresult *r;
+      uint64_t shown;
+
+      if (!t->pid || t->frozen)
+        continue;
+      pq = connect_to (t->ip, SS_DEPLOY_TARGET_PORT, "check", "replication",
+                       "");
+      r = PQexec (pq, "SELECT * FROM sapphirestair_status()");
+      if (PQresultStatus (r) == PGRES_TUPLES_OK
+          && strcmp (PQgetvalue (r, 0, 0), "primary") == 0)
+        {
+          shown = g_ascii_strtoull (PQgetvalue (r, 0, 1), NULL, 10);
+          if (shown > best_term)
+            {
+              best = (int32_t) i;
+              best_term = shown;
+            }
+        }
+      PQclear (r);
+      PQfinish (pq);
+    }
+  if (term)
+    *term = best_term;
+  return best;
+}
+
+/* --- cuts --- */
+
+bool
+ss_deploy_cut_domain (SsDeploy *deploy, const char *domain, bool cut)
+{
+  GString *json = g_string_new ("{\"cut_ips\":[");
+  char *url = g_strdup_printf ("http://%s:%d/cut", deploy->platform.ip,
+                               SS_DEPLOY_PLATFORM_PORT + 1);
+  bool first = true;
+  bool ok;
+
+  for (uint32_t i = 0; cut && i < deploy->vm_count; i++)
+    {
+      if (strcmp (deploy->vms[i].failure_domain, domain) != 0)
+        continue;
+      g_string_append_printf (json, "%s\"%s\"", first ? "" : ",",
+                              deploy->vms[i].ip);
+      first = false;
+    }
+  g_string_append (json, "]}");
+  ok = ss_deploy_platform_control (deploy, json->str)
+       && ss_deploy_http ("POST", url, json->str, NULL) == 200;
+  for (uint32_t i = 0; ok && i < deploy->target_count; i++)
+    if (strcmp (deploy->targets[i].failure_domain, domain) == 0)
+      ok = ss_deploy_control (&deploy->targets[i], "cut", cut);
+  g_string_free (json, TRUE);
+  g_free (url);
+  return ok;
+}
--- /dev/null
+++ b/bench/ledger.c
@@ -0,0 +1,114 @@
+#include "bench/ledger.h"
+
+#include <string.h>
+
+void
+ss_ledger_init (SsLedger *ledger)
+{
+  memset (ledger, 0, sizeof *ledger);
+  ledger->filings = g_ptr_array_new_with_free_func (g_free);
+  ledger->acknowledged = g_ptr_array_new ();
+  ledger->reasons = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                           NULL);
+  ledger->latencies_us = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+}
+
+void
+ss_ledger_finish (SsLedger *ledger)
+{
+  g_ptr_array_free (ledger->filings, TRUE);
+  g_ptr_array_free (ledger->acknowledged, TRUE);
+  g_array_free (ledger->latencies_us, TRUE);
+  g_hash_table_destroy (ledger->reasons);
+}
+
+SsFiling *
+ss_ledger_add (SsLedger *ledger, const char *key, const char *partner)
+{
+  SsFiling *f = g_new0 (SsFiling, 1);
+
+  g_strlcpy (f->key, key, sizeof f->key);
+  g_strlcpy (f->partner, partner ? partner : "", sizeof f->partner);
+  g_ptr_array_add (ledger->filings, f);
+  return f;
+}
+
+void
+ss_ledger_acknowledge (SsLedger *ledger, SsFiling *filing, int64_t now_ms)
+{
+  filing->fate = SS_FATE_ACKNOWLEDGED;
+  filing->acknowledged_ms = now_ms;
+  g_ptr_array_add (ledger->acknowledged, filing);
+  if (!ledger->failing_since_ms)
+    return;
+  ledger->failover_gap_ms
+      = MAX (ledger->failover_gap_ms, now_ms - ledger->failing_since_ms);
+  ledger->failing_since_ms = 0;
+}
+
+void
+ss_ledger_write_failed (SsLedger *ledger, int64_t sent_ms)
+{
+  if (!ledger->failing_since_ms)
+    ledger->failing_since_ms = sent_ms;
+}
+
+void
+ss_ledger_reason (SsLedger *ledger, const char *detail)
+{
+  const char *at = strstr (detail, "reason=");
+  const char *start = at ? at + strlen ("reason=") : "other";
+  char *reason = g_strndup (start, strcspn (start, " "));
+  guint count
+      = GPOINTER_TO_UINT (g_hash_table_lookup (ledger->reasons, reason));
+
+  g_hash_table_replace (ledger->reasons, reason,
+                        GUINT_TO_POINTER (count + 1));
+}
+
+static uint32_t
+rows_of (GHashTable *counts, const char *key)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (counts, key));
+}
+
+void
+ss_ledger_compare (SsLedger *ledger, GHashTable *counts)
+{
+  for (guint i = 0; i < ledger->filings->len; i++)
+    {
+      const SsFiling *f = g_ptr_array_index (ledger->filings, i);
+      uint32_t rows = rows_of (counts, f->key);
+
+      if (f->fate == SS_FATE_ACKNOWLEDGED && rows == 0)
+        ledger->lost++;
+      if (f->fate == SS_FATE_NOT_RUN && rows > 0)
+        ledger->ran_though_not_run++;
+      if (rows > 1)
+        ledger->doubled++;
+      if (*f->partner && (rows > 0) != (rows_of (counts, f->partner) > 0))
+        ledger->mixed++;
+    }
+}
+
+static int
+compare_latencies (gconstpointer a, gconstpointer b)
+{
+  uint32_t x = *(const uint32_t *) a;
+  uint32_t y = *(const uint32_t *) b;
+
+  return x < y ? -1 : x > y;
+}
+
+double
+ss_ledger_latency_ms (SsLedger *ledger, double quantile)
+{
+  guint count = ledger->latencies_us->len;
+
+  if (count == 0)
+    return 0;
+  g_array_sort (ledger->latencies_us, compare_latencies);
+  return g_array_index (ledger->latencies_us, uint32_t,
+                        (guint) (quantile * (count - 1)))
+         / 1000.0;
+}
--- /dev/null
+++ b/bench/ss_load.c
@@ -0,0 +1,937 @@
+/* ss-load: callers that file, read back and roam between entry vms.
+ *
+ * It keeps its own record of what it was told and compares it at the end with
+ * what the targets hold.  Load goes to the addresses given only and stops by
+ * itself.  The last line is one JSON object.
+ */
+#include <curl/curl.h>
+#include <ev.h>
+#include <jansson.h>
+#include <libpq-fe.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench/ledger.h"
+
+#define STEPS_MAX 6
+#define RECONNECT_MS 50
+#define GIVE_UP_MS 8000
+#define DRAIN_MS 12000
+#define TABLE "filings"
+
+typedef enum
+{
+  OP_WRITE,
+  OP_WRITE_WITH_ID,
+  OP_TRANSACTION,
+  OP_READ_OWN,
+  OP_READ_AGED
+} OpKind;
+
+typedef struct
+{
+  struct ev_loop *loop;
+  char **entries; /* "ip:port" */
+  char **targets;
+  char **admins;
+  const char *service;
+  int32_t callers;
+  int32_t seconds;
+  int32_t write_percent;
+  int32_t id_percent;
+  int32_t transaction_percent;
+  int32_t aged_percent;
+  int32_t roam_percent;
+  int32_t token_percent;
+  int32_t think_ms;
+  int64_t staleness_ms;
+  char *aged_kind;
+  int64_t started_ms;
+  int64_t stop_ms;
+  int32_t live;
+  bool stopping;
+  GRand *rand;
+  SsLedger ledger;
+} Load;
+
+static Load load;
+
+typedef struct
+{
+  int32_t number;
+  int32_t sequence;
+  PGconn *pq;
+  ev_io io;
+  ev_timer timer;
+  bool connecting;
+  char *token;
+  SsFiling *last_own; /* last acknowledged */
+  OpKind op;
+  char *steps[STEPS_MAX];
+  int32_t step_count;
+  int32_t step;
+  SsFiling *filing;
+  SsFiling *wanted; /* of a read */
+  int64_t op_started_ms;
+  int64_t try_started_ms;
+  int64_t step_started_us;
+  int32_t rows;
+  bool value_matches;
+  bool running; /* a statement is out */
+  bool failed;
+  char sqlstate[6];
+  char detail[160];
+  bool done;
+} Caller;
+
+static int64_t
+now_us (void)
+{
+  return g_get_monotonic_time ();
+}
+
+static int64_t
+now_ms (void)
+{
+  return now_us () / 1000;
+}
+
+static bool
+chance (int32_t percent)
+{
+  return g_rand_int_range (load.rand, 0, 100) < percent;
+}
+
+static void begin_op (Caller *c);
+static void open_connection (Caller *c);
+
+static void
+wait_then (Caller *c, int64_t wait_ms)
+{
+  ev_timer_stop (load.loop, &c->timer);
+  ev_timer_set (&c->timer, (double) MAX (wait_ms, 0) / 1000.0, 0);
+  ev_timer_start (load.loop, &c->timer);
+}
+
+static void
+close_connection (Caller *c)
+{
+  const char *token;
+
+  if (!c->pq)
+    return;
+  token = PQparameterStatus (c->pq, "sapphirestair.token");
+  if (token)
+    {
+      g_free (c->token);
+      c->token = g_strdup (token);
+    }
+  ev_io_stop (load.loop, &c->io);
+  PQfinish (c->pq);
+  c->pq = NULL;
+}
+
+static void
+end_caller (Caller *c)
+{
+  c->done = true;
+  close_connection (c);
+  ev_timer_stop (load.loop, &c->timer);
+  if (--load.live == 0)
+    ev_break (load.loop, EVBREAK_ALL);
+}
+
+/* --- statements of an operation --- */
+
+static void
+add_step (Caller *c, char *sql)
+{
+  c->steps[c->step_count++] = sql;
+}
+
+static void
+clear_steps (Caller *c)
+{
+  for (int32_t i = 0; i < c->step_count; i++)
+    g_free (c->steps[i]);
+  c->step_count = 0;
+  c->step = 0;
+}
+
+static char *
+insert_sql (const char *key)
+{
+  return g_strdup_printf ("INSERT INTO " TABLE " (key, value) "
+                          "VALUES ('%s', '%s')",
+                          key, key);
+}
+
+static void
+build_write (Caller *c)
+{
+  const char *key = c->filing->key;
+
+  clear_steps (c);
+  if (c->op == OP_WRITE_WITH_ID)
+    add_step (c, g_strdup_printf ("SET sapphirestair.request_id = '%s'",
+                                  key));
+  if (c->op == OP_TRANSACTION)
+    {
+      add_step (c, g_strdup ("BEGIN"));
+      add_step (c, insert_sql (key));
+      add_step (c, insert_sql (c->filing->partner));
+      add_step (c, g_strdup ("COMMIT"));
+      return;
+    }
+  add_step (c, insert_sql (key));
+}
+
+static void
+new_filing (Caller *c)
+{
+  char key[40];
+  char partner[40];
+
+  c->sequence++;
+  g_snprintf (key, sizeof key, "c%d-%d", c->number, c->sequence);
+  g_snprintf (partner, sizeof partner, "c%d-%d-b", c->number, c->sequence);
+  c->filing = ss_ledger_add (&load.ledger, key,
+                             c->op == OP_TRANSACTION ? partner : NULL);
+}
+
+/* An acknowledged write old enough to be seen within the staleness. */
+static SsFiling *
+pick_aged (void)
+{
+  GPtrArray *all = load.ledger.acknowledged;
+  int64_t bound_ms = now_ms () - load.staleness_ms;
+
+  for (int32_t tries = 0; all->len && tries < 8; tries++)
+    {
+      SsFiling *f = g_ptr_array_index (
+          all, g_rand_int_range (load.rand, 0, (gint32) all->len));
+
+      if (f->acknowledged_ms <= bound_ms)
+        return f;
+    }
+  return NULL;
+}
+
+static void
+build_read (Caller *c)
+{
+  bool aged = c->op == OP_READ_AGED;
+
+  clear_steps (c);
+  c->wanted = aged ? pick_aged () : c->last_own;
+  add_step (c, g_strdup_printf ("SET sapphirestair.kind = '%s'",
+                                aged ? load.aged_kind : "session"));
+  add_step (c, g_strdup_printf ("SELECT value FROM " TABLE
+                                " WHERE key = '%s'",
+                                c->wanted ? c->wanted->key : "none"));
+  add_step (c, g_strdup ("RESET sapphirestair.kind"));
+}
+
+static void
+choose_op (Caller *c)
+{
+  if (!c->last_own || chance (load.write_percent))
+    {
+      c->op = OP_WRITE;
+      if (chance (load.transaction_percent))
+        c->op = OP_TRANSACTION;
+      else if (chance (load.id_percent))
+        c->op = OP_WRITE_WITH_ID;
+      return;
+    }
+  c->op = chance (load.aged_percent) ? OP_READ_AGED : OP_READ_OWN;
+}
+
+static bool
+is_write (const Caller *c)
+{
+  return c->op == OP_WRITE || c->op == OP_WRITE_WITH_ID
+         || c->op == OP_TRANSACTION;
+}
+
+/* --- running --- */
+
+static void
+send_step (Caller *c)
+{
+  c->failed = false;
+  c->running = true;
+  c->rows = 0;
+  c->value_matches = true;
+  c->step_started_us = now_us ();
+  load.ledger.statements++;
+  if (!PQsendQuery (c->pq, c->steps[c->step]))
+    c->failed = true;
+  PQflush (c->pq);
+}
+
+static void
+try_op (Caller *c)
+{
+  c->try_started_ms = now_ms ();
+  c->step = 0;
+  send_step (c);
+}
+
+static void
+begin_op (Caller *c)
+{
+  if (load.stopping)
+    {
+      end_caller (c);
+      return;
+    }
+  if (c->pq && chance (load.roam_percent))
+    {
+      close_connection (c);
+      open_connection (c);
+      return;
+    }
+  choose_op (c);
+  c->op_started_ms = now_ms ();
+  if (is_write (c))
+    {
+      new_filing (c);
+      build_write (c);
+    }
+  else
+    build_read (c);
+  try_op (c);
+}
+
+static void
+end_op (Caller *c)
+{
+  c->filing = NULL;
+  c->wanted = NULL;
+  if (load.stopping)
+    end_caller (c);
+  else
+    wait_then (c, load.think_ms);
+}
+
+static void
+judge_read (Caller *c)
+{
+  load.ledger.reads++;
+  if (!c->wanted)
+    return;
+  if (c->rows == 0)
+    load.ledger.stale++;
+  if (c->rows > 1)
+    load.ledger.read_doubled++;
+  if (c->rows > 0 && !c->value_matches)
+    load.ledger.crossed++;
+  if (c->rows == 0)
+    fprintf (stderr,
+             "ss-load: stale: caller %d key %s op %d token %s "
+             "age_ms %" G_GINT64_FORMAT "\n",
+             c->number, c->wanted->key, c->op, c->token ? c->token : "-",
+             now_ms () - c->wanted->acknowledged_ms);
+}
+
+static void
+succeed (Caller *c)
+{
+  load.ledger.acks++;
+  if (is_write (c))
+    {
+      ss_ledger_acknowledge (&load.ledger, c->filing, now_ms ());
+      c->last_own = c->filing;
+    }
+  end_op (c);
+}
+
+static int64_t
+retry_after_ms (const Caller *c)
+{
+  const char *at = strstr (c->detail, "retry_after_ms=");
+  int64_t wait_ms = at ? atoi (at + strlen ("retry_after_ms=")) : 0;
+
+  return CLAMP (wait_ms, 5, 1000);
+}
+
+static bool
+says (const Caller *c, const char *verdict)
+{
+  return strstr (c->detail, verdict) != NULL;
+}
+
+static bool
+time_is_up (const Caller *c)
+{
+  return load.stopping ? now_ms () > load.stop_ms + DRAIN_MS
+                       : now_ms () - c->op_started_ms > GIVE_UP_MS;
+}
+
+/* A write that failed; it is repeated where that is safe. */
+static void
+fail_write (Caller *c, bool not_run)
+{
+  bool safe = not_run || c->op == OP_WRITE_WITH_ID;
+
+  ss_ledger_write_failed (&load.ledger, c->try_started_ms);
+  if (!safe || time_is_up (c))
+    {
+      /* An earlier try with the id may have run. */
+      c->filing->fate
+          = not_run && c->op != OP_WRITE_WITH_ID ? SS_FATE_NOT_RUN
+                                                 : SS_FATE_UNKNOWN;
+      end_op (c);
+      return;
+    }
+  wait_then (c, retry_after_ms (c));
+}
+
+static void
+fail_op (Caller *c)
+{
+  bool not_run = says (c, "verdict=not_run");
+
+  ss_ledger_reason (&load.ledger, c->detail);
+  if (not_run)
+    load.ledger.not_run++;
+  else
+    load.ledger.may_have_run++;
+  if (is_write (c))
+    fail_write (c, not_run);
+  else
+    {
+      /* The session still has the read's kind: a write must not follow. */
+      close_connection (c);
+      c->filing = NULL;
+      c->wanted = NULL;
+      if (load.stopping)
+        end_caller (c);
+      else
+        wait_then (c, retry_after_ms (c));
+    }
+}
+
+/* Statements to clean up after a failed step have no verdict of their own. */
+static void
+end_step (Caller *c)
+{
+  uint32_t latency_us = (uint32_t) (now_us () - c->step_started_us);
+
+  g_array_append_val (load.ledger.latencies_us, latency_us);
+  if (c->failed)
+    {
+      if (PQtransactionStatus (c->pq) != PQTRANS_IDLE)
+        close_connection (c);
+      fail_op (c);
+      return;
+    }
+  if (!is_write (c) && c->step == 1)
+    judge_read (c);
+  if (++c->step < c->step_count)
+    send_step (c);
+  else
+    succeed (c);
+}
+
+static void
+take_result (Caller *c, PGresult *r)
+{
+  ExecStatusType status = PQresultStatus (r);
+
+  if (status == PGRES_TUPLES_OK)
+    {
+      c->rows += PQntuples (r);
+      for (int i = 0; c->wanted && i < PQntuples (r); i++)
+        if (strcmp (PQgetvalue (r, i, 0), c->wanted->key) != 0)
+          c->value_matches = false;
+    }
+  else if (status != PGRES_COMMAND_OK && status != PGRES_EMPTY_QUERY)
+    {
+      const char *sqlstate = PQresultErrorField (r, PG_DIAG_SQLSTATE);
+      const char *detail = PQresultErrorField (r, PG_DIAG_MESSAGE_DETAIL);
+
+      c->failed = true;
+      g_strlcpy (c->sqlstate, sqlstate ? sqlstate : "", sizeof c->sqlstate);
+      /* The target's own refusal of a statement is its word. */
+      if (detail)
+        g_strlcpy (c->detail, detail, sizeof c->detail);
+      else
+        g_snprintf (c->detail, sizeof c->detail, "%s reason=%s",
+                    sqlstate ? "verdict=not_run" : "",
+                    sqlstate ? sqlstate : "none");
+    }
+}
+
+/* The entry vm went away: what was under way has no verdict, but for a
+ * transaction whose COMMIT was not sent.
+ */
+static void
+lose_connection (Caller *c)
+{
+  bool in_op = c->running;
+  bool uncommitted
+      = c->op == OP_TRANSACTION && c->step < c->step_count - 1;
+  bool setting = c->op == OP_WRITE_WITH_ID && c->step == 0;
+
+  close_connection (c);
+  c->running = false;
+  c->detail[0] = 0;
+  if (uncommitted || setting)
+    g_strlcpy (c->detail, "verdict=not_run", sizeof c->detail);
+  if (in_op)
+    fail_op (c);
+  else if (load.stopping)
+    end_caller (c);
+  else
+    wait_then (c, RECONNECT_MS);
+}
+
+static void
+read_results (Caller *c)
+{
+  if (!PQconsumeInput (c->pq))
+    {
+      lose_connection (c);
+      return;
+    }
+  while (c->pq && !PQisBusy (c->pq))
+    {
+      PGresult *r = PQgetResult (c->pq);
+
+      if (!r)
+        {
+          if (PQstatus (c->pq) == CONNECTION_BAD)
+            lose_connection (c);
+          else if (c->running)
+            {
+              c->running = false;
+              end_step (c);
+            }
+          return;
+        }
+      take_result (c, r);
+      PQclear (r);
+    }
+}
+
+static void
+on_connected (Caller *c)
+{
+  c->connecting = false;
+  PQsetnonblocking (c->pq, 1);
+  ev_io_stop (load.loop, &c->io);
+  ev_io_set (&c->io, PQsocket (c->pq), EV_READ);
+  ev_io_start (load.loop, &c->io);
+  if (c->filing)
+    try_op (c);
+  else
+    begin_op (c);
+}
+
+static void
+on_io (struct ev_loop *loop, ev_io *w, int events)
+{
+  Caller *c = w->data;
+  PostgresPollingStatusType poll;
+
+  (void) loop;
+  (void) events;
+  if (!c->connecting)
+    {
+      read_results (c);
+      return;
+    }
+  poll = PQconnectPoll (c->pq);
+  if (poll == PGRES_POLLING_OK)
+    {
+      on_connected (c);
+      return;
+    }
+  if (poll == PGRES_POLLING_FAILED)
+    {
+      load.ledger.refused_connections++;
+      close_connection (c);
+      if (load.stopping && time_is_up (c))
+        {
+          if (c->filing)
+            c->filing->fate = SS_FATE_UNKNOWN;
+          end_caller (c);
+        }
+      else
+        wait_then (c, RECONNECT_MS);
+      return;
+    }
+  ev_io_stop (load.loop, w);
+  ev_io_set (w, PQsocket (c->pq),
+             poll == PGRES_POLLING_WRITING ? EV_WRITE : EV_READ);
+  ev_io_start (load.loop, w);
+}
+
+static void
+open_connection (Caller *c)
+{
+  guint count = g_strv_length (load.entries);
+  const char *entry
+      = load.entries[g_rand_int_range (load.rand, 0, (gint32) count)];
+  char **parts = g_strsplit (entry, ":", 2);
+  bool brings_token = c->token && chance (load.token_percent);
+  char *options
+      = brings_token
+            ? g_strdup_printf ("options='-c sapphirestair.token=%s'",
+                               c->token)
+            : g_strdup ("");
+  char *conninfo = g_strdup_printf (
+      "hostaddr=%s port=%s dbname=%s user=load sslmode=disable "
+      "gssencmode=disable connect_timeout=3 %s",
+      parts[0], parts[1], load.service, options);
+
+  c->connecting = true;
+  c->pq = PQconnectStart (conninfo);
+  g_free (conninfo);
+  g_free (options);
+  g_strfreev (parts);
+  if (PQstatus (c->pq) == CONNECTION_BAD)
+    {
+      load.ledger.refused_connections++;
+      PQfinish (c->pq);
+      c->pq = NULL;
+      wait_then (c, RECONNECT_MS);
+      return;
+    }
+  ev_io_init (&c->io, on_io, PQsocket (c->pq), EV_WRITE);
+  c->io.data = c;
+  ev_io_start (load.loop, &c->io);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Caller *c = w->data;
+
+  (void) loop;
+  (void) events;
+  if (c->done)
+    return;
+  if (!c->pq)
+    open_connection (c);
+  else if (c->filing)
+    try_op (c);
+  else
+    begin_op (c);
+}
+
+static void
+on_stop (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) loop;
+  (void) w;
+  (void) events;
+  load.stopping = true;
+}
+
+static void
+on_overrun (struct ev_loop *loop, ev_timer *w, int events)
+{
+  (void) w;
+  (void) events;
+  fprintf (stderr, "ss-load: %d callers did not come to an end\n",
+           load.live);
+  ev_break (loop, EVBREAK_ALL);
+}
+
+static void
+on_signal (struct ev_loop *loop, ev_signal *w, int events)
+{
+  (void) loop;
+  (void) w;
+  (void) events;
+  load.stopping = true;
+}
+
+/* --- afterwards --- */
+
+static PGconn *
+connect_target (const char *address)
+{
+  char **parts = g_strsplit (address, ":", 2);
+  char *conninfo = g_strdup_printf (
+      "hostaddr=%s port=%s dbname=check user=replication sslmode=disable "
+      "gssencmode=disable connect_timeout=2",
+      parts[0], parts[1]);
+  PGconn *pq = PQconnectdb (conninfo);
+
+  g_free (conninfo);
+  g_strfreev (parts);
+  return pq;
+}
+
+/* The term in which the target serves as primary; 0: it does not. */
+static uint64_t
+primary_term (PGconn *pq)
+{
+  PGresult *r = PQexec (pq, "SELECT * FROM sapphirestair_status()");
+  uint64_t term = 0;
+
+  if (PQresultStatus (r) == PGRES_TUPLES_OK
+      && strcmp (PQgetvalue (r, 0, 0), "primary") == 0)
+    term = g_ascii_strtoull (PQgetvalue (r, 0, 1), NULL, 10);
+  PQclear (r);
+  return term;
+}
+
+static GHashTable *
+read_contents (PGconn *pq)
+{
+  GHashTable *counts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  PGresult *r = PQexec (pq, "SELECT key, value FROM " TABLE);
+
+  for (int i = 0; i < PQntuples (r); i++)
+    {
+      const char *key = PQgetvalue (r, i, 0);
+      guint rows = GPOINTER_TO_UINT (g_hash_table_lookup (counts, key));
+
+      g_hash_table_insert (counts, g_strdup (key),
+                           GUINT_TO_POINTER (rows + 1));
+    }
+  PQclear (r);
+  return counts;
+}
+
+/* Compares the record with the primary of the highest term. */
+static bool
+compare_contents (void)
+{
+  GHashTable *best = NULL;
+  uint64_t best_term = 0;
+
+  for (uint32_t i = 0; load.targets && load.targets[i]; i++)
+    {
+      PGconn *pq = connect_target (load.targets[i]);
+      uint64_t term
+          = PQstatus (pq) == CONNECTION_OK ? primary_term (pq) : 0;
+
+      if (term > best_term)
+        {
+          if (best)
+            g_hash_table_destroy (best);
+          best = read_contents (pq);
+          best_term = term;
+        }
+      PQfinish (pq);
+    }
+  if (!best)
+    return false;
+  ss_ledger_compare (&load.ledger, best);
+  g_hash_table_destroy (best);
+  return true;
+}
+
+static size_t
+append_text (char *data, size_t size, size_t count, void *user)
+{
+  g_string_append_len (user, data, (gssize) (size * count));
+  return size * count;
+}
+
+static double
+counter_value (const char *text, const char *name)
+{
+  char *line = g_strdup_printf ("\n%s ", name);
+  const char *at = strstr (text, line);
+  double value = at ? g_ascii_strtod (at + strlen (line), NULL) : 0;
+
+  g_free (line);
+  return value;
+}
+
+static double
+sum_counter (const char *name)
+{
+  double sum = 0;
+
+  for (uint32_t i = 0; load.admins && load.admins[i]; i++)
+    {
+      CURL *easy = curl_easy_init ();
+      GString *text = g_string_new (NULL);
+      char *url = g_strdup_printf ("http://%s/metrics", load.admins[i]);
+
+      curl_easy_setopt (easy, CURLOPT_URL, url);
+      curl_easy_setopt (easy, CURLOPT_PROXY, "");
+      curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, 1000L);
+      curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_text);
+      curl_easy_setopt (easy, CURLOPT_WRITEDATA, text);
+      if (curl_easy_perform (easy) == CURLE_OK)
+        sum += counter_value (text->str, name);
+      curl_easy_cleanup (easy);
+      g_string_free (text, TRUE);
+      g_free (url);
+    }
+  return sum;
+}
+
+static json_t *
+reasons_json (void)
+{
+  json_t *json = json_object ();
+  GHashTableIter iter;
+  gpointer reason;
+  gpointer count;
+
+  g_hash_table_iter_init (&iter, load.ledger.reasons);
+  while (g_hash_table_iter_next (&iter, &reason, &count))
+    json_object_set_new (json, reason,
+                         json_integer (GPOINTER_TO_UINT (count)));
+  return json;
+}
+
+static void
+print_report (bool compared)
+{
+  SsLedger *l = &load.ledger;
+  double primary = sum_counter ("sapphirestair_reads_primary_total");
+  double replica = sum_counter ("sapphirestair_reads_replica_total");
+  double reads = primary + replica;
+  json_t *json = json_pack (
+      "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:f, "
+      "s:f, s:I, s:I, s:b, s:f, s:o}",
+      "statements", (json_int_t) l->statements, "acknowledged",
+      (json_int_t) l->acks, "not_run", (json_int_t) l->not_run,
+      "may_have_run", (json_int_t) l->may_have_run, "lost",
+      (json_int_t) l->lost, "doubled",
+      (json_int_t) (l->doubled + l->read_doubled), "stale",
+      (json_int_t) l->stale, "crossed", (json_int_t) l->crossed, "mixed",
+      (json_int_t) l->mixed, "ran_though_not_run",
+      (json_int_t) l->ran_though_not_run, "replica_read_share",
+      reads > 0 ? replica / reads : 0.0, "failover_gap_ms",
+      (json_int_t) l->failover_gap_ms, "p50_ms",
+      ss_ledger_latency_ms (l, 0.5), "p99_ms",
+      ss_ledger_latency_ms (l, 0.99), "writes",
+      (json_int_t) l->acknowledged->len, "refused_connections",
+      (json_int_t) l->refused_connections, "compared", compared,
+      "statements_per_s",
+      (double) l->statements * 1000.0
+          / (double) MAX (now_ms () - load.started_ms, 1),
+      "reasons", reasons_json ());
+  char *text = json_dumps (json, JSON_COMPACT | JSON_REAL_PRECISION (5)
+                                     | JSON_PRESERVE_ORDER);
+
+  puts (text);
+  free (text);
+  json_decref (json);
+}
+
+static void
+run_callers (void)
+{
+  Caller *callers = g_new0 (Caller, load.callers);
+  ev_timer stop;
+  ev_timer overrun;
+  ev_signal on_int;
+  ev_signal on_term;
+
+  load.started_ms = now_ms ();
+  load.stop_ms = load.started_ms + load.seconds * 1000;
+  load.live = load.callers;
+  for (int32_t i = 0; i < load.callers; i++)
+    {
+      callers[i].number = i;
+      ev_timer_init (&callers[i].timer, on_timer, 0, 0);
+      callers[i].timer.data = &callers[i];
+      wait_then (&callers[i], g_rand_int_range (load.rand, 0, 100));
+    }
+  ev_timer_init (&stop, on_stop, load.seconds, 0);
+  ev_timer_start (load.loop, &stop);
+  ev_timer_init (&overrun, on_overrun,
+                 load.seconds + 2 * DRAIN_MS / 1000.0, 0);
+  ev_timer_start (load.loop, &overrun);
+  ev_signal_init (&on_int, on_signal, SIGINT);
+  ev_signal_start (load.loop, &on_int);
+  ev_signal_init (&on_term, on_signal, SIGTERM);
+  ev_signal_start (load.loop, &on_term);
+  ev_run (load.loop, 0);
+  for (int32_t i = 0; i < load.callers; i++)
+    {
+      close_connection (&callers[i]);
+      clear_steps (&callers[i]);
+      g_free (callers[i].token);
+    }
+  g_free (callers);
+}
+
+int
+main (int argc, char **argv)
+{
+  static int seed = 1;
+  static int staleness_ms = 30000;
+  static const GOptionEntry options[] = {
+    { "entry", 0, 0, G_OPTION_ARG_STRING_ARRAY, &load.entries,
+      "Address of an entry vm's caller side", "IP:PORT" },
+    { "target", 0, 0, G_OPTION_ARG_STRING_ARRAY, &load.targets,
+      "Address of a target, for the comparison at the end", "IP:PORT" },
+    { "admin", 0, 0, G_OPTION_ARG_STRING_ARRAY, &load.admins,
+      "Address of a vm's administration API", "IP:PORT" },
+    { "service", 0, 0, G_OPTION_ARG_STRING, &load.service, "Service",
+      "NAME" },
+    { "callers", 0, 0, G_OPTION_ARG_INT, &load.callers, "Callers", "N" },
+    { "seconds", 0, 0, G_OPTION_ARG_INT, &load.seconds, "Length", "S" },
+    { "writes", 0, 0, G_OPTION_ARG_INT, &load.write_percent,
+      "Share of writes in percent", "P" },
+    { "ids", 0, 0, G_OPTION_ARG_INT, &load.id_percent,
+      "Share of writes with a request id", "P" },
+    { "transactions", 0, 0, G_OPTION_ARG_INT, &load.transaction_percent,
+      "Share of writes in transactions", "P" },
+    { "aged", 0, 0, G_OPTION_ARG_INT, &load.aged_percent,
+      "Share of reads of the aged kind", "P" },
+    { "aged-kind", 0, 0, G_OPTION_ARG_STRING, &load.aged_kind,
+      "Name of the aged kind", "NAME" },
+    { "staleness-ms", 0, 0, G_OPTION_ARG_INT, &staleness_ms,
+      "Staleness of the aged kind", "MS" },
+    { "roam", 0, 0, G_OPTION_ARG_INT, &load.roam_percent,
+      "Chance to connect anew before an operation", "P" },
+    { "tokens", 0, 0, G_OPTION_ARG_INT, &load.token_percent,
+      "Share of arrivals that bring their token", "P" },
+    { "think-ms", 0, 0, G_OPTION_ARG_INT, &load.think_ms,
+      "Pause between operations", "MS" },
+    { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new ("- load and comparison");
+  GError *error = NULL;
+  bool compared;
+
+  load.callers = 16;
+  load.seconds = 5;
+  load.write_percent = 20;
+  load.id_percent = 50;
+  load.transaction_percent = 20;
+  load.aged_percent = 50;
+  load.roam_percent = 10;
+  load.token_percent = 50;
+  load.think_ms = 2;
+  load.aged_kind = (char *) "report";
+  load.service = "claims";
+  g_option_context_add_main_entries (context, options, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error)
+      || !load.entries)
+    {
+      fprintf (stderr, "ss-load: %s\n",
+               error ? error->message : "--entry is needed");
+      return 2;
+    }
+  load.staleness_ms = staleness_ms;
+  load.rand = g_rand_new_with_seed ((guint32) seed);
+  load.loop = ev_default_loop (0);
+  ss_ledger_init (&load.ledger);
+  run_callers ();
+  compared = compare_contents ();
+  print_report (compared);
+  ss_ledger_finish (&load.ledger);
+  g_rand_free (load.rand);
+  g_option_context_free (context);
+  return 0;
+}
--- /dev/null
+++ b/bench/ss_scenario.c
@@ -0,0 +1,441 @@
+/* ss-scenario: runs a scenario, a file of one command a line, against real
+ * processes on loopback.  tests/scenario/README.md describes the language.
+ */
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+
+#include "bench/deploy.h"
+
+#define AWAIT_BOUND_MS 30000
+#define STEP_US 20000
+
+typedef struct
+{
+  SsDeploy deploy;
+  json_t *result; /* of the last load */
+  char *result_text;
+  int32_t primary; /* as of the last "note primary" */
+  const char *path;
+  uint32_t line;
+} Run;
+
+static volatile sig_atomic_t interrupted;
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+static bool
+fail (const Run *run, const char *format, ...)
+{
+  va_list args;
+
+  fprintf (stderr, "%s:%u: ", run->path, run->line);
+  va_start (args, format);
+  vfprintf (stderr, format, args);
+  va_end (args);
+  fputc ('\n', stderr);
+  return false;
+}
+
+/* The value of "name=value" among ARGV, or FALLBACK. */
+static const char *
+option (char **argv, const char *name, const char *fallback)
+{
+  size_t bytes = strlen (name);
+
+  for (uint32_t i = 1; argv[i]; i++)
+    if (strncmp (argv[i], name, bytes) == 0 && argv[i][bytes] == '=')
+      return argv[i] + bytes + 1;
+  return fallback;
+}
+
+static SsDeployed *
+find_process (Run *run, char **argv, uint32_t *index)
+{
+  SsDeploy *d = &run->deploy;
+
+  *index = 0;
+  if (!argv[1])
+    return NULL;
+  if (strcmp (argv[1], "platform") == 0)
+    return &d->platform;
+  if (strcmp (argv[1], "primary") == 0)
+    {
+      if (run->primary < 0)
+        return NULL;
+      *index = (uint32_t) run->primary;
+      return &d->targets[run->primary];
+    }
+  if (!argv[2])
+    return NULL;
+  *index = (uint32_t) atoi (argv[2]);
+  if (strcmp (argv[1], "vm") == 0 && *index < d->vm_count)
+    return &d->vms[*index];
+  if (strcmp (argv[1], "target") == 0 && *index < d->target_count)
+    return &d->targets[*index];
+  return NULL;
+}
+
+static bool
+do_deployment (Run *run, char **argv)
+{
+  run->deploy.max_connections
+      = (uint32_t) atoi (option (argv, "connections", "20"));
+  run->deploy.lookup_staleness_ms
+      = (uint32_t) atoi (option (argv, "staleness_ms", "30000"));
+  if (ss_deploy_start (
+          &run->deploy,
+          option (argv, "domains", "aarhus-hal,koege-hal,odense-hal"),
+          (uint32_t) atoi (option (argv, "vms", "2")),
+          (uint32_t) atoi (option (argv, "servers", "3"))))
+    return true;
+  return fail (run, "the deployment did not come up");
+}
+
+static bool
+do_load (Run *run, char **argv)
+{
+  GPtrArray *arguments = g_ptr_array_new_with_free_func (g_free);
+  bool ok;
+
+  for (uint32_t i = 1; argv[i]; i++)
+    g_ptr_array_add (arguments, g_strdup_printf ("--%s", argv[i]));
+  g_ptr_array_add (arguments, NULL);
+  ok = ss_deploy_load (&run->deploy, (char **) arguments->pdata);
+  g_ptr_array_free (arguments, TRUE);
+  return ok || fail (run, "the load did not start");
+}
+
+static bool
+do_wait (Run *run, char **argv)
+{
+  int64_t due_ms = now_ms () + atoi (argv[1] ? argv[1] : "0");
+
+  (void) run;
+  while (now_ms () < due_ms && !interrupted)
+    g_usleep (STEP_US);
+  return true;
+}
+
+static bool
+do_signal (Run *run, char **argv)
+{
+  uint32_t index;
+  SsDeployed *p = find_process (run, argv, &index);
+
+  if (!p || !p->pid)
+    return fail (run, "no such process");
+  if (strcmp (argv[0], "kill") == 0)
+    ss_deploy_signal (p, SIGKILL);
+  else if (strcmp (argv[0], "freeze") == 0)
+    ss_deploy_signal (p, SIGSTOP);
+  else if (strcmp (argv[0], "thaw") == 0)
+    ss_deploy_signal (p, SIGCONT);
+  else
+    ss_deploy_signal (p, SIGTERM);
+  p->frozen = strcmp (argv[0], "freeze") == 0;
+  return true;
+}
+
+static bool
+do_start (Run *run, char **argv)
+{
+  uint32_t index;
+  SsDeployed *p = find_process (run, argv, &index);
+
+  if (!p || p->pid)
+    return fail (run, "no such process, or it runs already");
+  if (strcmp (argv[1], "vm") == 0)
+    return ss_deploy_start_vm (&run->deploy, index);
+  return ss_deploy_start_target (&run->deploy, index);
+}
+
+static bool
+do_cut (Run *run, char **argv)
+{
+  bool cut = strcmp (argv[0], "cut") == 0;
+
+  if (!argv[1] || !ss_deploy_cut_domain (&run->deploy, argv[1], cut))
+    return fail (run, "can't %s that domain", argv[0]);
+  return true;
+}
+
+static bool
+do_platform (Run *run, char **argv)
+{
+  if (!argv[1] || !ss_deploy_platform_control (&run->deploy, argv[1]))
+    return fail (run, "the platform refused the control");
+  return true;
+}
+
+static bool
+do_control (Run *run, char **argv)
+{
+  uint32_t index = 0;
+  SsDeployed *p = find_process (run, argv, &index);
+  uint32_t at = argv[1] && strcmp (argv[1], "primary") == 0 ? 2 : 3;
+
+  if (!p || !argv[at] || !argv[at + 1]
+      || !ss_deploy_control (p, argv[at], atoi (argv[at + 1])))
+    return fail (run, "the target refused the control");
+  return true;
+}
+
+static bool
+do_put (Run *run, char **argv)
+{
+  if (!argv[1] || !argv[2]
+      || !ss_deploy_put (&run->deploy, argv[1], argv[2]))
+    return fail (run, "the platform refused the object");
+  return true;
+}
+
+static bool
+do_note (Run *run, char **argv)
+{
+  (void) argv;
+  run->primary = ss_deploy_primary (&run->deploy, NULL);
+  return run->primary >= 0 || fail (run, "no target is primary");
+}
+
+static bool
+primary_changed (Run *run)
+{
+  int32_t primary = ss_deploy_primary (&run->deploy, NULL);
+
+  return primary >= 0 && primary != run->primary;
+}
+
+/* "await new-primary", "await ready vm N", "await exit vm N" */
+static bool
+do_await (Run *run, char **argv)
+{
+  int64_t due_ms = now_ms () + AWAIT_BOUND_MS;
+  uint32_t index = 0;
+  SsDeployed *p
+      = argv[1] && argv[2] ? find_process (run, argv + 1, &index) : NULL;
+  int code = 0;
+
+  if (argv[1] && strcmp (argv[1], "ready") == 0)
+    return (p && ss_deploy_wait_ready (&run->deploy, index, AWAIT_BOUND_MS))
+           || fail (run, "the vm is not ready");
+  if (argv[1] && strcmp (argv[1], "exit") == 0)
+    {
+      if (!p || !ss_deploy_wait_exit (p, AWAIT_BOUND_MS, &code))
+        return fail (run, "the process did not end");
+      return code == 0 || fail (run, "the process ended with %d", code);
+    }
+  while (now_ms () < due_ms && !interrupted)
+    {
+      if (primary_changed (run))
+        return true;
+      g_usleep (STEP_US);
+    }
+  return fail (run, "no new primary");
+}
+
+/* "sql N SQL EXPECTED [options=...]" */
+static bool
+do_sql (Run *run, char **argv)
+{
+  int64_t due_ms = now_ms () + AWAIT_BOUND_MS;
+  bool again = argv[0][0] == 'a';
+  char *answer;
+  bool ok;
+
+  if (!argv[1] || !argv[2] || !argv[3])
+    return fail (run, "sql needs a vm, a statement and what is expected");
+  do
+    {
+      answer = ss_deploy_sql (&run->deploy, (uint32_t) atoi (argv[1]),
+                              option (argv, "conninfo", ""), argv[2]);
+      ok = strcmp (answer, argv[3]) == 0;
+      if (!ok && !again)
+        fail (run, "expected %s, got %s", argv[3], answer);
+      g_free (answer);
+      if (!ok && again)
+        g_usleep (STEP_US);
+    }
+  while (!ok && again && now_ms () < due_ms && !interrupted);
+  return ok || fail (run, "%s is not answered as expected", argv[2]);
+}
+
+static bool
+do_result (Run *run, char **argv)
+{
+  (void) argv;
+  json_decref (run->result);
+  g_free (run->result_text);
+  run->result_text = ss_deploy_load_result (&run->deploy);
+  run->result = json_loads (run->result_text, 0, NULL);
+  return run->result != NULL || fail (run, "the load gave no result");
+}
+
+static bool
+compare (double value, const char *op, double bound)
+{
+  if (strcmp (op, "=") == 0)
+    return value == bound;
+  if (strcmp (op, "<") == 0)
+    return value < bound;
+  if (strcmp (op, ">") == 0)
+    return value > bound;
+  if (strcmp (op, "<=") == 0)
+    return value <= bound;
+  return strcmp (op, ">=") == 0 && value >= bound;
+}
+
+static bool
+do_expect (Run *run, char **argv)
+{
+  json_t *field;
+  double value;
+
+  if (!argv[1] || !argv[2] || !argv[3])
+    return fail (run, "expect needs a field, an operator and a value");
+  field = json_object_get (run->result, argv[1]);
+  if (!field)
+    return fail (run, "the load's result has no field %s", argv[1]);
+  value = json_is_boolean (field) ? json_is_true (field)
+                                  : json_number_value (field);
+  if (compare (value, argv[2], g_ascii_strtod (argv[3], NULL)))
+    return true;
+  return fail (run, "%s is %g, expected %s %s", argv[1], value, argv[2],
+               argv[3]);
+}
+
+static bool
+do_print (Run *run, char **argv)
+{
+  (void) argv;
+  puts (run->result_text ? run->result_text : "");
+  fflush (stdout);
+  return true;
+}
+
+typedef struct
+{
+  const char *name;
+  bool (*run) (Run *run, char **argv);
+} Command;
+
+static const Command commands[] = {
+  { "deployment", do_deployment },
+  { "load", do_load },
+  { "wait", do_wait },
+  { "kill", do_signal },
+  { "freeze", do_signal },
+  { "thaw", do_signal },
+  { "stop", do_signal },
+  { "start", do_start },
+  { "cut", do_cut },
+  { "heal", do_cut },
+  { "platform", do_platform },
+  { "control", do_control },
+  { "put", do_put },
+  { "note", do_note },
+  { "await", do_await },
+  { "sql", do_sql },
+  { "await-sql", do_sql },
+  { "result", do_result },
+  { "expect", do_expect },
+  { "print", do_print },
+};
+
+static bool
+run_line (Run *run, const char *text)
+{
+  GError *error = NULL;
+  char **argv = NULL;
+  bool ok = false;
+
+  if (!*text || *text == '#')
+    return true;
+  if (!g_shell_parse_argv (text, NULL, &argv, &error))
+    {
+      fail (run, "%s", error->message);
+      g_error_free (error);
+      return false;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (commands); i++)
+    if (strcmp (argv[0], commands[i].name) == 0)
+      {
+        ok = commands[i].run (run, argv);
+        goto done;
+      }
+  fail (run, "no such command: %s", argv[0]);
+done:
+  g_strfreev (argv);
+  return ok;
+}
+
+static void
+on_signal (int number)
+{
+  interrupted = number;
+}
+
+static bool
+run_file (Run *run)
+{
+  char *text = NULL;
+  char **lines;
+  bool ok = true;
+
+  if (!g_file_get_contents (run->path, &text, NULL, NULL))
+    return fail (run, "can't be read");
+  lines = g_strsplit (text, "\n", -1);
+  for (uint32_t i = 0; lines[i] && ok && !interrupted; i++)
+    {
+      run->line = i + 1;
+      ok = run_line (run, g_strstrip (lines[i]));
+    }
+  g_strfreev (lines);
+  g_free (text);
+  return ok && !interrupted;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct sigaction action = { .sa_handler = on_signal };
+  char *programs;
+  bool keep = argc > 1 && strcmp (argv[1], "--keep") == 0;
+  int failed = 0;
+
+  if (argc < (keep ? 3 : 2))
+    {
+      fprintf (stderr, "usage: ss-scenario [--keep] FILE...\n");
+      return 2;
+    }
+  prctl (PR_SET_PDEATHSIG, SIGTERM);
+  sigaction (SIGINT, &action, NULL);
+  sigaction (SIGTERM, &action, NULL);
+  programs = g_path_get_dirname (argv[0]);
+  for (int i = keep ? 2 : 1; i < argc && !interrupted; i++)
+    {
+      Run run = { .path = argv[i], .primary = -1 };
+      bool ok;
+
+      ss_deploy_init (&run.deploy, programs);
+      ok = run_file (&run);
+      if (!ok)
+        fprintf (stderr, "%s: FAILED; logs are in %s\n", argv[i],
+                 run.deploy.directory);
+      failed += ok ? 0 : 1;
+      if (keep)
+        fprintf (stderr, "logs are in %s\n", run.deploy.directory);
+      ss_deploy_finish (&run.deploy, keep || (!ok && !interrupted));
+      json_decref (run.result);
+      g_free (run.result_text);
+    }
+  g_free (programs);
+  return failed ? 1 : 0;
+}
--- /dev/null
+++ b/src/core/choice.c
@@ -0,0 +1,94 @@
+#include <string.h>
+
+#include "core/internal.h"
+
+#define VIEW_STALE_MS 3000
+#define REMOTE_PENALTY 4
+#define WAIT_MS_PER_PENALTY 5
+
+static bool
+was_tried (const SsTarget *t, char *const *tried, uint32_t tried_count)
+{
+  for (uint32_t i = 0; i < tried_count; i++)
+    if (strcmp (tried[i], t->name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+is_usable (SsNode *node, SsTarget *t)
+{
+  return !t->draining && t->state.reachable
+         && node->now_ms - t->reachable_ms < VIEW_STALE_MS
+         && ss_node_owner (node, t) != NULL;
+}
+
+static bool
+shows_floor (const SsTarget *t, SsPosition floor)
+{
+  SsPosition translated
+      = ss_position_translate (floor, &t->state.history);
+
+  return ss_position_covers (t->state.applied, translated);
+}
+
+/* Lower is better. */
+static uint32_t
+load_of (SsNode *node, const SsTarget *t)
+{
+  uint32_t load = t->outstanding + t->state.wait_ms / WAIT_MS_PER_PENALTY;
+
+  if (strcmp (t->failure_domain, node->params.failure_domain) != 0)
+    load += REMOTE_PENALTY;
+  return load;
+}
+
+SsTarget *
+ss_choice_read (SsNode *node, SsGroup *group, SsPosition floor,
+                char *const *tried, uint32_t tried_count)
+{
+  SsTarget *primary = ss_group_primary (group);
+  SsTarget *best = NULL;
+  uint32_t best_load = 0;
+  uint32_t ties = 0;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      SsTarget *t = group->servers[i];
+      uint32_t load;
+
+      if (t == primary || t->state.role != SS_SERVER_REPLICA
+          || was_tried (t, tried, tried_count) || !is_usable (node, t)
+          || !shows_floor (t, floor))
+        continue;
+      load = load_of (node, t);
+      ties = best && load == best_load ? ties + 1 : 1;
+      if (best && load > best_load)
+        continue;
+      /* Equal servers are taken with equal chance. */
+      if (best && load == best_load
+          && g_rand_int_range (node->rand, 0, (gint32) ties) != 0)
+        continue;
+      best = t;
+      best_load = load;
+    }
+  if (best)
+    return best;
+  if (primary && !was_tried (primary, tried, tried_count)
+      && primary->state.role == SS_SERVER_PRIMARY
+      && is_usable (node, primary))
+    return primary;
+  return NULL;
+}
+
+SsTarget *
+ss_choice_write (SsNode *node, SsGroup *group)
+{
+  SsTarget *primary = ss_group_primary (group);
+
+  if (!primary || !is_usable (node, primary)
+      || primary->state.role != SS_SERVER_PRIMARY
+      || primary->state.shown_term != group->term)
+    return NULL;
+  return primary;
+}
--- /dev/null
+++ b/src/core/config.c
@@ -0,0 +1,463 @@
+#include "core/config.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define STALENESS_MAX_MS (7LL * 24 * 3600 * 1000)
+#define CONNECTIONS_MAX 10000
+#define WEIGHT_MAX 1000
+
+const char *
+ss_server_role_text (SsServerRole role)
+{
+  static const char *const names[] = {
+#define X(id, name) name,
+    SS_ROLES (X)
+#undef X
+  };
+
+  return names[role];
+}
+
+static int
+compare_names (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void) data;
+  return strcmp (a, b);
+}
+
+static void
+stored_free (gpointer data)
+{
+  SsStoredObject *o = data;
+
+  g_free (o->key);
+  g_bytes_unref (o->value);
+  g_free (o);
+}
+
+static void
+service_free (gpointer data)
+{
+  SsService *s = data;
+
+  for (uint32_t i = 0; i < s->kind_count; i++)
+    g_free (s->kinds[i].name);
+  g_free (s->name);
+  g_free (s->group);
+  g_free (s->default_kind);
+  g_free (s);
+}
+
+static void
+target_clear_settings (SsTarget *t)
+{
+  g_free (t->group);
+  g_free (t->ip);
+  g_free (t->failure_domain);
+}
+
+static void
+target_free (gpointer data)
+{
+  SsTarget *t = data;
+
+  target_clear_settings (t);
+  g_free (t->name);
+  g_free (t);
+}
+
+static void
+group_free (gpointer data)
+{
+  SsGroup *g = data;
+
+  g_free (g->name);
+  g_free (g->primary);
+  g_free (g->operation);
+  g_free (g);
+}
+
+void
+ss_config_init (SsConfig *config)
+{
+  config->objects = g_tree_new_full (compare_names, NULL, NULL, stored_free);
+  config->services
+      = g_tree_new_full (compare_names, NULL, NULL, service_free);
+  config->targets = g_tree_new_full (compare_names, NULL, NULL, target_free);
+  config->groups = g_tree_new_full (compare_names, NULL, NULL, group_free);
+  config->revision = 0;
+}
+
+void
+ss_config_finish (SsConfig *config)
+{
+  g_tree_destroy (config->objects);
+  g_tree_destroy (config->services);
+  g_tree_destroy (config->targets);
+  g_tree_destroy (config->groups);
+}
+
+/* Reads a text member; a message on failure. */
+static char *
+get_text (json_t *json, const char *name, const char *fallback, char **out)
+{
+  json_t *value = json_object_get (json, name);
+
+  if (!value && fallback)
+    {
+      *out = g_strdup (fallback);
+      return NULL;
+    }
+  if (!json_is_string (value))
+    return g_strdup_printf ("\"%s\" must be a string", name);
+  *out = g_strdup (json_string_value (value));
+  return NULL;
+}
+
+static char *
+get_number (json_t *json, const char *name, int64_t fallback, int64_t lowest,
+            int64_t highest, int64_t *out)
+{
+  json_t *value = json_object_get (json, name);
+
+  *out = fallback;
+  if (!value && fallback >= lowest)
+    return NULL;
+  if (!json_is_integer (value) || json_integer_value (value) < lowest
+      || json_integer_value (value) > highest)
+    return g_strdup_printf ("\"%s\" must be an integer from %" G_GINT64_FORMAT
+                            " to %" G_GINT64_FORMAT,
+                            name, lowest, highest);
+  *out = json_integer_value (value);
+  return NULL;
+}
+
+static char *
+check_keys (json_t *json, const char *allowed)
+{
+  const char *key;
+  json_t *value;
+
+  json_object_foreach (json, key, value)
+    {
+      char *word = g_strdup_printf (" %s ", key);
+      bool known = strstr (allowed, word) != NULL;
+
+      g_free (word);
+      if (!known)
+        return g_strdup_printf ("unknown member \"%s\"; allowed are%s", key,
+                                allowed);
+    }
+  return NULL;
+}
+
+static char *
+parse_kinds (SsService *s, json_t *kinds)
+{
+  const char *name;
+  json_t *kind;
+
+  if (kinds && !json_is_object (kinds))
+    return g_strdup ("\"kinds\" must be an object");
+  json_object_foreach (kinds, name, kind)
+    {
+      char *error = check_keys (kind, " staleness_ms ");
+      int64_t staleness_ms;
+
+      if (!error)
+        error = get_number (kind, "staleness_ms", -1, 0, STALENESS_MAX_MS,
+                            &staleness_ms);
+      if (error)
+        return error;
+      if (s->kind_count == SS_CONFIG_KINDS_MAX)
+        return g_strdup ("too many kinds");
+      s->kinds[s->kind_count].name = g_strdup (name);
+      s->kinds[s->kind_count++].staleness_ms = staleness_ms;
+    }
+  return NULL;
+}
+
+static char *
+parse_service (SsService *s, json_t *json)
+{
+  char *acknowledge = NULL;
+  int64_t weight = 1;
+  char *error
+      = check_keys (json, " group default_kind acknowledge weight kinds ");
+
+  if (!error)
+    error = get_text (json, "group", NULL, &s->group);
+  if (!error)
+    error = get_text (json, "default_kind", "", &s->default_kind);
+  if (!error)
+    error = get_text (json, "acknowledge", "majority", &acknowledge);
+  if (!error)
+    error = get_number (json, "weight", 1, 1, WEIGHT_MAX, &weight);
+  if (!error)
+    error = parse_kinds (s, json_object_get (json, "kinds"));
+  if (!error && strcmp (acknowledge, "majority") != 0
+      && strcmp (acknowledge, "primary") != 0)
+    error = g_strdup ("\"acknowledge\" must be \"majority\" or \"primary\"");
+  if (!error && *s->default_kind
+      && ss_service_staleness (s, s->default_kind) < 0)
+    error = g_strdup ("\"default_kind\" names no kind of the service");
+  s->weight = (uint32_t) weight;
+  s->acknowledge_majority
+      = !acknowledge || strcmp (acknowledge, "majority") == 0;
+  g_free (acknowledge);
+  return error;
+}
+
+static char *
+parse_target (SsTarget *t, json_t *json)
+{
+  json_t *draining = json_object_get (json, "draining");
+  int64_t port = 0;
+  int64_t max_connections = 0;
+  char *error = check_keys (
+      json, " group ip port failure_domain max_connections draining ");
+
+  if (!error)
+    error = get_text (json, "group", NULL, &t->group);
+  if (!error)
+    error = get_text (json, "ip", NULL, &t->ip);
+  if (!error)
+    error = get_text (json, "failure_domain", NULL, &t->failure_domain);
+  if (!error)
+    error = get_number (json, "port", -1, 1, 65535, &port);
+  if (!error)
+    error = get_number (json, "max_connections", -1, 4, CONNECTIONS_MAX,
+                        &max_connections);
+  if (!error && draining && !json_is_boolean (draining))
+    error = g_strdup ("\"draining\" must be true or false");
+  t->port = (uint16_t) port;
+  t->max_connections = (uint32_t) max_connections;
+  t->draining = json_is_true (draining);
+  return error;
+}
+
+static char *
+parse_group (SsGroup *g, json_t *json)
+{
+  int64_t term = 0;
+  char *error = check_keys (json, " term primary operation ");
+
+  if (!error)
+    error = get_number (json, "term", -1, 1, G_MAXINT64, &term);
+  if (!error)
+    error = get_text (json, "primary", NULL, &g->primary);
+  if (!error)
+    error = get_text (json, "operation", "", &g->operation);
+  g->term = (uint64_t) term;
+  return error;
+}
+
+typedef struct
+{
+  const SsConfig *config;
+  SsGroup *group;
+} Attach;
+
+static gboolean
+attach_server (gpointer key, gpointer value, gpointer data)
+{
+  Attach *a = data;
+  SsTarget *t = value;
+
+  (void) key;
+  if (strcmp (t->group, a->group->name) == 0
+      && a->group->server_count < SS_CONFIG_SERVERS_MAX)
+    a->group->servers[a->group->server_count++] = t;
+  return FALSE;
+}
+
+static gboolean
+attach_servers (gpointer key, gpointer value, gpointer data)
+{
+  const SsConfig *c = data;
+  Attach a = { c, value };
+
+  (void) key;
+  a.group->server_count = 0;
+  g_tree_foreach (c->targets, attach_server, &a);
+  return FALSE;
+}
+
+static char *
+adopt_service (SsConfig *c, const char *name, int64_t version, json_t *json)
+{
+  SsService *s = g_new0 (SsService, 1);
+  char *error = parse_service (s, json);
+
+  s->name = g_strdup (name);
+  s->version = version;
+  if (error)
+    service_free (s);
+  else
+    g_tree_replace (c->services, s->name, s);
+  return error;
+}
+
+/* A target known already keeps its place in memory and its state. */
+static char *
+adopt_target (SsConfig *c, const char *name, int64_t version, json_t *json)
+{
+  SsTarget parsed = { 0 };
+  char *error = parse_target (&parsed, json);
+  SsTarget *t;
+
+  if (error)
+    {
+      target_clear_settings (&parsed);
+      return error;
+    }
+  t = ss_config_target (c, name);
+  if (!t)
+    {
+      t = g_new0 (SsTarget, 1);
+      t->name = g_strdup (name);
+      g_tree_insert (c->targets, t->name, t);
+    }
+  else
+    target_clear_settings (t);
+  t->version = version;
+  t->group = parsed.group;
+  t->ip = parsed.ip;
+  t->port = parsed.port;
+  t->failure_domain = parsed.failure_domain;
+  t->max_connections = parsed.max_connections;
+  t->draining = parsed.draining;
+  t->owner_generation = 0;
+  g_tree_foreach (c->groups, attach_servers, c);
+  return NULL;
+}
+
+static char *
+adopt_group (SsConfig *c, const char *name, int64_t version, json_t *json,
+             int64_t now_ms)
+{
+  SsGroup *g = g_new0 (SsGroup, 1);
+  char *error = parse_group (g, json);
+
+  g->name = g_strdup (name);
+  g->version = version;
+  g->changed_ms = now_ms;
+  if (error)
+    {
+      group_free (g);
+      return error;
+    }
+  g_tree_replace (c->groups, g->name, g);
+  attach_servers (g->name, g, c);
+  return NULL;
+}
+
+static char *
+adopt_parsed (SsConfig *c, const char *key, int64_t version,
+              const char *value, uint32_t value_bytes, int64_t now_ms)
+{
+  json_error_t where;
+  json_t *json = json_loadb (value, value_bytes, JSON_REJECT_DUPLICATES,
+                             &where);
+  char *error = NULL;
+
+  if (!json_is_object (json))
+    error = g_strdup_printf ("not a JSON object: %s", where.text);
+  else if (g_str_has_prefix (key, "service/"))
+    error = adopt_service (c, strchr (key, '/') + 1, version, json);
+  else if (g_str_has_prefix (key, "target/"))
+    error = adopt_target (c, strchr (key, '/') + 1, version, json);
+  else if (g_str_has_prefix (key, "group/"))
+    error = adopt_group (c, strchr (key, '/') + 1, version, json, now_ms);
+  json_decref (json);
+  return error;
+}
+
+static void
+store_object (SsConfig *c, const SsObject *object)
+{
+  SsStoredObject *o = g_new0 (SsStoredObject, 1);
+
+  o->key = g_strdup (object->key);
+  o->version = object->version;
+  o->value = g_bytes_new (object->value, object->value_bytes);
+  g_tree_replace (c->objects, o->key, o);
+}
+
+SsAdoption
+ss_config_adopt (SsConfig *config, const SsObject *object, int64_t now_ms,
+                 char **error)
+{
+  const SsStoredObject *held = ss_config_object (config, object->key);
+
+  *error = NULL;
+  if (held && held->version >= object->version)
+    return SS_ADOPT_OLD;
+  *error = adopt_parsed (config, object->key, object->version, object->value,
+                         object->value_bytes, now_ms);
+  if (*error)
+    return SS_ADOPT_INVALID;
+  store_object (config, object);
+  return SS_ADOPT_DONE;
+}
+
+char *
+ss_config_check (const char *key, const char *value, uint32_t value_bytes)
+{
+  SsConfig scratch;
+  char *error;
+
+  ss_config_init (&scratch);
+  error = adopt_parsed (&scratch, key, 1, value, value_bytes, 0);
+  ss_config_finish (&scratch);
+  return error;
+}
+
+SsService *
+ss_config_service (const SsConfig *config, const char *name)
+{
+  return g_tree_lookup (config->services, name);
+}
+
+SsTarget *
+ss_config_target (const SsConfig *config, const char *name)
+{
+  return g_tree_lookup (config->targets, name);
+}
+
+SsGroup *
+ss_config_group (const SsConfig *config, const char *name)
+{
+  return g_tree_lookup (config->groups, name);
+}
+
+const SsStoredObject *
+ss_config_object (const SsConfig *config, const char *key)
+{
+  return g_tree_lookup (config->objects, key);
+}
+
+int64_t
+ss_service_staleness (const SsService *service, const char *kind)
+{
+  for (uint32_t i = 0; i < service->kind_count; i++)
+    if (strcmp (service->kinds[i].name, kind) == 0)
+      return service->kinds[i].staleness_ms;
+  return strcmp (kind, "session") == 0 ? 0 : -1;
+}
+
+uint32_t
+ss_group_majority (const SsGroup *group)
+{
+  return group->server_count / 2 + 1;
+}
+
+SsTarget *
+ss_group_primary (const SsGroup *group)
+{
+  for (uint32_t i = 0; i < group->server_count; i++)
+    if (strcmp (group->servers[i]->name, group->primary) == 0)
+      return group->servers[i];
+  return NULL;
+}
--- /dev/null
+++ b/src/core/hold.c
@@ -0,0 +1,284 @@
+#include <string.h>
+
+#include "core/internal.h"
+
+#define ASK_AGAIN_MS 100
+#define ROUND_MS 300
+
+static SsGroup *
+owned_group (SsNode *node, const SsOwned *owned)
+{
+  return ss_config_group (&node->config, owned->target->group);
+}
+
+static void
+send_status_ask (SsNode *node, SsTarget *t, uint64_t ask, SsPosition held)
+{
+  const char *owner = ss_node_owner (node, t);
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__StatusAsk m = SS__PEER__STATUS_ASK__INIT;
+  Ss__Peer__Position p;
+
+  if (!owner)
+    return;
+  ss_position_pack (&p, held);
+  m.target = t->name;
+  m.ask = ask;
+  m.held = &p;
+  e.body_case = SS__PEER__ENVELOPE__BODY_STATUS_ASK;
+  e.status_ask = &m;
+  ss_node_send (node, owner, &e);
+}
+
+/* --- commits that wait for a majority --- */
+
+/* A server whose last entry has the commit's term and stands at it or above
+ * holds it: a log of one term has only one content.
+ */
+static bool
+holds (const SsTarget *t, SsPosition commit)
+{
+  return t->state.held.term == commit.term
+         && t->state.held.offset >= commit.offset;
+}
+
+static bool
+is_held (const SsGroup *group, const SsOwned *owned, SsPosition commit)
+{
+  uint32_t holders = 1; /* the primary that committed it */
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    if (group->servers[i] != owned->target
+        && holds (group->servers[i], commit))
+      holders++;
+  return holders >= ss_group_majority (group);
+}
+
+static bool
+is_superseded (const SsGroup *group, const SsOwned *owned, SsPosition commit)
+{
+  return group->term > commit.term
+         || owned->target->state.shown_term > commit.term;
+}
+
+static void
+ask_holders (SsNode *node, SsOwned *owned, const SsGroup *group)
+{
+  const SsJob *last = g_queue_peek_tail (&owned->waiters);
+
+  for (uint32_t i = 0; last && i < group->server_count; i++)
+    {
+      SsTarget *t = group->servers[i];
+
+      if (t == owned->target || holds (t, last->commit))
+        continue;
+      if (owned->held_asks[i]
+          && node->now_ms - owned->held_asked_ms[i] < ASK_AGAIN_MS)
+        continue;
+      owned->held_asks[i] = ++node->next_ask;
+      owned->held_asked_ms[i] = node->now_ms;
+      send_status_ask (node, t, owned->held_asks[i], last->commit);
+    }
+}
+
+/* Answers every waiter whose fate is known. */
+static void
+check_waiters (SsNode *node, SsOwned *owned, const SsGroup *group)
+{
+  GList *next;
+
+  for (GList *l = owned->waiters.head; l; l = next)
+    {
+      SsJob *job = l->data;
+      bool held = is_held (group, owned, job->commit);
+      bool superseded = is_superseded (group, owned, job->commit);
+
+      next = l->next;
+      if (!held && !superseded && node->now_ms < job->item.deadline_ms)
+        continue;
+      g_queue_delete_link (&owned->waiters, l);
+      if (held)
+        ss_owner_answer (node, job, SS_VERDICT_RAN, SS_REASON_NONE, 0);
+      else
+        ss_owner_answer (node, job, SS_VERDICT_MAY_HAVE_RUN,
+                         superseded ? SS_REASON_SUPERSEDED
+                                    : SS_REASON_NOT_HELD,
+                         SS_RETRY_PROMOTION_MS);
+    }
+}
+
+void
+ss_hold_wait (SsNode *node, SsJob *job)
+{
+  SsOwned *owned = job->owned;
+  SsGroup *group = owned_group (node, owned);
+
+  g_queue_push_tail (&owned->waiters, job);
+  if (!group)
+    return;
+  check_waiters (node, owned, group);
+  ask_holders (node, owned, group);
+}
+
+void
+ss_hold_check (SsNode *node, SsGroup *group)
+{
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      SsOwned *owned = ss_owner_find (node, group->servers[i]->name);
+
+      if (!owned || g_queue_is_empty (&owned->waiters))
+        continue;
+      check_waiters (node, owned, group);
+      ask_holders (node, owned, group);
+    }
+}
+
+/* --- rounds that confirm the primary's position --- */
+
+static void
+start_round (SsNode *node, SsOwned *owned, const SsGroup *group)
+{
+  SsRound *r = &owned->round;
+  GPtrArray *askers = r->next;
+
+  r->next = r->askers;
+  r->askers = askers;
+  g_ptr_array_set_size (r->next, 0);
+  r->running = true;
+  r->ask = ++node->next_ask;
+  r->due_ms = node->now_ms + ROUND_MS;
+  r->confirmed = 0;
+  r->has_position = false;
+  r->term = group->term;
+  ss_node_count (node, SS_COUNTER_MARK_ROUNDS);
+  for (uint32_t i = 0; i < group->server_count; i++)
+    send_status_ask (node, group->servers[i], r->ask, (SsPosition){ 0, 0 });
+}
+
+static void
+end_round (SsNode *node, SsOwned *owned, const SsGroup *group)
+{
+  SsRound *r = &owned->round;
+
+  r->running = false;
+  g_ptr_array_set_size (r->askers, 0);
+  if (r->next->len && owned->active)
+    start_round (node, owned, group);
+}
+
+static void
+answer_round (SsNode *node, const SsOwned *owned, const SsGroup *group)
+{
+  const SsRound *r = &owned->round;
+
+  for (guint i = 0; i < r->askers->len; i++)
+    {
+      const SsAsk *ask = g_ptr_array_index (r->askers, i);
+      SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+      Ss__Peer__MarkReply m = SS__PEER__MARK_REPLY__INIT;
+      Ss__Peer__Position p;
+
+      ss_position_pack (&p, r->position);
+      m.group = group->name;
+      m.nonce = ask->ask;
+      m.mark = &p;
+      e.body_case = SS__PEER__ENVELOPE__BODY_MARK_REPLY;
+      e.mark_reply = &m;
+      ss_node_send (node, ask->vm, &e);
+    }
+}
+
+void
+ss_hold_round_ask (SsNode *node, const char *from,
+                   const Ss__Peer__MarkAsk *m)
+{
+  SsGroup *group = ss_config_group (&node->config, m->group);
+  SsTarget *primary = group ? ss_group_primary (group) : NULL;
+  SsOwned *owned = primary ? ss_owner_find (node, primary->name) : NULL;
+  SsAsk *ask;
+
+  if (!owned || !owned->active)
+    return;
+  ask = g_new0 (SsAsk, 1);
+  ask->vm = g_strdup (from);
+  ask->ask = m->nonce;
+  g_ptr_array_add (owned->round.next, ask);
+  if (!owned->round.running)
+    start_round (node, owned, group);
+}
+
+static uint32_t
+count_bits (uint32_t bits)
+{
+  return (uint32_t) __builtin_popcount (bits);
+}
+
+/* Every answer comes from a poll begun after the round was: where a majority
+ * shows no higher term, no later primary had acknowledged anything by then.
+ */
+static void
+take_round_answer (SsNode *node, SsOwned *owned, const SsGroup *group,
+                   uint32_t server, const SsServerState *state)
+{
+  SsRound *r = &owned->round;
+
+  if (!state->reachable)
+    return;
+  if (state->shown_term > r->term || group->term != r->term)
+    {
+      end_round (node, owned, group);
+      return;
+    }
+  r->confirmed |= 1U << server;
+  if (group->servers[server] == owned->target
+      && state->role == SS_SERVER_PRIMARY && state->shown_term == r->term)
+    {
+      r->has_position = true;
+      r->position = state->held;
+    }
+  if (!r->has_position || count_bits (r->confirmed) < ss_group_majority (group))
+    return;
+  answer_round (node, owned, group);
+  end_round (node, owned, group);
+}
+
+void
+ss_hold_report (SsNode *node, SsTarget *target, uint64_t ask,
+                const SsServerState *state)
+{
+  SsGroup *group = ss_config_group (&node->config, target->group);
+
+  for (uint32_t i = 0; group && i < group->server_count; i++)
+    {
+      SsOwned *owned = ss_owner_find (node, group->servers[i]->name);
+
+      if (!owned)
+        continue;
+      for (uint32_t j = 0; j < group->server_count; j++)
+        {
+          if (group->servers[j] != target)
+            continue;
+          if (owned->held_asks[j] == ask)
+            owned->held_asks[j] = 0;
+          if (owned->round.running && owned->round.ask == ask)
+            take_round_answer (node, owned, group, j, state);
+        }
+    }
+}
+
+void
+ss_hold_tick (SsNode *node, SsOwned *owned)
+{
+  SsGroup *group = owned_group (node, owned);
+
+  if (!group)
+    return;
+  if (!g_queue_is_empty (&owned->waiters))
+    {
+      check_waiters (node, owned, group);
+      ask_holders (node, owned, group);
+    }
+  if (owned->round.running && node->now_ms >= owned->round.due_ms)
+    end_round (node, owned, group);
+}
--- /dev/null
+++ b/src/core/internal.h
@@ -0,0 +1,425 @@
+/* internal: what the modules of the core share with each other. */
+#ifndef SS_INTERNAL_H
+#define SS_INTERNAL_H
+
+#include "core/node.h"
+#include "core/queue.h"
+#include "proto/peer.pb-c.h"
+
+#define SS_RETRY_SOON_MS 100
+#define SS_RETRY_PROMOTION_MS 250
+
+typedef Ss__Peer__Envelope SsEnvelope;
+
+/* --- actions and messages (message.c) --- */
+
+SsAction *ss_node_push (SsNode *node, SsActionKind kind);
+void ss_node_log (SsNode *node, SsLogEvent event, const char *subject,
+                  const char *format, ...) G_GNUC_PRINTF (4, 5);
+static inline void
+ss_node_count (SsNode *node, SsCounterId id)
+{
+  node->counters.values[id]++;
+}
+
+/* ss_node_send: packs ENVELOPE and sends it to VM, which may be this one. */
+void ss_node_send (SsNode *node, const char *vm, SsEnvelope *envelope);
+SsPosition ss_position_unpack (const Ss__Peer__Position *position);
+void ss_position_pack (Ss__Peer__Position *out, SsPosition position);
+void ss_state_unpack (const Ss__Peer__ServerState *in, SsServerState *out);
+
+/* ss_node_owner: the vm that owns TARGET, or NULL. */
+const char *ss_node_owner (SsNode *node, SsTarget *target);
+bool ss_node_is_owner (SsNode *node, SsTarget *target);
+/* ss_node_take_state: STATE of TARGET, asked for AGE_MS ago. */
+void ss_node_take_state (SsNode *node, SsTarget *target,
+                         const SsServerState *state, uint32_t age_ms);
+
+/* --- entry.c: sessions and their requests --- */
+
+typedef struct SsRequest SsRequest;
+
+/* What keeps a request from being routed. */
+typedef enum
+{
+  SS_WAIT_NONE,
+  SS_WAIT_MARK, /* a confirmed position of the primary */
+  SS_WAIT_VIEW  /* a first report of the group's servers */
+} SsWait;
+
+typedef struct
+{
+  uint64_t id;
+  char *service;
+  char *kind;        /* NULL: the service's default */
+  bool strict;
+  char *request_key; /* NULL: none */
+  char *trace;       /* NULL: drawn for each request */
+  int64_t deadline_ms;
+  SsPosition floor;
+  bool floor_known;
+  uint64_t arrival_ask; /* marks asked for later than this cover it */
+  char status;          /* I, T or E */
+  char *pinned_vm;      /* while a transaction is open */
+  char *pinned_target;
+  SsRequest *request;
+} SsSession;
+
+struct SsRequest
+{
+  uint64_t id; /* of the present try */
+  SsSession *session;
+  char *sql;
+  bool is_read;
+  int64_t staleness_ms; /* of the kind; 0: the session's floor */
+  bool strict;
+  uint64_t start_ask;
+  SsPosition floor;
+  SsWait wait;
+  int64_t wait_due_ms;
+  int64_t started_ms;
+  int64_t deadline_ms;
+  char *vm; /* sent there; NULL: not sent */
+  char *target;
+  uint32_t tries;
+  char *tried[4];
+  bool sends_key;
+  char trace[33];
+};
+
+void ss_entry_init (SsNode *node);
+void ss_entry_finish (SsNode *node);
+void ss_entry_open (SsNode *node, uint64_t caller, const char *service,
+                    const char *const *settings);
+void ss_entry_statement (SsNode *node, uint64_t caller, const char *sql);
+void ss_entry_cancel (SsNode *node, uint64_t caller);
+void ss_entry_close (SsNode *node, uint64_t caller);
+void ss_entry_reply (SsNode *node, const char *from,
+                     const Ss__Peer__RunReply *reply);
+void ss_entry_vm_lost (SsNode *node, const char *vm);
+/* ss_entry_wake: routes the requests of GROUP that wait for WAIT. */
+void ss_entry_wake (SsNode *node, const char *group, SsWait wait);
+void ss_entry_tick (SsNode *node);
+/* ss_entry_stop: ends idle sessions; returns whether none is left. */
+bool ss_entry_stop (SsNode *node, bool force);
+bool ss_entry_uses_group (SsNode *node, const char *group);
+
+/* --- local.c: statements about the session itself --- */
+
+typedef enum
+{
+  SS_LOCAL_NONE,
+  SS_LOCAL_SET,
+  SS_LOCAL_SHOW
+} SsLocalKind;
+
+typedef struct
+{
+  SsLocalKind kind;
+  char *name;  /* without the prefix */
+  char *value; /* NULL: reset */
+} SsLocal;
+
+/* ss_local_init: recognises SET, RESET and SHOW of sapphirestair.*. */
+void ss_local_init (SsLocal *local, const char *sql);
+void ss_local_finish (SsLocal *local);
+/* ss_local_first_word: whether SQL begins with WORD. */
+bool ss_local_first_word (const char *sql, const char *word);
+/* ss_local_is_read_only: BEGIN READ ONLY or START TRANSACTION READ ONLY. */
+bool ss_local_is_read_only (const char *sql);
+bool ss_local_ends_transaction (const char *sql);
+
+/* --- choice.c: which server answers a read --- */
+
+/* ss_choice_read: the server of GROUP for a read with FLOOR that is not among
+ * TRIED, or NULL.  Replicas come first; the primary only where none will do.
+ */
+SsTarget *ss_choice_read (SsNode *node, SsGroup *group, SsPosition floor,
+                          char *const *tried, uint32_t tried_count);
+/* ss_choice_write: the primary of GROUP, or NULL where none can be used. */
+SsTarget *ss_choice_write (SsNode *node, SsGroup *group);
+
+/* --- marks.c: confirmed positions of a group's primary --- */
+
+#define SS_MARKS_MAX 64
+
+typedef struct
+{
+  uint64_t ask; /* which ask it answers */
+  int64_t asked_ms;
+  SsPosition position;
+} SsMark;
+
+typedef struct
+{
+  char *group;
+  SsMark latest;
+  SsMark ring[SS_MARKS_MAX]; /* spaced; oldest first */
+  uint32_t count;
+  uint64_t last_ask;
+  int64_t last_ask_ms;
+  bool outstanding;
+  bool wanted; /* again, once the present one is answered */
+} SsMarks;
+
+SsMarks *ss_marks_get (SsNode *node, const char *group);
+/* ss_marks_ask: has the primary's position confirmed anew. */
+void ss_marks_ask (SsNode *node, SsMarks *marks);
+void ss_marks_reply (SsNode *node, const Ss__Peer__MarkReply *reply);
+/* ss_marks_within: the oldest mark asked for at SINCE_MS or later; false
+ * where there is none.
+ */
+bool ss_marks_within (const SsMarks *marks, int64_t since_ms, SsMark *mark);
+/* ss_marks_retry: repeats an ask that got no answer. */
+void ss_marks_retry (SsNode *node, SsMarks *marks);
+
+/* --- owner.c: connections and statements at the targets owned here --- */
+
+typedef struct SsOwned SsOwned;
+typedef struct SsJob SsJob;
+
+typedef enum
+{
+  SS_CONNECTION_CONNECTING,
+  SS_CONNECTION_IDLE,
+  SS_CONNECTION_BUSY,
+  SS_CONNECTION_PINNED
+} SsConnectionState;
+
+typedef struct
+{
+  uint64_t id;
+  SsOwned *owned;
+  SsConnectionState state;
+  bool is_control;
+  bool holds_slot; /* counts as running in the queue */
+  SsQueueClass queue_class;
+  SsJob *job;
+  char *vm; /* of the session that it is pinned to */
+  uint64_t session;
+  int64_t since_ms;
+} SsConnection;
+
+typedef enum
+{
+  SS_STEP_PLAIN,
+  SS_STEP_CLAIM,
+  SS_STEP_RECORD,
+  SS_STEP_COMMIT,
+  SS_STEP_REPLAY,
+  SS_STEP_ROLLBACK
+} SsStep;
+
+struct SsJob
+{
+  SsQueueItem item; /* first: the queue casts back */
+  SsOwned *owned;
+  SsConnection *connection; /* NULL: not running */
+  uint64_t request;
+  char *vm;
+  uint64_t session;
+  char *service;
+  char *sql;
+  char *key; /* NULL: none */
+  char *trace;
+  bool is_read;
+  SsPosition floor;
+  SsStep step;
+  GBytes *wire; /* saved from an earlier step */
+  char *tag;
+  char sqlstate[6];
+  char transaction_status;
+  SsPosition commit;
+  SsPosition applied;
+  int64_t received_ms;
+  int64_t started_ms;
+};
+
+/* A question for a target's state that waits for a poll. */
+typedef struct
+{
+  char *vm;
+  uint64_t ask;
+  SsPosition held;
+  uint64_t poll; /* answered by this poll or a later one */
+  int64_t expires_ms;
+} SsAsk;
+
+typedef enum
+{
+  SS_CONTROL_NONE,
+  SS_CONTROL_POLL,
+  SS_CONTROL_RAISE,
+  SS_CONTROL_PROMOTE,
+  SS_CONTROL_FOLLOW
+} SsControlStep;
+
+/* A round that confirms the primary's position for those who asked. */
+typedef struct
+{
+  GPtrArray *askers; /* of SsAsk; held unused */
+  GPtrArray *next;   /* came while the round ran */
+  bool running;
+  uint64_t ask;
+  int64_t due_ms;
+  uint32_t confirmed; /* bit by server: it showed no higher term */
+  bool has_position;
+  SsPosition position;
+  uint64_t term;
+} SsRound;
+
+struct SsOwned
+{
+  SsTarget *target;
+  bool active; /* this vm owns it now */
+  SsQueue queue;
+  GPtrArray *connections; /* not the control connection */
+  int64_t connect_after_ms;
+  int64_t owner_since_ms;
+
+  SsConnection *control;
+  SsControlStep control_step;
+  int64_t control_after_ms;
+  int64_t control_started_ms;
+  uint64_t poll;       /* number of the last poll begun */
+  int64_t poll_due_ms;
+  uint64_t raise_term; /* 0: none wanted */
+  GPtrArray *raise_vms;
+  GPtrArray *asks;
+  GHashTable *subscribers; /* vm -> expiry in ms */
+  SsServerState reported;
+  int64_t reported_ms;
+
+  GQueue waiters; /* jobs whose commit waits for a majority */
+  uint64_t held_asks[SS_CONFIG_SERVERS_MAX]; /* outstanding, by server */
+  int64_t held_asked_ms[SS_CONFIG_SERVERS_MAX];
+  SsRound round;
+};
+
+void ss_owner_init (SsNode *node);
+void ss_owner_finish (SsNode *node);
+SsOwned *ss_owner_find (SsNode *node, const char *target);
+/* ss_owner_update: opens and closes what the configuration and the live vms
+ * ask for.
+ */
+void ss_owner_update (SsNode *node);
+void ss_owner_run (SsNode *node, const char *from, const Ss__Peer__Run *run);
+void ss_owner_cancel (SsNode *node, const char *from, uint64_t request);
+void ss_owner_session_end (SsNode *node, const char *vm, uint64_t session);
+void ss_owner_vm_lost (SsNode *node, const char *vm);
+void ss_owner_ready (SsNode *node, uint64_t connection);
+void ss_owner_closed (SsNode *node, uint64_t connection, bool refused,
+                      const char *sqlstate);
+void ss_owner_result (SsNode *node, uint64_t connection,
+                      const SsTargetResult *result);
+void ss_owner_tick (SsNode *node);
+bool ss_owner_is_idle (SsNode *node);
+uint32_t ss_owner_budget (SsNode *node, const SsOwned *owned);
+SsConnection *ss_owner_connect (SsNode *node, SsOwned *owned,
+                                bool is_control);
+void ss_owner_close (SsNode *node, SsConnection *connection);
+/* ss_owner_answer: sends JOB's reply and frees it. */
+void ss_owner_answer (SsNode *node, SsJob *job, SsVerdict verdict,
+                      SsReason reason, uint32_t retry_after_ms);
+
+/* --- hold.c: a commit is answered once a majority holds it --- */
+
+/* ss_hold_wait: takes over JOB, whose commit stands at POSITION. */
+void ss_hold_wait (SsNode *node, SsJob *job);
+void ss_hold_check (SsNode *node, SsGroup *group);
+void ss_hold_tick (SsNode *node, SsOwned *owned);
+void ss_hold_round_ask (SsNode *node, const char *from,
+                        const Ss__Peer__MarkAsk *ask);
+/* ss_hold_report: an answer to an ask of this vm. */
+void ss_hold_report (SsNode *node, SsTarget *target, uint64_t ask,
+                     const SsServerState *state);
+
+/* --- monitor.c: the control connection of a target owned here --- */
+
+void ss_monitor_tick (SsNode *node, SsOwned *owned);
+void ss_monitor_ready (SsNode *node, SsOwned *owned);
+void ss_monitor_closed (SsNode *node, SsOwned *owned, bool refused);
+void ss_monitor_result (SsNode *node, SsOwned *owned,
+                        const SsTargetResult *result);
+void ss_monitor_ask (SsNode *node, const char *from,
+                     const Ss__Peer__StatusAsk *ask);
+void ss_monitor_subscribe (SsNode *node, const char *from,
+                           const Ss__Peer__Subscribe *subscribe);
+void ss_monitor_raise (SsNode *node, const char *from,
+                       const Ss__Peer__RaiseAsk *ask);
+/* ss_monitor_poll_soon: polls at once, or right after what runs now. */
+void ss_monitor_poll_soon (SsNode *node, SsOwned *owned);
+
+/* --- promote.c: changes of primary --- */
+
+#define SS_PROMOTE_STEPS(X)                                                   \
+  X (IDLE, "idle")                                                            \
+  X (CLAIM, "claim")                                                          \
+  X (CLAIM_READ, "claim_read")                                                \
+  X (RAISE, "raise")                                                          \
+  X (NAME, "name")                                                            \
+  X (NAME_READ, "name_read")
+
+typedef enum
+{
+#define SS_PROMOTE_ENUM(id, name) SS_PROMOTE_##id,
+  SS_PROMOTE_STEPS (SS_PROMOTE_ENUM)
+#undef SS_PROMOTE_ENUM
+} SsPromoteStep;
+
+typedef struct
+{
+  char *group;
+  SsPromoteStep step;
+  int64_t primary_ok_ms; /* when the primary was last known to serve */
+  uint64_t seen_term;
+  int64_t since_ms; /* of the step */
+  int64_t started_ms;
+  int64_t retry_ms; /* no new try before */
+  int64_t asked_ms;
+  uint64_t call;
+  uint64_t term;
+  int64_t version;
+  char operation[96];
+  char *wanted;  /* server ordered by an operator, or NULL */
+  char *leaving; /* server that must not be chosen, or NULL */
+  char *chosen;
+  bool ordered;
+  bool suspect;
+  bool raised[SS_CONFIG_SERVERS_MAX];
+  SsPosition raised_held[SS_CONFIG_SERVERS_MAX];
+  int64_t enough_ms; /* when enough servers were raised; 0: not yet */
+  uint32_t rank;     /* of this vm as the group's coordinator */
+  uint64_t rank_generation;
+} SsPromotion;
+
+void ss_promote_tick (SsNode *node);
+void ss_promote_raised (SsNode *node, const Ss__Peer__RaiseReply *reply);
+void ss_promote_object (SsNode *node, uint64_t call,
+                        SsPlatformOutcome outcome, const SsObject *object);
+void ss_promote_order (SsNode *node, const char *group, const char *to);
+SsPromotion *ss_promote_get (SsNode *node, const char *group);
+/* ss_promote_rank: this vm's place as GROUP's coordinator, from 0. */
+uint32_t ss_promote_rank (SsNode *node, SsPromotion *promotion);
+/* ss_promote_resumed: this vm was paused: what it saw before is void. */
+void ss_promote_resumed (SsNode *node);
+
+/* --- spread.c: heartbeats, configuration and subscriptions --- */
+
+void ss_spread_tick (SsNode *node);
+void ss_spread_heartbeat (SsNode *node, const Ss__Peer__Heartbeat *beat);
+void ss_spread_pull (SsNode *node, const char *from,
+                     const Ss__Peer__ConfigPull *pull);
+void ss_spread_push (SsNode *node, const char *from,
+                     const Ss__Peer__ConfigPush *push);
+void ss_spread_objects (SsNode *node, SsPlatformOutcome outcome,
+                        int64_t since, int64_t revision,
+                        const SsObject *objects, uint32_t count);
+void ss_spread_vms (SsNode *node, const char *json, uint32_t json_bytes);
+/* ss_spread_adopt: takes one object and passes it on to the peers. */
+void ss_spread_adopt (SsNode *node, const SsObject *object);
+void ss_spread_beat_now (SsNode *node);
+/* ss_spread_send_loose: passes OBJECT on at once, outside of the watch. */
+void ss_spread_send_loose (SsNode *node, const SsObject *object);
+
+#endif
--- /dev/null
+++ b/src/core/members.c
@@ -0,0 +1,285 @@
+#include "core/members.h"
+
+#include <string.h>
+
+#include "core/rank.h"
+
+static void
+member_free (gpointer data)
+{
+  SsMember *m = data;
+
+  g_free (m->vm);
+  g_free (m->failure_domain);
+  g_free (m->ip);
+  g_hash_table_destroy (m->heard);
+  g_free (m);
+}
+
+static int
+compare_names (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void) data;
+  return strcmp (a, b);
+}
+
+void
+ss_members_init (SsMembers *members, const char *vm,
+                 const char *failure_domain, const char *ip,
+                 uint16_t peer_port, int64_t now_ms)
+{
+  SsMember *self;
+
+  members->by_name = g_tree_new_full (compare_names, NULL, NULL, member_free);
+  members->self = g_strdup (vm);
+  members->failure_domain = g_strdup (failure_domain);
+  members->generation = 1;
+  self = ss_members_add (members, vm, failure_domain, ip, peer_port);
+  self->live = true;
+  self->heard_ms = now_ms;
+}
+
+void
+ss_members_finish (SsMembers *members)
+{
+  g_tree_destroy (members->by_name);
+  g_free (members->self);
+  g_free (members->failure_domain);
+}
+
+SsMember *
+ss_members_find (const SsMembers *members, const char *vm)
+{
+  return g_tree_lookup (members->by_name, vm);
+}
+
+SsMember *
+ss_members_add (SsMembers *members, const char *vm,
+                const char *failure_domain, const char *ip,
+                uint16_t peer_port)
+{
+  SsMember *m = ss_members_find (members, vm);
+
+  if (!m)
+    {
+      m = g_new0 (SsMember, 1);
+      m->vm = g_strdup (vm);
+      m->heard_ms = INT64_MIN / 2;
+      m->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                        NULL);
+      g_tree_insert (members->by_name, m->vm, m);
+    }
+  g_free (m->failure_domain);
+  g_free (m->ip);
+  m->failure_domain = g_strdup (failure_domain);
+  m->ip = g_strdup (ip);
+  m->peer_port = peer_port;
+  return m;
+}
+
+void
+ss_members_heard (SsMembers *members, SsMember *member, bool leaving,
+                  char **heard, size_t count, int64_t now_ms)
+{
+  member->heard_ms = now_ms;
+  if (member->leaving != leaving)
+    members->generation++;
+  member->leaving = leaving;
+  g_hash_table_remove_all (member->heard);
+  for (size_t i = 0; i < count; i++)
+    g_hash_table_add (member->heard, g_strdup (heard[i]));
+}
+
+void
+ss_members_lost (SsMembers *members, const char *vm, int64_t now_ms)
+{
+  SsMember *m = ss_members_find (members, vm);
+  int64_t heard_ms
+      = now_ms - SS_MEMBER_SILENCE_MS + SS_MEMBER_LOST_SILENCE_MS;
+
+  if (m)
+    m->heard_ms = MIN (m->heard_ms, heard_ms);
+}
+
+typedef struct
+{
+  const SsMembers *members;
+  const SsMember *subject;
+  int64_t now_ms;
+  uint32_t witnesses;
+  uint32_t missing;
+} Vote;
+
+static bool
+is_silent (const SsMember *m, int64_t now_ms)
+{
+  return now_ms - m->heard_ms >= SS_MEMBER_SILENCE_MS;
+}
+
+static gboolean
+count_witness (gpointer key, gpointer value, gpointer data)
+{
+  Vote *v = data;
+  const SsMember *m = value;
+
+  if (m == v->subject || strcmp (key, v->members->self) == 0
+      || is_silent (m, v->now_ms))
+    return FALSE;
+  v->witnesses++;
+  if (!g_hash_table_contains (m->heard, v->subject->vm))
+    v->missing++;
+  return FALSE;
+}
+
+static bool
+judge (const SsMembers *members, const SsMember *m, int64_t now_ms)
+{
+  Vote v = { members, m, now_ms, 0, 0 };
+
+  if (strcmp (m->vm, members->self) == 0)
+    return true;
+  if (!is_silent (m, now_ms))
+    return true;
+  /* Never heard: it takes no role before its first heartbeat. */
+  if (!m->live)
+    return false;
+  g_tree_foreach (members->by_name, count_witness, &v);
+  return v.missing * 2 < v.witnesses;
+}
+
+typedef struct
+{
+  SsMembers *members;
+  int64_t now_ms;
+  GPtrArray *changed;
+  GPtrArray *forgotten;
+} Update;
+
+static gboolean
+update_one (gpointer key, gpointer value, gpointer data)
+{
+  Update *u = data;
+  SsMember *m = value;
+  bool live = judge (u->members, m, u->now_ms);
+
+  (void) key;
+  if (live != m->live)
+    g_ptr_array_add (u->changed, m);
+  else if (!live && !m->listed
+           && u->now_ms - m->heard_ms > SS_MEMBER_FORGET_MS)
+    g_ptr_array_add (u->forgotten, m);
+  return FALSE;
+}
+
+void
+ss_members_update (SsMembers *members, int64_t now_ms,
+                   void (*changed) (void *data, const SsMember *member),
+                   void *data)
+{
+  Update u = { members, now_ms, g_ptr_array_new (), g_ptr_array_new () };
+
+  g_tree_foreach (members->by_name, update_one, &u);
+  for (guint i = 0; i < u.changed->len; i++)
+    {
+      SsMember *m = g_ptr_array_index (u.changed, i);
+
+      m->live = !m->live;
+      members->generation++;
+      changed (data, m);
+    }
+  for (guint i = 0; i < u.forgotten->len; i++)
+    {
+      SsMember *m = g_ptr_array_index (u.forgotten, i);
+
+      g_tree_remove (members->by_name, m->vm);
+    }
+  g_ptr_array_free (u.changed, TRUE);
+  g_ptr_array_free (u.forgotten, TRUE);
+}
+
+typedef struct
+{
+  const char *failure_domain;
+  const char *subject;
+  const SsMember *best;
+  uint64_t best_score;
+  uint64_t own_score;
+  uint32_t better;
+} Ranking;
+
+static bool
+may_hold_role (const SsMember *m, const char *failure_domain)
+{
+  if (!m->live || m->leaving)
+    return false;
+  return !failure_domain || strcmp (m->failure_domain, failure_domain) == 0;
+}
+
+static gboolean
+rank_one (gpointer key, gpointer value, gpointer data)
+{
+  Ranking *r = data;
+  const SsMember *m = value;
+  uint64_t score;
+
+  (void) key;
+  if (!may_hold_role (m, r->failure_domain))
+    return FALSE;
+  score = ss_rank_score (m->vm, r->subject);
+  if (score > r->own_score)
+    r->better++;
+  if (r->best && score <= r->best_score)
+    return FALSE;
+  r->best = m;
+  r->best_score = score;
+  return FALSE;
+}
+
+const char *
+ss_members_owner (const SsMembers *members, const char *failure_domain,
+                  const char *subject)
+{
+  Ranking r = { failure_domain, subject, NULL, 0, 0, 0 };
+
+  g_tree_foreach (members->by_name, rank_one, &r);
+  return r.best ? r.best->vm : NULL;
+}
+
+uint32_t
+ss_members_rank (const SsMembers *members, const char *failure_domain,
+                 const char *subject)
+{
+  Ranking r = { failure_domain, subject, NULL, 0,
+                ss_rank_score (members->self, subject), 0 };
+
+  g_tree_foreach (members->by_name, rank_one, &r);
+  return r.better;
+}
+
+typedef struct
+{
+  const char *failure_domain;
+  bool settled;
+} Settled;
+
+static gboolean
+check_settled (gpointer key, gpointer value, gpointer data)
+{
+  Settled *s = data;
+  const SsMember *m = value;
+
+  (void) key;
+  if (m->listed && !m->live
+      && strcmp (m->failure_domain, s->failure_domain) == 0)
+    s->settled = false;
+  return FALSE;
+}
+
+bool
+ss_members_is_settled (const SsMembers *members)
+{
+  Settled s = { members->failure_domain, true };
+
+  g_tree_foreach (members->by_name, check_settled, &s);
+  return s.settled;
+}
--- /dev/null
+++ b/src/core/members.h
@@ -0,0 +1,79 @@
+/* members: which vms are live, from the platform's lagging list and from
+ * heartbeats, and which vm holds a role.
+ *
+ * A vm is dead only when this vm misses it and at least half of the vms that
+ * this one hears miss it too.
+ */
+#ifndef SS_MEMBERS_H
+#define SS_MEMBERS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define SS_MEMBER_SILENCE_MS 800
+/* After a lost connection only this much silence is allowed. */
+#define SS_MEMBER_LOST_SILENCE_MS 250
+#define SS_MEMBER_FORGET_MS 30000
+
+typedef struct
+{
+  char *vm;
+  char *failure_domain;
+  char *ip;
+  uint16_t peer_port;
+  bool listed;
+  bool leaving;
+  bool live; /* as of the last ss_members_update */
+  int64_t heard_ms;
+  int64_t revision;  /* of its configuration */
+  GHashTable *heard; /* names that it hears */
+} SsMember;
+
+typedef struct
+{
+  GTree *by_name;
+  char *self;
+  char *failure_domain;
+  uint64_t generation; /* moves with every change of liveness */
+} SsMembers;
+
+void ss_members_init (SsMembers *members, const char *vm,
+                      const char *failure_domain, const char *ip,
+                      uint16_t peer_port, int64_t now_ms);
+void ss_members_finish (SsMembers *members);
+
+/* ss_members_find: NULL where VM is unknown. */
+SsMember *ss_members_find (const SsMembers *members, const char *vm);
+
+/* ss_members_add: finds or adds VM and sets its place. */
+SsMember *ss_members_add (SsMembers *members, const char *vm,
+                          const char *failure_domain, const char *ip,
+                          uint16_t peer_port);
+
+/* ss_members_heard: a heartbeat of MEMBER, which hears the COUNT vms named. */
+void ss_members_heard (SsMembers *members, SsMember *member, bool leaving,
+                       char **heard, size_t count, int64_t now_ms);
+/* ss_members_lost: a connection of VM broke; shortens the silence allowed. */
+void ss_members_lost (SsMembers *members, const char *vm, int64_t now_ms);
+
+/* ss_members_update: judges liveness anew; CHANGED is called for each vm
+ * that became live or dead.  Forgets vms neither listed nor heard.
+ */
+void ss_members_update (SsMembers *members, int64_t now_ms,
+                        void (*changed) (void *data, const SsMember *member),
+                        void *data);
+
+/* ss_members_owner: the live vm of FAILURE_DOMAIN (NULL: any) that ranks
+ * first for SUBJECT, or NULL.
+ */
+const char *ss_members_owner (const SsMembers *members,
+                              const char *failure_domain,
+                              const char *subject);
+/* ss_members_rank: this vm's place for SUBJECT among the live vms, from 0. */
+uint32_t ss_members_rank (const SsMembers *members,
+                          const char *failure_domain, const char *subject);
+/* ss_members_is_settled: no vm of this failure domain is listed but dead. */
+bool ss_members_is_settled (const SsMembers *members);
+
+#endif
--- /dev/null
+++ b/src/core/message.c
@@ -0,0 +1,152 @@
+#include <stdarg.h>
+#include <string.h>
+
+#include "core/internal.h"
+
+void
+ss_action_clear (SsAction *action)
+{
+  g_free (action->name);
+  g_free (action->text);
+  g_clear_pointer (&action->bytes, g_bytes_unref);
+}
+
+SsAction *
+ss_node_push (SsNode *node, SsActionKind kind)
+{
+  SsAction *a = g_new0 (SsAction, 1);
+
+  a->kind = kind;
+  g_queue_push_tail (&node->actions, a);
+  return a;
+}
+
+void
+ss_node_log (SsNode *node, SsLogEvent event, const char *subject,
+             const char *format, ...)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_LOG);
+  va_list args;
+
+  a->log_event = event;
+  a->name = g_strdup (subject);
+  va_start (args, format);
+  a->text = g_strdup_vprintf (format, args);
+  va_end (args);
+}
+
+static bool
+is_control (const SsEnvelope *envelope)
+{
+  switch (envelope->body_case)
+    {
+    case SS__PEER__ENVELOPE__BODY_RUN:
+    case SS__PEER__ENVELOPE__BODY_RUN_REPLY:
+    case SS__PEER__ENVELOPE__BODY_CANCEL:
+    case SS__PEER__ENVELOPE__BODY_SESSION_END:
+      return false;
+    default:
+      return true;
+    }
+}
+
+void
+ss_node_send (SsNode *node, const char *vm, SsEnvelope *envelope)
+{
+  size_t bytes;
+  uint8_t *data;
+  GBytes *packed;
+  SsAction *a;
+
+  envelope->from = (char *) node->params.vm;
+  bytes = ss__peer__envelope__get_packed_size (envelope);
+  data = g_malloc (bytes);
+  ss__peer__envelope__pack (envelope, data);
+  packed = g_bytes_new_take (data, bytes);
+  if (strcmp (vm, node->params.vm) == 0)
+    {
+      g_queue_push_tail (&node->local, packed);
+      return;
+    }
+  a = ss_node_push (node, SS_ACTION_PEER_SEND);
+  a->name = g_strdup (vm);
+  a->bytes = packed;
+  a->is_control = is_control (envelope);
+  ss_node_count (node, SS_COUNTER_PEER_MESSAGES);
+  node->counters.values[SS_COUNTER_PEER_BYTES] += bytes;
+  if (!a->is_control)
+    return;
+  ss_node_count (node, SS_COUNTER_CONTROL_MESSAGES);
+  node->counters.values[SS_COUNTER_CONTROL_BYTES] += bytes;
+}
+
+SsPosition
+ss_position_unpack (const Ss__Peer__Position *position)
+{
+  SsPosition p = { 0, 0 };
+
+  if (position)
+    p = (SsPosition){ position->term, position->offset };
+  return p;
+}
+
+void
+ss_position_pack (Ss__Peer__Position *out, SsPosition position)
+{
+  ss__peer__position__init (out);
+  out->term = position.term;
+  out->offset = position.offset;
+}
+
+void
+ss_state_unpack (const Ss__Peer__ServerState *in, SsServerState *out)
+{
+  memset (out, 0, sizeof *out);
+  out->reachable = in->reachable;
+  out->refused = in->refused;
+  if (in->role <= SS_SERVER_FENCED)
+    out->role = (SsServerRole) in->role;
+  out->shown_term = in->shown_term;
+  out->held = ss_position_unpack (in->held);
+  out->applied = ss_position_unpack (in->applied);
+  out->silence_ms = in->silence_ms;
+  out->follow_term = in->follow_term;
+  out->wait_ms = in->wait_ms;
+  for (size_t i = 0; i < in->n_history && i < SS_HISTORY_MAX; i++)
+    out->history.starts[out->history.count++]
+        = ss_position_unpack (in->history[i]);
+}
+
+const char *
+ss_node_owner (SsNode *node, SsTarget *target)
+{
+  if (target->owner_generation != node->members.generation)
+    {
+      target->owner = ss_members_owner (&node->members,
+                                        target->failure_domain, target->name);
+      target->owner_generation = node->members.generation;
+    }
+  return target->owner;
+}
+
+bool
+ss_node_is_owner (SsNode *node, SsTarget *target)
+{
+  const char *owner = ss_node_owner (node, target);
+
+  return owner && strcmp (owner, node->params.vm) == 0;
+}
+
+void
+ss_node_take_state (SsNode *node, SsTarget *target,
+                    const SsServerState *state, uint32_t age_ms)
+{
+  int64_t asked_ms = node->now_ms - age_ms;
+
+  if (asked_ms < target->state_ms)
+    return;
+  target->state = *state;
+  target->state_ms = asked_ms;
+  if (state->reachable)
+    target->reachable_ms = node->now_ms;
+}
--- /dev/null
+++ b/src/core/monitor.c
@@ -0,0 +1,442 @@
+#include <string.h>
+
+#include "core/internal.h"
+
+#define POLL_IDLE_MS 50
+#define POLL_LAGGING_MS 10
+#define POLL_ASKED_MS 2
+#define CONTROL_RETRY_MS 100
+/* A server that does not answer for this long counts as unreachable. */
+#define UNREACHABLE_MS 1200
+#define CONTROL_TIMEOUT_MS 3000
+#define CONNECT_TIMEOUT_MS 1000
+#define ASK_HOLD_MS 80
+#define SUBSCRIPTION_MS 3500
+#define REPORT_IDLE_MS 250
+#define REPORT_MIN_MS 10
+
+static SsGroup *
+owned_group (SsNode *node, const SsOwned *owned)
+{
+  return ss_config_group (&node->config, owned->target->group);
+}
+
+/* --- reports --- */
+
+typedef struct
+{
+  Ss__Peer__ServerState state;
+  Ss__Peer__Position held;
+  Ss__Peer__Position applied;
+  Ss__Peer__Position history[SS_HISTORY_MAX];
+  Ss__Peer__Position *history_list[SS_HISTORY_MAX];
+} PackedState;
+
+static void
+pack_state (SsNode *node, const SsOwned *owned, PackedState *out)
+{
+  const SsServerState *s = &owned->target->state;
+
+  ss__peer__server_state__init (&out->state);
+  ss_position_pack (&out->held, s->held);
+  ss_position_pack (&out->applied, s->applied);
+  for (uint32_t i = 0; i < s->history.count; i++)
+    {
+      ss_position_pack (&out->history[i], s->history.starts[i]);
+      out->history_list[i] = &out->history[i];
+    }
+  out->state.reachable = s->reachable;
+  out->state.refused = s->refused;
+  out->state.role = s->role;
+  out->state.shown_term = s->shown_term;
+  out->state.held = &out->held;
+  out->state.applied = &out->applied;
+  out->state.silence_ms = s->silence_ms;
+  out->state.follow_term = s->follow_term;
+  out->state.history = out->history_list;
+  out->state.n_history = s->history.count;
+  out->state.age_ms
+      = (uint32_t) MIN (node->now_ms - owned->target->state_ms, G_MAXINT32);
+  out->state.wait_ms = ss_queue_wait_ms (&owned->queue, SS_QUEUE_READ,
+                                         ss_owner_budget (node, owned));
+}
+
+static void
+send_report (SsNode *node, const SsOwned *owned, const char *vm, uint64_t ask)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__StatusReport m = SS__PEER__STATUS_REPORT__INIT;
+  PackedState packed;
+
+  pack_state (node, owned, &packed);
+  m.target = owned->target->name;
+  m.ask = ask;
+  m.state = &packed.state;
+  e.body_case = SS__PEER__ENVELOPE__BODY_STATUS_REPORT;
+  e.status_report = &m;
+  ss_node_send (node, vm, &e);
+}
+
+static bool
+has_changed (const SsServerState *a, const SsServerState *b)
+{
+  return a->reachable != b->reachable || a->refused != b->refused
+         || a->role != b->role || a->shown_term != b->shown_term
+         || a->follow_term != b->follow_term
+         || ss_position_compare (a->held, b->held) != 0
+         || ss_position_compare (a->applied, b->applied) != 0;
+}
+
+static void
+send_reports (SsNode *node, SsOwned *owned)
+{
+  int64_t age_ms = node->now_ms - owned->reported_ms;
+  bool changed = has_changed (&owned->reported, &owned->target->state);
+  GHashTableIter iter;
+  gpointer vm;
+  gpointer expiry;
+
+  if (age_ms < (changed ? REPORT_MIN_MS : REPORT_IDLE_MS))
+    return;
+  owned->reported = owned->target->state;
+  owned->reported_ms = node->now_ms;
+  g_hash_table_iter_init (&iter, owned->subscribers);
+  while (g_hash_table_iter_next (&iter, &vm, &expiry))
+    {
+      if (*(int64_t *) expiry < node->now_ms)
+        g_hash_table_iter_remove (&iter);
+      else
+        send_report (node, owned, vm, 0);
+    }
+}
+
+/* Answers the asks that the last poll satisfies. */
+static void
+answer_asks (SsNode *node, SsOwned *owned)
+{
+  const SsServerState *s = &owned->target->state;
+
+  for (guint i = owned->asks->len; i > 0; i--)
+    {
+      SsAsk *ask = g_ptr_array_index (owned->asks, i - 1);
+      bool held = s->held.term > ask->held.term
+                  || (s->held.term == ask->held.term
+                      && s->held.offset >= ask->held.offset)
+                  || s->shown_term > ask->held.term;
+
+      if (owned->poll < ask->poll)
+        continue;
+      if (ask->held.offset && !held && node->now_ms < ask->expires_ms)
+        continue;
+      send_report (node, owned, ask->vm, ask->ask);
+      g_ptr_array_remove_index (owned->asks, i - 1);
+    }
+}
+
+/* --- the control connection --- */
+
+static void
+start_control (SsNode *node, SsOwned *owned, SsControlStep step, char *sql)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_TARGET_QUERY);
+
+  owned->control->state = SS_CONNECTION_BUSY;
+  owned->control_step = step;
+  owned->control_started_ms = node->now_ms;
+  a->id = owned->control->id;
+  a->text = sql;
+  a->want_row = true;
+}
+
+static void
+start_poll (SsNode *node, SsOwned *owned)
+{
+  owned->poll++;
+  start_control (node, owned, SS_CONTROL_POLL,
+                 node->dialect->status (node->dialect));
+}
+
+/* What the server has to be told so that it is what the group says; NULL
+ * where nothing has to be.
+ */
+static char *
+reconcile (SsNode *node, SsOwned *owned, SsControlStep *step)
+{
+  SsGroup *group = owned_group (node, owned);
+  SsTarget *primary = group ? ss_group_primary (group) : NULL;
+  const SsServerState *s = &owned->target->state;
+  const SsDialect *d = node->dialect;
+
+  if (!primary || !s->reachable || s->shown_term > group->term)
+    return NULL;
+  if (primary == owned->target)
+    {
+      *step = SS_CONTROL_PROMOTE;
+      return s->role == SS_SERVER_PRIMARY && s->shown_term == group->term
+                 ? NULL
+                 : d->promote (d, group->term);
+    }
+  *step = SS_CONTROL_FOLLOW;
+  return s->role == SS_SERVER_REPLICA && s->follow_term == group->term
+             ? NULL
+             : d->follow (d, group->term, primary);
+}
+
+static void
+send_raise_replies (SsNode *node, SsOwned *owned, bool accepted)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__RaiseReply m = SS__PEER__RAISE_REPLY__INIT;
+  PackedState packed;
+
+  pack_state (node, owned, &packed);
+  m.target = owned->target->name;
+  m.term = owned->raise_term;
+  m.accepted = accepted;
+  m.state = &packed.state;
+  e.body_case = SS__PEER__ENVELOPE__BODY_RAISE_REPLY;
+  e.raise_reply = &m;
+  for (guint i = 0; i < owned->raise_vms->len; i++)
+    ss_node_send (node, g_ptr_array_index (owned->raise_vms, i), &e);
+  g_ptr_array_set_size (owned->raise_vms, 0);
+  owned->raise_term = 0;
+}
+
+/* The next thing to do on an idle control connection. */
+static void
+next_step (SsNode *node, SsOwned *owned)
+{
+  SsControlStep step = SS_CONTROL_NONE;
+  char *sql;
+
+  if (!owned->control || owned->control->state != SS_CONNECTION_IDLE)
+    return;
+  /* A raise is answered from a poll made after it. */
+  if (owned->raise_term
+      && owned->target->state.shown_term < owned->raise_term)
+    {
+      start_control (node, owned, SS_CONTROL_RAISE,
+                     node->dialect->raise (node->dialect, owned->raise_term));
+      return;
+    }
+  sql = owned->raise_term ? NULL : reconcile (node, owned, &step);
+  if (sql && node->now_ms >= owned->control_after_ms)
+    {
+      owned->control_after_ms = node->now_ms + CONTROL_RETRY_MS;
+      start_control (node, owned, step, sql);
+      return;
+    }
+  g_free (sql);
+  if (node->now_ms >= owned->poll_due_ms || owned->raise_term)
+    start_poll (node, owned);
+}
+
+static void
+log_role (SsNode *node, const SsTarget *t, const SsServerState *old)
+{
+  if (!old->reachable)
+    ss_node_log (node, SS_EVENT_LOG_TARGET_UP, t->name, "role=%s",
+                 ss_server_role_text (t->state.role));
+  if (old->role == t->state.role && old->shown_term == t->state.shown_term)
+    return;
+  ss_node_log (node, SS_EVENT_LOG_TARGET_TERM, t->name,
+               "role=%s shown_term=%" G_GUINT64_FORMAT
+               " held=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+               ss_server_role_text (t->state.role), t->state.shown_term,
+               t->state.held.term, t->state.held.offset);
+}
+
+static void
+take_poll (SsNode *node, SsOwned *owned, const SsTargetResult *result)
+{
+  SsTarget *t = owned->target;
+  SsServerState old = t->state;
+  SsServerState state = { 0 };
+  SsGroup *group = owned_group (node, owned);
+
+  if (!result->ok
+      || !node->dialect->read_status (node->dialect, result->row,
+                                      result->row_cells, &state))
+    return;
+  state.reachable = true;
+  ss_node_take_state (node, t, &state,
+                      (uint32_t) (node->now_ms - owned->control_started_ms));
+  log_role (node, t, &old);
+  if (owned->raise_term && state.shown_term >= owned->raise_term)
+    send_raise_replies (node, owned, state.shown_term == owned->raise_term);
+  answer_asks (node, owned);
+  send_reports (node, owned);
+  if (group)
+    ss_hold_check (node, group);
+}
+
+static void
+schedule_poll (SsNode *node, SsOwned *owned)
+{
+  const SsServerState *s = &owned->target->state;
+  int64_t wait_ms = POLL_IDLE_MS;
+
+  if (s->applied.offset < s->held.offset)
+    wait_ms = POLL_LAGGING_MS;
+  if (owned->asks->len)
+    wait_ms = POLL_ASKED_MS;
+  owned->poll_due_ms = node->now_ms + wait_ms;
+}
+
+void
+ss_monitor_result (SsNode *node, SsOwned *owned,
+                   const SsTargetResult *result)
+{
+  SsControlStep step = owned->control_step;
+
+  owned->control->state = SS_CONNECTION_IDLE;
+  owned->control_step = SS_CONTROL_NONE;
+  if (step == SS_CONTROL_POLL)
+    {
+      take_poll (node, owned, result);
+      schedule_poll (node, owned);
+    }
+  else
+    {
+      /* What came of it is seen by a poll. */
+      owned->poll_due_ms = node->now_ms;
+      if (step == SS_CONTROL_RAISE)
+        owned->target->state.shown_term
+            = MAX (owned->target->state.shown_term, owned->raise_term);
+    }
+  next_step (node, owned);
+}
+
+static void
+mark_unreachable (SsNode *node, SsOwned *owned, bool refused)
+{
+  SsServerState *s = &owned->target->state;
+
+  if (s->reachable)
+    ss_node_log (node, SS_EVENT_LOG_TARGET_DOWN, owned->target->name, "%s",
+                 refused ? "connection refused" : "no answer");
+  s->reachable = false;
+  s->refused = refused;
+  owned->target->state_ms = node->now_ms;
+  send_reports (node, owned);
+}
+
+void
+ss_monitor_ready (SsNode *node, SsOwned *owned)
+{
+  owned->poll_due_ms = node->now_ms;
+  next_step (node, owned);
+}
+
+void
+ss_monitor_closed (SsNode *node, SsOwned *owned, bool refused)
+{
+  owned->control_step = SS_CONTROL_NONE;
+  owned->control_after_ms
+      = node->now_ms + (refused ? CONTROL_RETRY_MS : CONTROL_RETRY_MS / 10);
+  if (refused)
+    mark_unreachable (node, owned, true);
+}
+
+static void
+check_connection (SsNode *node, SsOwned *owned)
+{
+  SsConnection *c = owned->control;
+  int64_t bound_ms;
+  int64_t since_ms;
+
+  if (!c)
+    {
+      if (node->now_ms >= owned->control_after_ms)
+        owned->control = ss_owner_connect (node, owned, true);
+      return;
+    }
+  if (c->state == SS_CONNECTION_IDLE)
+    return;
+  bound_ms = c->state == SS_CONNECTION_CONNECTING ? CONNECT_TIMEOUT_MS
+                                                  : CONTROL_TIMEOUT_MS;
+  since_ms = c->state == SS_CONNECTION_CONNECTING ? c->since_ms
+                                                  : owned->control_started_ms;
+  if (node->now_ms - since_ms < bound_ms)
+    return;
+  owned->control = NULL;
+  owned->control_step = SS_CONTROL_NONE;
+  ss_owner_close (node, c);
+}
+
+void
+ss_monitor_tick (SsNode *node, SsOwned *owned)
+{
+  SsTarget *t = owned->target;
+
+  check_connection (node, owned);
+  if (t->state.reachable && node->now_ms - t->reachable_ms >= UNREACHABLE_MS)
+    mark_unreachable (node, owned, false);
+  if (!t->state.reachable)
+    send_reports (node, owned);
+  next_step (node, owned);
+}
+
+void
+ss_monitor_poll_soon (SsNode *node, SsOwned *owned)
+{
+  owned->poll_due_ms = node->now_ms;
+  next_step (node, owned);
+}
+
+/* --- messages --- */
+
+void
+ss_monitor_ask (SsNode *node, const char *from, const Ss__Peer__StatusAsk *m)
+{
+  SsOwned *owned = ss_owner_find (node, m->target);
+  SsAsk *ask;
+
+  if (!owned || !owned->active)
+    return;
+  ask = g_new0 (SsAsk, 1);
+  ask->vm = g_strdup (from);
+  ask->ask = m->ask;
+  ask->held = ss_position_unpack (m->held);
+  ask->poll = owned->poll + 1;
+  ask->expires_ms = node->now_ms + ASK_HOLD_MS;
+  g_ptr_array_add (owned->asks, ask);
+  ss_monitor_poll_soon (node, owned);
+}
+
+void
+ss_monitor_subscribe (SsNode *node, const char *from,
+                      const Ss__Peer__Subscribe *subscribe)
+{
+  for (size_t i = 0; i < subscribe->n_targets; i++)
+    {
+      SsOwned *owned = ss_owner_find (node, subscribe->targets[i]);
+      int64_t *expiry;
+
+      if (!owned || !owned->active)
+        continue;
+      if (!g_hash_table_contains (owned->subscribers, from))
+        send_report (node, owned, from, 0);
+      expiry = g_new (int64_t, 1);
+      *expiry = node->now_ms + SUBSCRIPTION_MS;
+      g_hash_table_replace (owned->subscribers, g_strdup (from), expiry);
+    }
+}
+
+void
+ss_monitor_raise (SsNode *node, const char *from,
+                  const Ss__Peer__RaiseAsk *ask)
+{
+  SsOwned *owned = ss_owner_find (node, ask->target);
+
+  if (!owned || !owned->active || ask->term < owned->raise_term)
+    return;
+  if (ask->term > owned->raise_term)
+    g_ptr_array_set_size (owned->raise_vms, 0);
+  owned->raise_term = ask->term;
+  for (guint i = 0; i < owned->raise_vms->len; i++)
+    if (strcmp (g_ptr_array_index (owned->raise_vms, i), from) == 0)
+      return;
+  g_ptr_array_add (owned->raise_vms, g_strdup (from));
+  next_step (node, owned);
+}
--- /dev/null
+++ b/src/core/node.c
@@ -0,0 +1,410 @@
+#include "core/node.h"
+
+#include <string.h>
+
+#include "core/internal.h"
+
+#define TICK_ASKED_MS 2
+#define TICK_BUSY_MS 5
+#define TICK_IDLE_MS 20
+/* No event for this long: the process did not run. */
+#define PAUSE_MS 700
+
+static int
+compare_names (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void) data;
+  return strcmp (a, b);
+}
+
+static void
+promotion_free (gpointer data)
+{
+  SsPromotion *p = data;
+
+  g_free (p->group);
+  g_free (p->wanted);
+  g_free (p->leaving);
+  g_free (p->chosen);
+  g_free (p);
+}
+
+static void
+marks_free (gpointer data)
+{
+  SsMarks *m = data;
+
+  g_free (m->group);
+  g_free (m);
+}
+
+void
+ss_node_init (SsNode *node, const SsNodeParams *params, int64_t now_ms)
+{
+  memset (node, 0, sizeof *node);
+  node->params = *params;
+  node->now_ms = now_ms;
+  node->started_ms = now_ms;
+  node->ticked_ms = now_ms;
+  node->rand = g_rand_new_with_seed (params->seed);
+  node->dialect = ss_dialect_sql ();
+  /* Ids of one life never meet those of another. */
+  node->next_request = (uint64_t) g_rand_int (node->rand) << 32;
+  node->next_ask = (uint64_t) g_rand_int (node->rand) << 32;
+  g_queue_init (&node->actions);
+  g_queue_init (&node->local);
+  ss_config_init (&node->config);
+  ss_members_init (&node->members, params->vm, params->failure_domain,
+                   params->ip, params->peer_port, now_ms);
+  ss_budget_init (&node->budget);
+  ss_entry_init (node);
+  ss_owner_init (node);
+  node->marks = g_tree_new_full (compare_names, NULL, NULL, marks_free);
+  node->promotions
+      = g_tree_new_full (compare_names, NULL, NULL, promotion_free);
+}
+
+void
+ss_node_finish (SsNode *node)
+{
+  SsAction action;
+  GBytes *bytes;
+
+  ss_entry_finish (node);
+  ss_owner_finish (node);
+  while (ss_node_take_action (node, &action))
+    ss_action_clear (&action);
+  while ((bytes = g_queue_pop_head (&node->local)))
+    g_bytes_unref (bytes);
+  g_tree_destroy (node->marks);
+  g_tree_destroy (node->promotions);
+  ss_config_finish (&node->config);
+  ss_members_finish (&node->members);
+  g_clear_pointer (&node->vms_json, g_bytes_unref);
+  g_rand_free (node->rand);
+}
+
+bool
+ss_node_take_action (SsNode *node, SsAction *action)
+{
+  SsAction *a = g_queue_pop_head (&node->actions);
+
+  if (!a)
+    return false;
+  *action = *a;
+  g_free (a);
+  return true;
+}
+
+/* --- messages --- */
+
+static void
+take_report (SsNode *node, const Ss__Peer__StatusReport *report)
+{
+  SsTarget *t = ss_config_target (&node->config, report->target);
+  SsServerState state;
+  SsGroup *group;
+
+  if (!t || !report->state)
+    return;
+  ss_state_unpack (report->state, &state);
+  if (!ss_node_is_owner (node, t))
+    ss_node_take_state (node, t, &state, report->state->age_ms);
+  if (report->ask)
+    ss_hold_report (node, t, report->ask, &state);
+  group = ss_config_group (&node->config, t->group);
+  if (!group)
+    return;
+  ss_hold_check (node, group);
+  if (node->view_waiters)
+    ss_entry_wake (node, group->name, SS_WAIT_VIEW);
+}
+
+static void
+take_envelope (SsNode *node, const SsEnvelope *e)
+{
+  switch (e->body_case)
+    {
+    case SS__PEER__ENVELOPE__BODY_HEARTBEAT:
+      ss_spread_heartbeat (node, e->heartbeat);
+      break;
+    case SS__PEER__ENVELOPE__BODY_RUN:
+      ss_owner_run (node, e->from, e->run);
+      break;
+    case SS__PEER__ENVELOPE__BODY_RUN_REPLY:
+      ss_entry_reply (node, e->from, e->run_reply);
+      break;
+    case SS__PEER__ENVELOPE__BODY_CANCEL:
+      ss_owner_cancel (node, e->from, e->cancel->request);
+      break;
+    case SS__PEER__ENVELOPE__BODY_SESSION_END:
+      ss_owner_session_end (node, e->from, e->session_end->session);
+      break;
+    case SS__PEER__ENVELOPE__BODY_STATUS_ASK:
+      ss_monitor_ask (node, e->from, e->status_ask);
+      break;
+    case SS__PEER__ENVELOPE__BODY_STATUS_REPORT:
+      take_report (node, e->status_report);
+      break;
+    case SS__PEER__ENVELOPE__BODY_SUBSCRIBE:
+      ss_monitor_subscribe (node, e->from, e->subscribe);
+      break;
+    case SS__PEER__ENVELOPE__BODY_MARK_ASK:
+      ss_hold_round_ask (node, e->from, e->mark_ask);
+      break;
+    case SS__PEER__ENVELOPE__BODY_MARK_REPLY:
+      ss_marks_reply (node, e->mark_reply);
+      break;
+    case SS__PEER__ENVELOPE__BODY_RAISE_ASK:
+      ss_monitor_raise (node, e->from, e->raise_ask);
+      break;
+    case SS__PEER__ENVELOPE__BODY_RAISE_REPLY:
+      ss_promote_raised (node, e->raise_reply);
+      break;
+    case SS__PEER__ENVELOPE__BODY_CONFIG_PULL:
+      ss_spread_pull (node, e->from, e->config_pull);
+      break;
+    case SS__PEER__ENVELOPE__BODY_CONFIG_PUSH:
+      ss_spread_push (node, e->from, e->config_push);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+take_message (SsNode *node, const uint8_t *data, size_t bytes)
+{
+  SsEnvelope *e = ss__peer__envelope__unpack (NULL, bytes, data);
+
+  if (!e)
+    {
+      ss_node_log (node, SS_EVENT_LOG_PEER_INVALID, "peer", "%zu bytes",
+                   bytes);
+      return;
+    }
+  take_envelope (node, e);
+  ss__peer__envelope__free_unpacked (e, NULL);
+}
+
+static void
+take_local (SsNode *node)
+{
+  GBytes *bytes;
+
+  while ((bytes = g_queue_pop_head (&node->local)))
+    {
+      gsize length;
+      const uint8_t *data = g_bytes_get_data (bytes, &length);
+
+      take_message (node, data, length);
+      g_bytes_unref (bytes);
+    }
+}
+
+/* --- ticks --- */
+
+static gboolean
+retry_marks (gpointer key, gpointer value, gpointer data)
+{
+  (void) key;
+  ss_marks_retry (data, value);
+  return FALSE;
+}
+
+static void
+begin_stop (SsNode *node)
+{
+  SsMember *self = ss_members_find (&node->members, node->params.vm);
+
+  if (node->stopping)
+    return;
+  node->stopping = true;
+  node->stop_due_ms = node->now_ms + node->params.stop_bound_ms;
+  self->leaving = true;
+  node->members.generation++;
+  ss_node_log (node, SS_EVENT_LOG_STOPPING, node->params.vm,
+               "bound_ms=%" G_GINT64_FORMAT, node->params.stop_bound_ms);
+  ss_owner_update (node);
+  ss_spread_beat_now (node);
+}
+
+static void
+tick_stop (SsNode *node)
+{
+  bool force = node->now_ms >= node->stop_due_ms;
+  bool callers_gone = ss_entry_stop (node, force);
+
+  if (node->stopped || !callers_gone
+      || (!force && !ss_owner_is_idle (node)))
+    return;
+  node->stopped = true;
+  ss_node_push (node, SS_ACTION_STOPPED);
+}
+
+/* The process was paused: what it saw before says nothing about now, and the
+ * others' heartbeats may still wait to be read.
+ */
+static gboolean
+shift_heard (gpointer key, gpointer value, gpointer data)
+{
+  SsMember *m = value;
+
+  (void) key;
+  m->heard_ms += *(int64_t *) data;
+  return FALSE;
+}
+
+static void
+check_pause (SsNode *node, int64_t now_ms)
+{
+  int64_t gap_ms = now_ms - node->now_ms;
+
+  if (gap_ms < PAUSE_MS)
+    return;
+  g_tree_foreach (node->members.by_name, shift_heard, &gap_ms);
+  node->now_ms = now_ms;
+  ss_promote_resumed (node);
+  ss_node_log (node, SS_EVENT_LOG_PAUSED, node->params.vm,
+               "ms=%" G_GINT64_FORMAT, gap_ms);
+}
+
+static bool
+has_asks (const SsNode *node);
+
+static int64_t
+tick_interval_ms (const SsNode *node)
+{
+  if (has_asks (node))
+    return TICK_ASKED_MS;
+  return g_hash_table_size (node->requests) ? TICK_BUSY_MS : TICK_IDLE_MS;
+}
+
+static gboolean
+find_asks (gpointer key, gpointer value, gpointer data)
+{
+  const SsOwned *o = value;
+
+  (void) key;
+  if (o->asks->len == 0 && !o->raise_term)
+    return FALSE;
+  *(bool *) data = true;
+  return TRUE;
+}
+
+static bool
+has_asks (const SsNode *node)
+{
+  bool found = false;
+
+  g_tree_foreach (node->owned, find_asks, &found);
+  return found;
+}
+
+static void
+tick (SsNode *node)
+{
+  if (node->now_ms - node->ticked_ms < tick_interval_ms (node))
+    return;
+  node->ticked_ms = node->now_ms;
+  ss_spread_tick (node);
+  ss_owner_tick (node);
+  ss_promote_tick (node);
+  g_tree_foreach (node->marks, retry_marks, node);
+  ss_entry_tick (node);
+  if (node->stopping)
+    tick_stop (node);
+}
+
+int64_t
+ss_node_next_deadline (const SsNode *node)
+{
+  return node->ticked_ms + tick_interval_ms (node);
+}
+
+/* --- events --- */
+
+static void
+lose_peer (SsNode *node, const char *vm)
+{
+  ss_members_lost (&node->members, vm, node->now_ms);
+  ss_entry_vm_lost (node, vm);
+  ss_owner_vm_lost (node, vm);
+}
+
+static void
+take_event (SsNode *node, const SsEvent *e)
+{
+  switch (e->kind)
+    {
+    case SS_EVENT_CALLER_OPEN:
+      ss_entry_open (node, e->caller_open.caller, e->caller_open.service,
+                     e->caller_open.settings);
+      break;
+    case SS_EVENT_CALLER_STATEMENT:
+      ss_entry_statement (node, e->caller_statement.caller,
+                          e->caller_statement.sql);
+      break;
+    case SS_EVENT_CALLER_CANCEL:
+      ss_entry_cancel (node, e->caller.caller);
+      break;
+    case SS_EVENT_CALLER_CLOSE:
+      ss_entry_close (node, e->caller.caller);
+      break;
+    case SS_EVENT_PEER_MESSAGE:
+      take_message (node, e->peer_message.data, e->peer_message.data_bytes);
+      break;
+    case SS_EVENT_PEER_LOST:
+      lose_peer (node, e->peer_lost.vm);
+      break;
+    case SS_EVENT_TARGET_READY:
+      ss_owner_ready (node, e->target.connection);
+      break;
+    case SS_EVENT_TARGET_CLOSED:
+      ss_owner_closed (node, e->target.connection, e->target.refused,
+                       e->target.sqlstate);
+      break;
+    case SS_EVENT_TARGET_RESULT:
+      ss_owner_result (node, e->target_result.connection,
+                       e->target_result.result);
+      break;
+    case SS_EVENT_PLATFORM_OBJECTS:
+      ss_spread_objects (node, e->platform_objects.outcome,
+                         e->platform_objects.since,
+                         e->platform_objects.revision,
+                         e->platform_objects.objects,
+                         e->platform_objects.object_count);
+      break;
+    case SS_EVENT_PLATFORM_OBJECT:
+      ss_promote_object (node, e->platform_object.call,
+                         e->platform_object.outcome,
+                         &e->platform_object.object);
+      break;
+    case SS_EVENT_PLATFORM_VMS:
+      node->vms_asked = false;
+      if (e->platform_vms.json)
+        ss_spread_vms (node, e->platform_vms.json,
+                       e->platform_vms.json_bytes);
+      break;
+    case SS_EVENT_STOP:
+      begin_stop (node);
+      break;
+    case SS_EVENT_PROMOTE:
+      ss_promote_order (node, e->promote.group, e->promote.to);
+      break;
+    case SS_EVENT_TICK:
+    default:
+      break;
+    }
+}
+
+void
+ss_node_on_event (SsNode *node, const SsEvent *event, int64_t now_ms)
+{
+  check_pause (node, now_ms);
+  node->now_ms = now_ms;
+  take_event (node, event);
+  take_local (node);
+  tick (node);
+  take_local (node);
+}
--- /dev/null
+++ b/src/core/promote.c
@@ -0,0 +1,523 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/internal.h"
+
+/* A crash is seen by its refused connections and by its replicas. */
+#define CRASH_DOWN_MS 300
+#define CRASH_SILENCE_MS 250
+/* A frozen or cut-off primary answers nobody; a slow one still does. */
+#define SILENT_DOWN_MS 1500
+#define SILENT_SILENCE_MS 1000
+/* Replicas hear the primary, but no vm reaches it. */
+#define UNREACHED_DOWN_MS 5000
+#define RANK_DELAY_MS 500
+#define RANKS 3
+#define UNNAMED_DOWN_MS 1500
+#define FRESH_VIEW_MS 1500
+#define RAISE_AGAIN_MS 150
+#define RAISE_MORE_MS 30
+#define STEP_TIMEOUT_MS 4000
+#define READ_AGAIN_MS 200
+#define RETRY_MS 300
+#define DRAIN_RETRY_MS 2000
+
+SsPromotion *
+ss_promote_get (SsNode *node, const char *group)
+{
+  SsPromotion *p = g_tree_lookup (node->promotions, group);
+
+  if (p)
+    return p;
+  p = g_new0 (SsPromotion, 1);
+  p->group = g_strdup (group);
+  p->primary_ok_ms = node->now_ms;
+  g_tree_insert (node->promotions, p->group, p);
+  return p;
+}
+
+uint32_t
+ss_promote_rank (SsNode *node, SsPromotion *promotion)
+{
+  if (promotion->rank_generation != node->members.generation)
+    {
+      promotion->rank
+          = ss_members_rank (&node->members, NULL, promotion->group);
+      promotion->rank_generation = node->members.generation;
+    }
+  return promotion->rank;
+}
+
+static gboolean
+resume_one (gpointer key, gpointer value, gpointer data)
+{
+  SsPromotion *p = value;
+  const SsNode *node = data;
+
+  (void) key;
+  p->primary_ok_ms = node->now_ms;
+  return FALSE;
+}
+
+void
+ss_promote_resumed (SsNode *node)
+{
+  g_tree_foreach (node->promotions, resume_one, node);
+}
+
+static void
+enter_step (SsNode *node, SsPromotion *p, SsPromoteStep step)
+{
+  p->step = step;
+  p->since_ms = node->now_ms;
+  p->asked_ms = 0;
+}
+
+static void
+give_up (SsNode *node, SsPromotion *p, const char *why)
+{
+  ss_node_log (node, SS_EVENT_LOG_PROMOTION_FAILED, p->group,
+               "term=%" G_GUINT64_FORMAT " %s", p->term, why);
+  p->retry_ms = node->now_ms + RETRY_MS;
+  p->ordered = false;
+  p->suspect = false;
+  p->primary_ok_ms = node->now_ms - SILENT_DOWN_MS;
+  enter_step (node, p, SS_PROMOTE_IDLE);
+}
+
+/* --- the platform's object --- */
+
+static void
+put_group (SsNode *node, SsPromotion *p, const char *primary)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_PUT);
+  json_t *json = json_pack ("{s:I, s:s, s:s}", "term", (json_int_t) p->term,
+                            "primary", primary, "operation", p->operation);
+  char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
+
+  p->call = ++node->next_call;
+  a->id = p->call;
+  a->name = g_strdup_printf ("group/%s", p->group);
+  a->text = g_strdup (text);
+  a->number = p->version;
+  free (text);
+  json_decref (json);
+}
+
+static void
+get_group (SsNode *node, SsPromotion *p)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_GET);
+
+  p->call = ++node->next_call;
+  p->asked_ms = node->now_ms;
+  a->id = p->call;
+  a->name = g_strdup_printf ("group/%s", p->group);
+}
+
+static uint64_t
+highest_term (const SsGroup *group)
+{
+  uint64_t term = group->term;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    term = MAX (term, group->servers[i]->state.shown_term);
+  return term;
+}
+
+static void
+start (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  p->term = highest_term (group) + 1;
+  p->version = group->version;
+  p->started_ms = node->now_ms;
+  g_snprintf (p->operation, sizeof p->operation,
+              "%s-%" G_GUINT64_FORMAT "-%08x", node->params.vm,
+              ++node->next_operation, g_rand_int (node->rand));
+  memset (p->raised, 0, sizeof p->raised);
+  p->enough_ms = 0;
+  g_clear_pointer (&p->chosen, g_free);
+  g_clear_pointer (&p->leaving, g_free);
+  if (p->ordered)
+    p->leaving = g_strdup (group->primary);
+  ss_node_count (node, SS_COUNTER_PROMOTIONS);
+  ss_node_log (node, SS_EVENT_LOG_PROMOTION_STARTED, p->group,
+               "term=%" G_GUINT64_FORMAT " old_primary=%s ordered=%d",
+               p->term, group->primary, p->ordered);
+  enter_step (node, p, SS_PROMOTE_CLAIM);
+  put_group (node, p, "");
+}
+
+/* --- suspicion --- */
+
+static uint32_t
+count_silent (SsNode *node, const SsGroup *group, uint32_t silence_ms)
+{
+  uint32_t silent = 0;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      const SsTarget *t = group->servers[i];
+
+      if (strcmp (t->name, group->primary) != 0 && t->state.reachable
+          && node->now_ms - t->reachable_ms < FRESH_VIEW_MS
+          && t->state.silence_ms >= silence_ms)
+        silent++;
+    }
+  return silent;
+}
+
+/* Servers beside the primary of which at least half must miss it. */
+static uint32_t
+witnesses_needed (const SsGroup *group)
+{
+  uint32_t others = group->server_count - 1;
+
+  return MAX ((others + 1) / 2, 1);
+}
+
+static bool
+is_suspect (SsNode *node, const SsPromotion *p, const SsGroup *group)
+{
+  const SsTarget *primary = ss_group_primary (group);
+  int64_t down_ms = node->now_ms - p->primary_ok_ms;
+  int64_t delay_ms = (int64_t) p->rank * RANK_DELAY_MS;
+  uint32_t needed = witnesses_needed (group);
+
+  if (!*group->primary)
+    return node->now_ms - group->changed_ms >= UNNAMED_DOWN_MS + delay_ms;
+  if (!primary)
+    return false;
+  if (primary->state.refused && down_ms >= CRASH_DOWN_MS + delay_ms
+      && count_silent (node, group, CRASH_SILENCE_MS) >= needed)
+    return true;
+  if (down_ms >= SILENT_DOWN_MS + delay_ms
+      && count_silent (node, group, SILENT_SILENCE_MS) >= needed)
+    return true;
+  return down_ms >= UNREACHED_DOWN_MS + delay_ms;
+}
+
+static void
+watch_primary (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  const SsTarget *t = ss_group_primary (group);
+
+  if (p->seen_term != group->term)
+    {
+      p->seen_term = group->term;
+      p->primary_ok_ms = node->now_ms;
+    }
+  if (t && t->state.reachable && t->state.role == SS_SERVER_PRIMARY
+      && t->state.shown_term == group->term)
+    p->primary_ok_ms = MAX (p->primary_ok_ms, t->reachable_ms);
+}
+
+static bool
+must_leave (const SsGroup *group)
+{
+  const SsTarget *primary = ss_group_primary (group);
+
+  return primary && primary->draining && group->server_count > 1;
+}
+
+static void
+tick_idle (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  if (ss_promote_rank (node, p) >= RANKS || node->now_ms < p->retry_ms
+      || node->stopping)
+    return;
+  if (must_leave (group) && p->rank == 0)
+    {
+      p->ordered = true;
+      p->retry_ms = node->now_ms + DRAIN_RETRY_MS;
+    }
+  else if (!p->ordered && !is_suspect (node, p, group))
+    return;
+  if (!p->ordered)
+    ss_node_log (node, SS_EVENT_LOG_SUSPECT, p->group,
+                 "primary=%s down_ms=%" G_GINT64_FORMAT " rank=%u",
+                 group->primary, node->now_ms - p->primary_ok_ms, p->rank);
+  start (node, p, group);
+}
+
+/* --- raising the term --- */
+
+static void
+send_raise (SsNode *node, const SsPromotion *p, SsTarget *t)
+{
+  const char *owner = ss_node_owner (node, t);
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__RaiseAsk ask = SS__PEER__RAISE_ASK__INIT;
+
+  if (!owner)
+    return;
+  ask.target = t->name;
+  ask.term = p->term;
+  e.body_case = SS__PEER__ENVELOPE__BODY_RAISE_ASK;
+  e.raise_ask = &ask;
+  ss_node_send (node, owner, &e);
+}
+
+static bool
+may_be_chosen (const SsPromotion *p, const SsTarget *t)
+{
+  return !t->draining && (!p->leaving || strcmp (p->leaving, t->name) != 0);
+}
+
+/* Every majority that may have acknowledged a write has to contain a raised
+ * candidate: this many candidates leave room for no other majority.
+ */
+static uint32_t
+candidates_needed (const SsGroup *group)
+{
+  return group->server_count - ss_group_majority (group) + 1;
+}
+
+static const char *
+best_candidate (const SsPromotion *p, const SsGroup *group)
+{
+  int32_t best = -1;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      int32_t order;
+
+      if (!p->raised[i] || !may_be_chosen (p, group->servers[i]))
+        continue;
+      order = best < 0 ? 1
+                       : ss_position_compare (p->raised_held[i],
+                                              p->raised_held[best]);
+      if (order > 0
+          || (order == 0 && p->wanted
+              && strcmp (p->wanted, group->servers[i]->name) == 0))
+        best = (int32_t) i;
+    }
+  return best < 0 ? NULL : group->servers[best]->name;
+}
+
+static void
+name_primary (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  p->chosen = g_strdup (best_candidate (p, group));
+  ss_node_log (node, SS_EVENT_LOG_PROMOTION_RAISED, p->group,
+               "term=%" G_GUINT64_FORMAT " chosen=%s ms=%" G_GINT64_FORMAT,
+               p->term, p->chosen, node->now_ms - p->started_ms);
+  enter_step (node, p, SS_PROMOTE_NAME);
+  put_group (node, p, p->chosen);
+}
+
+static void
+tick_raise (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  uint32_t raised = 0;
+  uint32_t candidates = 0;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      raised += p->raised[i] ? 1 : 0;
+      if (p->raised[i] && may_be_chosen (p, group->servers[i]))
+        candidates++;
+    }
+  if (candidates >= candidates_needed (group) && !p->enough_ms)
+    p->enough_ms = node->now_ms;
+  if (p->enough_ms
+      && (raised == group->server_count
+          || node->now_ms - p->enough_ms >= RAISE_MORE_MS))
+    {
+      name_primary (node, p, group);
+      return;
+    }
+  if (node->now_ms - p->asked_ms < RAISE_AGAIN_MS)
+    return;
+  p->asked_ms = node->now_ms;
+  for (uint32_t i = 0; i < group->server_count; i++)
+    if (!p->raised[i])
+      send_raise (node, p, group->servers[i]);
+}
+
+void
+ss_promote_raised (SsNode *node, const Ss__Peer__RaiseReply *reply)
+{
+  SsTarget *t = ss_config_target (&node->config, reply->target);
+  SsGroup *group = t ? ss_config_group (&node->config, t->group) : NULL;
+  SsPromotion *p
+      = group ? g_tree_lookup (node->promotions, group->name) : NULL;
+  SsServerState state;
+
+  if (!p || p->step != SS_PROMOTE_RAISE || reply->term != p->term
+      || !reply->state)
+    {
+      ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
+      return;
+    }
+  if (!reply->accepted)
+    {
+      give_up (node, p, "a server was shown a higher term");
+      return;
+    }
+  ss_state_unpack (reply->state, &state);
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      if (group->servers[i] != t)
+        continue;
+      p->raised[i] = true;
+      p->raised_held[i] = state.held;
+    }
+  tick_raise (node, p, group);
+}
+
+/* --- answers of the platform --- */
+
+static void
+finish (SsNode *node, SsPromotion *p)
+{
+  ss_node_log (node, SS_EVENT_LOG_PROMOTION_DONE, p->group,
+               "term=%" G_GUINT64_FORMAT " primary=%s ms=%" G_GINT64_FORMAT,
+               p->term, p->chosen, node->now_ms - p->started_ms);
+  p->ordered = false;
+  g_clear_pointer (&p->wanted, g_free);
+  p->retry_ms = node->now_ms + RETRY_MS;
+  p->primary_ok_ms = node->now_ms;
+  enter_step (node, p, SS_PROMOTE_IDLE);
+}
+
+/* The group's object has our operation: go on from what it says. */
+static void
+go_on (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  p->version = group->version;
+  if (*group->primary)
+    {
+      finish (node, p);
+      return;
+    }
+  if (p->step == SS_PROMOTE_NAME_READ)
+    {
+      enter_step (node, p, SS_PROMOTE_NAME);
+      put_group (node, p, p->chosen);
+      return;
+    }
+  enter_step (node, p, SS_PROMOTE_RAISE);
+  tick_raise (node, p, group);
+}
+
+static void
+adopt_and_go_on (SsNode *node, SsPromotion *p, const SsObject *object)
+{
+  SsGroup *group;
+
+  ss_spread_adopt (node, object);
+  group = ss_config_group (&node->config, p->group);
+  if (group && strcmp (group->operation, p->operation) == 0)
+    go_on (node, p, group);
+  else
+    give_up (node, p, "another operation won");
+}
+
+void
+ss_promote_object (SsNode *node, uint64_t call, SsPlatformOutcome outcome,
+                   const SsObject *object)
+{
+  GTree *promotions = node->promotions;
+  SsPromotion *p
+      = object->key && g_str_has_prefix (object->key, "group/")
+            ? g_tree_lookup (promotions, strchr (object->key, '/') + 1)
+            : NULL;
+
+  if (!p || p->call != call || p->step == SS_PROMOTE_IDLE)
+    return;
+  if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
+    {
+      adopt_and_go_on (node, p, object);
+      return;
+    }
+  if (p->step == SS_PROMOTE_CLAIM_READ || p->step == SS_PROMOTE_NAME_READ)
+    return; /* the tick reads again */
+  /* Refused or lost: the object tells whether the update took effect. */
+  enter_step (node, p,
+              p->step == SS_PROMOTE_CLAIM ? SS_PROMOTE_CLAIM_READ
+                                          : SS_PROMOTE_NAME_READ);
+  p->asked_ms = node->now_ms;
+}
+
+/* --- ticks --- */
+
+static void
+tick_one (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  watch_primary (node, p, group);
+  if (p->step != SS_PROMOTE_IDLE && group->term > p->term)
+    {
+      give_up (node, p, "a later term is in force");
+      return;
+    }
+  if (p->step != SS_PROMOTE_IDLE
+      && node->now_ms - p->since_ms >= STEP_TIMEOUT_MS)
+    {
+      give_up (node, p, "timed out");
+      return;
+    }
+  switch (p->step)
+    {
+    case SS_PROMOTE_IDLE:
+      tick_idle (node, p, group);
+      break;
+    case SS_PROMOTE_RAISE:
+      tick_raise (node, p, group);
+      break;
+    case SS_PROMOTE_CLAIM_READ:
+    case SS_PROMOTE_NAME_READ:
+      if (node->now_ms - p->asked_ms >= READ_AGAIN_MS)
+        get_group (node, p);
+      break;
+    default:
+      break;
+    }
+}
+
+static gboolean
+collect (gpointer key, gpointer value, gpointer data)
+{
+  (void) value;
+  g_ptr_array_add (data, key);
+  return FALSE;
+}
+
+void
+ss_promote_tick (SsNode *node)
+{
+  GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
+  GPtrArray *keys = g_ptr_array_new ();
+
+  g_tree_foreach (node->config.groups, collect, keys);
+  for (guint i = 0; i < keys->len; i++)
+    g_ptr_array_add (names, g_strdup (g_ptr_array_index (keys, i)));
+  for (guint i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+      SsGroup *group = ss_config_group (&node->config, name);
+
+      if (group && group->server_count)
+        tick_one (node, ss_promote_get (node, name), group);
+    }
+  g_ptr_array_free (keys, TRUE);
+  g_ptr_array_free (names, TRUE);
+}
+
+void
+ss_promote_order (SsNode *node, const char *group, const char *to)
+{
+  SsGroup *g = ss_config_group (&node->config, group);
+  SsPromotion *p;
+
+  if (!g)
+    return;
+  p = ss_promote_get (node, group);
+  if (p->step != SS_PROMOTE_IDLE)
+    return;
+  g_free (p->wanted);
+  p->wanted = to && *to ? g_strdup (to) : NULL;
+  p->ordered = true;
+  start (node, p, g);
+}
--- /dev/null
+++ b/src/core/spread.c
@@ -0,0 +1,582 @@
+#include <jansson.h>
+#include <string.h>
+
+#include "core/internal.h"
+
+#define HEARTBEAT_MS 200
+#define HEARD_MS 600
+#define SUBSCRIBE_MS 1000
+#define PULL_AGAIN_MS 300
+#define WATCH_RETRY_MS 300
+#define VMS_MS 1000
+#define RELAYS 2
+#define READY_AFTER_MS 500
+#define COORDINATOR_RANKS 3
+/* Marks a peer known only by its address. */
+#define SEED_PREFIX "@"
+#define LOOSE_SINCE (-1)
+
+static bool
+is_self (const SsNode *node, const char *vm)
+{
+  return strcmp (vm, node->params.vm) == 0;
+}
+
+typedef void (*MemberVisitor) (SsNode *node, SsMember *member, void *data);
+
+typedef struct
+{
+  SsNode *node;
+  MemberVisitor visit;
+  void *data;
+} Visit;
+
+static gboolean
+visit_one (gpointer key, gpointer value, gpointer data)
+{
+  Visit *v = data;
+
+  if (!is_self (v->node, key))
+    v->visit (v->node, value, v->data);
+  return FALSE;
+}
+
+static void
+visit_peers (SsNode *node, MemberVisitor visit, void *data)
+{
+  Visit v = { node, visit, data };
+
+  g_tree_foreach (node->members.by_name, visit_one, &v);
+}
+
+/* --- peers' addresses --- */
+
+static void
+push_address (SsNode *node, const char *vm, const char *ip, uint16_t port)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_PEER_ADDRESS);
+
+  a->name = g_strdup (vm);
+  a->text = g_strdup (ip);
+  a->port = port;
+}
+
+static SsMember *
+add_member (SsNode *node, const char *vm, const char *failure_domain,
+            const char *ip, uint16_t port)
+{
+  SsMember *m = ss_members_find (&node->members, vm);
+  bool moved = !m || strcmp (m->ip, ip) != 0 || m->peer_port != port;
+
+  m = ss_members_add (&node->members, vm, failure_domain, ip, port);
+  if (moved && !is_self (node, vm))
+    push_address (node, vm, ip, port);
+  return m;
+}
+
+/* --- heartbeats --- */
+
+static void
+collect_heard (SsNode *node, SsMember *member, void *data)
+{
+  if (node->now_ms - member->heard_ms < HEARD_MS)
+    g_ptr_array_add (data, member->vm);
+}
+
+static void
+send_beat (SsNode *node, SsMember *member, void *data)
+{
+  ss_node_send (node, member->vm, data);
+}
+
+static void
+send_to_seeds (SsNode *node, SsEnvelope *e)
+{
+  char **seeds = g_strsplit (node->params.seeds, " ", -1);
+
+  for (uint32_t i = 0; seeds[i]; i++)
+    {
+      char **parts = g_strsplit (seeds[i], ":", 2);
+
+      if (g_strv_length (parts) == 2)
+        {
+          char *name = g_strconcat (SEED_PREFIX, seeds[i], NULL);
+
+          push_address (node, name, parts[0],
+                        (uint16_t) g_ascii_strtoull (parts[1], NULL, 10));
+          ss_node_send (node, name, e);
+          g_free (name);
+        }
+      g_strfreev (parts);
+    }
+  g_strfreev (seeds);
+}
+
+void
+ss_spread_beat_now (SsNode *node)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Heartbeat beat = SS__PEER__HEARTBEAT__INIT;
+  GPtrArray *heard = g_ptr_array_new ();
+
+  node->heartbeat_due_ms = node->now_ms + HEARTBEAT_MS;
+  visit_peers (node, collect_heard, heard);
+  beat.vm = (char *) node->params.vm;
+  beat.failure_domain = (char *) node->params.failure_domain;
+  beat.ip = (char *) node->params.ip;
+  beat.peer_port = node->params.peer_port;
+  beat.leaving = node->stopping;
+  beat.revision = node->config.revision;
+  beat.heard = (char **) heard->pdata;
+  beat.n_heard = heard->len;
+  beat.ready = node->ready;
+  e.body_case = SS__PEER__ENVELOPE__BODY_HEARTBEAT;
+  e.heartbeat = &beat;
+  visit_peers (node, send_beat, &e);
+  if (!node->ready && heard->len == 0)
+    send_to_seeds (node, &e);
+  g_ptr_array_free (heard, TRUE);
+}
+
+static void
+send_pull (SsNode *node, const char *vm)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__ConfigPull pull = SS__PEER__CONFIG_PULL__INIT;
+
+  if (node->now_ms < node->pull_due_ms)
+    return;
+  node->pull_due_ms = node->now_ms + PULL_AGAIN_MS;
+  pull.since = node->config.revision;
+  e.body_case = SS__PEER__ENVELOPE__BODY_CONFIG_PULL;
+  e.config_pull = &pull;
+  ss_node_send (node, vm, &e);
+}
+
+void
+ss_spread_heartbeat (SsNode *node, const Ss__Peer__Heartbeat *beat)
+{
+  SsMember *m;
+
+  if (!*beat->vm || is_self (node, beat->vm) || beat->peer_port > 65535)
+    return;
+  m = add_member (node, beat->vm, beat->failure_domain, beat->ip,
+                  (uint16_t) beat->peer_port);
+  m->revision = beat->revision;
+  ss_members_heard (&node->members, m, beat->leaving, beat->heard,
+                    beat->n_heard, node->now_ms);
+  if (beat->revision > node->config.revision)
+    send_pull (node, beat->vm);
+}
+
+/* --- configuration --- */
+
+static bool
+adopt (SsNode *node, const SsObject *object)
+{
+  char *error;
+  SsAdoption adoption
+      = ss_config_adopt (&node->config, object, node->now_ms, &error);
+
+  if (adoption == SS_ADOPT_INVALID)
+    {
+      ss_node_log (node, SS_EVENT_LOG_CONFIG_INVALID, object->key, "%s",
+                   error);
+      g_free (error);
+    }
+  if (adoption == SS_ADOPT_DONE)
+    ss_node_log (node, SS_EVENT_LOG_CONFIG_ADOPTED, object->key,
+                 "version=%" G_GINT64_FORMAT, object->version);
+  return adoption == SS_ADOPT_DONE;
+}
+
+typedef struct
+{
+  int64_t since;
+  Ss__Peer__ConfigObject *objects;
+  Ss__Peer__ConfigObject **list;
+  uint32_t count;
+} Push;
+
+static gboolean
+add_to_push (gpointer key, gpointer value, gpointer data)
+{
+  Push *p = data;
+  const SsStoredObject *o = value;
+  Ss__Peer__ConfigObject *out = &p->objects[p->count];
+  gsize bytes;
+
+  if (o->version <= p->since)
+    return FALSE;
+  ss__peer__config_object__init (out);
+  out->key = key;
+  out->version = o->version;
+  out->value.data = (uint8_t *) g_bytes_get_data (o->value, &bytes);
+  out->value.len = bytes;
+  p->list[p->count++] = out;
+  return FALSE;
+}
+
+static void
+send_push (SsNode *node, const char *vm, Ss__Peer__ConfigPush *push)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+
+  e.body_case = SS__PEER__ENVELOPE__BODY_CONFIG_PUSH;
+  e.config_push = push;
+  ss_node_send (node, vm, &e);
+}
+
+/* Calls SEND with a push of all objects above SINCE. */
+static void
+with_push (SsNode *node, int64_t since,
+           void (*send) (SsNode *node, Ss__Peer__ConfigPush *push,
+                         const char *vm),
+           const char *vm)
+{
+  uint32_t all = (uint32_t) g_tree_nnodes (node->config.objects);
+  Ss__Peer__ConfigPush push = SS__PEER__CONFIG_PUSH__INIT;
+  Push p = { since, g_new (Ss__Peer__ConfigObject, all + 1),
+             g_new (Ss__Peer__ConfigObject *, all + 1), 0 };
+  gsize bytes = 0;
+
+  g_tree_foreach (node->config.objects, add_to_push, &p);
+  push.since = since;
+  push.revision = node->config.revision;
+  push.objects = p.list;
+  push.n_objects = p.count;
+  if (node->vms_json)
+    {
+      push.vms.data = (uint8_t *) g_bytes_get_data (node->vms_json, &bytes);
+      push.vms.len = bytes;
+    }
+  send (node, &push, vm);
+  g_free (p.objects);
+  g_free (p.list);
+}
+
+static void
+send_to_one (SsNode *node, Ss__Peer__ConfigPush *push, const char *vm)
+{
+  send_push (node, vm, push);
+}
+
+static void
+push_to_neighbour (SsNode *node, SsMember *member, void *data)
+{
+  if (strcmp (member->failure_domain, node->params.failure_domain) == 0)
+    send_push (node, member->vm, data);
+}
+
+static void
+send_to_domain (SsNode *node, Ss__Peer__ConfigPush *push, const char *vm)
+{
+  (void) vm;
+  visit_peers (node, push_to_neighbour, push);
+}
+
+void
+ss_spread_pull (SsNode *node, const char *from,
+                const Ss__Peer__ConfigPull *pull)
+{
+  with_push (node, pull->since, send_to_one, from);
+}
+
+void
+ss_spread_push (SsNode *node, const char *from,
+                const Ss__Peer__ConfigPush *push)
+{
+  for (size_t i = 0; i < push->n_objects; i++)
+    {
+      const Ss__Peer__ConfigObject *in = push->objects[i];
+      SsObject o = { in->key, in->version, (const char *) in->value.data,
+                     (uint32_t) in->value.len };
+
+      adopt (node, &o);
+    }
+  if (push->vms.len)
+    ss_spread_vms (node, (const char *) push->vms.data,
+                   (uint32_t) push->vms.len);
+  ss_owner_update (node);
+  if (push->since == LOOSE_SINCE)
+    return;
+  if (push->since <= node->config.revision)
+    node->config.revision = MAX (node->config.revision, push->revision);
+  else
+    send_pull (node, from);
+}
+
+static void
+push_to_peer (SsNode *node, SsMember *member, void *data)
+{
+  send_push (node, member->vm, data);
+}
+
+void
+ss_spread_send_loose (SsNode *node, const SsObject *object)
+{
+  Ss__Peer__ConfigPush push = SS__PEER__CONFIG_PUSH__INIT;
+  Ss__Peer__ConfigObject o = SS__PEER__CONFIG_OBJECT__INIT;
+  Ss__Peer__ConfigObject *list = &o;
+
+  o.key = (char *) object->key;
+  o.version = object->version;
+  o.value.data = (uint8_t *) object->value;
+  o.value.len = object->value_bytes;
+  push.since = LOOSE_SINCE;
+  push.objects = &list;
+  push.n_objects = 1;
+  visit_peers (node, push_to_peer, &push);
+}
+
+void
+ss_spread_adopt (SsNode *node, const SsObject *object)
+{
+  if (!adopt (node, object))
+    return;
+  ss_owner_update (node);
+  ss_spread_send_loose (node, object);
+}
+
+static void
+note_platform (SsNode *node, SsPlatformOutcome outcome)
+{
+  bool down
+      = outcome == SS_PLATFORM_UNKNOWN || outcome == SS_PLATFORM_REFUSED;
+
+  if (down == node->platform_down)
+    return;
+  node->platform_down = down;
+  ss_node_log (node,
+               down ? SS_EVENT_LOG_PLATFORM_DOWN : SS_EVENT_LOG_PLATFORM_UP,
+               "platform", "watch");
+}
+
+void
+ss_spread_objects (SsNode *node, SsPlatformOutcome outcome, int64_t since,
+                   int64_t revision, const SsObject *objects, uint32_t count)
+{
+  bool adopted = false;
+
+  node->watching = false;
+  note_platform (node, outcome);
+  if (outcome != SS_PLATFORM_DONE)
+    {
+      node->watch_due_ms = node->now_ms + WATCH_RETRY_MS;
+      return;
+    }
+  node->watch_due_ms = node->now_ms;
+  for (uint32_t i = 0; i < count; i++)
+    adopted = adopt (node, &objects[i]) || adopted;
+  if (since <= node->config.revision)
+    node->config.revision = MAX (node->config.revision, revision);
+  if (!adopted)
+    return;
+  ss_owner_update (node);
+  with_push (node, since, send_to_domain, NULL);
+}
+
+/* --- the platform's list of vms --- */
+
+static void
+unlist (SsNode *node, SsMember *member, void *data)
+{
+  (void) node;
+  (void) data;
+  member->listed = false;
+}
+
+static void
+take_listed (SsNode *node, json_t *item)
+{
+  const char *vm = json_string_value (json_object_get (item, "name"));
+  const char *domain
+      = json_string_value (json_object_get (item, "failure_domain"));
+  const char *ip = json_string_value (json_object_get (item, "ip"));
+  const char *state = json_string_value (json_object_get (item, "state"));
+  json_int_t port = json_integer_value (json_object_get (item, "peer_port"));
+  SsMember *m;
+
+  if (!vm || !domain || !ip || !state || port < 1 || port > 65535
+      || is_self (node, vm))
+    return;
+  m = add_member (node, vm, domain, ip, (uint16_t) port);
+  m->listed = strcmp (state, "live") == 0;
+}
+
+/* The list lags: it adds vms to listen for, and lets silent ones be
+ * forgotten; who is live is judged by heartbeats.
+ */
+void
+ss_spread_vms (SsNode *node, const char *json, uint32_t json_bytes)
+{
+  json_t *list = json_loadb (json, json_bytes, 0, NULL);
+  json_t *item;
+  size_t i;
+
+  if (!json_is_array (list))
+    goto done;
+  visit_peers (node, unlist, NULL);
+  json_array_foreach (list, i, item)
+    {
+      take_listed (node, item);
+    }
+  g_clear_pointer (&node->vms_json, g_bytes_unref);
+  node->vms_json = g_bytes_new (json, json_bytes);
+done:
+  json_decref (list);
+}
+
+/* --- subscriptions --- */
+
+typedef struct
+{
+  SsNode *node;
+  GTree *by_owner; /* vm -> GPtrArray of target names */
+} Subscriptions;
+
+static bool
+needs_group (SsNode *node, const SsGroup *group)
+{
+  if (ss_entry_uses_group (node, group->name))
+    return true;
+  for (uint32_t i = 0; i < group->server_count; i++)
+    if (ss_node_is_owner (node, group->servers[i]))
+      return true;
+  return ss_promote_rank (node, ss_promote_get (node, group->name))
+         < COORDINATOR_RANKS;
+}
+
+static gboolean
+collect_group (gpointer key, gpointer value, gpointer data)
+{
+  Subscriptions *s = data;
+  SsGroup *group = value;
+
+  (void) key;
+  if (!needs_group (s->node, group))
+    return FALSE;
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      SsTarget *t = group->servers[i];
+      const char *owner = ss_node_owner (s->node, t);
+      GPtrArray *names;
+
+      if (!owner || is_self (s->node, owner))
+        continue;
+      names = g_tree_lookup (s->by_owner, owner);
+      if (!names)
+        {
+          names = g_ptr_array_new ();
+          g_tree_insert (s->by_owner, (gpointer) owner, names);
+        }
+      g_ptr_array_add (names, t->name);
+    }
+  return FALSE;
+}
+
+static gboolean
+send_subscription (gpointer key, gpointer value, gpointer data)
+{
+  GPtrArray *names = value;
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Subscribe m = SS__PEER__SUBSCRIBE__INIT;
+
+  m.targets = (char **) names->pdata;
+  m.n_targets = names->len;
+  e.body_case = SS__PEER__ENVELOPE__BODY_SUBSCRIBE;
+  e.subscribe = &m;
+  ss_node_send (data, key, &e);
+  return FALSE;
+}
+
+static int
+compare_names (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void) data;
+  return strcmp (a, b);
+}
+
+static void
+subscribe (SsNode *node)
+{
+  Subscriptions s
+      = { node, g_tree_new_full (compare_names, NULL, NULL,
+                                 (GDestroyNotify) g_ptr_array_unref) };
+
+  node->subscribe_due_ms = node->now_ms + SUBSCRIBE_MS;
+  node->subscribed_generation = node->members.generation;
+  g_tree_foreach (node->config.groups, collect_group, &s);
+  g_tree_foreach (s.by_owner, send_subscription, node);
+  g_tree_destroy (s.by_owner);
+}
+
+/* --- ticks --- */
+
+static bool
+holds_watch (SsNode *node)
+{
+  return !node->ready
+         || ss_members_rank (&node->members, node->params.failure_domain,
+                             "relay")
+                < RELAYS;
+}
+
+static void
+tick_platform (SsNode *node)
+{
+  SsAction *a;
+
+  if (!node->watching && node->now_ms >= node->watch_due_ms)
+    {
+      node->watching = true;
+      a = ss_node_push (node, SS_ACTION_PLATFORM_WATCH);
+      a->number = node->config.revision;
+    }
+  if (!node->vms_asked && node->now_ms >= node->vms_due_ms)
+    {
+      node->vms_asked = true;
+      node->vms_due_ms = node->now_ms + VMS_MS;
+      ss_node_push (node, SS_ACTION_PLATFORM_VMS);
+    }
+}
+
+static void
+log_member (void *data, const SsMember *member)
+{
+  ss_node_log (data,
+               member->live ? SS_EVENT_LOG_VM_FOUND : SS_EVENT_LOG_VM_LOST,
+               member->vm, "failure_domain=%s", member->failure_domain);
+}
+
+static void
+check_ready (SsNode *node)
+{
+  if (node->ready || node->now_ms - node->started_ms < READY_AFTER_MS
+      || g_tree_nnodes (node->config.services) == 0)
+    return;
+  node->ready = true;
+  ss_node_log (node, SS_EVENT_LOG_READY, node->params.vm,
+               "revision=%" G_GINT64_FORMAT, node->config.revision);
+}
+
+void
+ss_spread_tick (SsNode *node)
+{
+  uint64_t generation = node->members.generation;
+
+  ss_members_update (&node->members, node->now_ms, log_member, node);
+  if (generation != node->members.generation
+      || node->subscribed_generation != node->members.generation)
+    {
+      ss_owner_update (node);
+      subscribe (node);
+    }
+  if (node->now_ms >= node->heartbeat_due_ms)
+    ss_spread_beat_now (node);
+  if (node->now_ms >= node->subscribe_due_ms)
+    subscribe (node);
+  if (holds_watch (node))
+    tick_platform (node);
+  check_ready (node);
+}
--- /dev/null
+++ b/src/daemon/main.c
@@ -0,0 +1,127 @@
+/* sapphirestaird: the daemon of one entry vm. */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sys/resource.h>
+
+#include "kernel/plugin.h"
+
+#define VERSION "0.1.0"
+
+static void
+on_stop_signal (struct ev_loop *loop, ev_signal *w, int events)
+{
+  SsEvent e = { .kind = SS_EVENT_STOP };
+
+  (void) loop;
+  (void) events;
+  ss_shell_event (w->data, &e);
+}
+
+/* Every caller takes a descriptor: use all that the system allows. */
+static void
+raise_descriptor_limit (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) < 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &limit);
+}
+
+static int
+run (const SsSettings *settings)
+{
+  static SsShell shell;
+  struct ev_loop *loop = ev_default_loop (0);
+  ev_signal on_term;
+  ev_signal on_int;
+  char *error;
+
+  signal (SIGPIPE, SIG_IGN);
+  raise_descriptor_limit ();
+  error = ss_shell_init (&shell, loop, ss_clock_monotonic (), settings);
+  if (error)
+    {
+      fprintf (stderr, "sapphirestaird: %s\n", error);
+      g_free (error);
+      ss_shell_finish (&shell);
+      return 1;
+    }
+  ev_signal_init (&on_term, on_stop_signal, SIGTERM);
+  on_term.data = &shell;
+  ev_signal_start (loop, &on_term);
+  ev_signal_init (&on_int, on_stop_signal, SIGINT);
+  on_int.data = &shell;
+  ev_signal_start (loop, &on_int);
+  ss_log_write (&shell.log, SS_EVENT_LOG_STARTED, "subject",
+                settings->vm_name, "detail", VERSION, NULL);
+  ev_run (loop, 0);
+  ss_log_write (&shell.log, SS_EVENT_LOG_STOPPED, "subject",
+                settings->vm_name, NULL);
+  ss_shell_finish (&shell);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  static char *config;
+  static char *check_config;
+  static gboolean version;
+  static const GOptionEntry entries[] = {
+    { "config", 'c', 0, G_OPTION_ARG_FILENAME, &config,
+      "Settings file to run with", "FILE" },
+    { "check-config", 0, 0, G_OPTION_ARG_FILENAME, &check_config,
+      "Check a settings file and exit", "FILE" },
+    { "version", 'V', 0, G_OPTION_ARG_NONE, &version, "Show the version",
+      NULL },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+  GOptionContext *context
+      = g_option_context_new ("- database proxy with session consistency");
+  SsSettings settings = { 0 };
+  GError *bad_option = NULL;
+  char *error = NULL;
+  int code = 2;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &bad_option))
+    {
+      fprintf (stderr, "sapphirestaird: %s\n", bad_option->message);
+      g_error_free (bad_option);
+      goto done;
+    }
+  if (version)
+    {
+      printf ("sapphirestaird %s\n", VERSION);
+      code = 0;
+      goto done;
+    }
+  if (!config && !check_config)
+    {
+      fprintf (stderr, "sapphirestaird: --config FILE is needed; see "
+                       "--help\n");
+      goto done;
+    }
+  error = ss_settings_init (&settings, check_config ? check_config : config);
+  if (error)
+    {
+      fprintf (stderr, "sapphirestaird: %s\n", error);
+      g_free (error);
+    }
+  else if (check_config)
+    {
+      printf ("%s: settings are valid\n", check_config);
+      code = 0;
+    }
+  else
+    code = run (&settings);
+  ss_settings_finish (&settings);
+done:
+  g_option_context_free (context);
+  g_free (config);
+  g_free (check_config);
+  return code;
+}
--- /dev/null
+++ b/src/kernel/plugin.c
@@ -0,0 +1,134 @@
+#include "kernel/plugin.h"
+
+#include <string.h>
+
+#define TICK_MIN_S 0.001
+
+static const SsPlugin *plugins[SS_PLUGINS_MAX];
+static uint32_t plugin_count;
+
+void
+ss_plugin_register (const SsPlugin *plugin)
+{
+  g_assert (plugin_count < SS_PLUGINS_MAX);
+  plugins[plugin_count++] = plugin;
+}
+
+static void
+write_log (SsShell *shell, const SsAction *a)
+{
+  ss_log_write (&shell->log, a->log_event, "subject", a->name, "detail",
+                a->text, NULL);
+}
+
+static void
+dispatch (SsShell *shell, SsAction *a)
+{
+  if (a->kind == SS_ACTION_LOG)
+    {
+      write_log (shell, a);
+      return;
+    }
+  if (a->kind == SS_ACTION_STOPPED)
+    {
+      ev_break (shell->loop, EVBREAK_ALL);
+      return;
+    }
+  for (uint32_t i = 0; i < plugin_count; i++)
+    if (plugins[i]->handles & (1U << a->kind))
+      plugins[i]->on_action (shell, a);
+}
+
+/* A plug-in may hand in an event while it carries out an action: the inner
+ * call then takes the remaining actions, in their order.
+ */
+void
+ss_shell_event (SsShell *shell, const SsEvent *event)
+{
+  SsAction action;
+
+  ss_node_on_event (&shell->node, event, ss_clock_now_ms (shell->clock));
+  while (ss_node_take_action (&shell->node, &action))
+    {
+      dispatch (shell, &action);
+      ss_action_clear (&action);
+    }
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *w, int events)
+{
+  SsEvent e = { .kind = SS_EVENT_TICK };
+
+  (void) loop;
+  (void) events;
+  ss_shell_event (w->data, &e);
+}
+
+static void
+on_prepare (struct ev_loop *loop, ev_prepare *w, int events)
+{
+  SsShell *shell = w->data;
+  int64_t wait_ms = ss_node_next_deadline (&shell->node)
+                    - ss_clock_now_ms (shell->clock);
+  double wait_s = wait_ms > 0 ? (double) wait_ms / 1000.0 : TICK_MIN_S;
+
+  (void) events;
+  ev_now_update (loop);
+  ev_timer_stop (loop, &shell->tick);
+  ev_timer_set (&shell->tick, wait_s, 0);
+  ev_timer_start (loop, &shell->tick);
+}
+
+static void
+fill_params (SsNodeParams *params, const SsSettings *settings, uint32_t seed)
+{
+  memset (params, 0, sizeof *params);
+  params->vm = settings->vm_name;
+  params->failure_domain = settings->failure_domain;
+  params->ip
+      = *settings->advertised_ip ? settings->advertised_ip : settings->ip;
+  params->peer_port = (uint16_t) settings->peer_port;
+  params->seeds = settings->seeds;
+  params->seed = seed;
+  params->max_callers = (uint32_t) settings->max_callers;
+  params->deadline_ms = settings->deadline_ms;
+  params->transaction_idle_ms = settings->transaction_idle_ms;
+  params->stop_bound_ms = settings->stop_bound_ms;
+}
+
+char *
+ss_shell_init (SsShell *shell, struct ev_loop *loop, const SsClock *clock,
+               const SsSettings *settings)
+{
+  SsNodeParams params;
+  SsLogLevel level = SS_LOG_INFO;
+  char *error = NULL;
+
+  shell->loop = loop;
+  shell->clock = clock;
+  shell->settings = settings;
+  ss_log_level_parse (settings->log_level, &level);
+  ss_log_init (&shell->log, settings->vm_name, level,
+               settings->log_spans != 0);
+  fill_params (&params, settings, g_random_int ());
+  ss_node_init (&shell->node, &params, ss_clock_now_ms (clock));
+  ev_timer_init (&shell->tick, on_tick, 0, 0);
+  shell->tick.data = shell;
+  ev_prepare_init (&shell->prepare, on_prepare);
+  shell->prepare.data = shell;
+  ev_prepare_start (loop, &shell->prepare);
+  for (uint32_t i = 0; i < plugin_count && !error; i++)
+    error = plugins[i]->init (shell);
+  return error;
+}
+
+void
+ss_shell_finish (SsShell *shell)
+{
+  for (uint32_t i = plugin_count; i > 0; i--)
+    plugins[i - 1]->finish (shell);
+  ev_prepare_stop (shell->loop, &shell->prepare);
+  ev_timer_stop (shell->loop, &shell->tick);
+  ss_node_finish (&shell->node);
+}
--- /dev/null
+++ b/src/kernel/plugin.h
@@ -0,0 +1,64 @@
+/* plugin: the daemon's kernel and the plug-ins that register themselves.
+ *
+ * The shell hands events to the decision core and the core's actions to the
+ * plug-ins; it decides nothing.
+ */
+#ifndef SS_PLUGIN_H
+#define SS_PLUGIN_H
+
+#include <ev.h>
+
+#include "core/node.h"
+#include "kernel/clock.h"
+#include "kernel/log.h"
+#include "kernel/settings.h"
+
+#define SS_PLUGINS_MAX 16
+
+typedef struct SsShell SsShell;
+
+typedef struct
+{
+  const char *name;
+  uint32_t handles; /* bit by SsActionKind */
+  /* Returns NULL, or what went wrong; freed by the caller. */
+  char *(*init) (SsShell *shell);
+  void (*finish) (SsShell *shell);
+  void (*on_action) (SsShell *shell, SsAction *action);
+} SsPlugin;
+
+struct SsShell
+{
+  struct ev_loop *loop;
+  const SsClock *clock;
+  const SsSettings *settings;
+  SsLog log;
+  SsNode node;
+  ev_timer tick;
+  ev_prepare prepare;
+  int32_t exit_code;
+};
+
+#define SS_HANDLES(kind) (1U << SS_ACTION_##kind)
+
+/* ss_plugin_register: PLUGIN is static. */
+void ss_plugin_register (const SsPlugin *plugin);
+
+/* SS_PLUGIN_REGISTER: registers a plug-in before main runs. */
+#define SS_PLUGIN_REGISTER(plugin)                                            \
+  __attribute__ ((constructor)) static void register_plugin (void)            \
+  {                                                                           \
+    ss_plugin_register (&(plugin));                                           \
+  }
+
+/* ss_shell_init: starts every plug-in; returns NULL or what went wrong, to be
+ * freed by the caller.
+ */
+char *ss_shell_init (SsShell *shell, struct ev_loop *loop,
+                     const SsClock *clock, const SsSettings *settings);
+void ss_shell_finish (SsShell *shell);
+
+/* ss_shell_event: hands EVENT to the core and carries out its actions. */
+void ss_shell_event (SsShell *shell, const SsEvent *event);
+
+#endif
--- /dev/null
+++ b/src/kernel/settings.c
@@ -0,0 +1,171 @@
+#include "kernel/settings.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <stddef.h>
+#include <string.h>
+
+#include "kernel/toml_shim.h"
+
+typedef struct
+{
+  const char *key;
+  size_t offset;
+  const char *fallback;
+} StringRow;
+
+typedef struct
+{
+  const char *key;
+  size_t offset;
+  int64_t fallback;
+  int64_t lowest;
+  int64_t highest;
+} IntegerRow;
+
+static const StringRow string_rows[] = {
+#define X(field, key, fallback)                                               \
+  { key, offsetof (SsSettings, field), fallback },
+  SS_SETTINGS_STRINGS (X)
+#undef X
+};
+
+static const IntegerRow integer_rows[] = {
+#define X(field, key, fallback, lowest, highest)                              \
+  { key, offsetof (SsSettings, field), fallback, lowest, highest },
+  SS_SETTINGS_INTEGERS (X)
+#undef X
+};
+
+static char **
+string_field (SsSettings *s, const StringRow *row)
+{
+  return (char **) (void *) ((char *) s + row->offset);
+}
+
+static int64_t *
+integer_field (SsSettings *s, const IntegerRow *row)
+{
+  return (int64_t *) (void *) ((char *) s + row->offset);
+}
+
+static void
+set_defaults (SsSettings *s)
+{
+  memset (s, 0, sizeof *s);
+  for (size_t i = 0; i < G_N_ELEMENTS (string_rows); i++)
+    *string_field (s, &string_rows[i]) = g_strdup (string_rows[i].fallback);
+  for (size_t i = 0; i < G_N_ELEMENTS (integer_rows); i++)
+    *integer_field (s, &integer_rows[i]) = integer_rows[i].fallback;
+}
+
+static char *
+take_string (SsSettings *s, const StringRow *row, const char *path,
+             const SsTomlEntry *e)
+{
+  char **field = string_field (s, row);
+
+  if (e->type != SS_TOML_STRING)
+    return g_strdup_printf ("%s:%u: %s must be a string", path, e->line,
+                            e->key);
+  if (!*e->text && row->fallback == NULL)
+    return g_strdup_printf ("%s:%u: %s must not be empty", path, e->line,
+                            e->key);
+  g_free (*field);
+  *field = g_strdup (e->text);
+  return NULL;
+}
+
+static char *
+take_integer (SsSettings *s, const IntegerRow *row, const char *path,
+              const SsTomlEntry *e)
+{
+  bool is_flag = row->lowest == 0 && row->highest == 1;
+  SsTomlType wanted = is_flag ? SS_TOML_BOOLEAN : SS_TOML_INTEGER;
+
+  if (e->type != wanted)
+    return g_strdup_printf ("%s:%u: %s must be %s", path, e->line, e->key,
+                            is_flag ? "true or false" : "an integer");
+  if (e->number < row->lowest || e->number > row->highest)
+    return g_strdup_printf ("%s:%u: %s must be from %" G_GINT64_FORMAT
+                            " to %" G_GINT64_FORMAT,
+                            path, e->line, e->key, row->lowest, row->highest);
+  *integer_field (s, row) = e->number;
+  return NULL;
+}
+
+static char *
+take_entry (SsSettings *s, const char *path, const SsTomlEntry *e)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (string_rows); i++)
+    if (strcmp (string_rows[i].key, e->key) == 0)
+      return take_string (s, &string_rows[i], path, e);
+  for (size_t i = 0; i < G_N_ELEMENTS (integer_rows); i++)
+    if (strcmp (integer_rows[i].key, e->key) == 0)
+      return take_integer (s, &integer_rows[i], path, e);
+  return g_strdup_printf ("%s:%u: unknown key %s; docs/SETTINGS.md lists "
+                          "the allowed keys",
+                          path, e->line, e->key);
+}
+
+static char *
+check_address (const char *path, const char *key, const char *ip)
+{
+  struct in_addr parsed;
+
+  if (inet_pton (AF_INET, ip, &parsed) == 1)
+    return NULL;
+  return g_strdup_printf ("%s: %s must be an IPv4 number, not \"%s\"", path,
+                          key, ip);
+}
+
+static char *
+check_whole (SsSettings *s, const char *path)
+{
+  SsLogLevel level;
+  char *error;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (string_rows); i++)
+    if (!*string_field (s, &string_rows[i]))
+      return g_strdup_printf ("%s: %s is missing", path, string_rows[i].key);
+  for (size_t i = 0; i < G_N_ELEMENTS (integer_rows); i++)
+    if (*integer_field (s, &integer_rows[i]) < 0)
+      return g_strdup_printf ("%s: %s is missing", path, integer_rows[i].key);
+  if (!ss_log_level_parse (s->log_level, &level))
+    return g_strdup_printf ("%s: log.level must be debug, info, warning or "
+                            "error, not \"%s\"",
+                            path, s->log_level);
+  error = check_address (path, "vm.ip", s->ip);
+  if (!error)
+    error = check_address (path, "platform.ip", s->platform_ip);
+  return error;
+}
+
+char *
+ss_settings_init (SsSettings *settings, const char *path)
+{
+  SsTomlFile file;
+  char *error = NULL;
+
+  set_defaults (settings);
+  ss_toml_read (&file, path);
+  if (file.error)
+    {
+      error = g_strdup (file.error);
+      goto done;
+    }
+  for (size_t i = 0; i < file.count && !error; i++)
+    error = take_entry (settings, path, &file.entries[i]);
+  if (!error)
+    error = check_whole (settings, path);
+done:
+  ss_toml_finish (&file);
+  return error;
+}
+
+void
+ss_settings_finish (SsSettings *settings)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (string_rows); i++)
+    g_clear_pointer (string_field (settings, &string_rows[i]), g_free);
+}
--- /dev/null
+++ b/src/plugins/peer.c
@@ -0,0 +1,309 @@
+/* peer: messages between daemons, over TCP.
+ *
+ * Each vm sends on the connections that it opened and reads on those that it
+ * accepted.  A frame is its length (four bytes, network order) and its bytes;
+ * the first frame of a connection is the sender's name.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+
+#include "kernel/plugin.h"
+#include "kernel/stream.h"
+
+#define FRAME_MAX_BYTES (24 * 1024 * 1024)
+#define NAME_MAX_BYTES 128
+#define OUTPUT_MAX_BYTES (32 * 1024 * 1024)
+#define REDIAL_MS 150
+#define DIAL_TIMEOUT_MS 1000
+
+typedef struct
+{
+  SsStream stream; /* first: callbacks cast back */
+  char *vm;        /* NULL until its first frame */
+} Inbound;
+
+typedef struct
+{
+  SsStream stream; /* first: callbacks cast back */
+  char *vm;
+  char *ip;
+  uint16_t port;
+  bool open;
+  bool connected;
+  int64_t dial_after_ms;
+  int64_t dialled_ms;
+} Outbound;
+
+static struct
+{
+  SsShell *shell;
+  ev_io accept_io;
+  GHashTable *outbound; /* vm -> Outbound */
+  GHashTable *inbound;  /* set of Inbound */
+} peers;
+
+static int64_t
+now_ms (void)
+{
+  return ss_clock_now_ms (peers.shell->clock);
+}
+
+static void
+tell_lost (const char *vm)
+{
+  SsEvent e = { .kind = SS_EVENT_PEER_LOST };
+  char *copy = g_strdup (vm);
+
+  ss_log_write (&peers.shell->log, SS_EVENT_LOG_PEER_CLOSED, "subject", vm,
+                NULL);
+  e.peer_lost.vm = copy;
+  ss_shell_event (peers.shell, &e);
+  g_free (copy);
+}
+
+/* --- reading --- */
+
+static void
+free_inbound (gpointer data)
+{
+  Inbound *in = data;
+
+  ss_stream_finish (&in->stream);
+  g_free (in->vm);
+  g_free (in);
+}
+
+static void
+drop_inbound (Inbound *in)
+{
+  char *vm = g_steal_pointer (&in->vm);
+
+  g_hash_table_remove (peers.inbound, in);
+  if (vm)
+    tell_lost (vm);
+  g_free (vm);
+}
+
+static void
+take_frame (Inbound *in, const uint8_t *data, uint32_t bytes)
+{
+  SsEvent e = { .kind = SS_EVENT_PEER_MESSAGE };
+
+  if (!in->vm)
+    {
+      in->vm = g_strndup ((const char *) data, MIN (bytes, NAME_MAX_BYTES));
+      return;
+    }
+  e.peer_message.data = data;
+  e.peer_message.data_bytes = bytes;
+  ss_shell_event (peers.shell, &e);
+}
+
+static void
+on_input (SsStream *stream)
+{
+  Inbound *in = (Inbound *) stream;
+  uint32_t at = 0;
+
+  while (stream->input->len - at >= sizeof (uint32_t))
+    {
+      uint32_t wire;
+      uint32_t bytes;
+
+      memcpy (&wire, stream->input->data + at, sizeof wire);
+      bytes = ntohl (wire);
+      if (bytes > FRAME_MAX_BYTES)
+        {
+          drop_inbound (in);
+          return;
+        }
+      if (stream->input->len - at - sizeof wire < bytes)
+        break;
+      take_frame (in, stream->input->data + at + sizeof wire, bytes);
+      at += (uint32_t) sizeof wire + bytes;
+    }
+  ss_stream_consume (stream, at);
+}
+
+static void
+on_inbound_closed (SsStream *stream)
+{
+  drop_inbound ((Inbound *) stream);
+}
+
+static void
+on_accept (struct ev_loop *loop, ev_io *w, int events)
+{
+  static const SsStreamClass klass = { on_input, on_inbound_closed, NULL };
+  Inbound *in;
+  int fd = ss_stream_accept (w->fd, NULL);
+
+  (void) events;
+  if (fd < 0)
+    return;
+  in = g_new0 (Inbound, 1);
+  ss_stream_init (&in->stream, &klass, loop, fd, false);
+  g_hash_table_add (peers.inbound, in);
+}
+
+/* --- writing --- */
+
+static void
+put_frame (Outbound *out, const void *data, uint32_t bytes)
+{
+  GByteArray *output = ss_stream_output (&out->stream);
+  uint32_t wire = htonl (bytes);
+
+  g_byte_array_append (output, (const uint8_t *) &wire, sizeof wire);
+  g_byte_array_append (output, data, bytes);
+}
+
+static void
+close_outbound (Outbound *out)
+{
+  if (out->open)
+    ss_stream_finish (&out->stream);
+  out->open = false;
+  out->connected = false;
+  out->dial_after_ms = now_ms () + REDIAL_MS;
+}
+
+static void
+on_outbound_closed (SsStream *stream)
+{
+  Outbound *out = (Outbound *) stream;
+
+  close_outbound (out);
+  tell_lost (out->vm);
+}
+
+static void
+on_connected (SsStream *stream)
+{
+  ((Outbound *) stream)->connected = true;
+}
+
+/* The other end sends nothing on this connection. */
+static void
+on_unexpected (SsStream *stream)
+{
+  ss_stream_consume (stream, UINT32_MAX);
+}
+
+static void
+dial (Outbound *out)
+{
+  static const SsStreamClass klass
+      = { on_unexpected, on_outbound_closed, on_connected };
+  int fd = ss_stream_connect (peers.shell->settings->ip, out->ip, out->port);
+
+  if (fd < 0)
+    {
+      out->dial_after_ms = now_ms () + REDIAL_MS;
+      return;
+    }
+  ss_stream_init (&out->stream, &klass, peers.shell->loop, fd, true);
+  out->open = true;
+  out->connected = false;
+  out->dialled_ms = now_ms ();
+  put_frame (out, peers.shell->settings->vm_name,
+             (uint32_t) strlen (peers.shell->settings->vm_name));
+}
+
+static void
+send_message (SsAction *a)
+{
+  Outbound *out = g_hash_table_lookup (peers.outbound, a->name);
+  gsize bytes;
+  const void *data = g_bytes_get_data (a->bytes, &bytes);
+
+  if (!out)
+    return;
+  if (out->open && !out->connected
+      && now_ms () - out->dialled_ms >= DIAL_TIMEOUT_MS)
+    close_outbound (out);
+  if (!out->open && now_ms () >= out->dial_after_ms)
+    dial (out);
+  if (!out->open || ss_stream_output (&out->stream)->len > OUTPUT_MAX_BYTES)
+    {
+      /* What a caller waits for must not be dropped in silence. */
+      if (!a->is_control)
+        tell_lost (a->name);
+      return;
+    }
+  put_frame (out, data, (uint32_t) bytes);
+  ss_stream_flush (&out->stream);
+}
+
+static void
+free_outbound (gpointer data)
+{
+  Outbound *out = data;
+
+  if (out->open)
+    ss_stream_finish (&out->stream);
+  g_free (out->vm);
+  g_free (out->ip);
+  g_free (out);
+}
+
+static void
+set_address (const SsAction *a)
+{
+  Outbound *out = g_hash_table_lookup (peers.outbound, a->name);
+
+  if (out && strcmp (out->ip, a->text) == 0 && out->port == a->port)
+    return;
+  out = g_new0 (Outbound, 1);
+  out->vm = g_strdup (a->name);
+  out->ip = g_strdup (a->text);
+  out->port = (uint16_t) a->port;
+  g_hash_table_replace (peers.outbound, out->vm, out);
+}
+
+static void
+on_action (SsShell *shell, SsAction *a)
+{
+  (void) shell;
+  if (a->kind == SS_ACTION_PEER_SEND)
+    send_message (a);
+  else
+    set_address (a);
+}
+
+static char *
+init (SsShell *shell)
+{
+  int fd = ss_stream_listen (shell->settings->ip,
+                             (uint16_t) shell->settings->peer_port);
+
+  peers.shell = shell;
+  if (fd < 0)
+    return g_strdup_printf ("can't listen for peers on %s:%d: %s",
+                            shell->settings->ip,
+                            (int) shell->settings->peer_port,
+                            g_strerror (errno));
+  peers.outbound
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_outbound);
+  peers.inbound = g_hash_table_new_full (NULL, NULL, free_inbound, NULL);
+  ev_io_init (&peers.accept_io, on_accept, fd, EV_READ);
+  ev_io_start (shell->loop, &peers.accept_io);
+  return NULL;
+}
+
+static void
+finish (SsShell *shell)
+{
+  if (!peers.outbound)
+    return;
+  ev_io_stop (shell->loop, &peers.accept_io);
+  g_hash_table_destroy (peers.outbound);
+  g_hash_table_destroy (peers.inbound);
+}
+
+static const SsPlugin plugin
+    = { "peer", SS_HANDLES (PEER_SEND) | SS_HANDLES (PEER_ADDRESS), init,
+        finish, on_action };
+
+SS_PLUGIN_REGISTER (plugin)
--- /dev/null
+++ b/src/plugins/pgwire.h
@@ -0,0 +1,102 @@
+/* pgwire: the server's side of the PostgreSQL protocol, version 3.
+ *
+ * Pure framing on byte arrays: no sockets.  Shared by the daemon's caller
+ * side and by the target stand-in.  Source: the protocol's published
+ * description.
+ */
+#ifndef SS_PGWIRE_H
+#define SS_PGWIRE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#define SS_PGWIRE_STARTUP_MAX_BYTES 10000
+#define SS_PGWIRE_MESSAGE_MAX_BYTES (1024 * 1024)
+
+#define SS_PGWIRE_MESSAGES(X)                                                 \
+  X (NONE, "incomplete")                                                      \
+  X (SSL_REQUEST, "SSL or GSS request")                                       \
+  X (STARTUP, "start-up")                                                     \
+  X (CANCEL, "cancel request")                                                \
+  X (QUERY, "simple query")                                                   \
+  X (TERMINATE, "terminate")                                                  \
+  X (EXTENDED, "extended protocol")                                           \
+  X (FUNCTION_CALL, "function call")                                          \
+  X (SYNC, "sync")                                                            \
+  X (IGNORED, "ignored")                                                      \
+  X (BAD_VERSION, "unsupported protocol version")                             \
+  X (TOO_LARGE, "message too large")                                          \
+  X (MALFORMED, "malformed message")
+
+typedef enum
+{
+#define SS_PGWIRE_ENUM(id, name) SS_PGWIRE_##id,
+  SS_PGWIRE_MESSAGES (SS_PGWIRE_ENUM)
+#undef SS_PGWIRE_ENUM
+} SsPgwireKind;
+
+typedef struct
+{
+  SsPgwireKind kind;
+  const char *text;        /* query text, or the start-up pairs */
+  uint32_t text_bytes;     /* with the closing NUL */
+  uint32_t cancel_process; /* of a cancel request */
+  uint32_t cancel_secret;
+  uint32_t used_bytes; /* how much of the input it took */
+} SsPgwireMessage;
+
+/* ss_pgwire_read: takes one message off the front of DATA.
+ *
+ * IN_STARTUP tells whether the start-up packet is still due.  The message
+ * borrows DATA.  BAD_VERSION, TOO_LARGE and MALFORMED are final.
+ */
+SsPgwireMessage ss_pgwire_read (const uint8_t *data, uint32_t data_bytes,
+                                bool in_startup);
+
+/* ss_pgwire_message_name: a static string. */
+const char *ss_pgwire_message_name (SsPgwireKind kind);
+
+/* ss_pgwire_startup_value: looks NAME up in a start-up packet's pairs;
+ * returns NULL where it is absent.
+ */
+const char *ss_pgwire_startup_value (const SsPgwireMessage *message,
+                                     const char *name);
+
+/* ss_pgwire_options: calls FOUND for each "-c name=value" in OPTIONS. */
+void ss_pgwire_options (const char *options,
+                        void (*found) (void *data, const char *name,
+                                       const char *value),
+                        void *data);
+
+/* Writers: each appends one whole message to OUT. */
+void ss_pgwire_auth_ok (GByteArray *out);
+void ss_pgwire_parameter (GByteArray *out, const char *name,
+                          const char *value);
+void ss_pgwire_key_data (GByteArray *out, uint32_t process, uint32_t secret);
+void ss_pgwire_ready (GByteArray *out, char transaction_status);
+void ss_pgwire_complete (GByteArray *out, const char *tag);
+void ss_pgwire_empty_query (GByteArray *out);
+
+/* ss_pgwire_error: DETAIL and HINT may be NULL. */
+void ss_pgwire_error (GByteArray *out, const char *severity,
+                      const char *sqlstate, const char *message,
+                      const char *detail, const char *hint);
+
+typedef struct
+{
+  const char *name;
+  uint32_t type_id;
+} SsPgwireColumn;
+
+/* ss_pgwire_row_description, ss_pgwire_row: a NULL cell is SQL NULL. */
+void ss_pgwire_row_description (GByteArray *out, const SsPgwireColumn *columns,
+                                uint16_t count);
+void ss_pgwire_row (GByteArray *out, const char *const *cells,
+                    uint16_t count);
+
+/* ss_pgwire_text_table: a row description of text columns. */
+void ss_pgwire_text_columns (GByteArray *out, const char *const *names,
+                             uint16_t count);
+
+#endif
