--- /dev/null
+++ b/standin/platform.c
@@ -0,0 +1,385 @@
+/* ss-standin-platform: a stand-in for the platform's object API.
+ *
+ * It keeps objects with versions in memory, with conditional updates and
+ * watches, and a list of vms that lags.  POST /control sets its faults.
+ */
+#include <ev.h>
+#include <glib.h>
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kernel/httpd.h"
+
+#define JSON_TYPE "application/json"
+#define TICK_S 0.005
+
+typedef struct
+{
+  int64_t version;
+  json_t *value;
+} Object;
+
+typedef struct
+{
+  SsHttpRequest *request;
+  double due_s;
+  bool is_watch;
+} Waiter;
+
+typedef struct
+{
+  SsHttpd httpd; /* first: handlers cast back */
+  struct ev_loop *loop;
+  ev_timer tick;
+  GTree *objects;
+  int64_t revision;
+  json_t *vms;         /* what callers are shown */
+  json_t *vms_pending; /* shown when the lag is over */
+  double vms_due_s;
+  GPtrArray *waiters;
+  bool down;
+  int64_t slow_ms;
+  int64_t lose_after_effect; /* answers of updates still to be lost */
+  int64_t vms_lag_ms;
+  GHashTable *cut_ips;
+  int64_t reads;
+  int64_t writes;
+} Platform;
+
+static void
+object_free (gpointer data)
+{
+  Object *o = data;
+
+  json_decref (o->value);
+  g_free (o);
+}
+
+static void
+reply_json (SsHttpRequest *r, int32_t status, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+
+  ss_http_reply (r, status, JSON_TYPE, text);
+  free (text);
+  json_decref (body);
+}
+
+static json_t *
+object_json (const char *key, const Object *o)
+{
+  return json_pack ("{s:s, s:I, s:O}", "key", key, "version", o->version,
+                    "value", o->value);
+}
+
+typedef struct
+{
+  const char *prefix;
+  int64_t since;
+  json_t *items;
+} Listing;
+
+static gboolean
+list_one (gpointer key, gpointer value, gpointer data)
+{
+  Listing *l = data;
+  const Object *o = value;
+
+  if (g_str_has_prefix (key, l->prefix) && o->version > l->since)
+    json_array_append_new (l->items, object_json (key, o));
+  return FALSE;
+}
+
+static json_t *
+list_objects (Platform *p, const char *prefix, int64_t since)
+{
+  Listing l = { prefix, since, json_array () };
+
+  g_tree_foreach (p->objects, list_one, &l);
+  return l.items;
+}
+
+static bool
+try_watch (Platform *p, SsHttpRequest *r, bool expired)
+{
+  const char *prefix = ss_http_query (r, "prefix");
+  int64_t since = ss_http_query_number (r, "since", 0);
+  json_t *items = list_objects (p, prefix ? prefix : "", since);
+
+  if (json_array_size (items) == 0 && !expired && since > 0)
+    {
+      json_decref (items);
+      return false;
+    }
+  reply_json (r, 200,
+              json_pack ("{s:I, s:o}", "revision", p->revision, "items",
+                         items));
+  return true;
+}
+
+static void
+wake_watches (Platform *p)
+{
+  for (guint i = 0; i < p->waiters->len;)
+    {
+      Waiter *w = g_ptr_array_index (p->waiters, i);
+
+      if (w->is_watch && !g_hash_table_contains (p->cut_ips,
+                                                 w->request->client_ip)
+          && try_watch (p, w->request, false))
+        g_ptr_array_remove_index_fast (p->waiters, i);
+      else
+        i++;
+    }
+}
+
+static void
+put_object (Platform *p, SsHttpRequest *r, const char *key)
+{
+  int64_t if_version = ss_http_query_number (r, "if_version", -1);
+  json_t *value = json_loadb ((const char *) r->body->data, r->body->len,
+                              0, NULL);
+  Object *old = g_tree_lookup (p->objects, key);
+  int64_t old_version = old ? old->version : 0;
+  Object *o;
+
+  p->writes++;
+  if (!value)
+    {
+      reply_json (r, 400, json_pack ("{s:s}", "error", "body is not JSON"));
+      return;
+    }
+  if (if_version >= 0 && if_version != old_version)
+    {
+      json_decref (value);
+      reply_json (r, 409, old ? object_json (key, old)
+                              : json_pack ("{s:s, s:i}", "key", key,
+                                           "version", 0));
+      return;
+    }
+  o = g_new0 (Object, 1);
+  o->version = ++p->revision;
+  o->value = value;
+  g_tree_replace (p->objects, g_strdup (key), o);
+  if (p->lose_after_effect > 0)
+    {
+      p->lose_after_effect--;
+      ss_http_reply (r, 0, JSON_TYPE, NULL);
+    }
+  else
+    reply_json (r, 200, json_pack ("{s:I}", "version", o->version));
+  wake_watches (p);
+}
+
+static void
+get_object (Platform *p, SsHttpRequest *r, const char *key)
+{
+  Object *o = g_tree_lookup (p->objects, key);
+
+  p->reads++;
+  if (!o)
+    reply_json (r, 404, json_pack ("{s:s}", "error", "no such object"));
+  else
+    reply_json (r, 200, object_json (key, o));
+}
+
+static void
+add_waiter (Platform *p, SsHttpRequest *r, int64_t wait_ms, bool is_watch)
+{
+  Waiter *w = g_new0 (Waiter, 1);
+
+  w->request = r;
+  w->due_s = ev_now (p->loop) + (double) wait_ms / 1000.0;
+  w->is_watch = is_watch;
+  g_ptr_array_add (p->waiters, w);
+}
+
+static void
+serve (Platform *p, SsHttpRequest *r)
+{
+  static const char objects[] = "/v1/objects/";
+
+  if (g_str_has_prefix (r->path, objects))
+    {
+      const char *key = r->path + strlen (objects);
+
+      if (strcmp (r->method, "PUT") == 0)
+        put_object (p, r, key);
+      else
+        get_object (p, r, key);
+    }
+  else if (strcmp (r->path, "/v1/watch") == 0)
+    {
+      p->reads++;
+      if (!try_watch (p, r, false))
+        add_waiter (p, r, ss_http_query_number (r, "wait_ms", 10000), true);
+    }
+  else if (strcmp (r->path, "/v1/vms") == 0)
+    {
+      p->reads++;
+      reply_json (r, 200, json_incref (p->vms));
+    }
+  else
+    reply_json (r, 404, json_pack ("{s:s}", "error", "no such path"));
+}
+
+static void
+set_cuts (Platform *p, json_t *ips)
+{
+  json_t *ip;
+  size_t i;
+
+  g_hash_table_remove_all (p->cut_ips);
+  json_array_foreach (ips, i, ip)
+    {
+      g_hash_table_add (p->cut_ips, g_strdup (json_string_value (ip)));
+    }
+}
+
+static void
+control (Platform *p, SsHttpRequest *r)
+{
+  json_t *body = json_loadb ((const char *) r->body->data, r->body->len, 0,
+                             NULL);
+  json_t *item;
+
+  if ((item = json_object_get (body, "down")))
+    p->down = json_is_true (item);
+  if ((item = json_object_get (body, "slow_ms")))
+    p->slow_ms = json_integer_value (item);
+  if ((item = json_object_get (body, "lose_after_effect")))
+    p->lose_after_effect = json_integer_value (item);
+  if ((item = json_object_get (body, "vms_lag_ms")))
+    p->vms_lag_ms = json_integer_value (item);
+  if ((item = json_object_get (body, "cut_ips")))
+    set_cuts (p, item);
+  if ((item = json_object_get (body, "vms")))
+    {
+      json_decref (p->vms_pending);
+      p->vms_pending = json_incref (item);
+      p->vms_due_s = ev_now (p->loop) + (double) p->vms_lag_ms / 1000.0;
+    }
+  json_decref (body);
+  reply_json (r, 200, json_pack ("{s:I, s:I, s:I}", "reads", p->reads,
+                                 "writes", p->writes, "revision",
+                                 p->revision));
+}
+
+static void
+handle (SsHttpd *httpd, SsHttpRequest *r)
+{
+  Platform *p = (Platform *) (void *) httpd;
+
+  if (strcmp (r->path, "/control") == 0)
+    control (p, r);
+  else if (g_hash_table_contains (p->cut_ips, r->client_ip))
+    add_waiter (p, r, 3600000, false);
+  else if (p->down)
+    reply_json (r, 503, json_pack ("{s:s}", "error", "outage"));
+  else if (p->slow_ms > 0)
+    add_waiter (p, r, p->slow_ms, false);
+  else
+    serve (p, r);
+}
+
+static void
+on_gone (SsHttpd *httpd, SsHttpRequest *r)
+{
+  Platform *p = (Platform *) (void *) httpd;
+
+  for (guint i = 0; i < p->waiters->len; i++)
+    {
+      Waiter *w = g_ptr_array_index (p->waiters, i);
+
+      if (w->request != r)
+        continue;
+      g_ptr_array_remove_index_fast (p->waiters, i);
+      return;
+    }
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Platform *p = w->data;
+
+  (void) events;
+  if (p->vms_pending && ev_now (loop) >= p->vms_due_s)
+    {
+      json_decref (p->vms);
+      p->vms = p->vms_pending;
+      p->vms_pending = NULL;
+    }
+  for (guint i = 0; i < p->waiters->len;)
+    {
+      Waiter *waiter = g_ptr_array_index (p->waiters, i);
+      SsHttpRequest *r = waiter->request;
+      bool is_watch = waiter->is_watch;
+
+      if (ev_now (loop) < waiter->due_s)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_remove_index_fast (p->waiters, i);
+      if (is_watch)
+        try_watch (p, r, true);
+      else
+        serve (p, r);
+    }
+}
+
+static int
+compare_keys (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void) data;
+  return strcmp (a, b);
+}
+
+static void
+on_signal (struct ev_loop *loop, ev_signal *w, int events)
+{
+  (void) w;
+  (void) events;
+  ev_break (loop, EVBREAK_ALL);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const SsHttpdClass klass = { handle, on_gone };
+  static Platform platform;
+  static ev_signal on_term;
+  static ev_signal on_int;
+  Platform *p = &platform;
+
+  if (argc != 3)
+    {
+      fprintf (stderr, "usage: ss-standin-platform IP PORT\n");
+      return 2;
+    }
+  p->loop = ev_default_loop (0);
+  p->objects = g_tree_new_full (compare_keys, NULL, g_free, object_free);
+  p->waiters = g_ptr_array_new_with_free_func (g_free);
+  p->cut_ips = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  p->vms = json_array ();
+  if (!ss_httpd_init (&p->httpd, &klass, p->loop, argv[1],
+                      (uint16_t) atoi (argv[2])))
+    {
+      fprintf (stderr, "ss-standin-platform: can't listen on %s:%s\n",
+               argv[1], argv[2]);
+      return 1;
+    }
+  ev_timer_init (&p->tick, on_tick, TICK_S, TICK_S);
+  p->tick.data = p;
+  ev_timer_start (p->loop, &p->tick);
+  ev_signal_init (&on_term, on_signal, SIGTERM);
+  ev_signal_start (p->loop, &on_term);
+  ev_signal_init (&on_int, on_signal, SIGINT);
+  ev_signal_start (p->loop, &on_int);
+  ev_run (p->loop, 0);
+  return 0;
+}
