--- a/Makefile
+++ b/Makefile
@@ -16,14 +16,14 @@
 DAEMON_O = $(KERNEL_O) $(CORE_O) $B/src/kernel/plugin.o \
   $(PLUGINS:%=$B/src/plugins/%.o) $B/src/plugins/pgwire.o \
   $B/src/daemon/main.o
-TARGET_O = $(addprefix $B/standin/,target.o server.o store.o sql.o) \
-  $B/src/kernel/stream.o $B/src/plugins/pgwire.o
+TARGET_O = $(addprefix $B/standin/,target.o link.o session.o server.o store.o sql.o) \
+  $B/src/kernel/stream.o $B/src/kernel/clock.o $B/src/plugins/pgwire.o
 PLATFORM_O = $B/standin/platform.o $B/src/kernel/httpd.o
 LOAD_O = $(addprefix $B/bench/,ss_load.o ledger.o)
 SCENARIO_O = $(addprefix $B/bench/,ss_scenario.o deploy.o)
-LINK_O = $B/standin/link.o $B/src/kernel/httpd.o $B/src/kernel/stream.o
+NETWORK_O = $B/standin/network.o $B/src/kernel/httpd.o $B/src/kernel/stream.o
 PROGRAMS = $(addprefix $B/,sapphirestaird ss-standin-target \
-  ss-standin-platform ss-standin-link ss-load ss-scenario)
+  ss-standin-platform ss-standin-network ss-load ss-scenario)
 
 all: $(PROGRAMS)
 
@@ -33,7 +33,7 @@
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-standin-platform: $(PLATFORM_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
-$B/ss-standin-link: $(LINK_O)
+$B/ss-standin-network: $(NETWORK_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-scenario: $(SCENARIO_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
--- a/bench/deploy.c
+++ b/bench/deploy.c
@@ -25,7 +25,7 @@
 void
 ss_deploy_init (SsDeploy *deploy, const char *programs)
 {
-  uint32_t pid = (uint32_t) getpid ();
+  uint32_t pid = (uint32_t)getpid ();
 
   memset (deploy, 0, sizeof *deploy);
   deploy->programs = g_strdup (programs);
@@ -44,7 +44,7 @@
 static void
 die_with_parent (gpointer data)
 {
-  (void) data;
+  (void)data;
   prctl (PR_SET_PDEATHSIG, SIGKILL);
 }
 
@@ -53,8 +53,8 @@
 {
   char *log = g_strdup_printf ("%s/%s.log", d->directory, name);
   char *out = g_strdup_printf ("%s/%s.out", d->directory, name);
-  char *command = g_strdup_printf ("exec \"$0\" \"$@\" >>'%s' 2>>'%s'", out,
-                                   log);
+  char *command
+      = g_strdup_printf ("exec \"$0\" \"$@\" >>'%s' 2>>'%s'", out, log);
   GPtrArray *all = g_ptr_array_new ();
   GPid child = 0;
   bool ok;
@@ -65,9 +65,9 @@
   for (uint32_t i = 0; argv[i]; i++)
     g_ptr_array_add (all, argv[i]);
   g_ptr_array_add (all, NULL);
-  ok = g_spawn_async (NULL, (char **) all->pdata, NULL,
-                      G_SPAWN_DO_NOT_REAP_CHILD, die_with_parent, NULL,
-                      &child, NULL);
+  ok = g_spawn_async (NULL, (char **)all->pdata, NULL,
+                      G_SPAWN_DO_NOT_REAP_CHILD, die_with_parent, NULL, &child,
+                      NULL);
   *pid = child;
   g_ptr_array_free (all, TRUE);
   g_free (command);
@@ -131,8 +131,7 @@
   end_process (&deploy->platform);
   if (!keep)
     {
-      char *argv[] = { (char *) "rm", (char *) "-rf", deploy->directory,
-                       NULL };
+      char *argv[] = { (char *)"rm", (char *)"-rf", deploy->directory, NULL };
 
       g_spawn_sync (NULL, argv, NULL, G_SPAWN_SEARCH_PATH, NULL, NULL, NULL,
                     NULL, NULL, NULL);
@@ -147,7 +146,7 @@
 static size_t
 append_text (char *data, size_t size, size_t count, void *user)
 {
-  g_string_append_len (user, data, (gssize) (size * count));
+  g_string_append_len (user, data, (gssize)(size * count));
   return size * count;
 }
 
@@ -227,9 +226,8 @@
           json,
           "%s{\"name\":\"%s\",\"failure_domain\":\"%s\",\"ip\":\"%s\","
           "\"peer_port\":%d,\"state\":\"%s\"}",
-          i ? "," : "", deploy->vms[i].name, deploy->vms[i].failure_domain,
-          ip, SS_DEPLOY_PEER_PORT,
-          (int32_t) i == leaving ? "leaving" : "live");
+          i ? "," : "", deploy->vms[i].name, deploy->vms[i].failure_domain, ip,
+          SS_DEPLOY_PEER_PORT, (int32_t)i == leaving ? "leaving" : "live");
     }
   g_string_append (json, "]}");
   ok = ss_deploy_platform_control (deploy, json->str);
@@ -257,8 +255,8 @@
       g_free (json);
     }
   key = g_strdup_printf ("group/%s", d->group);
-  json = g_strdup_printf ("{\"term\":1,\"primary\":\"%s\"}",
-                          d->targets[0].name);
+  json
+      = g_strdup_printf ("{\"term\":1,\"primary\":\"%s\"}", d->targets[0].name);
   ok = ok && ss_deploy_put (d, key, json);
   g_free (key);
   g_free (json);
@@ -298,8 +296,8 @@
 start_platform (SsDeploy *d)
 {
   char *port = g_strdup_printf ("%d", SS_DEPLOY_PLATFORM_PORT);
-  char *argv[] = { program (d, "ss-standin-platform"), d->platform.ip, port,
-                   NULL };
+  char *argv[]
+      = { program (d, "ss-standin-platform"), d->platform.ip, port, NULL };
   char *url = platform_url (d, "v1/vms");
   bool ok = spawn (d, "platform", argv, &d->platform.pid)
             && wait_http (url, 200, READY_BOUND_MS);
@@ -315,10 +313,10 @@
 {
   SsDeployed *t = &deploy->targets[target];
   char *port = g_strdup_printf ("%d", SS_DEPLOY_TARGET_PORT);
-  char *data
-      = g_strdup_printf ("%s/%s.data", deploy->directory, t->name);
-  char *argv[] = { program (deploy, "ss-standin-target"), t->name, t->ip,
-                   port, data, NULL };
+  char *data = g_strdup_printf ("%s/%s.data", deploy->directory, t->name);
+  char *argv[] = {
+    program (deploy, "ss-standin-target"), t->name, t->ip, port, data, NULL
+  };
   bool ok = spawn (deploy, t->name, argv, &t->pid);
 
   g_free (argv[0]);
@@ -359,8 +357,8 @@
   SsDeployed *v = &deploy->vms[vm];
   char *path = NULL;
   bool ok = write_settings (deploy, vm, &path);
-  char *argv[] = { program (deploy, "sapphirestaird"), (char *) "--config",
-                   path, NULL };
+  char *argv[]
+      = { program (deploy, "sapphirestaird"), (char *)"--config", path, NULL };
 
   ok = ok && spawn (deploy, v->name, argv, &v->pid);
   g_free (argv[0]);
@@ -377,7 +375,7 @@
   GPtrArray *argv = g_ptr_array_new_with_free_func (g_free);
   bool ok;
 
-  g_ptr_array_add (argv, program (d, "ss-standin-link"));
+  g_ptr_array_add (argv, program (d, "ss-standin-network"));
   g_ptr_array_add (argv, g_strdup_printf ("%s.%d", d->network, PLATFORM_IP));
   g_ptr_array_add (argv, g_strdup_printf ("%d", SS_DEPLOY_PLATFORM_PORT + 1));
   for (uint32_t i = 0; i < d->vm_count; i++)
@@ -386,12 +384,11 @@
 
       advertised_ip (d, i, ip, sizeof ip);
       g_ptr_array_add (argv,
-                       g_strdup_printf ("%s:%d=%s:%d", ip,
-                                        SS_DEPLOY_PEER_PORT, d->vms[i].ip,
-                                        SS_DEPLOY_PEER_PORT));
+                       g_strdup_printf ("%s:%d=%s:%d", ip, SS_DEPLOY_PEER_PORT,
+                                        d->vms[i].ip, SS_DEPLOY_PEER_PORT));
     }
   g_ptr_array_add (argv, NULL);
-  ok = spawn (d, "link", (char **) argv->pdata, &d->link.pid);
+  ok = spawn (d, "link", (char **)argv->pdata, &d->link.pid);
   g_ptr_array_free (argv, TRUE);
   return ok;
 }
@@ -414,8 +411,7 @@
 
   while (now_ms () < due_ms)
     {
-      char *answer
-          = ss_deploy_sql (d, 0, "", "SELECT count(*) FROM filings");
+      char *answer = ss_deploy_sql (d, 0, "", "SELECT count(*) FROM filings");
       bool ok = strcmp (answer, "0") == 0;
 
       g_free (answer);
@@ -433,8 +429,7 @@
   char **names = g_strsplit (domains, ",", SS_DEPLOY_DOMAINS_MAX);
 
   for (uint32_t i = 0; names[i]; i++)
-    g_strlcpy (d->domains[d->domain_count++], names[i],
-               sizeof d->domains[0]);
+    g_strlcpy (d->domains[d->domain_count++], names[i], sizeof d->domains[0]);
   g_strfreev (names);
   d->vm_count = MIN (d->domain_count * vms_per_domain, SS_DEPLOY_MAX);
   d->target_count = MIN (servers, SS_DEPLOY_MAX);
@@ -455,16 +450,15 @@
       g_snprintf (t->name, sizeof t->name, "%s-%u", d->group, i + 1);
       g_strlcpy (t->failure_domain, d->domains[i % d->domain_count],
                  sizeof t->failure_domain);
-      g_snprintf (t->ip, sizeof t->ip, "%s.%u", d->network,
-                  TARGET_IP_BASE + i);
+      g_snprintf (t->ip, sizeof t->ip, "%s.%u", d->network, TARGET_IP_BASE + i);
     }
   g_snprintf (d->platform.ip, sizeof d->platform.ip, "%s.%d", d->network,
               PLATFORM_IP);
 }
 
 bool
-ss_deploy_start (SsDeploy *deploy, const char *domains,
-                 uint32_t vms_per_domain, uint32_t servers)
+ss_deploy_start (SsDeploy *deploy, const char *domains, uint32_t vms_per_domain,
+                 uint32_t servers)
 {
   bool ok;
 
@@ -510,10 +504,9 @@
   for (uint32_t i = 0; arguments[i]; i++)
     g_ptr_array_add (argv, g_strdup (arguments[i]));
   g_ptr_array_add (argv, NULL);
-  ok = spawn (deploy, name, (char **) argv->pdata, &deploy->load);
+  ok = spawn (deploy, name, (char **)argv->pdata, &deploy->load);
   g_free (deploy->load_output);
-  deploy->load_output
-      = g_strdup_printf ("%s/%s.out", deploy->directory, name);
+  deploy->load_output = g_strdup_printf ("%s/%s.out", deploy->directory, name);
   g_free (name);
   g_ptr_array_free (argv, TRUE);
   return ok;
@@ -525,8 +518,7 @@
   char *text = NULL;
   char *line;
 
-  while (deploy->load && waitpid (deploy->load, NULL, 0) < 0
-         && errno == EINTR)
+  while (deploy->load && waitpid (deploy->load, NULL, 0) < 0 && errno == EINTR)
     continue;
   deploy->load = 0;
   if (!deploy->load_output
@@ -586,8 +578,7 @@
 ss_deploy_control (const SsDeployed *target, const char *name, int64_t value)
 {
   char *sql = g_strdup_printf (
-      "SELECT sapphirestair_control('%s', %" G_GINT64_FORMAT ")", name,
-      value);
+      "SELECT sapphirestair_control('%s', %" G_GINT64_FORMAT ")", name, value);
   PGconn *pq = connect_to (target->ip, SS_DEPLOY_TARGET_PORT, "control",
                            "replication", "");
   PGresult *r = PQexec (pq, sql);
@@ -623,7 +614,7 @@
           shown = g_ascii_strtoull (PQgetvalue (r, 0, 1), NULL, 10);
           if (shown > best_term)
             {
-              best = (int32_t) i;
+              best = (int32_t)i;
               best_term = shown;
             }
         }
--- a/bench/deploy.h
+++ b/bench/deploy.h
@@ -30,9 +30,9 @@
 
 typedef struct
 {
-  char *directory;     /* of settings, data and logs */
-  char *programs;      /* where the binaries are */
-  char network[12];    /* "127.x.y" */
+  char *directory;  /* of settings, data and logs */
+  char *programs;   /* where the binaries are */
+  char network[12]; /* "127.x.y" */
   char domains[SS_DEPLOY_DOMAINS_MAX][32];
   uint32_t domain_count;
   char service[32];
--- a/bench/ledger.c
+++ b/bench/ledger.c
@@ -8,8 +8,8 @@
   memset (ledger, 0, sizeof *ledger);
   ledger->filings = g_ptr_array_new_with_free_func (g_free);
   ledger->acknowledged = g_ptr_array_new ();
-  ledger->reasons = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                           NULL);
+  ledger->reasons
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   ledger->latencies_us = g_array_new (FALSE, FALSE, sizeof (uint32_t));
 }
 
@@ -38,6 +38,7 @@
 {
   filing->fate = SS_FATE_ACKNOWLEDGED;
   filing->acknowledged_ms = now_ms;
+  ledger->last_acknowledged_ms = now_ms;
   g_ptr_array_add (ledger->acknowledged, filing);
   if (!ledger->failing_since_ms)
     return;
@@ -49,8 +50,9 @@
 void
 ss_ledger_write_failed (SsLedger *ledger, int64_t sent_ms)
 {
+  /* While others were acknowledged, writes could be accepted. */
   if (!ledger->failing_since_ms)
-    ledger->failing_since_ms = sent_ms;
+    ledger->failing_since_ms = MAX (sent_ms, ledger->last_acknowledged_ms);
 }
 
 void
@@ -62,8 +64,7 @@
   guint count
       = GPOINTER_TO_UINT (g_hash_table_lookup (ledger->reasons, reason));
 
-  g_hash_table_replace (ledger->reasons, reason,
-                        GUINT_TO_POINTER (count + 1));
+  g_hash_table_replace (ledger->reasons, reason, GUINT_TO_POINTER (count + 1));
 }
 
 static uint32_t
@@ -94,8 +95,8 @@
 static int
 compare_latencies (gconstpointer a, gconstpointer b)
 {
-  uint32_t x = *(const uint32_t *) a;
-  uint32_t y = *(const uint32_t *) b;
+  uint32_t x = *(const uint32_t *)a;
+  uint32_t y = *(const uint32_t *)b;
 
   return x < y ? -1 : x > y;
 }
@@ -109,6 +110,6 @@
     return 0;
   g_array_sort (ledger->latencies_us, compare_latencies);
   return g_array_index (ledger->latencies_us, uint32_t,
-                        (guint) (quantile * (count - 1)))
+                        (guint)(quantile * (count - 1)))
          / 1000.0;
 }
--- a/bench/ledger.h
+++ b/bench/ledger.h
@@ -28,7 +28,7 @@
 
 typedef struct
 {
-  GPtrArray *filings; /* of SsFiling */
+  GPtrArray *filings;      /* of SsFiling */
   GPtrArray *acknowledged; /* in order; borrowed */
 
   uint64_t statements;
@@ -48,6 +48,7 @@
   GHashTable *reasons; /* what failures gave as reason -> their number */
 
   int64_t failing_since_ms; /* first write that failed; 0: none */
+  int64_t last_acknowledged_ms;
   int64_t failover_gap_ms;
 } SsLedger;
 
@@ -57,8 +58,7 @@
 /* ss_ledger_add: a write with a new key; owned by the ledger. */
 SsFiling *ss_ledger_add (SsLedger *ledger, const char *key,
                          const char *partner);
-void ss_ledger_acknowledge (SsLedger *ledger, SsFiling *filing,
-                            int64_t now_ms);
+void ss_ledger_acknowledge (SsLedger *ledger, SsFiling *filing, int64_t now_ms);
 /* ss_ledger_write_failed: a write sent at SENT_MS could not be accepted. */
 void ss_ledger_write_failed (SsLedger *ledger, int64_t sent_ms);
 
--- a/bench/ss_load.c
+++ b/bench/ss_load.c
@@ -111,7 +111,7 @@
 wait_then (Caller *c, int64_t wait_ms)
 {
   ev_timer_stop (load.loop, &c->timer);
-  ev_timer_set (&c->timer, (double) MAX (wait_ms, 0) / 1000.0, 0);
+  ev_timer_set (&c->timer, (double)MAX (wait_ms, 0) / 1000.0, 0);
   ev_timer_start (load.loop, &c->timer);
 }
 
@@ -175,8 +175,7 @@
 
   clear_steps (c);
   if (c->op == OP_WRITE_WITH_ID)
-    add_step (c, g_strdup_printf ("SET sapphirestair.request_id = '%s'",
-                                  key));
+    add_step (c, g_strdup_printf ("SET sapphirestair.request_id = '%s'", key));
   if (c->op == OP_TRANSACTION)
     {
       add_step (c, g_strdup ("BEGIN"));
@@ -211,7 +210,7 @@
   for (int32_t tries = 0; all->len && tries < 8; tries++)
     {
       SsFiling *f = g_ptr_array_index (
-          all, g_rand_int_range (load.rand, 0, (gint32) all->len));
+          all, g_rand_int_range (load.rand, 0, (gint32)all->len));
 
       if (f->acknowledged_ms <= bound_ms)
         return f;
@@ -228,8 +227,7 @@
   c->wanted = aged ? pick_aged () : c->last_own;
   add_step (c, g_strdup_printf ("SET sapphirestair.kind = '%s'",
                                 aged ? load.aged_kind : "session"));
-  add_step (c, g_strdup_printf ("SELECT value FROM " TABLE
-                                " WHERE key = '%s'",
+  add_step (c, g_strdup_printf ("SELECT value FROM " TABLE " WHERE key = '%s'",
                                 c->wanted ? c->wanted->key : "none"));
   add_step (c, g_strdup ("RESET sapphirestair.kind"));
 }
@@ -381,9 +379,8 @@
   if (!safe || time_is_up (c))
     {
       /* An earlier try with the id may have run. */
-      c->filing->fate
-          = not_run && c->op != OP_WRITE_WITH_ID ? SS_FATE_NOT_RUN
-                                                 : SS_FATE_UNKNOWN;
+      c->filing->fate = not_run && c->op != OP_WRITE_WITH_ID ? SS_FATE_NOT_RUN
+                                                             : SS_FATE_UNKNOWN;
       end_op (c);
       return;
     }
@@ -419,7 +416,7 @@
 static void
 end_step (Caller *c)
 {
-  uint32_t latency_us = (uint32_t) (now_us () - c->step_started_us);
+  uint32_t latency_us = (uint32_t)(now_us () - c->step_started_us);
 
   g_array_append_val (load.ledger.latencies_us, latency_us);
   if (c->failed)
@@ -473,8 +470,7 @@
 lose_connection (Caller *c)
 {
   bool in_op = c->running;
-  bool uncommitted
-      = c->op == OP_TRANSACTION && c->step < c->step_count - 1;
+  bool uncommitted = c->op == OP_TRANSACTION && c->step < c->step_count - 1;
   bool setting = c->op == OP_WRITE_WITH_ID && c->step == 0;
 
   close_connection (c);
@@ -538,8 +534,8 @@
   Caller *c = w->data;
   PostgresPollingStatusType poll;
 
-  (void) loop;
-  (void) events;
+  (void)loop;
+  (void)events;
   if (!c->connecting)
     {
       read_results (c);
@@ -576,13 +572,12 @@
 {
   guint count = g_strv_length (load.entries);
   const char *entry
-      = load.entries[g_rand_int_range (load.rand, 0, (gint32) count)];
+      = load.entries[g_rand_int_range (load.rand, 0, (gint32)count)];
   char **parts = g_strsplit (entry, ":", 2);
   bool brings_token = c->token && chance (load.token_percent);
   char *options
       = brings_token
-            ? g_strdup_printf ("options='-c sapphirestair.token=%s'",
-                               c->token)
+            ? g_strdup_printf ("options='-c sapphirestair.token=%s'", c->token)
             : g_strdup ("");
   char *conninfo = g_strdup_printf (
       "hostaddr=%s port=%s dbname=%s user=load sslmode=disable "
@@ -612,8 +607,8 @@
 {
   Caller *c = w->data;
 
-  (void) loop;
-  (void) events;
+  (void)loop;
+  (void)events;
   if (c->done)
     return;
   if (!c->pq)
@@ -627,28 +622,27 @@
 static void
 on_stop (struct ev_loop *loop, ev_timer *w, int events)
 {
-  (void) loop;
-  (void) w;
-  (void) events;
+  (void)loop;
+  (void)w;
+  (void)events;
   load.stopping = true;
 }
 
 static void
 on_overrun (struct ev_loop *loop, ev_timer *w, int events)
 {
-  (void) w;
-  (void) events;
-  fprintf (stderr, "ss-load: %d callers did not come to an end\n",
-           load.live);
+  (void)w;
+  (void)events;
+  fprintf (stderr, "ss-load: %d callers did not come to an end\n", load.live);
   ev_break (loop, EVBREAK_ALL);
 }
 
 static void
 on_signal (struct ev_loop *loop, ev_signal *w, int events)
 {
-  (void) loop;
-  (void) w;
-  (void) events;
+  (void)loop;
+  (void)w;
+  (void)events;
   load.stopping = true;
 }
 
@@ -695,8 +689,7 @@
       const char *key = PQgetvalue (r, i, 0);
       guint rows = GPOINTER_TO_UINT (g_hash_table_lookup (counts, key));
 
-      g_hash_table_insert (counts, g_strdup (key),
-                           GUINT_TO_POINTER (rows + 1));
+      g_hash_table_insert (counts, g_strdup (key), GUINT_TO_POINTER (rows + 1));
     }
   PQclear (r);
   return counts;
@@ -712,8 +705,7 @@
   for (uint32_t i = 0; load.targets && load.targets[i]; i++)
     {
       PGconn *pq = connect_target (load.targets[i]);
-      uint64_t term
-          = PQstatus (pq) == CONNECTION_OK ? primary_term (pq) : 0;
+      uint64_t term = PQstatus (pq) == CONNECTION_OK ? primary_term (pq) : 0;
 
       if (term > best_term)
         {
@@ -734,7 +726,7 @@
 static size_t
 append_text (char *data, size_t size, size_t count, void *user)
 {
-  g_string_append_len (user, data, (gssize) (size * count));
+  g_string_append_len (user, data, (gssize)(size * count));
   return size * count;
 }
 
@@ -784,8 +776,7 @@
 
   g_hash_table_iter_init (&iter, load.ledger.reasons);
   while (g_hash_table_iter_next (&iter, &reason, &count))
-    json_object_set_new (json, reason,
-                         json_integer (GPOINTER_TO_UINT (count)));
+    json_object_set_new (json, reason, json_integer (GPOINTER_TO_UINT (count)));
   return json;
 }
 
@@ -799,23 +790,20 @@
   json_t *json = json_pack (
       "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:f, "
       "s:f, s:I, s:I, s:b, s:f, s:o}",
-      "statements", (json_int_t) l->statements, "acknowledged",
-      (json_int_t) l->acks, "not_run", (json_int_t) l->not_run,
-      "may_have_run", (json_int_t) l->may_have_run, "lost",
-      (json_int_t) l->lost, "doubled",
-      (json_int_t) (l->doubled + l->read_doubled), "stale",
-      (json_int_t) l->stale, "crossed", (json_int_t) l->crossed, "mixed",
-      (json_int_t) l->mixed, "ran_though_not_run",
-      (json_int_t) l->ran_though_not_run, "replica_read_share",
-      reads > 0 ? replica / reads : 0.0, "failover_gap_ms",
-      (json_int_t) l->failover_gap_ms, "p50_ms",
-      ss_ledger_latency_ms (l, 0.5), "p99_ms",
-      ss_ledger_latency_ms (l, 0.99), "writes",
-      (json_int_t) l->acknowledged->len, "refused_connections",
-      (json_int_t) l->refused_connections, "compared", compared,
+      "statements", (json_int_t)l->statements, "acknowledged",
+      (json_int_t)l->acks, "not_run", (json_int_t)l->not_run, "may_have_run",
+      (json_int_t)l->may_have_run, "lost", (json_int_t)l->lost, "doubled",
+      (json_int_t)(l->doubled + l->read_doubled), "stale", (json_int_t)l->stale,
+      "crossed", (json_int_t)l->crossed, "mixed", (json_int_t)l->mixed,
+      "ran_though_not_run", (json_int_t)l->ran_though_not_run,
+      "replica_read_share", reads > 0 ? replica / reads : 0.0,
+      "failover_gap_ms", (json_int_t)l->failover_gap_ms, "p50_ms",
+      ss_ledger_latency_ms (l, 0.5), "p99_ms", ss_ledger_latency_ms (l, 0.99),
+      "writes", (json_int_t)l->acknowledged->len, "refused_connections",
+      (json_int_t)l->refused_connections, "compared", compared,
       "statements_per_s",
-      (double) l->statements * 1000.0
-          / (double) MAX (now_ms () - load.started_ms, 1),
+      (double)l->statements * 1000.0
+          / (double)MAX (now_ms () - load.started_ms, 1),
       "reasons", reasons_json ());
   char *text = json_dumps (json, JSON_COMPACT | JSON_REAL_PRECISION (5)
                                      | JSON_PRESERVE_ORDER);
@@ -846,8 +834,7 @@
     }
   ev_timer_init (&stop, on_stop, load.seconds, 0);
   ev_timer_start (load.loop, &stop);
-  ev_timer_init (&overrun, on_overrun,
-                 load.seconds + 2 * DRAIN_MS / 1000.0, 0);
+  ev_timer_init (&overrun, on_overrun, load.seconds + 2 * DRAIN_MS / 1000.0, 0);
   ev_timer_start (load.loop, &overrun);
   ev_signal_init (&on_int, on_signal, SIGINT);
   ev_signal_start (load.loop, &on_int);
@@ -875,8 +862,7 @@
       "Address of a target, for the comparison at the end", "IP:PORT" },
     { "admin", 0, 0, G_OPTION_ARG_STRING_ARRAY, &load.admins,
       "Address of a vm's administration API", "IP:PORT" },
-    { "service", 0, 0, G_OPTION_ARG_STRING, &load.service, "Service",
-      "NAME" },
+    { "service", 0, 0, G_OPTION_ARG_STRING, &load.service, "Service", "NAME" },
     { "callers", 0, 0, G_OPTION_ARG_INT, &load.callers, "Callers", "N" },
     { "seconds", 0, 0, G_OPTION_ARG_INT, &load.seconds, "Length", "S" },
     { "writes", 0, 0, G_OPTION_ARG_INT, &load.write_percent,
@@ -913,18 +899,17 @@
   load.roam_percent = 10;
   load.token_percent = 50;
   load.think_ms = 2;
-  load.aged_kind = (char *) "report";
+  load.aged_kind = (char *)"report";
   load.service = "claims";
   g_option_context_add_main_entries (context, options, NULL);
-  if (!g_option_context_parse (context, &argc, &argv, &error)
-      || !load.entries)
+  if (!g_option_context_parse (context, &argc, &argv, &error) || !load.entries)
     {
       fprintf (stderr, "ss-load: %s\n",
                error ? error->message : "--entry is needed");
       return 2;
     }
   load.staleness_ms = staleness_ms;
-  load.rand = g_rand_new_with_seed ((guint32) seed);
+  load.rand = g_rand_new_with_seed ((guint32)seed);
   load.loop = ev_default_loop (0);
   ss_ledger_init (&load.ledger);
   run_callers ();
--- a/src/core/choice.c
+++ b/src/core/choice.c
@@ -26,8 +26,7 @@
 static bool
 shows_floor (const SsTarget *t, SsPosition floor)
 {
-  SsPosition translated
-      = ss_position_translate (floor, &t->state.history);
+  SsPosition translated = ss_position_translate (floor, &t->state.history);
 
   return ss_position_covers (t->state.applied, translated);
 }
@@ -67,7 +66,7 @@
         continue;
       /* Equal servers are taken with equal chance. */
       if (best && load == best_load
-          && g_rand_int_range (node->rand, 0, (gint32) ties) != 0)
+          && g_rand_int_range (node->rand, 0, (gint32)ties) != 0)
         continue;
       best = t;
       best_load = load;
@@ -75,8 +74,7 @@
   if (best)
     return best;
   if (primary && !was_tried (primary, tried, tried_count)
-      && primary->state.role == SS_SERVER_PRIMARY
-      && is_usable (node, primary))
+      && primary->state.role == SS_SERVER_PRIMARY && is_usable (node, primary))
     return primary;
   return NULL;
 }
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -22,7 +22,7 @@
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void) data;
+  (void)data;
   return strcmp (a, b);
 }
 
@@ -82,8 +82,7 @@
 ss_config_init (SsConfig *config)
 {
   config->objects = g_tree_new_full (compare_names, NULL, NULL, stored_free);
-  config->services
-      = g_tree_new_full (compare_names, NULL, NULL, service_free);
+  config->services = g_tree_new_full (compare_names, NULL, NULL, service_free);
   config->targets = g_tree_new_full (compare_names, NULL, NULL, target_free);
   config->groups = g_tree_new_full (compare_names, NULL, NULL, group_free);
   config->revision = 0;
@@ -103,15 +102,17 @@
 get_text (json_t *json, const char *name, const char *fallback, char **out)
 {
   json_t *value = json_object_get (json, name);
+  const char *text;
 
   if (!value && fallback)
     {
       *out = g_strdup (fallback);
       return NULL;
     }
-  if (!json_is_string (value))
+  text = json_string_value (value);
+  if (!text)
     return g_strdup_printf ("\"%s\" must be a string", name);
-  *out = g_strdup (json_string_value (value));
+  *out = g_strdup (text);
   return NULL;
 }
 
@@ -140,15 +141,15 @@
   json_t *value;
 
   json_object_foreach (json, key, value)
-    {
-      char *word = g_strdup_printf (" %s ", key);
-      bool known = strstr (allowed, word) != NULL;
-
-      g_free (word);
-      if (!known)
-        return g_strdup_printf ("unknown member \"%s\"; allowed are%s", key,
-                                allowed);
-    }
+  {
+    char *word = g_strdup_printf (" %s ", key);
+    bool known = strstr (allowed, word) != NULL;
+
+    g_free (word);
+    if (!known)
+      return g_strdup_printf ("unknown member \"%s\"; allowed are%s", key,
+                              allowed);
+  }
   return NULL;
 }
 
@@ -161,20 +162,20 @@
   if (kinds && !json_is_object (kinds))
     return g_strdup ("\"kinds\" must be an object");
   json_object_foreach (kinds, name, kind)
-    {
-      char *error = check_keys (kind, " staleness_ms ");
-      int64_t staleness_ms;
-
-      if (!error)
-        error = get_number (kind, "staleness_ms", -1, 0, STALENESS_MAX_MS,
-                            &staleness_ms);
-      if (error)
-        return error;
-      if (s->kind_count == SS_CONFIG_KINDS_MAX)
-        return g_strdup ("too many kinds");
-      s->kinds[s->kind_count].name = g_strdup (name);
-      s->kinds[s->kind_count++].staleness_ms = staleness_ms;
-    }
+  {
+    char *error = check_keys (kind, " staleness_ms ");
+    int64_t staleness_ms;
+
+    if (!error)
+      error = get_number (kind, "staleness_ms", -1, 0, STALENESS_MAX_MS,
+                          &staleness_ms);
+    if (error)
+      return error;
+    if (s->kind_count == SS_CONFIG_KINDS_MAX)
+      return g_strdup ("too many kinds");
+    s->kinds[s->kind_count].name = g_strdup (name);
+    s->kinds[s->kind_count++].staleness_ms = staleness_ms;
+  }
   return NULL;
 }
 
@@ -202,7 +203,7 @@
   if (!error && *s->default_kind
       && ss_service_staleness (s, s->default_kind) < 0)
     error = g_strdup ("\"default_kind\" names no kind of the service");
-  s->weight = (uint32_t) weight;
+  s->weight = (uint32_t)weight;
   s->acknowledge_majority
       = !acknowledge || strcmp (acknowledge, "majority") == 0;
   g_free (acknowledge);
@@ -231,8 +232,8 @@
                         &max_connections);
   if (!error && draining && !json_is_boolean (draining))
     error = g_strdup ("\"draining\" must be true or false");
-  t->port = (uint16_t) port;
-  t->max_connections = (uint32_t) max_connections;
+  t->port = (uint16_t)port;
+  t->max_connections = (uint32_t)max_connections;
   t->draining = json_is_true (draining);
   return error;
 }
@@ -249,7 +250,7 @@
     error = get_text (json, "primary", NULL, &g->primary);
   if (!error)
     error = get_text (json, "operation", "", &g->operation);
-  g->term = (uint64_t) term;
+  g->term = (uint64_t)term;
   return error;
 }
 
@@ -265,7 +266,7 @@
   Attach *a = data;
   SsTarget *t = value;
 
-  (void) key;
+  (void)key;
   if (strcmp (t->group, a->group->name) == 0
       && a->group->server_count < SS_CONFIG_SERVERS_MAX)
     a->group->servers[a->group->server_count++] = t;
@@ -278,7 +279,7 @@
   const SsConfig *c = data;
   Attach a = { c, value };
 
-  (void) key;
+  (void)key;
   a.group->server_count = 0;
   g_tree_foreach (c->targets, attach_server, &a);
   return FALSE;
@@ -354,12 +355,12 @@
 }
 
 static char *
-adopt_parsed (SsConfig *c, const char *key, int64_t version,
-              const char *value, uint32_t value_bytes, int64_t now_ms)
+adopt_parsed (SsConfig *c, const char *key, int64_t version, const char *value,
+              uint32_t value_bytes, int64_t now_ms)
 {
   json_error_t where;
-  json_t *json = json_loadb (value, value_bytes, JSON_REJECT_DUPLICATES,
-                             &where);
+  json_t *json
+      = json_loadb (value, value_bytes, JSON_REJECT_DUPLICATES, &where);
   char *error = NULL;
 
   if (!json_is_object (json))
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -16,10 +16,10 @@
 #define SS_CONFIG_KINDS_MAX 16
 #define SS_CONFIG_SERVERS_MAX 9
 
-#define SS_ROLES(X)                                                           \
-  X (UNKNOWN, "unknown")                                                      \
-  X (REPLICA, "replica")                                                      \
-  X (PRIMARY, "primary")                                                      \
+#define SS_ROLES(X)                                                            \
+  X (UNKNOWN, "unknown")                                                       \
+  X (REPLICA, "replica")                                                       \
+  X (PRIMARY, "primary")                                                       \
   X (FENCED, "fenced")
 
 typedef enum
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -102,8 +102,7 @@
 reply_refusal (SsNode *node, const SsSession *s, SsReason reason,
                const char *text)
 {
-  push_reply (node, s, SS_VERDICT_NOT_RUN, reason, 0)->text
-      = g_strdup (text);
+  push_reply (node, s, SS_VERDICT_NOT_RUN, reason, 0)->text = g_strdup (text);
 }
 
 static void
@@ -118,8 +117,7 @@
 static void
 forget_sent (SsNode *node, SsRequest *r)
 {
-  SsTarget *t
-      = r->target ? ss_config_target (&node->config, r->target) : NULL;
+  SsTarget *t = r->target ? ss_config_target (&node->config, r->target) : NULL;
 
   if (t && t->outstanding)
     t->outstanding--;
@@ -154,8 +152,8 @@
 
 /* Answers the caller; TEXT, where given, stands for the reason's message. */
 static void
-finish_request (SsNode *node, SsRequest *r, SsVerdict verdict,
-                SsReason reason, uint32_t retry_after_ms)
+finish_request (SsNode *node, SsRequest *r, SsVerdict verdict, SsReason reason,
+                uint32_t retry_after_ms)
 {
   SsSession *s = r->session;
 
@@ -251,13 +249,13 @@
   run.session = s->id;
   run.target = r->target;
   run.service = s->service;
-  run.sql.data = (uint8_t *) r->sql;
+  run.sql.data = (uint8_t *)r->sql;
   run.sql.len = strlen (r->sql);
   run.is_read = r->is_read;
   run.pinned = pinned;
   ss_position_pack (&floor, r->floor);
   run.floor = &floor;
-  run.left_ms = (uint32_t) MAX (r->deadline_ms - node->now_ms, 0);
+  run.left_ms = (uint32_t)MAX (r->deadline_ms - node->now_ms, 0);
   if (r->sends_key)
     run.request_key = s->request_key;
   run.trace = r->trace;
@@ -417,8 +415,7 @@
   if (!r->is_read)
     return true;
   r->strict = s->strict || strcmp (kind, "strict") == 0;
-  r->staleness_ms
-      = r->strict ? 0 : ss_service_staleness (service, kind);
+  r->staleness_ms = r->strict ? 0 : ss_service_staleness (service, kind);
   return r->staleness_ms >= 0;
 }
 
@@ -472,7 +469,7 @@
 {
   SsPosition position;
 
-  (void) node;
+  (void)node;
   if (!value || !ss_position_parse (value, &position))
     return "sapphirestair.token must be TERM/OFFSET";
   raise_floor (s, position);
@@ -503,14 +500,14 @@
   else if (!g_ascii_string_to_unsigned (value, 10, 1, 600000, &number, NULL))
     return "sapphirestair.deadline_ms must be from 1 to 600000";
   else
-    s->deadline_ms = (int64_t) number;
+    s->deadline_ms = (int64_t)number;
   return NULL;
 }
 
 static const char *
 set_request_id (SsNode *node, SsSession *s, const char *value)
 {
-  (void) node;
+  (void)node;
   if (value && *value && !is_key (value))
     return "sapphirestair.request_id must be 1 to 64 letters, digits or "
            "one of . _ : -";
@@ -523,7 +520,7 @@
 {
   char **parts;
 
-  (void) node;
+  (void)node;
   if (!value || !*value)
     {
       replace (&s->trace, NULL);
@@ -549,8 +546,10 @@
 } SettingRow;
 
 static const SettingRow setting_rows[] = {
-  { "token", set_token },           { "kind", set_kind },
-  { "deadline_ms", set_deadline },  { "request_id", set_request_id },
+  { "token", set_token },
+  { "kind", set_kind },
+  { "deadline_ms", set_deadline },
+  { "request_id", set_request_id },
   { "traceparent", set_traceparent },
 };
 
@@ -606,8 +605,7 @@
 /* --- events --- */
 
 static void
-refuse_open (SsNode *node, uint64_t caller, SsReason reason,
-             const char *text)
+refuse_open (SsNode *node, uint64_t caller, SsReason reason, const char *text)
 {
   SsAction *a = ss_node_push (node, SS_ACTION_CALLER_REPLY);
 
@@ -686,8 +684,8 @@
     {
       if (!ss_local_ends_transaction (sql))
         {
-          push_reply (node, s, SS_VERDICT_NOT_RUN,
-                      SS_REASON_TRANSACTION_LOST, 0);
+          push_reply (node, s, SS_VERDICT_NOT_RUN, SS_REASON_TRANSACTION_LOST,
+                      0);
           return;
         }
       s->status = 'I';
@@ -724,8 +722,8 @@
   if (s->request->vm)
     send_cancel (node, s->request);
   else
-    finish_request (node, s->request, SS_VERDICT_NOT_RUN,
-                    SS_REASON_CANCELLED, 0);
+    finish_request (node, s->request, SS_VERDICT_NOT_RUN, SS_REASON_CANCELLED,
+                    0);
 }
 
 void
@@ -813,7 +811,7 @@
 take_answer (SsNode *node, SsRequest *r, const Ss__Peer__RunReply *reply)
 {
   SsSession *s = r->session;
-  SsVerdict verdict = (SsVerdict) reply->verdict;
+  SsVerdict verdict = (SsVerdict)reply->verdict;
   SsPosition commit = ss_position_unpack (reply->commit);
   SsAction *a;
 
@@ -821,7 +819,7 @@
     count_read (node, r);
   if (reply->reason == SS_REASON_NONE
       || reply->reason == SS_REASON_TARGET_ERROR)
-    update_pin (s, (char) reply->transaction_status, r->vm, r->target);
+    update_pin (s, (char)reply->transaction_status, r->vm, r->target);
   else
     lose_transaction (node, s);
   /* A key goes with one statement: the next one must not pass for its
@@ -836,7 +834,7 @@
       raise_floor (s, commit);
       send_token (node, s);
     }
-  a = push_reply (node, s, verdict, (SsReason) reply->reason,
+  a = push_reply (node, s, verdict, (SsReason)reply->reason,
                   reply->retry_after_ms);
   if (reply->wire.len)
     a->bytes = g_bytes_new (reply->wire.data, reply->wire.len);
@@ -845,21 +843,18 @@
 }
 
 void
-ss_entry_reply (SsNode *node, const char *from,
-                const Ss__Peer__RunReply *reply)
+ss_entry_reply (SsNode *node, const char *from, const Ss__Peer__RunReply *reply)
 {
   SsRequest *r = g_hash_table_lookup (node->requests, &reply->request);
 
   if (!r || !r->vm || strcmp (r->vm, from) != 0
       || strcmp (r->target, reply->target) != 0
-      || reply->verdict > SS_VERDICT_RAN
-      || reply->reason > SS_REASON_TOO_LARGE)
+      || reply->verdict > SS_VERDICT_RAN || reply->reason > SS_REASON_TOO_LARGE)
     {
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
       return;
     }
-  if (may_retry (node, r, (SsVerdict) reply->verdict,
-                 (SsReason) reply->reason))
+  if (may_retry (node, r, (SsVerdict)reply->verdict, (SsReason)reply->reason))
     try_again (node, r);
   else
     take_answer (node, r, reply);
@@ -917,7 +912,7 @@
 static bool
 is_waiting (SsNode *node, const SsRequest *r)
 {
-  (void) node;
+  (void)node;
   return r->wait != SS_WAIT_NONE;
 }
 
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -13,21 +13,21 @@
 #include "kernel/log.h"
 #include "kernel/verdict.h"
 
-#define SS_EVENTS(X)                                                          \
-  X (TICK)                                                                    \
-  X (CALLER_OPEN)                                                             \
-  X (CALLER_STATEMENT)                                                        \
-  X (CALLER_CANCEL)                                                           \
-  X (CALLER_CLOSE)                                                            \
-  X (PEER_MESSAGE)                                                            \
-  X (PEER_LOST)                                                               \
-  X (TARGET_READY)                                                            \
-  X (TARGET_CLOSED)                                                           \
-  X (TARGET_RESULT)                                                           \
-  X (PLATFORM_OBJECTS)                                                        \
-  X (PLATFORM_OBJECT)                                                         \
-  X (PLATFORM_VMS)                                                            \
-  X (STOP)                                                                    \
+#define SS_EVENTS(X)                                                           \
+  X (TICK)                                                                     \
+  X (CALLER_OPEN)                                                              \
+  X (CALLER_STATEMENT)                                                         \
+  X (CALLER_CANCEL)                                                            \
+  X (CALLER_CLOSE)                                                             \
+  X (PEER_MESSAGE)                                                             \
+  X (PEER_LOST)                                                                \
+  X (TARGET_READY)                                                             \
+  X (TARGET_CLOSED)                                                            \
+  X (TARGET_RESULT)                                                            \
+  X (PLATFORM_OBJECTS)                                                         \
+  X (PLATFORM_OBJECT)                                                          \
+  X (PLATFORM_VMS)                                                             \
+  X (STOP)                                                                     \
   X (PROMOTE)
 
 typedef enum
@@ -60,11 +60,11 @@
 } SsObject;
 
 /* How a call on the platform ended. */
-#define SS_PLATFORM_OUTCOMES(X)                                               \
-  X (DONE, "done")                                                            \
-  X (CONFLICT, "conflict")                                                    \
-  X (ABSENT, "absent")                                                        \
-  X (REFUSED, "refused")                                                      \
+#define SS_PLATFORM_OUTCOMES(X)                                                \
+  X (DONE, "done")                                                             \
+  X (CONFLICT, "conflict")                                                     \
+  X (ABSENT, "absent")                                                         \
+  X (REFUSED, "refused")                                                       \
   X (UNKNOWN, "unknown")
 
 typedef enum
@@ -106,7 +106,7 @@
     struct
     {
       uint64_t connection;
-      bool refused;        /* TARGET_CLOSED: the address refuses */
+      bool refused;         /* TARGET_CLOSED: the address refuses */
       const char *sqlstate; /* TARGET_CLOSED: of a refused start, or NULL */
     } target;
     struct
@@ -141,20 +141,20 @@
   };
 } SsEvent;
 
-#define SS_ACTIONS(X)                                                         \
-  X (CALLER_REPLY)                                                            \
-  X (CALLER_PARAMETER)                                                        \
-  X (CALLER_CLOSE)                                                            \
-  X (PEER_ADDRESS)                                                            \
-  X (PEER_SEND)                                                               \
-  X (TARGET_CONNECT)                                                          \
-  X (TARGET_QUERY)                                                            \
-  X (TARGET_CLOSE)                                                            \
-  X (PLATFORM_WATCH)                                                          \
-  X (PLATFORM_GET)                                                            \
-  X (PLATFORM_PUT)                                                            \
-  X (PLATFORM_VMS)                                                            \
-  X (LOG)                                                                     \
+#define SS_ACTIONS(X)                                                          \
+  X (CALLER_REPLY)                                                             \
+  X (CALLER_PARAMETER)                                                         \
+  X (CALLER_CLOSE)                                                             \
+  X (PEER_ADDRESS)                                                             \
+  X (PEER_SEND)                                                                \
+  X (TARGET_CONNECT)                                                           \
+  X (TARGET_QUERY)                                                             \
+  X (TARGET_CLOSE)                                                             \
+  X (PLATFORM_WATCH)                                                           \
+  X (PLATFORM_GET)                                                             \
+  X (PLATFORM_PUT)                                                             \
+  X (PLATFORM_VMS)                                                             \
+  X (LOG)                                                                      \
   X (STOPPED)
 
 typedef enum
@@ -167,12 +167,12 @@
 typedef struct
 {
   SsActionKind kind;
-  uint64_t id;     /* caller, connection or call */
-  char *name;      /* vm, target, object key, parameter */
-  char *text;      /* SQL, address, value */
-  GBytes *bytes;   /* wire or peer message */
+  uint64_t id;   /* caller, connection or call */
+  char *name;    /* vm, target, object key, parameter */
+  char *text;    /* SQL, address, value */
+  GBytes *bytes; /* wire or peer message */
   uint32_t port;
-  int64_t number;  /* version, or revision */
+  int64_t number; /* version, or revision */
   SsVerdict verdict;
   SsReason reason;
   uint32_t retry_after_ms;
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -48,8 +48,7 @@
   uint32_t holders = 1; /* the primary that committed it */
 
   for (uint32_t i = 0; i < group->server_count; i++)
-    if (group->servers[i] != owned->target
-        && holds (group->servers[i], commit))
+    if (group->servers[i] != owned->target && holds (group->servers[i], commit))
       holders++;
   return holders >= ss_group_majority (group);
 }
@@ -101,8 +100,7 @@
         ss_owner_answer (node, job, SS_VERDICT_RAN, SS_REASON_NONE, 0);
       else
         ss_owner_answer (node, job, SS_VERDICT_MAY_HAVE_RUN,
-                         superseded ? SS_REASON_SUPERSEDED
-                                    : SS_REASON_NOT_HELD,
+                         superseded ? SS_REASON_SUPERSEDED : SS_REASON_NOT_HELD,
                          SS_RETRY_PROMOTION_MS);
     }
 }
@@ -190,8 +188,7 @@
 }
 
 void
-ss_hold_round_ask (SsNode *node, const char *from,
-                   const Ss__Peer__MarkAsk *m)
+ss_hold_round_ask (SsNode *node, const char *from, const Ss__Peer__MarkAsk *m)
 {
   SsGroup *group = ss_config_group (&node->config, m->group);
   SsTarget *primary = group ? ss_group_primary (group) : NULL;
@@ -211,7 +208,7 @@
 static uint32_t
 count_bits (uint32_t bits)
 {
-  return (uint32_t) __builtin_popcount (bits);
+  return (uint32_t)__builtin_popcount (bits);
 }
 
 /* Every answer comes from a poll begun after the round was: where a majority
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -51,7 +51,7 @@
 {
   uint64_t id;
   char *service;
-  char *kind;        /* NULL: the service's default */
+  char *kind; /* NULL: the service's default */
   bool strict;
   char *request_key; /* NULL: none */
   char *trace;       /* NULL: drawn for each request */
@@ -276,12 +276,13 @@
   GPtrArray *connections; /* not the control connection */
   int64_t connect_after_ms;
   int64_t owner_since_ms;
+  uint64_t group_term; /* of the group as last looked at */
 
   SsConnection *control;
   SsControlStep control_step;
   int64_t control_after_ms;
   int64_t control_started_ms;
-  uint64_t poll;       /* number of the last poll begun */
+  uint64_t poll; /* number of the last poll begun */
   int64_t poll_due_ms;
   uint64_t raise_term; /* 0: none wanted */
   GPtrArray *raise_vms;
@@ -313,10 +314,13 @@
 void ss_owner_result (SsNode *node, uint64_t connection,
                       const SsTargetResult *result);
 void ss_owner_tick (SsNode *node);
+/* ss_owner_unreachable: the target does not answer: what waits for it is
+ * refused, and reads that run are given up.
+ */
+void ss_owner_unreachable (SsNode *node, SsOwned *owned);
 bool ss_owner_is_idle (SsNode *node);
 uint32_t ss_owner_budget (SsNode *node, const SsOwned *owned);
-SsConnection *ss_owner_connect (SsNode *node, SsOwned *owned,
-                                bool is_control);
+SsConnection *ss_owner_connect (SsNode *node, SsOwned *owned, bool is_control);
 void ss_owner_close (SsNode *node, SsConnection *connection);
 /* ss_owner_answer: sends JOB's reply and frees it. */
 void ss_owner_answer (SsNode *node, SsJob *job, SsVerdict verdict,
@@ -352,12 +356,12 @@
 
 /* --- promote.c: changes of primary --- */
 
-#define SS_PROMOTE_STEPS(X)                                                   \
-  X (IDLE, "idle")                                                            \
-  X (CLAIM, "claim")                                                          \
-  X (CLAIM_READ, "claim_read")                                                \
-  X (RAISE, "raise")                                                          \
-  X (NAME, "name")                                                            \
+#define SS_PROMOTE_STEPS(X)                                                    \
+  X (IDLE, "idle")                                                             \
+  X (CLAIM, "claim")                                                           \
+  X (CLAIM_READ, "claim_read")                                                 \
+  X (RAISE, "raise")                                                           \
+  X (NAME, "name")                                                             \
   X (NAME_READ, "name_read")
 
 typedef enum
@@ -395,8 +399,8 @@
 
 void ss_promote_tick (SsNode *node);
 void ss_promote_raised (SsNode *node, const Ss__Peer__RaiseReply *reply);
-void ss_promote_object (SsNode *node, uint64_t call,
-                        SsPlatformOutcome outcome, const SsObject *object);
+void ss_promote_object (SsNode *node, uint64_t call, SsPlatformOutcome outcome,
+                        const SsObject *object);
 void ss_promote_order (SsNode *node, const char *group, const char *to);
 SsPromotion *ss_promote_get (SsNode *node, const char *group);
 /* ss_promote_rank: this vm's place as GROUP's coordinator, from 0. */
@@ -412,9 +416,9 @@
                      const Ss__Peer__ConfigPull *pull);
 void ss_spread_push (SsNode *node, const char *from,
                      const Ss__Peer__ConfigPush *push);
-void ss_spread_objects (SsNode *node, SsPlatformOutcome outcome,
-                        int64_t since, int64_t revision,
-                        const SsObject *objects, uint32_t count);
+void ss_spread_objects (SsNode *node, SsPlatformOutcome outcome, int64_t since,
+                        int64_t revision, const SsObject *objects,
+                        uint32_t count);
 void ss_spread_vms (SsNode *node, const char *json, uint32_t json_bytes);
 /* ss_spread_adopt: takes one object and passes it on to the peers. */
 void ss_spread_adopt (SsNode *node, const SsObject *object);
--- a/src/core/marks.c
+++ b/src/core/marks.c
@@ -61,8 +61,7 @@
 keep_in_ring (SsMarks *m)
 {
   if (m->count
-      && m->latest.asked_ms - m->ring[m->count - 1].asked_ms
-             < RING_SPACING_MS)
+      && m->latest.asked_ms - m->ring[m->count - 1].asked_ms < RING_SPACING_MS)
     return;
   if (m->count == SS_MARKS_MAX)
     {
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -19,14 +19,13 @@
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void) data;
+  (void)data;
   return strcmp (a, b);
 }
 
 void
-ss_members_init (SsMembers *members, const char *vm,
-                 const char *failure_domain, const char *ip,
-                 uint16_t peer_port, int64_t now_ms)
+ss_members_init (SsMembers *members, const char *vm, const char *failure_domain,
+                 const char *ip, uint16_t peer_port, int64_t now_ms)
 {
   SsMember *self;
 
@@ -54,9 +53,8 @@
 }
 
 SsMember *
-ss_members_add (SsMembers *members, const char *vm,
-                const char *failure_domain, const char *ip,
-                uint16_t peer_port)
+ss_members_add (SsMembers *members, const char *vm, const char *failure_domain,
+                const char *ip, uint16_t peer_port)
 {
   SsMember *m = ss_members_find (members, vm);
 
@@ -65,8 +63,7 @@
       m = g_new0 (SsMember, 1);
       m->vm = g_strdup (vm);
       m->heard_ms = INT64_MIN / 2;
-      m->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                        NULL);
+      m->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       g_tree_insert (members->by_name, m->vm, m);
     }
   g_free (m->failure_domain);
@@ -94,8 +91,7 @@
 ss_members_lost (SsMembers *members, const char *vm, int64_t now_ms)
 {
   SsMember *m = ss_members_find (members, vm);
-  int64_t heard_ms
-      = now_ms - SS_MEMBER_SILENCE_MS + SS_MEMBER_LOST_SILENCE_MS;
+  int64_t heard_ms = now_ms - SS_MEMBER_SILENCE_MS + SS_MEMBER_LOST_SILENCE_MS;
 
   if (m)
     m->heard_ms = MIN (m->heard_ms, heard_ms);
@@ -162,11 +158,10 @@
   SsMember *m = value;
   bool live = judge (u->members, m, u->now_ms);
 
-  (void) key;
+  (void)key;
   if (live != m->live)
     g_ptr_array_add (u->changed, m);
-  else if (!live && !m->listed
-           && u->now_ms - m->heard_ms > SS_MEMBER_FORGET_MS)
+  else if (!live && !m->listed && u->now_ms - m->heard_ms > SS_MEMBER_FORGET_MS)
     g_ptr_array_add (u->forgotten, m);
   return FALSE;
 }
@@ -222,7 +217,7 @@
   const SsMember *m = value;
   uint64_t score;
 
-  (void) key;
+  (void)key;
   if (!may_hold_role (m, r->failure_domain))
     return FALSE;
   score = ss_rank_score (m->vm, r->subject);
@@ -249,8 +244,9 @@
 ss_members_rank (const SsMembers *members, const char *failure_domain,
                  const char *subject)
 {
-  Ranking r = { failure_domain, subject, NULL, 0,
-                ss_rank_score (members->self, subject), 0 };
+  Ranking r = {
+    failure_domain, subject, NULL, 0, ss_rank_score (members->self, subject), 0
+  };
 
   g_tree_foreach (members->by_name, rank_one, &r);
   return r.better;
@@ -268,7 +264,7 @@
   Settled *s = data;
   const SsMember *m = value;
 
-  (void) key;
+  (void)key;
   if (m->listed && !m->live
       && strcmp (m->failure_domain, s->failure_domain) == 0)
     s->settled = false;
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -68,11 +68,10 @@
  * first for SUBJECT, or NULL.
  */
 const char *ss_members_owner (const SsMembers *members,
-                              const char *failure_domain,
-                              const char *subject);
+                              const char *failure_domain, const char *subject);
 /* ss_members_rank: this vm's place for SUBJECT among the live vms, from 0. */
-uint32_t ss_members_rank (const SsMembers *members,
-                          const char *failure_domain, const char *subject);
+uint32_t ss_members_rank (const SsMembers *members, const char *failure_domain,
+                          const char *subject);
 /* ss_members_is_settled: no vm of this failure domain is listed but dead. */
 bool ss_members_is_settled (const SsMembers *members);
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -13,7 +13,7 @@
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void) data;
+  (void)data;
   return strcmp (a, b);
 }
 
@@ -49,8 +49,8 @@
   node->rand = g_rand_new_with_seed (params->seed);
   node->dialect = ss_dialect_sql ();
   /* Ids of one life never meet those of another. */
-  node->next_request = (uint64_t) g_rand_int (node->rand) << 32;
-  node->next_ask = (uint64_t) g_rand_int (node->rand) << 32;
+  node->next_request = (uint64_t)g_rand_int (node->rand) << 32;
+  node->next_ask = (uint64_t)g_rand_int (node->rand) << 32;
   g_queue_init (&node->actions);
   g_queue_init (&node->local);
   ss_config_init (&node->config);
@@ -179,8 +179,7 @@
 
   if (!e)
     {
-      ss_node_log (node, SS_EVENT_LOG_PEER_INVALID, "peer", "%zu bytes",
-                   bytes);
+      ss_node_log (node, SS_EVENT_LOG_PEER_INVALID, "peer", "%zu bytes", bytes);
       return;
     }
   take_envelope (node, e);
@@ -207,7 +206,7 @@
 static gboolean
 retry_marks (gpointer key, gpointer value, gpointer data)
 {
-  (void) key;
+  (void)key;
   ss_marks_retry (data, value);
   return FALSE;
 }
@@ -235,8 +234,7 @@
   bool force = node->now_ms >= node->stop_due_ms;
   bool callers_gone = ss_entry_stop (node, force);
 
-  if (node->stopped || !callers_gone
-      || (!force && !ss_owner_is_idle (node)))
+  if (node->stopped || !callers_gone || (!force && !ss_owner_is_idle (node)))
     return;
   node->stopped = true;
   ss_node_push (node, SS_ACTION_STOPPED);
@@ -250,8 +248,8 @@
 {
   SsMember *m = value;
 
-  (void) key;
-  m->heard_ms += *(int64_t *) data;
+  (void)key;
+  m->heard_ms += *(int64_t *)data;
   return FALSE;
 }
 
@@ -269,8 +267,7 @@
                "ms=%" G_GINT64_FORMAT, gap_ms);
 }
 
-static bool
-has_asks (const SsNode *node);
+static bool has_asks (const SsNode *node);
 
 static int64_t
 tick_interval_ms (const SsNode *node)
@@ -285,10 +282,10 @@
 {
   const SsOwned *o = value;
 
-  (void) key;
+  (void)key;
   if (o->asks->len == 0 && !o->raise_term)
     return FALSE;
-  *(bool *) data = true;
+  *(bool *)data = true;
   return TRUE;
 }
 
@@ -369,11 +366,10 @@
                        e->target_result.result);
       break;
     case SS_EVENT_PLATFORM_OBJECTS:
-      ss_spread_objects (node, e->platform_objects.outcome,
-                         e->platform_objects.since,
-                         e->platform_objects.revision,
-                         e->platform_objects.objects,
-                         e->platform_objects.object_count);
+      ss_spread_objects (
+          node, e->platform_objects.outcome, e->platform_objects.since,
+          e->platform_objects.revision, e->platform_objects.objects,
+          e->platform_objects.object_count);
       break;
     case SS_EVENT_PLATFORM_OBJECT:
       ss_promote_object (node, e->platform_object.call,
@@ -383,8 +379,7 @@
     case SS_EVENT_PLATFORM_VMS:
       node->vms_asked = false;
       if (e->platform_vms.json)
-        ss_spread_vms (node, e->platform_vms.json,
-                       e->platform_vms.json_bytes);
+        ss_spread_vms (node, e->platform_vms.json, e->platform_vms.json_bytes);
       break;
     case SS_EVENT_STOP:
       begin_stop (node);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -48,9 +48,9 @@
   SsMembers members;
   SsBudget budget;
   const SsDialect *dialect;
-  GQueue actions;      /* of SsAction */
-  GQueue local;        /* of GBytes: messages to this vm itself */
-  bool ready;          /* configuration is in force */
+  GQueue actions; /* of SsAction */
+  GQueue local;   /* of GBytes: messages to this vm itself */
+  bool ready;     /* configuration is in force */
   bool stopping;
   bool stopped;
   int64_t stop_due_ms;
@@ -59,7 +59,7 @@
   GHashTable *requests; /* id -> SsRequest */
   uint64_t next_request;
   uint32_t view_waiters; /* requests that wait for a first report */
-  GTree *marks;         /* group -> SsMarks */
+  GTree *marks;          /* group -> SsMarks */
 
   GTree *owned;            /* target -> SsOwned */
   GHashTable *connections; /* id -> SsConnection */
@@ -74,7 +74,7 @@
   int64_t subscribe_due_ms;
   uint64_t subscribed_generation;
   int64_t pull_due_ms;
-  bool watching;     /* a watch is out */
+  bool watching; /* a watch is out */
   int64_t watch_due_ms;
   bool vms_asked;
   int64_t vms_due_ms;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -55,7 +55,7 @@
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void) data;
+  (void)data;
   return strcmp (a, b);
 }
 
@@ -81,16 +81,15 @@
   SsOwned *o = value;
   SsJob *job;
 
-  (void) key;
-  (void) data;
+  (void)key;
+  (void)data;
   while ((job = g_queue_pop_head (&o->waiters)))
     free_job (job);
   for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
     {
       GSequenceIter *iter = g_sequence_get_begin_iter (o->queue.waiting[i]);
 
-      for (; !g_sequence_iter_is_end (iter);
-           iter = g_sequence_iter_next (iter))
+      for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
         free_job (g_sequence_get (iter));
     }
   return FALSE;
@@ -279,8 +278,8 @@
 }
 
 void
-ss_owner_answer (SsNode *node, SsJob *job, SsVerdict verdict,
-                 SsReason reason, uint32_t retry_after_ms)
+ss_owner_answer (SsNode *node, SsJob *job, SsVerdict verdict, SsReason reason,
+                 uint32_t retry_after_ms)
 {
   Ss__Peer__RunReply reply = SS__PEER__RUN_REPLY__INIT;
   Ss__Peer__Position commit;
@@ -293,16 +292,16 @@
   reply.verdict = verdict;
   reply.reason = reason;
   reply.retry_after_ms = retry_after_ms;
-  reply.transaction_status = (uint8_t) job->transaction_status;
+  reply.transaction_status = (uint8_t)job->transaction_status;
   ss_position_pack (&commit, job->commit);
   ss_position_pack (&applied, job->applied);
   if (verdict == SS_VERDICT_RAN && job->commit.offset)
     reply.commit = &commit;
   reply.applied = &applied;
-  if (job->wire && (verdict == SS_VERDICT_RAN
-                    || reason == SS_REASON_TARGET_ERROR))
+  if (job->wire
+      && (verdict == SS_VERDICT_RAN || reason == SS_REASON_TARGET_ERROR))
     {
-      reply.wire.data = (uint8_t *) g_bytes_get_data (job->wire, &bytes);
+      reply.wire.data = (uint8_t *)g_bytes_get_data (job->wire, &bytes);
       reply.wire.len = bytes;
     }
   if (job->tag)
@@ -398,7 +397,7 @@
         return;
       c->holds_slot = true;
       c->queue_class = item->queue_class;
-      start_job (node, c, (SsJob *) item);
+      start_job (node, c, (SsJob *)item);
     }
   open_more (node, owned);
 }
@@ -448,7 +447,7 @@
   job->vm = g_strdup (from);
   job->session = run->session;
   job->service = g_strdup (run->service);
-  job->sql = g_strndup ((const char *) run->sql.data, run->sql.len);
+  job->sql = g_strndup ((const char *)run->sql.data, run->sql.len);
   job->key = *run->request_key ? g_strdup (run->request_key) : NULL;
   job->trace = g_strdup (run->trace);
   job->is_read = run->is_read;
@@ -457,7 +456,7 @@
   job->transaction_status = 'I';
   job->item.deadline_ms = node->now_ms + run->left_ms;
   job->item.queue_class = run->is_read ? SS_QUEUE_READ : SS_QUEUE_WRITE;
-  job->item.bytes = (uint32_t) run->sql.len;
+  job->item.bytes = (uint32_t)run->sql.len;
   return job;
 }
 
@@ -499,9 +498,9 @@
       return;
     }
   job = new_job (node, owned, from, run);
-  if (!ss_queue_admit (&owned->queue, &job->item,
-                       ss_owner_budget (node, owned), node->now_ms,
-                       g_rand_double (node->rand), &retry_after_ms))
+  if (!ss_queue_admit (&owned->queue, &job->item, ss_owner_budget (node, owned),
+                       node->now_ms, g_rand_double (node->rand),
+                       &retry_after_ms))
     {
       refuse_run (node, from, run, SS_REASON_OVERLOAD, retry_after_ms);
       free_job (job);
@@ -780,8 +779,8 @@
   if (job)
     {
       job->transaction_status = 'I';
-      ss_owner_answer (node, job, lost_verdict (job),
-                       SS_REASON_CONNECTION_LOST, SS_RETRY_SOON_MS);
+      ss_owner_answer (node, job, lost_verdict (job), SS_REASON_CONNECTION_LOST,
+                       SS_RETRY_SOON_MS);
     }
   ss_monitor_poll_soon (node, owned);
 }
@@ -825,11 +824,9 @@
 
   for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
     {
-      GSequenceIter *iter
-          = g_sequence_get_begin_iter (owned->queue.waiting[i]);
+      GSequenceIter *iter = g_sequence_get_begin_iter (owned->queue.waiting[i]);
 
-      for (; !g_sequence_iter_is_end (iter);
-           iter = g_sequence_iter_next (iter))
+      for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
         if (!w || job_matches (g_sequence_get (iter), w))
           g_ptr_array_add (found, g_sequence_get (iter));
     }
@@ -837,8 +834,7 @@
 }
 
 static void
-refuse_queued (SsNode *node, SsOwned *owned, const Wanted *w,
-               SsReason reason)
+refuse_queued (SsNode *node, SsOwned *owned, const Wanted *w, SsReason reason)
 {
   GPtrArray *jobs = queued_jobs (owned, w);
 
@@ -847,14 +843,12 @@
       SsJob *job = g_ptr_array_index (jobs, i);
 
       ss_queue_remove (&owned->queue, &job->item);
-      ss_owner_answer (node, job, SS_VERDICT_NOT_RUN, reason,
-                       SS_RETRY_SOON_MS);
+      ss_owner_answer (node, job, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
     }
   g_ptr_array_free (jobs, TRUE);
 }
 
-static GPtrArray *
-all_owned (SsNode *node);
+static GPtrArray *all_owned (SsNode *node);
 
 void
 ss_owner_cancel (SsNode *node, const char *from, uint64_t request)
@@ -919,7 +913,7 @@
 static gboolean
 collect (gpointer key, gpointer value, gpointer data)
 {
-  (void) key;
+  (void)key;
   g_ptr_array_add (data, value);
   return FALSE;
 }
@@ -969,6 +963,50 @@
   owned->control_step = SS_CONTROL_NONE;
 }
 
+void
+ss_owner_unreachable (SsNode *node, SsOwned *owned)
+{
+  refuse_queued (node, owned, NULL, SS_REASON_CONNECT);
+  for (guint i = owned->connections->len; i > 0; i--)
+    {
+      SsConnection *c = g_ptr_array_index (owned->connections, i - 1);
+
+      if (c->job && c->job->is_read)
+        give_up_job (node, c, SS_REASON_CONNECTION_LOST);
+    }
+}
+
+/* A later term is in force: what the target still runs as a primary can't be
+ * acknowledged any more, so it gets its answer now.
+ */
+static void
+end_superseded (SsNode *node, SsOwned *owned)
+{
+  for (guint i = owned->connections->len; i > 0; i--)
+    {
+      SsConnection *c = g_ptr_array_index (owned->connections, i - 1);
+
+      if (c->queue_class != SS_QUEUE_WRITE)
+        continue;
+      if (c->job)
+        give_up_job (node, c, SS_REASON_SUPERSEDED);
+      else if (c->state == SS_CONNECTION_PINNED)
+        ss_owner_close (node, c);
+    }
+}
+
+static void
+check_term (SsNode *node, SsOwned *owned)
+{
+  const SsGroup *group = ss_config_group (&node->config, owned->target->group);
+
+  if (!group || group->term == owned->group_term)
+    return;
+  if (owned->group_term && strcmp (group->primary, owned->target->name) != 0)
+    end_superseded (node, owned);
+  owned->group_term = group->term;
+}
+
 static gboolean
 update_one (gpointer key, gpointer value, gpointer data)
 {
@@ -977,9 +1015,11 @@
   bool is_owner = ss_node_is_owner (node, t);
   SsOwned *o = ss_owner_find (node, t->name);
 
-  (void) key;
+  (void)key;
   if (!o && is_owner)
     o = add_owned (node, t);
+  if (o)
+    check_term (node, o);
   if (!o || o->active == is_owner)
     return FALSE;
   o->active = is_owner;
@@ -1003,7 +1043,7 @@
   while ((item = ss_queue_expired (&owned->queue, node->now_ms)))
     {
       ss_queue_remove (&owned->queue, item);
-      ss_owner_answer (node, (SsJob *) item, SS_VERDICT_NOT_RUN,
+      ss_owner_answer (node, (SsJob *)item, SS_VERDICT_NOT_RUN,
                        SS_REASON_DEADLINE, SS_RETRY_SOON_MS);
     }
 }
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -55,7 +55,7 @@
   SsPromotion *p = value;
   const SsNode *node = data;
 
-  (void) key;
+  (void)key;
   p->primary_ok_ms = node->now_ms;
   return FALSE;
 }
@@ -92,7 +92,7 @@
 put_group (SsNode *node, SsPromotion *p, const char *primary)
 {
   SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_PUT);
-  json_t *json = json_pack ("{s:I, s:s, s:s}", "term", (json_int_t) p->term,
+  json_t *json = json_pack ("{s:I, s:s, s:s}", "term", (json_int_t)p->term,
                             "primary", primary, "operation", p->operation);
   char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
 
@@ -143,8 +143,8 @@
     p->leaving = g_strdup (group->primary);
   ss_node_count (node, SS_COUNTER_PROMOTIONS);
   ss_node_log (node, SS_EVENT_LOG_PROMOTION_STARTED, p->group,
-               "term=%" G_GUINT64_FORMAT " old_primary=%s ordered=%d",
-               p->term, group->primary, p->ordered);
+               "term=%" G_GUINT64_FORMAT " old_primary=%s ordered=%d", p->term,
+               group->primary, p->ordered);
   enter_step (node, p, SS_PROMOTE_CLAIM);
   put_group (node, p, "");
 }
@@ -182,7 +182,7 @@
 {
   const SsTarget *primary = ss_group_primary (group);
   int64_t down_ms = node->now_ms - p->primary_ok_ms;
-  int64_t delay_ms = (int64_t) p->rank * RANK_DELAY_MS;
+  int64_t delay_ms = (int64_t)p->rank * RANK_DELAY_MS;
   uint32_t needed = witnesses_needed (group);
 
   if (!*group->primary)
@@ -291,7 +291,7 @@
       if (order > 0
           || (order == 0 && p->wanted
               && strcmp (p->wanted, group->servers[i]->name) == 0))
-        best = (int32_t) i;
+        best = (int32_t)i;
     }
   return best < 0 ? NULL : group->servers[best]->name;
 }
@@ -341,8 +341,7 @@
 {
   SsTarget *t = ss_config_target (&node->config, reply->target);
   SsGroup *group = t ? ss_config_group (&node->config, t->group) : NULL;
-  SsPromotion *p
-      = group ? g_tree_lookup (node->promotions, group->name) : NULL;
+  SsPromotion *p = group ? g_tree_lookup (node->promotions, group->name) : NULL;
   SsServerState state;
 
   if (!p || p->step != SS_PROMOTE_RAISE || reply->term != p->term
@@ -479,7 +478,7 @@
 static gboolean
 collect (gpointer key, gpointer value, gpointer data)
 {
-  (void) value;
+  (void)value;
   g_ptr_array_add (data, key);
   return FALSE;
 }
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -13,8 +13,8 @@
 {
   SsEvent e = { .kind = SS_EVENT_STOP };
 
-  (void) loop;
-  (void) events;
+  (void)loop;
+  (void)events;
   ss_shell_event (w->data, &e);
 }
 
@@ -55,11 +55,11 @@
   ev_signal_init (&on_int, on_stop_signal, SIGINT);
   on_int.data = &shell;
   ev_signal_start (loop, &on_int);
-  ss_log_write (&shell.log, SS_EVENT_LOG_STARTED, "subject",
-                settings->vm_name, "detail", VERSION, NULL);
+  ss_log_write (&shell.log, SS_EVENT_LOG_STARTED, "subject", settings->vm_name,
+                "detail", VERSION, NULL);
   ev_run (loop, 0);
-  ss_log_write (&shell.log, SS_EVENT_LOG_STOPPED, "subject",
-                settings->vm_name, NULL);
+  ss_log_write (&shell.log, SS_EVENT_LOG_STOPPED, "subject", settings->vm_name,
+                NULL);
   ss_shell_finish (&shell);
   return 0;
 }
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -1,6 +1,7 @@
 /* clock: the one source of time, in milliseconds.
  *
- * A clock is a vtable in the first member, so a test hands in a clock of its own.
+ * A clock is a vtable in the first member, so a test hands in a clock of its
+ * own.
  */
 #ifndef SS_CLOCK_H
 #define SS_CLOCK_H
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -8,28 +8,28 @@
 
 #include <stdint.h>
 
-#define SS_COUNTERS(X)                                                        \
-  X (CALLERS, "callers", "caller connections opened")                         \
-  X (STATEMENTS, "statements", "statements received from callers")            \
-  X (ACKNOWLEDGED, "acknowledged", "statements answered with success")        \
-  X (NOT_RUN, "not_run", "statements refused as not run")                     \
-  X (MAY_HAVE_RUN, "may_have_run", "statements that may have run")            \
-  X (READS_PRIMARY, "reads_primary", "reads served by a primary")             \
-  X (READS_REPLICA, "reads_replica", "reads served by a replica")             \
-  X (RETRIES, "retries", "statements tried again inside")                     \
-  X (RETRIES_REFUSED, "retries_refused", "retries refused by the budget")     \
-  X (OVERLOAD, "overload", "statements refused by admission")                 \
-  X (BEHIND, "behind", "reads refused by a target behind the floor")          \
-  X (LATE_ANSWERS, "late_answers", "late or crossed answers dropped")         \
-  X (MARK_ROUNDS, "mark_rounds", "position confirmation rounds started")      \
-  X (REPLAYS, "replays", "request ids answered from their record")            \
-  X (PROMOTIONS, "promotions", "promotions started here")                     \
-  X (PLATFORM_CALLS, "platform_calls", "calls on the platform")               \
-  X (PLATFORM_ERRORS, "platform_errors", "calls on the platform that failed") \
-  X (PEER_MESSAGES, "peer_messages", "messages sent to peers")                \
-  X (PEER_BYTES, "peer_bytes", "bytes sent to peers")                         \
-  X (CONTROL_MESSAGES, "control_messages", "control messages sent")           \
-  X (CONTROL_BYTES, "control_bytes", "bytes of control messages sent")        \
+#define SS_COUNTERS(X)                                                         \
+  X (CALLERS, "callers", "caller connections opened")                          \
+  X (STATEMENTS, "statements", "statements received from callers")             \
+  X (ACKNOWLEDGED, "acknowledged", "statements answered with success")         \
+  X (NOT_RUN, "not_run", "statements refused as not run")                      \
+  X (MAY_HAVE_RUN, "may_have_run", "statements that may have run")             \
+  X (READS_PRIMARY, "reads_primary", "reads served by a primary")              \
+  X (READS_REPLICA, "reads_replica", "reads served by a replica")              \
+  X (RETRIES, "retries", "statements tried again inside")                      \
+  X (RETRIES_REFUSED, "retries_refused", "retries refused by the budget")      \
+  X (OVERLOAD, "overload", "statements refused by admission")                  \
+  X (BEHIND, "behind", "reads refused by a target behind the floor")           \
+  X (LATE_ANSWERS, "late_answers", "late or crossed answers dropped")          \
+  X (MARK_ROUNDS, "mark_rounds", "position confirmation rounds started")       \
+  X (REPLAYS, "replays", "request ids answered from their record")             \
+  X (PROMOTIONS, "promotions", "promotions started here")                      \
+  X (PLATFORM_CALLS, "platform_calls", "calls on the platform")                \
+  X (PLATFORM_ERRORS, "platform_errors", "calls on the platform that failed")  \
+  X (PEER_MESSAGES, "peer_messages", "messages sent to peers")                 \
+  X (PEER_BYTES, "peer_bytes", "bytes sent to peers")                          \
+  X (CONTROL_MESSAGES, "control_messages", "control messages sent")            \
+  X (CONTROL_BYTES, "control_bytes", "bytes of control messages sent")         \
   X (TARGET_CONNECTS, "target_connects", "connections opened to targets")
 
 typedef enum
@@ -37,7 +37,7 @@
 #define SS_COUNTER_ENUM(id, name, help) SS_COUNTER_##id,
   SS_COUNTERS (SS_COUNTER_ENUM)
 #undef SS_COUNTER_ENUM
-  SS_COUNTER_COUNT
+      SS_COUNTER_COUNT
 } SsCounterId;
 
 typedef struct
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -9,10 +9,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define SS_LOG_LEVELS(X)                                                      \
-  X (DEBUG, "debug")                                                          \
-  X (INFO, "info")                                                            \
-  X (WARNING, "warning")                                                      \
+#define SS_LOG_LEVELS(X)                                                       \
+  X (DEBUG, "debug")                                                           \
+  X (INFO, "info")                                                             \
+  X (WARNING, "warning")                                                       \
   X (ERROR, "error")
 
 typedef enum
@@ -20,33 +20,33 @@
 #define SS_LOG_LEVEL_ENUM(id, name) SS_LOG_##id,
   SS_LOG_LEVELS (SS_LOG_LEVEL_ENUM)
 #undef SS_LOG_LEVEL_ENUM
-  SS_LOG_LEVEL_COUNT
+      SS_LOG_LEVEL_COUNT
 } SsLogLevel;
 
 /* X (id, number, level, text) */
-#define SS_LOG_EVENTS(X)                                                      \
-  X (STARTED, 100, INFO, "daemon started")                                    \
-  X (STOPPING, 101, INFO, "planned stop begun")                               \
-  X (STOPPED, 102, INFO, "daemon stopped")                                    \
-  X (READY, 103, INFO, "configuration in force, serving callers")             \
-  X (PAUSED, 104, WARNING, "this vm was paused")                              \
-  X (CONFIG_ADOPTED, 200, INFO, "configuration object adopted")               \
-  X (CONFIG_INVALID, 201, ERROR, "configuration object refused")              \
-  X (PLATFORM_DOWN, 210, WARNING, "platform does not answer")                 \
-  X (PLATFORM_UP, 211, INFO, "platform answers again")                        \
-  X (VM_LOST, 300, WARNING, "vm counted as dead")                             \
-  X (VM_FOUND, 301, INFO, "vm counted as live")                               \
-  X (PEER_CLOSED, 302, INFO, "peer connection closed")                        \
-  X (PEER_INVALID, 303, ERROR, "peer sent an invalid message")                \
-  X (TARGET_UP, 400, INFO, "target answers")                                  \
-  X (TARGET_DOWN, 401, WARNING, "target does not answer")                     \
-  X (TARGET_TERM, 402, INFO, "target changed role or term")                   \
-  X (SUSPECT, 500, WARNING, "primary suspected")                              \
-  X (PROMOTION_STARTED, 501, WARNING, "promotion started")                    \
-  X (PROMOTION_RAISED, 502, INFO, "term raised on a majority")                \
-  X (PROMOTION_DONE, 503, INFO, "primary chosen")                             \
-  X (PROMOTION_FAILED, 504, WARNING, "promotion given up")                    \
-  X (CALLER_REFUSED, 600, WARNING, "caller refused")                          \
+#define SS_LOG_EVENTS(X)                                                       \
+  X (STARTED, 100, INFO, "daemon started")                                     \
+  X (STOPPING, 101, INFO, "planned stop begun")                                \
+  X (STOPPED, 102, INFO, "daemon stopped")                                     \
+  X (READY, 103, INFO, "configuration in force, serving callers")              \
+  X (PAUSED, 104, WARNING, "this vm was paused")                               \
+  X (CONFIG_ADOPTED, 200, INFO, "configuration object adopted")                \
+  X (CONFIG_INVALID, 201, ERROR, "configuration object refused")               \
+  X (PLATFORM_DOWN, 210, WARNING, "platform does not answer")                  \
+  X (PLATFORM_UP, 211, INFO, "platform answers again")                         \
+  X (VM_LOST, 300, WARNING, "vm counted as dead")                              \
+  X (VM_FOUND, 301, INFO, "vm counted as live")                                \
+  X (PEER_CLOSED, 302, INFO, "peer connection closed")                         \
+  X (PEER_INVALID, 303, ERROR, "peer sent an invalid message")                 \
+  X (TARGET_UP, 400, INFO, "target answers")                                   \
+  X (TARGET_DOWN, 401, WARNING, "target does not answer")                      \
+  X (TARGET_TERM, 402, INFO, "target changed role or term")                    \
+  X (SUSPECT, 500, WARNING, "primary suspected")                               \
+  X (PROMOTION_STARTED, 501, WARNING, "promotion started")                     \
+  X (PROMOTION_RAISED, 502, INFO, "term raised on a majority")                 \
+  X (PROMOTION_DONE, 503, INFO, "primary chosen")                              \
+  X (PROMOTION_FAILED, 504, WARNING, "promotion given up")                     \
+  X (CALLER_REFUSED, 600, WARNING, "caller refused")                           \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
@@ -54,7 +54,7 @@
 #define SS_LOG_EVENT_ENUM(id, number, level, text) SS_EVENT_LOG_##id,
   SS_LOG_EVENTS (SS_LOG_EVENT_ENUM)
 #undef SS_LOG_EVENT_ENUM
-  SS_EVENT_LOG_COUNT
+      SS_EVENT_LOG_COUNT
 } SsLogEvent;
 
 typedef struct
@@ -65,8 +65,7 @@
 } SsLog;
 
 /* ss_log_init: prepares a logger; VM is borrowed and must outlive it. */
-void ss_log_init (SsLog *log, const char *vm, SsLogLevel min_level,
-                  bool spans);
+void ss_log_init (SsLog *log, const char *vm, SsLogLevel min_level, bool spans);
 
 /* ss_log_write: writes EVENT with pairs of field name and text, ended by
  * NULL.  Lines below the minimum level are dropped.
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -60,8 +60,8 @@
 {
   SsEvent e = { .kind = SS_EVENT_TICK };
 
-  (void) loop;
-  (void) events;
+  (void)loop;
+  (void)events;
   ss_shell_event (w->data, &e);
 }
 
@@ -69,11 +69,11 @@
 on_prepare (struct ev_loop *loop, ev_prepare *w, int events)
 {
   SsShell *shell = w->data;
-  int64_t wait_ms = ss_node_next_deadline (&shell->node)
-                    - ss_clock_now_ms (shell->clock);
-  double wait_s = wait_ms > 0 ? (double) wait_ms / 1000.0 : TICK_MIN_S;
+  int64_t wait_ms
+      = ss_node_next_deadline (&shell->node) - ss_clock_now_ms (shell->clock);
+  double wait_s = wait_ms > 0 ? (double)wait_ms / 1000.0 : TICK_MIN_S;
 
-  (void) events;
+  (void)events;
   ev_now_update (loop);
   ev_timer_stop (loop, &shell->tick);
   ev_timer_set (&shell->tick, wait_s, 0);
@@ -88,10 +88,10 @@
   params->failure_domain = settings->failure_domain;
   params->ip
       = *settings->advertised_ip ? settings->advertised_ip : settings->ip;
-  params->peer_port = (uint16_t) settings->peer_port;
+  params->peer_port = (uint16_t)settings->peer_port;
   params->seeds = settings->seeds;
   params->seed = seed;
-  params->max_callers = (uint32_t) settings->max_callers;
+  params->max_callers = (uint32_t)settings->max_callers;
   params->deadline_ms = settings->deadline_ms;
   params->transaction_idle_ms = settings->transaction_idle_ms;
   params->stop_bound_ms = settings->stop_bound_ms;
@@ -109,8 +109,7 @@
   shell->clock = clock;
   shell->settings = settings;
   ss_log_level_parse (settings->log_level, &level);
-  ss_log_init (&shell->log, settings->vm_name, level,
-               settings->log_spans != 0);
+  ss_log_init (&shell->log, settings->vm_name, level, settings->log_spans != 0);
   fill_params (&params, settings, g_random_int ());
   ss_node_init (&shell->node, &params, ss_clock_now_ms (clock));
   ev_timer_init (&shell->tick, on_tick, 0, 0);
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -45,17 +45,17 @@
 void ss_plugin_register (const SsPlugin *plugin);
 
 /* SS_PLUGIN_REGISTER: registers a plug-in before main runs. */
-#define SS_PLUGIN_REGISTER(plugin)                                            \
-  __attribute__ ((constructor)) static void register_plugin (void)            \
-  {                                                                           \
-    ss_plugin_register (&(plugin));                                           \
+#define SS_PLUGIN_REGISTER(plugin)                                             \
+  __attribute__ ((constructor)) static void register_plugin (void)             \
+  {                                                                            \
+    ss_plugin_register (&(plugin));                                            \
   }
 
 /* ss_shell_init: starts every plug-in; returns NULL or what went wrong, to be
  * freed by the caller.
  */
-char *ss_shell_init (SsShell *shell, struct ev_loop *loop,
-                     const SsClock *clock, const SsSettings *settings);
+char *ss_shell_init (SsShell *shell, struct ev_loop *loop, const SsClock *clock,
+                     const SsSettings *settings);
 void ss_shell_finish (SsShell *shell);
 
 /* ss_shell_event: hands EVENT to the core and carries out its actions. */
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -24,14 +24,13 @@
 } IntegerRow;
 
 static const StringRow string_rows[] = {
-#define X(field, key, fallback)                                               \
-  { key, offsetof (SsSettings, field), fallback },
+#define X(field, key, fallback) { key, offsetof (SsSettings, field), fallback },
   SS_SETTINGS_STRINGS (X)
 #undef X
 };
 
 static const IntegerRow integer_rows[] = {
-#define X(field, key, fallback, lowest, highest)                              \
+#define X(field, key, fallback, lowest, highest)                               \
   { key, offsetof (SsSettings, field), fallback, lowest, highest },
   SS_SETTINGS_INTEGERS (X)
 #undef X
@@ -40,13 +39,13 @@
 static char **
 string_field (SsSettings *s, const StringRow *row)
 {
-  return (char **) (void *) ((char *) s + row->offset);
+  return (char **)(void *)((char *)s + row->offset);
 }
 
 static int64_t *
 integer_field (SsSettings *s, const IntegerRow *row)
 {
-  return (int64_t *) (void *) ((char *) s + row->offset);
+  return (int64_t *)(void *)((char *)s + row->offset);
 }
 
 static void
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -11,28 +11,28 @@
 #include "kernel/log.h"
 
 /* X (field, key, default or NULL where it must be given) */
-#define SS_SETTINGS_STRINGS(X)                                                \
-  X (vm_name, "vm.name", NULL)                                                \
-  X (failure_domain, "vm.failure_domain", NULL)                               \
-  X (ip, "vm.ip", NULL)                                                       \
-  X (platform_ip, "platform.ip", NULL)                                        \
-  X (advertised_ip, "vm.advertised_ip", "")                                   \
-  X (seeds, "peers.seeds", "")                                                \
-  X (admin_token_file, "admin.token_file", "")                                \
+#define SS_SETTINGS_STRINGS(X)                                                 \
+  X (vm_name, "vm.name", NULL)                                                 \
+  X (failure_domain, "vm.failure_domain", NULL)                                \
+  X (ip, "vm.ip", NULL)                                                        \
+  X (platform_ip, "platform.ip", NULL)                                         \
+  X (advertised_ip, "vm.advertised_ip", "")                                    \
+  X (seeds, "peers.seeds", "")                                                 \
+  X (admin_token_file, "admin.token_file", "")                                 \
   X (log_level, "log.level", "info")
 
 /* X (field, key, default (-1: must be given), lowest, highest) */
-#define SS_SETTINGS_INTEGERS(X)                                               \
-  X (caller_port, "vm.caller_port", -1, 1, 65535)                             \
-  X (peer_port, "vm.peer_port", -1, 1, 65535)                                 \
-  X (admin_port, "vm.admin_port", -1, 1, 65535)                               \
-  X (platform_port, "platform.port", -1, 1, 65535)                            \
-  X (max_callers, "callers.max", 8000, 1, 1000000)                            \
-  X (startup_timeout_ms, "callers.startup_timeout_ms", 5000, 100, 60000)      \
-  X (idle_timeout_ms, "callers.idle_timeout_ms", 3600000, 1000, 86400000)     \
-  X (transaction_idle_ms, "callers.transaction_idle_ms", 10000, 100, 600000)  \
-  X (deadline_ms, "callers.deadline_ms", 5000, 50, 600000)                    \
-  X (stop_bound_ms, "vm.stop_bound_ms", 10000, 100, 600000)                   \
+#define SS_SETTINGS_INTEGERS(X)                                                \
+  X (caller_port, "vm.caller_port", -1, 1, 65535)                              \
+  X (peer_port, "vm.peer_port", -1, 1, 65535)                                  \
+  X (admin_port, "vm.admin_port", -1, 1, 65535)                                \
+  X (platform_port, "platform.port", -1, 1, 65535)                             \
+  X (max_callers, "callers.max", 8000, 1, 1000000)                             \
+  X (startup_timeout_ms, "callers.startup_timeout_ms", 5000, 100, 60000)       \
+  X (idle_timeout_ms, "callers.idle_timeout_ms", 3600000, 1000, 86400000)      \
+  X (transaction_idle_ms, "callers.transaction_idle_ms", 10000, 100, 600000)   \
+  X (deadline_ms, "callers.deadline_ms", 5000, 50, 600000)                     \
+  X (stop_bound_ms, "vm.stop_bound_ms", 10000, 100, 600000)                    \
   X (log_spans, "log.spans", 0, 0, 1)
 
 typedef struct
--- a/src/kernel/toml_shim.h
+++ b/src/kernel/toml_shim.h
@@ -10,38 +10,39 @@
 #include <stdint.h>
 
 #ifdef __cplusplus
-extern "C" {
-#endif
-
-typedef enum
-{
-  SS_TOML_STRING,
-  SS_TOML_INTEGER,
-  SS_TOML_BOOLEAN,
-  SS_TOML_OTHER
-} SsTomlType;
-
-typedef struct
+extern "C"
 {
-  char *key;     /* "vm.name" */
-  SsTomlType type;
-  char *text;    /* for strings */
-  int64_t number; /* for integers and booleans */
-  uint32_t line;
-} SsTomlEntry;
-
-typedef struct
-{
-  SsTomlEntry *entries;
-  size_t count;
-  char *error; /* NULL on success: file, line and cause */
-} SsTomlFile;
+#endif
 
-/* ss_toml_read: reads PATH; on failure FILE->error is set.  The caller ends
- * with ss_toml_finish in either case.
- */
-void ss_toml_read (SsTomlFile *file, const char *path);
-void ss_toml_finish (SsTomlFile *file);
+  typedef enum
+  {
+    SS_TOML_STRING,
+    SS_TOML_INTEGER,
+    SS_TOML_BOOLEAN,
+    SS_TOML_OTHER
+  } SsTomlType;
+
+  typedef struct
+  {
+    char *key; /* "vm.name" */
+    SsTomlType type;
+    char *text;     /* for strings */
+    int64_t number; /* for integers and booleans */
+    uint32_t line;
+  } SsTomlEntry;
+
+  typedef struct
+  {
+    SsTomlEntry *entries;
+    size_t count;
+    char *error; /* NULL on success: file, line and cause */
+  } SsTomlFile;
+
+  /* ss_toml_read: reads PATH; on failure FILE->error is set.  The caller ends
+   * with ss_toml_finish in either case.
+   */
+  void ss_toml_read (SsTomlFile *file, const char *path);
+  void ss_toml_finish (SsTomlFile *file);
 
 #ifdef __cplusplus
 }
--- a/src/kernel/verdict.h
+++ b/src/kernel/verdict.h
@@ -7,9 +7,9 @@
 
 #include <stdint.h>
 
-#define SS_VERDICTS(X)                                                        \
-  X (NOT_RUN, "not_run")                                                      \
-  X (MAY_HAVE_RUN, "may_have_run")                                            \
+#define SS_VERDICTS(X)                                                         \
+  X (NOT_RUN, "not_run")                                                       \
+  X (MAY_HAVE_RUN, "may_have_run")                                             \
   X (RAN, "ran")
 
 typedef enum
@@ -20,29 +20,29 @@
 } SsVerdict;
 
 /* X (id, name, SQLSTATE, message) */
-#define SS_REASONS(X)                                                         \
-  X (NONE, "none", "00000", "success")                                        \
-  X (TARGET_ERROR, "target_error", "XX000", "the target refused it")          \
-  X (NO_SERVICE, "no_service", "3D000", "no such database service")           \
-  X (NO_PRIMARY, "no_primary", "57P03", "no primary is serving")              \
-  X (NO_REPLICA, "no_replica", "57P03", "no target is fresh enough")          \
-  X (NO_MARK, "no_mark", "57P03", "the primary's position is not confirmed")  \
-  X (NO_CONFIG, "no_config", "57P03", "no configuration is in force yet")     \
-  X (NOT_OWNER, "not_owner", "57P03", "this vm does not own the target")      \
-  X (DRAINING, "draining", "57P03", "the target is draining")                 \
-  X (BEHIND, "behind", "57P03", "the target is behind the session's floor")   \
-  X (OVERLOAD, "overload", "53000", "the target's queue is full")             \
-  X (CONNECT, "connect", "08001", "no connection to the target")              \
-  X (DEADLINE, "deadline", "57014", "the deadline passed")                    \
-  X (CANCELLED, "cancelled", "57014", "cancelled by the caller")              \
-  X (CONNECTION_LOST, "connection_lost", "08006", "connection lost")          \
-  X (VM_LOST, "vm_lost", "08006", "the owner vm was lost")                    \
-  X (SUPERSEDED, "superseded", "40003", "the primary was superseded")         \
-  X (NOT_HELD, "not_held", "40003", "no majority confirmed the commit")       \
-  X (STILL_RUNNING, "still_running", "40003", "the first try still runs")     \
+#define SS_REASONS(X)                                                          \
+  X (NONE, "none", "00000", "success")                                         \
+  X (TARGET_ERROR, "target_error", "XX000", "the target refused it")           \
+  X (NO_SERVICE, "no_service", "3D000", "no such database service")            \
+  X (NO_PRIMARY, "no_primary", "57P03", "no primary is serving")               \
+  X (NO_REPLICA, "no_replica", "57P03", "no target is fresh enough")           \
+  X (NO_MARK, "no_mark", "57P03", "the primary's position is not confirmed")   \
+  X (NO_CONFIG, "no_config", "57P03", "no configuration is in force yet")      \
+  X (NOT_OWNER, "not_owner", "57P03", "this vm does not own the target")       \
+  X (DRAINING, "draining", "57P03", "the target is draining")                  \
+  X (BEHIND, "behind", "57P03", "the target is behind the session's floor")    \
+  X (OVERLOAD, "overload", "53000", "the target's queue is full")              \
+  X (CONNECT, "connect", "08001", "no connection to the target")               \
+  X (DEADLINE, "deadline", "57014", "the deadline passed")                     \
+  X (CANCELLED, "cancelled", "57014", "cancelled by the caller")               \
+  X (CONNECTION_LOST, "connection_lost", "08006", "connection lost")           \
+  X (VM_LOST, "vm_lost", "08006", "the owner vm was lost")                     \
+  X (SUPERSEDED, "superseded", "40003", "the primary was superseded")          \
+  X (NOT_HELD, "not_held", "40003", "no majority confirmed the commit")        \
+  X (STILL_RUNNING, "still_running", "40003", "the first try still runs")      \
   X (TRANSACTION_LOST, "transaction_lost", "25P02", "the transaction is lost") \
-  X (STOPPING, "stopping", "57P01", "this vm is stopping")                    \
-  X (BAD_SETTING, "bad_setting", "22023", "invalid session setting")          \
+  X (STOPPING, "stopping", "57P01", "this vm is stopping")                     \
+  X (BAD_SETTING, "bad_setting", "22023", "invalid session setting")           \
   X (TOO_LARGE, "too_large", "54000", "the message is too large")
 
 typedef enum
--- a/src/plugins/pgwire.h
+++ b/src/plugins/pgwire.h
@@ -14,19 +14,19 @@
 #define SS_PGWIRE_STARTUP_MAX_BYTES 10000
 #define SS_PGWIRE_MESSAGE_MAX_BYTES (1024 * 1024)
 
-#define SS_PGWIRE_MESSAGES(X)                                                 \
-  X (NONE, "incomplete")                                                      \
-  X (SSL_REQUEST, "SSL or GSS request")                                       \
-  X (STARTUP, "start-up")                                                     \
-  X (CANCEL, "cancel request")                                                \
-  X (QUERY, "simple query")                                                   \
-  X (TERMINATE, "terminate")                                                  \
-  X (EXTENDED, "extended protocol")                                           \
-  X (FUNCTION_CALL, "function call")                                          \
-  X (SYNC, "sync")                                                            \
-  X (IGNORED, "ignored")                                                      \
-  X (BAD_VERSION, "unsupported protocol version")                             \
-  X (TOO_LARGE, "message too large")                                          \
+#define SS_PGWIRE_MESSAGES(X)                                                  \
+  X (NONE, "incomplete")                                                       \
+  X (SSL_REQUEST, "SSL or GSS request")                                        \
+  X (STARTUP, "start-up")                                                      \
+  X (CANCEL, "cancel request")                                                 \
+  X (QUERY, "simple query")                                                    \
+  X (TERMINATE, "terminate")                                                   \
+  X (EXTENDED, "extended protocol")                                            \
+  X (FUNCTION_CALL, "function call")                                           \
+  X (SYNC, "sync")                                                             \
+  X (IGNORED, "ignored")                                                       \
+  X (BAD_VERSION, "unsupported protocol version")                              \
+  X (TOO_LARGE, "message too large")                                           \
   X (MALFORMED, "malformed message")
 
 typedef enum
@@ -71,8 +71,7 @@
 
 /* Writers: each appends one whole message to OUT. */
 void ss_pgwire_auth_ok (GByteArray *out);
-void ss_pgwire_parameter (GByteArray *out, const char *name,
-                          const char *value);
+void ss_pgwire_parameter (GByteArray *out, const char *name, const char *value);
 void ss_pgwire_key_data (GByteArray *out, uint32_t process, uint32_t secret);
 void ss_pgwire_ready (GByteArray *out, char transaction_status);
 void ss_pgwire_complete (GByteArray *out, const char *tag);
@@ -92,8 +91,7 @@
 /* ss_pgwire_row_description, ss_pgwire_row: a NULL cell is SQL NULL. */
 void ss_pgwire_row_description (GByteArray *out, const SsPgwireColumn *columns,
                                 uint16_t count);
-void ss_pgwire_row (GByteArray *out, const char *const *cells,
-                    uint16_t count);
+void ss_pgwire_row (GByteArray *out, const char *const *cells, uint16_t count);
 
 /* ss_pgwire_text_table: a row description of text columns. */
 void ss_pgwire_text_columns (GByteArray *out, const char *const *names,
--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -82,7 +82,7 @@
   out->version = json_integer_value (json_object_get (json, "version"));
   *text = value ? json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
   out->value = *text;
-  out->value_bytes = *text ? (uint32_t) strlen (*text) : 0;
+  out->value_bytes = *text ? (uint32_t)strlen (*text) : 0;
   return out->key && *text;
 }
 
@@ -97,8 +97,7 @@
   uint32_t taken = 0;
 
   for (size_t i = 0; i < count; i++)
-    if (read_object (json_array_get (items, i), &objects[taken],
-                     &texts[taken]))
+    if (read_object (json_array_get (items, i), &objects[taken], &texts[taken]))
       taken++;
   e.platform_objects.outcome = outcome;
   e.platform_objects.since = call->since;
@@ -126,7 +125,7 @@
     {
       object->version = json_integer_value (json_object_get (json, "version"));
       object->value = call->body;
-      object->value_bytes = (uint32_t) strlen (call->body);
+      object->value_bytes = (uint32_t)strlen (call->body);
     }
   else if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
     {
@@ -145,7 +144,7 @@
 
   if (outcome == SS_PLATFORM_DONE)
     {
-      e.platform_vms.json = (const char *) call->answer->data;
+      e.platform_vms.json = (const char *)call->answer->data;
       e.platform_vms.json_bytes = call->answer->len;
     }
   ss_shell_event (platform.shell, &e);
@@ -155,7 +154,7 @@
 finish_call (Call *call, CURLcode code)
 {
   SsPlatformOutcome outcome = outcome_of (call, code);
-  json_t *json = json_loadb ((const char *) call->answer->data,
+  json_t *json = json_loadb ((const char *)call->answer->data,
                              call->answer->len, JSON_DECODE_ANY, NULL);
 
   if (outcome == SS_PLATFORM_DONE && !json)
@@ -200,7 +199,7 @@
   int flags = 0;
   int running;
 
-  (void) loop;
+  (void)loop;
   if (events & EV_READ)
     flags |= CURL_CSELECT_IN;
   if (events & EV_WRITE)
@@ -214,9 +213,9 @@
 {
   int running;
 
-  (void) loop;
-  (void) w;
-  (void) events;
+  (void)loop;
+  (void)w;
+  (void)events;
   curl_multi_socket_action (platform.multi, CURL_SOCKET_TIMEOUT, 0, &running);
   collect_finished ();
 }
@@ -224,12 +223,12 @@
 static int
 set_timer (CURLM *multi, long timeout_ms, void *data)
 {
-  (void) multi;
-  (void) data;
+  (void)multi;
+  (void)data;
   ev_timer_stop (platform.shell->loop, &platform.timer);
   if (timeout_ms < 0)
     return 0;
-  ev_timer_set (&platform.timer, (double) timeout_ms / 1000.0, 0);
+  ev_timer_set (&platform.timer, (double)timeout_ms / 1000.0, 0);
   ev_timer_start (platform.shell->loop, &platform.timer);
   return 0;
 }
@@ -240,8 +239,8 @@
   Socket *s = known;
   int events = 0;
 
-  (void) easy;
-  (void) data;
+  (void)easy;
+  (void)data;
   if (what == CURL_POLL_REMOVE)
     {
       if (s)
@@ -273,8 +272,8 @@
 
   if (call->answer->len + size * count > ANSWER_MAX_BYTES)
     return 0;
-  g_byte_array_append (call->answer, (const uint8_t *) data,
-                       (guint) (size * count));
+  g_byte_array_append (call->answer, (const uint8_t *)data,
+                       (guint)(size * count));
   return size * count;
 }
 
@@ -286,8 +285,7 @@
   switch (a->kind)
     {
     case SS_ACTION_PLATFORM_WATCH:
-      return g_strdup_printf ("v1/watch?since=%" G_GINT64_FORMAT
-                              "&wait_ms=%d",
+      return g_strdup_printf ("v1/watch?since=%" G_GINT64_FORMAT "&wait_ms=%d",
                               a->number, WATCH_WAIT_MS);
     case SS_ACTION_PLATFORM_VMS:
       return g_strdup ("v1/vms");
@@ -305,7 +303,7 @@
   const SsSettings *s = platform.shell->settings;
   char *path = call_path (a);
   char *url = g_strdup_printf ("http://%s:%d/%s", s->platform_ip,
-                               (int) s->platform_port, path);
+                               (int)s->platform_port, path);
 
   curl_easy_setopt (call->easy, CURLOPT_URL, url);
   g_free (url);
@@ -351,8 +349,7 @@
   if (curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
     return g_strdup ("the HTTP library can't be started");
   platform.multi = curl_multi_init ();
-  platform.headers
-      = curl_slist_append (NULL, "Content-Type: application/json");
+  platform.headers = curl_slist_append (NULL, "Content-Type: application/json");
   curl_multi_setopt (platform.multi, CURLMOPT_SOCKETFUNCTION, set_socket);
   curl_multi_setopt (platform.multi, CURLMOPT_TIMERFUNCTION, set_timer);
   ev_timer_init (&platform.timer, on_timer, 0, 0);
--- a/standin/link.c
+++ b/standin/link.c
@@ -1,218 +1,175 @@
-/* ss-standin-link: the network between the vms.
- *
- * It relays TCP connections; POST /cut names the addresses that are cut off
- * from all others.  A cut connection stays open and silent, as in a network
- * partition.
- */
-#include <ev.h>
-#include <jansson.h>
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include "kernel/httpd.h"
-#include "kernel/stream.h"
-
-
-typedef struct Pair Pair;
-
-typedef struct
-{
-  SsStream stream; /* first: callbacks cast back */
-  Pair *pair;
-  bool open;
-} End;
+#include "standin/link.h"
 
-struct Pair
-{
-  End near;
-  End far;
-  char from[INET_ADDRSTRLEN];
-  char to[INET_ADDRSTRLEN];
-  bool is_cut;
-};
-
-typedef struct
-{
-  ev_io io;
-  char ip[INET_ADDRSTRLEN];
-  uint16_t port;
-} Relay;
+#include <string.h>
 
-static struct
-{
-  SsHttpd httpd; /* first: handlers cast back */
-  struct ev_loop *loop;
-  GHashTable *cut;
-  GHashTable *pairs;
-} net;
+#define RETRY_MS 50
+#define SILENCE_MS 600
+#define LOG_WAIT_MS 100
+#define LOG_BATCH 500
 
 static void
-drop_pair (Pair *p)
+close_link (SsLink *l)
 {
-  g_hash_table_remove (net.pairs, p);
-  ss_stream_finish (&p->near.stream);
-  if (p->far.open)
-    ss_stream_finish (&p->far.stream);
-  g_free (p);
+  if (!l->pq)
+    return;
+  ev_io_stop (l->loop, &l->io);
+  PQfinish (l->pq);
+  l->pq = NULL;
+  l->due_ms = ss_server_now_ms (l->server) + RETRY_MS;
 }
 
 static void
-forward (End *from, End *to)
+send_request (SsLink *l)
 {
-  GByteArray *input = from->stream.input;
-
-  if (!input || from->pair->is_cut)
-    return;
-  g_byte_array_append (ss_stream_output (&to->stream), input->data,
-                       input->len);
-  ss_stream_consume (&from->stream, UINT32_MAX);
-  ss_stream_flush (&to->stream);
+  const SsServer *s = l->server;
+  char sql[256];
+
+  g_snprintf (sql, sizeof sql,
+              "SELECT * FROM sapphirestair_log(%" G_GUINT64_FORMAT
+              ", %" G_GUINT64_FORMAT ", %" G_GUINT64_FORMAT ", %d, %d)",
+              s->follow_term, s->first_wanted,
+              ss_store_term_at (&s->store, s->first_wanted), LOG_BATCH,
+              LOG_WAIT_MS);
+  if (PQsendQuery (l->pq, sql))
+    PQflush (l->pq);
+  else
+    close_link (l);
 }
 
+/* The first row says what the primary found; log entries follow. */
 static void
-on_input (SsStream *stream)
+take_result (SsLink *l, const PGresult *r)
 {
-  End *e = (End *) stream;
+  int rows = PQntuples (r);
+  uint64_t *terms;
+  const char **payloads;
 
-  forward (e, e == &e->pair->near ? &e->pair->far : &e->pair->near);
+  if (PQresultStatus (r) != PGRES_TUPLES_OK || rows < 1)
+    return;
+  terms = g_new (uint64_t, rows);
+  payloads = g_new (const char *, rows);
+  for (int i = 1; i < rows; i++)
+    {
+      terms[i - 1] = g_ascii_strtoull (PQgetvalue (r, i, 0), NULL, 10);
+      payloads[i - 1] = PQgetvalue (r, i, 1);
+    }
+  ss_server_take_log (l->server, PQgetvalue (r, 0, 0), terms, payloads,
+                      (uint32_t)rows - 1);
+  g_free (terms);
+  g_free (payloads);
 }
 
 static void
-on_closed (SsStream *stream)
+poll_start (SsLink *l)
 {
-  drop_pair (((End *) stream)->pair);
+  PostgresPollingStatusType poll = PQconnectPoll (l->pq);
+
+  if (poll == PGRES_POLLING_FAILED)
+    {
+      close_link (l);
+      return;
+    }
+  ev_io_stop (l->loop, &l->io);
+  ev_io_set (&l->io, PQsocket (l->pq),
+             poll == PGRES_POLLING_WRITING ? EV_WRITE : EV_READ);
+  ev_io_start (l->loop, &l->io);
+  if (poll == PGRES_POLLING_OK)
+    send_request (l);
 }
 
+/* What arrives on a link that is out of date is not taken. */
 static bool
-crosses_cut (const char *a, const char *b)
+is_current (const SsLink *l)
 {
-  return g_hash_table_contains (net.cut, a)
-         != g_hash_table_contains (net.cut, b);
+  return l->generation == l->server->link_generation
+         && ss_server_wants_log (l->server);
 }
 
 static void
-set_cut (Pair *p)
+on_io (struct ev_loop *loop, ev_io *w, int events)
 {
-  bool was_cut = p->is_cut;
+  SsLink *l = w->data;
 
-  p->is_cut = crosses_cut (p->from, p->to);
-  ss_stream_pause_reading (&p->near.stream, p->is_cut);
-  ss_stream_pause_reading (&p->far.stream, p->is_cut);
-  if (was_cut && !p->is_cut)
+  (void)loop;
+  (void)events;
+  if (!is_current (l))
     {
-      forward (&p->near, &p->far);
-      forward (&p->far, &p->near);
+      close_link (l);
+      return;
     }
-}
-
-static void
-on_accept (struct ev_loop *loop, ev_io *w, int events)
-{
-  static const SsStreamClass klass = { on_input, on_closed, NULL };
-  Relay *relay = w->data;
-  Pair *p;
-  char from[INET_ADDRSTRLEN];
-  int fd = ss_stream_accept (w->fd, from);
-  int far;
-
-  (void) events;
-  if (fd < 0)
-    return;
-  p = g_new0 (Pair, 1);
-  g_strlcpy (p->from, from, sizeof p->from);
-  g_strlcpy (p->to, relay->ip, sizeof p->to);
-  p->near.pair = p;
-  p->far.pair = p;
-  ss_stream_init (&p->near.stream, &klass, loop, fd, false);
-  p->near.open = true;
-  g_hash_table_add (net.pairs, p);
-  far = ss_stream_connect (NULL, relay->ip, relay->port);
-  if (far < 0)
+  if (PQstatus (l->pq) != CONNECTION_OK)
     {
-      drop_pair (p);
+      poll_start (l);
       return;
     }
-  ss_stream_init (&p->far.stream, &klass, loop, far, true);
-  p->far.open = true;
-  set_cut (p);
-}
-
-static void
-handle (SsHttpd *httpd, SsHttpRequest *r)
-{
-  json_t *body = json_loadb ((const char *) r->body->data, r->body->len, 0,
-                             NULL);
-  json_t *ip;
-  size_t i;
-  GHashTableIter iter;
-  gpointer pair;
-
-  (void) httpd;
-  g_hash_table_remove_all (net.cut);
-  json_array_foreach (json_object_get (body, "cut_ips"), i, ip)
+  if (!PQconsumeInput (l->pq))
+    {
+      close_link (l);
+      return;
+    }
+  while (!PQisBusy (l->pq))
     {
-      g_hash_table_add (net.cut, g_strdup (json_string_value (ip)));
+      PGresult *r = PQgetResult (l->pq);
+
+      if (!r)
+        {
+          send_request (l);
+          return;
+        }
+      take_result (l, r);
+      PQclear (r);
     }
-  json_decref (body);
-  g_hash_table_iter_init (&iter, net.pairs);
-  while (g_hash_table_iter_next (&iter, &pair, NULL))
-    set_cut (pair);
-  ss_http_reply (r, 200, "application/json", "{}");
 }
 
-/* "LISTEN-IP:PORT=IP:PORT" */
-static bool
-add_relay (const char *text)
+static void
+open_link (SsLink *l)
 {
-  char **parts = g_strsplit_set (text, ":=", 4);
-  Relay *relay = g_new0 (Relay, 1);
-  int fd = -1;
-
-  if (g_strv_length (parts) == 4)
+  char **address = g_strsplit (l->server->upstream, " ", 2);
+  char *conninfo = g_strdup_printf (
+      "hostaddr=%s port=%s user=replication dbname=log sslmode=disable "
+      "gssencmode=disable",
+      address[0], address[1]);
+
+  l->pq = PQconnectStart (conninfo);
+  l->generation = l->server->link_generation;
+  l->due_ms = ss_server_now_ms (l->server) + SILENCE_MS;
+  if (PQstatus (l->pq) == CONNECTION_BAD)
     {
-      fd = ss_stream_listen (parts[0], (uint16_t) atoi (parts[1]));
-      g_strlcpy (relay->ip, parts[2], sizeof relay->ip);
-      relay->port = (uint16_t) atoi (parts[3]);
+      PQfinish (l->pq);
+      l->pq = NULL;
     }
-  g_strfreev (parts);
-  if (fd < 0)
+  else
     {
-      g_free (relay);
-      return false;
+      PQsetnonblocking (l->pq, 1);
+      ev_io_init (&l->io, on_io, PQsocket (l->pq), EV_WRITE);
+      l->io.data = l;
+      ev_io_start (l->loop, &l->io);
     }
-  ev_io_init (&relay->io, on_accept, fd, EV_READ);
-  relay->io.data = relay;
-  ev_io_start (net.loop, &relay->io);
-  return true;
+  g_free (conninfo);
+  g_strfreev (address);
 }
 
-int
-main (int argc, char **argv)
+void
+ss_link_init (SsLink *link, struct ev_loop *loop, SsServer *server)
 {
-  static const SsHttpdClass klass = { handle, NULL };
+  memset (link, 0, sizeof *link);
+  link->loop = loop;
+  link->server = server;
+}
 
-  if (argc < 4)
-    {
-      fprintf (stderr, "usage: ss-standin-link CONTROL-IP PORT "
-                       "LISTEN:PORT=IP:PORT...\n");
-      return 2;
-    }
-  net.loop = ev_default_loop (0);
-  net.cut = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  net.pairs = g_hash_table_new (NULL, NULL);
-  if (!ss_httpd_init (&net.httpd, &klass, net.loop, argv[1],
-                      (uint16_t) atoi (argv[2])))
+void
+ss_link_tick (SsLink *link)
+{
+  int64_t now_ms = ss_server_now_ms (link->server);
+
+  if (link->pq && !is_current (link))
     {
-      fprintf (stderr, "ss-standin-link: can't listen\n");
-      return 1;
+      close_link (link);
+      link->due_ms = now_ms;
     }
-  for (int i = 3; i < argc; i++)
-    if (!add_relay (argv[i]))
-      {
-        fprintf (stderr, "ss-standin-link: bad relay %s\n", argv[i]);
-        return 1;
-      }
-  ev_run (net.loop, 0);
-  return 0;
+  if (link->pq && now_ms > link->due_ms
+      && now_ms - link->server->heard_ms > SILENCE_MS)
+    close_link (link);
+  if (!link->pq && ss_server_wants_log (link->server) && now_ms >= link->due_ms)
+    open_link (link);
 }
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -114,9 +114,9 @@
       json_decref (items);
       return false;
     }
-  reply_json (r, 200,
-              json_pack ("{s:I, s:o}", "revision", p->revision, "items",
-                         items));
+  reply_json (
+      r, 200,
+      json_pack ("{s:I, s:o}", "revision", p->revision, "items", items));
   return true;
 }
 
@@ -127,8 +127,8 @@
     {
       Waiter *w = g_ptr_array_index (p->waiters, i);
 
-      if (w->is_watch && !g_hash_table_contains (p->cut_ips,
-                                                 w->request->client_ip)
+      if (w->is_watch
+          && !g_hash_table_contains (p->cut_ips, w->request->client_ip)
           && try_watch (p, w->request, false))
         g_ptr_array_remove_index_fast (p->waiters, i);
       else
@@ -140,8 +140,8 @@
 put_object (Platform *p, SsHttpRequest *r, const char *key)
 {
   int64_t if_version = ss_http_query_number (r, "if_version", -1);
-  json_t *value = json_loadb ((const char *) r->body->data, r->body->len,
-                              0, NULL);
+  json_t *value
+      = json_loadb ((const char *)r->body->data, r->body->len, 0, NULL);
   Object *old = g_tree_lookup (p->objects, key);
   int64_t old_version = old ? old->version : 0;
   Object *o;
@@ -155,9 +155,9 @@
   if (if_version >= 0 && if_version != old_version)
     {
       json_decref (value);
-      reply_json (r, 409, old ? object_json (key, old)
-                              : json_pack ("{s:s, s:i}", "key", key,
-                                           "version", 0));
+      reply_json (r, 409,
+                  old ? object_json (key, old)
+                      : json_pack ("{s:s, s:i}", "key", key, "version", 0));
       return;
     }
   o = g_new0 (Object, 1);
@@ -192,7 +192,7 @@
   Waiter *w = g_new0 (Waiter, 1);
 
   w->request = r;
-  w->due_s = ev_now (p->loop) + (double) wait_ms / 1000.0;
+  w->due_s = ev_now (p->loop) + (double)wait_ms / 1000.0;
   w->is_watch = is_watch;
   g_ptr_array_add (p->waiters, w);
 }
@@ -234,16 +234,16 @@
 
   g_hash_table_remove_all (p->cut_ips);
   json_array_foreach (ips, i, ip)
-    {
-      g_hash_table_add (p->cut_ips, g_strdup (json_string_value (ip)));
-    }
+  {
+    g_hash_table_add (p->cut_ips, g_strdup (json_string_value (ip)));
+  }
 }
 
 static void
 control (Platform *p, SsHttpRequest *r)
 {
-  json_t *body = json_loadb ((const char *) r->body->data, r->body->len, 0,
-                             NULL);
+  json_t *body
+      = json_loadb ((const char *)r->body->data, r->body->len, 0, NULL);
   json_t *item;
 
   if ((item = json_object_get (body, "down")))
@@ -260,18 +260,18 @@
     {
       json_decref (p->vms_pending);
       p->vms_pending = json_incref (item);
-      p->vms_due_s = ev_now (p->loop) + (double) p->vms_lag_ms / 1000.0;
+      p->vms_due_s = ev_now (p->loop) + (double)p->vms_lag_ms / 1000.0;
     }
   json_decref (body);
-  reply_json (r, 200, json_pack ("{s:I, s:I, s:I}", "reads", p->reads,
-                                 "writes", p->writes, "revision",
-                                 p->revision));
+  reply_json (r, 200,
+              json_pack ("{s:I, s:I, s:I}", "reads", p->reads, "writes",
+                         p->writes, "revision", p->revision));
 }
 
 static void
 handle (SsHttpd *httpd, SsHttpRequest *r)
 {
-  Platform *p = (Platform *) (void *) httpd;
+  Platform *p = (Platform *)(void *)httpd;
 
   if (strcmp (r->path, "/control") == 0)
     control (p, r);
@@ -288,7 +288,7 @@
 static void
 on_gone (SsHttpd *httpd, SsHttpRequest *r)
 {
-  Platform *p = (Platform *) (void *) httpd;
+  Platform *p = (Platform *)(void *)httpd;
 
   for (guint i = 0; i < p->waiters->len; i++)
     {
@@ -306,7 +306,7 @@
 {
   Platform *p = w->data;
 
-  (void) events;
+  (void)events;
   if (p->vms_pending && ev_now (loop) >= p->vms_due_s)
     {
       json_decref (p->vms);
@@ -335,15 +335,15 @@
 static int
 compare_keys (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void) data;
+  (void)data;
   return strcmp (a, b);
 }
 
 static void
 on_signal (struct ev_loop *loop, ev_signal *w, int events)
 {
-  (void) w;
-  (void) events;
+  (void)w;
+  (void)events;
   ev_break (loop, EVBREAK_ALL);
 }
 
@@ -367,10 +367,10 @@
   p->cut_ips = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   p->vms = json_array ();
   if (!ss_httpd_init (&p->httpd, &klass, p->loop, argv[1],
-                      (uint16_t) atoi (argv[2])))
+                      (uint16_t)atoi (argv[2])))
     {
-      fprintf (stderr, "ss-standin-platform: can't listen on %s:%s\n",
-               argv[1], argv[2]);
+      fprintf (stderr, "ss-standin-platform: can't listen on %s:%s\n", argv[1],
+               argv[2]);
       return 1;
     }
   ev_timer_init (&p->tick, on_tick, TICK_S, TICK_S);
--- a/standin/server.h
+++ b/standin/server.h
@@ -7,9 +7,7 @@
 #ifndef SS_STANDIN_SERVER_H
 #define SS_STANDIN_SERVER_H
 
-#include <ev.h>
-#include <libpq-fe.h>
-
+#include "kernel/clock.h"
 #include "standin/store.h"
 
 typedef enum
@@ -21,19 +19,16 @@
 
 typedef struct
 {
-  struct ev_loop *loop;
-  const char *name;
+  const SsClock *clock;
   SsStore store;
   SsRole role;
   uint64_t shown_term;
   uint64_t follow_term;
-  char *upstream; /* "ip port", or NULL */
-  int64_t heard_ms; /* the primary's last answer */
-  uint64_t first_wanted; /* while the common prefix is looked for */
-  PGconn *link;
-  ev_io link_io;
-  bool link_asked;
-  int64_t link_due_ms; /* no new try before */
+  char *upstream;           /* "ip port", or NULL */
+  int64_t heard_ms;         /* the primary's last answer */
+  uint64_t first_wanted;    /* while the common prefix is looked for */
+  uint64_t link_generation; /* moves when the link has to be made anew */
+  GPtrArray *sessions;      /* of SsSqlSession */
   FILE *term_file;
 
   int64_t apply_lag_ms;
@@ -46,8 +41,9 @@
 int64_t ss_server_now_ms (const SsServer *server);
 
 /* ss_server_init: DATA_PATH may be NULL (memory only). */
-void ss_server_init (SsServer *server, struct ev_loop *loop, const char *name,
+void ss_server_init (SsServer *server, const SsClock *clock,
                      const char *data_path);
+void ss_server_finish (SsServer *server);
 
 /* ss_server_raise: returns whether TERM is now the highest shown one. */
 bool ss_server_raise (SsServer *server, uint64_t term);
@@ -56,7 +52,16 @@
                        const char *port);
 const char *ss_server_role_name (const SsServer *server);
 
-/* ss_server_tick: applies what is due and keeps the link to the primary. */
+/* ss_server_tick: applies what is due. */
 void ss_server_tick (SsServer *server);
 
+/* ss_server_wants_log: whether it follows a primary now. */
+bool ss_server_wants_log (const SsServer *server);
+/* ss_server_take_log: the primary's answer to a request for the log after
+ * server->first_wanted: "ok", "mismatch" or "refused", and COUNT entries.
+ */
+void ss_server_take_log (SsServer *server, const char *found,
+                         const uint64_t *terms, const char *const *payloads,
+                         uint32_t count);
+
 #endif
--- a/standin/sql.c
+++ b/standin/sql.c
@@ -36,7 +36,7 @@
 static bool
 take_char (GScanner *s, char c)
 {
-  if (g_scanner_peek_next_token (s) != (GTokenType) c)
+  if (g_scanner_peek_next_token (s) != (GTokenType)c)
     return false;
   g_scanner_get_next_token (s);
   return true;
@@ -87,8 +87,7 @@
         return false;
   return take_word (s, "values") && take_char (s, '(')
          && (q->key = take_literal (s)) && take_char (s, ',')
-         && (q->value = take_literal (s)) && take_char (s, ')')
-         && at_end (s);
+         && (q->value = take_literal (s)) && take_char (s, ')') && at_end (s);
 }
 
 static bool
@@ -138,8 +137,7 @@
     }
   if (take_char (s, '*'))
     q->columns = SS_SQL_KEY_VALUE;
-  else if (take_word (s, "key") && take_char (s, ',')
-           && take_word (s, "value"))
+  else if (take_word (s, "key") && take_char (s, ',') && take_word (s, "value"))
     q->columns = SS_SQL_KEY_VALUE;
   else if (take_word (s, "value") || take_word (s, "outcome"))
     q->columns = SS_SQL_VALUE;
@@ -153,7 +151,7 @@
     return (q->name = take_name (s)) && parse_call (q, s);
   if (!take_word (s, "from") || !(q->name = take_name (s)))
     return false;
-  if (g_scanner_peek_next_token (s) == (GTokenType) '(')
+  if (g_scanner_peek_next_token (s) == (GTokenType)'(')
     return parse_call (q, s);
   return parse_where (q, s);
 }
@@ -207,7 +205,7 @@
   GScanner *s = new_scanner ();
 
   memset (sql, 0, sizeof *sql);
-  g_scanner_input_text (s, text, (guint) strlen (text));
+  g_scanner_input_text (s, text, (guint)strlen (text));
   parse (sql, s);
   g_scanner_destroy (s);
 }
@@ -235,11 +233,11 @@
         quoted = !quoted;
       if (*at != ';' || quoted)
         continue;
-      g_ptr_array_add (parts, g_strndup (start, (gsize) (at - start)));
+      g_ptr_array_add (parts, g_strndup (start, (gsize)(at - start)));
       start = at + 1;
     }
   if (*start || parts->len == 0)
     g_ptr_array_add (parts, g_strdup (start));
   g_ptr_array_add (parts, NULL);
-  return (char **) g_ptr_array_free (parts, FALSE);
+  return (char **)g_ptr_array_free (parts, FALSE);
 }
--- a/standin/store.c
+++ b/standin/store.c
@@ -27,8 +27,8 @@
       const SsOp *op = g_ptr_array_index (ops, i);
 
       g_string_append_printf (
-          out, "%s%c" FIELD_SEPARATOR "%s" FIELD_SEPARATOR "%s" FIELD_SEPARATOR
-               "%s",
+          out,
+          "%s%c" FIELD_SEPARATOR "%s" FIELD_SEPARATOR "%s" FIELD_SEPARATOR "%s",
           i ? OP_SEPARATOR : "", op->kind == SS_OP_INSERT ? 'i' : 'u',
           op->table, op->key, op->value);
     }
@@ -38,7 +38,7 @@
 static void
 clear_entry (gpointer data)
 {
-  g_free (((SsLogEntry *) data)->payload);
+  g_free (((SsLogEntry *)data)->payload);
 }
 
 static void
@@ -54,8 +54,7 @@
 
   if (table)
     return table;
-  table = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                 values_free);
+  table = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, values_free);
   g_hash_table_insert (s->tables, g_strdup (name), table);
   return table;
 }
@@ -122,7 +121,7 @@
       uint64_t number = strtoull (lines[i] + 1, &payload, 10);
 
       if (lines[i][0] == 't')
-        g_array_set_size (s->entries, (guint) number);
+        g_array_set_size (s->entries, (guint)number);
       else if (lines[i][0] == 'e')
         add_entry (s, number, payload + 1, 0);
     }
@@ -136,9 +135,8 @@
   store->entries = g_array_new (FALSE, FALSE, sizeof (SsLogEntry));
   g_array_set_clear_func (store->entries, clear_entry);
   store->applied = 0;
-  store->tables
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                               (GDestroyNotify) g_hash_table_destroy);
+  store->tables = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         (GDestroyNotify)g_hash_table_destroy);
   store->file = NULL;
   if (!path)
     return;
@@ -206,7 +204,7 @@
 
   if (position >= ss_store_held (store))
     return;
-  g_array_set_size (store->entries, (guint) position);
+  g_array_set_size (store->entries, (guint)position);
   if (store->file)
     {
       fprintf (store->file, "t%" G_GUINT64_FORMAT "\n", position);
@@ -231,8 +229,7 @@
 
       if (term == last)
         continue;
-      g_string_append_printf (out, "%s%" G_GUINT64_FORMAT
-                                   ":%" G_GUINT64_FORMAT,
+      g_string_append_printf (out, "%s%" G_GUINT64_FORMAT ":%" G_GUINT64_FORMAT,
                               out->len ? "," : "", term, i);
       last = term;
     }
