--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,13 @@
 LOAD_O = $(addprefix $B/bench/,ss_load.o ledger.o)
 SCENARIO_O = $(addprefix $B/bench/,ss_scenario.o deploy.o)
 NETWORK_O = $B/standin/network.o $B/src/kernel/httpd.o $B/src/kernel/stream.o
+WORLD_O = $(addprefix $B/tests/,world.o world_target.o world_platform.o \
+  world_callers.o) $B/bench/ledger.o $(CORE_O) \
+  $(addprefix $B/standin/,session.o server.o store.o sql.o) \
+  $(addprefix $B/src/kernel/,clock.o verdict.o counters.o log.o) \
+  $B/src/plugins/pgwire.o
 PROGRAMS = $(addprefix $B/,sapphirestaird ss-standin-target \
-  ss-standin-platform ss-standin-network ss-load ss-scenario)
+  ss-standin-platform ss-standin-network ss-load ss-scenario ss-property)
 
 all: $(PROGRAMS)
 
@@ -37,6 +42,8 @@
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-scenario: $(SCENARIO_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$B/ss-property: $(WORLD_O) $B/tests/property.o
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-load: $(LOAD_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 
--- a/bench/deploy.c
+++ b/bench/deploy.c
@@ -25,7 +25,7 @@
 void
 ss_deploy_init (SsDeploy *deploy, const char *programs)
 {
-  uint32_t pid = (uint32_t)getpid ();
+  uint32_t pid = (uint32_t) getpid ();
 
   memset (deploy, 0, sizeof *deploy);
   deploy->programs = g_strdup (programs);
@@ -44,7 +44,7 @@
 static void
 die_with_parent (gpointer data)
 {
-  (void)data;
+  (void) data;
   prctl (PR_SET_PDEATHSIG, SIGKILL);
 }
 
@@ -65,7 +65,7 @@
   for (uint32_t i = 0; argv[i]; i++)
     g_ptr_array_add (all, argv[i]);
   g_ptr_array_add (all, NULL);
-  ok = g_spawn_async (NULL, (char **)all->pdata, NULL,
+  ok = g_spawn_async (NULL, (char **) all->pdata, NULL,
                       G_SPAWN_DO_NOT_REAP_CHILD, die_with_parent, NULL, &child,
                       NULL);
   *pid = child;
@@ -131,7 +131,7 @@
   end_process (&deploy->platform);
   if (!keep)
     {
-      char *argv[] = { (char *)"rm", (char *)"-rf", deploy->directory, NULL };
+      char *argv[] = { (char *) "rm", (char *) "-rf", deploy->directory, NULL };
 
       g_spawn_sync (NULL, argv, NULL, G_SPAWN_SEARCH_PATH, NULL, NULL, NULL,
                     NULL, NULL, NULL);
@@ -146,7 +146,7 @@
 static size_t
 append_text (char *data, size_t size, size_t count, void *user)
 {
-  g_string_append_len (user, data, (gssize)(size * count));
+  g_string_append_len (user, data, (gssize) (size * count));
   return size * count;
 }
 
@@ -227,7 +227,7 @@
           "%s{\"name\":\"%s\",\"failure_domain\":\"%s\",\"ip\":\"%s\","
           "\"peer_port\":%d,\"state\":\"%s\"}",
           i ? "," : "", deploy->vms[i].name, deploy->vms[i].failure_domain, ip,
-          SS_DEPLOY_PEER_PORT, (int32_t)i == leaving ? "leaving" : "live");
+          SS_DEPLOY_PEER_PORT, (int32_t) i == leaving ? "leaving" : "live");
     }
   g_string_append (json, "]}");
   ok = ss_deploy_platform_control (deploy, json->str);
@@ -358,7 +358,7 @@
   char *path = NULL;
   bool ok = write_settings (deploy, vm, &path);
   char *argv[]
-      = { program (deploy, "sapphirestaird"), (char *)"--config", path, NULL };
+      = { program (deploy, "sapphirestaird"), (char *) "--config", path, NULL };
 
   ok = ok && spawn (deploy, v->name, argv, &v->pid);
   g_free (argv[0]);
@@ -388,7 +388,7 @@
                                         d->vms[i].ip, SS_DEPLOY_PEER_PORT));
     }
   g_ptr_array_add (argv, NULL);
-  ok = spawn (d, "link", (char **)argv->pdata, &d->link.pid);
+  ok = spawn (d, "link", (char **) argv->pdata, &d->link.pid);
   g_ptr_array_free (argv, TRUE);
   return ok;
 }
@@ -504,7 +504,7 @@
   for (uint32_t i = 0; arguments[i]; i++)
     g_ptr_array_add (argv, g_strdup (arguments[i]));
   g_ptr_array_add (argv, NULL);
-  ok = spawn (deploy, name, (char **)argv->pdata, &deploy->load);
+  ok = spawn (deploy, name, (char **) argv->pdata, &deploy->load);
   g_free (deploy->load_output);
   deploy->load_output = g_strdup_printf ("%s/%s.out", deploy->directory, name);
   g_free (name);
@@ -614,7 +614,7 @@
           shown = g_ascii_strtoull (PQgetvalue (r, 0, 1), NULL, 10);
           if (shown > best_term)
             {
-              best = (int32_t)i;
+              best = (int32_t) i;
               best_term = shown;
             }
         }
--- a/bench/ledger.c
+++ b/bench/ledger.c
@@ -95,8 +95,8 @@
 static int
 compare_latencies (gconstpointer a, gconstpointer b)
 {
-  uint32_t x = *(const uint32_t *)a;
-  uint32_t y = *(const uint32_t *)b;
+  uint32_t x = *(const uint32_t *) a;
+  uint32_t y = *(const uint32_t *) b;
 
   return x < y ? -1 : x > y;
 }
@@ -110,6 +110,6 @@
     return 0;
   g_array_sort (ledger->latencies_us, compare_latencies);
   return g_array_index (ledger->latencies_us, uint32_t,
-                        (guint)(quantile * (count - 1)))
+                        (guint) (quantile * (count - 1)))
          / 1000.0;
 }
--- a/bench/ss_load.c
+++ b/bench/ss_load.c
@@ -111,7 +111,7 @@
 wait_then (Caller *c, int64_t wait_ms)
 {
   ev_timer_stop (load.loop, &c->timer);
-  ev_timer_set (&c->timer, (double)MAX (wait_ms, 0) / 1000.0, 0);
+  ev_timer_set (&c->timer, (double) MAX (wait_ms, 0) / 1000.0, 0);
   ev_timer_start (load.loop, &c->timer);
 }
 
@@ -210,7 +210,7 @@
   for (int32_t tries = 0; all->len && tries < 8; tries++)
     {
       SsFiling *f = g_ptr_array_index (
-          all, g_rand_int_range (load.rand, 0, (gint32)all->len));
+          all, g_rand_int_range (load.rand, 0, (gint32) all->len));
 
       if (f->acknowledged_ms <= bound_ms)
         return f;
@@ -416,7 +416,7 @@
 static void
 end_step (Caller *c)
 {
-  uint32_t latency_us = (uint32_t)(now_us () - c->step_started_us);
+  uint32_t latency_us = (uint32_t) (now_us () - c->step_started_us);
 
   g_array_append_val (load.ledger.latencies_us, latency_us);
   if (c->failed)
@@ -534,8 +534,8 @@
   Caller *c = w->data;
   PostgresPollingStatusType poll;
 
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   if (!c->connecting)
     {
       read_results (c);
@@ -572,7 +572,7 @@
 {
   guint count = g_strv_length (load.entries);
   const char *entry
-      = load.entries[g_rand_int_range (load.rand, 0, (gint32)count)];
+      = load.entries[g_rand_int_range (load.rand, 0, (gint32) count)];
   char **parts = g_strsplit (entry, ":", 2);
   bool brings_token = c->token && chance (load.token_percent);
   char *options
@@ -607,8 +607,8 @@
 {
   Caller *c = w->data;
 
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   if (c->done)
     return;
   if (!c->pq)
@@ -622,17 +622,17 @@
 static void
 on_stop (struct ev_loop *loop, ev_timer *w, int events)
 {
-  (void)loop;
-  (void)w;
-  (void)events;
+  (void) loop;
+  (void) w;
+  (void) events;
   load.stopping = true;
 }
 
 static void
 on_overrun (struct ev_loop *loop, ev_timer *w, int events)
 {
-  (void)w;
-  (void)events;
+  (void) w;
+  (void) events;
   fprintf (stderr, "ss-load: %d callers did not come to an end\n", load.live);
   ev_break (loop, EVBREAK_ALL);
 }
@@ -640,9 +640,9 @@
 static void
 on_signal (struct ev_loop *loop, ev_signal *w, int events)
 {
-  (void)loop;
-  (void)w;
-  (void)events;
+  (void) loop;
+  (void) w;
+  (void) events;
   load.stopping = true;
 }
 
@@ -726,7 +726,7 @@
 static size_t
 append_text (char *data, size_t size, size_t count, void *user)
 {
-  g_string_append_len (user, data, (gssize)(size * count));
+  g_string_append_len (user, data, (gssize) (size * count));
   return size * count;
 }
 
@@ -790,20 +790,21 @@
   json_t *json = json_pack (
       "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:f, "
       "s:f, s:I, s:I, s:b, s:f, s:o}",
-      "statements", (json_int_t)l->statements, "acknowledged",
-      (json_int_t)l->acks, "not_run", (json_int_t)l->not_run, "may_have_run",
-      (json_int_t)l->may_have_run, "lost", (json_int_t)l->lost, "doubled",
-      (json_int_t)(l->doubled + l->read_doubled), "stale", (json_int_t)l->stale,
-      "crossed", (json_int_t)l->crossed, "mixed", (json_int_t)l->mixed,
-      "ran_though_not_run", (json_int_t)l->ran_though_not_run,
-      "replica_read_share", reads > 0 ? replica / reads : 0.0,
-      "failover_gap_ms", (json_int_t)l->failover_gap_ms, "p50_ms",
-      ss_ledger_latency_ms (l, 0.5), "p99_ms", ss_ledger_latency_ms (l, 0.99),
-      "writes", (json_int_t)l->acknowledged->len, "refused_connections",
-      (json_int_t)l->refused_connections, "compared", compared,
+      "statements", (json_int_t) l->statements, "acknowledged",
+      (json_int_t) l->acks, "not_run", (json_int_t) l->not_run, "may_have_run",
+      (json_int_t) l->may_have_run, "lost", (json_int_t) l->lost, "doubled",
+      (json_int_t) (l->doubled + l->read_doubled), "stale",
+      (json_int_t) l->stale, "crossed", (json_int_t) l->crossed, "mixed",
+      (json_int_t) l->mixed, "ran_though_not_run",
+      (json_int_t) l->ran_though_not_run, "replica_read_share",
+      reads > 0 ? replica / reads : 0.0, "failover_gap_ms",
+      (json_int_t) l->failover_gap_ms, "p50_ms", ss_ledger_latency_ms (l, 0.5),
+      "p99_ms", ss_ledger_latency_ms (l, 0.99), "writes",
+      (json_int_t) l->acknowledged->len, "refused_connections",
+      (json_int_t) l->refused_connections, "compared", compared,
       "statements_per_s",
-      (double)l->statements * 1000.0
-          / (double)MAX (now_ms () - load.started_ms, 1),
+      (double) l->statements * 1000.0
+          / (double) MAX (now_ms () - load.started_ms, 1),
       "reasons", reasons_json ());
   char *text = json_dumps (json, JSON_COMPACT | JSON_REAL_PRECISION (5)
                                      | JSON_PRESERVE_ORDER);
@@ -899,7 +900,7 @@
   load.roam_percent = 10;
   load.token_percent = 50;
   load.think_ms = 2;
-  load.aged_kind = (char *)"report";
+  load.aged_kind = (char *) "report";
   load.service = "claims";
   g_option_context_add_main_entries (context, options, NULL);
   if (!g_option_context_parse (context, &argc, &argv, &error) || !load.entries)
@@ -909,7 +910,7 @@
       return 2;
     }
   load.staleness_ms = staleness_ms;
-  load.rand = g_rand_new_with_seed ((guint32)seed);
+  load.rand = g_rand_new_with_seed ((guint32) seed);
   load.loop = ev_default_loop (0);
   ss_ledger_init (&load.ledger);
   run_callers ();
--- a/bench/ss_scenario.c
+++ b/bench/ss_scenario.c
@@ -70,12 +70,12 @@
     {
       if (run->primary < 0)
         return NULL;
-      *index = (uint32_t)run->primary;
+      *index = (uint32_t) run->primary;
       return &d->targets[run->primary];
     }
   if (!argv[2])
     return NULL;
-  *index = (uint32_t)atoi (argv[2]);
+  *index = (uint32_t) atoi (argv[2]);
   if (strcmp (argv[1], "vm") == 0 && *index < d->vm_count)
     return &d->vms[*index];
   if (strcmp (argv[1], "target") == 0 && *index < d->target_count)
@@ -87,14 +87,14 @@
 do_deployment (Run *run, char **argv)
 {
   run->deploy.max_connections
-      = (uint32_t)atoi (option (argv, "connections", "20"));
+      = (uint32_t) atoi (option (argv, "connections", "20"));
   run->deploy.lookup_staleness_ms
-      = (uint32_t)atoi (option (argv, "staleness_ms", "30000"));
+      = (uint32_t) atoi (option (argv, "staleness_ms", "30000"));
   if (ss_deploy_start (
           &run->deploy,
           option (argv, "domains", "aarhus-hal,koege-hal,odense-hal"),
-          (uint32_t)atoi (option (argv, "vms", "2")),
-          (uint32_t)atoi (option (argv, "servers", "3"))))
+          (uint32_t) atoi (option (argv, "vms", "2")),
+          (uint32_t) atoi (option (argv, "servers", "3"))))
     return true;
   return fail (run, "the deployment did not come up");
 }
@@ -108,7 +108,7 @@
   for (uint32_t i = 1; argv[i]; i++)
     g_ptr_array_add (arguments, g_strdup_printf ("--%s", argv[i]));
   g_ptr_array_add (arguments, NULL);
-  ok = ss_deploy_load (&run->deploy, (char **)arguments->pdata);
+  ok = ss_deploy_load (&run->deploy, (char **) arguments->pdata);
   g_ptr_array_free (arguments, TRUE);
   return ok || fail (run, "the load did not start");
 }
@@ -118,7 +118,7 @@
 {
   int64_t due_ms = now_ms () + atoi (argv[1] ? argv[1] : "0");
 
-  (void)run;
+  (void) run;
   while (now_ms () < due_ms && !interrupted)
     g_usleep (STEP_US);
   return true;
@@ -199,7 +199,7 @@
 static bool
 do_note (Run *run, char **argv)
 {
-  (void)argv;
+  (void) argv;
   run->primary = ss_deploy_primary (&run->deploy, NULL);
   return run->primary >= 0 || fail (run, "no target is primary");
 }
@@ -253,7 +253,7 @@
     return fail (run, "sql needs a vm, a statement and what is expected");
   do
     {
-      answer = ss_deploy_sql (&run->deploy, (uint32_t)atoi (argv[1]),
+      answer = ss_deploy_sql (&run->deploy, (uint32_t) atoi (argv[1]),
                               option (argv, "conninfo", ""), argv[2]);
       ok = strcmp (answer, argv[3]) == 0;
       if (!ok && !again)
@@ -269,7 +269,7 @@
 static bool
 do_result (Run *run, char **argv)
 {
-  (void)argv;
+  (void) argv;
   json_decref (run->result);
   g_free (run->result_text);
   run->result_text = ss_deploy_load_result (&run->deploy);
@@ -313,7 +313,7 @@
 static bool
 do_print (Run *run, char **argv)
 {
-  (void)argv;
+  (void) argv;
   puts (run->result_text ? run->result_text : "");
   fflush (stdout);
   return true;
--- /dev/null
+++ b/build-asan/src/core/budget.d
@@ -0,0 +1,1 @@
+build-asan/src/core/budget.o: src/core/budget.c src/core/budget.h
--- /dev/null
+++ b/build-asan/src/core/rank.d
@@ -0,0 +1,1 @@
+build-asan/src/core/rank.o: src/core/rank.c src/core/rank.h
--- /dev/null
+++ b/build-asan/src/kernel/counters.d
@@ -0,0 +1,2 @@
+build-asan/src/kernel/counters.o: src/kernel/counters.c \
+ src/kernel/counters.h
--- /dev/null
+++ b/build-asan/src/kernel/log.d
@@ -0,0 +1,1 @@
+build-asan/src/kernel/log.o: src/kernel/log.c src/kernel/log.h
--- /dev/null
+++ b/build-asan/src/kernel/verdict.d
@@ -0,0 +1,2 @@
+build-asan/src/kernel/verdict.o: src/kernel/verdict.c \
+ src/kernel/verdict.h
--- a/src/core/choice.c
+++ b/src/core/choice.c
@@ -66,7 +66,7 @@
         continue;
       /* Equal servers are taken with equal chance. */
       if (best && load == best_load
-          && g_rand_int_range (node->rand, 0, (gint32)ties) != 0)
+          && g_rand_int_range (node->rand, 0, (gint32) ties) != 0)
         continue;
       best = t;
       best_load = load;
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -22,7 +22,7 @@
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void)data;
+  (void) data;
   return strcmp (a, b);
 }
 
@@ -203,7 +203,7 @@
   if (!error && *s->default_kind
       && ss_service_staleness (s, s->default_kind) < 0)
     error = g_strdup ("\"default_kind\" names no kind of the service");
-  s->weight = (uint32_t)weight;
+  s->weight = (uint32_t) weight;
   s->acknowledge_majority
       = !acknowledge || strcmp (acknowledge, "majority") == 0;
   g_free (acknowledge);
@@ -232,8 +232,8 @@
                         &max_connections);
   if (!error && draining && !json_is_boolean (draining))
     error = g_strdup ("\"draining\" must be true or false");
-  t->port = (uint16_t)port;
-  t->max_connections = (uint32_t)max_connections;
+  t->port = (uint16_t) port;
+  t->max_connections = (uint32_t) max_connections;
   t->draining = json_is_true (draining);
   return error;
 }
@@ -250,7 +250,7 @@
     error = get_text (json, "primary", NULL, &g->primary);
   if (!error)
     error = get_text (json, "operation", "", &g->operation);
-  g->term = (uint64_t)term;
+  g->term = (uint64_t) term;
   return error;
 }
 
@@ -266,7 +266,7 @@
   Attach *a = data;
   SsTarget *t = value;
 
-  (void)key;
+  (void) key;
   if (strcmp (t->group, a->group->name) == 0
       && a->group->server_count < SS_CONFIG_SERVERS_MAX)
     a->group->servers[a->group->server_count++] = t;
@@ -279,7 +279,7 @@
   const SsConfig *c = data;
   Attach a = { c, value };
 
-  (void)key;
+  (void) key;
   a.group->server_count = 0;
   g_tree_foreach (c->targets, attach_server, &a);
   return FALSE;
--- a/src/core/dialect.c
+++ b/src/core/dialect.c
@@ -7,14 +7,14 @@
 static char *
 sql_status (const SsDialect *dialect)
 {
-  (void)dialect;
+  (void) dialect;
   return g_strdup ("SELECT * FROM sapphirestair_status()");
 }
 
 static char *
 sql_raise (const SsDialect *dialect, uint64_t term)
 {
-  (void)dialect;
+  (void) dialect;
   return g_strdup_printf (
       "SELECT * FROM sapphirestair_raise(%" G_GUINT64_FORMAT ")", term);
 }
@@ -22,7 +22,7 @@
 static char *
 sql_promote (const SsDialect *dialect, uint64_t term)
 {
-  (void)dialect;
+  (void) dialect;
   return g_strdup_printf (
       "SELECT * FROM sapphirestair_promote(%" G_GUINT64_FORMAT ")", term);
 }
@@ -30,7 +30,7 @@
 static char *
 sql_follow (const SsDialect *dialect, uint64_t term, const SsTarget *primary)
 {
-  (void)dialect;
+  (void) dialect;
   return g_strdup_printf ("SELECT * FROM sapphirestair_follow("
                           "%" G_GUINT64_FORMAT ", '%s', '%u')",
                           term, primary->ip, primary->port);
@@ -47,7 +47,7 @@
 
   for (uint32_t i = 0; i < G_N_ELEMENTS (names); i++)
     if (strcmp (text, names[i]) == 0)
-      return (SsServerRole)i;
+      return (SsServerRole) i;
   return SS_SERVER_UNKNOWN;
 }
 
@@ -57,7 +57,7 @@
 {
   uint64_t numbers[STATUS_CELLS];
 
-  (void)dialect;
+  (void) dialect;
   if (!row || cells != STATUS_CELLS)
     return false;
   for (uint32_t i = 1; i < STATUS_CELLS - 1; i++)
@@ -71,7 +71,7 @@
   state->shown_term = numbers[1];
   state->held = (SsPosition){ numbers[2], numbers[3] };
   state->applied = (SsPosition){ numbers[4], numbers[5] };
-  state->silence_ms = (uint32_t)MIN (numbers[6], G_MAXUINT32);
+  state->silence_ms = (uint32_t) MIN (numbers[6], G_MAXUINT32);
   state->follow_term = numbers[7];
   return true;
 }
@@ -79,7 +79,7 @@
 static char *
 sql_claim_key (const SsDialect *dialect, const char *key)
 {
-  (void)dialect;
+  (void) dialect;
   return g_strdup_printf ("INSERT INTO sapphirestair_requests (id, outcome) "
                           "VALUES ('%s', '')",
                           key);
@@ -88,7 +88,7 @@
 static char *
 sql_record_key (const SsDialect *dialect, const char *key, const char *tag)
 {
-  (void)dialect;
+  (void) dialect;
   return g_strdup_printf ("UPDATE sapphirestair_requests SET outcome = '%s' "
                           "WHERE id = '%s'",
                           tag, key);
@@ -97,7 +97,7 @@
 static char *
 sql_find_key (const SsDialect *dialect, const char *key)
 {
-  (void)dialect;
+  (void) dialect;
   return g_strdup_printf (
       "SELECT outcome FROM sapphirestair_requests WHERE id = '%s'", key);
 }
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -150,7 +150,18 @@
   g_clear_pointer (&s->pinned_target, g_free);
 }
 
-/* Answers the caller; TEXT, where given, stands for the reason's message. */
+/* A request id holds for one statement, or for the transaction that it
+ * begins: the next statement must not pass for its repeat, whether or not
+ * this one was sent.
+ */
+static void
+drop_key (SsSession *s)
+{
+  if (s->status == 'I')
+    g_clear_pointer (&s->request_key, g_free);
+}
+
+/* Answers the caller without a result. */
 static void
 finish_request (SsNode *node, SsRequest *r, SsVerdict verdict, SsReason reason,
                 uint32_t retry_after_ms)
@@ -159,6 +170,7 @@
 
   log_span (node, r, verdict);
   drop_request (node, r);
+  drop_key (s);
   push_reply (node, s, verdict, reason, retry_after_ms);
 }
 
@@ -249,13 +261,13 @@
   run.session = s->id;
   run.target = r->target;
   run.service = s->service;
-  run.sql.data = (uint8_t *)r->sql;
+  run.sql.data = (uint8_t *) r->sql;
   run.sql.len = strlen (r->sql);
   run.is_read = r->is_read;
   run.pinned = pinned;
   ss_position_pack (&floor, r->floor);
   run.floor = &floor;
-  run.left_ms = (uint32_t)MAX (r->deadline_ms - node->now_ms, 0);
+  run.left_ms = (uint32_t) MAX (r->deadline_ms - node->now_ms, 0);
   if (r->sends_key)
     run.request_key = s->request_key;
   run.trace = r->trace;
@@ -469,7 +481,7 @@
 {
   SsPosition position;
 
-  (void)node;
+  (void) node;
   if (!value || !ss_position_parse (value, &position))
     return "sapphirestair.token must be TERM/OFFSET";
   raise_floor (s, position);
@@ -500,14 +512,14 @@
   else if (!g_ascii_string_to_unsigned (value, 10, 1, 600000, &number, NULL))
     return "sapphirestair.deadline_ms must be from 1 to 600000";
   else
-    s->deadline_ms = (int64_t)number;
+    s->deadline_ms = (int64_t) number;
   return NULL;
 }
 
 static const char *
 set_request_id (SsNode *node, SsSession *s, const char *value)
 {
-  (void)node;
+  (void) node;
   if (value && *value && !is_key (value))
     return "sapphirestair.request_id must be 1 to 64 letters, digits or "
            "one of . _ : -";
@@ -520,7 +532,7 @@
 {
   char **parts;
 
-  (void)node;
+  (void) node;
   if (!value || !*value)
     {
       replace (&s->trace, NULL);
@@ -689,6 +701,7 @@
           return;
         }
       s->status = 'I';
+      drop_key (s);
       reply_tag (node, s, "ROLLBACK");
       return;
     }
@@ -811,7 +824,7 @@
 take_answer (SsNode *node, SsRequest *r, const Ss__Peer__RunReply *reply)
 {
   SsSession *s = r->session;
-  SsVerdict verdict = (SsVerdict)reply->verdict;
+  SsVerdict verdict = (SsVerdict) reply->verdict;
   SsPosition commit = ss_position_unpack (reply->commit);
   SsAction *a;
 
@@ -819,14 +832,10 @@
     count_read (node, r);
   if (reply->reason == SS_REASON_NONE
       || reply->reason == SS_REASON_TARGET_ERROR)
-    update_pin (s, (char)reply->transaction_status, r->vm, r->target);
+    update_pin (s, (char) reply->transaction_status, r->vm, r->target);
   else
     lose_transaction (node, s);
-  /* A key goes with one statement: the next one must not pass for its
-   * repeat.
-   */
-  if (r->sends_key)
-    replace (&s->request_key, NULL);
+  drop_key (s);
   log_span (node, r, verdict);
   drop_request (node, r);
   if (commit.offset)
@@ -834,7 +843,7 @@
       raise_floor (s, commit);
       send_token (node, s);
     }
-  a = push_reply (node, s, verdict, (SsReason)reply->reason,
+  a = push_reply (node, s, verdict, (SsReason) reply->reason,
                   reply->retry_after_ms);
   if (reply->wire.len)
     a->bytes = g_bytes_new (reply->wire.data, reply->wire.len);
@@ -854,7 +863,7 @@
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
       return;
     }
-  if (may_retry (node, r, (SsVerdict)reply->verdict, (SsReason)reply->reason))
+  if (may_retry (node, r, (SsVerdict) reply->verdict, (SsReason) reply->reason))
     try_again (node, r);
   else
     take_answer (node, r, reply);
@@ -912,7 +921,7 @@
 static bool
 is_waiting (SsNode *node, const SsRequest *r)
 {
-  (void)node;
+  (void) node;
   return r->wait != SS_WAIT_NONE;
 }
 
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -208,7 +208,7 @@
 static uint32_t
 count_bits (uint32_t bits)
 {
-  return (uint32_t)__builtin_popcount (bits);
+  return (uint32_t) __builtin_popcount (bits);
 }
 
 /* Every answer comes from a poll begun after the round was: where a majority
--- a/src/core/local.c
+++ b/src/core/local.c
@@ -16,7 +16,7 @@
   s->config->scan_octal = FALSE;
   s->config->cpair_comment_single = "\1\n";
   s->config->store_int64 = TRUE;
-  g_scanner_input_text (s, sql, (guint)strlen (sql));
+  g_scanner_input_text (s, sql, (guint) strlen (sql));
   return s;
 }
 
@@ -66,7 +66,7 @@
   if (!local->name)
     return;
   local->kind = SS_LOCAL_SET;
-  if (g_scanner_peek_next_token (s) == (GTokenType)'=')
+  if (g_scanner_peek_next_token (s) == (GTokenType) '=')
     g_scanner_get_next_token (s);
   else
     take_word (s, "to");
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -19,7 +19,7 @@
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void)data;
+  (void) data;
   return strcmp (a, b);
 }
 
@@ -158,7 +158,7 @@
   SsMember *m = value;
   bool live = judge (u->members, m, u->now_ms);
 
-  (void)key;
+  (void) key;
   if (live != m->live)
     g_ptr_array_add (u->changed, m);
   else if (!live && !m->listed && u->now_ms - m->heard_ms > SS_MEMBER_FORGET_MS)
@@ -217,7 +217,7 @@
   const SsMember *m = value;
   uint64_t score;
 
-  (void)key;
+  (void) key;
   if (!may_hold_role (m, r->failure_domain))
     return FALSE;
   score = ss_rank_score (m->vm, r->subject);
@@ -264,7 +264,7 @@
   Settled *s = data;
   const SsMember *m = value;
 
-  (void)key;
+  (void) key;
   if (m->listed && !m->live
       && strcmp (m->failure_domain, s->failure_domain) == 0)
     s->settled = false;
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -58,7 +58,7 @@
   GBytes *packed;
   SsAction *a;
 
-  envelope->from = (char *)node->params.vm;
+  envelope->from = (char *) node->params.vm;
   bytes = ss__peer__envelope__get_packed_size (envelope);
   data = g_malloc (bytes);
   ss__peer__envelope__pack (envelope, data);
@@ -105,7 +105,7 @@
   out->reachable = in->reachable;
   out->refused = in->refused;
   if (in->role <= SS_SERVER_FENCED)
-    out->role = (SsServerRole)in->role;
+    out->role = (SsServerRole) in->role;
   out->shown_term = in->shown_term;
   out->held = ss_position_unpack (in->held);
   out->applied = ss_position_unpack (in->applied);
--- a/src/core/monitor.c
+++ b/src/core/monitor.c
@@ -56,7 +56,7 @@
   out->state.history = out->history_list;
   out->state.n_history = s->history.count;
   out->state.age_ms
-      = (uint32_t)MIN (node->now_ms - owned->target->state_ms, G_MAXINT32);
+      = (uint32_t) MIN (node->now_ms - owned->target->state_ms, G_MAXINT32);
   out->state.wait_ms = ss_queue_wait_ms (&owned->queue, SS_QUEUE_READ,
                                          ss_owner_budget (node, owned));
 }
@@ -103,7 +103,7 @@
   g_hash_table_iter_init (&iter, owned->subscribers);
   while (g_hash_table_iter_next (&iter, &vm, &expiry))
     {
-      if (*(int64_t *)expiry < node->now_ms)
+      if (*(int64_t *) expiry < node->now_ms)
         g_hash_table_iter_remove (&iter);
       else
         send_report (node, owned, vm, 0);
@@ -259,7 +259,7 @@
     return;
   state.reachable = true;
   ss_node_take_state (node, t, &state,
-                      (uint32_t)(node->now_ms - owned->control_started_ms));
+                      (uint32_t) (node->now_ms - owned->control_started_ms));
   log_role (node, t, &old);
   if (owned->raise_term && state.shown_term >= owned->raise_term)
     send_raise_replies (node, owned, state.shown_term == owned->raise_term);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -13,7 +13,7 @@
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void)data;
+  (void) data;
   return strcmp (a, b);
 }
 
@@ -49,8 +49,8 @@
   node->rand = g_rand_new_with_seed (params->seed);
   node->dialect = ss_dialect_sql ();
   /* Ids of one life never meet those of another. */
-  node->next_request = (uint64_t)g_rand_int (node->rand) << 32;
-  node->next_ask = (uint64_t)g_rand_int (node->rand) << 32;
+  node->next_request = (uint64_t) g_rand_int (node->rand) << 32;
+  node->next_ask = (uint64_t) g_rand_int (node->rand) << 32;
   g_queue_init (&node->actions);
   g_queue_init (&node->local);
   ss_config_init (&node->config);
@@ -206,7 +206,7 @@
 static gboolean
 retry_marks (gpointer key, gpointer value, gpointer data)
 {
-  (void)key;
+  (void) key;
   ss_marks_retry (data, value);
   return FALSE;
 }
@@ -248,8 +248,8 @@
 {
   SsMember *m = value;
 
-  (void)key;
-  m->heard_ms += *(int64_t *)data;
+  (void) key;
+  m->heard_ms += *(int64_t *) data;
   return FALSE;
 }
 
@@ -282,10 +282,10 @@
 {
   const SsOwned *o = value;
 
-  (void)key;
+  (void) key;
   if (o->asks->len == 0 && !o->raise_term)
     return FALSE;
-  *(bool *)data = true;
+  *(bool *) data = true;
   return TRUE;
 }
 
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -55,7 +55,7 @@
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void)data;
+  (void) data;
   return strcmp (a, b);
 }
 
@@ -81,8 +81,8 @@
   SsOwned *o = value;
   SsJob *job;
 
-  (void)key;
-  (void)data;
+  (void) key;
+  (void) data;
   while ((job = g_queue_pop_head (&o->waiters)))
     free_job (job);
   for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
@@ -292,7 +292,7 @@
   reply.verdict = verdict;
   reply.reason = reason;
   reply.retry_after_ms = retry_after_ms;
-  reply.transaction_status = (uint8_t)job->transaction_status;
+  reply.transaction_status = (uint8_t) job->transaction_status;
   ss_position_pack (&commit, job->commit);
   ss_position_pack (&applied, job->applied);
   if (verdict == SS_VERDICT_RAN && job->commit.offset)
@@ -301,7 +301,7 @@
   if (job->wire
       && (verdict == SS_VERDICT_RAN || reason == SS_REASON_TARGET_ERROR))
     {
-      reply.wire.data = (uint8_t *)g_bytes_get_data (job->wire, &bytes);
+      reply.wire.data = (uint8_t *) g_bytes_get_data (job->wire, &bytes);
       reply.wire.len = bytes;
     }
   if (job->tag)
@@ -397,7 +397,7 @@
         return;
       c->holds_slot = true;
       c->queue_class = item->queue_class;
-      start_job (node, c, (SsJob *)item);
+      start_job (node, c, (SsJob *) item);
     }
   open_more (node, owned);
 }
@@ -447,7 +447,7 @@
   job->vm = g_strdup (from);
   job->session = run->session;
   job->service = g_strdup (run->service);
-  job->sql = g_strndup ((const char *)run->sql.data, run->sql.len);
+  job->sql = g_strndup ((const char *) run->sql.data, run->sql.len);
   job->key = *run->request_key ? g_strdup (run->request_key) : NULL;
   job->trace = g_strdup (run->trace);
   job->is_read = run->is_read;
@@ -456,7 +456,7 @@
   job->transaction_status = 'I';
   job->item.deadline_ms = node->now_ms + run->left_ms;
   job->item.queue_class = run->is_read ? SS_QUEUE_READ : SS_QUEUE_WRITE;
-  job->item.bytes = (uint32_t)run->sql.len;
+  job->item.bytes = (uint32_t) run->sql.len;
   return job;
 }
 
@@ -913,7 +913,7 @@
 static gboolean
 collect (gpointer key, gpointer value, gpointer data)
 {
-  (void)key;
+  (void) key;
   g_ptr_array_add (data, value);
   return FALSE;
 }
@@ -1015,7 +1015,7 @@
   bool is_owner = ss_node_is_owner (node, t);
   SsOwned *o = ss_owner_find (node, t->name);
 
-  (void)key;
+  (void) key;
   if (!o && is_owner)
     o = add_owned (node, t);
   if (o)
@@ -1043,7 +1043,7 @@
   while ((item = ss_queue_expired (&owned->queue, node->now_ms)))
     {
       ss_queue_remove (&owned->queue, item);
-      ss_owner_answer (node, (SsJob *)item, SS_VERDICT_NOT_RUN,
+      ss_owner_answer (node, (SsJob *) item, SS_VERDICT_NOT_RUN,
                        SS_REASON_DEADLINE, SS_RETRY_SOON_MS);
     }
 }
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -55,7 +55,7 @@
   SsPromotion *p = value;
   const SsNode *node = data;
 
-  (void)key;
+  (void) key;
   p->primary_ok_ms = node->now_ms;
   return FALSE;
 }
@@ -92,7 +92,7 @@
 put_group (SsNode *node, SsPromotion *p, const char *primary)
 {
   SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_PUT);
-  json_t *json = json_pack ("{s:I, s:s, s:s}", "term", (json_int_t)p->term,
+  json_t *json = json_pack ("{s:I, s:s, s:s}", "term", (json_int_t) p->term,
                             "primary", primary, "operation", p->operation);
   char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
 
@@ -182,7 +182,7 @@
 {
   const SsTarget *primary = ss_group_primary (group);
   int64_t down_ms = node->now_ms - p->primary_ok_ms;
-  int64_t delay_ms = (int64_t)p->rank * RANK_DELAY_MS;
+  int64_t delay_ms = (int64_t) p->rank * RANK_DELAY_MS;
   uint32_t needed = witnesses_needed (group);
 
   if (!*group->primary)
@@ -291,7 +291,7 @@
       if (order > 0
           || (order == 0 && p->wanted
               && strcmp (p->wanted, group->servers[i]->name) == 0))
-        best = (int32_t)i;
+        best = (int32_t) i;
     }
   return best < 0 ? NULL : group->servers[best]->name;
 }
@@ -478,7 +478,7 @@
 static gboolean
 collect (gpointer key, gpointer value, gpointer data)
 {
-  (void)value;
+  (void) value;
   g_ptr_array_add (data, key);
   return FALSE;
 }
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -6,7 +6,7 @@
   const SsQueueItem *x = a;
   const SsQueueItem *y = b;
 
-  (void)data;
+  (void) data;
   if (x->tag < y->tag)
     return -1;
   if (x->tag > y->tag)
@@ -57,7 +57,7 @@
 static uint32_t
 class_length (const SsQueue *queue, SsQueueClass queue_class)
 {
-  return (uint32_t)g_sequence_get_length (queue->waiting[queue_class]);
+  return (uint32_t) g_sequence_get_length (queue->waiting[queue_class]);
 }
 
 uint32_t
@@ -80,7 +80,7 @@
     ahead += class_length (queue, SS_QUEUE_READ);
   if (ahead == 0 && busy < usable)
     return 0;
-  return (uint32_t)(queue->service_ms * (ahead + 1) / usable);
+  return (uint32_t) (queue->service_ms * (ahead + 1) / usable);
 }
 
 bool
@@ -94,7 +94,7 @@
   if (wait_ms <= SS_QUEUE_WAIT_MAX_MS && wait_ms < left_ms
       && queue->bytes + item->bytes <= SS_QUEUE_BYTES_MAX)
     return true;
-  *retry_after_ms = wait_ms + (uint32_t)(spread * (wait_ms + 50));
+  *retry_after_ms = wait_ms + (uint32_t) (spread * (wait_ms + 50));
   return false;
 }
 
@@ -158,9 +158,9 @@
 
   for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
     {
-      SsQueueItem *item = first_item (queue, (SsQueueClass)i);
+      SsQueueItem *item = first_item (queue, (SsQueueClass) i);
 
-      if (!item || !may_run (queue, (SsQueueClass)i, connections))
+      if (!item || !may_run (queue, (SsQueueClass) i, connections))
         continue;
       if (!best || compare_items (item, best, NULL) < 0)
         best = item;
@@ -180,7 +180,7 @@
   if (ran_ms < 0)
     return;
   queue->service_ms
-      += SS_QUEUE_SERVICE_GAIN * ((double)ran_ms + 0.1 - queue->service_ms);
+      += SS_QUEUE_SERVICE_GAIN * ((double) ran_ms + 0.1 - queue->service_ms);
 }
 
 SsQueueItem *
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -103,7 +103,7 @@
           char *name = g_strconcat (SEED_PREFIX, seeds[i], NULL);
 
           push_address (node, name, parts[0],
-                        (uint16_t)g_ascii_strtoull (parts[1], NULL, 10));
+                        (uint16_t) g_ascii_strtoull (parts[1], NULL, 10));
           ss_node_send (node, name, e);
           g_free (name);
         }
@@ -121,13 +121,13 @@
 
   node->heartbeat_due_ms = node->now_ms + HEARTBEAT_MS;
   visit_peers (node, collect_heard, heard);
-  beat.vm = (char *)node->params.vm;
-  beat.failure_domain = (char *)node->params.failure_domain;
-  beat.ip = (char *)node->params.ip;
+  beat.vm = (char *) node->params.vm;
+  beat.failure_domain = (char *) node->params.failure_domain;
+  beat.ip = (char *) node->params.ip;
   beat.peer_port = node->params.peer_port;
   beat.leaving = node->stopping;
   beat.revision = node->config.revision;
-  beat.heard = (char **)heard->pdata;
+  beat.heard = (char **) heard->pdata;
   beat.n_heard = heard->len;
   beat.ready = node->ready;
   e.body_case = SS__PEER__ENVELOPE__BODY_HEARTBEAT;
@@ -161,7 +161,7 @@
   if (!*beat->vm || is_self (node, beat->vm) || beat->peer_port > 65535)
     return;
   m = add_member (node, beat->vm, beat->failure_domain, beat->ip,
-                  (uint16_t)beat->peer_port);
+                  (uint16_t) beat->peer_port);
   m->revision = beat->revision;
   ss_members_heard (&node->members, m, beat->leaving, beat->heard,
                     beat->n_heard, node->now_ms);
@@ -210,7 +210,7 @@
   ss__peer__config_object__init (out);
   out->key = key;
   out->version = o->version;
-  out->value.data = (uint8_t *)g_bytes_get_data (o->value, &bytes);
+  out->value.data = (uint8_t *) g_bytes_get_data (o->value, &bytes);
   out->value.len = bytes;
   p->list[p->count++] = out;
   return FALSE;
@@ -233,7 +233,7 @@
                          const char *vm),
            const char *vm)
 {
-  uint32_t all = (uint32_t)g_tree_nnodes (node->config.objects);
+  uint32_t all = (uint32_t) g_tree_nnodes (node->config.objects);
   Ss__Peer__ConfigPush push = SS__PEER__CONFIG_PUSH__INIT;
   Push p = { since, g_new (Ss__Peer__ConfigObject, all + 1),
              g_new (Ss__Peer__ConfigObject *, all + 1), 0 };
@@ -246,7 +246,7 @@
   push.n_objects = p.count;
   if (node->vms_json)
     {
-      push.vms.data = (uint8_t *)g_bytes_get_data (node->vms_json, &bytes);
+      push.vms.data = (uint8_t *) g_bytes_get_data (node->vms_json, &bytes);
       push.vms.len = bytes;
     }
   send (node, &push, vm);
@@ -270,7 +270,7 @@
 static void
 send_to_domain (SsNode *node, Ss__Peer__ConfigPush *push, const char *vm)
 {
-  (void)vm;
+  (void) vm;
   visit_peers (node, push_to_neighbour, push);
 }
 
@@ -288,13 +288,14 @@
   for (size_t i = 0; i < push->n_objects; i++)
     {
       const Ss__Peer__ConfigObject *in = push->objects[i];
-      SsObject o = { in->key, in->version, (const char *)in->value.data,
-                     (uint32_t)in->value.len };
+      SsObject o = { in->key, in->version, (const char *) in->value.data,
+                     (uint32_t) in->value.len };
 
       adopt (node, &o);
     }
   if (push->vms.len)
-    ss_spread_vms (node, (const char *)push->vms.data, (uint32_t)push->vms.len);
+    ss_spread_vms (node, (const char *) push->vms.data,
+                   (uint32_t) push->vms.len);
   ss_owner_update (node);
   if (push->since == LOOSE_SINCE)
     return;
@@ -317,9 +318,9 @@
   Ss__Peer__ConfigObject o = SS__PEER__CONFIG_OBJECT__INIT;
   Ss__Peer__ConfigObject *list = &o;
 
-  o.key = (char *)object->key;
+  o.key = (char *) object->key;
   o.version = object->version;
-  o.value.data = (uint8_t *)object->value;
+  o.value.data = (uint8_t *) object->value;
   o.value.len = object->value_bytes;
   push.since = LOOSE_SINCE;
   push.objects = &list;
@@ -378,8 +379,8 @@
 static void
 unlist (SsNode *node, SsMember *member, void *data)
 {
-  (void)node;
-  (void)data;
+  (void) node;
+  (void) data;
   member->listed = false;
 }
 
@@ -397,7 +398,7 @@
   if (!vm || !domain || !ip || !state || port < 1 || port > 65535
       || is_self (node, vm))
     return;
-  m = add_member (node, vm, domain, ip, (uint16_t)port);
+  m = add_member (node, vm, domain, ip, (uint16_t) port);
   m->listed = strcmp (state, "live") == 0;
 }
 
@@ -450,7 +451,7 @@
   Subscriptions *s = data;
   SsGroup *group = value;
 
-  (void)key;
+  (void) key;
   if (!needs_group (s->node, group))
     return FALSE;
   for (uint32_t i = 0; i < group->server_count; i++)
@@ -465,7 +466,7 @@
       if (!names)
         {
           names = g_ptr_array_new ();
-          g_tree_insert (s->by_owner, (gpointer)owner, names);
+          g_tree_insert (s->by_owner, (gpointer) owner, names);
         }
       g_ptr_array_add (names, t->name);
     }
@@ -479,7 +480,7 @@
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__Subscribe m = SS__PEER__SUBSCRIBE__INIT;
 
-  m.targets = (char **)names->pdata;
+  m.targets = (char **) names->pdata;
   m.n_targets = names->len;
   e.body_case = SS__PEER__ENVELOPE__BODY_SUBSCRIBE;
   e.subscribe = &m;
@@ -490,7 +491,7 @@
 static int
 compare_names (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void)data;
+  (void) data;
   return strcmp (a, b);
 }
 
@@ -499,7 +500,7 @@
 {
   Subscriptions s
       = { node, g_tree_new_full (compare_names, NULL, NULL,
-                                 (GDestroyNotify)g_ptr_array_unref) };
+                                 (GDestroyNotify) g_ptr_array_unref) };
 
   node->subscribe_due_ms = node->now_ms + SUBSCRIBE_MS;
   node->subscribed_generation = node->members.generation;
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -13,8 +13,8 @@
 {
   SsEvent e = { .kind = SS_EVENT_STOP };
 
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   ss_shell_event (w->data, &e);
 }
 
--- a/src/kernel/clock.c
+++ b/src/kernel/clock.c
@@ -7,9 +7,9 @@
 {
   struct timespec ts;
 
-  (void)clock;
+  (void) clock;
   clock_gettime (CLOCK_MONOTONIC, &ts);
-  return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+  return (int64_t) ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
 const SsClock *
--- a/src/kernel/httpd.c
+++ b/src/kernel/httpd.c
@@ -16,23 +16,23 @@
   ev_timer_stop (h->loop, &h->timer);
   if (MHD_get_timeout (h->daemon, &timeout_ms) != MHD_YES)
     return;
-  ev_timer_set (&h->timer, (double)timeout_ms / 1000.0 + 0.001, 0);
+  ev_timer_set (&h->timer, (double) timeout_ms / 1000.0 + 0.001, 0);
   ev_timer_start (h->loop, &h->timer);
 }
 
 static void
 on_io (struct ev_loop *loop, ev_io *w, int events)
 {
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   run_daemon (w->data);
 }
 
 static void
 on_timer (struct ev_loop *loop, ev_timer *w, int events)
 {
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   run_daemon (w->data);
 }
 
@@ -51,7 +51,7 @@
   r->body = g_byte_array_new ();
   info = MHD_get_connection_info (connection,
                                   MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-  address = (const struct sockaddr_in *)(const void *)info->client_addr;
+  address = (const struct sockaddr_in *) (const void *) info->client_addr;
   inet_ntop (AF_INET, &address->sin_addr, r->client_ip, sizeof r->client_ip);
   return r;
 }
@@ -67,8 +67,8 @@
   response = MHD_create_response_from_buffer (
       strlen (r->reply_body), r->reply_body, MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header (response, "Content-Type", r->reply_type);
-  result
-      = MHD_queue_response (r->connection, (unsigned)r->reply_status, response);
+  result = MHD_queue_response (r->connection, (unsigned) r->reply_status,
+                               response);
   MHD_destroy_response (response);
   return result;
 }
@@ -81,7 +81,7 @@
   SsHttpd *h = cls;
   SsHttpRequest *r = *request;
 
-  (void)version;
+  (void) version;
   if (!r)
     {
       *request = new_request (h, connection, method, path);
@@ -93,7 +93,8 @@
     {
       if (r->body->len + *data_bytes > SS_HTTPD_BODY_MAX_BYTES)
         return MHD_NO;
-      g_byte_array_append (r->body, (const uint8_t *)data, (guint)*data_bytes);
+      g_byte_array_append (r->body, (const uint8_t *) data,
+                           (guint) *data_bytes);
       *data_bytes = 0;
       return MHD_YES;
     }
@@ -112,8 +113,8 @@
   SsHttpd *h = cls;
   SsHttpRequest *r = *request;
 
-  (void)connection;
-  (void)code;
+  (void) connection;
+  (void) code;
   if (!r)
     return;
   if (!r->replied && h->klass->on_gone)
@@ -142,7 +143,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, port, NULL, NULL, on_request,
       httpd, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
       on_completed, httpd, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)MEMORY_LIMIT_BYTES,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t) MEMORY_LIMIT_BYTES,
       MHD_OPTION_END);
   if (!httpd->daemon)
     return false;
--- a/src/kernel/log.c
+++ b/src/kernel/log.c
@@ -100,7 +100,7 @@
     {
       if (strcmp (name, level_names[i]) != 0)
         continue;
-      *level = (SsLogLevel)i;
+      *level = (SsLogLevel) i;
       return true;
     }
   return false;
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -60,8 +60,8 @@
 {
   SsEvent e = { .kind = SS_EVENT_TICK };
 
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   ss_shell_event (w->data, &e);
 }
 
@@ -71,9 +71,9 @@
   SsShell *shell = w->data;
   int64_t wait_ms
       = ss_node_next_deadline (&shell->node) - ss_clock_now_ms (shell->clock);
-  double wait_s = wait_ms > 0 ? (double)wait_ms / 1000.0 : TICK_MIN_S;
+  double wait_s = wait_ms > 0 ? (double) wait_ms / 1000.0 : TICK_MIN_S;
 
-  (void)events;
+  (void) events;
   ev_now_update (loop);
   ev_timer_stop (loop, &shell->tick);
   ev_timer_set (&shell->tick, wait_s, 0);
@@ -88,10 +88,10 @@
   params->failure_domain = settings->failure_domain;
   params->ip
       = *settings->advertised_ip ? settings->advertised_ip : settings->ip;
-  params->peer_port = (uint16_t)settings->peer_port;
+  params->peer_port = (uint16_t) settings->peer_port;
   params->seeds = settings->seeds;
   params->seed = seed;
-  params->max_callers = (uint32_t)settings->max_callers;
+  params->max_callers = (uint32_t) settings->max_callers;
   params->deadline_ms = settings->deadline_ms;
   params->transaction_idle_ms = settings->transaction_idle_ms;
   params->stop_bound_ms = settings->stop_bound_ms;
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -39,13 +39,13 @@
 static char **
 string_field (SsSettings *s, const StringRow *row)
 {
-  return (char **)(void *)((char *)s + row->offset);
+  return (char **) (void *) ((char *) s + row->offset);
 }
 
 static int64_t *
 integer_field (SsSettings *s, const IntegerRow *row)
 {
-  return (int64_t *)(void *)((char *)s + row->offset);
+  return (int64_t *) (void *) ((char *) s + row->offset);
 }
 
 static void
--- a/src/kernel/stream.c
+++ b/src/kernel/stream.c
@@ -46,7 +46,7 @@
 
       if (sent < 0)
         return would_block ();
-      s->output_sent_bytes += (uint32_t)sent;
+      s->output_sent_bytes += (uint32_t) sent;
       if (s->output_sent_bytes < s->output->len)
         continue;
       g_byte_array_free (s->output, TRUE);
@@ -67,8 +67,8 @@
   if (got == 0)
     return false;
   if (!s->input)
-    s->input = g_byte_array_sized_new ((guint)got);
-  g_byte_array_append (s->input, chunk, (guint)got);
+    s->input = g_byte_array_sized_new ((guint) got);
+  g_byte_array_append (s->input, chunk, (guint) got);
   return true;
 }
 
@@ -90,9 +90,9 @@
 static void
 on_io (struct ev_loop *loop, ev_io *w, int events)
 {
-  SsStream *s = (SsStream *)(void *)((char *)w - offsetof (SsStream, io));
+  SsStream *s = (SsStream *) (void *) ((char *) w - offsetof (SsStream, io));
 
-  (void)loop;
+  (void) loop;
   if (s->connecting)
     {
       if (!finish_connecting (s))
@@ -236,7 +236,7 @@
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   if (!fill_address (&address, ip, port))
     goto fail;
-  if (bind (fd, (struct sockaddr *)&address, sizeof address) < 0)
+  if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0)
     goto fail;
   if (listen (fd, LISTEN_BACKLOG) < 0)
     goto fail;
@@ -258,12 +258,12 @@
     {
       if (!fill_address (&address, source_ip, 0))
         goto fail;
-      if (bind (fd, (struct sockaddr *)&address, sizeof address) < 0)
+      if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0)
         goto fail;
     }
   if (!fill_address (&address, ip, port))
     goto fail;
-  if (connect (fd, (struct sockaddr *)&address, sizeof address) < 0
+  if (connect (fd, (struct sockaddr *) &address, sizeof address) < 0
       && errno != EINPROGRESS)
     goto fail;
   return fd;
@@ -278,7 +278,7 @@
   struct sockaddr_in address;
   socklen_t address_bytes = sizeof address;
   int one = 1;
-  int fd = accept (listen_fd, (struct sockaddr *)&address, &address_bytes);
+  int fd = accept (listen_fd, (struct sockaddr *) &address, &address_bytes);
 
   if (fd < 0)
     return -1;
--- a/src/plugins/admin_http.c
+++ b/src/plugins/admin_http.c
@@ -21,13 +21,13 @@
 
   for (uint32_t i = 0; i < SS_COUNTER_COUNT; i++)
     {
-      const char *name = ss_counter_name ((SsCounterId)i);
+      const char *name = ss_counter_name ((SsCounterId) i);
 
       g_string_append_printf (out,
                               "# HELP sapphirestair_%s_total %s\n"
                               "# TYPE sapphirestair_%s_total counter\n"
                               "sapphirestair_%s_total %" G_GUINT64_FORMAT "\n",
-                              name, ss_counter_help ((SsCounterId)i), name,
+                              name, ss_counter_help ((SsCounterId) i), name,
                               name, counters->values[i]);
     }
   return g_string_free (out, FALSE);
@@ -36,7 +36,7 @@
 static void
 handle (SsHttpd *httpd, SsHttpRequest *r)
 {
-  (void)httpd;
+  (void) httpd;
   if (strcmp (r->path, "/metrics") == 0)
     {
       char *text = metrics_text (&admin.shell->node.counters);
@@ -59,10 +59,10 @@
 
   admin.shell = shell;
   if (!ss_httpd_init (&admin.httpd, &klass, shell->loop, shell->settings->ip,
-                      (uint16_t)shell->settings->admin_port))
+                      (uint16_t) shell->settings->admin_port))
     return g_strdup_printf ("can't listen for operators on %s:%d",
                             shell->settings->ip,
-                            (int)shell->settings->admin_port);
+                            (int) shell->settings->admin_port);
   admin.open = true;
   return NULL;
 }
@@ -70,7 +70,7 @@
 static void
 finish (SsShell *shell)
 {
-  (void)shell;
+  (void) shell;
   if (admin.open)
     ss_httpd_finish (&admin.httpd);
 }
@@ -78,8 +78,8 @@
 static void
 on_action (SsShell *shell, SsAction *a)
 {
-  (void)shell;
-  (void)a;
+  (void) shell;
+  (void) a;
 }
 
 static const SsPlugin plugin = { "admin_http", 0, init, finish, on_action };
--- a/src/plugins/peer.c
+++ b/src/plugins/peer.c
@@ -92,7 +92,7 @@
 
   if (!in->vm)
     {
-      in->vm = g_strndup ((const char *)data, MIN (bytes, NAME_MAX_BYTES));
+      in->vm = g_strndup ((const char *) data, MIN (bytes, NAME_MAX_BYTES));
       return;
     }
   e.peer_message.data = data;
@@ -103,7 +103,7 @@
 static void
 on_input (SsStream *stream)
 {
-  Inbound *in = (Inbound *)stream;
+  Inbound *in = (Inbound *) stream;
   uint32_t at = 0;
 
   while (stream->input->len - at >= sizeof (uint32_t))
@@ -121,7 +121,7 @@
       if (stream->input->len - at - sizeof wire < bytes)
         break;
       take_frame (in, stream->input->data + at + sizeof wire, bytes);
-      at += (uint32_t)sizeof wire + bytes;
+      at += (uint32_t) sizeof wire + bytes;
     }
   ss_stream_consume (stream, at);
 }
@@ -129,7 +129,7 @@
 static void
 on_inbound_closed (SsStream *stream)
 {
-  drop_inbound ((Inbound *)stream);
+  drop_inbound ((Inbound *) stream);
 }
 
 static void
@@ -139,7 +139,7 @@
   Inbound *in;
   int fd = ss_stream_accept (w->fd, NULL);
 
-  (void)events;
+  (void) events;
   if (fd < 0)
     return;
   in = g_new0 (Inbound, 1);
@@ -155,7 +155,7 @@
   GByteArray *output = ss_stream_output (&out->stream);
   uint32_t wire = htonl (bytes);
 
-  g_byte_array_append (output, (const uint8_t *)&wire, sizeof wire);
+  g_byte_array_append (output, (const uint8_t *) &wire, sizeof wire);
   g_byte_array_append (output, data, bytes);
 }
 
@@ -172,7 +172,7 @@
 static void
 on_outbound_closed (SsStream *stream)
 {
-  Outbound *out = (Outbound *)stream;
+  Outbound *out = (Outbound *) stream;
 
   close_outbound (out);
   tell_lost (out->vm);
@@ -181,7 +181,7 @@
 static void
 on_connected (SsStream *stream)
 {
-  ((Outbound *)stream)->connected = true;
+  ((Outbound *) stream)->connected = true;
 }
 
 /* The other end sends nothing on this connection. */
@@ -208,7 +208,7 @@
   out->connected = false;
   out->dialled_ms = now_ms ();
   put_frame (out, peers.shell->settings->vm_name,
-             (uint32_t)strlen (peers.shell->settings->vm_name));
+             (uint32_t) strlen (peers.shell->settings->vm_name));
 }
 
 static void
@@ -232,7 +232,7 @@
         tell_lost (a->name);
       return;
     }
-  put_frame (out, data, (uint32_t)bytes);
+  put_frame (out, data, (uint32_t) bytes);
   ss_stream_flush (&out->stream);
 }
 
@@ -258,14 +258,14 @@
   out = g_new0 (Outbound, 1);
   out->vm = g_strdup (a->name);
   out->ip = g_strdup (a->text);
-  out->port = (uint16_t)a->port;
+  out->port = (uint16_t) a->port;
   g_hash_table_replace (peers.outbound, out->vm, out);
 }
 
 static void
 on_action (SsShell *shell, SsAction *a)
 {
-  (void)shell;
+  (void) shell;
   if (a->kind == SS_ACTION_PEER_SEND)
     send_message (a);
   else
@@ -276,13 +276,13 @@
 init (SsShell *shell)
 {
   int fd = ss_stream_listen (shell->settings->ip,
-                             (uint16_t)shell->settings->peer_port);
+                             (uint16_t) shell->settings->peer_port);
 
   peers.shell = shell;
   if (fd < 0)
     return g_strdup_printf (
         "can't listen for peers on %s:%d: %s", shell->settings->ip,
-        (int)shell->settings->peer_port, g_strerror (errno));
+        (int) shell->settings->peer_port, g_strerror (errno));
   peers.outbound
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_outbound);
   peers.inbound = g_hash_table_new_full (NULL, NULL, free_inbound, NULL);
--- a/src/plugins/pgserver.c
+++ b/src/plugins/pgserver.c
@@ -107,7 +107,7 @@
   ss_pgwire_parameter (out (c), "DateStyle", "ISO, MDY");
   ss_pgwire_parameter (out (c), "integer_datetimes", "on");
   ss_pgwire_parameter (out (c), "standard_conforming_strings", "on");
-  ss_pgwire_key_data (out (c), (uint32_t)c->id, c->secret);
+  ss_pgwire_key_data (out (c), (uint32_t) c->id, c->secret);
   send_ready (c);
 }
 
@@ -162,7 +162,7 @@
   Settings settings;
 
   if (g_hash_table_size (server.callers)
-      > (guint)server.shell->settings->max_callers)
+      > (guint) server.shell->settings->max_callers)
     {
       refuse (c, "53300", "too many callers on this vm");
       return;
@@ -188,7 +188,8 @@
     {
       const Caller *c = value;
 
-      if ((uint32_t)c->id != m->cancel_process || c->secret != m->cancel_secret)
+      if ((uint32_t) c->id != m->cancel_process
+          || c->secret != m->cancel_secret)
         continue;
       tell_core (SS_EVENT_CALLER_CANCEL, c->id);
       return;
@@ -255,7 +256,7 @@
   switch (m->kind)
     {
     case SS_PGWIRE_SSL_REQUEST:
-      g_byte_array_append (out (c), (const uint8_t *)"N", 1);
+      g_byte_array_append (out (c), (const uint8_t *) "N", 1);
       break;
     case SS_PGWIRE_STARTUP:
       take_startup (c, m);
@@ -305,7 +306,7 @@
 static void
 on_input (SsStream *stream)
 {
-  Caller *c = (Caller *)stream;
+  Caller *c = (Caller *) stream;
 
   c->active_ms = ss_clock_now_ms (server.shell->clock);
   take_messages (c);
@@ -314,7 +315,7 @@
 static void
 on_closed (SsStream *stream)
 {
-  Caller *c = (Caller *)stream;
+  Caller *c = (Caller *) stream;
   uint64_t id = c->id;
   bool core_knows = c->state == CALLER_IDLE || c->state == CALLER_BUSY;
 
@@ -330,7 +331,7 @@
   Caller *c;
   int fd;
 
-  (void)events;
+  (void) events;
   fd = ss_stream_accept (w->fd, NULL);
   if (fd < 0)
     return;
@@ -380,7 +381,7 @@
       gsize bytes;
       const uint8_t *data = g_bytes_get_data (a->bytes, &bytes);
 
-      g_byte_array_append (out (c), data, (guint)bytes);
+      g_byte_array_append (out (c), data, (guint) bytes);
     }
   else if (a->name)
     {
@@ -428,7 +429,7 @@
 {
   Caller *c = g_hash_table_lookup (server.callers, &a->id);
 
-  (void)shell;
+  (void) shell;
   if (!c)
     return;
   switch (a->kind)
@@ -462,9 +463,9 @@
   GHashTableIter iter;
   gpointer value;
 
-  (void)loop;
-  (void)w;
-  (void)events;
+  (void) loop;
+  (void) w;
+  (void) events;
   g_hash_table_iter_init (&iter, server.callers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -485,13 +486,13 @@
 init (SsShell *shell)
 {
   int fd = ss_stream_listen (shell->settings->ip,
-                             (uint16_t)shell->settings->caller_port);
+                             (uint16_t) shell->settings->caller_port);
 
   server.shell = shell;
   if (fd < 0)
     return g_strdup_printf (
         "can't listen for callers on %s:%d: %s", shell->settings->ip,
-        (int)shell->settings->caller_port, g_strerror (errno));
+        (int) shell->settings->caller_port, g_strerror (errno));
   server.callers = g_hash_table_new (g_int64_hash, g_int64_equal);
   ev_io_init (&server.accept_io, on_accept, fd, EV_READ);
   ev_io_start (shell->loop, &server.accept_io);
@@ -513,7 +514,7 @@
   g_hash_table_iter_init (&iter, server.callers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      ss_stream_finish (&((Caller *)value)->stream);
+      ss_stream_finish (&((Caller *) value)->stream);
       g_free (value);
     }
   g_hash_table_destroy (server.callers);
--- a/src/plugins/pgwire.c
+++ b/src/plugins/pgwire.c
@@ -44,7 +44,7 @@
       if (end == text + at && strings % 2 == 0)
         return at + 1 == bytes;
       strings++;
-      at = (uint32_t)(end - text) + 1;
+      at = (uint32_t) (end - text) + 1;
     }
   return false;
 }
@@ -78,7 +78,7 @@
   if (code != PROTOCOL_VERSION_3)
     return bare_message (SS_PGWIRE_BAD_VERSION, 0);
   m = bare_message (SS_PGWIRE_STARTUP, length);
-  m.text = (const char *)data + 8;
+  m.text = (const char *) data + 8;
   m.text_bytes = length - 8;
   if (!pairs_are_valid (m.text, m.text_bytes))
     return bare_message (SS_PGWIRE_MALFORMED, 0);
@@ -136,7 +136,7 @@
   if (data_bytes < length + 1)
     return bare_message (SS_PGWIRE_NONE, 0);
   m = bare_message (kind_of (data[0]), length + 1);
-  m.text = (const char *)data + 5;
+  m.text = (const char *) data + 5;
   m.text_bytes = length - 4;
   if (m.kind == SS_PGWIRE_QUERY
       && (m.text_bytes == 0
@@ -214,7 +214,7 @@
 {
   uint16_t wire = htons (value);
 
-  g_byte_array_append (out, (const uint8_t *)&wire, sizeof wire);
+  g_byte_array_append (out, (const uint8_t *) &wire, sizeof wire);
 }
 
 static void
@@ -222,19 +222,19 @@
 {
   uint32_t wire = htonl (value);
 
-  g_byte_array_append (out, (const uint8_t *)&wire, sizeof wire);
+  g_byte_array_append (out, (const uint8_t *) &wire, sizeof wire);
 }
 
 static void
 put_string (GByteArray *out, const char *text)
 {
-  g_byte_array_append (out, (const uint8_t *)text, (guint)strlen (text) + 1);
+  g_byte_array_append (out, (const uint8_t *) text, (guint) strlen (text) + 1);
 }
 
 static uint32_t
 begin_message (GByteArray *out, char type)
 {
-  put_u8 (out, (uint8_t)type);
+  put_u8 (out, (uint8_t) type);
   put_u32 (out, 0);
   return out->len - 4;
 }
@@ -281,7 +281,7 @@
 {
   uint32_t at = begin_message (out, 'Z');
 
-  put_u8 (out, (uint8_t)transaction_status);
+  put_u8 (out, (uint8_t) transaction_status);
   end_message (out, at);
 }
 
@@ -305,7 +305,7 @@
 {
   if (!text)
     return;
-  put_u8 (out, (uint8_t)code);
+  put_u8 (out, (uint8_t) code);
   put_string (out, text);
 }
 
@@ -360,9 +360,9 @@
           put_u32 (out, UINT32_MAX);
           continue;
         }
-      bytes = (uint32_t)strlen (cells[i]);
+      bytes = (uint32_t) strlen (cells[i]);
       put_u32 (out, bytes);
-      g_byte_array_append (out, (const uint8_t *)cells[i], bytes);
+      g_byte_array_append (out, (const uint8_t *) cells[i], bytes);
     }
   end_message (out, at);
 }
--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -82,7 +82,7 @@
   out->version = json_integer_value (json_object_get (json, "version"));
   *text = value ? json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
   out->value = *text;
-  out->value_bytes = *text ? (uint32_t)strlen (*text) : 0;
+  out->value_bytes = *text ? (uint32_t) strlen (*text) : 0;
   return out->key && *text;
 }
 
@@ -125,7 +125,7 @@
     {
       object->version = json_integer_value (json_object_get (json, "version"));
       object->value = call->body;
-      object->value_bytes = (uint32_t)strlen (call->body);
+      object->value_bytes = (uint32_t) strlen (call->body);
     }
   else if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
     {
@@ -144,7 +144,7 @@
 
   if (outcome == SS_PLATFORM_DONE)
     {
-      e.platform_vms.json = (const char *)call->answer->data;
+      e.platform_vms.json = (const char *) call->answer->data;
       e.platform_vms.json_bytes = call->answer->len;
     }
   ss_shell_event (platform.shell, &e);
@@ -154,7 +154,7 @@
 finish_call (Call *call, CURLcode code)
 {
   SsPlatformOutcome outcome = outcome_of (call, code);
-  json_t *json = json_loadb ((const char *)call->answer->data,
+  json_t *json = json_loadb ((const char *) call->answer->data,
                              call->answer->len, JSON_DECODE_ANY, NULL);
 
   if (outcome == SS_PLATFORM_DONE && !json)
@@ -199,7 +199,7 @@
   int flags = 0;
   int running;
 
-  (void)loop;
+  (void) loop;
   if (events & EV_READ)
     flags |= CURL_CSELECT_IN;
   if (events & EV_WRITE)
@@ -213,9 +213,9 @@
 {
   int running;
 
-  (void)loop;
-  (void)w;
-  (void)events;
+  (void) loop;
+  (void) w;
+  (void) events;
   curl_multi_socket_action (platform.multi, CURL_SOCKET_TIMEOUT, 0, &running);
   collect_finished ();
 }
@@ -223,12 +223,12 @@
 static int
 set_timer (CURLM *multi, long timeout_ms, void *data)
 {
-  (void)multi;
-  (void)data;
+  (void) multi;
+  (void) data;
   ev_timer_stop (platform.shell->loop, &platform.timer);
   if (timeout_ms < 0)
     return 0;
-  ev_timer_set (&platform.timer, (double)timeout_ms / 1000.0, 0);
+  ev_timer_set (&platform.timer, (double) timeout_ms / 1000.0, 0);
   ev_timer_start (platform.shell->loop, &platform.timer);
   return 0;
 }
@@ -239,8 +239,8 @@
   Socket *s = known;
   int events = 0;
 
-  (void)easy;
-  (void)data;
+  (void) easy;
+  (void) data;
   if (what == CURL_POLL_REMOVE)
     {
       if (s)
@@ -272,8 +272,8 @@
 
   if (call->answer->len + size * count > ANSWER_MAX_BYTES)
     return 0;
-  g_byte_array_append (call->answer, (const uint8_t *)data,
-                       (guint)(size * count));
+  g_byte_array_append (call->answer, (const uint8_t *) data,
+                       (guint) (size * count));
   return size * count;
 }
 
@@ -303,7 +303,7 @@
   const SsSettings *s = platform.shell->settings;
   char *path = call_path (a);
   char *url = g_strdup_printf ("http://%s:%d/%s", s->platform_ip,
-                               (int)s->platform_port, path);
+                               (int) s->platform_port, path);
 
   curl_easy_setopt (call->easy, CURLOPT_URL, url);
   g_free (url);
--- a/src/plugins/pqtarget.c
+++ b/src/plugins/pqtarget.c
@@ -117,12 +117,12 @@
       description[i].name = PQfname (r, i);
       description[i].type_id = PQftype (r, i);
     }
-  ss_pgwire_row_description (t->wire, description, (uint16_t)columns);
+  ss_pgwire_row_description (t->wire, description, (uint16_t) columns);
   for (int row = 0; row < PQntuples (r); row++)
     {
       for (int i = 0; i < columns; i++)
         cells[i] = PQgetisnull (r, row, i) ? NULL : PQgetvalue (r, row, i);
-      ss_pgwire_row (t->wire, cells, (uint16_t)columns);
+      ss_pgwire_row (t->wire, cells, (uint16_t) columns);
     }
   g_free (description);
   g_free (cells);
@@ -223,7 +223,7 @@
   if (ss_position_compare (commit, t->commit) != 0)
     result.commit = commit;
   t->commit = commit;
-  result.row = t->row_cells ? (const char *const *)answer.row : NULL;
+  result.row = t->row_cells ? (const char *const *) answer.row : NULL;
   result.row_cells = t->row_cells;
   e.target_result.connection = t->id;
   e.target_result.result = &result;
@@ -306,7 +306,7 @@
 {
   Target *t = w->data;
 
-  (void)loop;
+  (void) loop;
   if (!t->ready)
     {
       poll_start (t);
@@ -321,8 +321,8 @@
 static void
 on_failed (struct ev_loop *loop, ev_timer *w, int events)
 {
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   report_closed (w->data);
 }
 
@@ -370,7 +370,7 @@
 {
   Target *t = g_hash_table_lookup (pool.targets, &a->id);
 
-  (void)shell;
+  (void) shell;
   if (a->kind == SS_ACTION_TARGET_CONNECT)
     connect_target (a);
   else if (t && a->kind == SS_ACTION_TARGET_QUERY)
@@ -392,7 +392,7 @@
 {
   GList *targets;
 
-  (void)shell;
+  (void) shell;
   if (!pool.targets)
     return;
   targets = g_hash_table_get_values (pool.targets);
--- a/standin/link.c
+++ b/standin/link.c
@@ -54,7 +54,7 @@
       payloads[i - 1] = PQgetvalue (r, i, 1);
     }
   ss_server_take_log (l->server, PQgetvalue (r, 0, 0), terms, payloads,
-                      (uint32_t)rows - 1);
+                      (uint32_t) rows - 1);
   g_free (terms);
   g_free (payloads);
 }
@@ -90,8 +90,8 @@
 {
   SsLink *l = w->data;
 
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   if (!is_current (l))
     {
       close_link (l);
--- a/standin/network.c
+++ b/standin/network.c
@@ -71,7 +71,7 @@
 static void
 on_input (SsStream *stream)
 {
-  End *e = (End *)stream;
+  End *e = (End *) stream;
 
   forward (e, e == &e->pair->near ? &e->pair->far : &e->pair->near);
 }
@@ -79,7 +79,7 @@
 static void
 on_closed (SsStream *stream)
 {
-  drop_pair (((End *)stream)->pair);
+  drop_pair (((End *) stream)->pair);
 }
 
 static bool
@@ -114,7 +114,7 @@
   int fd = ss_stream_accept (w->fd, from);
   int far;
 
-  (void)events;
+  (void) events;
   if (fd < 0)
     return;
   p = g_new0 (Pair, 1);
@@ -140,13 +140,13 @@
 handle (SsHttpd *httpd, SsHttpRequest *r)
 {
   json_t *body
-      = json_loadb ((const char *)r->body->data, r->body->len, 0, NULL);
+      = json_loadb ((const char *) r->body->data, r->body->len, 0, NULL);
   json_t *ip;
   size_t i;
   GHashTableIter iter;
   gpointer pair;
 
-  (void)httpd;
+  (void) httpd;
   g_hash_table_remove_all (net.cut);
   json_array_foreach (json_object_get (body, "cut_ips"), i, ip)
   {
@@ -169,9 +169,9 @@
 
   if (g_strv_length (parts) == 4)
     {
-      fd = ss_stream_listen (parts[0], (uint16_t)atoi (parts[1]));
+      fd = ss_stream_listen (parts[0], (uint16_t) atoi (parts[1]));
       g_strlcpy (relay->ip, parts[2], sizeof relay->ip);
-      relay->port = (uint16_t)atoi (parts[3]);
+      relay->port = (uint16_t) atoi (parts[3]);
     }
   g_strfreev (parts);
   if (fd < 0)
@@ -200,7 +200,7 @@
   net.cut = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   net.pairs = g_hash_table_new (NULL, NULL);
   if (!ss_httpd_init (&net.httpd, &klass, net.loop, argv[1],
-                      (uint16_t)atoi (argv[2])))
+                      (uint16_t) atoi (argv[2])))
     {
       fprintf (stderr, "ss-standin-network: can't listen\n");
       return 1;
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -141,7 +141,7 @@
 {
   int64_t if_version = ss_http_query_number (r, "if_version", -1);
   json_t *value
-      = json_loadb ((const char *)r->body->data, r->body->len, 0, NULL);
+      = json_loadb ((const char *) r->body->data, r->body->len, 0, NULL);
   Object *old = g_tree_lookup (p->objects, key);
   int64_t old_version = old ? old->version : 0;
   Object *o;
@@ -192,7 +192,7 @@
   Waiter *w = g_new0 (Waiter, 1);
 
   w->request = r;
-  w->due_s = ev_now (p->loop) + (double)wait_ms / 1000.0;
+  w->due_s = ev_now (p->loop) + (double) wait_ms / 1000.0;
   w->is_watch = is_watch;
   g_ptr_array_add (p->waiters, w);
 }
@@ -243,7 +243,7 @@
 control (Platform *p, SsHttpRequest *r)
 {
   json_t *body
-      = json_loadb ((const char *)r->body->data, r->body->len, 0, NULL);
+      = json_loadb ((const char *) r->body->data, r->body->len, 0, NULL);
   json_t *item;
 
   if ((item = json_object_get (body, "down")))
@@ -260,7 +260,7 @@
     {
       json_decref (p->vms_pending);
       p->vms_pending = json_incref (item);
-      p->vms_due_s = ev_now (p->loop) + (double)p->vms_lag_ms / 1000.0;
+      p->vms_due_s = ev_now (p->loop) + (double) p->vms_lag_ms / 1000.0;
     }
   json_decref (body);
   reply_json (r, 200,
@@ -271,7 +271,7 @@
 static void
 handle (SsHttpd *httpd, SsHttpRequest *r)
 {
-  Platform *p = (Platform *)(void *)httpd;
+  Platform *p = (Platform *) (void *) httpd;
 
   if (strcmp (r->path, "/control") == 0)
     control (p, r);
@@ -288,7 +288,7 @@
 static void
 on_gone (SsHttpd *httpd, SsHttpRequest *r)
 {
-  Platform *p = (Platform *)(void *)httpd;
+  Platform *p = (Platform *) (void *) httpd;
 
   for (guint i = 0; i < p->waiters->len; i++)
     {
@@ -306,7 +306,7 @@
 {
   Platform *p = w->data;
 
-  (void)events;
+  (void) events;
   if (p->vms_pending && ev_now (loop) >= p->vms_due_s)
     {
       json_decref (p->vms);
@@ -335,15 +335,15 @@
 static int
 compare_keys (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void)data;
+  (void) data;
   return strcmp (a, b);
 }
 
 static void
 on_signal (struct ev_loop *loop, ev_signal *w, int events)
 {
-  (void)w;
-  (void)events;
+  (void) w;
+  (void) events;
   ev_break (loop, EVBREAK_ALL);
 }
 
@@ -367,7 +367,7 @@
   p->cut_ips = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   p->vms = json_array ();
   if (!ss_httpd_init (&p->httpd, &klass, p->loop, argv[1],
-                      (uint16_t)atoi (argv[2])))
+                      (uint16_t) atoi (argv[2])))
     {
       fprintf (stderr, "ss-standin-platform: can't listen on %s:%s\n", argv[1],
                argv[2]);
--- a/standin/server.c
+++ b/standin/server.c
@@ -6,8 +6,7 @@
 int64_t
 ss_server_now_ms (const SsServer *server)
 {
-  (void)server;
-  return g_get_monotonic_time () / 1000;
+  return ss_clock_now_ms (server->clock);
 }
 
 static void
@@ -135,6 +134,9 @@
 ss_server_take_log (SsServer *server, const char *found, const uint64_t *terms,
                     const char *const *payloads, uint32_t count)
 {
+  /* A refusal comes from a server that is not the primary. */
+  if (strcmp (found, "refused") == 0)
+    return;
   server->heard_ms = ss_server_now_ms (server);
   if (strcmp (found, "mismatch") == 0)
     {
@@ -142,8 +144,6 @@
         server->first_wanted--;
       return;
     }
-  if (strcmp (found, "ok") != 0)
-    return;
   ss_store_truncate (&server->store, server->first_wanted);
   for (uint32_t i = 0; i < count; i++)
     ss_store_append (&server->store, terms[i], payloads[i], server->heard_ms);
--- a/standin/session.c
+++ b/standin/session.c
@@ -234,7 +234,7 @@
   numbers[2] = ss_store_held (store);
   numbers[3] = ss_store_term_at (store, store->applied);
   numbers[4] = store->applied;
-  numbers[5] = (uint64_t)(ss_server_now_ms (s) - s->heard_ms);
+  numbers[5] = (uint64_t) (ss_server_now_ms (s) - s->heard_ms);
   numbers[6] = s->follow_term;
   cells[0] = ss_server_role_name (s);
   for (uint32_t i = 0; i < 7; i++)
@@ -333,7 +333,7 @@
   c->log_position = number_argument (q, 1);
   c->log_term = number_argument (q, 2);
   c->log_due_ms
-      = ss_server_now_ms (c->server) + (int64_t)number_argument (q, 4);
+      = ss_server_now_ms (c->server) + (int64_t) number_argument (q, 4);
   c->waits_for_log = !ss_sql_session_answer_log (c, false);
 }
 
--- a/standin/sql.c
+++ b/standin/sql.c
@@ -36,7 +36,7 @@
 static bool
 take_char (GScanner *s, char c)
 {
-  if (g_scanner_peek_next_token (s) != (GTokenType)c)
+  if (g_scanner_peek_next_token (s) != (GTokenType) c)
     return false;
   g_scanner_get_next_token (s);
   return true;
@@ -151,7 +151,7 @@
     return (q->name = take_name (s)) && parse_call (q, s);
   if (!take_word (s, "from") || !(q->name = take_name (s)))
     return false;
-  if (g_scanner_peek_next_token (s) == (GTokenType)'(')
+  if (g_scanner_peek_next_token (s) == (GTokenType) '(')
     return parse_call (q, s);
   return parse_where (q, s);
 }
@@ -205,7 +205,7 @@
   GScanner *s = new_scanner ();
 
   memset (sql, 0, sizeof *sql);
-  g_scanner_input_text (s, text, (guint)strlen (text));
+  g_scanner_input_text (s, text, (guint) strlen (text));
   parse (sql, s);
   g_scanner_destroy (s);
 }
@@ -233,11 +233,11 @@
         quoted = !quoted;
       if (*at != ';' || quoted)
         continue;
-      g_ptr_array_add (parts, g_strndup (start, (gsize)(at - start)));
+      g_ptr_array_add (parts, g_strndup (start, (gsize) (at - start)));
       start = at + 1;
     }
   if (*start || parts->len == 0)
     g_ptr_array_add (parts, g_strdup (start));
   g_ptr_array_add (parts, NULL);
-  return (char **)g_ptr_array_free (parts, FALSE);
+  return (char **) g_ptr_array_free (parts, FALSE);
 }
--- a/standin/store.c
+++ b/standin/store.c
@@ -38,7 +38,7 @@
 static void
 clear_entry (gpointer data)
 {
-  g_free (((SsLogEntry *)data)->payload);
+  g_free (((SsLogEntry *) data)->payload);
 }
 
 static void
@@ -121,7 +121,7 @@
       uint64_t number = strtoull (lines[i] + 1, &payload, 10);
 
       if (lines[i][0] == 't')
-        g_array_set_size (s->entries, (guint)number);
+        g_array_set_size (s->entries, (guint) number);
       else if (lines[i][0] == 'e')
         add_entry (s, number, payload + 1, 0);
     }
@@ -136,7 +136,7 @@
   g_array_set_clear_func (store->entries, clear_entry);
   store->applied = 0;
   store->tables = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                         (GDestroyNotify)g_hash_table_destroy);
+                                         (GDestroyNotify) g_hash_table_destroy);
   store->file = NULL;
   if (!path)
     return;
@@ -204,7 +204,7 @@
 
   if (position >= ss_store_held (store))
     return;
-  g_array_set_size (store->entries, (guint)position);
+  g_array_set_size (store->entries, (guint) position);
   if (store->file)
     {
       fprintf (store->file, "t%" G_GUINT64_FORMAT "\n", position);
--- a/standin/target.c
+++ b/standin/target.c
@@ -88,8 +88,8 @@
 {
   Client *c = w->data;
 
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   c->delayed = false;
   if (!c->started)
     start_client (c);
@@ -109,7 +109,7 @@
 {
   c->delayed = true;
   ev_timer_stop (c->stream.loop, &c->delay);
-  ev_timer_set (&c->delay, (double)wait_ms / 1000.0, 0);
+  ev_timer_set (&c->delay, (double) wait_ms / 1000.0, 0);
   ev_timer_start (c->stream.loop, &c->delay);
 }
 
@@ -171,7 +171,7 @@
   switch (m->kind)
     {
     case SS_PGWIRE_SSL_REQUEST:
-      g_byte_array_append (out (c), (const uint8_t *)"N", 1);
+      g_byte_array_append (out (c), (const uint8_t *) "N", 1);
       break;
     case SS_PGWIRE_STARTUP:
       take_startup (c, m);
@@ -226,13 +226,13 @@
 static void
 on_input (SsStream *stream)
 {
-  take_messages ((Client *)stream);
+  take_messages ((Client *) stream);
 }
 
 static void
 on_closed (SsStream *stream)
 {
-  client_free ((Client *)stream);
+  client_free ((Client *) stream);
 }
 
 static void
@@ -243,7 +243,7 @@
   int fd = ss_stream_accept (w->fd, NULL);
   Client *c;
 
-  (void)events;
+  (void) events;
   if (fd < 0)
     return;
   c = g_new0 (Client, 1);
@@ -262,8 +262,8 @@
   Target *t = w->data;
   int64_t now_ms = ss_server_now_ms (&t->server);
 
-  (void)loop;
-  (void)events;
+  (void) loop;
+  (void) events;
   ss_server_tick (&t->server);
   ss_link_tick (&t->link);
   for (guint i = 0; i < t->clients->len; i++)
@@ -284,8 +284,8 @@
 static void
 on_signal (struct ev_loop *loop, ev_signal *w, int events)
 {
-  (void)w;
-  (void)events;
+  (void) w;
+  (void) events;
   ev_break (loop, EVBREAK_ALL);
 }
 
@@ -307,7 +307,7 @@
                   argc > 4 ? argv[4] : NULL);
   ss_link_init (&target.link, loop, &target.server);
   target.clients = g_ptr_array_new ();
-  fd = ss_stream_listen (argv[2], (uint16_t)atoi (argv[3]));
+  fd = ss_stream_listen (argv[2], (uint16_t) atoi (argv[3]));
   if (fd < 0)
     {
       perror ("ss-standin-target: listen");
--- /dev/null
+++ b/tests/property.c
@@ -0,0 +1,81 @@
+/* property: seeded histories of several cores, checked against a model that
+ * knows what was acknowledged.
+ *
+ *   ss-property [--seed N] [--count N] [--verbose]
+ */
+#include <glib.h>
+#include <stdio.h>
+
+#include "tests/world.h"
+
+static int seed = 1;
+static int count = 1000;
+static int busy_ms = 8000;
+static int broken;
+static gboolean verbose;
+static gboolean calm;
+
+static void
+print_report (uint32_t number, const WorldReport *r)
+{
+  printf ("seed %u: statements %" G_GUINT64_FORMAT
+          " acknowledged %" G_GUINT64_FORMAT " not_run %" G_GUINT64_FORMAT
+          " may_have_run %" G_GUINT64_FORMAT " promotions %" G_GUINT64_FORMAT
+          " replica_reads %" G_GUINT64_FORMAT "\n"
+          "  lost %" G_GUINT64_FORMAT " doubled %" G_GUINT64_FORMAT
+          " stale %" G_GUINT64_FORMAT " crossed %" G_GUINT64_FORMAT
+          " mixed %" G_GUINT64_FORMAT " ran_though_not_run %" G_GUINT64_FORMAT
+          " reverted %" G_GUINT64_FORMAT " late %" G_GUINT64_FORMAT
+          " recovered %d: %s\n",
+          number, r->statements, r->acknowledged, r->not_run, r->may_have_run,
+          r->promotions, r->replica_reads, r->lost, r->doubled, r->stale,
+          r->crossed, r->mixed, r->ran_though_not_run, r->reverted, r->late,
+          r->recovered, r->first_violation);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const GOptionEntry entries[] = {
+    { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "First seed", "N" },
+    { "count", 0, 0, G_OPTION_ARG_INT, &count, "Histories", "N" },
+    { "busy-ms", 0, 0, G_OPTION_ARG_INT, &busy_ms, "Length", "MS" },
+    { "broken", 0, 0, G_OPTION_ARG_INT, &broken, "Mechanism to break", "N" },
+    { "calm", 0, 0, G_OPTION_ARG_NONE, &calm, "No faults", NULL },
+    { "verbose", 0, 0, G_OPTION_ARG_NONE, &verbose, "Print each history",
+      NULL },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new ("- seeded histories");
+  GError *error = NULL;
+  WorldReport sum = { 0 };
+  int failed = 0;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error))
+    {
+      fprintf (stderr, "ss-property: %s\n", error->message);
+      return 2;
+    }
+  for (int i = 0; i < count; i++)
+    {
+      WorldParams params
+          = { (uint32_t) (seed + i), !calm, busy_ms, (WorldBreak) broken };
+      WorldReport report;
+
+      world_run (&params, &report);
+      sum.acknowledged += report.acknowledged;
+      sum.promotions += report.promotions;
+      sum.may_have_run += report.may_have_run;
+      if (verbose || world_violations (&report))
+        print_report (params.seed, &report);
+      failed += world_violations (&report) ? 1 : 0;
+    }
+  printf ("histories %d acknowledged %" G_GUINT64_FORMAT
+          " promotions %" G_GUINT64_FORMAT " may_have_run %" G_GUINT64_FORMAT
+          "\n%d passed, %d failed\n",
+          count, sum.acknowledged, sum.promotions, sum.may_have_run,
+          count - failed, failed);
+  g_option_context_free (context);
+  return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tests/world_callers.c
@@ -0,0 +1,441 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/world_internal.h"
+
+#define AGED_MS 2000
+#define GIVE_UP_MS 6000
+#define DEADLINE_MS 2000
+/* What a final answer may come later than its deadline: a pause of the entry
+ * and the owner's grace.
+ */
+#define LATE_MS 400
+
+static void
+plan (World *w, WorldCaller *c, int64_t delay_ms)
+{
+  Item *item = world_add (w, ITEM_CALLER, delay_ms);
+
+  item->other = c->number;
+  item->id = ++c->plan;
+}
+
+static void
+disconnect (World *w, WorldCaller *c)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_CLOSE };
+
+  if (c->node < 0)
+    return;
+  e.caller.caller = c->session;
+  g_hash_table_remove (w->sessions, &c->session);
+  if (w->nodes[c->node].life == c->life)
+    world_event (w, c->node, &e);
+  c->node = -1;
+  c->open = false;
+  c->waiting = false;
+}
+
+static void
+say (World *w, WorldCaller *c, const char *sql)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_STATEMENT };
+
+  c->waiting = true;
+  c->statement_ms = w->clock.now_ms;
+  w->report->statements++;
+  e.caller_statement.caller = c->session;
+  e.caller_statement.sql = sql;
+  world_event (w, c->node, &e);
+}
+
+static void
+connect_caller (World *w, WorldCaller *c)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_OPEN };
+  int32_t node = world_random (w, 0, WORLD_NODES - 1);
+  const char *settings[] = { "token", c->token, NULL };
+  bool brings_token = *c->token && world_chance (w, 500);
+
+  if (!w->nodes[node].alive || w->nodes[node].paused_until_ms > w->clock.now_ms)
+    {
+      plan (w, c, 50);
+      return;
+    }
+  c->node = node;
+  c->life = w->nodes[node].life;
+  c->session = ++w->next_session;
+  c->open = false;
+  g_hash_table_insert (w->sessions, &c->session, c);
+  e.caller_open.caller = c->session;
+  e.caller_open.service = "app";
+  e.caller_open.settings = brings_token ? settings : NULL;
+  world_event (w, node, &e);
+}
+
+/* --- operations --- */
+
+static bool
+is_write (const WorldCaller *c)
+{
+  return c->op <= OP_TRANSACTION;
+}
+
+static SsFiling *
+pick_acknowledged (World *w, int64_t before_ms)
+{
+  GPtrArray *all = w->ledger.acknowledged;
+
+  for (int32_t i = 0; all->len && i < 5; i++)
+    {
+      SsFiling *f = g_ptr_array_index (
+          all, world_random (w, 0, (int32_t) all->len - 1));
+
+      if (f->acknowledged_ms <= before_ms)
+        return f;
+    }
+  return NULL;
+}
+
+static void
+choose (World *w, WorldCaller *c)
+{
+  int32_t draw = world_random (w, 0, 99);
+
+  c->wanted = NULL;
+  c->step = 0;
+  c->op_ms = w->clock.now_ms;
+  c->with_id_unknown = false;
+  if (draw < 45 || c->final)
+    {
+      char key[40];
+      char partner[40];
+
+      c->op = draw < 15 ? OP_WRITE
+                        : (draw < 30 ? OP_WRITE_WITH_ID : OP_TRANSACTION);
+      c->sequence++;
+      g_snprintf (key, sizeof key, "c%d-%d", c->number, c->sequence);
+      g_snprintf (partner, sizeof partner, "%s-b", key);
+      c->filing = ss_ledger_add (&w->ledger, key,
+                                 c->op == OP_TRANSACTION ? partner : NULL);
+      return;
+    }
+  c->op = draw < 75 ? OP_READ_OWN : (draw < 88 ? OP_READ_STRICT : OP_READ_AGED);
+}
+
+static char *
+insert_sql (const char *key)
+{
+  return g_strdup_printf ("INSERT INTO t (key, value) VALUES ('%s', '%s')", key,
+                          key);
+}
+
+static char *
+write_sql (const WorldCaller *c)
+{
+  static const char *const rest[] = { "BEGIN", NULL, NULL, "COMMIT" };
+
+  if (c->op == OP_WRITE_WITH_ID && c->step == 0)
+    return g_strdup_printf ("SET sapphirestair.request_id = '%s'",
+                            c->filing->key);
+  if (c->op != OP_TRANSACTION)
+    return insert_sql (c->filing->key);
+  if (c->step == 1)
+    return insert_sql (c->filing->key);
+  if (c->step == 2)
+    return insert_sql (c->filing->partner);
+  return g_strdup (rest[c->step]);
+}
+
+static char *
+read_sql (World *w, WorldCaller *c)
+{
+  static const char *const kinds[] = { "session", "strict", "aged" };
+
+  if (c->step == 0)
+    return g_strdup_printf ("SET sapphirestair.kind = '%s'",
+                            kinds[c->op - OP_READ_OWN]);
+  if (c->step == 2)
+    return g_strdup ("RESET sapphirestair.kind");
+  if (c->op == OP_READ_OWN)
+    c->wanted = c->last_own;
+  else
+    c->wanted = pick_acknowledged (
+        w, w->clock.now_ms - (c->op == OP_READ_AGED ? AGED_MS : 0));
+  return g_strdup_printf ("SELECT value FROM t WHERE key = '%s'",
+                          c->wanted ? c->wanted->key : "none");
+}
+
+static int32_t
+last_step (const WorldCaller *c)
+{
+  switch (c->op)
+    {
+    case OP_WRITE:
+      return 0;
+    case OP_WRITE_WITH_ID:
+      return 1;
+    case OP_TRANSACTION:
+      return 3;
+    default:
+      return 2;
+    }
+}
+
+static void
+next_statement (World *w, WorldCaller *c)
+{
+  char *sql = is_write (c) ? write_sql (c) : read_sql (w, c);
+
+  say (w, c, sql);
+  g_free (sql);
+}
+
+static void
+end_op (World *w, WorldCaller *c)
+{
+  c->filing = NULL;
+  c->wanted = NULL;
+  c->step = 0;
+  plan (w, c, world_random (w, 1, 60));
+}
+
+/* --- judging answers --- */
+
+static void
+judge_read (World *w, WorldCaller *c, const SsAction *a)
+{
+  gsize bytes = 0;
+  const char *data = a->bytes ? g_bytes_get_data (a->bytes, &bytes) : "";
+  char *value = g_strndup (data, bytes);
+
+  g_strchomp (value);
+  if (c->wanted && !*value)
+    world_violation (w, &w->report->stale,
+                     "op %d of caller %d at %d does not see %s", c->op,
+                     c->number, c->node, c->wanted->key);
+  else if (*value && (!c->wanted || strcmp (value, c->wanted->key) != 0))
+    world_violation (w, &w->report->crossed, "caller %d got %s for %s",
+                     c->number, value, c->wanted ? c->wanted->key : "none");
+  g_free (value);
+}
+
+static void
+succeed (World *w, WorldCaller *c)
+{
+  w->report->acknowledged++;
+  if (is_write (c))
+    {
+      ss_ledger_acknowledge (&w->ledger, c->filing, w->clock.now_ms);
+      c->last_own = c->filing;
+      if (c->final)
+        w->report->recovered = true;
+    }
+  end_op (w, c);
+}
+
+static bool
+gives_up (const World *w, const WorldCaller *c)
+{
+  return w->closing || w->clock.now_ms - c->op_ms > GIVE_UP_MS;
+}
+
+/* Repeats what can safely be repeated; else its fate is written down. */
+static void
+fail (World *w, WorldCaller *c, SsVerdict verdict, uint32_t retry_after_ms)
+{
+  bool not_run = verdict == SS_VERDICT_NOT_RUN;
+
+  if (not_run)
+    w->report->not_run++;
+  else
+    w->report->may_have_run++;
+  c->step = 0;
+  if (!is_write (c))
+    {
+      disconnect (w, c);
+      end_op (w, c);
+      return;
+    }
+  if (!not_run)
+    c->with_id_unknown = true;
+  if ((not_run || c->op == OP_WRITE_WITH_ID) && !gives_up (w, c))
+    {
+      plan (w, c, MAX (retry_after_ms, 5));
+      return;
+    }
+  c->filing->fate = c->with_id_unknown ? SS_FATE_UNKNOWN : SS_FATE_NOT_RUN;
+  end_op (w, c);
+}
+
+static void
+check_lateness (World *w, const WorldCaller *c)
+{
+  if (w->clock.now_ms - c->statement_ms <= DEADLINE_MS + LATE_MS)
+    return;
+  /* A paused entry vm answers nobody. */
+  if (w->params.faults)
+    return;
+  world_violation (w, &w->report->late, "caller %d waited %d ms", c->number,
+                   (int) (w->clock.now_ms - c->statement_ms));
+}
+
+static void
+take_reply (World *w, WorldCaller *c, const SsAction *a)
+{
+  if (!c->open)
+    {
+      c->open = a->verdict == SS_VERDICT_RAN;
+      if (c->open)
+        plan (w, c, 1);
+      return;
+    }
+  c->waiting = false;
+  check_lateness (w, c);
+  if (a->verdict != SS_VERDICT_RAN)
+    {
+      if (a->transaction_status != 'I')
+        disconnect (w, c);
+      fail (w, c, a->verdict, a->retry_after_ms);
+      return;
+    }
+  if (!is_write (c) && c->step == 1)
+    judge_read (w, c, a);
+  if (c->step++ == last_step (c))
+    succeed (w, c);
+  else
+    plan (w, c, 1);
+}
+
+/* Without an answer only a COMMIT or a single statement may have run. */
+static void
+lose_entry (World *w, WorldCaller *c)
+{
+  bool was_waiting = c->waiting;
+  bool may_have_run = was_waiting && c->step == last_step (c);
+
+  g_hash_table_remove (w->sessions, &c->session);
+  c->node = -1;
+  c->open = false;
+  c->waiting = false;
+  if (was_waiting || (c->filing && c->step > 0))
+    fail (w, c, may_have_run ? SS_VERDICT_MAY_HAVE_RUN : SS_VERDICT_NOT_RUN,
+          20);
+  else
+    plan (w, c, 20);
+}
+
+void
+world_callers_node_gone (World *w, int32_t node)
+{
+  for (int32_t i = 0; i < WORLD_CALLERS; i++)
+    if (w->callers[i].node == node)
+      lose_entry (w, &w->callers[i]);
+}
+
+void
+world_caller_action (World *w, int32_t node, const SsAction *a)
+{
+  WorldCaller *c = g_hash_table_lookup (w->sessions, &a->id);
+
+  if (!c || c->node != node)
+    return;
+  switch (a->kind)
+    {
+    case SS_ACTION_CALLER_REPLY:
+      take_reply (w, c, a);
+      break;
+    case SS_ACTION_CALLER_PARAMETER:
+      g_strlcpy (c->token, a->text, sizeof c->token);
+      break;
+    default:
+      lose_entry (w, c);
+      break;
+    }
+}
+
+/* --- life --- */
+
+void
+world_caller_item (World *w, Item *item)
+{
+  WorldCaller *c = &w->callers[item->other];
+
+  if (c->waiting || item->id != c->plan)
+    return;
+  if (w->closing && !c->final && !c->filing)
+    return;
+  if (c->node >= 0 && !c->filing && !c->wanted && c->step == 0
+      && world_chance (w, 120))
+    disconnect (w, c);
+  if (c->node < 0)
+    {
+      connect_caller (w, c);
+      return;
+    }
+  if (!c->open || w->nodes[c->node].paused_until_ms > w->clock.now_ms)
+    {
+      plan (w, c, 50);
+      return;
+    }
+  if (!c->filing && c->step == 0)
+    choose (w, c);
+  next_statement (w, c);
+}
+
+void
+world_callers_init (World *w)
+{
+  w->sessions = g_hash_table_new (g_int64_hash, g_int64_equal);
+  for (int32_t i = 0; i < WORLD_CALLERS; i++)
+    {
+      w->callers[i].number = i;
+      w->callers[i].node = -1;
+      plan (w, &w->callers[i], world_random (w, 0, 100));
+    }
+}
+
+/* After the last fault one caller has to get a write through. */
+void
+world_callers_final (World *w)
+{
+  WorldCaller *c = &w->callers[0];
+
+  w->closing = true;
+  c->final = true;
+  if (!c->waiting && !c->filing)
+    plan (w, c, 1);
+}
+
+static void
+count_row (gpointer key, gpointer value, gpointer data)
+{
+  const GPtrArray *values = value;
+
+  g_hash_table_insert (data, g_strdup (key), GUINT_TO_POINTER (values->len));
+}
+
+void
+world_callers_compare (World *w)
+{
+  GHashTable *counts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  int32_t primary = world_primary (w);
+  GHashTable *table
+      = primary < 0 ? NULL
+                    : ss_store_table (&w->servers[primary].server.store, "t");
+  WorldReport *r = w->report;
+
+  if (table)
+    g_hash_table_foreach (table, count_row, counts);
+  ss_ledger_compare (&w->ledger, counts);
+  r->lost += w->ledger.lost;
+  r->doubled += w->ledger.doubled;
+  r->mixed += w->ledger.mixed;
+  r->ran_though_not_run += w->ledger.ran_though_not_run;
+  for (int32_t i = 0; i < WORLD_NODES; i++)
+    if (w->nodes[i].alive)
+      r->replica_reads
+          += w->nodes[i].core.counters.values[SS_COUNTER_READS_REPLICA];
+  g_hash_table_destroy (counts);
+}
