--- a/bench/ss_load.c
+++ b/bench/ss_load.c
@@ -27,6 +27,7 @@
   OP_WRITE_WITH_ID,
   OP_TRANSACTION,
   OP_READ_OWN,
+  OP_READ_ANY, /* what was acknowledged before the session arrived */
   OP_READ_AGED
 } OpKind;
 
@@ -46,6 +47,8 @@
   int32_t roam_percent;
   int32_t token_percent;
   int32_t think_ms;
+  int32_t readers;         /* callers that never write */
+  int32_t writer_think_ms; /* -1: think_ms */
   int64_t staleness_ms;
   char *aged_kind;
   int64_t started_ms;
@@ -75,6 +78,7 @@
   SsFiling *filing;
   SsFiling *wanted; /* of a read */
   int64_t op_started_ms;
+  int64_t arrived_ms;
   int64_t try_started_ms;
   int64_t step_started_us;
   int32_t rows;
@@ -208,12 +212,11 @@
                              c->op == OP_TRANSACTION ? partner : NULL);
 }
 
-/* An acknowledged write old enough to be seen within the staleness. */
+/* A write acknowledged at BOUND_MS or before. */
 static SsFiling *
-pick_aged (void)
+pick_acknowledged (int64_t bound_ms)
 {
   GPtrArray *all = load.ledger.acknowledged;
-  int64_t bound_ms = now_ms () - load.staleness_ms;
 
   for (int32_t tries = 0; all->len && tries < 8; tries++)
     {
@@ -232,7 +235,11 @@
   bool aged = c->op == OP_READ_AGED;
 
   clear_steps (c);
-  c->wanted = aged ? pick_aged () : c->last_own;
+  c->wanted = c->last_own;
+  if (aged)
+    c->wanted = pick_acknowledged (now_ms () - load.staleness_ms);
+  if (c->op == OP_READ_ANY)
+    c->wanted = pick_acknowledged (c->arrived_ms);
   add_step (c, g_strdup_printf ("SET sapphirestair.kind = '%s'",
                                 aged ? load.aged_kind : "session"));
   add_step (c, g_strdup_printf ("SELECT value FROM " TABLE " WHERE key = '%s'",
@@ -243,6 +250,11 @@
 static void
 choose_op (Caller *c)
 {
+  if (c->number < load.readers)
+    {
+      c->op = chance (load.aged_percent) ? OP_READ_AGED : OP_READ_ANY;
+      return;
+    }
   if (!c->last_own || chance (load.write_percent))
     {
       c->op = OP_WRITE;
@@ -330,6 +342,14 @@
   try_op (c);
 }
 
+static int32_t
+think_ms (const Caller *c)
+{
+  return c->number < load.readers || load.writer_think_ms < 0
+             ? load.think_ms
+             : load.writer_think_ms;
+}
+
 static void
 end_op (Caller *c)
 {
@@ -338,7 +358,7 @@
   if (load.stopping)
     end_caller (c);
   else
-    wait_then (c, load.think_ms);
+    wait_then (c, think_ms (c));
 }
 
 static void
@@ -614,6 +634,7 @@
       parts[0], parts[1], load.service, options);
 
   c->connecting = true;
+  c->arrived_ms = now_ms ();
   c->pq = PQconnectStart (conninfo);
   g_free (conninfo);
   g_free (options);
@@ -913,6 +934,10 @@
       "Share of arrivals that bring their token", "P" },
     { "think-ms", 0, 0, G_OPTION_ARG_INT, &load.think_ms,
       "Pause between operations", "MS" },
+    { "readers", 0, 0, G_OPTION_ARG_INT, &load.readers,
+      "Callers that never write", "N" },
+    { "writer-think-ms", 0, 0, G_OPTION_ARG_INT, &load.writer_think_ms,
+      "Pause of callers that write", "MS" },
     { "seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed", "N" },
     { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
   };
@@ -929,6 +954,7 @@
   load.roam_percent = 10;
   load.token_percent = 50;
   load.think_ms = 2;
+  load.writer_think_ms = -1;
   load.aged_kind = (char *) "report";
   load.service = "claims";
   g_option_context_add_main_entries (context, options, NULL);
--- /dev/null
+++ b/build2/src/core/rank.d
@@ -0,0 +1,1 @@
+build2/src/core/rank.o: src/core/rank.c src/core/rank.h
--- /dev/null
+++ b/build2/src/kernel/counters.d
@@ -0,0 +1,1 @@
+build2/src/kernel/counters.o: src/kernel/counters.c src/kernel/counters.h
--- /dev/null
+++ b/build2/src/kernel/log.d
@@ -0,0 +1,1 @@
+build2/src/kernel/log.o: src/kernel/log.c src/kernel/log.h
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -1,24 +1,9 @@
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/entry.h"
 
-#define TRIES_MAX 4
-#define MARK_WAIT_MS 500
-#define VIEW_WAIT_MS 500
 /* The owner's verdict is the better one: it gets this long to arrive. */
 #define OWNER_GRACE_MS 100
-#define KEY_MAX_BYTES 64
-
-static void
-clear_request (SsRequest *r)
-{
-  g_free (r->sql);
-  g_free (r->vm);
-  g_free (r->target);
-  for (uint32_t i = 0; i < r->tries && i < TRIES_MAX; i++)
-    g_free (r->tried[i]);
-  g_free (r);
-}
 
 static void
 clear_session (gpointer data)
@@ -50,7 +35,7 @@
 
   g_hash_table_iter_init (&iter, node->requests);
   while (g_hash_table_iter_next (&iter, NULL, &request))
-    clear_request (request);
+    ss_request_free (request);
   g_hash_table_destroy (node->requests);
   g_hash_table_destroy (node->sessions);
 }
@@ -61,383 +46,11 @@
   return g_hash_table_lookup (node->sessions, &id);
 }
 
-static SsGroup *
-session_group (SsNode *node, const SsSession *s)
-{
-  SsService *service = ss_config_service (&node->config, s->service);
-
-  return service ? ss_config_group (&node->config, service->group) : NULL;
-}
-
-/* --- replies --- */
-
-static SsAction *
-push_reply (SsNode *node, const SsSession *s, SsVerdict verdict,
-            SsReason reason, uint32_t retry_after_ms)
-{
-  SsAction *a = ss_node_push (node, SS_ACTION_CALLER_REPLY);
-
-  a->id = s->id;
-  a->verdict = verdict;
-  a->reason = reason;
-  a->retry_after_ms = retry_after_ms;
-  a->transaction_status = s->status;
-  if (verdict == SS_VERDICT_RAN)
-    ss_node_count (node, SS_COUNTER_ACKNOWLEDGED);
-  else if (verdict == SS_VERDICT_NOT_RUN)
-    ss_node_count (node, SS_COUNTER_NOT_RUN);
-  else
-    ss_node_count (node, SS_COUNTER_MAY_HAVE_RUN);
-  return a;
-}
-
-static void
-reply_tag (SsNode *node, const SsSession *s, const char *tag)
-{
-  push_reply (node, s, SS_VERDICT_RAN, SS_REASON_NONE, 0)->text
-      = g_strdup (tag);
-}
-
-static void
-reply_refusal (SsNode *node, const SsSession *s, SsReason reason,
-               const char *text)
-{
-  push_reply (node, s, SS_VERDICT_NOT_RUN, reason, 0)->text = g_strdup (text);
-}
-
-static void
-log_span (SsNode *node, const SsRequest *r, SsVerdict verdict)
-{
-  if (!node->params.spans)
-    return;
-  ss_node_log (node, SS_EVENT_LOG_SPAN, r->trace,
-               "hop=entry target=%s ms=%" G_GINT64_FORMAT " verdict=%s",
-               r->target ? r->target : "-", node->now_ms - r->started_ms,
-               ss_verdict_name (verdict));
-}
-
-static void
-forget_sent (SsNode *node, SsRequest *r)
-{
-  SsTarget *t = r->target ? ss_config_target (&node->config, r->target) : NULL;
-
-  if (t && t->outstanding)
-    t->outstanding--;
-  g_clear_pointer (&r->vm, g_free);
-  g_clear_pointer (&r->target, g_free);
-}
-
-static void
-end_wait (SsNode *node, SsRequest *r)
-{
-  if (r->wait == SS_WAIT_VIEW)
-    node->view_waiters--;
-  r->wait = SS_WAIT_NONE;
-}
-
-static void
-drop_request (SsNode *node, SsRequest *r)
-{
-  g_hash_table_remove (node->requests, &r->id);
-  forget_sent (node, r);
-  end_wait (node, r);
-  r->session->request = NULL;
-  clear_request (r);
-}
-
-static void
-unpin (SsSession *s)
-{
-  g_clear_pointer (&s->pinned_vm, g_free);
-  g_clear_pointer (&s->pinned_target, g_free);
-}
-
-/* A request id holds for one statement, or for the transaction that it
- * begins: the next statement must not pass for its repeat, whether or not
- * this one was sent.
- */
-static void
-drop_key (SsSession *s)
-{
-  if (s->status == 'I')
-    g_clear_pointer (&s->request_key, g_free);
-}
-
-/* Answers the caller without a result. */
-static void
-finish_request (SsNode *node, SsRequest *r, SsVerdict verdict, SsReason reason,
-                uint32_t retry_after_ms)
-{
-  SsSession *s = r->session;
-
-  log_span (node, r, verdict);
-  drop_request (node, r);
-  drop_key (s);
-  push_reply (node, s, verdict, reason, retry_after_ms);
-}
-
-static void
-send_session_end (SsNode *node, const SsSession *s, const char *vm)
-{
-  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
-  Ss__Peer__SessionEnd end = SS__PEER__SESSION_END__INIT;
-
-  end.session = s->id;
-  e.body_case = SS__PEER__ENVELOPE__BODY_SESSION_END;
-  e.session_end = &end;
-  ss_node_send (node, vm, &e);
-}
-
-/* The transaction can't go on: further statements are refused until the
- * caller ends it, so that none of them runs outside of it.
- */
-static void
-lose_transaction (SsNode *node, SsSession *s)
-{
-  if (s->pinned_vm)
-    send_session_end (node, s, s->pinned_vm);
-  if (s->status != 'I')
-    s->status = 'E';
-  unpin (s);
-}
-
-/* Gives up on a request that may be at its owner. */
-static void
-abandon_request (SsNode *node, SsRequest *r, SsReason reason)
-{
-  SsSession *s = r->session;
-  SsVerdict verdict = r->vm ? SS_VERDICT_MAY_HAVE_RUN : SS_VERDICT_NOT_RUN;
-
-  if (r->vm && !s->pinned_vm)
-    send_session_end (node, s, r->vm);
-  lose_transaction (node, s);
-  finish_request (node, r, verdict, reason, SS_RETRY_SOON_MS);
-}
-
-/* --- sending --- */
-
-static void
-draw_trace (SsNode *node, SsRequest *r)
-{
-  if (r->session->trace)
-    {
-      g_strlcpy (r->trace, r->session->trace, sizeof r->trace);
-      return;
-    }
-  g_snprintf (r->trace, sizeof r->trace, "%08x%08x%08x%08x",
-              g_rand_int (node->rand), g_rand_int (node->rand),
-              g_rand_int (node->rand), g_rand_int (node->rand));
-}
-
-static bool
-key_goes_with (const SsSession *s, const SsRequest *r)
-{
-  if (!s->request_key || r->is_read)
-    return false;
-  if (s->pinned_vm)
-    return ss_local_first_word (r->sql, "commit")
-           || ss_local_first_word (r->sql, "end");
-  return !ss_local_first_word (r->sql, "begin")
-         && !ss_local_first_word (r->sql, "start");
-}
-
-static void
-send_run (SsNode *node, SsRequest *r, const char *vm, const char *target,
-          bool pinned)
-{
-  SsSession *s = r->session;
-  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
-  Ss__Peer__Run run = SS__PEER__RUN__INIT;
-  Ss__Peer__Position floor;
-  SsTarget *t = ss_config_target (&node->config, target);
-
-  g_hash_table_remove (node->requests, &r->id);
-  r->id = ++node->next_request;
-  g_hash_table_insert (node->requests, &r->id, r);
-  r->vm = g_strdup (vm);
-  r->target = g_strdup (target);
-  if (t)
-    t->outstanding++;
-  r->sends_key = key_goes_with (s, r);
-  run.request = r->id;
-  run.session = s->id;
-  run.target = r->target;
-  run.service = s->service;
-  run.sql.data = (uint8_t *) r->sql;
-  run.sql.len = strlen (r->sql);
-  run.is_read = r->is_read;
-  run.pinned = pinned;
-  ss_position_pack (&floor, r->floor);
-  run.floor = &floor;
-  run.left_ms = (uint32_t) MAX (r->deadline_ms - node->now_ms, 0);
-  if (r->sends_key)
-    run.request_key = s->request_key;
-  run.trace = r->trace;
-  e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
-  e.run = &run;
-  ss_node_send (node, vm, &e);
-}
-
-/* --- floors --- */
-
-static void
-raise_floor (SsSession *s, SsPosition position)
-{
-  s->floor = ss_position_max (s->floor, position);
-  s->floor_known = true;
-}
-
-/* Finds the floor that the read has to reach; false where a confirmed
- * position is still to be waited for.
- */
-static bool
-find_floor (SsNode *node, SsRequest *r, SsMarks *marks)
-{
-  SsSession *s = r->session;
-  SsMark mark;
-
-  r->floor = s->floor;
-  if (r->strict)
-    {
-      if (marks->latest.ask <= r->start_ask)
-        return false;
-      r->floor = ss_position_max (s->floor, marks->latest.position);
-      return true;
-    }
-  if (r->staleness_ms == 0)
-    {
-      if (s->floor_known)
-        return true;
-      if (marks->latest.ask <= s->arrival_ask)
-        return false;
-      raise_floor (s, marks->latest.position);
-      r->floor = s->floor;
-      return true;
-    }
-  if (!ss_marks_within (marks, node->now_ms - r->staleness_ms, &mark))
-    return false;
-  r->floor = ss_position_max (s->floor, mark.position);
-  /* Ask early, so that the next read finds a mark in time. */
-  if (node->now_ms - marks->latest.asked_ms > r->staleness_ms / 4)
-    ss_marks_ask (node, marks);
-  return true;
-}
-
-/* --- routing --- */
-
-/* Before the first report of a group's servers nothing can be chosen; one is
- * on its way once the subscription is sent.
- */
-static bool
-is_unseen (const SsGroup *group)
-{
-  for (uint32_t i = 0; i < group->server_count; i++)
-    if (group->servers[i]->state_ms)
-      return false;
-  return group->server_count > 0;
-}
-
-static void
-begin_wait (SsNode *node, SsRequest *r, SsWait wait, int64_t wait_ms)
-{
-  r->wait = wait;
-  r->wait_due_ms = node->now_ms + wait_ms;
-  if (wait == SS_WAIT_VIEW)
-    node->view_waiters++;
-}
-
-static void
-route_read (SsNode *node, SsRequest *r, SsGroup *group)
-{
-  SsMarks *marks = ss_marks_get (node, group->name);
-  SsTarget *t;
-
-  if (!find_floor (node, r, marks))
-    {
-      if (!*group->primary)
-        {
-          finish_request (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
-                          SS_RETRY_PROMOTION_MS);
-          return;
-        }
-      begin_wait (node, r, SS_WAIT_MARK, MARK_WAIT_MS);
-      ss_marks_ask (node, marks);
-      return;
-    }
-  t = ss_choice_read (node, group, r->floor, r->tried, r->tries);
-  if (!t)
-    finish_request (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_REPLICA,
-                    SS_RETRY_PROMOTION_MS);
-  else
-    send_run (node, r, ss_node_owner (node, t), t->name, false);
-}
-
-static void
-route_write (SsNode *node, SsRequest *r, SsGroup *group)
-{
-  SsTarget *t = ss_choice_write (node, group);
-
-  if (!t)
-    finish_request (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
-                    SS_RETRY_PROMOTION_MS);
-  else
-    send_run (node, r, ss_node_owner (node, t), t->name, false);
-}
-
-static void
-route (SsNode *node, SsRequest *r)
-{
-  SsSession *s = r->session;
-  SsGroup *group = session_group (node, s);
-
-  if (s->pinned_vm)
-    send_run (node, r, s->pinned_vm, s->pinned_target, true);
-  else if (!group)
-    finish_request (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_SERVICE, 0);
-  else if (is_unseen (group))
-    begin_wait (node, r, SS_WAIT_VIEW, VIEW_WAIT_MS);
-  else if (r->is_read)
-    route_read (node, r, group);
-  else
-    route_write (node, r, group);
-}
-
-/* --- statements --- */
-
-/* Decides whether the statement is a read and what it has to see; false
- * where the session's kind is not one of the service's.
- */
-static bool
-classify (SsNode *node, SsRequest *r)
-{
-  SsSession *s = r->session;
-  SsService *service = ss_config_service (&node->config, s->service);
-  const char *kind = s->kind;
-
-  if (!service)
-    return true;
-  if (!kind)
-    kind = service->default_kind;
-  if (ss_local_is_read_only (r->sql))
-    {
-      r->is_read = true;
-      kind = *kind && strcmp (kind, "write") != 0 ? kind : "session";
-    }
-  else if (strcmp (kind, "write") != 0 && *kind)
-    r->is_read = !ss_local_first_word (r->sql, "begin")
-                 && !ss_local_first_word (r->sql, "start");
-  if (!r->is_read)
-    return true;
-  r->strict = s->strict || strcmp (kind, "strict") == 0;
-  r->staleness_ms = r->strict ? 0 : ss_service_staleness (service, kind);
-  return r->staleness_ms >= 0;
-}
-
 static void
 start_request (SsNode *node, SsSession *s, const char *sql)
 {
   SsRequest *r = g_new0 (SsRequest, 1);
-  SsGroup *group = session_group (node, s);
+  SsGroup *group = ss_session_group (node, s);
 
   r->id = ++node->next_request;
   r->session = s;
@@ -448,182 +61,16 @@
     r->start_ask = ss_marks_get (node, group->name)->last_ask;
   s->request = r;
   g_hash_table_insert (node->requests, &r->id, r);
-  draw_trace (node, r);
+  ss_route_draw_trace (node, r);
   ss_budget_first_try (&node->budget);
-  if (!s->pinned_vm && !classify (node, r))
-    {
-      finish_request (node, r, SS_VERDICT_NOT_RUN, SS_REASON_BAD_SETTING, 0);
-      return;
-    }
-  route (node, r);
-}
-
-/* --- session settings --- */
-
-static bool
-is_key (const char *text)
-{
-  size_t bytes = strlen (text);
-
-  return bytes > 0 && bytes <= KEY_MAX_BYTES
-         && strspn (text, "abcdefghijklmnopqrstuvwxyz"
-                          "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._:-")
-                == bytes;
-}
-
-static void
-replace (char **field, const char *value)
-{
-  g_free (*field);
-  *field = value && *value ? g_strdup (value) : NULL;
-}
-
-static const char *
-set_token (SsNode *node, SsSession *s, const char *value)
-{
-  SsPosition position;
-
-  (void) node;
-  if (!value || !ss_position_parse (value, &position))
-    return "sapphirestair.token must be TERM/OFFSET";
-  raise_floor (s, position);
-  return NULL;
-}
-
-static const char *
-set_kind (SsNode *node, SsSession *s, const char *value)
-{
-  SsService *service = ss_config_service (&node->config, s->service);
-
-  if (value && *value && strcmp (value, "write") != 0
-      && strcmp (value, "strict") != 0
-      && (!service || ss_service_staleness (service, value) < 0))
-    return "sapphirestair.kind must be write, session, strict or a kind of "
-           "the service";
-  replace (&s->kind, value);
-  return NULL;
-}
-
-static const char *
-set_deadline (SsNode *node, SsSession *s, const char *value)
-{
-  guint64 number = 0;
-
-  if (!value)
-    s->deadline_ms = node->params.deadline_ms;
-  else if (!g_ascii_string_to_unsigned (value, 10, 1, 600000, &number, NULL))
-    return "sapphirestair.deadline_ms must be from 1 to 600000";
-  else
-    s->deadline_ms = (int64_t) number;
-  return NULL;
-}
-
-static const char *
-set_request_id (SsNode *node, SsSession *s, const char *value)
-{
-  (void) node;
-  if (value && *value && !is_key (value))
-    return "sapphirestair.request_id must be 1 to 64 letters, digits or "
-           "one of . _ : -";
-  replace (&s->request_key, value);
-  return NULL;
-}
-
-static const char *
-set_traceparent (SsNode *node, SsSession *s, const char *value)
-{
-  char **parts;
-
-  (void) node;
-  if (!value || !*value)
+  if (!s->pinned_vm && !ss_route_classify (node, r))
     {
-      replace (&s->trace, NULL);
-      return NULL;
-    }
-  parts = g_strsplit (value, "-", 4);
-  if (g_strv_length (parts) != 4 || strlen (parts[1]) != 32
-      || strspn (parts[1], "0123456789abcdef") != 32)
-    {
-      g_strfreev (parts);
-      return "sapphirestair.traceparent must be VERSION-TRACE-SPAN-FLAGS";
-    }
-  replace (&s->trace, parts[1]);
-  g_strfreev (parts);
-  return NULL;
-}
-
-typedef struct
-{
-  const char *name;
-  /* Returns NULL or what is wrong with VALUE; NULL resets. */
-  const char *(*set) (SsNode *node, SsSession *s, const char *value);
-} SettingRow;
-
-static const SettingRow setting_rows[] = {
-  { "token", set_token },
-  { "kind", set_kind },
-  { "deadline_ms", set_deadline },
-  { "request_id", set_request_id },
-  { "traceparent", set_traceparent },
-};
-
-static const char *
-set_setting (SsNode *node, SsSession *s, const char *name, const char *value)
-{
-  for (size_t i = 0; i < G_N_ELEMENTS (setting_rows); i++)
-    if (strcmp (name, setting_rows[i].name) == 0)
-      return setting_rows[i].set (node, s, value);
-  return "no such session setting; known are token, kind, deadline_ms, "
-         "request_id and traceparent";
-}
-
-static void
-show_setting (SsNode *node, SsSession *s, const char *name)
-{
-  char text[SS_POSITION_TEXT_BYTES] = "";
-  SsAction *a;
-
-  if (strcmp (name, "token") == 0)
-    ss_position_format (s->floor, text);
-  else if (strcmp (name, "kind") == 0)
-    g_strlcpy (text, s->kind ? s->kind : "", sizeof text);
-  else
-    {
-      reply_refusal (node, s, SS_REASON_BAD_SETTING,
-                     "only sapphirestair.token and sapphirestair.kind can be "
-                     "shown");
+      ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_BAD_SETTING, 0);
       return;
     }
-  a = push_reply (node, s, SS_VERDICT_RAN, SS_REASON_NONE, 0);
-  a->name = g_strdup_printf ("sapphirestair.%s", name);
-  a->text = g_strdup (text);
+  ss_route (node, r);
 }
 
-static void
-run_local (SsNode *node, SsSession *s, const SsLocal *local)
-{
-  const char *error;
-
-  if (local->kind == SS_LOCAL_MALFORMED)
-    {
-      reply_refusal (node, s, SS_REASON_BAD_SETTING,
-                     "expected SET sapphirestair.NAME = 'VALUE'");
-      return;
-    }
-  if (local->kind == SS_LOCAL_SHOW)
-    {
-      show_setting (node, s, local->name);
-      return;
-    }
-  error = set_setting (node, s, local->name, local->value);
-  if (error)
-    reply_refusal (node, s, SS_REASON_BAD_SETTING, error);
-  else
-    reply_tag (node, s, local->value ? "SET" : "RESET");
-}
-
-/* --- events --- */
-
 static void
 refuse_open (SsNode *node, uint64_t caller, SsReason reason, const char *text)
 {
@@ -662,13 +109,13 @@
   s->service = g_strdup (service);
   s->deadline_ms = node->params.deadline_ms;
   s->status = 'I';
-  group = session_group (node, s);
+  group = ss_session_group (node, s);
   if (group && !ss_entry_uses_group (node, group->name))
     node->subscribe_due_ms = node->now_ms;
   if (group)
     s->arrival_ask = ss_marks_get (node, group->name)->last_ask;
   for (size_t i = 0; settings && settings[i] && !error; i += 2)
-    error = set_setting (node, s, settings[i], settings[i + 1]);
+    error = ss_session_set (node, s, settings[i], settings[i + 1]);
   if (error)
     {
       refuse_open (node, caller, SS_REASON_BAD_SETTING, error);
@@ -677,7 +124,7 @@
     }
   g_hash_table_insert (node->sessions, &s->id, s);
   ss_node_count (node, SS_COUNTER_CALLERS);
-  push_reply (node, s, SS_VERDICT_RAN, SS_REASON_NONE, 0);
+  ss_session_reply (node, s, SS_VERDICT_RAN, SS_REASON_NONE, 0);
 }
 
 static bool
@@ -686,6 +133,26 @@
   return sql[strspn (sql, " \t\r\n;")] == 0;
 }
 
+/* A statement of a transaction that was lost.  A COMMIT is answered as a
+ * rollback, without an error, only to a caller that was told of the loss.
+ */
+static void
+answer_lost (SsNode *node, SsSession *s, const char *sql)
+{
+  bool rolls_back = ss_local_first_word (sql, "rollback")
+                    || ss_local_first_word (sql, "abort");
+  bool ends = ss_local_ends_transaction (sql);
+  bool silent = rolls_back || (ends && !s->loss_untold);
+
+  ss_session_tell_loss (s, sql);
+  ss_session_drop_key (s);
+  if (silent)
+    ss_session_reply_tag (node, s, "ROLLBACK");
+  else
+    ss_session_reply (node, s, SS_VERDICT_NOT_RUN, SS_REASON_TRANSACTION_LOST,
+                      0);
+}
+
 void
 ss_entry_statement (SsNode *node, uint64_t caller, const char *sql)
 {
@@ -697,25 +164,17 @@
   ss_node_count (node, SS_COUNTER_STATEMENTS);
   if (is_blank (sql))
     {
-      reply_tag (node, s, "");
+      ss_session_reply_tag (node, s, "");
       return;
     }
   if (s->status == 'E' && !s->pinned_vm)
     {
-      if (!ss_local_ends_transaction (sql))
-        {
-          push_reply (node, s, SS_VERDICT_NOT_RUN, SS_REASON_TRANSACTION_LOST,
-                      0);
-          return;
-        }
-      s->status = 'I';
-      drop_key (s);
-      reply_tag (node, s, "ROLLBACK");
+      answer_lost (node, s, sql);
       return;
     }
   ss_local_init (&local, sql);
   if (local.kind != SS_LOCAL_NONE)
-    run_local (node, s, &local);
+    ss_session_run_local (node, s, &local);
   else
     start_request (node, s, sql);
   ss_local_finish (&local);
@@ -743,8 +202,8 @@
   if (s->request->vm)
     send_cancel (node, s->request);
   else
-    finish_request (node, s->request, SS_VERDICT_NOT_RUN, SS_REASON_CANCELLED,
-                    0);
+    ss_request_finish (node, s->request, SS_VERDICT_NOT_RUN,
+                       SS_REASON_CANCELLED, 0);
 }
 
 void
@@ -755,11 +214,11 @@
   if (!s)
     return;
   if (s->pinned_vm)
-    send_session_end (node, s, s->pinned_vm);
+    ss_session_send_end (node, s, s->pinned_vm);
   else if (s->request && s->request->vm)
-    send_session_end (node, s, s->request->vm);
+    ss_session_send_end (node, s, s->request->vm);
   if (s->request)
-    drop_request (node, s->request);
+    ss_request_drop (node, s->request);
   g_hash_table_remove (node->sessions, &caller);
 }
 
@@ -771,7 +230,7 @@
 
   if (!harmless || r->session->pinned_vm || !r->is_read
       || reason == SS_REASON_TARGET_ERROR || reason == SS_REASON_CANCELLED
-      || reason == SS_REASON_DEADLINE || r->tries >= TRIES_MAX
+      || reason == SS_REASON_DEADLINE || r->tries >= SS_REQUEST_TRIES_MAX
       || node->now_ms >= r->deadline_ms)
     return false;
   if (ss_budget_take_retry (&node->budget))
@@ -786,14 +245,14 @@
 {
   ss_node_count (node, SS_COUNTER_RETRIES);
   r->tried[r->tries++] = g_strdup (r->target);
-  forget_sent (node, r);
-  route (node, r);
+  ss_request_forget_sent (node, r);
+  ss_route (node, r);
 }
 
 static void
 count_read (SsNode *node, const SsRequest *r)
 {
-  SsGroup *group = session_group (node, r->session);
+  SsGroup *group = ss_session_group (node, r->session);
 
   if (!r->is_read || !group || !r->target)
     return;
@@ -803,28 +262,18 @@
 }
 
 static void
-update_pin (SsSession *s, char status, const char *vm, const char *target)
+update_pin (SsSession *s, char status, const SsRequest *r)
 {
   s->status = status;
   if (status == 'I')
     {
-      unpin (s);
+      ss_session_unpin (s);
       return;
     }
-  replace (&s->pinned_vm, vm);
-  replace (&s->pinned_target, target);
-}
-
-static void
-send_token (SsNode *node, const SsSession *s)
-{
-  SsAction *a = ss_node_push (node, SS_ACTION_CALLER_PARAMETER);
-  char text[SS_POSITION_TEXT_BYTES];
-
-  ss_position_format (s->floor, text);
-  a->id = s->id;
-  a->name = g_strdup ("sapphirestair.token");
-  a->text = g_strdup (text);
+  if (!s->pinned_vm)
+    s->pinned_is_read = r->is_read;
+  ss_session_replace (&s->pinned_vm, r->vm);
+  ss_session_replace (&s->pinned_target, r->target);
 }
 
 /* Takes the owner's final answer over to the caller. */
@@ -840,19 +289,22 @@
     count_read (node, r);
   if (reply->reason == SS_REASON_NONE
       || reply->reason == SS_REASON_TARGET_ERROR)
-    update_pin (s, (char) reply->transaction_status, r->vm, r->target);
+    update_pin (s, (char) reply->transaction_status, r);
   else
-    lose_transaction (node, s);
-  drop_key (s);
-  log_span (node, r, verdict);
-  drop_request (node, r);
+    {
+      ss_session_lose_transaction (node, s);
+      ss_session_tell_loss (s, r->sql);
+    }
+  ss_session_drop_key (s);
+  ss_request_log_span (node, r, verdict);
+  ss_request_drop (node, r);
   if (commit.offset)
     {
-      raise_floor (s, commit);
-      send_token (node, s);
+      ss_session_raise_floor (s, commit);
+      ss_session_send_token (node, s);
     }
-  a = push_reply (node, s, verdict, (SsReason) reply->reason,
-                  reply->retry_after_ms);
+  a = ss_session_reply (node, s, verdict, (SsReason) reply->reason,
+                        reply->retry_after_ms);
   if (reply->wire.len)
     a->bytes = g_bytes_new (reply->wire.data, reply->wire.len);
   else if (verdict == SS_VERDICT_RAN)
@@ -877,6 +329,56 @@
     take_answer (node, r, reply);
 }
 
+static GPtrArray *
+requests_where (SsNode *node, bool (*wanted) (SsNode *, const SsRequest *))
+{
+  GPtrArray *found = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (wanted (node, value))
+      g_ptr_array_add (found, value);
+  return found;
+}
+
+static bool
+is_write_out (SsNode *node, const SsRequest *r)
+{
+  (void) node;
+  return r->target && !r->is_read
+         && !(r->session->pinned_vm && r->session->pinned_is_read);
+}
+
+void
+ss_entry_superseded (SsNode *node, const SsGroup *group)
+{
+  GPtrArray *out = requests_where (node, is_write_out);
+  GHashTableIter iter;
+  gpointer value;
+
+  for (guint i = 0; i < out->len; i++)
+    {
+      SsRequest *r = g_ptr_array_index (out, i);
+
+      if (ss_session_group (node, r->session) == group
+          && strcmp (r->target, group->primary) != 0)
+        ss_request_abandon (node, r, SS_REASON_SUPERSEDED);
+    }
+  g_ptr_array_free (out, TRUE);
+  g_hash_table_iter_init (&iter, node->sessions);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SsSession *s = value;
+
+      if (s->pinned_target && !s->pinned_is_read
+          && ss_session_group (node, s) == group
+          && strcmp (s->pinned_target, group->primary) != 0)
+        ss_session_lose_transaction (node, s);
+    }
+}
+
 void
 ss_entry_vm_lost (SsNode *node, const char *vm)
 {
@@ -899,7 +401,7 @@
       if (may_retry (node, r, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_VM_LOST))
         try_again (node, r);
       else
-        abandon_request (node, r, SS_REASON_VM_LOST);
+        ss_request_abandon (node, r, SS_REASON_VM_LOST);
     }
   g_ptr_array_free (lost, TRUE);
   g_hash_table_iter_init (&iter, node->sessions);
@@ -908,24 +410,10 @@
       SsSession *s = value;
 
       if (s->pinned_vm && strcmp (s->pinned_vm, vm) == 0)
-        lose_transaction (node, s);
+        ss_session_lose_transaction (node, s);
     }
 }
 
-static GPtrArray *
-requests_where (SsNode *node, bool (*wanted) (SsNode *, const SsRequest *))
-{
-  GPtrArray *found = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, node->requests);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (wanted (node, value))
-      g_ptr_array_add (found, value);
-  return found;
-}
-
 static bool
 is_waiting (SsNode *node, const SsRequest *r)
 {
@@ -941,12 +429,12 @@
   for (guint i = 0; i < waiting->len; i++)
     {
       SsRequest *r = g_ptr_array_index (waiting, i);
-      SsGroup *g = session_group (node, r->session);
+      SsGroup *g = ss_session_group (node, r->session);
 
       if (r->wait != wait || !g || strcmp (g->name, group) != 0)
         continue;
-      end_wait (node, r);
-      route (node, r);
+      ss_request_end_wait (node, r);
+      ss_route (node, r);
     }
   g_ptr_array_free (waiting, TRUE);
 }
@@ -972,9 +460,9 @@
 
       if (r->vm)
         send_cancel (node, r);
-      abandon_request (node, r,
-                       r->wait == SS_WAIT_MARK ? SS_REASON_NO_MARK
-                                               : SS_REASON_DEADLINE);
+      ss_request_abandon (node, r,
+                          r->wait == SS_WAIT_MARK ? SS_REASON_NO_MARK
+                                                  : SS_REASON_DEADLINE);
     }
   g_ptr_array_free (overdue, TRUE);
 }
@@ -1016,7 +504,7 @@
       SsSession *s = g_ptr_array_index (ending, i);
 
       if (s->request)
-        abandon_request (node, s->request, SS_REASON_STOPPING);
+        ss_request_abandon (node, s->request, SS_REASON_STOPPING);
       end_session (node, s);
     }
   g_ptr_array_free (ending, TRUE);
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/owner.h"
 
 #define ASK_AGAIN_MS 100
 #define ROUND_MS 300
@@ -97,11 +97,11 @@
         continue;
       g_queue_delete_link (&owned->waiters, l);
       if (held)
-        ss_owner_answer (node, job, SS_VERDICT_RAN, SS_REASON_NONE, 0);
+        ss_job_answer (node, job, SS_VERDICT_RAN, SS_REASON_NONE, 0);
       else
-        ss_owner_answer (node, job, SS_VERDICT_MAY_HAVE_RUN,
-                         superseded ? SS_REASON_SUPERSEDED : SS_REASON_NOT_HELD,
-                         SS_RETRY_PROMOTION_MS);
+        ss_job_answer (node, job, SS_VERDICT_MAY_HAVE_RUN,
+                       superseded ? SS_REASON_SUPERSEDED : SS_REASON_NOT_HELD,
+                       SS_RETRY_PROMOTION_MS);
     }
 }
 
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -62,9 +62,13 @@
   char status;          /* I, T or E */
   char *pinned_vm;      /* while a transaction is open */
   char *pinned_target;
+  bool pinned_is_read;
+  bool loss_untold; /* its transaction was lost between two statements */
   SsRequest *request;
 } SsSession;
 
+#define SS_REQUEST_TRIES_MAX 4
+
 struct SsRequest
 {
   uint64_t id; /* of the present try */
@@ -82,7 +86,7 @@
   char *vm; /* sent there; NULL: not sent */
   char *target;
   uint32_t tries;
-  char *tried[4];
+  char *tried[SS_REQUEST_TRIES_MAX];
   bool sends_key;
   char trace[33];
 };
@@ -97,6 +101,10 @@
 void ss_entry_reply (SsNode *node, const char *from,
                      const Ss__Peer__RunReply *reply);
 void ss_entry_vm_lost (SsNode *node, const char *vm);
+/* ss_entry_superseded: GROUP has a later term: what is out at its earlier
+ * primary can't be acknowledged any more.
+ */
+void ss_entry_superseded (SsNode *node, const SsGroup *group);
 /* ss_entry_wake: routes the requests of GROUP that wait for WAIT. */
 void ss_entry_wake (SsNode *node, const char *group, SsWait wait);
 void ss_entry_tick (SsNode *node);
@@ -320,12 +328,6 @@
  */
 void ss_owner_unreachable (SsNode *node, SsOwned *owned);
 bool ss_owner_is_idle (SsNode *node);
-uint32_t ss_owner_budget (SsNode *node, const SsOwned *owned);
-SsConnection *ss_owner_connect (SsNode *node, SsOwned *owned, bool is_control);
-void ss_owner_close (SsNode *node, SsConnection *connection);
-/* ss_owner_answer: sends JOB's reply and frees it. */
-void ss_owner_answer (SsNode *node, SsJob *job, SsVerdict verdict,
-                      SsReason reason, uint32_t retry_after_ms);
 
 /* --- hold.c: a commit is answered once a majority holds it --- */
 
--- /dev/null
+++ b/src/core/job.c
@@ -0,0 +1,519 @@
+#include <string.h>
+
+#include "core/owner.h"
+
+#define UNIQUE_VIOLATION "23505"
+#define LOCK_NOT_AVAILABLE "55P03"
+#define READ_ONLY_SERVER "25006"
+
+static void
+log_span (SsNode *node, const SsJob *job, SsVerdict verdict)
+{
+  if (!node->params.spans)
+    return;
+  ss_node_log (node, SS_EVENT_LOG_SPAN, job->trace,
+               "hop=owner target=%s queue_ms=%" G_GINT64_FORMAT
+               " ms=%" G_GINT64_FORMAT " verdict=%s",
+               job->owned->target->name,
+               job->started_ms ? job->started_ms - job->received_ms : 0,
+               node->now_ms - job->received_ms, ss_verdict_name (verdict));
+}
+
+static void
+send_reply (SsNode *node, const char *vm, Ss__Peer__RunReply *reply)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+
+  e.body_case = SS__PEER__ENVELOPE__BODY_RUN_REPLY;
+  e.run_reply = reply;
+  ss_node_send (node, vm, &e);
+}
+
+static void
+refuse_run (SsNode *node, const char *vm, const Ss__Peer__Run *run,
+            SsReason reason, uint32_t retry_after_ms)
+{
+  Ss__Peer__RunReply reply = SS__PEER__RUN_REPLY__INIT;
+
+  reply.request = run->request;
+  reply.target = run->target;
+  reply.verdict = SS_VERDICT_NOT_RUN;
+  reply.reason = reason;
+  reply.retry_after_ms = retry_after_ms;
+  reply.transaction_status = 'I';
+  if (reason == SS_REASON_BEHIND)
+    ss_node_count (node, SS_COUNTER_BEHIND);
+  if (reason == SS_REASON_OVERLOAD)
+    ss_node_count (node, SS_COUNTER_OVERLOAD);
+  send_reply (node, vm, &reply);
+}
+
+void
+ss_job_answer (SsNode *node, SsJob *job, SsVerdict verdict, SsReason reason,
+               uint32_t retry_after_ms)
+{
+  Ss__Peer__RunReply reply = SS__PEER__RUN_REPLY__INIT;
+  Ss__Peer__Position commit;
+  Ss__Peer__Position applied;
+  gsize bytes;
+
+  log_span (node, job, verdict);
+  reply.request = job->request;
+  reply.target = job->owned->target->name;
+  reply.verdict = verdict;
+  reply.reason = reason;
+  reply.retry_after_ms = retry_after_ms;
+  reply.transaction_status = (uint8_t) job->transaction_status;
+  ss_position_pack (&commit, job->commit);
+  ss_position_pack (&applied, job->applied);
+  if (verdict == SS_VERDICT_RAN && job->commit.offset)
+    reply.commit = &commit;
+  reply.applied = &applied;
+  if (job->wire
+      && (verdict == SS_VERDICT_RAN || reason == SS_REASON_TARGET_ERROR))
+    {
+      reply.wire.data = (uint8_t *) g_bytes_get_data (job->wire, &bytes);
+      reply.wire.len = bytes;
+    }
+  if (job->tag)
+    reply.tag = job->tag;
+  send_reply (node, job->vm, &reply);
+  ss_job_free (job);
+}
+
+static char *
+step_sql (SsNode *node, const SsJob *job, uint32_t *skip_results)
+{
+  const SsDialect *d = node->dialect;
+  char *first = NULL;
+  char *second = NULL;
+  char *sql;
+
+  *skip_results = 0;
+  switch (job->step)
+    {
+    case SS_STEP_CLAIM:
+      first = d->claim_key (d, job->key);
+      sql = g_strdup_printf ("BEGIN; %s; %s", first, job->sql);
+      *skip_results = 2;
+      break;
+    case SS_STEP_RECORD:
+      first = d->record_key (d, job->key, job->tag);
+      sql = g_strdup_printf ("%s; COMMIT", first);
+      break;
+    case SS_STEP_COMMIT:
+      first = d->claim_key (d, job->key);
+      second = d->record_key (d, job->key, "COMMIT");
+      sql = g_strdup_printf ("%s; %s; COMMIT", first, second);
+      *skip_results = 2;
+      break;
+    case SS_STEP_REPLAY:
+      first = d->find_key (d, job->key);
+      sql = g_strdup_printf ("ROLLBACK; %s", first);
+      *skip_results = 1;
+      break;
+    case SS_STEP_ROLLBACK:
+      sql = g_strdup ("ROLLBACK");
+      break;
+    case SS_STEP_PLAIN:
+    default:
+      sql = g_strdup (job->sql);
+      break;
+    }
+  g_free (first);
+  g_free (second);
+  return sql;
+}
+
+static void
+start_step (SsNode *node, SsConnection *c, SsStep step)
+{
+  SsAction *a;
+  uint32_t skip_results;
+
+  c->job->step = step;
+  c->state = SS_CONNECTION_BUSY;
+  a = ss_node_push (node, SS_ACTION_TARGET_QUERY);
+  a->id = c->id;
+  a->text = step_sql (node, c->job, &skip_results);
+  a->skip_results = skip_results;
+  a->want_row = step == SS_STEP_REPLAY;
+}
+
+static void
+start_job (SsNode *node, SsConnection *c, SsJob *job)
+{
+  c->job = job;
+  job->connection = c;
+  job->started_ms = node->now_ms;
+  if (!job->key)
+    start_step (node, c, SS_STEP_PLAIN);
+  else
+    start_step (node, c, c->vm ? SS_STEP_COMMIT : SS_STEP_CLAIM);
+}
+
+void
+ss_job_dispatch (SsNode *node, SsOwned *owned)
+{
+  SsConnection *c;
+
+  while ((c = ss_pool_find_idle (owned)))
+    {
+      SsQueueItem *item
+          = ss_queue_pop (&owned->queue, ss_pool_budget (node, owned));
+
+      if (!item)
+        return;
+      c->holds_slot = true;
+      c->queue_class = item->queue_class;
+      start_job (node, c, (SsJob *) item);
+    }
+  ss_pool_open_more (node, owned);
+}
+
+static bool
+shows_floor (const SsOwned *owned, SsPosition applied, SsPosition floor)
+{
+  SsPosition translated
+      = ss_position_translate (floor, &owned->target->state.history);
+
+  return ss_position_covers (applied, translated);
+}
+
+/* Whether the target may take a new statement; SS_REASON_NONE if so. */
+static SsReason
+check_target (SsNode *node, SsOwned *owned, const Ss__Peer__Run *run)
+{
+  SsTarget *t = owned->target;
+  SsGroup *group = ss_config_group (&node->config, t->group);
+
+  if (!owned->active || node->stopping)
+    return SS_REASON_NOT_OWNER;
+  if (t->draining)
+    return SS_REASON_DRAINING;
+  if (!t->state.reachable)
+    return SS_REASON_CONNECT;
+  if (run->is_read)
+    return shows_floor (owned, t->state.applied,
+                        ss_position_unpack (run->floor))
+               ? SS_REASON_NONE
+               : SS_REASON_BEHIND;
+  if (!group || strcmp (group->primary, t->name) != 0
+      || t->state.role != SS_SERVER_PRIMARY
+      || t->state.shown_term != group->term)
+    return SS_REASON_NO_PRIMARY;
+  return SS_REASON_NONE;
+}
+
+static SsJob *
+new_job (SsNode *node, SsOwned *owned, const char *from,
+         const Ss__Peer__Run *run)
+{
+  SsJob *job = g_new0 (SsJob, 1);
+
+  job->owned = owned;
+  job->request = run->request;
+  job->vm = g_strdup (from);
+  job->session = run->session;
+  job->service = g_strdup (run->service);
+  job->sql = g_strndup ((const char *) run->sql.data, run->sql.len);
+  job->key = *run->request_key ? g_strdup (run->request_key) : NULL;
+  job->trace = g_strdup (run->trace);
+  job->is_read = run->is_read;
+  job->floor = ss_position_unpack (run->floor);
+  job->received_ms = node->now_ms;
+  job->transaction_status = 'I';
+  job->item.deadline_ms = node->now_ms + run->left_ms;
+  job->item.queue_class = run->is_read ? SS_QUEUE_READ : SS_QUEUE_WRITE;
+  job->item.bytes = (uint32_t) run->sql.len;
+  return job;
+}
+
+static void
+run_pinned (SsNode *node, SsOwned *owned, const char *from,
+            const Ss__Peer__Run *run)
+{
+  SsConnection *c = ss_pool_find_pinned (owned, from, run->session);
+
+  if (!c || c->state != SS_CONNECTION_PINNED)
+    refuse_run (node, from, run, SS_REASON_TRANSACTION_LOST, 0);
+  else
+    start_job (node, c, new_job (node, owned, from, run));
+}
+
+void
+ss_owner_run (SsNode *node, const char *from, const Ss__Peer__Run *run)
+{
+  SsOwned *owned = ss_owner_find (node, run->target);
+  SsService *service = ss_config_service (&node->config, run->service);
+  uint32_t retry_after_ms = SS_RETRY_SOON_MS;
+  SsReason reason;
+  SsJob *job;
+
+  if (!owned)
+    {
+      refuse_run (node, from, run, SS_REASON_NOT_OWNER, SS_RETRY_SOON_MS);
+      return;
+    }
+  if (run->pinned)
+    {
+      run_pinned (node, owned, from, run);
+      return;
+    }
+  reason = check_target (node, owned, run);
+  if (reason != SS_REASON_NONE)
+    {
+      refuse_run (node, from, run, reason, retry_after_ms);
+      return;
+    }
+  job = new_job (node, owned, from, run);
+  if (!ss_queue_admit (&owned->queue, &job->item, ss_pool_budget (node, owned),
+                       node->now_ms, g_rand_double (node->rand),
+                       &retry_after_ms))
+    {
+      refuse_run (node, from, run, SS_REASON_OVERLOAD, retry_after_ms);
+      ss_job_free (job);
+      return;
+    }
+  ss_queue_push (&owned->queue, &job->item, job->service,
+                 service ? service->weight : 1);
+  ss_job_dispatch (node, owned);
+}
+
+/* Gives the connection to its session's transaction, or back to all. */
+static void
+release_connection (SsNode *node, SsConnection *c, const SsJob *job)
+{
+  SsOwned *owned = c->owned;
+
+  c->job = NULL;
+  c->since_ms = node->now_ms;
+  if (job->transaction_status != 'I')
+    {
+      c->state = SS_CONNECTION_PINNED;
+      if (!c->vm)
+        c->vm = g_strdup (job->vm);
+      c->session = job->session;
+      return;
+    }
+  g_clear_pointer (&c->vm, g_free);
+  ss_pool_release_slot (c, node->now_ms - job->started_ms);
+  c->state = SS_CONNECTION_IDLE;
+  if (!owned->active)
+    ss_pool_close (node, c);
+  ss_job_dispatch (node, owned);
+}
+
+static void
+end_job (SsNode *node, SsConnection *c, SsVerdict verdict, SsReason reason,
+         uint32_t retry_after_ms)
+{
+  SsJob *job = c->job;
+
+  job->connection = NULL;
+  release_connection (node, c, job);
+  ss_job_answer (node, job, verdict, reason, retry_after_ms);
+}
+
+/* The job's statement is done; a commit is answered once it is held. */
+static void
+end_committed (SsNode *node, SsConnection *c)
+{
+  SsJob *job = c->job;
+  SsService *service = ss_config_service (&node->config, job->service);
+
+  if (!job->commit.offset || (service && !service->acknowledge_majority))
+    {
+      end_job (node, c, SS_VERDICT_RAN, SS_REASON_NONE, 0);
+      return;
+    }
+  job->connection = NULL;
+  release_connection (node, c, job);
+  ss_hold_wait (node, job);
+}
+
+static void
+end_plain (SsNode *node, SsConnection *c, const SsTargetResult *result)
+{
+  SsJob *job = c->job;
+
+  if (result->ok)
+    {
+      if (job->is_read && !shows_floor (c->owned, job->applied, job->floor)
+          && job->transaction_status == 'I')
+        end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_BEHIND,
+                 SS_RETRY_SOON_MS);
+      else
+        end_committed (node, c);
+      return;
+    }
+  /* A part of the message may have been committed before the error. */
+  if (job->commit.offset)
+    end_committed (node, c);
+  else if (strcmp (job->sqlstate, READ_ONLY_SERVER) == 0 && !job->is_read
+           && job->transaction_status == 'I')
+    end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
+             SS_RETRY_PROMOTION_MS);
+  else
+    end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
+}
+
+static void
+end_claim (SsNode *node, SsConnection *c, const SsTargetResult *result)
+{
+  SsJob *job = c->job;
+
+  if (!result->ok)
+    {
+      bool is_taken = strcmp (job->sqlstate, UNIQUE_VIOLATION) == 0
+                      || strcmp (job->sqlstate, LOCK_NOT_AVAILABLE) == 0;
+
+      start_step (node, c, is_taken ? SS_STEP_REPLAY : SS_STEP_ROLLBACK);
+      return;
+    }
+  job->tag = g_strdup (result->tag);
+  if (job->transaction_status == 'I')
+    end_committed (node, c);
+  else
+    start_step (node, c, SS_STEP_RECORD);
+}
+
+static void
+end_record (SsNode *node, SsConnection *c, const SsTargetResult *result)
+{
+  if (result->ok)
+    end_committed (node, c);
+  else
+    start_step (node, c, SS_STEP_ROLLBACK);
+}
+
+/* The key was there: its record says how the first try ended. */
+static void
+end_replay (SsNode *node, SsConnection *c, const SsTargetResult *result)
+{
+  SsJob *job = c->job;
+
+  if (result->ok && result->row && result->row_cells && result->row[0])
+    {
+      g_clear_pointer (&job->wire, g_bytes_unref);
+      g_free (job->tag);
+      job->tag = g_strdup (result->row[0]);
+      /* The record counts once a majority holds it, as any commit. */
+      job->commit = job->applied;
+      ss_node_count (node, SS_COUNTER_REPLAYS);
+      end_committed (node, c);
+    }
+  else if (strcmp (job->sqlstate, UNIQUE_VIOLATION) == 0)
+    end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
+  else
+    end_job (node, c, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_STILL_RUNNING,
+             SS_RETRY_PROMOTION_MS);
+}
+
+static bool
+keeps_wire (SsStep step)
+{
+  return step == SS_STEP_PLAIN || step == SS_STEP_CLAIM
+         || step == SS_STEP_COMMIT;
+}
+
+static void
+take_result (SsJob *job, const SsTargetResult *result)
+{
+  job->transaction_status = result->transaction_status;
+  job->applied = result->applied;
+  if (result->commit.offset)
+    job->commit = result->commit;
+  if (!keeps_wire (job->step) && (result->ok || job->step != SS_STEP_RECORD))
+    return;
+  if (!result->ok)
+    g_strlcpy (job->sqlstate, result->sqlstate, sizeof job->sqlstate);
+  g_clear_pointer (&job->wire, g_bytes_unref);
+  job->wire = g_bytes_ref (result->wire);
+}
+
+/* An answer tells the server's position later than the last poll did. */
+static void
+note_applied (SsTarget *t, SsPosition applied)
+{
+  if (applied.term != t->state.held.term
+      || applied.offset <= t->state.applied.offset)
+    return;
+  t->state.applied = applied;
+  if (t->state.held.offset < applied.offset)
+    t->state.held = applied;
+}
+
+void
+ss_owner_result (SsNode *node, uint64_t connection,
+                 const SsTargetResult *result)
+{
+  SsConnection *c = g_hash_table_lookup (node->connections, &connection);
+
+  if (!c || (!c->is_control && !c->job))
+    {
+      ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
+      return;
+    }
+  if (c->is_control)
+    {
+      ss_monitor_result (node, c->owned, result);
+      return;
+    }
+  take_result (c->job, result);
+  note_applied (c->owned->target, result->applied);
+  switch (c->job->step)
+    {
+    case SS_STEP_CLAIM:
+    case SS_STEP_COMMIT:
+      if (c->job->step == SS_STEP_COMMIT && result->ok)
+        end_committed (node, c);
+      else
+        end_claim (node, c, result);
+      break;
+    case SS_STEP_RECORD:
+      end_record (node, c, result);
+      break;
+    case SS_STEP_REPLAY:
+      end_replay (node, c, result);
+      break;
+    case SS_STEP_ROLLBACK:
+      end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
+      break;
+    case SS_STEP_PLAIN:
+    default:
+      end_plain (node, c, result);
+      break;
+    }
+}
+
+/* What a job whose connection broke can be told. */
+SsVerdict
+ss_job_lost_verdict (const SsJob *job)
+{
+  switch (job->step)
+    {
+    case SS_STEP_CLAIM:
+      /* Its COMMIT was not sent, unless the statement holds one. */
+      return strchr (job->sql, ';') ? SS_VERDICT_MAY_HAVE_RUN
+                                    : SS_VERDICT_NOT_RUN;
+    case SS_STEP_ROLLBACK:
+      return SS_VERDICT_NOT_RUN;
+    default:
+      return SS_VERDICT_MAY_HAVE_RUN;
+    }
+}
+
+/* A running statement is not waited for any more.  Its answer may still come,
+ * so the connection can't be used again; closing it ends a transaction.
+ */
+void
+ss_job_give_up (SsNode *node, SsConnection *c, SsReason reason)
+{
+  SsJob *job = g_steal_pointer (&c->job);
+
+  job->transaction_status = 'I';
+  ss_pool_close (node, c);
+  ss_job_answer (node, job, ss_job_lost_verdict (job), reason,
+                 SS_RETRY_SOON_MS);
+}
--- a/src/core/monitor.c
+++ b/src/core/monitor.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/owner.h"
 
 #define POLL_IDLE_MS 50
 #define POLL_LAGGING_MS 10
@@ -58,7 +58,7 @@
   out->state.age_ms
       = (uint32_t) MIN (node->now_ms - owned->target->state_ms, G_MAXINT32);
   out->state.wait_ms = ss_queue_wait_ms (&owned->queue, SS_QUEUE_READ,
-                                         ss_owner_budget (node, owned));
+                                         ss_pool_budget (node, owned));
 }
 
 static void
@@ -347,7 +347,7 @@
   if (!c)
     {
       if (node->now_ms >= owned->control_after_ms)
-        owned->control = ss_owner_connect (node, owned, true);
+        owned->control = ss_pool_connect (node, owned, true);
       return;
     }
   if (c->state == SS_CONNECTION_IDLE)
@@ -360,7 +360,7 @@
     return;
   owned->control = NULL;
   owned->control_step = SS_CONTROL_NONE;
-  ss_owner_close (node, c);
+  ss_pool_close (node, c);
 }
 
 void
--- /dev/null
+++ b/src/core/owner.h
@@ -0,0 +1,40 @@
+/* owner: what the modules of the owner's side share: a target's connections
+ * (pool.c), the statements that run on them (job.c), and upkeep (owner.c).
+ */
+#ifndef SS_OWNER_H
+#define SS_OWNER_H
+
+#include "core/internal.h"
+
+/* --- pool.c --- */
+
+/* ss_pool_budget: how many connections may be open for statements now. */
+uint32_t ss_pool_budget (SsNode *node, const SsOwned *owned);
+SsConnection *ss_pool_connect (SsNode *node, SsOwned *owned, bool is_control);
+/* ss_pool_close: closes CONNECTION and frees it and its job. */
+void ss_pool_close (SsNode *node, SsConnection *connection);
+/* ss_pool_forget: frees a connection that is closed already. */
+void ss_pool_forget (SsNode *node, SsConnection *c);
+void ss_pool_free (SsConnection *c);
+/* ss_pool_release_slot: RAN_MS below 0 is not a measure. */
+void ss_pool_release_slot (SsConnection *c, int64_t ran_ms);
+SsConnection *ss_pool_find_pinned (SsOwned *owned, const char *vm,
+                                   uint64_t session);
+SsConnection *ss_pool_find_idle (SsOwned *owned);
+/* ss_pool_open_more: opens connections for what waits. */
+void ss_pool_open_more (SsNode *node, SsOwned *owned);
+
+/* --- job.c --- */
+
+void ss_job_free (SsJob *job);
+/* ss_job_answer: sends JOB's reply and frees it. */
+void ss_job_answer (SsNode *node, SsJob *job, SsVerdict verdict,
+                    SsReason reason, uint32_t retry_after_ms);
+/* ss_job_dispatch: runs what waits on the connections that are free. */
+void ss_job_dispatch (SsNode *node, SsOwned *owned);
+/* ss_job_give_up: answers the job that runs on C now and closes C. */
+void ss_job_give_up (SsNode *node, SsConnection *c, SsReason reason);
+/* ss_job_lost_verdict: what a job whose connection broke can be told. */
+SsVerdict ss_job_lost_verdict (const SsJob *job);
+
+#endif
--- /dev/null
+++ b/src/core/pool.c
@@ -0,0 +1,147 @@
+#include <string.h>
+
+#include "core/owner.h"
+
+/* Connections of the server that are left to control and to others. */
+#define CONTROL_RESERVE 2
+#define OWNER_SETTLE_MS 3000
+
+void
+ss_job_free (SsJob *job)
+{
+  g_free (job->vm);
+  g_free (job->service);
+  g_free (job->sql);
+  g_free (job->key);
+  g_free (job->trace);
+  g_free (job->tag);
+  g_clear_pointer (&job->wire, g_bytes_unref);
+  g_free (job);
+}
+
+void
+ss_pool_free (SsConnection *c)
+{
+  if (c->job)
+    ss_job_free (c->job);
+  g_free (c->vm);
+  g_free (c);
+}
+
+/* While another vm may believe that it owns the target too, each keeps to
+ * half of the server's connections.
+ */
+uint32_t
+ss_pool_budget (SsNode *node, const SsOwned *owned)
+{
+  uint32_t connections = owned->target->max_connections;
+
+  if (node->now_ms - owned->owner_since_ms < OWNER_SETTLE_MS
+      || !ss_members_is_settled (&node->members))
+    connections /= 2;
+  return connections > CONTROL_RESERVE ? connections - CONTROL_RESERVE : 1;
+}
+
+SsConnection *
+ss_pool_connect (SsNode *node, SsOwned *owned, bool is_control)
+{
+  SsConnection *c = g_new0 (SsConnection, 1);
+  SsAction *a = ss_node_push (node, SS_ACTION_TARGET_CONNECT);
+
+  c->id = ++node->next_connection;
+  c->owned = owned;
+  c->is_control = is_control;
+  c->since_ms = node->now_ms;
+  g_hash_table_insert (node->connections, &c->id, c);
+  a->id = c->id;
+  a->name = g_strdup (owned->target->name);
+  a->text = g_strdup (owned->target->ip);
+  a->port = owned->target->port;
+  ss_node_count (node, SS_COUNTER_TARGET_CONNECTS);
+  return c;
+}
+
+/* Frees the connection's place; RAN_MS below 0: not a measure. */
+void
+ss_pool_release_slot (SsConnection *c, int64_t ran_ms)
+{
+  if (!c->holds_slot)
+    return;
+  c->holds_slot = false;
+  ss_queue_done (&c->owned->queue, c->queue_class, ran_ms);
+}
+
+/* Forgets a connection that is closed already. */
+void
+ss_pool_forget (SsNode *node, SsConnection *c)
+{
+  ss_pool_release_slot (c, -1);
+  if (!c->is_control)
+    g_ptr_array_remove_fast (c->owned->connections, c);
+  g_hash_table_remove (node->connections, &c->id);
+  ss_pool_free (c);
+}
+
+void
+ss_pool_close (SsNode *node, SsConnection *connection)
+{
+  ss_node_push (node, SS_ACTION_TARGET_CLOSE)->id = connection->id;
+  ss_pool_forget (node, connection);
+}
+
+SsConnection *
+ss_pool_find_pinned (SsOwned *owned, const char *vm, uint64_t session)
+{
+  for (guint i = 0; i < owned->connections->len; i++)
+    {
+      SsConnection *c = g_ptr_array_index (owned->connections, i);
+
+      if (c->session == session && c->vm && strcmp (c->vm, vm) == 0)
+        return c;
+    }
+  return NULL;
+}
+
+SsConnection *
+ss_pool_find_idle (SsOwned *owned)
+{
+  for (guint i = owned->connections->len; i > 0; i--)
+    {
+      SsConnection *c = g_ptr_array_index (owned->connections, i - 1);
+
+      if (c->state == SS_CONNECTION_IDLE)
+        return c;
+    }
+  return NULL;
+}
+
+static uint32_t
+count_connecting (const SsOwned *owned)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < owned->connections->len; i++)
+    {
+      const SsConnection *c = g_ptr_array_index (owned->connections, i);
+
+      count += c->state == SS_CONNECTION_CONNECTING ? 1 : 0;
+    }
+  return count;
+}
+
+void
+ss_pool_open_more (SsNode *node, SsOwned *owned)
+{
+  uint32_t budget = ss_pool_budget (node, owned);
+  uint32_t wanted = ss_queue_length (&owned->queue);
+  uint32_t connecting = count_connecting (owned);
+
+  if (node->now_ms < owned->connect_after_ms)
+    return;
+  while (connecting < wanted && owned->connections->len < budget)
+    {
+      g_ptr_array_add (owned->connections,
+                       ss_pool_connect (node, owned, false));
+      connecting++;
+    }
+}
--- /dev/null
+++ b/src/core/request.c
@@ -0,0 +1,204 @@
+#include <string.h>
+
+#include "core/entry.h"
+
+void
+ss_request_free (SsRequest *r)
+{
+  g_free (r->sql);
+  g_free (r->vm);
+  g_free (r->target);
+  for (uint32_t i = 0; i < r->tries && i < SS_REQUEST_TRIES_MAX; i++)
+    g_free (r->tried[i]);
+  g_free (r);
+}
+
+SsGroup *
+ss_session_group (SsNode *node, const SsSession *s)
+{
+  SsService *service = ss_config_service (&node->config, s->service);
+
+  return service ? ss_config_group (&node->config, service->group) : NULL;
+}
+
+SsAction *
+ss_session_reply (SsNode *node, const SsSession *s, SsVerdict verdict,
+                  SsReason reason, uint32_t retry_after_ms)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_CALLER_REPLY);
+
+  a->id = s->id;
+  a->verdict = verdict;
+  a->reason = reason;
+  a->retry_after_ms = retry_after_ms;
+  a->transaction_status = s->status;
+  if (verdict == SS_VERDICT_RAN)
+    ss_node_count (node, SS_COUNTER_ACKNOWLEDGED);
+  else if (verdict == SS_VERDICT_NOT_RUN)
+    ss_node_count (node, SS_COUNTER_NOT_RUN);
+  else
+    ss_node_count (node, SS_COUNTER_MAY_HAVE_RUN);
+  return a;
+}
+
+void
+ss_session_reply_tag (SsNode *node, const SsSession *s, const char *tag)
+{
+  ss_session_reply (node, s, SS_VERDICT_RAN, SS_REASON_NONE, 0)->text
+      = g_strdup (tag);
+}
+
+void
+ss_session_refuse (SsNode *node, const SsSession *s, SsReason reason,
+                   const char *text)
+{
+  ss_session_reply (node, s, SS_VERDICT_NOT_RUN, reason, 0)->text
+      = g_strdup (text);
+}
+
+void
+ss_request_log_span (SsNode *node, const SsRequest *r, SsVerdict verdict)
+{
+  if (!node->params.spans)
+    return;
+  ss_node_log (node, SS_EVENT_LOG_SPAN, r->trace,
+               "hop=entry target=%s ms=%" G_GINT64_FORMAT " verdict=%s",
+               r->target ? r->target : "-", node->now_ms - r->started_ms,
+               ss_verdict_name (verdict));
+}
+
+void
+ss_request_forget_sent (SsNode *node, SsRequest *r)
+{
+  SsTarget *t = r->target ? ss_config_target (&node->config, r->target) : NULL;
+
+  if (t && t->outstanding)
+    t->outstanding--;
+  g_clear_pointer (&r->vm, g_free);
+  g_clear_pointer (&r->target, g_free);
+}
+
+void
+ss_request_end_wait (SsNode *node, SsRequest *r)
+{
+  if (r->wait == SS_WAIT_VIEW)
+    node->view_waiters--;
+  r->wait = SS_WAIT_NONE;
+}
+
+void
+ss_request_drop (SsNode *node, SsRequest *r)
+{
+  g_hash_table_remove (node->requests, &r->id);
+  ss_request_forget_sent (node, r);
+  ss_request_end_wait (node, r);
+  r->session->request = NULL;
+  ss_request_free (r);
+}
+
+void
+ss_session_unpin (SsSession *s)
+{
+  g_clear_pointer (&s->pinned_vm, g_free);
+  g_clear_pointer (&s->pinned_target, g_free);
+}
+
+/* A request id holds for one statement, or for the transaction that it
+ * begins: the next statement must not pass for its repeat, whether or not
+ * this one was sent.
+ */
+void
+ss_session_drop_key (SsSession *s)
+{
+  if (s->status == 'I')
+    g_clear_pointer (&s->request_key, g_free);
+}
+
+/* Answers the caller without a result. */
+void
+ss_request_finish (SsNode *node, SsRequest *r, SsVerdict verdict,
+                   SsReason reason, uint32_t retry_after_ms)
+{
+  SsSession *s = r->session;
+
+  ss_request_log_span (node, r, verdict);
+  ss_request_drop (node, r);
+  ss_session_drop_key (s);
+  ss_session_reply (node, s, verdict, reason, retry_after_ms);
+}
+
+void
+ss_session_send_end (SsNode *node, const SsSession *s, const char *vm)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__SessionEnd end = SS__PEER__SESSION_END__INIT;
+
+  end.session = s->id;
+  e.body_case = SS__PEER__ENVELOPE__BODY_SESSION_END;
+  e.session_end = &end;
+  ss_node_send (node, vm, &e);
+}
+
+/* The transaction can't go on: further statements are refused until the
+ * caller ends it, so that none of them runs outside of it.
+ */
+void
+ss_session_lose_transaction (SsNode *node, SsSession *s)
+{
+  if (s->pinned_vm)
+    ss_session_send_end (node, s, s->pinned_vm);
+  if (s->status != 'I')
+    s->status = 'E';
+  s->loss_untold = s->status == 'E';
+  ss_session_unpin (s);
+}
+
+void
+ss_session_tell_loss (SsSession *s, const char *sql)
+{
+  s->loss_untold = false;
+  if (ss_local_ends_transaction (sql))
+    s->status = 'I';
+}
+
+/* Gives up on a request that may be at its owner. */
+void
+ss_request_abandon (SsNode *node, SsRequest *r, SsReason reason)
+{
+  SsSession *s = r->session;
+  SsVerdict verdict = r->vm ? SS_VERDICT_MAY_HAVE_RUN : SS_VERDICT_NOT_RUN;
+
+  if (r->vm && !s->pinned_vm)
+    ss_session_send_end (node, s, r->vm);
+  ss_session_lose_transaction (node, s);
+  ss_session_tell_loss (s, r->sql);
+  ss_request_finish (node, r, verdict, reason, SS_RETRY_SOON_MS);
+}
+
+void
+ss_session_raise_floor (SsSession *s, SsPosition position)
+{
+  s->floor = ss_position_max (s->floor, position);
+  s->floor_known = true;
+}
+
+void
+ss_session_send_token (SsNode *node, const SsSession *s)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_CALLER_PARAMETER);
+  char text[SS_POSITION_TEXT_BYTES];
+
+  ss_position_format (s->floor, text);
+  a->id = s->id;
+  a->name = g_strdup ("sapphirestair.token");
+  a->text = g_strdup (text);
+}
+
+void
+ss_request_begin_wait (SsNode *node, SsRequest *r, SsWait wait, int64_t wait_ms)
+{
+  r->wait = wait;
+  r->wait_due_ms = node->now_ms + wait_ms;
+  if (wait == SS_WAIT_VIEW)
+    node->view_waiters++;
+}
--- /dev/null
+++ b/src/core/route.c
@@ -0,0 +1,202 @@
+#include <string.h>
+
+#include "core/entry.h"
+
+#define MARK_WAIT_MS 500
+#define VIEW_WAIT_MS 500
+
+void
+ss_route_draw_trace (SsNode *node, SsRequest *r)
+{
+  if (r->session->trace)
+    {
+      g_strlcpy (r->trace, r->session->trace, sizeof r->trace);
+      return;
+    }
+  g_snprintf (r->trace, sizeof r->trace, "%08x%08x%08x%08x",
+              g_rand_int (node->rand), g_rand_int (node->rand),
+              g_rand_int (node->rand), g_rand_int (node->rand));
+}
+
+static bool
+key_goes_with (const SsSession *s, const SsRequest *r)
+{
+  if (!s->request_key || r->is_read)
+    return false;
+  if (s->pinned_vm)
+    return ss_local_first_word (r->sql, "commit")
+           || ss_local_first_word (r->sql, "end");
+  return !ss_local_first_word (r->sql, "begin")
+         && !ss_local_first_word (r->sql, "start");
+}
+
+static void
+send_run (SsNode *node, SsRequest *r, const char *vm, const char *target,
+          bool pinned)
+{
+  SsSession *s = r->session;
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Run run = SS__PEER__RUN__INIT;
+  Ss__Peer__Position floor;
+  SsTarget *t = ss_config_target (&node->config, target);
+
+  g_hash_table_remove (node->requests, &r->id);
+  r->id = ++node->next_request;
+  g_hash_table_insert (node->requests, &r->id, r);
+  r->vm = g_strdup (vm);
+  r->target = g_strdup (target);
+  if (t)
+    t->outstanding++;
+  r->sends_key = key_goes_with (s, r);
+  run.request = r->id;
+  run.session = s->id;
+  run.target = r->target;
+  run.service = s->service;
+  run.sql.data = (uint8_t *) r->sql;
+  run.sql.len = strlen (r->sql);
+  run.is_read = r->is_read;
+  run.pinned = pinned;
+  ss_position_pack (&floor, r->floor);
+  run.floor = &floor;
+  run.left_ms = (uint32_t) MAX (r->deadline_ms - node->now_ms, 0);
+  if (r->sends_key)
+    run.request_key = s->request_key;
+  run.trace = r->trace;
+  e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
+  e.run = &run;
+  ss_node_send (node, vm, &e);
+}
+
+/* Finds the floor that the read has to reach; false where a confirmed
+ * position is still to be waited for.
+ */
+static bool
+find_floor (SsNode *node, SsRequest *r, SsMarks *marks)
+{
+  SsSession *s = r->session;
+  SsMark mark;
+
+  r->floor = s->floor;
+  if (r->strict)
+    {
+      if (marks->latest.ask <= r->start_ask)
+        return false;
+      r->floor = ss_position_max (s->floor, marks->latest.position);
+      return true;
+    }
+  if (r->staleness_ms == 0)
+    {
+      if (s->floor_known)
+        return true;
+      if (marks->latest.ask <= s->arrival_ask)
+        return false;
+      ss_session_raise_floor (s, marks->latest.position);
+      ss_session_send_token (node, s);
+      r->floor = s->floor;
+      return true;
+    }
+  if (!ss_marks_within (marks, node->now_ms - r->staleness_ms, &mark))
+    return false;
+  r->floor = ss_position_max (s->floor, mark.position);
+  /* Ask early, so that the next read finds a mark in time. */
+  if (node->now_ms - marks->latest.asked_ms > r->staleness_ms / 4)
+    ss_marks_ask (node, marks);
+  return true;
+}
+
+/* Before the first report of a group's servers nothing can be chosen; one is
+ * on its way once the subscription is sent.
+ */
+static bool
+is_unseen (const SsGroup *group)
+{
+  for (uint32_t i = 0; i < group->server_count; i++)
+    if (group->servers[i]->state_ms)
+      return false;
+  return group->server_count > 0;
+}
+
+static void
+route_read (SsNode *node, SsRequest *r, SsGroup *group)
+{
+  SsMarks *marks = ss_marks_get (node, group->name);
+  SsTarget *t;
+
+  if (!find_floor (node, r, marks))
+    {
+      if (!*group->primary)
+        {
+          ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
+                             SS_RETRY_PROMOTION_MS);
+          return;
+        }
+      ss_request_begin_wait (node, r, SS_WAIT_MARK, MARK_WAIT_MS);
+      ss_marks_ask (node, marks);
+      return;
+    }
+  t = ss_choice_read (node, group, r->floor, r->tried, r->tries);
+  if (!t)
+    ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_REPLICA,
+                       SS_RETRY_PROMOTION_MS);
+  else
+    send_run (node, r, ss_node_owner (node, t), t->name, false);
+}
+
+static void
+route_write (SsNode *node, SsRequest *r, SsGroup *group)
+{
+  SsTarget *t = ss_choice_write (node, group);
+
+  if (!t)
+    ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
+                       SS_RETRY_PROMOTION_MS);
+  else
+    send_run (node, r, ss_node_owner (node, t), t->name, false);
+}
+
+void
+ss_route (SsNode *node, SsRequest *r)
+{
+  SsSession *s = r->session;
+  SsGroup *group = ss_session_group (node, s);
+
+  if (s->pinned_vm)
+    send_run (node, r, s->pinned_vm, s->pinned_target, true);
+  else if (!group)
+    ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_SERVICE, 0);
+  else if (is_unseen (group))
+    ss_request_begin_wait (node, r, SS_WAIT_VIEW, VIEW_WAIT_MS);
+  else if (r->is_read)
+    route_read (node, r, group);
+  else
+    route_write (node, r, group);
+}
+
+/* Decides whether the statement is a read and what it has to see; false
+ * where the session's kind is not one of the service's.
+ */
+bool
+ss_route_classify (SsNode *node, SsRequest *r)
+{
+  SsSession *s = r->session;
+  SsService *service = ss_config_service (&node->config, s->service);
+  const char *kind = s->kind;
+
+  if (!service)
+    return true;
+  if (!kind)
+    kind = service->default_kind;
+  if (ss_local_is_read_only (r->sql))
+    {
+      r->is_read = true;
+      kind = *kind && strcmp (kind, "write") != 0 ? kind : "session";
+    }
+  else if (strcmp (kind, "write") != 0 && *kind)
+    r->is_read = !ss_local_first_word (r->sql, "begin")
+                 && !ss_local_first_word (r->sql, "start");
+  if (!r->is_read)
+    return true;
+  r->strict = s->strict || strcmp (kind, "strict") == 0;
+  r->staleness_ms = r->strict ? 0 : ss_service_staleness (service, kind);
+  return r->staleness_ms >= 0;
+}
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -171,9 +171,20 @@
 
 /* --- configuration --- */
 
+/* The group that OBJECT is about, as it is in force; NULL: none. */
+static const SsGroup *
+changed_group (SsNode *node, const SsObject *object)
+{
+  if (!g_str_has_prefix (object->key, "group/"))
+    return NULL;
+  return ss_config_group (&node->config, strchr (object->key, '/') + 1);
+}
+
 static bool
 adopt (SsNode *node, const SsObject *object)
 {
+  const SsGroup *group = changed_group (node, object);
+  uint64_t term = group ? group->term : 0;
   char *error;
   SsAdoption adoption
       = ss_config_adopt (&node->config, object, node->now_ms, &error);
@@ -186,6 +197,9 @@
   if (adoption == SS_ADOPT_DONE)
     ss_node_log (node, SS_EVENT_LOG_CONFIG_ADOPTED, object->key,
                  "version=%" G_GINT64_FORMAT, object->version);
+  group = changed_group (node, object);
+  if (term && group && group->term > term)
+    ss_entry_superseded (node, group);
   return adoption == SS_ADOPT_DONE;
 }
 
@@ -539,12 +553,17 @@
     }
 }
 
+/* What a dead vm still holds for callers gets its answer now. */
 static void
-log_member (void *data, const SsMember *member)
+on_member_changed (void *data, const SsMember *member)
 {
   ss_node_log (data,
                member->live ? SS_EVENT_LOG_VM_FOUND : SS_EVENT_LOG_VM_LOST,
                member->vm, "failure_domain=%s", member->failure_domain);
+  if (member->live)
+    return;
+  ss_entry_vm_lost (data, member->vm);
+  ss_owner_vm_lost (data, member->vm);
 }
 
 static void
@@ -563,7 +582,7 @@
 {
   uint64_t generation = node->members.generation;
 
-  ss_members_update (&node->members, node->now_ms, log_member, node);
+  ss_members_update (&node->members, node->now_ms, on_member_changed, node);
   if (generation != node->members.generation
       || node->subscribed_generation != node->members.generation)
     {
--- a/src/core/tables.c
+++ b/src/core/tables.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/owner.h"
 
 typedef struct
 {
--- a/tests/test_histories.c
+++ b/tests/test_histories.c
@@ -2,7 +2,7 @@
 #include "tests/world.h"
 
 #define FIRST_SEED 1
-#define BROKEN_SEEDS 6
+#define BROKEN_SEEDS 40
 #define BUSY_MS 8000
 
 static void
@@ -28,13 +28,16 @@
     }
 }
 
-/* Sums a check's findings with a mechanism broken. */
+/* A check's findings with a mechanism broken, up to the first history that
+ * has some.
+ */
 static uint64_t
 findings (WorldBreak broken, uint64_t (*read) (const WorldReport *r))
 {
   uint64_t sum = 0;
 
-  for (uint32_t seed = FIRST_SEED; seed < FIRST_SEED + BROKEN_SEEDS; seed++)
+  for (uint32_t seed = FIRST_SEED; seed < FIRST_SEED + BROKEN_SEEDS && sum == 0;
+       seed++)
     {
       WorldReport r;
 
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -198,6 +198,31 @@
   ss_node_finish (&node);
 }
 
+/* Found by seed 327: the transaction was lost while its caller knew nothing,
+ * and its COMMIT was answered without an error.
+ */
+static void
+a_commit_tells_of_a_loss_untold (void)
+{
+  SsAction reply;
+  SsSession *s;
+  uint64_t id = 1;
+  SsEvent lost = { .kind = SS_EVENT_PEER_LOST };
+
+  begin ();
+  open_session ("s", NULL, &reply);
+  ss_action_clear (&reply);
+  s = g_hash_table_lookup (node.sessions, &id);
+  s->status = 'T';
+  s->pinned_vm = g_strdup ("b");
+  s->pinned_target = g_strdup ("t");
+  lost.peer_lost.vm = "b";
+  ss_node_on_event (&node, &lost, NOW_MS);
+  expect_reply ("COMMIT", SS_VERDICT_NOT_RUN, SS_REASON_TRANSACTION_LOST, NULL);
+  CU_ASSERT (s->status == 'I');
+  ss_node_finish (&node);
+}
+
 CU_TestInfo test_session[] = {
   { "knows its settings", knows_its_settings },
   { "refuses what it can not serve at once",
@@ -206,5 +231,6 @@
     a_refused_statement_takes_its_id_along },
   { "a lost transaction takes no more statements",
     a_lost_transaction_takes_no_more_statements },
+  { "a commit tells of a loss untold", a_commit_tells_of_a_loss_untold },
   CU_TEST_INFO_NULL,
 };
