Known callers: a floor of one's own writes in place of the primary's position

Change: where a service knows its callers by user name, the primary's owner keeps who wrote which entry, and answers the arrival's ask with that caller's last write; used only while every entry since a known one went through this owner, else the primary's position stands (src/core/writers.h).

--- a/bench/deploy.c
+++ b/bench/deploy.c
@@ -35,6 +35,7 @@
   g_strlcpy (deploy->service, "claims", sizeof deploy->service);
   g_strlcpy (deploy->group, "claims-db", sizeof deploy->group);
   deploy->max_connections = 20;
+  deploy->identity = "none";
   deploy->lookup_staleness_ms = 30000;
   curl_global_init (CURL_GLOBAL_DEFAULT);
 }
@@ -262,8 +263,8 @@
   g_free (json);
   key = g_strdup_printf ("service/%s", d->service);
   json = g_strdup_printf ("{\"group\":\"%s\",\"kinds\":{\"report\":"
-                          "{\"staleness_ms\":%u}}}",
-                          d->group, d->lookup_staleness_ms);
+                          "{\"staleness_ms\":%u}},\"identity\":\"%s\"}",
+                          d->group, d->lookup_staleness_ms, d->identity);
   ok = ok && ss_deploy_put (d, key, json);
   g_free (key);
   g_free (json);
--- a/bench/deploy.h
+++ b/bench/deploy.h
@@ -39,6 +39,7 @@
   char group[32];
   uint32_t max_connections;
   uint32_t lookup_staleness_ms;
+  const char *identity; /* of the service: none or user */
   SsDeployed platform;
   SsDeployed link;
   SsDeployed vms[SS_DEPLOY_MAX];
--- /dev/null
+++ b/bench/load_ops.c
@@ -0,0 +1,134 @@
+#include <string.h>
+
+#include "bench/load.h"
+
+static void
+add_step (Caller *c, char *sql)
+{
+  c->steps[c->step_count++] = sql;
+}
+
+void
+load_clear_steps (Caller *c)
+{
+  for (int32_t i = 0; i < c->step_count; i++)
+    g_free (c->steps[i]);
+  c->step_count = 0;
+  c->step = 0;
+}
+
+static char *
+insert_sql (const char *key)
+{
+  return g_strdup_printf ("INSERT INTO " TABLE " (key, value) "
+                          "VALUES ('%s', '%s')",
+                          key, key);
+}
+
+static void
+build_write (Caller *c)
+{
+  const char *key = c->filing->key;
+
+  load_clear_steps (c);
+  if (c->op == OP_WRITE_WITH_ID)
+    add_step (c, g_strdup_printf ("SET sapphirestair.request_id = '%s'", key));
+  if (c->op == OP_TRANSACTION)
+    {
+      add_step (c, g_strdup ("BEGIN"));
+      add_step (c, insert_sql (key));
+      add_step (c, insert_sql (c->filing->partner));
+      add_step (c, g_strdup ("COMMIT"));
+      return;
+    }
+  add_step (c, insert_sql (key));
+}
+
+static void
+new_filing (Caller *c)
+{
+  char key[40];
+  char partner[40];
+
+  c->sequence++;
+  g_snprintf (key, sizeof key, "c%d-%d", c->number, c->sequence);
+  g_snprintf (partner, sizeof partner, "c%d-%d-b", c->number, c->sequence);
+  c->filing = ss_ledger_add (&load.ledger, key,
+                             c->op == OP_TRANSACTION ? partner : NULL);
+}
+
+/* A write acknowledged at BOUND_MS or before. */
+static SsFiling *
+pick_acknowledged (int64_t bound_ms)
+{
+  GPtrArray *all = load.ledger.acknowledged;
+
+  for (int32_t tries = 0; all->len && tries < 8; tries++)
+    {
+      SsFiling *f = g_ptr_array_index (
+          all, g_rand_int_range (load.rand, 0, (gint32) all->len));
+
+      if (f->acknowledged_ms <= bound_ms)
+        return f;
+    }
+  return NULL;
+}
+
+static void
+build_read (Caller *c)
+{
+  bool aged = c->op == OP_READ_AGED;
+
+  load_clear_steps (c);
+  c->wanted = c->last_own;
+  if (aged)
+    c->wanted = pick_acknowledged (load_now_ms () - load.staleness_ms);
+  if (c->op == OP_READ_ANY)
+    c->wanted = pick_acknowledged (c->arrived_ms);
+  c->may_be_absent = c->op == OP_READ_ANY && load.identity;
+  add_step (c, g_strdup_printf ("SET sapphirestair.kind = '%s'",
+                                aged ? load.aged_kind : "session"));
+  add_step (c, g_strdup_printf ("SELECT value FROM " TABLE " WHERE key = '%s'",
+                                c->wanted ? c->wanted->key : "none"));
+  add_step (c, g_strdup ("RESET sapphirestair.kind"));
+}
+
+static void
+draw_op (Caller *c)
+{
+  if (c->number < load.readers)
+    {
+      c->op = load_chance (load.aged_percent) ? OP_READ_AGED : OP_READ_ANY;
+      return;
+    }
+  if (!c->last_own || load_chance (load.write_percent))
+    {
+      c->op = OP_WRITE;
+      if (load_chance (load.transaction_percent))
+        c->op = OP_TRANSACTION;
+      else if (load_chance (load.id_percent))
+        c->op = OP_WRITE_WITH_ID;
+      return;
+    }
+  c->op = load_chance (load.aged_percent) ? OP_READ_AGED : OP_READ_OWN;
+}
+
+bool
+load_is_write (const Caller *c)
+{
+  return c->op == OP_WRITE || c->op == OP_WRITE_WITH_ID
+         || c->op == OP_TRANSACTION;
+}
+
+void
+load_choose_op (Caller *c)
+{
+  draw_op (c);
+  if (!load_is_write (c))
+    {
+      build_read (c);
+      return;
+    }
+  new_filing (c);
+  build_write (c);
+}
--- /dev/null
+++ b/bench/run.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# All measurements of docs/MEASUREMENTS.md, one after the other.
+cd "$(dirname "$0")/.."
+for step in "build/ss-scenario bench/speed.scn" bench/failover.sh \
+  bench/replica.sh "build/ss-scenario bench/overload.scn" \
+  bench/acknowledge.sh bench/control.sh; do
+  echo "== $step"
+  $step
+done
--- a/bench/ss_scenario.c
+++ b/bench/ss_scenario.c
@@ -136,6 +136,7 @@
       = (uint32_t) atoi (option (argv, "connections", "20"));
   run->deploy.lookup_staleness_ms
       = (uint32_t) atoi (option (argv, "staleness_ms", "30000"));
+  run->deploy.identity = option (argv, "identity", "none");
   if (ss_deploy_start (
           &run->deploy,
           option (argv, "domains", "aarhus-hal,koege-hal,odense-hal"),
--- a/build2/bench/ss_load.d
+++ b/build2/bench/ss_load.d
@@ -1,4 +1,4 @@
-build2/bench/ss_load.o: bench/ss_load.c \
+build2/bench/ss_load.o: bench/ss_load.c bench/load.h \
  /usr/include/postgresql/libpq-fe.h \
  /usr/include/postgresql/postgres_ext.h \
  /usr/include/postgresql/pg_config_ext.h bench/ledger.h \
--- a/build2/src/core/config.d
+++ b/build2/src/core/config.d
@@ -69,4 +69,5 @@
  /usr/include/glib-2.0/glib/deprecated/grel.h \
  /usr/include/glib-2.0/glib/deprecated/gthread.h \
  /usr/include/glib-2.0/glib/glib-autocleanups.h src/core/event.h \
- src/core/position.h src/kernel/log.h src/kernel/verdict.h
+ src/core/position.h src/kernel/log.h src/kernel/verdict.h \
+ src/kernel/names.h
--- a/build2/src/core/members.d
+++ b/build2/src/core/members.d
@@ -68,4 +68,5 @@
  /usr/include/glib-2.0/glib/deprecated/gmain.h \
  /usr/include/glib-2.0/glib/deprecated/grel.h \
  /usr/include/glib-2.0/glib/deprecated/gthread.h \
- /usr/include/glib-2.0/glib/glib-autocleanups.h src/core/rank.h
+ /usr/include/glib-2.0/glib/glib-autocleanups.h src/core/rank.h \
+ src/kernel/names.h
--- a/build2/standin/platform.d
+++ b/build2/standin/platform.d
@@ -68,4 +68,5 @@
  /usr/include/glib-2.0/glib/deprecated/gmain.h \
  /usr/include/glib-2.0/glib/deprecated/grel.h \
  /usr/include/glib-2.0/glib/deprecated/gthread.h \
- /usr/include/glib-2.0/glib/glib-autocleanups.h src/kernel/httpd.h
+ /usr/include/glib-2.0/glib/glib-autocleanups.h src/kernel/httpd.h \
+ src/kernel/names.h
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1345,7 +1345,7 @@
   (ProtobufCMessageInit) ss__peer__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__run__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ss__peer__run__field_descriptors[12] =
 {
   {
     "request",
@@ -1479,9 +1479,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "identity",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Run, identity),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__run__field_indices_by_name[] = {
   7,   /* field[7] = floor */
+  11,   /* field[11] = identity */
   5,   /* field[5] = is_read */
   8,   /* field[8] = left_ms */
   6,   /* field[6] = pinned */
@@ -1496,7 +1509,7 @@
 static const ProtobufCIntRange ss__peer__run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor ss__peer__run__descriptor =
 {
@@ -1506,7 +1519,7 @@
   "Ss__Peer__Run",
   "ss.peer",
   sizeof(Ss__Peer__Run),
-  11,
+  12,
   ss__peer__run__field_descriptors,
   ss__peer__run__field_indices_by_name,
   1,  ss__peer__run__number_ranges,
@@ -1910,7 +1923,7 @@
   (ProtobufCMessageInit) ss__peer__subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__mark_ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor ss__peer__mark_ask__field_descriptors[3] =
 {
   {
     "group",
@@ -1936,15 +1949,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "identities",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Ss__Peer__MarkAsk, n_identities),
+    offsetof(Ss__Peer__MarkAsk, identities),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__mark_ask__field_indices_by_name[] = {
   0,   /* field[0] = group */
+  2,   /* field[2] = identities */
   1,   /* field[1] = nonce */
 };
 static const ProtobufCIntRange ss__peer__mark_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor ss__peer__mark_ask__descriptor =
 {
@@ -1954,14 +1980,14 @@
   "Ss__Peer__MarkAsk",
   "ss.peer",
   sizeof(Ss__Peer__MarkAsk),
-  2,
+  3,
   ss__peer__mark_ask__field_descriptors,
   ss__peer__mark_ask__field_indices_by_name,
   1,  ss__peer__mark_ask__number_ranges,
   (ProtobufCMessageInit) ss__peer__mark_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__mark_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ss__peer__mark_reply__field_descriptors[4] =
 {
   {
     "group",
@@ -1999,8 +2025,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "floors",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ss__Peer__MarkReply, n_floors),
+    offsetof(Ss__Peer__MarkReply, floors),
+    &ss__peer__position__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__mark_reply__field_indices_by_name[] = {
+  3,   /* field[3] = floors */
   0,   /* field[0] = group */
   2,   /* field[2] = mark */
   1,   /* field[1] = nonce */
@@ -2008,7 +2047,7 @@
 static const ProtobufCIntRange ss__peer__mark_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ss__peer__mark_reply__descriptor =
 {
@@ -2018,7 +2057,7 @@
   "Ss__Peer__MarkReply",
   "ss.peer",
   sizeof(Ss__Peer__MarkReply),
-  3,
+  4,
   ss__peer__mark_reply__field_descriptors,
   ss__peer__mark_reply__field_indices_by_name,
   1,  ss__peer__mark_reply__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -150,10 +150,14 @@
    */
   char *request_key;
   char *trace;
+  /*
+   * of the caller; empty: not used
+   */
+  char *identity;
 };
 #define SS__PEER__RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__run__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Ss__Peer__RunReply
@@ -250,10 +254,15 @@
   ProtobufCMessage base;
   char *group;
   uint64_t nonce;
+  /*
+   * whose last writes are asked for
+   */
+  size_t n_identities;
+  char **identities;
 };
 #define SS__PEER__MARK_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__mark_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
 struct  Ss__Peer__MarkReply
@@ -262,10 +271,15 @@
   char *group;
   uint64_t nonce;
   Ss__Peer__Position *mark;
+  /*
+   * of the identities, in their order
+   */
+  size_t n_floors;
+  Ss__Peer__Position **floors;
 };
 #define SS__PEER__MARK_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__mark_reply__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, NULL }
+    , (char *)protobuf_c_empty_string, 0, NULL, 0,NULL }
 
 
 struct  Ss__Peer__RaiseAsk
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -3,6 +3,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "kernel/names.h"
+
 #define STALENESS_MAX_MS (7LL * 24 * 3600 * 1000)
 #define CONNECTIONS_MAX 10000
 #define WEIGHT_MAX 1000
@@ -19,13 +21,6 @@
   return names[role];
 }
 
-static int
-compare_names (gconstpointer a, gconstpointer b, gpointer data)
-{
-  (void) data;
-  return strcmp (a, b);
-}
-
 static void
 stored_free (gpointer data)
 {
@@ -81,10 +76,11 @@
 void
 ss_config_init (SsConfig *config)
 {
-  config->objects = g_tree_new_full (compare_names, NULL, NULL, stored_free);
-  config->services = g_tree_new_full (compare_names, NULL, NULL, service_free);
-  config->targets = g_tree_new_full (compare_names, NULL, NULL, target_free);
-  config->groups = g_tree_new_full (compare_names, NULL, NULL, group_free);
+  config->objects = g_tree_new_full (ss_names_compare, NULL, NULL, stored_free);
+  config->services
+      = g_tree_new_full (ss_names_compare, NULL, NULL, service_free);
+  config->targets = g_tree_new_full (ss_names_compare, NULL, NULL, target_free);
+  config->groups = g_tree_new_full (ss_names_compare, NULL, NULL, group_free);
   config->revision = 0;
 }
 
@@ -183,10 +179,11 @@
 parse_service (SsService *s, json_t *json)
 {
   char *acknowledge = NULL;
+  char *identity = NULL;
   int64_t weight = 1;
-  char *error
-      = check_keys (json, " group default_kind acknowledge weight kinds "
-                          "operation ");
+  char *error = check_keys (
+      json, " group default_kind acknowledge weight kinds identity "
+            "operation ");
 
   if (!error)
     error = get_text (json, "group", NULL, &s->group);
@@ -194,6 +191,11 @@
     error = get_text (json, "default_kind", "", &s->default_kind);
   if (!error)
     error = get_text (json, "acknowledge", "majority", &acknowledge);
+  if (!error)
+    error = get_text (json, "identity", "none", &identity);
+  if (!error && g_strcmp0 (identity, "none") != 0
+      && g_strcmp0 (identity, "user") != 0)
+    error = g_strdup ("\"identity\" must be \"none\" or \"user\"");
   if (!error)
     error = get_number (json, "weight", 1, 1, WEIGHT_MAX, &weight);
   if (!error)
@@ -207,6 +209,8 @@
   s->weight = (uint32_t) weight;
   s->acknowledge_majority
       = !acknowledge || strcmp (acknowledge, "majority") == 0;
+  s->knows_callers = g_strcmp0 (identity, "user") == 0;
+  g_free (identity);
   g_free (acknowledge);
   return error;
 }
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -80,6 +80,7 @@
   char *group;
   char *default_kind; /* empty: statements go to the primary */
   bool acknowledge_majority;
+  bool knows_callers; /* by their user names */
   uint32_t weight;
   SsReadKind kinds[SS_CONFIG_KINDS_MAX];
   uint32_t kind_count;
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -11,6 +11,7 @@
   SsSession *s = data;
 
   g_free (s->service);
+  g_free (s->user);
   g_free (s->kind);
   g_free (s->request_key);
   g_free (s->trace);
@@ -86,7 +87,7 @@
 
 void
 ss_entry_open (SsNode *node, uint64_t caller, const char *service,
-               const char *const *settings)
+               const char *user, const char *const *settings)
 {
   SsSession *s;
   SsGroup *group;
@@ -107,6 +108,7 @@
   s = g_new0 (SsSession, 1);
   s->id = caller;
   s->service = g_strdup (service);
+  s->user = g_strdup (user ? user : "");
   s->deadline_ms = node->params.deadline_ms;
   s->status = 'I';
   group = ss_session_group (node, s);
@@ -421,6 +423,24 @@
   return r->wait != SS_WAIT_NONE;
 }
 
+void
+ss_entry_identities (SsNode *node, const char *group, GPtrArray *out)
+{
+  GPtrArray *waiting = requests_where (node, is_waiting);
+
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      const SsRequest *r = g_ptr_array_index (waiting, i);
+      const SsGroup *g = ss_session_group (node, r->session);
+      const char *identity = ss_session_identity (node, r->session);
+
+      if (r->wait == SS_WAIT_MARK && g && strcmp (g->name, group) == 0
+          && *identity)
+        g_ptr_array_add (out, g_strdup (identity));
+    }
+  g_ptr_array_free (waiting, TRUE);
+}
+
 void
 ss_entry_wake (SsNode *node, const char *group, SsWait wait)
 {
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -20,6 +20,9 @@
 /* --- request.c --- */
 
 SsGroup *ss_session_group (SsNode *node, const SsSession *s);
+/* ss_session_identity: the caller, where its service knows callers; else "".
+ */
+const char *ss_session_identity (SsNode *node, const SsSession *s);
 /* ss_session_reply: a final answer to the caller; the result may be filled
  * in.
  */
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -83,6 +83,7 @@
     {
       uint64_t caller;
       const char *service;
+      const char *user;            /* "": unknown */
       const char *const *settings; /* name, value, ..., NULL; may be NULL */
     } caller_open;
     struct
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -173,8 +173,11 @@
   for (guint i = 0; i < r->askers->len; i++)
     {
       const SsAsk *ask = g_ptr_array_index (r->askers, i);
+      guint count = g_strv_length (ask->identities);
       SsEnvelope e = SS__PEER__ENVELOPE__INIT;
       Ss__Peer__MarkReply m = SS__PEER__MARK_REPLY__INIT;
+      Ss__Peer__Position *floors = g_new (Ss__Peer__Position, count + 1);
+      Ss__Peer__Position **list = g_new (Ss__Peer__Position *, count + 1);
       Ss__Peer__Position p;
 
       ss_position_pack (&p, r->position);
@@ -183,10 +186,31 @@
       m.mark = &p;
       e.body_case = SS__PEER__ENVELOPE__BODY_MARK_REPLY;
       e.mark_reply = &m;
+      for (guint j = 0; j < count; j++)
+        {
+          ss_position_pack (&floors[j],
+                            ss_writers_floor (&owned->writers,
+                                              ask->identities[j], r->position));
+          list[j] = &floors[j];
+        }
+      m.floors = list;
+      m.n_floors = count;
       ss_node_send (node, ask->vm, &e);
+      g_free (floors);
+      g_free (list);
     }
 }
 
+static char **
+copy_identities (const Ss__Peer__MarkAsk *m)
+{
+  char **copy = g_new0 (char *, m->n_identities + 1);
+
+  for (size_t i = 0; i < m->n_identities; i++)
+    copy[i] = g_strdup (m->identities[i]);
+  return copy;
+}
+
 void
 ss_hold_round_ask (SsNode *node, const char *from, const Ss__Peer__MarkAsk *m)
 {
@@ -200,6 +224,7 @@
   ask = g_new0 (SsAsk, 1);
   ask->vm = g_strdup (from);
   ask->ask = m->nonce;
+  ask->identities = copy_identities (m);
   g_ptr_array_add (owned->round.next, ask);
   if (!owned->round.running)
     start_round (node, owned, group);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -4,6 +4,7 @@
 
 #include "core/node.h"
 #include "core/queue.h"
+#include "core/writers.h"
 #include "proto/peer.pb-c.h"
 
 #define SS_RETRY_SOON_MS 100
@@ -51,6 +52,7 @@
 {
   uint64_t id;
   char *service;
+  char *user;
   char *kind; /* NULL: the service's default */
   bool strict;
   char *request_key; /* NULL: none */
@@ -94,7 +96,7 @@
 void ss_entry_init (SsNode *node);
 void ss_entry_finish (SsNode *node);
 void ss_entry_open (SsNode *node, uint64_t caller, const char *service,
-                    const char *const *settings);
+                    const char *user, const char *const *settings);
 void ss_entry_statement (SsNode *node, uint64_t caller, const char *sql);
 void ss_entry_cancel (SsNode *node, uint64_t caller);
 void ss_entry_close (SsNode *node, uint64_t caller);
@@ -105,6 +107,8 @@
  * primary can't be acknowledged any more.
  */
 void ss_entry_superseded (SsNode *node, const SsGroup *group);
+/* ss_entry_identities: adds the callers of GROUP that wait for a mark. */
+void ss_entry_identities (SsNode *node, const char *group, GPtrArray *out);
 /* ss_entry_wake: routes the requests of GROUP that wait for WAIT. */
 void ss_entry_wake (SsNode *node, const char *group, SsWait wait);
 void ss_entry_tick (SsNode *node);
@@ -167,6 +171,8 @@
   uint32_t count;
   uint64_t last_ask;
   int64_t last_ask_ms;
+  GPtrArray *identities; /* whose floors the present ask asks for */
+  GHashTable *floors;    /* identity -> SsPosition; of the latest mark */
   bool outstanding;
   bool wanted; /* again, once the present one is answered */
 } SsMarks;
@@ -180,6 +186,10 @@
  */
 bool ss_marks_within (const SsMarks *marks, int64_t since_ms, SsMark *mark);
 /* ss_marks_retry: repeats an ask that got no answer. */
+/* ss_marks_floor: what IDENTITY (may be empty) has to see by the latest mark.
+ */
+SsPosition ss_marks_floor (const SsMarks *marks, const char *identity);
+void ss_marks_free (gpointer marks);
 void ss_marks_retry (SsNode *node, SsMarks *marks);
 
 /* --- owner.c: connections and statements at the targets owned here --- */
@@ -231,6 +241,7 @@
   char *sql;
   char *key; /* NULL: none */
   char *trace;
+  char *identity;
   bool is_read;
   SsPosition floor;
   SsStep step;
@@ -249,6 +260,7 @@
 {
   char *vm;
   uint64_t ask;
+  char **identities; /* of a round's asker; may be NULL */
   SsPosition held;
   uint64_t poll; /* answered by this poll or a later one */
   int64_t expires_ms;
@@ -300,6 +312,7 @@
   SsServerState reported;
   int64_t reported_ms;
 
+  SsWriters writers;
   GQueue waiters; /* jobs whose commit waits for a majority */
   uint64_t held_asks[SS_CONFIG_SERVERS_MAX]; /* outstanding, by server */
   int64_t held_asked_ms[SS_CONFIG_SERVERS_MAX];
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -6,6 +6,20 @@
 #define LOCK_NOT_AVAILABLE "55P03"
 #define READ_ONLY_SERVER "25006"
 
+void
+ss_job_free (SsJob *job)
+{
+  g_free (job->vm);
+  g_free (job->service);
+  g_free (job->sql);
+  g_free (job->key);
+  g_free (job->trace);
+  g_free (job->identity);
+  g_free (job->tag);
+  g_clear_pointer (&job->wire, g_bytes_unref);
+  g_free (job);
+}
+
 static void
 log_span (SsNode *node, const SsJob *job, SsVerdict verdict)
 {
@@ -219,6 +233,7 @@
   job->sql = g_strndup ((const char *) run->sql.data, run->sql.len);
   job->key = *run->request_key ? g_strdup (run->request_key) : NULL;
   job->trace = g_strdup (run->trace);
+  job->identity = g_strdup (run->identity);
   job->is_read = run->is_read;
   job->floor = ss_position_unpack (run->floor);
   job->received_ms = node->now_ms;
@@ -286,6 +301,10 @@
 {
   SsOwned *owned = c->owned;
 
+  if (node->params.spans)
+    ss_node_log (node, SS_EVENT_LOG_SPAN, job->trace,
+                 "hop=target target=%s ms=%" G_GINT64_FORMAT,
+                 owned->target->name, node->now_ms - job->started_ms);
   c->job = NULL;
   c->since_ms = node->now_ms;
   if (job->transaction_status != 'I')
@@ -423,7 +442,11 @@
   job->transaction_status = result->transaction_status;
   job->applied = result->applied;
   if (result->commit.offset)
-    job->commit = result->commit;
+    {
+      job->commit = result->commit;
+      ss_writers_committed (&job->owned->writers, job->identity,
+                            result->commit);
+    }
   if (!keeps_wire (job->step) && (result->ok || job->step != SS_STEP_RECORD))
     return;
   if (!result->ok)
--- a/src/core/marks.c
+++ b/src/core/marks.c
@@ -14,10 +14,31 @@
     return m;
   m = g_new0 (SsMarks, 1);
   m->group = g_strdup (group);
+  m->identities = g_ptr_array_new_with_free_func (g_free);
+  m->floors = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_tree_insert (node->marks, m->group, m);
   return m;
 }
 
+void
+ss_marks_free (gpointer marks)
+{
+  SsMarks *m = marks;
+
+  g_ptr_array_free (m->identities, TRUE);
+  g_hash_table_destroy (m->floors);
+  g_free (m->group);
+  g_free (m);
+}
+
+SsPosition
+ss_marks_floor (const SsMarks *marks, const char *identity)
+{
+  const SsPosition *floor = g_hash_table_lookup (marks->floors, identity);
+
+  return floor ? *floor : marks->latest.position;
+}
+
 static void
 send_ask (SsNode *node, SsMarks *marks)
 {
@@ -35,6 +56,10 @@
     return;
   ask.group = marks->group;
   ask.nonce = marks->last_ask;
+  g_ptr_array_set_size (marks->identities, 0);
+  ss_entry_identities (node, marks->group, marks->identities);
+  ask.identities = (char **) marks->identities->pdata;
+  ask.n_identities = marks->identities->len;
   e.body_case = SS__PEER__ENVELOPE__BODY_MARK_ASK;
   e.mark_ask = &ask;
   ss_node_send (node, owner, &e);
@@ -72,6 +97,22 @@
   m->ring[m->count++] = m->latest;
 }
 
+static void
+keep_floors (SsMarks *m, const Ss__Peer__MarkReply *reply)
+{
+  g_hash_table_remove_all (m->floors);
+  if (reply->n_floors != m->identities->len)
+    return;
+  for (guint i = 0; i < m->identities->len; i++)
+    {
+      SsPosition *floor = g_new (SsPosition, 1);
+
+      *floor = ss_position_unpack (reply->floors[i]);
+      g_hash_table_replace (
+          m->floors, g_strdup (g_ptr_array_index (m->identities, i)), floor);
+    }
+}
+
 /* The answer was made from what servers said after the ask went out, so it
  * covers everything acknowledged before that.
  */
@@ -90,6 +131,7 @@
   m->latest.asked_ms = m->last_ask_ms;
   m->latest.position = ss_position_unpack (reply->mark);
   keep_in_ring (m);
+  keep_floors (m, reply);
   ss_entry_wake (node, reply->group, SS_WAIT_MARK);
   if (m->wanted && !m->outstanding)
     send_ask (node, m);
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/rank.h"
+#include "kernel/names.h"
 
 static void
 member_free (gpointer data)
@@ -16,20 +17,14 @@
   g_free (m);
 }
 
-static int
-compare_names (gconstpointer a, gconstpointer b, gpointer data)
-{
-  (void) data;
-  return strcmp (a, b);
-}
-
 void
 ss_members_init (SsMembers *members, const char *vm, const char *failure_domain,
                  const char *ip, uint16_t peer_port, int64_t now_ms)
 {
   SsMember *self;
 
-  members->by_name = g_tree_new_full (compare_names, NULL, NULL, member_free);
+  members->by_name
+      = g_tree_new_full (ss_names_compare, NULL, NULL, member_free);
   members->self = g_strdup (vm);
   members->failure_domain = g_strdup (failure_domain);
   members->generation = 1;
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "kernel/names.h"
 
 #define TICK_ASKED_MS 2
 #define TICK_BUSY_MS 5
@@ -12,13 +13,6 @@
 /* What was written last still has to leave, and callers to read it. */
 #define STOP_LINGER_MS 400
 
-static int
-compare_names (gconstpointer a, gconstpointer b, gpointer data)
-{
-  (void) data;
-  return strcmp (a, b);
-}
-
 static void
 promotion_free (gpointer data)
 {
@@ -31,15 +25,6 @@
   g_free (p);
 }
 
-static void
-marks_free (gpointer data)
-{
-  SsMarks *m = data;
-
-  g_free (m->group);
-  g_free (m);
-}
-
 void
 ss_node_init (SsNode *node, const SsNodeParams *params, int64_t now_ms)
 {
@@ -62,9 +47,9 @@
   ss_entry_init (node);
   ss_owner_init (node);
   ss_operate_init (node);
-  node->marks = g_tree_new_full (compare_names, NULL, NULL, marks_free);
+  node->marks = g_tree_new_full (ss_names_compare, NULL, NULL, ss_marks_free);
   node->promotions
-      = g_tree_new_full (compare_names, NULL, NULL, promotion_free);
+      = g_tree_new_full (ss_names_compare, NULL, NULL, promotion_free);
 }
 
 void
@@ -359,7 +344,7 @@
     {
     case SS_EVENT_CALLER_OPEN:
       ss_entry_open (node, e->caller_open.caller, e->caller_open.service,
-                     e->caller_open.settings);
+                     e->caller_open.user, e->caller_open.settings);
       break;
     case SS_EVENT_CALLER_STATEMENT:
       ss_entry_statement (node, e->caller_statement.caller,
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/owner.h"
+#include "kernel/names.h"
 
 #define CONNECT_TIMEOUT_MS 1000
 #define CONNECT_BACKOFF_MS 50
@@ -13,6 +14,7 @@
   SsAsk *ask = data;
 
   g_free (ask->vm);
+  g_strfreev (ask->identities);
   g_free (ask);
 }
 
@@ -22,6 +24,7 @@
   SsOwned *o = data;
 
   ss_queue_finish (&o->queue);
+  ss_writers_finish (&o->writers);
   g_ptr_array_free (o->connections, TRUE);
   g_ptr_array_free (o->asks, TRUE);
   g_ptr_array_free (o->raise_vms, TRUE);
@@ -31,17 +34,10 @@
   g_free (o);
 }
 
-static int
-compare_names (gconstpointer a, gconstpointer b, gpointer data)
-{
-  (void) data;
-  return strcmp (a, b);
-}
-
 void
 ss_owner_init (SsNode *node)
 {
-  node->owned = g_tree_new_full (compare_names, NULL, g_free, free_owned);
+  node->owned = g_tree_new_full (ss_names_compare, NULL, g_free, free_owned);
   node->connections = g_hash_table_new (g_int64_hash, g_int64_equal);
 }
 
@@ -263,6 +259,7 @@
 
   o->target = target;
   ss_queue_init (&o->queue);
+  ss_writers_init (&o->writers);
   o->connections = g_ptr_array_new ();
   o->asks = g_ptr_array_new_with_free_func (free_ask);
   o->raise_vms = g_ptr_array_new_with_free_func (g_free);
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -6,19 +6,6 @@
 #define CONTROL_RESERVE 2
 #define OWNER_SETTLE_MS 3000
 
-void
-ss_job_free (SsJob *job)
-{
-  g_free (job->vm);
-  g_free (job->service);
-  g_free (job->sql);
-  g_free (job->key);
-  g_free (job->trace);
-  g_free (job->tag);
-  g_clear_pointer (&job->wire, g_bytes_unref);
-  g_free (job);
-}
-
 void
 ss_pool_free (SsConnection *c)
 {
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -21,6 +21,14 @@
   return service ? ss_config_group (&node->config, service->group) : NULL;
 }
 
+const char *
+ss_session_identity (SsNode *node, const SsSession *s)
+{
+  const SsService *service = ss_config_service (&node->config, s->service);
+
+  return service && service->knows_callers ? s->user : "";
+}
+
 SsAction *
 ss_session_reply (SsNode *node, const SsSession *s, SsVerdict verdict,
                   SsReason reason, uint32_t retry_after_ms)
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -62,6 +62,7 @@
   if (r->sends_key)
     run.request_key = s->request_key;
   run.trace = r->trace;
+  run.identity = (char *) ss_session_identity (node, s);
   e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
   e.run = &run;
   ss_node_send (node, vm, &e);
@@ -90,7 +91,8 @@
         return true;
       if (marks->latest.ask <= s->arrival_ask)
         return false;
-      ss_session_raise_floor (s, marks->latest.position);
+      ss_session_raise_floor (
+          s, ss_marks_floor (marks, ss_session_identity (node, s)));
       ss_session_send_token (node, s);
       r->floor = s->floor;
       return true;
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "kernel/names.h"
 
 #define HEARTBEAT_MS 200
 #define HEARD_MS 600
@@ -502,18 +503,11 @@
   return FALSE;
 }
 
-static int
-compare_names (gconstpointer a, gconstpointer b, gpointer data)
-{
-  (void) data;
-  return strcmp (a, b);
-}
-
 static void
 subscribe (SsNode *node)
 {
   Subscriptions s
-      = { node, g_tree_new_full (compare_names, NULL, NULL,
+      = { node, g_tree_new_full (ss_names_compare, NULL, NULL,
                                  (GDestroyNotify) g_ptr_array_unref) };
 
   node->subscribe_due_ms = node->now_ms + SUBSCRIBE_MS;
--- a/src/plugins/pgserver.c
+++ b/src/plugins/pgserver.c
@@ -173,6 +173,7 @@
   c->state = CALLER_OPENING;
   e.caller_open.caller = c->id;
   e.caller_open.service = database ? database : (user ? user : "");
+  e.caller_open.user = user ? user : "";
   e.caller_open.settings = settings.pairs;
   ss_shell_event (server.shell, &e);
   for (uint32_t i = 0; i < settings.count; i++)
--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -20,6 +20,7 @@
   char *body;
   CURL *easy;
   GByteArray *answer;
+  int64_t started_ms;
 } Call;
 
 typedef struct
@@ -150,6 +151,24 @@
   ss_shell_event (platform.shell, &e);
 }
 
+static void
+log_span (const Call *call, SsPlatformOutcome outcome)
+{
+  static const char *const outcomes[] = {
+#define X(id, name) name,
+    SS_PLATFORM_OUTCOMES (X)
+#undef X
+  };
+  char detail[96];
+
+  g_snprintf (detail, sizeof detail,
+              "hop=platform ms=%" G_GINT64_FORMAT " outcome=%s",
+              ss_clock_now_ms (platform.shell->clock) - call->started_ms,
+              outcomes[outcome]);
+  ss_log_write (&platform.shell->log, SS_EVENT_LOG_SPAN, "subject",
+                call->key ? call->key : "watch", "detail", detail, NULL);
+}
+
 static void
 finish_call (Call *call, CURLcode code)
 {
@@ -159,6 +178,7 @@
 
   if (outcome == SS_PLATFORM_DONE && !json)
     outcome = SS_PLATFORM_UNKNOWN;
+  log_span (call, outcome);
   if (outcome != SS_PLATFORM_DONE)
     platform.shell->node.counters.values[SS_COUNTER_PLATFORM_ERRORS]++;
   if (call->kind == SS_ACTION_PLATFORM_WATCH)
@@ -321,6 +341,7 @@
   call->since = a->number;
   call->key = g_strdup (a->name);
   call->answer = g_byte_array_new ();
+  call->started_ms = ss_clock_now_ms (shell->clock);
   call->easy = curl_easy_init ();
   set_url (call, a);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
--- a/tests/test_histories.c
+++ b/tests/test_histories.c
@@ -107,6 +107,12 @@
   CU_ASSERT (findings (WORLD_BREAK_COMMIT, lost) > 0);
 }
 
+static void
+changing_names_give_stale_reads (void)
+{
+  CU_ASSERT (findings (WORLD_BREAK_IDENTITY, stale) > 0);
+}
+
 CU_TestInfo test_histories[] = {
   { "same seed gives same actions", same_seed_gives_same_actions },
   { "false positions lose writes", false_positions_lose_writes },
@@ -117,5 +123,6 @@
     false_applied_positions_give_stale_reads },
   { "crossed answers are seen", crossed_answers_are_seen },
   { "torn transactions are seen", torn_transactions_are_seen },
+  { "changing names give stale reads", changing_names_give_stale_reads },
   CU_TEST_INFO_NULL,
 };
--- a/tests/test_position.c
+++ b/tests/test_position.c
@@ -1,4 +1,5 @@
 #include "core/position.h"
+#include "core/writers.h"
 #include "tests/unit.h"
 
 static SsPosition
@@ -69,11 +70,56 @@
   CU_ASSERT (h.starts[SS_HISTORY_MAX - 1].term == 17);
 }
 
+static uint64_t
+floor_offset (const SsWriters *w, const char *identity, uint64_t primary)
+{
+  return ss_writers_floor (w, identity, at (1, primary)).offset;
+}
+
+static void
+known_writers_have_low_floors (void)
+{
+  SsWriters w;
+
+  ss_writers_init (&w);
+  CU_ASSERT (floor_offset (&w, "a", 9) == 9);
+  ss_writers_committed (&w, "a", at (1, 10));
+  ss_writers_committed (&w, "b", at (1, 11));
+  CU_ASSERT (floor_offset (&w, "a", 11) == 10);
+  CU_ASSERT (floor_offset (&w, "c", 11) == 9);
+  /* Entry 12 is not known: its writer may be anybody. */
+  ss_writers_committed (&w, "b", at (1, 13));
+  CU_ASSERT (floor_offset (&w, "a", 13) == 13);
+  ss_writers_committed (&w, "a", at (1, 12));
+  CU_ASSERT (floor_offset (&w, "a", 13) == 12);
+  CU_ASSERT (floor_offset (&w, "c", 14) == 14);
+  ss_writers_finish (&w);
+}
+
+static void
+a_gap_or_a_term_starts_anew (void)
+{
+  SsWriters w;
+
+  ss_writers_init (&w);
+  ss_writers_committed (&w, "a", at (1, 10));
+  for (uint64_t i = 0; i <= SS_WRITERS_PENDING_MAX; i++)
+    ss_writers_committed (&w, "b", at (1, 12 + i));
+  CU_ASSERT (floor_offset (&w, "a", 12 + SS_WRITERS_PENDING_MAX)
+             == 12 + SS_WRITERS_PENDING_MAX);
+  ss_writers_committed (&w, "c", at (3, 500));
+  CU_ASSERT (ss_writers_floor (&w, "a", at (3, 500)).offset == 499);
+  CU_ASSERT (ss_writers_floor (&w, "a", at (1, 300)).offset == 300);
+  ss_writers_finish (&w);
+}
+
 CU_TestInfo test_position[] = {
   { "compares by term, then offset", compares_by_term_then_offset },
   { "covers needs term and offset", covers_needs_term_and_offset },
   { "translates over a lost tail", translates_over_a_lost_tail },
   { "refuses malformed text", refuses_malformed_text },
   { "keeps the latest terms", keeps_the_latest_terms },
+  { "known writers have low floors", known_writers_have_low_floors },
+  { "a gap or a term starts anew", a_gap_or_a_term_starts_anew },
   CU_TEST_INFO_NULL,
 };
--- a/tests/world_callers.c
+++ b/tests/world_callers.c
@@ -56,6 +56,7 @@
   int32_t node = world_random (w, 0, WORLD_NODES - 1);
   const char *settings[] = { "token", c->token, NULL };
   bool brings_token = *c->token && world_chance (w, 500);
+  char user[16];
 
   if (!w->nodes[node].alive || w->nodes[node].paused_until_ms > w->clock.now_ms)
     {
@@ -68,7 +69,12 @@
   c->open = false;
   g_hash_table_insert (w->sessions, &c->session, c);
   e.caller_open.caller = c->session;
+  g_snprintf (user, sizeof user, "c%d",
+              w->params.broken == WORLD_BREAK_IDENTITY
+                  ? world_random (w, 0, WORLD_CALLERS - 1)
+                  : c->number);
   e.caller_open.service = "app";
+  e.caller_open.user = user;
   e.caller_open.settings = brings_token ? settings : NULL;
   world_event (w, node, &e);
 }
--- a/tests/world_internal.h
+++ b/tests/world_internal.h
@@ -178,6 +178,7 @@
 void world_platform_finish (World *w);
 void world_platform_action (World *w, int32_t node, SsAction *action);
 void world_platform_item (World *w, Item *item);
+void world_free_stored (gpointer stored);
 
 /* world_callers.c */
 void world_callers_init (World *w);
