A request waits for the first report of the server that it needs

Cause: a vm that had the state of one server of a group, but not yet the primary's, refused every write at once; seen by the protocol scenario under sanitizers, at a vm that owns a replica, right after its start. The wait for a first report looked for a group of which nothing was known. Ruled out: the stand-in's start (other vms served writes at that moment). Change: a write waits for its primary's first report, a read that finds no server for the first report of any unseen one, 500 ms at most after it came.

--- a/build2/src/core/node.d
+++ b/build2/src/core/node.d
@@ -71,5 +71,5 @@
  /usr/include/glib-2.0/glib/glib-autocleanups.h src/core/event.h \
  src/core/position.h src/kernel/log.h src/kernel/verdict.h \
  src/core/dialect.h src/core/members.h src/kernel/counters.h \
- src/core/internal.h src/core/queue.h proto/peer.pb-c.h \
- src/kernel/names.h
+ src/core/internal.h src/core/queue.h src/core/writers.h \
+ proto/peer.pb-c.h src/kernel/names.h
--- a/build2/src/core/tables.d
+++ b/build2/src/core/tables.d
@@ -72,4 +72,5 @@
  /usr/include/glib-2.0/glib/glib-autocleanups.h src/core/event.h \
  src/core/position.h src/kernel/log.h src/kernel/verdict.h \
  src/core/dialect.h src/core/members.h src/kernel/counters.h \
- src/core/owner.h src/core/internal.h src/core/queue.h proto/peer.pb-c.h
+ src/core/owner.h src/core/internal.h src/core/queue.h src/core/writers.h \
+ proto/peer.pb-c.h
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -472,6 +472,8 @@
 void
 ss_entry_tick (SsNode *node)
 {
+  static const SsReason reasons[]
+      = { SS_REASON_DEADLINE, SS_REASON_NO_MARK, SS_REASON_NO_PRIMARY };
   GPtrArray *overdue = requests_where (node, is_overdue);
 
   for (guint i = 0; i < overdue->len; i++)
@@ -480,9 +482,7 @@
 
       if (r->vm)
         send_cancel (node, r);
-      ss_request_abandon (node, r,
-                          r->wait == SS_WAIT_MARK ? SS_REASON_NO_MARK
-                                                  : SS_REASON_DEADLINE);
+      ss_request_abandon (node, r, reasons[r->wait]);
     }
   g_ptr_array_free (overdue, TRUE);
 }
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -106,16 +106,35 @@
   return true;
 }
 
-/* Before the first report of a group's servers nothing can be chosen; one is
- * on its way once the subscription is sent.
+/* Before the first report of a server nothing can be chosen of it; one is on
+ * its way once the subscription is sent.
  */
 static bool
-is_unseen (const SsGroup *group)
+waits_for_view (SsNode *node, SsRequest *r, const SsTarget *t)
+{
+  int64_t left_ms = r->started_ms + VIEW_WAIT_MS - node->now_ms;
+
+  if (!t || t->state_ms || left_ms <= 0)
+    return false;
+  ss_request_begin_wait (node, r, SS_WAIT_VIEW, left_ms);
+  return true;
+}
+
+static const SsTarget *
+find_unseen (const SsGroup *group)
 {
   for (uint32_t i = 0; i < group->server_count; i++)
-    if (group->servers[i]->state_ms)
-      return false;
-  return group->server_count > 0;
+    if (!group->servers[i]->state_ms)
+      return group->servers[i];
+  return NULL;
+}
+
+/* Refuses what no server can take now. */
+static void
+refuse (SsNode *node, SsRequest *r, SsReason reason)
+{
+  ss_request_finish (node, r, SS_VERDICT_NOT_RUN, reason,
+                     SS_RETRY_PROMOTION_MS);
 }
 
 static void
@@ -128,8 +147,7 @@
     {
       if (!*group->primary)
         {
-          ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
-                             SS_RETRY_PROMOTION_MS);
+          refuse (node, r, SS_REASON_NO_PRIMARY);
           return;
         }
       ss_request_begin_wait (node, r, SS_WAIT_MARK, MARK_WAIT_MS);
@@ -137,11 +155,10 @@
       return;
     }
   t = ss_choice_read (node, group, r->floor, r->tried, r->tries);
-  if (!t)
-    ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_REPLICA,
-                       SS_RETRY_PROMOTION_MS);
-  else
+  if (t)
     send_run (node, r, ss_node_owner (node, t), t->name, false);
+  else if (!waits_for_view (node, r, find_unseen (group)))
+    refuse (node, r, SS_REASON_NO_REPLICA);
 }
 
 static void
@@ -149,11 +166,10 @@
 {
   SsTarget *t = ss_choice_write (node, group);
 
-  if (!t)
-    ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
-                       SS_RETRY_PROMOTION_MS);
-  else
+  if (t)
     send_run (node, r, ss_node_owner (node, t), t->name, false);
+  else if (!waits_for_view (node, r, ss_group_primary (group)))
+    refuse (node, r, SS_REASON_NO_PRIMARY);
 }
 
 void
@@ -166,8 +182,6 @@
     send_run (node, r, s->pinned_vm, s->pinned_target, true);
   else if (!group)
     ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_SERVICE, 0);
-  else if (is_unseen (group))
-    ss_request_begin_wait (node, r, SS_WAIT_VIEW, VIEW_WAIT_MS);
   else if (r->is_read)
     route_read (node, r, group);
   else
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -220,6 +220,47 @@
   ss_node_finish (&node);
 }
 
+static void
+pass (int64_t now_ms)
+{
+  SsEvent tick = { .kind = SS_EVENT_TICK };
+
+  ss_node_on_event (&node, &tick, now_ms);
+}
+
+/* Found by the protocol scenario under a sanitizer: a vm that knew the state
+ * of one server, but not yet the primary's, refused every write.
+ */
+static void
+a_write_waits_for_the_first_report_of_the_primary (void)
+{
+  static const char target[]
+      = "{\"group\":\"g\",\"ip\":\"10.0.0.9\",\"port\":1,"
+        "\"failure_domain\":\"e\",\"max_connections\":20}";
+  SsEvent insert = { .kind = SS_EVENT_CALLER_STATEMENT };
+  SsAction reply;
+
+  begin ();
+  put_object ("target/t", target);
+  put_object ("target/u", target);
+  put_object ("group/g", "{\"term\":1,\"primary\":\"t\"}");
+  ss_config_target (&node.config, "u")->state_ms = NOW_MS;
+  open_session ("s", NULL, &reply);
+  ss_action_clear (&reply);
+  insert.caller_statement.caller = 1;
+  insert.caller_statement.sql = "INSERT INTO x VALUES (1)";
+  ss_node_on_event (&node, &insert, NOW_MS);
+  CU_ASSERT (!last_reply (&reply));
+  pass (NOW_MS + 400);
+  CU_ASSERT (!last_reply (&reply));
+  pass (NOW_MS + 600);
+  CU_ASSERT (last_reply (&reply));
+  CU_ASSERT (reply.verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (reply.reason == SS_REASON_NO_PRIMARY);
+  ss_action_clear (&reply);
+  ss_node_finish (&node);
+}
+
 CU_TestInfo test_session[] = {
   { "knows its settings", knows_its_settings },
   { "refuses what it can not serve at once",
@@ -228,6 +269,8 @@
     a_refused_statement_takes_its_id_along },
   { "a lost transaction takes no more statements",
     a_lost_transaction_takes_no_more_statements },
+  { "a write waits for the first report of the primary",
+    a_write_waits_for_the_first_report_of_the_primary },
   { "a commit tells of a loss untold", a_commit_tells_of_a_loss_untold },
   CU_TEST_INFO_NULL,
 };
