Tests of the operators' language and of orders; one scanner, smaller files

Found by its test: errors named the column after the offending word; the scanner tells where a token ends, not where the next one begins. Ruled out: the texts themselves. Change: src/core/scan.c serves settings and commands; the column is that of the next word; orders are tested against refusal, conflict, a lost answer and a change that may still be under way.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 PLATFORM_O = $B/standin/platform.o $B/src/kernel/names.o $B/src/kernel/httpd.o
 LOAD_O = $(addprefix $B/bench/,ss_load.o load_ops.o load_report.o \
   ledger.o)
-SCENARIO_O = $(addprefix $B/bench/,ss_scenario.o deploy.o)
+SCENARIO_O = $(addprefix $B/bench/,ss_scenario.o deploy.o deploy_control.o)
 NETWORK_O = $B/standin/network.o $B/src/kernel/httpd.o $B/src/kernel/stream.o
 WORLD_O = $(addprefix $B/tests/,world.o world_target.o world_platform.o \
   world_callers.o) $B/bench/ledger.o $(CORE_O) \
--- a/bench/deploy.c
+++ b/bench/deploy.c
@@ -2,7 +2,6 @@
 
 #include <curl/curl.h>
 #include <errno.h>
-#include <libpq-fe.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -40,8 +39,6 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
 }
 
-/* --- processes --- */
-
 static void
 die_with_parent (gpointer data)
 {
@@ -142,8 +139,6 @@
   g_free (deploy->load_output);
 }
 
-/* --- the platform --- */
-
 static size_t
 append_text (char *data, size_t size, size_t count, void *user)
 {
@@ -285,10 +280,8 @@
   return false;
 }
 
-/* --- starting --- */
-
-static char *
-program (const SsDeploy *d, const char *name)
+char *
+ss_deploy_program (const SsDeploy *d, const char *name)
 {
   return g_build_filename (d->programs, name, NULL);
 }
@@ -297,8 +290,8 @@
 start_platform (SsDeploy *d)
 {
   char *port = g_strdup_printf ("%d", SS_DEPLOY_PLATFORM_PORT);
-  char *argv[]
-      = { program (d, "ss-standin-platform"), d->platform.ip, port, NULL };
+  char *argv[] = { ss_deploy_program (d, "ss-standin-platform"), d->platform.ip,
+                   port, NULL };
   char *url = platform_url (d, "v1/vms");
   bool ok = spawn (d, "platform", argv, &d->platform.pid)
             && wait_http (url, 200, READY_BOUND_MS);
@@ -315,9 +308,12 @@
   SsDeployed *t = &deploy->targets[target];
   char *port = g_strdup_printf ("%d", SS_DEPLOY_TARGET_PORT);
   char *data = g_strdup_printf ("%s/%s.data", deploy->directory, t->name);
-  char *argv[] = {
-    program (deploy, "ss-standin-target"), t->name, t->ip, port, data, NULL
-  };
+  char *argv[] = { ss_deploy_program (deploy, "ss-standin-target"),
+                   t->name,
+                   t->ip,
+                   port,
+                   data,
+                   NULL };
   bool ok = spawn (deploy, t->name, argv, &t->pid);
 
   g_free (argv[0]);
@@ -359,8 +355,8 @@
   SsDeployed *v = &deploy->vms[vm];
   char *path = NULL;
   bool ok = write_settings (deploy, vm, &path);
-  char *argv[]
-      = { program (deploy, "sapphirestaird"), (char *) "--config", path, NULL };
+  char *argv[] = { ss_deploy_program (deploy, "sapphirestaird"),
+                   (char *) "--config", path, NULL };
 
   ok = ok && spawn (deploy, v->name, argv, &v->pid);
   g_free (argv[0]);
@@ -377,7 +373,7 @@
   GPtrArray *argv = g_ptr_array_new_with_free_func (g_free);
   bool ok;
 
-  g_ptr_array_add (argv, program (d, "ss-standin-network"));
+  g_ptr_array_add (argv, ss_deploy_program (d, "ss-standin-network"));
   g_ptr_array_add (argv, g_strdup_printf ("%s.%d", d->network, PLATFORM_IP));
   g_ptr_array_add (argv, g_strdup_printf ("%d", SS_DEPLOY_PLATFORM_PORT + 1));
   for (uint32_t i = 0; i < d->vm_count; i++)
@@ -434,31 +430,6 @@
   return ok;
 }
 
-/* Runs sapphirectl at one vm; its exit code, or -1. */
-int
-ss_deploy_ctl (SsDeploy *deploy, uint32_t vm, const char *command,
-               char **output)
-{
-  char *address = g_strdup_printf ("--admin=%s:%d", deploy->vms[vm].ip,
-                                   SS_DEPLOY_ADMIN_PORT);
-  char *token = g_strdup_printf ("--token-file=%s/token", deploy->directory);
-  char *argv[] = { program (deploy, "sapphirectl"),
-                   address,
-                   token,
-                   (char *) "-c",
-                   (char *) command,
-                   NULL };
-  int status = -1;
-
-  if (!g_spawn_sync (NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, output,
-                     NULL, &status, NULL))
-    status = -1;
-  g_free (argv[0]);
-  g_free (token);
-  g_free (address);
-  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
-}
-
 static void
 place (SsDeploy *d, const char *domains, uint32_t vms_per_domain,
        uint32_t servers)
@@ -511,8 +482,6 @@
   return ok && wait_primary (deploy, READY_BOUND_MS);
 }
 
-/* --- load --- */
-
 static void
 add_addresses (GPtrArray *argv, const char *option, const SsDeployed *list,
                uint32_t count, int port)
@@ -530,7 +499,7 @@
   char *name = g_strdup_printf ("load-%u", ++runs);
   bool ok;
 
-  g_ptr_array_add (argv, program (deploy, "ss-load"));
+  g_ptr_array_add (argv, ss_deploy_program (deploy, "ss-load"));
   add_addresses (argv, "--entry", deploy->vms, deploy->vm_count,
                  SS_DEPLOY_CALLER_PORT);
   add_addresses (argv, "--admin", deploy->vms, deploy->vm_count,
@@ -567,128 +536,3 @@
   g_free (text);
   return line;
 }
-
-/* --- SQL --- */
-
-static PGconn *
-connect_to (const char *ip, int port, const char *database, const char *user,
-            const char *options)
-{
-  char *conninfo = g_strdup_printf (
-      "hostaddr=%s port=%d dbname=%s user=%s sslmode=disable "
-      "gssencmode=disable connect_timeout=2 %s",
-      ip, port, database, user, options);
-  PGconn *pq = PQconnectdb (conninfo);
-
-  g_free (conninfo);
-  return pq;
-}
-
-char *
-ss_deploy_sql (SsDeploy *deploy, uint32_t vm, const char *options,
-               const char *sql)
-{
-  PGconn *pq = connect_to (deploy->vms[vm].ip, SS_DEPLOY_CALLER_PORT,
-                           deploy->service, "check", options);
-  char *answer;
-  PGresult *r;
-
-  if (PQstatus (pq) != CONNECTION_OK)
-    {
-      PQfinish (pq);
-      return g_strdup ("no connection");
-    }
-  r = PQexec (pq, sql);
-  if (PQresultStatus (r) == PGRES_TUPLES_OK && PQntuples (r) > 0)
-    answer = g_strdup (PQgetvalue (r, 0, 0));
-  else if (PQresultStatus (r) == PGRES_COMMAND_OK
-           || PQresultStatus (r) == PGRES_TUPLES_OK)
-    answer = g_strdup (PQcmdStatus (r));
-  else
-    answer = g_strdup (PQresultErrorField (r, PG_DIAG_SQLSTATE));
-  PQclear (r);
-  PQfinish (pq);
-  return answer ? answer : g_strdup ("no answer");
-}
-
-bool
-ss_deploy_control (const SsDeployed *target, const char *name, int64_t value)
-{
-  char *sql = g_strdup_printf (
-      "SELECT sapphirestair_control('%s', %" G_GINT64_FORMAT ")", name, value);
-  PGconn *pq = connect_to (target->ip, SS_DEPLOY_TARGET_PORT, "control",
-                           "replication", "");
-  PGresult *r = PQexec (pq, sql);
-  bool ok = PQresultStatus (r) == PGRES_TUPLES_OK;
-
-  PQclear (r);
-  PQfinish (pq);
-  g_free (sql);
-  return ok;
-}
-
-int32_t
-ss_deploy_primary (SsDeploy *deploy, uint64_t *term)
-{
-  int32_t best = -1;
-  uint64_t best_term = 0;
-
-  for (uint32_t i = 0; i < deploy->target_count; i++)
-    {
-      const SsDeployed *t = &deploy->targets[i];
-      PGconn *pq;
-      PGresult *r;
-      uint64_t shown;
-
-      if (!t->pid || t->frozen)
-        continue;
-      pq = connect_to (t->ip, SS_DEPLOY_TARGET_PORT, "check", "replication",
-                       "");
-      r = PQexec (pq, "SELECT * FROM sapphirestair_status()");
-      if (PQresultStatus (r) == PGRES_TUPLES_OK
-          && strcmp (PQgetvalue (r, 0, 0), "primary") == 0)
-        {
-          shown = g_ascii_strtoull (PQgetvalue (r, 0, 1), NULL, 10);
-          if (shown > best_term)
-            {
-              best = (int32_t) i;
-              best_term = shown;
-            }
-        }
-      PQclear (r);
-      PQfinish (pq);
-    }
-  if (term)
-    *term = best_term;
-  return best;
-}
-
-/* --- cuts --- */
-
-bool
-ss_deploy_cut_domain (SsDeploy *deploy, const char *domain, bool cut)
-{
-  GString *json = g_string_new ("{\"cut_ips\":[");
-  char *url = g_strdup_printf ("http://%s:%d/cut", deploy->platform.ip,
-                               SS_DEPLOY_PLATFORM_PORT + 1);
-  bool first = true;
-  bool ok;
-
-  for (uint32_t i = 0; cut && i < deploy->vm_count; i++)
-    {
-      if (strcmp (deploy->vms[i].failure_domain, domain) != 0)
-        continue;
-      g_string_append_printf (json, "%s\"%s\"", first ? "" : ",",
-                              deploy->vms[i].ip);
-      first = false;
-    }
-  g_string_append (json, "]}");
-  ok = ss_deploy_platform_control (deploy, json->str)
-       && ss_deploy_http ("POST", url, json->str, NULL) == 200;
-  for (uint32_t i = 0; ok && i < deploy->target_count; i++)
-    if (strcmp (deploy->targets[i].failure_domain, domain) == 0)
-      ok = ss_deploy_control (&deploy->targets[i], "cut", cut);
-  g_string_free (json, TRUE);
-  g_free (url);
-  return ok;
-}
--- a/bench/deploy.h
+++ b/bench/deploy.h
@@ -71,6 +71,8 @@
 char *ss_deploy_load_result (SsDeploy *deploy);
 
 void ss_deploy_signal (SsDeployed *process, int number);
+/* ss_deploy_program: path of the binary NAME; freed by the caller. */
+char *ss_deploy_program (const SsDeploy *deploy, const char *name);
 /* ss_deploy_wait_exit: whether the process ended in time, and its code. */
 bool ss_deploy_wait_exit (SsDeployed *process, int64_t bound_ms, int *code);
 
--- /dev/null
+++ b/bench/deploy_control.c
@@ -0,0 +1,152 @@
+#include <libpq-fe.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "bench/deploy.h"
+
+/* Runs sapphirectl at one vm; its exit code, or -1. */
+int
+ss_deploy_ctl (SsDeploy *deploy, uint32_t vm, const char *command,
+               char **output)
+{
+  char *address = g_strdup_printf ("--admin=%s:%d", deploy->vms[vm].ip,
+                                   SS_DEPLOY_ADMIN_PORT);
+  char *token = g_strdup_printf ("--token-file=%s/token", deploy->directory);
+  char *argv[] = { ss_deploy_program (deploy, "sapphirectl"),
+                   address,
+                   token,
+                   (char *) "-c",
+                   (char *) command,
+                   NULL };
+  int status = -1;
+
+  if (!g_spawn_sync (NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, output,
+                     NULL, &status, NULL))
+    status = -1;
+  g_free (argv[0]);
+  g_free (token);
+  g_free (address);
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
+static PGconn *
+connect_to (const char *ip, int port, const char *database, const char *user,
+            const char *options)
+{
+  char *conninfo = g_strdup_printf (
+      "hostaddr=%s port=%d dbname=%s user=%s sslmode=disable "
+      "gssencmode=disable connect_timeout=2 %s",
+      ip, port, database, user, options);
+  PGconn *pq = PQconnectdb (conninfo);
+
+  g_free (conninfo);
+  return pq;
+}
+
+char *
+ss_deploy_sql (SsDeploy *deploy, uint32_t vm, const char *options,
+               const char *sql)
+{
+  PGconn *pq = connect_to (deploy->vms[vm].ip, SS_DEPLOY_CALLER_PORT,
+                           deploy->service, "check", options);
+  char *answer;
+  PGresult *r;
+
+  if (PQstatus (pq) != CONNECTION_OK)
+    {
+      PQfinish (pq);
+      return g_strdup ("no connection");
+    }
+  r = PQexec (pq, sql);
+  if (PQresultStatus (r) == PGRES_TUPLES_OK && PQntuples (r) > 0)
+    answer = g_strdup (PQgetvalue (r, 0, 0));
+  else if (PQresultStatus (r) == PGRES_COMMAND_OK
+           || PQresultStatus (r) == PGRES_TUPLES_OK)
+    answer = g_strdup (PQcmdStatus (r));
+  else
+    answer = g_strdup (PQresultErrorField (r, PG_DIAG_SQLSTATE));
+  PQclear (r);
+  PQfinish (pq);
+  return answer ? answer : g_strdup ("no answer");
+}
+
+bool
+ss_deploy_control (const SsDeployed *target, const char *name, int64_t value)
+{
+  char *sql = g_strdup_printf (
+      "SELECT sapphirestair_control('%s', %" G_GINT64_FORMAT ")", name, value);
+  PGconn *pq = connect_to (target->ip, SS_DEPLOY_TARGET_PORT, "control",
+                           "replication", "");
+  PGresult *r = PQexec (pq, sql);
+  bool ok = PQresultStatus (r) == PGRES_TUPLES_OK;
+
+  PQclear (r);
+  PQfinish (pq);
+  g_free (sql);
+  return ok;
+}
+
+int32_t
+ss_deploy_primary (SsDeploy *deploy, uint64_t *term)
+{
+  int32_t best = -1;
+  uint64_t best_term = 0;
+
+  for (uint32_t i = 0; i < deploy->target_count; i++)
+    {
+      const SsDeployed *t = &deploy->targets[i];
+      PGconn *pq;
+      PGresult *r;
+      uint64_t shown;
+
+      if (!t->pid || t->frozen)
+        continue;
+      pq = connect_to (t->ip, SS_DEPLOY_TARGET_PORT, "check", "replication",
+                       "");
+      r = PQexec (pq, "SELECT * FROM sapphirestair_status()");
+      if (PQresultStatus (r) == PGRES_TUPLES_OK
+          && strcmp (PQgetvalue (r, 0, 0), "primary") == 0)
+        {
+          shown = g_ascii_strtoull (PQgetvalue (r, 0, 1), NULL, 10);
+          if (shown > best_term)
+            {
+              best = (int32_t) i;
+              best_term = shown;
+            }
+        }
+      PQclear (r);
+      PQfinish (pq);
+    }
+  if (term)
+    *term = best_term;
+  return best;
+}
+
+bool
+ss_deploy_cut_domain (SsDeploy *deploy, const char *domain, bool cut)
+{
+  GString *json = g_string_new ("{\"cut_ips\":[");
+  char *url = g_strdup_printf ("http://%s:%d/cut", deploy->platform.ip,
+                               SS_DEPLOY_PLATFORM_PORT + 1);
+  bool first = true;
+  bool ok;
+
+  for (uint32_t i = 0; cut && i < deploy->vm_count; i++)
+    {
+      if (strcmp (deploy->vms[i].failure_domain, domain) != 0)
+        continue;
+      g_string_append_printf (json, "%s\"%s\"", first ? "" : ",",
+                              deploy->vms[i].ip);
+      first = false;
+    }
+  g_string_append (json, "]}");
+  ok = ss_deploy_platform_control (deploy, json->str)
+       && ss_deploy_http ("POST", url, json->str, NULL) == 200;
+  for (uint32_t i = 0; ok && i < deploy->target_count; i++)
+    if (strcmp (deploy->targets[i].failure_domain, domain) == 0)
+      ok = ss_deploy_control (&deploy->targets[i], "cut", cut);
+  g_string_free (json, TRUE);
+  g_free (url);
+  return ok;
+}
--- a/build2/bench/deploy.d
+++ b/build2/bench/deploy.d
@@ -68,7 +68,4 @@
  /usr/include/glib-2.0/glib/deprecated/gmain.h \
  /usr/include/glib-2.0/glib/deprecated/grel.h \
  /usr/include/glib-2.0/glib/deprecated/gthread.h \
- /usr/include/glib-2.0/glib/glib-autocleanups.h \
- /usr/include/postgresql/libpq-fe.h \
- /usr/include/postgresql/postgres_ext.h \
- /usr/include/postgresql/pg_config_ext.h
+ /usr/include/glib-2.0/glib/glib-autocleanups.h
--- a/build2/src/core/command.d
+++ b/build2/src/core/command.d
@@ -68,4 +68,4 @@
  /usr/include/glib-2.0/glib/deprecated/gmain.h \
  /usr/include/glib-2.0/glib/deprecated/grel.h \
  /usr/include/glib-2.0/glib/deprecated/gthread.h \
- /usr/include/glib-2.0/glib/glib-autocleanups.h
+ /usr/include/glib-2.0/glib/glib-autocleanups.h src/core/scan.h
--- a/build2/src/core/local.d
+++ b/build2/src/core/local.d
@@ -72,4 +72,4 @@
  /usr/include/glib-2.0/glib/glib-autocleanups.h src/core/event.h \
  src/core/position.h src/kernel/log.h src/kernel/verdict.h \
  src/core/dialect.h src/core/members.h src/kernel/counters.h \
- src/core/queue.h src/core/writers.h proto/peer.pb-c.h
+ src/core/queue.h src/core/writers.h proto/peer.pb-c.h src/core/scan.h
--- a/src/core/command.c
+++ b/src/core/command.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/scan.h"
+
 const char ss_command_help[]
     = "show services|targets|groups|vms|sessions|config|counters\n"
       "  [where FIELD =|!=|<|<=|>|>= VALUE [and ...]]"
@@ -48,35 +50,30 @@
 typedef struct
 {
   GScanner *scanner;
+  const char *text;
   char *error;
 } Parser;
 
-/* Keeps the first error only. */
+/* Keeps the first error only.  The scanner tells where the last token ended;
+ * the next one begins after the blanks.
+ */
 static bool
 expected (Parser *p, const char *what)
 {
+  guint at = p->scanner->position;
+
   if (p->error)
     return false;
-  g_scanner_peek_next_token (p->scanner);
-  p->error = g_strdup_printf ("column %u: expected %s",
-                              p->scanner->next_position + 1, what);
+  while (g_ascii_isspace (p->text[at]))
+    at++;
+  p->error = g_strdup_printf ("column %u: expected %s", at + 1, what);
   return false;
 }
 
-static bool
-peek_word (Parser *p, const char *word)
-{
-  return g_scanner_peek_next_token (p->scanner) == G_TOKEN_IDENTIFIER
-         && g_ascii_strcasecmp (p->scanner->next_value.v_identifier, word) == 0;
-}
-
 static bool
 take_word (Parser *p, const char *word)
 {
-  if (!peek_word (p, word))
-    return false;
-  g_scanner_get_next_token (p->scanner);
-  return true;
+  return ss_scan_word (p->scanner, word);
 }
 
 static bool
@@ -103,10 +100,7 @@
 static bool
 take_char (Parser *p, char c)
 {
-  if (g_scanner_peek_next_token (p->scanner) != (GTokenType) c)
-    return false;
-  g_scanner_get_next_token (p->scanner);
-  return true;
+  return ss_scan_char (p->scanner, c);
 }
 
 static bool
@@ -232,25 +226,10 @@
          || expected (p, "show, drain, undrain, stop, promote, set or help");
 }
 
-static GScanner *
-new_scanner (const char *text)
-{
-  GScanner *s = g_scanner_new (NULL);
-
-  s->config->cset_identifier_first = G_CSET_A_2_Z G_CSET_a_2_z "_";
-  s->config->cset_identifier_nth = G_CSET_A_2_Z G_CSET_a_2_z "_-.0123456789";
-  s->config->scan_identifier_1char = TRUE;
-  s->config->scan_octal = FALSE;
-  s->config->cpair_comment_single = "#\n";
-  s->config->store_int64 = TRUE;
-  g_scanner_input_text (s, text, (guint) strlen (text));
-  return s;
-}
-
 char *
 ss_command_init (SsCommand *command, const char *text)
 {
-  Parser p = { new_scanner (text), NULL };
+  Parser p = { ss_scan_new (text, "_-."), text, NULL };
 
   memset (command, 0, sizeof *command);
   if (parse_command (&p, command))
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -5,12 +5,6 @@
 #define ASK_AGAIN_MS 100
 #define ROUND_MS 300
 
-static SsGroup *
-owned_group (SsNode *node, const SsOwned *owned)
-{
-  return ss_config_group (&node->config, owned->target->group);
-}
-
 static void
 send_status_ask (SsNode *node, SsTarget *t, uint64_t ask, SsPosition held)
 {
@@ -109,7 +103,7 @@
 ss_hold_wait (SsNode *node, SsJob *job)
 {
   SsOwned *owned = job->owned;
-  SsGroup *group = owned_group (node, owned);
+  SsGroup *group = ss_owned_group (node, owned);
 
   g_queue_push_tail (&owned->waiters, job);
   if (!group)
@@ -292,7 +286,7 @@
 void
 ss_hold_tick (SsNode *node, SsOwned *owned)
 {
-  SsGroup *group = owned_group (node, owned);
+  SsGroup *group = ss_owned_group (node, owned);
 
   if (!group)
     return;
--- a/src/core/local.c
+++ b/src/core/local.c
@@ -1,35 +1,10 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "core/scan.h"
 
 #define PREFIX "sapphirestair."
 
-static GScanner *
-new_scanner (const char *sql)
-{
-  GScanner *s = g_scanner_new (NULL);
-
-  s->config->cset_identifier_first = G_CSET_A_2_Z G_CSET_a_2_z "_";
-  s->config->cset_identifier_nth = G_CSET_A_2_Z G_CSET_a_2_z "_.0123456789";
-  s->config->scan_identifier_1char = TRUE;
-  s->config->scan_float = FALSE;
-  s->config->scan_octal = FALSE;
-  s->config->cpair_comment_single = "\1\n";
-  s->config->store_int64 = TRUE;
-  g_scanner_input_text (s, sql, (guint) strlen (sql));
-  return s;
-}
-
-static bool
-take_word (GScanner *s, const char *word)
-{
-  if (g_scanner_peek_next_token (s) != G_TOKEN_IDENTIFIER
-      || g_ascii_strcasecmp (s->next_value.v_identifier, word) != 0)
-    return false;
-  g_scanner_get_next_token (s);
-  return true;
-}
-
 static char *
 take_setting_name (GScanner *s)
 {
@@ -69,7 +44,7 @@
 static void
 parse_set (SsLocal *local, GScanner *s)
 {
-  take_word (s, "session");
+  ss_scan_word (s, "session");
   local->name = take_setting_name (s);
   if (!local->name)
     return;
@@ -77,7 +52,7 @@
   if (g_scanner_peek_next_token (s) == (GTokenType) '=')
     g_scanner_get_next_token (s);
   else
-    take_word (s, "to");
+    ss_scan_word (s, "to");
   local->value = take_value (s);
 }
 
@@ -91,15 +66,15 @@
   if (!ss_local_first_word (sql, "set") && !ss_local_first_word (sql, "reset")
       && !ss_local_first_word (sql, "show"))
     return;
-  s = new_scanner (sql);
-  if (take_word (s, "set"))
+  s = ss_scan_new (sql, "_.");
+  if (ss_scan_word (s, "set"))
     parse_set (local, s);
-  else if (take_word (s, "reset"))
+  else if (ss_scan_word (s, "reset"))
     {
       local->name = take_setting_name (s);
       local->kind = local->name ? SS_LOCAL_SET : SS_LOCAL_NONE;
     }
-  else if (take_word (s, "show"))
+  else if (ss_scan_word (s, "show"))
     {
       local->name = take_setting_name (s);
       local->kind = local->name ? SS_LOCAL_SHOW : SS_LOCAL_NONE;
@@ -136,11 +111,11 @@
   if (!ss_local_first_word (sql, "begin")
       && !ss_local_first_word (sql, "start"))
     return false;
-  s = new_scanner (sql);
+  s = ss_scan_new (sql, "_.");
   g_scanner_get_next_token (s);
-  if (!take_word (s, "transaction"))
-    take_word (s, "work");
-  read_only = take_word (s, "read") && take_word (s, "only");
+  if (!ss_scan_word (s, "transaction"))
+    ss_scan_word (s, "work");
+  read_only = ss_scan_word (s, "read") && ss_scan_word (s, "only");
   g_scanner_destroy (s);
   return read_only;
 }
--- a/src/core/monitor.c
+++ b/src/core/monitor.c
@@ -15,12 +15,6 @@
 #define REPORT_IDLE_MS 250
 #define REPORT_MIN_MS 10
 
-static SsGroup *
-owned_group (SsNode *node, const SsOwned *owned)
-{
-  return ss_config_group (&node->config, owned->target->group);
-}
-
 /* --- reports --- */
 
 typedef struct
@@ -162,7 +156,7 @@
 static char *
 reconcile (SsNode *node, SsOwned *owned, SsControlStep *step)
 {
-  SsGroup *group = owned_group (node, owned);
+  SsGroup *group = ss_owned_group (node, owned);
   SsTarget *primary = group ? ss_group_primary (group) : NULL;
   const SsServerState *s = &owned->target->state;
   const SsDialect *d = node->dialect;
@@ -251,7 +245,7 @@
   SsTarget *t = owned->target;
   SsServerState old = t->state;
   SsServerState state = { 0 };
-  SsGroup *group = owned_group (node, owned);
+  SsGroup *group = ss_owned_group (node, owned);
 
   if (!result->ok
       || !node->dialect->read_status (node->dialect, result->row,
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -289,6 +289,12 @@
   owned->control_step = SS_CONTROL_NONE;
 }
 
+SsGroup *
+ss_owned_group (SsNode *node, const SsOwned *owned)
+{
+  return ss_config_group (&node->config, owned->target->group);
+}
+
 void
 ss_owner_unreachable (SsNode *node, SsOwned *owned)
 {
@@ -324,7 +330,7 @@
 static void
 check_term (SsNode *node, SsOwned *owned)
 {
-  const SsGroup *group = ss_config_group (&node->config, owned->target->group);
+  const SsGroup *group = ss_owned_group (node, owned);
 
   if (!group || group->term == owned->group_term)
     return;
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -6,6 +6,9 @@
 
 #include "core/internal.h"
 
+/* ss_owned_group: the group that the target is of, or NULL. */
+SsGroup *ss_owned_group (SsNode *node, const SsOwned *owned);
+
 /* --- pool.c --- */
 
 /* ss_pool_budget: how many connections may be open for statements now. */
--- /dev/null
+++ b/tests/test_command.c
@@ -0,0 +1,249 @@
+/* The operators' language, and orders against the platform. */
+#include <string.h>
+
+#include "core/command.h"
+#include "core/internal.h"
+#include "tests/unit.h"
+
+#define NOW_MS 100000
+#define SERVICE_JSON "{\"group\":\"g\",\"weight\":1}"
+
+static SsNode node;
+
+static void
+expect_error (const char *text, const char *message)
+{
+  SsCommand c;
+  char *error = ss_command_init (&c, text);
+
+  CU_ASSERT (g_strcmp0 (error, message) == 0);
+  if (g_strcmp0 (error, message) != 0)
+    g_printerr ("%s: got %s\n", text, error ? error : "no error");
+  g_free (error);
+  ss_command_finish (&c);
+}
+
+static void
+names_column_and_what_was_expected (void)
+{
+  expect_error ("show vms", NULL);
+  expect_error ("SHOW Targets WHERE lag_entries >= 5 and role = 'primary' "
+                "order by name desc;",
+                NULL);
+  expect_error ("promote group claims-db to claims-db-2", NULL);
+  expect_error ("set service claims kind.report.staleness_ms = 30000", NULL);
+  expect_error ("", "column 1: expected show, drain, undrain, stop, promote, "
+                    "set or help");
+  expect_error ("show tables",
+                "column 6: expected services, targets, groups, vms, "
+                "sessions, config or counters");
+  expect_error ("show vms where", "column 15: expected a field");
+  expect_error ("show vms where vm ~ 3",
+                "column 19: expected one of = != < <= > >=");
+  expect_error ("drain vm x", "column 7: expected target");
+  expect_error ("stop vm a b", "column 11: expected the end of the command");
+  expect_error ("set service claims weight 3", "column 27: expected =");
+}
+
+static void
+selects_and_orders (void)
+{
+  json_t *rows = json_loads ("[{\"name\":\"a\",\"n\":3,\"up\":true},"
+                             "{\"name\":\"b\",\"n\":1,\"up\":true},"
+                             "{\"name\":\"c\",\"n\":2,\"up\":false}]",
+                             0, NULL);
+  SsCommand c;
+  char *error;
+
+  CU_ASSERT_PTR_NULL (
+      ss_command_init (&c, "show vms where n >= 1 and up = true order by n"));
+  CU_ASSERT_PTR_NULL (ss_command_select (&c, rows));
+  CU_ASSERT (json_array_size (rows) == 2);
+  CU_ASSERT_STRING_EQUAL (
+      json_string_value (json_object_get (json_array_get (rows, 0), "name")),
+      "b");
+  ss_command_finish (&c);
+  CU_ASSERT_PTR_NULL (ss_command_init (&c, "show vms where colour = 1"));
+  error = ss_command_select (&c, rows);
+  CU_ASSERT_STRING_EQUAL (error, "no field colour; the fields are name n up");
+  g_free (error);
+  ss_command_finish (&c);
+  json_decref (rows);
+}
+
+/* --- orders --- */
+
+static void
+put_object (const char *key, int64_t version, const char *json)
+{
+  SsObject o = { key, version, json, (uint32_t) strlen (json) };
+  SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
+
+  e.platform_objects.outcome = SS_PLATFORM_DONE;
+  e.platform_objects.revision = version;
+  e.platform_objects.objects = &o;
+  e.platform_objects.object_count = 1;
+  ss_node_on_event (&node, &e, NOW_MS);
+}
+
+static void
+begin (void)
+{
+  SsNodeParams params = { .vm = "a",
+                          .failure_domain = "d",
+                          .ip = "10.0.0.1",
+                          .peer_port = 1,
+                          .seeds = "",
+                          .seed = 7,
+                          .deadline_ms = 1000 };
+
+  ss_node_init (&node, &params, NOW_MS);
+  put_object ("service/s", 4, SERVICE_JSON);
+}
+
+/* The last action of KIND; the others are dropped. */
+static bool
+take (SsActionKind kind, SsAction *found)
+{
+  SsAction a;
+  bool any = false;
+
+  memset (found, 0, sizeof *found);
+  while (ss_node_take_action (&node, &a))
+    {
+      if (a.kind != kind)
+        {
+          ss_action_clear (&a);
+          continue;
+        }
+      ss_action_clear (found);
+      *found = a;
+      any = true;
+    }
+  return any;
+}
+
+static void
+order (const char *text, bool may_change)
+{
+  SsEvent e = { .kind = SS_EVENT_OPERATOR };
+
+  e.operator_command.id = 1;
+  e.operator_command.text = text;
+  e.operator_command.may_change = may_change;
+  ss_node_on_event (&node, &e, NOW_MS);
+}
+
+static void
+answer (const SsAction *call, SsPlatformOutcome outcome, int64_t version,
+        const char *json, int64_t now_ms)
+{
+  SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECT };
+
+  e.platform_object.call = call->id;
+  e.platform_object.outcome = outcome;
+  e.platform_object.object.key = "service/s";
+  e.platform_object.object.version = version;
+  e.platform_object.object.value = json;
+  e.platform_object.object.value_bytes = json ? (uint32_t) strlen (json) : 0;
+  ss_node_on_event (&node, &e, now_ms);
+}
+
+static void
+expect_verdict (SsVerdict verdict, const char *words)
+{
+  SsAction reply;
+
+  CU_ASSERT (take (SS_ACTION_OPERATOR_REPLY, &reply));
+  CU_ASSERT (reply.verdict == verdict);
+  CU_ASSERT (reply.text && strstr (reply.text, words) != NULL);
+  ss_action_clear (&reply);
+}
+
+static void
+refuses_at_once (void)
+{
+  begin ();
+  order ("set service s weight = 5", false);
+  expect_verdict (SS_VERDICT_NOT_RUN, "bearer token");
+  order ("set service s weight = 0", true);
+  expect_verdict (SS_VERDICT_NOT_RUN, "integer from 1 to 1000");
+  order ("set service s colour = 1", true);
+  expect_verdict (SS_VERDICT_NOT_RUN, "unknown member");
+  order ("set service none weight = 1", true);
+  expect_verdict (SS_VERDICT_NOT_RUN, "no such service");
+  order ("stop vm none", true);
+  expect_verdict (SS_VERDICT_NOT_RUN, "no such live vm");
+  ss_node_finish (&node);
+}
+
+static void
+the_loser_of_a_conflict_hears_what_won (void)
+{
+  SsAction put;
+
+  begin ();
+  order ("set service s weight = 5", true);
+  CU_ASSERT (take (SS_ACTION_PLATFORM_PUT, &put));
+  CU_ASSERT (put.number == 4);
+  answer (&put, SS_PLATFORM_CONFLICT, 9, "{\"group\":\"g\",\"weight\":7}",
+          NOW_MS);
+  expect_verdict (SS_VERDICT_NOT_RUN, "version 9 won");
+  CU_ASSERT (ss_config_service (&node.config, "s")->weight == 7);
+  ss_action_clear (&put);
+  ss_node_finish (&node);
+}
+
+static void
+a_lost_answer_is_read_back (void)
+{
+  SsEvent tick = { .kind = SS_EVENT_TICK };
+  SsAction put;
+  SsAction get;
+
+  begin ();
+  order ("set service s weight = 5", true);
+  CU_ASSERT (take (SS_ACTION_PLATFORM_PUT, &put));
+  answer (&put, SS_PLATFORM_UNKNOWN, 0, NULL, NOW_MS);
+  CU_ASSERT (!take (SS_ACTION_OPERATOR_REPLY, &get));
+  ss_node_on_event (&node, &tick, NOW_MS + 300);
+  CU_ASSERT (take (SS_ACTION_PLATFORM_GET, &get));
+  answer (&get, SS_PLATFORM_DONE, 10, put.text, NOW_MS + 310);
+  expect_verdict (SS_VERDICT_RAN, "\"version\":10");
+  CU_ASSERT (ss_config_service (&node.config, "s")->weight == 5);
+  ss_action_clear (&put);
+  ss_action_clear (&get);
+  ss_node_finish (&node);
+}
+
+static void
+an_unanswered_change_may_have_run (void)
+{
+  SsEvent tick = { .kind = SS_EVENT_TICK };
+  SsAction put;
+  SsAction get;
+
+  begin ();
+  order ("set service s weight = 5", true);
+  CU_ASSERT (take (SS_ACTION_PLATFORM_PUT, &put));
+  answer (&put, SS_PLATFORM_UNKNOWN, 0, NULL, NOW_MS);
+  ss_node_on_event (&node, &tick, NOW_MS + 300);
+  CU_ASSERT (take (SS_ACTION_PLATFORM_GET, &get));
+  /* The old version: the change may still be under way. */
+  answer (&get, SS_PLATFORM_DONE, 4, SERVICE_JSON, NOW_MS + 310);
+  expect_verdict (SS_VERDICT_MAY_HAVE_RUN, "does not show the change");
+  ss_action_clear (&put);
+  ss_action_clear (&get);
+  ss_node_finish (&node);
+}
+
+CU_TestInfo test_command[] = {
+  { "names column and what was expected", names_column_and_what_was_expected },
+  { "selects and orders", selects_and_orders },
+  { "refuses at once", refuses_at_once },
+  { "the loser of a conflict hears what won",
+    the_loser_of_a_conflict_hears_what_won },
+  { "a lost answer is read back", a_lost_answer_is_read_back },
+  { "an unanswered change may have run", an_unanswered_change_may_have_run },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -10,6 +10,7 @@
   X (config)                                                                   \
   X (queue)                                                                    \
   X (session)                                                                  \
+  X (command)                                                                  \
   X (settings)                                                                 \
   X (pgwire)                                                                   \
   X (catalogue)                                                                \
