--- a/bench/ss_scenario.c
+++ b/bench/ss_scenario.c
@@ -559,7 +559,9 @@
 
       ss_deploy_init (&run.deploy, programs);
       ok = run_file (&run);
-      if (!ok)
+      if (interrupted)
+        fprintf (stderr, "%s: interrupted\n", argv[i]);
+      else if (!ok)
         fprintf (stderr, "%s: FAILED; logs are in %s\n", argv[i],
                  run.deploy.directory);
       failed += ok ? 0 : 1;
