--- a/build-asan/proto/peer.pb-c.d
+++ /dev/null
@@ -1,1 +0,0 @@
-build-asan/proto/peer.pb-c.o: proto/peer.pb-c.c proto/peer.pb-c.h
--- a/build-asan/src/core/budget.d
+++ /dev/null
@@ -1,1 +0,0 @@
-build-asan/src/core/budget.o: src/core/budget.c src/core/budget.h
--- a/build-asan/src/core/rank.d
+++ /dev/null
@@ -1,1 +0,0 @@
-build-asan/src/core/rank.o: src/core/rank.c src/core/rank.h
--- a/build-asan/src/kernel/clock.d
+++ /dev/null
@@ -1,1 +0,0 @@
-build-asan/src/kernel/clock.o: src/kernel/clock.c src/kernel/clock.h
--- a/build-asan/src/kernel/counters.d
+++ /dev/null
@@ -1,2 +0,0 @@
-build-asan/src/kernel/counters.o: src/kernel/counters.c \
- src/kernel/counters.h
--- a/build-asan/src/kernel/log.d
+++ /dev/null
@@ -1,1 +0,0 @@
-build-asan/src/kernel/log.o: src/kernel/log.c src/kernel/log.h
--- a/build-asan/src/kernel/verdict.d
+++ /dev/null
@@ -1,2 +0,0 @@
-build-asan/src/kernel/verdict.o: src/kernel/verdict.c \
- src/kernel/verdict.h
--- a/build2/src/kernel/counters.d
+++ /dev/null
@@ -1,1 +0,0 @@
-build2/src/kernel/counters.o: src/kernel/counters.c src/kernel/counters.h
--- a/build2/src/kernel/toml_shim.d
+++ /dev/null
@@ -1,2 +0,0 @@
-build2/src/kernel/toml_shim.o: src/kernel/toml_shim.cc \
- src/kernel/toml_shim.h
--- a/build2/tests/unit.d
+++ /dev/null
@@ -1,1 +0,0 @@
-build2/tests/unit.o: tests/unit.c tests/unit.h
