--- a/Makefile
+++ b/Makefile
@@ -8,14 +8,15 @@
 CSTD = -std=gnu11
 LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
 
-KERNEL = names clock verdict counters log settings stream httpd
+KERNEL = names clock verdict counters log settings stream httpd httpc
 CORE = $(basename $(notdir $(wildcard src/core/*.c)))
 KERNEL_O = $(KERNEL:%=$B/src/kernel/%.o) $B/src/kernel/toml_shim.o
 CORE_O = $(CORE:%=$B/src/core/%.o) $B/proto/peer.pb-c.o
+PLATFORM = $(patsubst %.c,$B/%.o,$(wildcard platform/*.c))
 PLUGINS = pgserver pqtarget platform_http admin_http peer
 DAEMON_O = $(KERNEL_O) $(CORE_O) $B/src/kernel/plugin.o \
   $(PLUGINS:%=$B/src/plugins/%.o) $B/src/plugins/pgwire.o \
-  $B/src/daemon/main.o
+  $(PLATFORM) $B/src/daemon/main.o
 TARGET_O = $(addprefix $B/standin/,target.o link.o session.o server.o store.o sql.o) \
   $B/src/kernel/stream.o $B/src/kernel/clock.o $B/src/plugins/pgwire.o
 PLATFORM_O = $B/standin/platform.o $B/src/kernel/names.o $B/src/kernel/httpd.o
@@ -31,7 +32,7 @@
 UNIT_O = $(patsubst %.c,$B/%.o,$(wildcard tests/test_*.c)) $B/tests/unit.o \
   $(WORLD_O) $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
-  standin/*.[ch] bench/*.[ch] tests/*.[ch]))
+  platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch]))
 PROGRAMS = $(addprefix $B/,sapphirestaird sapphirectl ss-standin-target \
   ss-standin-platform ss-standin-network ss-load ss-scenario ss-property ss-unit ss-bench ss-client)
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1048,7 +1048,7 @@
   (ProtobufCMessageInit) ss__peer__position__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__server_state__field_descriptors[11] =
+static const ProtobufCFieldDescriptor ss__peer__server_state__field_descriptors[13] =
 {
   {
     "reachable",
@@ -1182,13 +1182,39 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lag_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ServerState, lag_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "barred_term",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ServerState, barred_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__server_state__field_indices_by_name[] = {
   9,   /* field[9] = age_ms */
   5,   /* field[5] = applied */
+  12,   /* field[12] = barred_term */
   7,   /* field[7] = follow_term */
   4,   /* field[4] = held */
   8,   /* field[8] = history */
+  11,   /* field[11] = lag_ms */
   0,   /* field[0] = reachable */
   1,   /* field[1] = refused */
   2,   /* field[2] = role */
@@ -1199,7 +1225,7 @@
 static const ProtobufCIntRange ss__peer__server_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor ss__peer__server_state__descriptor =
 {
@@ -1209,14 +1235,14 @@
   "Ss__Peer__ServerState",
   "ss.peer",
   sizeof(Ss__Peer__ServerState),
-  11,
+  13,
   ss__peer__server_state__field_descriptors,
   ss__peer__server_state__field_indices_by_name,
   1,  ss__peer__server_state__number_ranges,
   (ProtobufCMessageInit) ss__peer__server_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__heartbeat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor ss__peer__heartbeat__field_descriptors[9] =
 {
   {
     "vm",
@@ -1314,6 +1340,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "platform_up",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Heartbeat, platform_up),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__heartbeat__field_indices_by_name[] = {
   1,   /* field[1] = failure_domain */
@@ -1321,6 +1359,7 @@
   2,   /* field[2] = ip */
   4,   /* field[4] = leaving */
   3,   /* field[3] = peer_port */
+  8,   /* field[8] = platform_up */
   7,   /* field[7] = ready */
   5,   /* field[5] = revision */
   0,   /* field[0] = vm */
@@ -1328,7 +1367,7 @@
 static const ProtobufCIntRange ss__peer__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor ss__peer__heartbeat__descriptor =
 {
@@ -1338,14 +1377,14 @@
   "Ss__Peer__Heartbeat",
   "ss.peer",
   sizeof(Ss__Peer__Heartbeat),
-  8,
+  9,
   ss__peer__heartbeat__field_descriptors,
   ss__peer__heartbeat__field_indices_by_name,
   1,  ss__peer__heartbeat__number_ranges,
   (ProtobufCMessageInit) ss__peer__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__run__field_descriptors[12] =
+static const ProtobufCFieldDescriptor ss__peer__run__field_descriptors[19] =
 {
   {
     "request",
@@ -1491,25 +1530,116 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "label",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Run, label),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begins",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Run, begins),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "transaction_is_read",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Run, transaction_is_read),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keeps",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Run, keeps),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "values",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Ss__Peer__Run, n_values),
+    offsetof(Ss__Peer__Run, values),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shape",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Run, shape),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shape_is_read",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Run, shape_is_read),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__run__field_indices_by_name[] = {
+  13,   /* field[13] = begins */
   7,   /* field[7] = floor */
   11,   /* field[11] = identity */
   5,   /* field[5] = is_read */
+  15,   /* field[15] = keeps */
+  12,   /* field[12] = label */
   8,   /* field[8] = left_ms */
   6,   /* field[6] = pinned */
   0,   /* field[0] = request */
   9,   /* field[9] = request_key */
   3,   /* field[3] = service */
   1,   /* field[1] = session */
+  17,   /* field[17] = shape */
+  18,   /* field[18] = shape_is_read */
   4,   /* field[4] = sql */
   2,   /* field[2] = target */
   10,   /* field[10] = trace */
+  14,   /* field[14] = transaction_is_read */
+  16,   /* field[16] = values */
 };
 static const ProtobufCIntRange ss__peer__run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor ss__peer__run__descriptor =
 {
@@ -1519,7 +1649,7 @@
   "Ss__Peer__Run",
   "ss.peer",
   sizeof(Ss__Peer__Run),
-  12,
+  19,
   ss__peer__run__field_descriptors,
   ss__peer__run__field_indices_by_name,
   1,  ss__peer__run__number_ranges,
@@ -1719,7 +1849,7 @@
   (ProtobufCMessageInit) ss__peer__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__session_end__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ss__peer__session_end__field_descriptors[2] =
 {
   {
     "session",
@@ -1733,14 +1863,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rolls_back",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__SessionEnd, rolls_back),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__session_end__field_indices_by_name[] = {
+  1,   /* field[1] = rolls_back */
   0,   /* field[0] = session */
 };
 static const ProtobufCIntRange ss__peer__session_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ss__peer__session_end__descriptor =
 {
@@ -1750,7 +1893,7 @@
   "Ss__Peer__SessionEnd",
   "ss.peer",
   sizeof(Ss__Peer__SessionEnd),
-  1,
+  2,
   ss__peer__session_end__field_descriptors,
   ss__peer__session_end__field_indices_by_name,
   1,  ss__peer__session_end__number_ranges,
@@ -2230,7 +2373,7 @@
   (ProtobufCMessageInit) ss__peer__config_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__config_object__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ss__peer__config_object__field_descriptors[4] =
 {
   {
     "key",
@@ -2268,8 +2411,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "deleted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ConfigObject, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__config_object__field_indices_by_name[] = {
+  3,   /* field[3] = deleted */
   0,   /* field[0] = key */
   2,   /* field[2] = value */
   1,   /* field[1] = version */
@@ -2277,7 +2433,7 @@
 static const ProtobufCIntRange ss__peer__config_object__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ss__peer__config_object__descriptor =
 {
@@ -2287,7 +2443,7 @@
   "Ss__Peer__ConfigObject",
   "ss.peer",
   sizeof(Ss__Peer__ConfigObject),
-  3,
+  4,
   ss__peer__config_object__field_descriptors,
   ss__peer__config_object__field_indices_by_name,
   1,  ss__peer__config_object__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -100,10 +100,18 @@
    * predicted wait for a connection
    */
   uint32_t wait_ms;
+  /*
+   * of what it has applied behind its primary
+   */
+  uint32_t lag_ms;
+  /*
+   * receives nothing below this term; 0: not barred
+   */
+  uint64_t barred_term;
 };
 #define SS__PEER__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__server_state__descriptor) \
-    , 0, 0, 0, 0, NULL, NULL, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Ss__Peer__Heartbeat
@@ -121,10 +129,14 @@
   size_t n_heard;
   char **heard;
   protobuf_c_boolean ready;
+  /*
+   * the platform answers this vm
+   */
+  protobuf_c_boolean platform_up;
 };
 #define SS__PEER__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 struct  Ss__Peer__Run
@@ -154,10 +166,33 @@
    * of the caller; empty: not used
    */
   char *identity;
+  /*
+   * the caller's id of the statement
+   */
+  char *label;
+  /*
+   * opens its transaction first
+   */
+  protobuf_c_boolean begins;
+  protobuf_c_boolean transaction_is_read;
+  /*
+   * what it does may outlast it
+   */
+  protobuf_c_boolean keeps;
+  /*
+   * of the session: name, value, ...
+   */
+  size_t n_values;
+  char **values;
+  /*
+   * of a prepared statement; empty: none
+   */
+  char *shape;
+  protobuf_c_boolean shape_is_read;
 };
 #define SS__PEER__RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__run__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ss__Peer__RunReply
@@ -199,10 +234,14 @@
 {
   ProtobufCMessage base;
   uint64_t session;
+  /*
+   * the caller ended its transaction
+   */
+  protobuf_c_boolean rolls_back;
 };
 #define SS__PEER__SESSION_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__session_end__descriptor) \
-    , 0 }
+    , 0, 0 }
 
 
 /*
@@ -322,10 +361,11 @@
   char *key;
   int64_t version;
   ProtobufCBinaryData value;
+  protobuf_c_boolean deleted;
 };
 #define SS__PEER__CONFIG_OBJECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__config_object__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
 
 
 struct  Ss__Peer__ConfigPush
--- a/src/core/choice.c
+++ b/src/core/choice.c
@@ -6,6 +6,18 @@
 #define REMOTE_PENALTY 4
 #define WAIT_MS_PER_PENALTY 5
 
+/* Costs of a read whose floor its target checks, in milliseconds: */
+/* a round trip between regions, */
+#define REMOTE_MS 16
+/* room that the primary keeps for writes, */
+#define PRIMARY_MS 15
+/* a wait of its own for each request that this vm has there, */
+#define MS_PER_OUTSTANDING 10
+/* and a replica's usual lag. */
+#define BEHIND_MS 30
+/* A replica further behind does not catch up while a read waits for it. */
+#define LAG_MAX_MS 150
+
 static bool
 was_tried (const SsTarget *t, char *const *tried, uint32_t tried_count)
 {
@@ -42,6 +54,55 @@
   return load;
 }
 
+/* The cost of an answer by T in milliseconds, as far as it is known here. */
+static uint32_t
+cost_ms (SsNode *node, const SsTarget *t, bool is_primary, bool covers)
+{
+  uint32_t cost = t->state.wait_ms + t->outstanding * MS_PER_OUTSTANDING;
+
+  if (strcmp (t->failure_domain, node->params.failure_domain) != 0)
+    cost += REMOTE_MS;
+  if (is_primary)
+    cost += PRIMARY_MS;
+  if (!covers)
+    cost += MAX (t->state.lag_ms, BEHIND_MS);
+  return cost;
+}
+
+/* The floor goes to the target with the read, which checks it: a replica that
+ * will soon have it will do.
+ */
+SsTarget *
+ss_choice_checked_read (SsNode *node, const SsRequest *r, SsGroup *group)
+{
+  SsTarget *primary = ss_group_primary (group);
+  SsTarget *best = NULL;
+  uint32_t best_ms = 0;
+  uint32_t ties = 0;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      SsTarget *t = group->servers[i];
+      bool is_primary = t == primary;
+      bool covers = is_primary || shows_floor (t, r->floor);
+      uint32_t cost;
+
+      if (was_tried (t, r->tried, r->tries) || !is_usable (node, t)
+          || (!covers && (r->strict || t->state.lag_ms > LAG_MAX_MS)))
+        continue;
+      cost = cost_ms (node, t, is_primary, covers);
+      ties = best && cost == best_ms ? ties + 1 : 1;
+      if (best && cost > best_ms)
+        continue;
+      if (best && cost == best_ms
+          && g_rand_int_range (node->rand, 0, (gint32) ties) != 0)
+        continue;
+      best = t;
+      best_ms = cost;
+    }
+  return best;
+}
+
 SsTarget *
 ss_choice_read (SsNode *node, SsGroup *group, SsPosition floor,
                 char *const *tried, uint32_t tried_count)
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -8,6 +8,8 @@
 #define STALENESS_MAX_MS (7LL * 24 * 3600 * 1000)
 #define CONNECTIONS_MAX 10000
 #define WEIGHT_MAX 1000
+#define TIMEOUT_MAX_MS 600000
+#define SLOTS_MAX 100000
 
 const char *
 ss_server_role_text (SsServerRole role)
@@ -81,6 +83,9 @@
       = g_tree_new_full (ss_names_compare, NULL, NULL, service_free);
   config->targets = g_tree_new_full (ss_names_compare, NULL, NULL, target_free);
   config->groups = g_tree_new_full (ss_names_compare, NULL, NULL, group_free);
+  config->max_connections
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  config->transaction_idle_ms = 0;
   config->revision = 0;
 }
 
@@ -91,6 +96,7 @@
   g_tree_destroy (config->services);
   g_tree_destroy (config->targets);
   g_tree_destroy (config->groups);
+  g_hash_table_destroy (config->max_connections);
 }
 
 /* Reads a text member; a message on failure. */
@@ -183,7 +189,7 @@
   int64_t weight = 1;
   char *error = check_keys (
       json, " group default_kind acknowledge weight kinds identity "
-            "operation ");
+            "timeout_ms operation ");
 
   if (!error)
     error = get_text (json, "group", NULL, &s->group);
@@ -198,12 +204,16 @@
     error = g_strdup ("\"identity\" must be \"none\" or \"user\"");
   if (!error)
     error = get_number (json, "weight", 1, 1, WEIGHT_MAX, &weight);
+  if (!error)
+    error
+        = get_number (json, "timeout_ms", 0, 0, TIMEOUT_MAX_MS, &s->timeout_ms);
   if (!error)
     error = parse_kinds (s, json_object_get (json, "kinds"));
   if (!error && g_strcmp0 (acknowledge, "majority") != 0
       && g_strcmp0 (acknowledge, "primary") != 0)
     error = g_strdup ("\"acknowledge\" must be \"majority\" or \"primary\"");
   if (!error && s->default_kind && *s->default_kind
+      && strcmp (s->default_kind, "strict") != 0
       && ss_service_staleness (s, s->default_kind) < 0)
     error = g_strdup ("\"default_kind\" names no kind of the service");
   s->weight = (uint32_t) weight;
@@ -219,11 +229,13 @@
 parse_target (SsTarget *t, json_t *json)
 {
   json_t *draining = json_object_get (json, "draining");
+  bool has_slots = json_object_get (json, "slots") != NULL;
   int64_t port = 0;
   int64_t max_connections = 0;
-  char *error = check_keys (
-      json,
-      " group ip port failure_domain max_connections draining operation ");
+  int64_t slots = 0;
+  char *error
+      = check_keys (json, " group ip port failure_domain max_connections "
+                          "slots born_ms draining operation ");
 
   if (!error)
     error = get_text (json, "group", NULL, &t->group);
@@ -233,13 +245,19 @@
     error = get_text (json, "failure_domain", NULL, &t->failure_domain);
   if (!error)
     error = get_number (json, "port", -1, 1, 65535, &port);
-  if (!error)
+  /* A target that tells its slots may leave its connections to its group. */
+  if (!error && (json_object_get (json, "max_connections") || !has_slots))
     error = get_number (json, "max_connections", -1, 4, CONNECTIONS_MAX,
                         &max_connections);
+  if (!error)
+    error = get_number (json, "slots", 0, 0, SLOTS_MAX, &slots);
+  if (!error)
+    error = get_number (json, "born_ms", 0, 0, G_MAXINT64, &t->born_ms);
   if (!error && draining && !json_is_boolean (draining))
     error = g_strdup ("\"draining\" must be true or false");
   t->port = (uint16_t) port;
   t->max_connections = (uint32_t) max_connections;
+  t->slots = (uint32_t) slots;
   t->draining = json_is_true (draining);
   return error;
 }
@@ -273,7 +291,7 @@
   SsTarget *t = value;
 
   (void) key;
-  if (strcmp (t->group, a->group->name) == 0
+  if (!t->gone && strcmp (t->group, a->group->name) == 0
       && a->group->server_count < SS_CONFIG_SERVERS_MAX)
     a->group->servers[a->group->server_count++] = t;
   return FALSE;
@@ -334,7 +352,13 @@
   t->port = parsed.port;
   t->failure_domain = parsed.failure_domain;
   t->max_connections = parsed.max_connections;
+  t->slots = parsed.slots;
   t->draining = parsed.draining;
+  t->gone = false;
+  /* Another life of the server: nothing that is known of it holds. */
+  if (t->born_ms != parsed.born_ms)
+    memset (&t->state, 0, sizeof t->state);
+  t->born_ms = parsed.born_ms;
   t->owner_generation = 0;
   g_tree_foreach (c->groups, attach_servers, c);
   return NULL;
@@ -360,6 +384,78 @@
   return NULL;
 }
 
+static void
+ensure_group (SsConfig *c, const char *name)
+{
+  SsGroup *g;
+
+  if (ss_config_group (c, name))
+    return;
+  g = g_new0 (SsGroup, 1);
+  g->name = g_strdup (name);
+  g->primary = g_strdup ("");
+  g->operation = g_strdup ("");
+  g_tree_insert (c->groups, g->name, g);
+  attach_servers (g->name, g, c);
+}
+
+static char *
+adopt_groups (SsConfig *c, json_t *groups)
+{
+  const char *name;
+  json_t *group;
+
+  json_object_foreach (groups, name, group)
+  {
+    int64_t connections = 0;
+    char *error = check_keys (group, " max_connections ");
+
+    if (!error)
+      error = get_number (group, "max_connections", -1, 1, CONNECTIONS_MAX,
+                          &connections);
+    if (error)
+      return error;
+    g_hash_table_replace (c->max_connections, g_strdup (name),
+                          GINT_TO_POINTER ((gint) connections));
+    ensure_group (c, name);
+  }
+  return NULL;
+}
+
+/* All services at once: those that are not named are gone.  What was in force
+ * stays where any part is invalid.
+ */
+static char *
+adopt_routes (SsConfig *c, int64_t version, json_t *json)
+{
+  GTree *before = c->services;
+  char *error = check_keys (json, " services groups transaction_idle_ms ");
+  int64_t idle_ms = 0;
+  const char *name;
+  json_t *service;
+
+  c->services = g_tree_new_full (ss_names_compare, NULL, NULL, service_free);
+  json_object_foreach (json_object_get (json, "services"), name, service)
+  {
+    if (!error)
+      error = adopt_service (c, name, version, service);
+  }
+  if (!error)
+    error = get_number (json, "transaction_idle_ms", 0, 0, TIMEOUT_MAX_MS,
+                        &idle_ms);
+  if (!error)
+    error = adopt_groups (c, json_object_get (json, "groups"));
+  if (error)
+    {
+      g_tree_destroy (c->services);
+      c->services = before;
+      return error;
+    }
+  g_tree_destroy (before);
+  c->transaction_idle_ms = idle_ms;
+  return NULL;
+}
+
 static char *
 adopt_parsed (SsConfig *c, const char *key, int64_t version, const char *value,
               uint32_t value_bytes, int64_t now_ms)
@@ -371,6 +467,8 @@
 
   if (!json_is_object (json))
     error = g_strdup_printf ("not a JSON object: %s", where.text);
+  else if (g_str_has_prefix (key, "routes/"))
+    error = adopt_routes (c, version, json);
   else if (g_str_has_prefix (key, "service/"))
     error = adopt_service (c, strchr (key, '/') + 1, version, json);
   else if (g_str_has_prefix (key, "target/"))
@@ -389,9 +487,37 @@
   o->key = g_strdup (object->key);
   o->version = object->version;
   o->value = g_bytes_new (object->value, object->value_bytes);
+  o->deleted = object->deleted;
   g_tree_replace (c->objects, o->key, o);
 }
 
+/* Only targets go for good; what else is deleted at the platform stays in
+ * force until something replaces it.
+ */
+static void
+remove_object (SsConfig *c, const char *key)
+{
+  SsTarget *t;
+
+  if (!g_str_has_prefix (key, "target/"))
+    return;
+  t = ss_config_target (c, strchr (key, '/') + 1);
+  if (!t)
+    return;
+  t->gone = true;
+  memset (&t->state, 0, sizeof t->state);
+  g_tree_foreach (c->groups, attach_servers, c);
+}
+
+/* An object is deleted at the version that it had. */
+static bool
+is_later (const SsStoredObject *held, const SsObject *object)
+{
+  if (held->version == object->version)
+    return object->deleted && !held->deleted;
+  return held->version < object->version;
+}
+
 SsAdoption
 ss_config_adopt (SsConfig *config, const SsObject *object, int64_t now_ms,
                  char **error)
@@ -399,10 +525,13 @@
   const SsStoredObject *held = ss_config_object (config, object->key);
 
   *error = NULL;
-  if (held && held->version >= object->version)
+  if (held && !is_later (held, object))
     return SS_ADOPT_OLD;
-  *error = adopt_parsed (config, object->key, object->version, object->value,
-                         object->value_bytes, now_ms);
+  if (object->deleted)
+    remove_object (config, object->key);
+  else
+    *error = adopt_parsed (config, object->key, object->version, object->value,
+                           object->value_bytes, now_ms);
   if (*error)
     return SS_ADOPT_INVALID;
   store_object (config, object);
@@ -445,6 +574,15 @@
   return g_tree_lookup (config->objects, key);
 }
 
+uint32_t
+ss_config_max_connections (const SsConfig *config, const SsTarget *target)
+{
+  if (target->max_connections)
+    return target->max_connections;
+  return (uint32_t) GPOINTER_TO_INT (
+      g_hash_table_lookup (config->max_connections, target->group));
+}
+
 int64_t
 ss_service_staleness (const SsService *service, const char *kind)
 {
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -1,7 +1,8 @@
 /* config: the configuration in force, as objects of the platform.
  *
  * Objects are adopted only in rising versions.  Keys are service/NAME,
- * target/NAME and group/NAME; other keys are kept and passed on unread.
+ * target/NAME and group/NAME; routes/NAME replaces all services at once, and
+ * says which groups there are.  Other keys are kept and passed on unread.
  */
 #ifndef SS_CONFIG_H
 #define SS_CONFIG_H
@@ -43,7 +44,9 @@
   uint32_t silence_ms; /* since it heard its primary */
   uint64_t follow_term;
   SsHistory history;
-  uint32_t wait_ms; /* predicted for a new statement */
+  uint32_t wait_ms;     /* predicted for a new statement */
+  uint32_t lag_ms;      /* of what it has applied behind its primary */
+  uint64_t barred_term; /* it receives nothing below this term; 0: it does */
 } SsServerState;
 
 typedef struct
@@ -55,8 +58,11 @@
   char *ip;
   uint16_t port;
   char *failure_domain;
-  uint32_t max_connections;
+  uint32_t max_connections; /* 0: as its group's */
+  uint32_t slots;           /* statements that it runs at once; 0: unknown */
+  int64_t born_ms;          /* Unix time of its start; 0: unknown */
   bool draining;
+  bool gone; /* kept for what still points here */
   /* view of its state */
   SsServerState state;
   int64_t state_ms;     /* when the server was asked, at the latest */
@@ -82,6 +88,7 @@
   bool acknowledge_majority;
   bool knows_callers; /* by their user names */
   uint32_t weight;
+  int64_t timeout_ms; /* of a statement; 0: the vm's setting */
   SsReadKind kinds[SS_CONFIG_KINDS_MAX];
   uint32_t kind_count;
 } SsService;
@@ -104,6 +111,8 @@
   GTree *services;
   GTree *targets;
   GTree *groups;
+  GHashTable *max_connections; /* group -> of each of its servers */
+  int64_t transaction_idle_ms; /* 0: the vm's setting */
   int64_t revision;
 } SsConfig;
 
@@ -112,6 +121,7 @@
   char *key;
   int64_t version;
   GBytes *value;
+  bool deleted;
 } SsStoredObject;
 
 typedef enum
@@ -143,6 +153,10 @@
 const SsStoredObject *ss_config_object (const SsConfig *config,
                                         const char *key);
 
+/* ss_config_max_connections: of all connections at TARGET together. */
+uint32_t ss_config_max_connections (const SsConfig *config,
+                                    const SsTarget *target);
+
 /* ss_service_staleness: of KIND in milliseconds; 0 for "session", -1 where
  * the service has no such kind.
  */
--- a/src/core/dialect.c
+++ b/src/core/dialect.c
@@ -12,9 +12,10 @@
 }
 
 static char *
-sql_raise (const SsDialect *dialect, uint64_t term)
+sql_raise (const SsDialect *dialect, const SsTarget *target, uint64_t term)
 {
   (void) dialect;
+  (void) target;
   return g_strdup_printf (
       "SELECT * FROM sapphirestair_raise(%" G_GUINT64_FORMAT ")", term);
 }
@@ -105,9 +106,14 @@
 const SsDialect *
 ss_dialect_sql (void)
 {
-  static const SsDialect dialect
-      = { sql_status,      sql_raise,     sql_promote,    sql_follow,
-          sql_read_status, sql_claim_key, sql_record_key, sql_find_key };
+  static const SsDialect dialect = { .status = sql_status,
+                                     .raise = sql_raise,
+                                     .promote = sql_promote,
+                                     .follow = sql_follow,
+                                     .read_status = sql_read_status,
+                                     .claim_key = sql_claim_key,
+                                     .record_key = sql_record_key,
+                                     .find_key = sql_find_key };
 
   return &dialect;
 }
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -17,6 +17,8 @@
   g_free (s->trace);
   g_free (s->pinned_vm);
   g_free (s->pinned_target);
+  g_free (s->floor_group);
+  ss_session_state_finish (&s->state);
   g_free (s);
 }
 
@@ -47,8 +49,29 @@
   return g_hash_table_lookup (node->sessions, &id);
 }
 
+/* How long a statement may take. */
+static int64_t
+statement_limit_ms (SsNode *node, const SsSession *s)
+{
+  const SsService *service = ss_config_service (&node->config, s->service);
+
+  return service && service->timeout_ms ? service->timeout_ms : s->deadline_ms;
+}
+
+/* Positions of another group say nothing about the one asked now. */
 static void
-start_request (SsNode *node, SsSession *s, const char *sql)
+check_floor_group (SsSession *s, const SsGroup *group)
+{
+  if (!group || g_strcmp0 (s->floor_group, group->name) == 0)
+    return;
+  if (s->floor_group)
+    s->floor = (SsPosition){ 0, 0 };
+  g_free (s->floor_group);
+  s->floor_group = g_strdup (group->name);
+}
+
+SsRequest *
+ss_entry_start (SsNode *node, SsSession *s, const char *sql)
 {
   SsRequest *r = g_new0 (SsRequest, 1);
   SsGroup *group = ss_session_group (node, s);
@@ -56,20 +79,26 @@
   r->id = ++node->next_request;
   r->session = s;
   r->sql = g_strdup (sql);
+  r->keeps = true;
   r->started_ms = node->now_ms;
-  r->deadline_ms = node->now_ms + s->deadline_ms;
+  r->deadline_ms = node->now_ms + statement_limit_ms (node, s);
+  check_floor_group (s, group);
   if (group)
     r->start_ask = ss_marks_get (node, group->name)->last_ask;
   s->request = r;
   g_hash_table_insert (node->requests, &r->id, r);
   ss_route_draw_trace (node, r);
   ss_budget_first_try (&node->budget);
-  if (!s->pinned_vm && !ss_route_classify (node, r))
-    {
-      ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_BAD_SETTING, 0);
-      return;
-    }
-  ss_route (node, r);
+  return r;
+}
+
+void
+ss_entry_go (SsNode *node, SsRequest *r)
+{
+  if (!r->session->pinned_vm && !ss_route_classify (node, r))
+    ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_BAD_SETTING, 0);
+  else
+    ss_route (node, r);
 }
 
 static void
@@ -111,6 +140,8 @@
   s->user = g_strdup (user ? user : "");
   s->deadline_ms = node->params.deadline_ms;
   s->status = 'I';
+  /* Without tokens a session is one connection: it begins with no writes. */
+  s->floor_known = ss_dialect_keeps_sessions (node->dialect);
   group = ss_session_group (node, s);
   if (group && !ss_entry_uses_group (node, group->name))
     node->subscribe_due_ms = node->now_ms;
@@ -156,7 +187,8 @@
 }
 
 void
-ss_entry_statement (SsNode *node, uint64_t caller, const char *sql)
+ss_entry_statement (SsNode *node, uint64_t caller, const char *label,
+                    const char *sql)
 {
   SsSession *s = find_session (node, caller);
   SsLocal local;
@@ -164,6 +196,11 @@
   if (!s || s->request)
     return;
   ss_node_count (node, SS_COUNTER_STATEMENTS);
+  if (ss_dialect_keeps_sessions (node->dialect))
+    {
+      ss_session_statement (node, s, label, sql);
+      return;
+    }
   if (is_blank (sql))
     {
       ss_session_reply_tag (node, s, "");
@@ -178,7 +215,7 @@
   if (local.kind != SS_LOCAL_NONE)
     ss_session_run_local (node, s, &local);
   else
-    start_request (node, s, sql);
+    ss_entry_go (node, ss_entry_start (node, s, sql));
   ss_local_finish (&local);
 }
 
@@ -216,9 +253,9 @@
   if (!s)
     return;
   if (s->pinned_vm)
-    ss_session_send_end (node, s, s->pinned_vm);
+    ss_session_send_end (node, s, s->pinned_vm, false);
   else if (s->request && s->request->vm)
-    ss_session_send_end (node, s, s->request->vm);
+    ss_session_send_end (node, s, s->request->vm, false);
   if (s->request)
     ss_request_drop (node, s->request);
   g_hash_table_remove (node->sessions, &caller);
@@ -229,8 +266,10 @@
 {
   bool harmless = verdict == SS_VERDICT_NOT_RUN
                   || (verdict == SS_VERDICT_MAY_HAVE_RUN && r->is_read);
+  bool is_kept = ss_dialect_keeps_sessions (node->dialect);
 
-  if (!harmless || r->session->pinned_vm || !r->is_read
+  if (!harmless || r->session->pinned_vm
+      || (!r->is_read && (!is_kept || reason == SS_REASON_OVERLOAD))
       || reason == SS_REASON_TARGET_ERROR || reason == SS_REASON_CANCELLED
       || reason == SS_REASON_DEADLINE || r->tries >= SS_REQUEST_TRIES_MAX
       || node->now_ms >= r->deadline_ms)
@@ -243,12 +282,15 @@
 
 /* Tries the read at another server. */
 static void
-try_again (SsNode *node, SsRequest *r)
+try_again (SsNode *node, SsRequest *r, SsReason reason)
 {
   ss_node_count (node, SS_COUNTER_RETRIES);
   r->tried[r->tries++] = g_strdup (r->target);
   ss_request_forget_sent (node, r);
-  ss_route (node, r);
+  if (!r->is_read && reason == SS_REASON_NO_PRIMARY)
+    ss_route_again (node, r);
+  else
+    ss_route (node, r);
 }
 
 static void
@@ -272,6 +314,7 @@
       ss_session_unpin (s);
       return;
     }
+  s->begin_due = false;
   if (!s->pinned_vm)
     s->pinned_is_read = r->is_read;
   ss_session_replace (&s->pinned_vm, r->vm);
@@ -303,7 +346,8 @@
   if (commit.offset)
     {
       ss_session_raise_floor (s, commit);
-      ss_session_send_token (node, s);
+      if (!ss_dialect_keeps_sessions (node->dialect))
+        ss_session_send_token (node, s);
     }
   a = ss_session_reply (node, s, verdict, (SsReason) reply->reason,
                         reply->retry_after_ms);
@@ -326,7 +370,7 @@
       return;
     }
   if (may_retry (node, r, (SsVerdict) reply->verdict, (SsReason) reply->reason))
-    try_again (node, r);
+    try_again (node, r, (SsReason) reply->reason);
   else
     take_answer (node, r, reply);
 }
@@ -402,7 +446,7 @@
       SsRequest *r = g_ptr_array_index (lost, i);
 
       if (may_retry (node, r, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_VM_LOST))
-        try_again (node, r);
+        try_again (node, r, SS_REASON_VM_LOST);
       else
         ss_request_abandon (node, r, SS_REASON_VM_LOST);
     }
@@ -479,11 +523,38 @@
   return node->now_ms >= due_ms;
 }
 
+static bool
+waits_for_primary (SsNode *node, const SsRequest *r, const void *data)
+{
+  const SsGroup *group = ss_session_group (node, r->session);
+
+  (void) data;
+  return r->wait == SS_WAIT_PRIMARY && group
+         && ss_choice_write (node, (SsGroup *) group) != NULL;
+}
+
+/* Routes what waits for a primary that can be used again. */
+static void
+look_for_primaries (SsNode *node)
+{
+  GPtrArray *ready = requests_where (node, waits_for_primary, NULL);
+
+  for (guint i = 0; i < ready->len; i++)
+    {
+      SsRequest *r = g_ptr_array_index (ready, i);
+
+      ss_request_end_wait (node, r);
+      ss_route (node, r);
+    }
+  g_ptr_array_free (ready, TRUE);
+}
+
 void
 ss_entry_tick (SsNode *node)
 {
   static const SsReason reasons[]
-      = { SS_REASON_DEADLINE, SS_REASON_NO_MARK, SS_REASON_NO_PRIMARY };
+      = { SS_REASON_DEADLINE, SS_REASON_NO_MARK, SS_REASON_NO_PRIMARY,
+          SS_REASON_NO_PRIMARY };
   GPtrArray *overdue = requests_where (node, is_overdue, NULL);
 
   for (guint i = 0; i < overdue->len; i++)
@@ -495,6 +566,7 @@
       ss_request_abandon (node, r, reasons[r->wait]);
     }
   g_ptr_array_free (overdue, TRUE);
+  look_for_primaries (node);
 }
 
 bool
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -17,6 +17,20 @@
 /* ss_session_replace: copies VALUE to FIELD; an empty one becomes NULL. */
 void ss_session_replace (char **field, const char *value);
 
+/* --- statement.c --- */
+
+/* ss_session_statement: a statement of a dialect whose statements can be told
+ * apart.
+ */
+void ss_session_statement (SsNode *node, SsSession *s, const char *label,
+                           const char *text);
+/* ss_entry_start: makes a request of S; its fields can be set before
+ * ss_entry_go.
+ */
+SsRequest *ss_entry_start (SsNode *node, SsSession *s, const char *sql);
+/* ss_entry_go: classifies and routes R. */
+void ss_entry_go (SsNode *node, SsRequest *r);
+
 /* --- request.c --- */
 
 SsGroup *ss_session_group (SsNode *node, const SsSession *s);
@@ -33,7 +47,11 @@
                         const char *text);
 void ss_session_unpin (SsSession *s);
 void ss_session_drop_key (SsSession *s);
-void ss_session_send_end (SsNode *node, const SsSession *s, const char *vm);
+/* ss_session_send_end: ROLLS_BACK: the session goes on without its
+ * transaction; else its connection is closed.
+ */
+void ss_session_send_end (SsNode *node, const SsSession *s, const char *vm,
+                          bool rolls_back);
 void ss_session_lose_transaction (SsNode *node, SsSession *s);
 /* ss_session_tell_loss: SQL is answered with an error, which tells the caller
  * that its transaction is lost; one that ends it leaves none.
@@ -70,5 +88,9 @@
  * it.
  */
 void ss_route (SsNode *node, SsRequest *r);
+/* ss_route_again: R's primary refused it: it waits for the primary's next
+ * report, or for another one.
+ */
+void ss_route_again (SsNode *node, SsRequest *r);
 
 #endif
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -26,6 +26,7 @@
   X (TARGET_RESULT)                                                            \
   X (PLATFORM_OBJECTS)                                                         \
   X (PLATFORM_OBJECT)                                                          \
+  X (PLATFORM_PROMOTED)                                                        \
   X (PLATFORM_VMS)                                                             \
   X (STOP)                                                                     \
   X (OPERATOR)
@@ -37,10 +38,27 @@
 #undef SS_EVENT_ENUM
 } SsEventKind;
 
+/* Why a target did not carry out a statement, where its protocol tells. */
+#define SS_TARGET_FAULTS(X)                                                    \
+  X (NONE, "none")                                                             \
+  X (STATEMENT, "statement")     /* the statement itself; it may have run */   \
+  X (BUSY, "busy")               /* not run: no room */                        \
+  X (BEHIND, "behind")           /* not run: the floor is not applied yet */   \
+  X (NOT_PRIMARY, "not_primary") /* not run: the target is a replica */        \
+  X (UNPREPARED, "unprepared")   /* not run: no such prepared statement */
+
+typedef enum
+{
+#define SS_TARGET_FAULT_ENUM(id, name) SS_TARGET_FAULT_##id,
+  SS_TARGET_FAULTS (SS_TARGET_FAULT_ENUM)
+#undef SS_TARGET_FAULT_ENUM
+} SsTargetFault;
+
 /* One answer of a target to one query. */
 typedef struct
 {
   bool ok;
+  SsTargetFault fault;
   char transaction_status; /* I, T or E */
   const char *sqlstate;    /* of the error */
   GBytes *wire;            /* results as the callers' protocol has them */
@@ -57,8 +75,28 @@
   int64_t version;
   const char *value; /* JSON */
   uint32_t value_bytes;
+  bool deleted;
 } SsObject;
 
+/* What can be watched at the platform: all objects in one, or each kind. */
+#define SS_FEEDS(X)                                                            \
+  X (ALL, "")                                                                  \
+  X (ROUTES, "routes/")                                                        \
+  X (TARGETS, "target/")                                                       \
+  X (GROUPS, "group/")                                                         \
+  X (VMS, "vm/")
+
+typedef enum
+{
+#define SS_FEED_ENUM(id, prefix) SS_FEED_##id,
+  SS_FEEDS (SS_FEED_ENUM)
+#undef SS_FEED_ENUM
+      SS_FEED_COUNT
+} SsFeed;
+
+/* ss_feed_prefix: of the keys of the feed's objects. */
+const char *ss_feed_prefix (SsFeed feed);
+
 /* How a call on the platform ended. */
 #define SS_PLATFORM_OUTCOMES(X)                                                \
   X (DONE, "done")                                                             \
@@ -89,6 +127,7 @@
     struct
     {
       uint64_t caller;
+      const char *label; /* the caller's id of it; may be NULL */
       const char *sql;
     } caller_statement;
     struct
@@ -108,6 +147,7 @@
     {
       uint64_t connection;
       bool refused;         /* TARGET_CLOSED: the address refuses */
+      bool is_other;        /* TARGET_CLOSED: another server answered there */
       const char *sqlstate; /* TARGET_CLOSED: of a refused start, or NULL */
     } target;
     struct
@@ -118,6 +158,8 @@
     struct
     {
       SsPlatformOutcome outcome;
+      SsFeed feed;
+      bool complete; /* no other object of the feed is there */
       int64_t since;
       int64_t revision;
       const SsObject *objects;
@@ -128,7 +170,7 @@
       uint64_t call;
       SsPlatformOutcome outcome;
       SsObject object; /* as read, or with the version written */
-    } platform_object;
+    } platform_object; /* PLATFORM_PROMOTED: without an object */
     struct
     {
       const char *json;
@@ -155,6 +197,8 @@
   X (PLATFORM_WATCH)                                                           \
   X (PLATFORM_GET)                                                             \
   X (PLATFORM_PUT)                                                             \
+  X (PLATFORM_DELETE)                                                          \
+  X (PLATFORM_PROMOTE)                                                         \
   X (PLATFORM_VMS)                                                             \
   X (OPERATOR_REPLY)                                                           \
   X (LOG)                                                                      \
@@ -173,6 +217,8 @@
   uint64_t id;   /* caller, connection or call */
   char *name;    /* vm, target, object key, parameter */
   char *text;    /* SQL, address, value */
+  char *label;   /* TARGET_QUERY: the caller's id of it, or NULL;
+                    TARGET_CONNECT: the target's group */
   GBytes *bytes; /* wire or peer message */
   uint32_t port;
   int64_t number; /* version, or revision */
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -24,6 +24,12 @@
   ss_node_send (node, owner, &e);
 }
 
+void
+ss_hold_ask_status (SsNode *node, SsTarget *t)
+{
+  send_status_ask (node, t, ++node->next_ask, (SsPosition){ 0, 0 });
+}
+
 /* --- commits that wait for a majority --- */
 
 /* A server whose last entry has the commit's term and stands at it or above
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -4,6 +4,7 @@
 
 #include "core/node.h"
 #include "core/queue.h"
+#include "core/replay.h"
 #include "core/writers.h"
 #include "proto/peer.pb-c.h"
 
@@ -44,8 +45,9 @@
 typedef enum
 {
   SS_WAIT_NONE,
-  SS_WAIT_MARK, /* a confirmed position of the primary */
-  SS_WAIT_VIEW  /* a first report of the group's servers */
+  SS_WAIT_MARK,   /* a confirmed position of the primary */
+  SS_WAIT_VIEW,   /* a first report of the group's servers */
+  SS_WAIT_PRIMARY /* a change of primary that is under way */
 } SsWait;
 
 typedef struct
@@ -61,8 +63,14 @@
   SsPosition floor;
   bool floor_known;
   uint64_t arrival_ask; /* marks asked for later than this cover it */
-  char status;          /* I, T or E */
-  char *pinned_vm;      /* while a transaction is open */
+  char *floor_group;    /* whose positions floor is of; NULL: any */
+  SsSessionState state; /* what it set and prepared, where sessions are kept */
+  bool begin_due;       /* BEGIN is sent with the next statement */
+  bool begin_is_read;
+  bool begin_wrote;   /* a statement of the transaction may have written */
+  uint64_t begin_ask; /* as start_ask of a request; of the transaction */
+  char status;        /* I, T or E */
+  char *pinned_vm;    /* while a transaction is open */
   char *pinned_target;
   bool pinned_is_read;
   bool loss_untold; /* its transaction was lost between two statements */
@@ -75,7 +83,12 @@
 {
   uint64_t id; /* of the present try */
   SsSession *session;
+  char *label; /* the caller's id of it; NULL: none */
   char *sql;
+  char *shape; /* of the prepared statement that it runs; NULL: none */
+  bool shape_is_read;
+  bool begins; /* opens the transaction that it is in */
+  bool keeps;  /* what it does may outlast it: COMMIT, or a write alone */
   bool is_read;
   int64_t staleness_ms; /* of the kind; 0: the session's floor */
   bool strict;
@@ -96,7 +109,9 @@
 void ss_entry_finish (SsNode *node);
 void ss_entry_open (SsNode *node, uint64_t caller, const char *service,
                     const char *user, const char *const *settings);
-void ss_entry_statement (SsNode *node, uint64_t caller, const char *sql);
+/* ss_entry_statement: LABEL is the caller's id of it, or NULL. */
+void ss_entry_statement (SsNode *node, uint64_t caller, const char *label,
+                         const char *sql);
 void ss_entry_cancel (SsNode *node, uint64_t caller);
 void ss_entry_close (SsNode *node, uint64_t caller);
 void ss_entry_reply (SsNode *node, const char *from,
@@ -148,9 +163,22 @@
  */
 SsTarget *ss_choice_read (SsNode *node, SsGroup *group, SsPosition floor,
                           char *const *tried, uint32_t tried_count);
+/* ss_choice_checked_read: the same for R, where the target itself checks the
+ * floor.
+ */
+SsTarget *ss_choice_checked_read (SsNode *node, const SsRequest *r,
+                                  SsGroup *group);
 /* ss_choice_write: the primary of GROUP, or NULL where none can be used. */
 SsTarget *ss_choice_write (SsNode *node, SsGroup *group);
 
+/* --- predict.c --- */
+
+/* ss_predict_primary: whether GROUP will have a primary before DEADLINE_MS;
+ * *UNTIL_MS is when it should have one.
+ */
+bool ss_predict_primary (SsNode *node, const SsGroup *group,
+                         int64_t deadline_ms, int64_t *until_ms);
+
 /* --- marks.c: confirmed positions of a group's primary --- */
 
 #define SS_MARKS_MAX 64
@@ -216,6 +244,11 @@
   char *vm; /* of the session that it is pinned to */
   uint64_t session;
   int64_t since_ms;
+  SsSessionState held; /* what it has set and prepared */
+  GQueue due;          /* statements (to be freed) before the job's */
+  bool rolls_back;     /* its session ended a transaction */
+  int64_t again_ms;    /* when its job's statement is sent again; 0: not */
+  SsPosition position; /* of the target, as it last answered here */
 } SsConnection;
 
 typedef enum
@@ -225,7 +258,8 @@
   SS_STEP_RECORD,
   SS_STEP_COMMIT,
   SS_STEP_REPLAY,
-  SS_STEP_ROLLBACK
+  SS_STEP_ROLLBACK,
+  SS_STEP_PRELUDE /* what the session needs before its statement */
 } SsStep;
 
 struct SsJob
@@ -241,6 +275,14 @@
   char *key; /* NULL: none */
   char *trace;
   char *identity;
+  char *label;
+  char **values; /* of the session: name, value, ..., NULL */
+  char *shape;   /* NULL: none */
+  bool shape_is_read;
+  bool begins;
+  bool transaction_is_read;
+  bool keeps;
+  bool pinned; /* in a transaction that is open */
   bool is_read;
   SsPosition floor;
   SsStep step;
@@ -327,11 +369,12 @@
 void ss_owner_update (SsNode *node);
 void ss_owner_run (SsNode *node, const char *from, const Ss__Peer__Run *run);
 void ss_owner_cancel (SsNode *node, const char *from, uint64_t request);
-void ss_owner_session_end (SsNode *node, const char *vm, uint64_t session);
+void ss_owner_session_end (SsNode *node, const char *vm,
+                           const Ss__Peer__SessionEnd *end);
 void ss_owner_vm_lost (SsNode *node, const char *vm);
 void ss_owner_ready (SsNode *node, uint64_t connection);
-void ss_owner_closed (SsNode *node, uint64_t connection, bool refused,
-                      const char *sqlstate);
+/* ss_owner_closed: EVENT is TARGET_CLOSED. */
+void ss_owner_closed (SsNode *node, const SsEvent *event);
 void ss_owner_result (SsNode *node, uint64_t connection,
                       const SsTargetResult *result);
 void ss_owner_tick (SsNode *node);
@@ -343,6 +386,8 @@
 
 /* --- hold.c: a commit is answered once a majority holds it --- */
 
+/* ss_hold_ask_status: has T's owner report a poll made after this. */
+void ss_hold_ask_status (SsNode *node, SsTarget *t);
 /* ss_hold_wait: takes over JOB, whose commit stands at POSITION. */
 void ss_hold_wait (SsNode *node, SsJob *job);
 void ss_hold_check (SsNode *node, SsGroup *group);
@@ -373,9 +418,13 @@
 
 #define SS_PROMOTE_STEPS(X)                                                    \
   X (IDLE, "idle")                                                             \
+  X (ADOPT, "adopt")                                                           \
   X (CLAIM, "claim")                                                           \
   X (CLAIM_READ, "claim_read")                                                 \
   X (RAISE, "raise")                                                           \
+  X (DUTY, "duty")                                                             \
+  X (CALL, "call")                                                             \
+  X (LEAD, "lead")                                                             \
   X (NAME, "name")                                                             \
   X (NAME_READ, "name_read")
 
@@ -410,12 +459,44 @@
   int64_t enough_ms; /* when enough servers were raised; 0: not yet */
   uint32_t rank;     /* of this vm as the group's coordinator */
   uint64_t rank_generation;
+  int64_t fence; /* of the platform's promotion call */
 } SsPromotion;
 
+/* The object whose holder may have the platform promote servers. */
+#define SS_PROMOTE_DUTY_KEY "duty/promotions"
+
+/* ss_promote_enter: begins STEP. */
+void ss_promote_enter (SsNode *node, SsPromotion *promotion,
+                       SsPromoteStep step);
+void ss_promote_give_up (SsNode *node, SsPromotion *promotion, const char *why);
+/* ss_promote_put: writes the group's object with PRIMARY and its term. */
+void ss_promote_put (SsNode *node, SsPromotion *promotion, const char *primary);
+
+/* --- lead.c: promotions that the platform carries out --- */
+
+/* ss_lead_is_coordinator: whether this vm orders promotions. */
+bool ss_lead_is_coordinator (SsNode *node);
+/* ss_lead_term: the term that a new primary of GROUP will lead. */
+uint64_t ss_lead_term (const SsGroup *group);
+/* ss_lead_adopt: where servers follow a primary that GROUP does not name,
+ * begins to name it; returns whether it did.
+ */
+bool ss_lead_adopt (SsNode *node, SsPromotion *promotion, SsGroup *group);
+bool ss_lead_is_suspect (SsNode *node, const SsPromotion *promotion,
+                         const SsGroup *group);
+/* ss_lead_begin: has the platform promote the server that was chosen. */
+void ss_lead_begin (SsNode *node, SsPromotion *promotion);
+void ss_lead_tick (SsNode *node, SsPromotion *promotion, SsGroup *group);
+/* ss_lead_duty: how the write of the duty's object ended. */
+void ss_lead_duty (SsNode *node, uint64_t call, SsPlatformOutcome outcome,
+                   const SsObject *object);
+
 void ss_promote_tick (SsNode *node);
 void ss_promote_raised (SsNode *node, const Ss__Peer__RaiseReply *reply);
 void ss_promote_object (SsNode *node, uint64_t call, SsPlatformOutcome outcome,
                         const SsObject *object);
+/* ss_promote_called: how the platform's promotion of a server ended. */
+void ss_promote_called (SsNode *node, uint64_t call, SsPlatformOutcome outcome);
 /* ss_promote_order: an operator's order, answered as operation CALL. */
 void ss_promote_order (SsNode *node, const char *group, const char *to,
                        uint64_t call);
@@ -433,13 +514,28 @@
                      const Ss__Peer__ConfigPull *pull);
 void ss_spread_push (SsNode *node, const char *from,
                      const Ss__Peer__ConfigPush *push);
-void ss_spread_objects (SsNode *node, SsPlatformOutcome outcome, int64_t since,
-                        int64_t revision, const SsObject *objects,
-                        uint32_t count);
+/* ss_spread_objects: the answer to a watch, as EVENT has it. */
+void ss_spread_objects (SsNode *node, const SsEvent *event);
 void ss_spread_vms (SsNode *node, const char *json, uint32_t json_bytes);
 /* ss_spread_adopt: takes one object and passes it on to the peers. */
 void ss_spread_adopt (SsNode *node, const SsObject *object);
+/* ss_spread_adopt_quietly: takes one object. */
+void ss_spread_adopt_quietly (SsNode *node, const SsObject *object);
 void ss_spread_beat_now (SsNode *node);
+SsMember *ss_spread_add_member (SsNode *node, const char *vm,
+                                const char *failure_domain, const char *ip,
+                                uint16_t port);
+
+/* --- directory.c: the vms as objects of the platform --- */
+
+void ss_directory_tick (SsNode *node);
+/* ss_directory_take: OBJECT of a vm came into force. */
+void ss_directory_take (SsNode *node, const SsObject *object);
+/* ss_directory_object: how a write of a vm's object ended. */
+void ss_directory_object (SsNode *node, SsPlatformOutcome outcome,
+                          const SsObject *object);
+/* ss_directory_leave: this vm stops. */
+void ss_directory_leave (SsNode *node);
 
 /* ss_node_begin_stop: begins the planned stop of this vm. */
 void ss_node_begin_stop (SsNode *node);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -5,6 +5,14 @@
 #define UNIQUE_VIOLATION "23505"
 #define LOCK_NOT_AVAILABLE "55P03"
 #define READ_ONLY_SERVER "25006"
+/* A replica that is behind by more than this does not catch up in time. */
+#define BEHIND_WAIT_MS 150
+/* A target without room for a statement gets it again after this pause, for
+ * as long as its own queue may take.
+ */
+#define BUSY_AGAIN_MS 20
+#define BUSY_WAIT_MS 400
+#define BEHIND_AGAIN_MS 15
 
 void
 ss_job_free (SsJob *job)
@@ -16,6 +24,9 @@
   g_free (job->trace);
   g_free (job->identity);
   g_free (job->tag);
+  g_free (job->label);
+  g_strfreev (job->values);
+  g_free (job->shape);
   g_clear_pointer (&job->wire, g_bytes_unref);
   g_free (job);
 }
@@ -154,13 +165,108 @@
   a->want_row = step == SS_STEP_REPLAY;
 }
 
+static void
+take_slot (SsConnection *c, SsQueueClass queue_class)
+{
+  if (c->holds_slot)
+    return;
+  c->holds_slot = true;
+  c->queue_class = queue_class;
+  c->owned->queue.running[queue_class]++;
+}
+
+/* --- statements of sessions that are kept at their entry --- */
+
+static void
+send_text (SsNode *node, SsConnection *c, SsStep step, const char *label,
+           char *text)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_TARGET_QUERY);
+
+  c->job->step = step;
+  c->state = SS_CONNECTION_BUSY;
+  a->id = c->id;
+  a->label = g_strdup (label);
+  a->text = text;
+}
+
+/* The text with the floor that it has to find, where it can have one. */
+static char *
+with_floor (SsNode *node, const SsJob *job, char *text)
+{
+  char *whole;
+
+  if (!job->is_read || !job->floor.offset)
+    return text;
+  whole = node->dialect->at_floor (node->dialect, job->floor, text);
+  g_free (text);
+  return whole;
+}
+
+/* Sends what the session needs on C, one by one, then its statement. */
+static void
+send_next (SsNode *node, SsConnection *c)
+{
+  SsJob *job = c->job;
+  char *text = g_queue_pop_head (&c->due);
+
+  take_slot (c, job->item.queue_class);
+  if (text)
+    {
+      send_text (node, c, SS_STEP_PRELUDE, NULL, text);
+      return;
+    }
+  text = g_strdup (job->sql);
+  if (!job->pinned && !job->begins)
+    text = with_floor (node, job, text);
+  send_text (node, c, SS_STEP_PLAIN, job->label, text);
+}
+
+static void
+start_kept (SsNode *node, SsConnection *c)
+{
+  SsJob *job = c->job;
+  char *begin;
+
+  if (!ss_replay_plan (node->dialect, &c->held,
+                       (const char *const *) job->values, job->shape,
+                       job->shape_is_read, job->pinned, &c->due))
+    {
+      job->step = SS_STEP_PRELUDE;
+      ss_job_give_up (node, c, SS_REASON_TRANSACTION_LOST);
+      return;
+    }
+  if (job->begins)
+    {
+      begin = node->dialect->begin (node->dialect, job->transaction_is_read);
+      g_queue_push_tail (&c->due, with_floor (node, job, begin));
+    }
+  send_next (node, c);
+}
+
+void
+ss_job_send_again (SsNode *node, SsConnection *c)
+{
+  SsJob *job = c->job;
+
+  c->again_ms = 0;
+  if (job->step == SS_STEP_PRELUDE)
+    g_queue_push_head (
+        &c->due, with_floor (node, job,
+                             node->dialect->begin (node->dialect,
+                                                   job->transaction_is_read)));
+  send_next (node, c);
+}
+
 static void
 start_job (SsNode *node, SsConnection *c, SsJob *job)
 {
   c->job = job;
   job->connection = c;
   job->started_ms = node->now_ms;
-  if (!job->key)
+  if (ss_dialect_keeps_sessions (node->dialect))
+    start_kept (node, c);
+  else if (!job->key)
     start_step (node, c, SS_STEP_PLAIN);
   else
     start_step (node, c, c->vm ? SS_STEP_COMMIT : SS_STEP_CLAIM);
@@ -169,15 +275,15 @@
 void
 ss_job_dispatch (SsNode *node, SsOwned *owned)
 {
-  SsConnection *c;
-
-  while ((c = ss_pool_find_idle (owned)))
+  while (ss_pool_find_idle (owned))
     {
       SsQueueItem *item
-          = ss_queue_pop (&owned->queue, ss_pool_budget (node, owned));
+          = ss_queue_pop (&owned->queue, ss_pool_capacity (node, owned));
+      SsConnection *c;
 
       if (!item)
         return;
+      c = ss_pool_find_nearest (owned, (SsJob *) item);
       c->holds_slot = true;
       c->queue_class = item->queue_class;
       start_job (node, c, (SsJob *) item);
@@ -207,6 +313,8 @@
     return SS_REASON_DRAINING;
   if (!t->state.reachable)
     return SS_REASON_CONNECT;
+  if (run->is_read && ss_dialect_keeps_sessions (node->dialect))
+    return SS_REASON_NONE;
   if (run->is_read)
     return shows_floor (owned, t->state.applied,
                         ss_position_unpack (run->floor))
@@ -219,6 +327,19 @@
   return SS_REASON_NONE;
 }
 
+static char **
+copy_values (const Ss__Peer__Run *run)
+{
+  char **values = g_new0 (char *, run->n_values + 2);
+
+  for (size_t i = 0; i + 1 < run->n_values; i += 2)
+    {
+      values[i] = g_strdup (run->values[i]);
+      values[i + 1] = g_strdup (run->values[i + 1]);
+    }
+  return values;
+}
+
 static SsJob *
 new_job (SsNode *node, SsOwned *owned, const char *from,
          const Ss__Peer__Run *run)
@@ -235,6 +356,14 @@
   job->trace = g_strdup (run->trace);
   job->identity = g_strdup (run->identity);
   job->is_read = run->is_read;
+  job->label = *run->label ? g_strdup (run->label) : NULL;
+  job->values = copy_values (run);
+  job->shape = *run->shape ? g_strdup (run->shape) : NULL;
+  job->shape_is_read = run->shape_is_read;
+  job->begins = run->begins;
+  job->transaction_is_read = run->transaction_is_read;
+  job->keeps = run->keeps;
+  job->pinned = run->pinned;
   job->floor = ss_position_unpack (run->floor);
   job->received_ms = node->now_ms;
   job->transaction_status = 'I';
@@ -282,9 +411,9 @@
       return;
     }
   job = new_job (node, owned, from, run);
-  if (!ss_queue_admit (&owned->queue, &job->item, ss_pool_budget (node, owned),
-                       node->now_ms, g_rand_double (node->rand),
-                       &retry_after_ms))
+  if (!ss_queue_admit (&owned->queue, &job->item,
+                       ss_pool_capacity (node, owned), node->now_ms,
+                       g_rand_double (node->rand), &retry_after_ms))
     {
       refuse_run (node, from, run, SS_REASON_OVERLOAD, retry_after_ms);
       ss_job_free (job);
@@ -313,6 +442,11 @@
       if (!c->vm)
         c->vm = g_strdup (job->vm);
       c->session = job->session;
+      if (!ss_dialect_keeps_sessions (node->dialect))
+        return;
+      /* Between two statements it leaves its slot to others. */
+      ss_pool_release_slot (c, node->now_ms - job->started_ms);
+      ss_job_dispatch (node, owned);
       return;
     }
   g_clear_pointer (&c->vm, g_free);
@@ -351,6 +485,111 @@
   ss_hold_wait (node, job);
 }
 
+/* The statement was not run; it is sent again while its target may soon run
+ * it.
+ */
+static void
+wait_again (SsNode *node, SsConnection *c, SsReason reason, int64_t pause_ms,
+            int64_t limit_ms)
+{
+  SsJob *job = c->job;
+
+  if (job->pinned ? job->transaction_status != 'T'
+                  : job->transaction_status != 'I')
+    {
+      end_job (node, c, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
+      return;
+    }
+  if (node->now_ms - job->started_ms + pause_ms > limit_ms)
+    {
+      end_job (node, c, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
+      return;
+    }
+  c->again_ms = node->now_ms + pause_ms;
+  ss_pool_release_slot (c, -1);
+  ss_job_dispatch (node, c->owned);
+}
+
+/* A statement of a kept session, or what goes before it, was not carried out.
+ */
+static void
+end_fault (SsNode *node, SsConnection *c, SsTargetFault fault)
+{
+  SsOwned *owned = c->owned;
+
+  switch (fault)
+    {
+    case SS_TARGET_FAULT_BUSY:
+      wait_again (node, c, SS_REASON_OVERLOAD, BUSY_AGAIN_MS, BUSY_WAIT_MS);
+      break;
+    case SS_TARGET_FAULT_BEHIND:
+      wait_again (node, c, SS_REASON_BEHIND, BEHIND_AGAIN_MS, BEHIND_WAIT_MS);
+      break;
+    case SS_TARGET_FAULT_NOT_PRIMARY:
+      owned->target->state.role = SS_SERVER_REPLICA;
+      end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
+               SS_RETRY_PROMOTION_MS);
+      ss_monitor_poll_soon (node, owned);
+      break;
+    case SS_TARGET_FAULT_UNPREPARED:
+      ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
+      break;
+    default:
+      if (c->job->step == SS_STEP_PRELUDE)
+        ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
+      else
+        end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
+      break;
+    }
+}
+
+static void
+end_kept (SsNode *node, SsConnection *c, const SsTargetResult *result)
+{
+  if (!result->ok)
+    end_fault (node, c, result->fault);
+  else if (c->job->step == SS_STEP_PRELUDE)
+    send_next (node, c);
+  else
+    end_committed (node, c);
+}
+
+void
+ss_job_roll_back (SsNode *node, SsConnection *c)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_TARGET_QUERY);
+
+  g_clear_pointer (&c->vm, g_free);
+  c->state = SS_CONNECTION_BUSY;
+  c->rolls_back = true;
+  c->since_ms = node->now_ms;
+  a->id = c->id;
+  a->text = node->dialect->rollback (node->dialect);
+}
+
+void
+ss_job_end_idle (SsNode *node, SsConnection *c)
+{
+  if (ss_dialect_keeps_sessions (node->dialect))
+    ss_job_roll_back (node, c);
+  else
+    ss_pool_close (node, c);
+}
+
+static void
+end_rollback (SsNode *node, SsConnection *c, const SsTargetResult *result)
+{
+  SsOwned *owned = c->owned;
+
+  c->rolls_back = false;
+  c->since_ms = node->now_ms;
+  if (!result->ok || result->transaction_status != 'I' || !owned->active)
+    ss_pool_close (node, c);
+  else
+    c->state = SS_CONNECTION_IDLE;
+  ss_job_dispatch (node, owned);
+}
+
 static void
 end_plain (SsNode *node, SsConnection *c, const SsTargetResult *result)
 {
@@ -455,6 +694,14 @@
   job->wire = g_bytes_ref (result->wire);
 }
 
+/* The position right after a commit covers it. */
+static void
+note_commit (SsJob *job, const SsTargetResult *result)
+{
+  if (result->ok && job->keeps && job->step == SS_STEP_PLAIN)
+    job->commit = result->applied;
+}
+
 /* An answer tells the server's position later than the last poll did. */
 static void
 note_applied (SsTarget *t, SsPosition applied)
@@ -473,7 +720,7 @@
 {
   SsConnection *c = g_hash_table_lookup (node->connections, &connection);
 
-  if (!c || (!c->is_control && !c->job))
+  if (!c || (!c->is_control && !c->job && !c->rolls_back))
     {
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
       return;
@@ -483,8 +730,20 @@
       ss_monitor_result (node, c->owned, result);
       return;
     }
-  take_result (c->job, result);
   note_applied (c->owned->target, result->applied);
+  c->owned->target->reachable_ms = node->now_ms;
+  if (c->rolls_back)
+    {
+      end_rollback (node, c, result);
+      return;
+    }
+  take_result (c->job, result);
+  if (ss_dialect_keeps_sessions (node->dialect))
+    {
+      note_commit (c->job, result);
+      end_kept (node, c, result);
+      return;
+    }
   switch (c->job->step)
     {
     case SS_STEP_CLAIM:
@@ -514,8 +773,12 @@
 SsVerdict
 ss_job_lost_verdict (const SsJob *job)
 {
+  if (!job->keeps)
+    return SS_VERDICT_NOT_RUN;
   switch (job->step)
     {
+    case SS_STEP_PRELUDE:
+      return SS_VERDICT_NOT_RUN;
     case SS_STEP_CLAIM:
       /* Its COMMIT was not sent, unless the statement holds one. */
       return strchr (job->sql, ';') ? SS_VERDICT_MAY_HAVE_RUN
--- /dev/null
+++ b/src/core/lead.c
@@ -0,0 +1,287 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/internal.h"
+
+/* A refusing address is a crash; a silent one may be a short cut. */
+#define REFUSED_DOWN_MS 300
+#define SILENT_DOWN_MS 1500
+/* No report of its owner either. */
+#define UNREPORTED_DOWN_MS 5000
+#define FRESH_REPORT_MS 1500
+/* A primary whose entry is gone counts after the vm has run for so long. */
+#define SETTLED_MS 3000
+/* A promotion is looked for this often, and called again where it does not
+ * show.
+ */
+#define LOOK_AGAIN_MS 60
+#define CALL_AGAIN_MS 1500
+#define DUTY_AGAIN_MS 200
+/* Another vm's change is left to it for this long. */
+#define UNNAMED_MS 2500
+#define SUBJECT "promotions"
+
+bool
+ss_lead_is_coordinator (SsNode *node)
+{
+  const char *vm = ss_members_coordinator (&node->members, SUBJECT);
+
+  return vm && strcmp (vm, node->params.vm) == 0;
+}
+
+/* Attempts that came to nothing raise no server's own term. */
+uint64_t
+ss_lead_term (const SsGroup *group)
+{
+  uint64_t term = *group->primary ? group->term + 1 : group->term;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    term = MAX (term, group->servers[i]->state.follow_term + 1);
+  return term;
+}
+
+static bool
+is_fresh (SsNode *node, const SsTarget *t)
+{
+  return t->state.reachable && node->now_ms - t->reachable_ms < FRESH_REPORT_MS;
+}
+
+/* The server that leads the highest term, or NULL. */
+static const SsTarget *
+find_leader (SsNode *node, const SsGroup *group)
+{
+  const SsTarget *leader = NULL;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      const SsTarget *t = group->servers[i];
+
+      if (t->state.role != SS_SERVER_PRIMARY || !is_fresh (node, t))
+        continue;
+      if (!leader || t->state.follow_term > leader->state.follow_term)
+        leader = t;
+    }
+  return leader;
+}
+
+bool
+ss_lead_adopt (SsNode *node, SsPromotion *p, SsGroup *group)
+{
+  const SsTarget *leader = find_leader (node, group);
+
+  if (!leader)
+    return false;
+  if (group->version && leader->state.follow_term <= group->term
+      && (*group->primary || leader->state.follow_term < group->term))
+    return false;
+  p->term = leader->state.follow_term;
+  p->version = group->version;
+  p->started_ms = node->now_ms;
+  g_free (p->chosen);
+  p->chosen = g_strdup (leader->name);
+  g_snprintf (p->operation, sizeof p->operation,
+              "%s-adopt-%" G_GUINT64_FORMAT "-%08x", node->params.vm,
+              ++node->next_operation, g_rand_int (node->rand));
+  ss_node_log (node, SS_EVENT_LOG_PRIMARY_FOUND, p->group,
+               "term=%" G_GUINT64_FORMAT
+               " primary=%s before=%s/%" G_GUINT64_FORMAT,
+               p->term, leader->name, group->primary, group->term);
+  ss_promote_enter (node, p, SS_PROMOTE_ADOPT);
+  ss_promote_put (node, p, leader->name);
+  return true;
+}
+
+bool
+ss_lead_is_suspect (SsNode *node, const SsPromotion *p, const SsGroup *group)
+{
+  const SsTarget *primary = ss_group_primary (group);
+  int64_t down_ms = node->now_ms - p->primary_ok_ms;
+
+  if (!group->version)
+    return node->now_ms - node->started_ms >= UNREPORTED_DOWN_MS
+           && down_ms >= UNREPORTED_DOWN_MS;
+  if (!*group->primary)
+    return g_str_has_prefix (group->operation, node->params.vm)
+           || node->now_ms - group->changed_ms >= UNNAMED_MS;
+  if (!primary)
+    return node->now_ms - node->started_ms >= SETTLED_MS
+           && down_ms >= SILENT_DOWN_MS;
+  if (!primary->state.reachable
+      && node->now_ms - primary->state_ms < FRESH_REPORT_MS)
+    return down_ms
+           >= (primary->state.refused ? REFUSED_DOWN_MS : SILENT_DOWN_MS);
+  return down_ms >= UNREPORTED_DOWN_MS;
+}
+
+/* --- the call --- */
+
+/* Every call has a fence of its own: the version that the duty's object got
+ * by this vm's write, right before it.
+ */
+static void
+claim_duty (SsNode *node, SsPromotion *p)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_PUT);
+  json_t *json = json_pack ("{s:s, s:s}", "holder", node->params.vm,
+                            "operation", p->operation);
+
+  p->call = ++node->next_call;
+  p->asked_ms = node->now_ms;
+  a->id = p->call;
+  a->name = g_strdup (SS_PROMOTE_DUTY_KEY);
+  a->text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
+  a->number = node->duty_version;
+  json_decref (json);
+}
+
+void
+ss_lead_begin (SsNode *node, SsPromotion *p)
+{
+  ss_promote_enter (node, p, SS_PROMOTE_DUTY);
+  claim_duty (node, p);
+}
+
+static void
+call_platform (SsNode *node, SsPromotion *p)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_PROMOTE);
+
+  ss_promote_enter (node, p, SS_PROMOTE_CALL);
+  p->call = ++node->next_call;
+  a->id = p->call;
+  a->name = g_strdup (p->group);
+  a->text = g_strdup (p->chosen);
+  a->number = p->fence;
+  ss_node_log (node, SS_EVENT_LOG_PROMOTION_CALLED, p->group,
+               "term=%" G_GUINT64_FORMAT " server=%s fence=%" G_GINT64_FORMAT,
+               p->term, p->chosen, p->fence);
+}
+
+typedef struct
+{
+  uint64_t call;
+  SsPromotion *found;
+} Search;
+
+static gboolean
+find_call (gpointer key, gpointer value, gpointer data)
+{
+  Search *s = data;
+  SsPromotion *p = value;
+
+  (void) key;
+  if (p->call != s->call || p->step == SS_PROMOTE_IDLE)
+    return FALSE;
+  s->found = p;
+  return TRUE;
+}
+
+static SsPromotion *
+promotion_of (SsNode *node, uint64_t call)
+{
+  Search s = { call, NULL };
+
+  g_tree_foreach (node->promotions, find_call, &s);
+  return s.found;
+}
+
+static void
+read_duty (SsNode *node, SsPromotion *p)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_GET);
+
+  p->call = ++node->next_call;
+  a->id = p->call;
+  a->name = g_strdup (SS_PROMOTE_DUTY_KEY);
+}
+
+static bool
+is_ours (const SsPromotion *p, const SsObject *object)
+{
+  return object->value
+         && g_strstr_len (object->value, object->value_bytes, p->operation);
+}
+
+/* A write whose answer was lost is looked up: it may have taken effect. */
+void
+ss_lead_duty (SsNode *node, uint64_t call, SsPlatformOutcome outcome,
+              const SsObject *object)
+{
+  SsPromotion *p = promotion_of (node, call);
+  bool known = outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT;
+
+  if (known)
+    node->duty_version = MAX (node->duty_version, object->version);
+  if (outcome == SS_PLATFORM_ABSENT)
+    node->duty_version = 0;
+  if (!p || p->step != SS_PROMOTE_DUTY)
+    return;
+  if (known && is_ours (p, object))
+    {
+      p->fence = object->version;
+      call_platform (node, p);
+    }
+  else if (!ss_lead_is_coordinator (node))
+    ss_promote_give_up (node, p, "another vm has the duty");
+  else if (known)
+    claim_duty (node, p);
+  else if (outcome == SS_PLATFORM_UNKNOWN)
+    read_duty (node, p);
+}
+
+void
+ss_promote_called (SsNode *node, uint64_t call, SsPlatformOutcome outcome)
+{
+  SsPromotion *p = promotion_of (node, call);
+
+  if (!p || p->step != SS_PROMOTE_CALL)
+    return;
+  if (outcome == SS_PLATFORM_CONFLICT)
+    {
+      ss_promote_give_up (node, p, "the platform does not run that server");
+      return;
+    }
+  /* Where the answer was lost, the server itself shows what became of it. */
+  ss_promote_enter (node, p, SS_PROMOTE_LEAD);
+}
+
+static SsTarget *
+chosen_server (SsNode *node, const SsPromotion *p)
+{
+  return p->chosen ? ss_config_target (&node->config, p->chosen) : NULL;
+}
+
+static void
+look_for_lead (SsNode *node, SsPromotion *p)
+{
+  SsTarget *t = chosen_server (node, p);
+
+  if (!t)
+    return;
+  if (t->state.role == SS_SERVER_PRIMARY && t->state.follow_term >= p->term)
+    {
+      p->term = t->state.follow_term;
+      ss_promote_enter (node, p, SS_PROMOTE_NAME);
+      ss_promote_put (node, p, t->name);
+      return;
+    }
+  if (node->now_ms - p->asked_ms < LOOK_AGAIN_MS)
+    return;
+  p->asked_ms = node->now_ms;
+  ss_hold_ask_status (node, t);
+}
+
+void
+ss_lead_tick (SsNode *node, SsPromotion *p, SsGroup *group)
+{
+  (void) group;
+  if (p->step == SS_PROMOTE_DUTY && node->now_ms - p->asked_ms >= DUTY_AGAIN_MS)
+    claim_duty (node, p);
+  if (p->step != SS_PROMOTE_LEAD)
+    return;
+  if (node->now_ms - p->since_ms >= CALL_AGAIN_MS)
+    ss_lead_begin (node, p);
+  else
+    look_for_lead (node, p);
+}
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -194,6 +194,7 @@
 typedef struct
 {
   const char *failure_domain;
+  bool platform_up; /* only vms that the platform answers */
   const char *subject;
   const SsMember *best;
   uint64_t best_score;
@@ -202,11 +203,12 @@
 } Ranking;
 
 static bool
-may_hold_role (const SsMember *m, const char *failure_domain)
+may_hold_role (const SsMember *m, const Ranking *r)
 {
-  if (!m->live || m->leaving)
+  if (!m->live || m->leaving || (r->platform_up && !m->platform_up))
     return false;
-  return !failure_domain || strcmp (m->failure_domain, failure_domain) == 0;
+  return !r->failure_domain
+         || strcmp (m->failure_domain, r->failure_domain) == 0;
 }
 
 static gboolean
@@ -217,7 +219,7 @@
   uint64_t score;
 
   (void) key;
-  if (!may_hold_role (m, r->failure_domain))
+  if (!may_hold_role (m, r))
     return FALSE;
   score = ss_rank_score (m->vm, r->subject);
   if (score > r->own_score)
@@ -233,7 +235,16 @@
 ss_members_owner (const SsMembers *members, const char *failure_domain,
                   const char *subject)
 {
-  Ranking r = { failure_domain, subject, NULL, 0, 0, 0 };
+  Ranking r = { .failure_domain = failure_domain, .subject = subject };
+
+  g_tree_foreach (members->by_name, rank_one, &r);
+  return r.best ? r.best->vm : NULL;
+}
+
+const char *
+ss_members_coordinator (const SsMembers *members, const char *subject)
+{
+  Ranking r = { .platform_up = true, .subject = subject };
 
   g_tree_foreach (members->by_name, rank_one, &r);
   return r.best ? r.best->vm : NULL;
@@ -243,9 +254,9 @@
 ss_members_rank (const SsMembers *members, const char *failure_domain,
                  const char *subject)
 {
-  Ranking r = {
-    failure_domain, subject, NULL, 0, ss_rank_score (members->self, subject), 0
-  };
+  Ranking r = { .failure_domain = failure_domain,
+                .subject = subject,
+                .own_score = ss_rank_score (members->self, subject) };
 
   g_tree_foreach (members->by_name, rank_one, &r);
   return r.better;
@@ -290,3 +301,30 @@
   members->settled_known = true;
   return s.settled;
 }
+
+typedef struct
+{
+  const char *self;
+  int64_t since_ms;
+  GPtrArray *out;
+} Silent;
+
+static gboolean
+collect_silent (gpointer key, gpointer value, gpointer data)
+{
+  Silent *s = data;
+  SsMember *m = value;
+
+  if (strcmp (key, s->self) != 0 && !m->live && m->heard_ms < s->since_ms)
+    g_ptr_array_add (s->out, m);
+  return FALSE;
+}
+
+void
+ss_members_collect_silent (const SsMembers *members, int64_t since_ms,
+                           GPtrArray *out)
+{
+  Silent s = { members->self, since_ms, out };
+
+  g_tree_foreach (members->by_name, collect_silent, &s);
+}
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -24,7 +24,8 @@
   uint16_t peer_port;
   bool listed;
   bool leaving;
-  bool live; /* as of the last ss_members_update */
+  bool platform_up; /* the platform answers it */
+  bool live;        /* as of the last ss_members_update */
   int64_t heard_ms;
   GHashTable *heard; /* names that it hears */
 } SsMember;
@@ -73,6 +74,16 @@
 /* ss_members_rank: this vm's place for SUBJECT among the live vms, from 0. */
 uint32_t ss_members_rank (const SsMembers *members, const char *failure_domain,
                           const char *subject);
+/* ss_members_collect_silent: adds to OUT the vms (borrowed) not heard since
+ * SINCE_MS, but never this one.
+ */
+void ss_members_collect_silent (const SsMembers *members, int64_t since_ms,
+                                GPtrArray *out);
+/* ss_members_coordinator: the live vm that the platform answers and that ranks
+ * first for SUBJECT, or NULL.
+ */
+const char *ss_members_coordinator (const SsMembers *members,
+                                    const char *subject);
 /* ss_members_set_listed: whether the platform lists MEMBER as live. */
 void ss_members_set_listed (SsMembers *members, SsMember *member, bool listed);
 /* ss_members_is_settled: no vm of this failure domain is listed but dead.
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -3,11 +3,24 @@
 
 #include "core/internal.h"
 
+const char *
+ss_feed_prefix (SsFeed feed)
+{
+  static const char *const prefixes[] = {
+#define X(id, prefix) prefix,
+    SS_FEEDS (X)
+#undef X
+  };
+
+  return prefixes[feed];
+}
+
 void
 ss_action_clear (SsAction *action)
 {
   g_free (action->name);
   g_free (action->text);
+  g_free (action->label);
   g_clear_pointer (&action->bytes, g_bytes_unref);
 }
 
@@ -112,6 +125,8 @@
   out->silence_ms = in->silence_ms;
   out->follow_term = in->follow_term;
   out->wait_ms = in->wait_ms;
+  out->lag_ms = in->lag_ms;
+  out->barred_term = in->barred_term;
   for (size_t i = 0; i < in->n_history && i < SS_HISTORY_MAX; i++)
     out->history.starts[out->history.count++]
         = ss_position_unpack (in->history[i]);
@@ -120,10 +135,15 @@
 const char *
 ss_node_owner (SsNode *node, SsTarget *target)
 {
+  if (target->gone)
+    return NULL;
   if (target->owner_generation != node->members.generation)
     {
       target->owner = ss_members_owner (&node->members, target->failure_domain,
                                         target->name);
+      /* A failure domain without a live vm: any other serves its targets. */
+      if (!target->owner && node->params.owners_anywhere)
+        target->owner = ss_members_owner (&node->members, NULL, target->name);
       target->owner_generation = node->members.generation;
     }
   return target->owner;
--- a/src/core/monitor.c
+++ b/src/core/monitor.c
@@ -2,9 +2,6 @@
 
 #include "core/owner.h"
 
-#define POLL_IDLE_MS 50
-#define POLL_LAGGING_MS 10
-#define POLL_ASKED_MS 1
 #define CONTROL_RETRY_MS 100
 /* A server that does not answer for this long counts as unreachable. */
 #define UNREACHABLE_MS 1200
@@ -12,8 +9,6 @@
 #define CONNECT_TIMEOUT_MS 1000
 #define ASK_HOLD_MS 80
 #define SUBSCRIPTION_MS 3500
-#define REPORT_IDLE_MS 250
-#define REPORT_MIN_MS 10
 
 /* --- reports --- */
 
@@ -51,8 +46,10 @@
   out->state.n_history = s->history.count;
   out->state.age_ms
       = (uint32_t) MIN (node->now_ms - owned->target->state_ms, G_MAXINT32);
+  out->state.lag_ms = s->lag_ms;
+  out->state.barred_term = s->barred_term;
   out->state.wait_ms = ss_queue_wait_ms (&owned->queue, SS_QUEUE_READ,
-                                         ss_pool_budget (node, owned));
+                                         ss_pool_capacity (node, owned));
 }
 
 static void
@@ -86,11 +83,12 @@
 {
   int64_t age_ms = node->now_ms - owned->reported_ms;
   bool changed = has_changed (&owned->reported, &owned->target->state);
+  const SsPace *pace = &node->params.pace;
   GHashTableIter iter;
   gpointer vm;
   gpointer expiry;
 
-  if (age_ms < (changed ? REPORT_MIN_MS : REPORT_IDLE_MS))
+  if (age_ms < (changed ? pace->report_min_ms : pace->report_idle_ms))
     return;
   owned->reported = owned->target->state;
   owned->reported_ms = node->now_ms;
@@ -163,6 +161,11 @@
 
   if (!primary || !s->reachable || s->shown_term > group->term)
     return NULL;
+  if (d->reconcile)
+    {
+      *step = SS_CONTROL_FOLLOW;
+      return d->reconcile (d, owned->target, primary, group->term);
+    }
   if (primary == owned->target)
     {
       *step = SS_CONTROL_PROMOTE;
@@ -209,7 +212,8 @@
   if (owned->raise_term && owned->target->state.shown_term < owned->raise_term)
     {
       start_control (node, owned, SS_CONTROL_RAISE,
-                     node->dialect->raise (node->dialect, owned->raise_term));
+                     node->dialect->raise (node->dialect, owned->target,
+                                           owned->raise_term));
       return;
     }
   sql = owned->raise_term ? NULL : reconcile (node, owned, &step);
@@ -247,6 +251,8 @@
   SsServerState state = { 0 };
   SsGroup *group = ss_owned_group (node, owned);
 
+  /* Any answer shows that the server lives. */
+  t->reachable_ms = node->now_ms;
   if (!result->ok
       || !node->dialect->read_status (node->dialect, result->row,
                                       result->row_cells, &state))
@@ -267,12 +273,12 @@
 schedule_poll (SsNode *node, SsOwned *owned)
 {
   const SsServerState *s = &owned->target->state;
-  int64_t wait_ms = POLL_IDLE_MS;
+  int64_t wait_ms = node->params.pace.poll_idle_ms;
 
   if (s->applied.offset < s->held.offset)
-    wait_ms = POLL_LAGGING_MS;
+    wait_ms = node->params.pace.poll_lagging_ms;
   if (owned->asks->len)
-    wait_ms = POLL_ASKED_MS;
+    wait_ms = node->params.pace.poll_asked_ms;
   owned->poll_due_ms = node->now_ms + wait_ms;
 }
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -5,9 +5,6 @@
 #include "core/internal.h"
 #include "kernel/names.h"
 
-#define TICK_ASKED_MS 1
-#define TICK_BUSY_MS 5
-#define TICK_IDLE_MS 20
 /* No event for this long: the process did not run. */
 #define PAUSE_MS 700
 /* What was written last still has to leave, and callers to read it. */
@@ -30,11 +27,14 @@
 {
   memset (node, 0, sizeof *node);
   node->params = *params;
+  ss_pace_fill (&node->params.pace);
+  if (!node->params.feeds)
+    node->params.feeds = 1U << SS_FEED_ALL;
   node->now_ms = now_ms;
   node->started_ms = now_ms;
   node->ticked_ms = now_ms;
   node->rand = g_rand_new_with_seed (params->seed);
-  node->dialect = ss_dialect_sql ();
+  node->dialect = params->dialect ? params->dialect : ss_dialect_sql ();
   /* Ids of one life never meet those of another. */
   node->next_request = (uint64_t) g_rand_int (node->rand) << 32;
   node->next_ask = (uint64_t) g_rand_int (node->rand) << 32;
@@ -44,6 +44,8 @@
   ss_members_init (&node->members, params->vm, params->failure_domain,
                    params->ip, params->peer_port, now_ms);
   ss_budget_init (&node->budget);
+  node->removals
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_entry_init (node);
   ss_owner_init (node);
   ss_operate_init (node);
@@ -66,6 +68,7 @@
   while ((bytes = g_queue_pop_head (&node->local)))
     g_bytes_unref (bytes);
   g_tree_destroy (node->marks);
+  g_hash_table_destroy (node->removals);
   g_tree_destroy (node->promotions);
   ss_config_finish (&node->config);
   ss_members_finish (&node->members);
@@ -73,6 +76,12 @@
   g_rand_free (node->rand);
 }
 
+bool
+ss_node_takes_callers (const SsNode *node)
+{
+  return node->ready && !node->stopping;
+}
+
 bool
 ss_node_take_action (SsNode *node, SsAction *action)
 {
@@ -127,7 +136,7 @@
       ss_owner_cancel (node, e->from, e->cancel->request);
       break;
     case SS__PEER__ENVELOPE__BODY_SESSION_END:
-      ss_owner_session_end (node, e->from, e->session_end->session);
+      ss_owner_session_end (node, e->from, e->session_end);
       break;
     case SS__PEER__ENVELOPE__BODY_STATUS_ASK:
       ss_monitor_ask (node, e->from, e->status_ask);
@@ -227,6 +236,7 @@
   ss_node_log (node, SS_EVENT_LOG_STOPPING, node->params.vm,
                "bound_ms=%" G_GINT64_FORMAT, node->params.stop_bound_ms);
   ss_owner_update (node);
+  ss_directory_leave (node);
   ss_spread_beat_now (node);
 }
 
@@ -280,8 +290,9 @@
 tick_interval_ms (const SsNode *node)
 {
   if (has_asks (node))
-    return TICK_ASKED_MS;
-  return g_hash_table_size (node->requests) ? TICK_BUSY_MS : TICK_IDLE_MS;
+    return node->params.pace.tick_asked_ms;
+  return g_hash_table_size (node->requests) ? node->params.pace.tick_busy_ms
+                                            : node->params.pace.tick_idle_ms;
 }
 
 static gboolean
@@ -315,6 +326,7 @@
   ss_owner_tick (node);
   ss_promote_tick (node);
   ss_operate_tick (node);
+  ss_directory_tick (node);
   g_tree_foreach (node->marks, retry_marks, node);
   ss_entry_tick (node);
   if (node->stopping)
@@ -348,7 +360,7 @@
       break;
     case SS_EVENT_CALLER_STATEMENT:
       ss_entry_statement (node, e->caller_statement.caller,
-                          e->caller_statement.sql);
+                          e->caller_statement.label, e->caller_statement.sql);
       break;
     case SS_EVENT_CALLER_CANCEL:
       ss_entry_cancel (node, e->caller.caller);
@@ -366,18 +378,18 @@
       ss_owner_ready (node, e->target.connection);
       break;
     case SS_EVENT_TARGET_CLOSED:
-      ss_owner_closed (node, e->target.connection, e->target.refused,
-                       e->target.sqlstate);
+      ss_owner_closed (node, e);
       break;
     case SS_EVENT_TARGET_RESULT:
       ss_owner_result (node, e->target_result.connection,
                        e->target_result.result);
       break;
     case SS_EVENT_PLATFORM_OBJECTS:
-      ss_spread_objects (
-          node, e->platform_objects.outcome, e->platform_objects.since,
-          e->platform_objects.revision, e->platform_objects.objects,
-          e->platform_objects.object_count);
+      ss_spread_objects (node, e);
+      break;
+    case SS_EVENT_PLATFORM_PROMOTED:
+      ss_promote_called (node, e->platform_object.call,
+                         e->platform_object.outcome);
       break;
     case SS_EVENT_PLATFORM_OBJECT:
       ss_promote_object (node, e->platform_object.call,
@@ -386,6 +398,8 @@
       ss_operate_object (node, e->platform_object.call,
                          e->platform_object.outcome,
                          &e->platform_object.object);
+      ss_directory_object (node, e->platform_object.outcome,
+                           &e->platform_object.object);
       break;
     case SS_EVENT_PLATFORM_VMS:
       node->vms_asked = false;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -19,6 +19,8 @@
 #include "core/dialect.h"
 #include "core/event.h"
 #include "core/members.h"
+#include "core/pace.h"
+#include "core/predict.h"
 #include "kernel/counters.h"
 
 /* Strings are borrowed and must outlive the node. */
@@ -34,8 +36,30 @@
   int64_t transaction_idle_ms; /* bound on an idle transaction */
   int64_t stop_bound_ms;       /* bound on a planned stop */
   bool spans;                  /* log a span for each hop */
+  SsPace pace;                 /* fields that are 0 get their defaults */
+  const SsDialect *dialect;    /* NULL: the one in plain SQL */
+  uint32_t feeds; /* bit by SsFeed that is watched; 0: all objects in one */
+  bool owners_anywhere; /* a failure domain without live vms gives its targets
+                           to vms of others */
+  uint32_t seed_port;   /* of peers at the seeds; 0: as the seeds say */
 } SsNodeParams;
 
+/* A target whose entry at the platform went. */
+typedef struct
+{
+  int64_t version;
+  int64_t due_ms; /* when it counts as gone */
+} SsRemoval;
+
+/* What is watched at the platform. */
+typedef struct
+{
+  bool watching; /* a watch is out */
+  bool complete; /* all of its objects were seen once */
+  int64_t due_ms;
+  int64_t revision;
+} SsFeedState;
+
 typedef struct
 {
   SsNodeParams params;
@@ -67,17 +91,20 @@
   uint64_t next_connection;
   uint64_t next_ask;
 
+  SsPrediction prediction;
   GTree *promotions;      /* group -> SsPromotion */
   GHashTable *operations; /* call -> SsOperation */
   uint64_t next_call;
   uint64_t next_operation;
+  int64_t duty_version; /* of the duty's object, as last seen */
 
   int64_t heartbeat_due_ms;
   int64_t subscribe_due_ms;
   uint64_t subscribed_generation;
   int64_t pull_due_ms;
-  bool watching; /* a watch is out */
-  int64_t watch_due_ms;
+  SsFeedState feeds[SS_FEED_COUNT];
+  GHashTable *removals; /* key -> SsRemoval */
+  int64_t directory_due_ms;
   bool vms_asked;
   int64_t vms_due_ms;
   GBytes *vms_json; /* the platform's list as last seen */
@@ -95,6 +122,9 @@
  */
 int64_t ss_node_next_deadline (const SsNode *node);
 
+/* ss_node_takes_callers: whether new callers are served here. */
+bool ss_node_takes_callers (const SsNode *node);
+
 /* ss_node_take_action: moves the next action to ACTION; false when none. */
 bool ss_node_take_action (SsNode *node, SsAction *action);
 
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -6,6 +6,8 @@
 #define CONNECT_TIMEOUT_MS 1000
 #define CONNECT_BACKOFF_MS 50
 #define IDLE_CONNECTION_MS 30000
+/* A target that does not even end a transaction in this time has lost it. */
+#define ROLLBACK_TIMEOUT_MS 2000
 #define TOO_MANY_CONNECTIONS "53300"
 
 static void
@@ -63,10 +65,11 @@
 }
 
 void
-ss_owner_closed (SsNode *node, uint64_t connection, bool refused,
-                 const char *sqlstate)
+ss_owner_closed (SsNode *node, const SsEvent *event)
 {
-  SsConnection *c = g_hash_table_lookup (node->connections, &connection);
+  const char *sqlstate = event->target.sqlstate;
+  SsConnection *c
+      = g_hash_table_lookup (node->connections, &event->target.connection);
   SsOwned *owned;
   SsJob *job;
 
@@ -77,7 +80,8 @@
     {
       owned->control = NULL;
       ss_pool_forget (node, c);
-      ss_monitor_closed (node, owned, refused);
+      ss_monitor_closed (node, owned,
+                         event->target.refused || event->target.is_other);
       return;
     }
   if (c->state == SS_CONNECTION_CONNECTING)
@@ -228,14 +232,20 @@
       bool is_pinned = c->vm && strcmp (c->vm, w->vm) == 0
                        && (!w->session || c->session == w->session);
 
-      if (is_pinned || (c->job && job_matches (c->job, w)))
+      if (!is_pinned && !(c->job && job_matches (c->job, w)))
+        continue;
+      if (c->state == SS_CONNECTION_PINNED
+          && ss_dialect_keeps_sessions (node->dialect))
+        ss_job_roll_back (node, c);
+      else
         ss_pool_close (node, c);
     }
   ss_job_dispatch (node, owned);
 }
 
-void
-ss_owner_session_end (SsNode *node, const char *vm, uint64_t session)
+/* SESSION 0: all of VM's. */
+static void
+end_sessions (SsNode *node, const char *vm, uint64_t session)
 {
   Wanted w = { vm, 0, session };
   GPtrArray *owned = all_owned (node);
@@ -245,10 +255,17 @@
   g_ptr_array_free (owned, TRUE);
 }
 
+void
+ss_owner_session_end (SsNode *node, const char *vm,
+                      const Ss__Peer__SessionEnd *end)
+{
+  end_sessions (node, vm, end->session);
+}
+
 void
 ss_owner_vm_lost (SsNode *node, const char *vm)
 {
-  ss_owner_session_end (node, vm, 0);
+  end_sessions (node, vm, 0);
 }
 
 static SsOwned *
@@ -379,6 +396,13 @@
     }
 }
 
+static int64_t
+transaction_idle_ms (const SsNode *node)
+{
+  return node->config.transaction_idle_ms ? node->config.transaction_idle_ms
+                                          : node->params.transaction_idle_ms;
+}
+
 static void
 tick_connection (SsNode *node, SsConnection *c)
 {
@@ -398,13 +422,17 @@
         ss_pool_close (node, c);
       break;
     case SS_CONNECTION_PINNED:
-      if (age_ms >= node->params.transaction_idle_ms)
-        ss_pool_close (node, c);
+      if (age_ms >= transaction_idle_ms (node))
+        ss_job_end_idle (node, c);
       break;
     case SS_CONNECTION_BUSY:
     default:
       if (c->job && node->now_ms >= c->job->item.deadline_ms)
         ss_job_give_up (node, c, SS_REASON_DEADLINE);
+      else if (c->job && c->again_ms && node->now_ms >= c->again_ms)
+        ss_job_send_again (node, c);
+      else if (c->rolls_back && age_ms >= ROLLBACK_TIMEOUT_MS)
+        ss_pool_close (node, c);
       break;
     }
 }
@@ -446,7 +474,7 @@
         {
           const SsConnection *c = g_ptr_array_index (o->connections, j);
 
-          if (c->job || c->vm)
+          if (c->job || c->vm || c->rolls_back)
             idle = false;
         }
     }
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -24,6 +24,10 @@
 SsConnection *ss_pool_find_pinned (SsOwned *owned, const char *vm,
                                    uint64_t session);
 SsConnection *ss_pool_find_idle (SsOwned *owned);
+/* ss_pool_find_nearest: the idle connection that needs least for JOB. */
+SsConnection *ss_pool_find_nearest (SsOwned *owned, const SsJob *job);
+/* ss_pool_capacity: how many statements may run at once. */
+uint32_t ss_pool_capacity (SsNode *node, const SsOwned *owned);
 /* ss_pool_open_more: opens connections for what waits. */
 void ss_pool_open_more (SsNode *node, SsOwned *owned);
 
@@ -37,6 +41,12 @@
 void ss_job_dispatch (SsNode *node, SsOwned *owned);
 /* ss_job_give_up: answers the job that runs on C now and closes C. */
 void ss_job_give_up (SsNode *node, SsConnection *c, SsReason reason);
+/* ss_job_roll_back: ends the transaction on C, which goes back to all. */
+void ss_job_roll_back (SsNode *node, SsConnection *c);
+/* ss_job_end_idle: ends a transaction that was idle for too long. */
+void ss_job_end_idle (SsNode *node, SsConnection *c);
+/* ss_job_send_again: sends the statement of C's job that was not run. */
+void ss_job_send_again (SsNode *node, SsConnection *c);
 /* ss_job_lost_verdict: what a job whose connection broke can be told. */
 SsVerdict ss_job_lost_verdict (const SsJob *job);
 
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -11,6 +11,8 @@
 {
   if (c->job)
     ss_job_free (c->job);
+  ss_session_state_finish (&c->held);
+  g_queue_clear_full (&c->due, g_free);
   g_free (c->vm);
   g_free (c);
 }
@@ -21,7 +23,8 @@
 uint32_t
 ss_pool_budget (SsNode *node, const SsOwned *owned)
 {
-  uint32_t connections = owned->target->max_connections;
+  uint32_t connections
+      = ss_config_max_connections (&node->config, owned->target);
 
   if (node->now_ms - owned->owner_since_ms < OWNER_SETTLE_MS
       || !ss_members_is_settled (&node->members))
@@ -29,6 +32,19 @@
   return connections > CONTROL_RESERVE ? connections - CONTROL_RESERVE : 1;
 }
 
+/* One statement more than the target runs at once waits there, so that it is
+ * never idle between two of them.
+ */
+uint32_t
+ss_pool_capacity (SsNode *node, const SsOwned *owned)
+{
+  uint32_t budget = ss_pool_budget (node, owned);
+
+  if (!owned->target->slots)
+    return budget;
+  return MIN (owned->target->slots + 1, budget);
+}
+
 SsConnection *
 ss_pool_connect (SsNode *node, SsOwned *owned, bool is_control)
 {
@@ -39,9 +55,12 @@
   c->owned = owned;
   c->is_control = is_control;
   c->since_ms = node->now_ms;
+  g_queue_init (&c->due);
+  ss_session_state_init (&c->held);
   g_hash_table_insert (node->connections, &c->id, c);
   a->id = c->id;
   a->name = g_strdup (owned->target->name);
+  a->label = g_strdup (owned->target->group);
   a->text = g_strdup (owned->target->ip);
   a->port = owned->target->port;
   ss_node_count (node, SS_COUNTER_TARGET_CONNECTS);
@@ -102,6 +121,29 @@
   return NULL;
 }
 
+SsConnection *
+ss_pool_find_nearest (SsOwned *owned, const SsJob *job)
+{
+  SsConnection *nearest = NULL;
+  uint32_t least = 0;
+
+  for (guint i = owned->connections->len; i > 0; i--)
+    {
+      SsConnection *c = g_ptr_array_index (owned->connections, i - 1);
+      uint32_t distance;
+
+      if (c->state != SS_CONNECTION_IDLE)
+        continue;
+      distance
+          = ss_replay_distance (&c->held, (const char *const *) job->values);
+      if (nearest && distance >= least)
+        continue;
+      nearest = c;
+      least = distance;
+    }
+  return nearest;
+}
+
 static uint32_t
 count_connecting (const SsOwned *owned)
 {
--- /dev/null
+++ b/src/core/predict.c
@@ -0,0 +1,39 @@
+#include "core/predict.h"
+
+#include <glib.h>
+
+#include "core/internal.h"
+
+void
+ss_prediction_learn (SsPrediction *prediction, int64_t change_ms)
+{
+  if (change_ms > prediction->change_ms)
+    prediction->change_ms = change_ms;
+  else
+    prediction->change_ms = (prediction->change_ms + change_ms) / 2;
+}
+
+int64_t
+ss_prediction_end_ms (const SsPrediction *prediction, int64_t since_ms)
+{
+  int64_t change_ms = prediction->change_ms ? prediction->change_ms
+                                            : SS_PREDICT_CHANGE_START_MS;
+
+  return since_ms + change_ms * SS_PREDICT_MARGIN_PERCENT / 100;
+}
+
+bool
+ss_predict_primary (SsNode *node, const SsGroup *group, int64_t deadline_ms,
+                    int64_t *until_ms)
+{
+  const SsTarget *primary = ss_group_primary (group);
+  int64_t since_ms = group->changed_ms;
+
+  if (primary)
+    since_ms = MAX (primary->reachable_ms, group->changed_ms)
+               + SS_PREDICT_DETECTION_MS;
+  *until_ms = ss_prediction_end_ms (&node->prediction, since_ms);
+  if (*until_ms <= node->now_ms || *until_ms > deadline_ms)
+    return false;
+  return true;
+}
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -22,6 +22,8 @@
 #define READ_AGAIN_MS 200
 #define RETRY_MS 300
 #define DRAIN_RETRY_MS 2000
+/* A planned change: the last writes reach the replicas in this time. */
+#define HANDOVER_MS 150
 
 SsPromotion *
 ss_promote_get (SsNode *node, const char *group)
@@ -66,8 +68,8 @@
   g_tree_foreach (node->promotions, resume_one, node);
 }
 
-static void
-enter_step (SsNode *node, SsPromotion *p, SsPromoteStep step)
+void
+ss_promote_enter (SsNode *node, SsPromotion *p, SsPromoteStep step)
 {
   p->step = step;
   p->since_ms = node->now_ms;
@@ -97,8 +99,8 @@
 /* Before its claim took effect a promotion has changed nothing; after it the
  * term is higher, and another promotion will follow.
  */
-static void
-give_up (SsNode *node, SsPromotion *p, const char *why)
+void
+ss_promote_give_up (SsNode *node, SsPromotion *p, const char *why)
 {
   SsVerdict verdict = p->step == SS_PROMOTE_CLAIM ? SS_VERDICT_NOT_RUN
                                                   : SS_VERDICT_MAY_HAVE_RUN;
@@ -109,13 +111,13 @@
   p->retry_ms = node->now_ms + RETRY_MS;
   p->ordered = false;
   p->primary_ok_ms = node->now_ms - SILENT_DOWN_MS;
-  enter_step (node, p, SS_PROMOTE_IDLE);
+  ss_promote_enter (node, p, SS_PROMOTE_IDLE);
 }
 
 /* --- the platform's object --- */
 
-static void
-put_group (SsNode *node, SsPromotion *p, const char *primary)
+void
+ss_promote_put (SsNode *node, SsPromotion *p, const char *primary)
 {
   SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_PUT);
   json_t *json = json_pack ("{s:I, s:s, s:s}", "term", (json_int_t) p->term,
@@ -155,7 +157,8 @@
 static void
 start (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
-  p->term = highest_term (group) + 1;
+  p->term = node->dialect->platform_promotes ? ss_lead_term (group)
+                                             : highest_term (group) + 1;
   p->version = group->version;
   p->started_ms = node->now_ms;
   g_snprintf (p->operation, sizeof p->operation,
@@ -171,8 +174,8 @@
   ss_node_log (node, SS_EVENT_LOG_PROMOTION_STARTED, p->group,
                "term=%" G_GUINT64_FORMAT " old_primary=%s ordered=%d", p->term,
                group->primary, p->ordered);
-  enter_step (node, p, SS_PROMOTE_CLAIM);
-  put_group (node, p, "");
+  ss_promote_enter (node, p, SS_PROMOTE_CLAIM);
+  ss_promote_put (node, p, "");
 }
 
 /* --- suspicion --- */
@@ -247,9 +250,35 @@
   return primary && primary->draining && group->server_count > 1;
 }
 
+/* As tick_idle, where the platform carries promotions out. */
+static void
+tick_coordinator (SsNode *node, SsPromotion *p, SsGroup *group)
+{
+  if (node->now_ms < p->retry_ms || node->stopping
+      || !ss_lead_is_coordinator (node) || ss_lead_adopt (node, p, group))
+    return;
+  if (must_leave (group))
+    {
+      p->ordered = true;
+      p->retry_ms = node->now_ms + DRAIN_RETRY_MS;
+    }
+  else if (!p->ordered && !ss_lead_is_suspect (node, p, group))
+    return;
+  if (!p->ordered)
+    ss_node_log (node, SS_EVENT_LOG_SUSPECT, p->group,
+                 "primary=%s down_ms=%" G_GINT64_FORMAT, group->primary,
+                 node->now_ms - p->primary_ok_ms);
+  start (node, p, group);
+}
+
 static void
-tick_idle (SsNode *node, SsPromotion *p, const SsGroup *group)
+tick_idle (SsNode *node, SsPromotion *p, SsGroup *group)
 {
+  if (node->dialect->platform_promotes)
+    {
+      tick_coordinator (node, p, group);
+      return;
+    }
   if (ss_promote_rank (node, p) >= RANKS || node->now_ms < p->retry_ms
       || node->stopping)
     return;
@@ -322,15 +351,43 @@
   return best < 0 ? NULL : group->servers[best]->name;
 }
 
+/* A server that has all that any raised one holds has all that a majority
+ * may have acknowledged, if enough of them were raised.
+ */
+static bool
+is_covered (const SsPromotion *p, const SsGroup *group, uint32_t raised)
+{
+  const char *best = best_candidate (p, group);
+  SsPosition held = { 0, 0 };
+  SsPosition highest = { 0, 0 };
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      if (!p->raised[i])
+        continue;
+      highest = ss_position_max (highest, p->raised_held[i]);
+      if (best && strcmp (group->servers[i]->name, best) == 0)
+        held = p->raised_held[i];
+    }
+  return best && raised >= candidates_needed (group)
+         && ss_position_compare (held, highest) >= 0;
+}
+
 static void
 name_primary (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
+  g_free (p->chosen);
   p->chosen = g_strdup (best_candidate (p, group));
   ss_node_log (node, SS_EVENT_LOG_PROMOTION_RAISED, p->group,
                "term=%" G_GUINT64_FORMAT " chosen=%s ms=%" G_GINT64_FORMAT,
                p->term, p->chosen, node->now_ms - p->started_ms);
-  enter_step (node, p, SS_PROMOTE_NAME);
-  put_group (node, p, p->chosen);
+  if (node->dialect->platform_promotes)
+    {
+      ss_lead_begin (node, p);
+      return;
+    }
+  ss_promote_enter (node, p, SS_PROMOTE_NAME);
+  ss_promote_put (node, p, p->chosen);
 }
 
 static void
@@ -339,13 +396,19 @@
   uint32_t raised = 0;
   uint32_t candidates = 0;
 
+  /* What the old primary has taken still reaches its replicas. */
+  if (p->leaving && node->dialect->platform_promotes
+      && node->now_ms - p->since_ms < HANDOVER_MS)
+    return;
   for (uint32_t i = 0; i < group->server_count; i++)
     {
       raised += p->raised[i] ? 1 : 0;
       if (p->raised[i] && may_be_chosen (p, group->servers[i]))
         candidates++;
     }
-  if (candidates >= candidates_needed (group) && !p->enough_ms)
+  if ((candidates >= candidates_needed (group)
+       || (node->dialect->platform_promotes && is_covered (p, group, raised)))
+      && !p->enough_ms)
     p->enough_ms = node->now_ms;
   if (p->enough_ms
       && (raised == group->server_count
@@ -378,7 +441,7 @@
     }
   if (!reply->accepted)
     {
-      give_up (node, p, "a server was shown a higher term");
+      ss_promote_give_up (node, p, "a server was shown a higher term");
       return;
     }
   ss_state_unpack (reply->state, &state);
@@ -400,11 +463,13 @@
   ss_node_log (node, SS_EVENT_LOG_PROMOTION_DONE, p->group,
                "term=%" G_GUINT64_FORMAT " primary=%s ms=%" G_GINT64_FORMAT,
                p->term, p->chosen, node->now_ms - p->started_ms);
+  if (p->step != SS_PROMOTE_ADOPT)
+    ss_prediction_learn (&node->prediction, node->now_ms - p->started_ms);
   answer_order (node, p, SS_VERDICT_RAN, "promoted");
   p->ordered = false;
   p->retry_ms = node->now_ms + RETRY_MS;
   p->primary_ok_ms = node->now_ms;
-  enter_step (node, p, SS_PROMOTE_IDLE);
+  ss_promote_enter (node, p, SS_PROMOTE_IDLE);
 }
 
 /* The group's object has our operation: go on from what it says. */
@@ -419,11 +484,11 @@
     }
   if (p->step == SS_PROMOTE_NAME_READ)
     {
-      enter_step (node, p, SS_PROMOTE_NAME);
-      put_group (node, p, p->chosen);
+      ss_promote_enter (node, p, SS_PROMOTE_NAME);
+      ss_promote_put (node, p, p->chosen);
       return;
     }
-  enter_step (node, p, SS_PROMOTE_RAISE);
+  ss_promote_enter (node, p, SS_PROMOTE_RAISE);
   tick_raise (node, p, group);
 }
 
@@ -435,7 +500,7 @@
 {
   if (p->step == SS_PROMOTE_CLAIM_READ && group && group->version > p->version)
     p->step = SS_PROMOTE_CLAIM;
-  give_up (node, p, "another operation won");
+  ss_promote_give_up (node, p, "another operation won");
 }
 
 static void
@@ -456,10 +521,16 @@
                    const SsObject *object)
 {
   GTree *promotions = node->promotions;
-  SsPromotion *p
-      = object->key && g_str_has_prefix (object->key, "group/")
-            ? g_tree_lookup (promotions, strchr (object->key, '/') + 1)
-            : NULL;
+  SsPromotion *p;
+
+  if (object->key && strcmp (object->key, SS_PROMOTE_DUTY_KEY) == 0)
+    {
+      ss_lead_duty (node, call, outcome, object);
+      return;
+    }
+  p = object->key && g_str_has_prefix (object->key, "group/")
+          ? g_tree_lookup (promotions, strchr (object->key, '/') + 1)
+          : NULL;
 
   if (!p || p->call != call || p->step == SS_PROMOTE_IDLE)
     return;
@@ -470,28 +541,33 @@
     }
   if (p->step == SS_PROMOTE_CLAIM_READ || p->step == SS_PROMOTE_NAME_READ)
     return; /* the tick reads again */
+  if (p->step == SS_PROMOTE_ADOPT)
+    {
+      ss_promote_give_up (node, p, "the platform did not take it");
+      return;
+    }
   /* Refused or lost: the object tells whether the update took effect. */
-  enter_step (node, p,
-              p->step == SS_PROMOTE_CLAIM ? SS_PROMOTE_CLAIM_READ
-                                          : SS_PROMOTE_NAME_READ);
+  ss_promote_enter (node, p,
+                    p->step == SS_PROMOTE_CLAIM ? SS_PROMOTE_CLAIM_READ
+                                                : SS_PROMOTE_NAME_READ);
   p->asked_ms = node->now_ms;
 }
 
 /* --- ticks --- */
 
 static void
-tick_one (SsNode *node, SsPromotion *p, const SsGroup *group)
+tick_one (SsNode *node, SsPromotion *p, SsGroup *group)
 {
   watch_primary (node, p, group);
   if (p->step != SS_PROMOTE_IDLE && group->term > p->term)
     {
-      give_up (node, p, "a later term is in force");
+      ss_promote_give_up (node, p, "a later term is in force");
       return;
     }
   if (p->step != SS_PROMOTE_IDLE
       && node->now_ms - p->since_ms >= STEP_TIMEOUT_MS)
     {
-      give_up (node, p, "timed out");
+      ss_promote_give_up (node, p, "timed out");
       return;
     }
   switch (p->step)
@@ -502,6 +578,10 @@
     case SS_PROMOTE_RAISE:
       tick_raise (node, p, group);
       break;
+    case SS_PROMOTE_DUTY:
+    case SS_PROMOTE_LEAD:
+      ss_lead_tick (node, p, group);
+      break;
     case SS_PROMOTE_CLAIM_READ:
     case SS_PROMOTE_NAME_READ:
       if (node->now_ms - p->asked_ms >= READ_AGAIN_MS)
--- /dev/null
+++ b/src/core/replay.c
@@ -0,0 +1,184 @@
+#include "core/replay.h"
+
+#include <string.h>
+
+#include "core/statement.h"
+#include "kernel/names.h"
+
+void
+ss_statement_finish (SsStatement *statement)
+{
+  g_free (statement->name);
+  g_free (statement->value);
+}
+
+void
+ss_session_state_init (SsSessionState *state)
+{
+  memset (state, 0, sizeof *state);
+}
+
+void
+ss_session_state_finish (SsSessionState *state)
+{
+  g_clear_pointer (&state->values, g_tree_destroy);
+  g_clear_pointer (&state->prepared, g_hash_table_destroy);
+}
+
+void
+ss_session_state_set (SsSessionState *state, const char *name,
+                      const char *value)
+{
+  if (!state->values)
+    state->values = g_tree_new_full (ss_names_compare, NULL, g_free, g_free);
+  g_tree_replace (state->values, g_strdup (name), g_strdup (value));
+}
+
+static void
+free_prepared (gpointer data)
+{
+  SsPrepared *p = data;
+
+  g_free (p->shape);
+  g_free (p);
+}
+
+void
+ss_session_state_prepare (SsSessionState *state, const char *name,
+                          const char *shape, bool is_read)
+{
+  SsPrepared *p = g_new0 (SsPrepared, 1);
+
+  p->shape = g_strdup (shape);
+  p->is_read = is_read;
+  if (!state->prepared)
+    state->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                             free_prepared);
+  g_hash_table_replace (state->prepared, g_strdup (name), p);
+}
+
+const SsPrepared *
+ss_session_state_prepared (const SsSessionState *state, const char *name)
+{
+  return state->prepared ? g_hash_table_lookup (state->prepared, name) : NULL;
+}
+
+bool
+ss_session_state_deallocate (SsSessionState *state, const char *name)
+{
+  return state->prepared && g_hash_table_remove (state->prepared, name);
+}
+
+char *
+ss_replay_name (const char *shape, bool is_read)
+{
+  return g_strdup_printf ("%s_%s", is_read ? "r" : "w", shape);
+}
+
+/* --- plans --- */
+
+typedef struct
+{
+  const char *const *values;
+  bool has_extra;
+} Extra;
+
+static const char *
+find_value (const char *const *values, const char *name)
+{
+  for (size_t i = 0; values && values[i]; i += 2)
+    if (strcmp (values[i], name) == 0)
+      return values[i + 1];
+  return NULL;
+}
+
+static gboolean
+check_extra (gpointer key, gpointer value, gpointer data)
+{
+  Extra *e = data;
+
+  (void) value;
+  e->has_extra = find_value (e->values, key) == NULL;
+  return e->has_extra;
+}
+
+/* Whether HELD has a value that the session did not set: only a reset takes
+ * it away.
+ */
+static bool
+holds_extra (const SsSessionState *held, const char *const *values)
+{
+  Extra e = { values, false };
+
+  if (held->values)
+    g_tree_foreach (held->values, check_extra, &e);
+  return e.has_extra;
+}
+
+static bool
+holds_value (const SsSessionState *held, const char *name, const char *value)
+{
+  const char *now = held->values ? g_tree_lookup (held->values, name) : NULL;
+
+  return now && strcmp (now, value) == 0;
+}
+
+static bool
+needs_reset (const SsSessionState *held, const char *const *values,
+             const char *shape, bool in_transaction)
+{
+  if (holds_extra (held, values))
+    return true;
+  return shape && !in_transaction && held->prepared
+         && g_hash_table_size (held->prepared) >= SS_REPLAY_PREPARED_MAX;
+}
+
+static void
+plan_shape (const SsDialect *dialect, SsSessionState *held, const char *shape,
+            bool is_read, GQueue *out)
+{
+  char *name = ss_replay_name (shape, is_read);
+
+  if (!ss_session_state_prepared (held, name))
+    {
+      g_queue_push_tail (out, dialect->prepare (dialect, name, is_read, shape));
+      ss_session_state_prepare (held, name, shape, is_read);
+    }
+  g_free (name);
+}
+
+bool
+ss_replay_plan (const SsDialect *dialect, SsSessionState *held,
+                const char *const *values, const char *shape,
+                bool shape_is_read, bool in_transaction, GQueue *out)
+{
+  if (needs_reset (held, values, shape, in_transaction))
+    {
+      if (in_transaction)
+        return false;
+      g_queue_push_tail (out, dialect->reset (dialect));
+      ss_session_state_finish (held);
+    }
+  for (size_t i = 0; values && values[i]; i += 2)
+    {
+      if (holds_value (held, values[i], values[i + 1]))
+        continue;
+      g_queue_push_tail (out, dialect->set (dialect, values[i], values[i + 1]));
+      ss_session_state_set (held, values[i], values[i + 1]);
+    }
+  if (shape)
+    plan_shape (dialect, held, shape, shape_is_read, out);
+  return true;
+}
+
+uint32_t
+ss_replay_distance (const SsSessionState *held, const char *const *values)
+{
+  bool reset = holds_extra (held, values);
+  uint32_t distance = reset ? 1 : 0;
+
+  for (size_t i = 0; values && values[i]; i += 2)
+    if (reset || !holds_value (held, values[i], values[i + 1]))
+      distance++;
+  return distance;
+}
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -5,7 +5,9 @@
 void
 ss_request_free (SsRequest *r)
 {
+  g_free (r->label);
   g_free (r->sql);
+  g_free (r->shape);
   g_free (r->vm);
   g_free (r->target);
   for (uint32_t i = 0; i < r->tries && i < SS_REQUEST_TRIES_MAX; i++)
@@ -136,12 +138,14 @@
 }
 
 void
-ss_session_send_end (SsNode *node, const SsSession *s, const char *vm)
+ss_session_send_end (SsNode *node, const SsSession *s, const char *vm,
+                     bool rolls_back)
 {
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__SessionEnd end = SS__PEER__SESSION_END__INIT;
 
   end.session = s->id;
+  end.rolls_back = rolls_back;
   e.body_case = SS__PEER__ENVELOPE__BODY_SESSION_END;
   e.session_end = &end;
   ss_node_send (node, vm, &e);
@@ -154,10 +158,11 @@
 ss_session_lose_transaction (SsNode *node, SsSession *s)
 {
   if (s->pinned_vm)
-    ss_session_send_end (node, s, s->pinned_vm);
+    ss_session_send_end (node, s, s->pinned_vm, false);
   if (s->status != 'I')
     s->status = 'E';
   s->loss_untold = s->status == 'E';
+  s->begin_due = false;
   ss_session_unpin (s);
 }
 
@@ -174,10 +179,11 @@
 ss_request_abandon (SsNode *node, SsRequest *r, SsReason reason)
 {
   SsSession *s = r->session;
-  SsVerdict verdict = r->vm ? SS_VERDICT_MAY_HAVE_RUN : SS_VERDICT_NOT_RUN;
+  SsVerdict verdict
+      = r->vm && r->keeps ? SS_VERDICT_MAY_HAVE_RUN : SS_VERDICT_NOT_RUN;
 
   if (r->vm && !s->pinned_vm)
-    ss_session_send_end (node, s, r->vm);
+    ss_session_send_end (node, s, r->vm, false);
   ss_session_lose_transaction (node, s);
   ss_session_tell_loss (s, r->sql);
   ss_request_finish (node, r, verdict, reason, SS_RETRY_SOON_MS);
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -30,6 +30,34 @@
          && !ss_local_first_word (r->sql, "start");
 }
 
+static gboolean
+add_value (gpointer key, gpointer value, gpointer data)
+{
+  Ss__Peer__Run *run = data;
+
+  run->values[run->n_values++] = key;
+  run->values[run->n_values++] = value;
+  return FALSE;
+}
+
+/* What the statement needs of its session at the target. */
+static void
+add_session (Ss__Peer__Run *run, const SsSession *s, const SsRequest *r)
+{
+  if (r->label)
+    run->label = r->label;
+  run->begins = r->begins;
+  run->transaction_is_read = s->status == 'T' && s->begin_is_read;
+  run->keeps = r->keeps;
+  if (r->shape)
+    run->shape = r->shape;
+  run->shape_is_read = r->shape_is_read;
+  if (!s->state.values)
+    return;
+  run->values = g_new (char *, 2 * g_tree_nnodes (s->state.values));
+  g_tree_foreach (s->state.values, add_value, run);
+}
+
 static void
 send_run (SsNode *node, SsRequest *r, const char *vm, const char *target,
           bool pinned)
@@ -62,9 +90,11 @@
     run.request_key = s->request_key;
   run.trace = r->trace;
   run.identity = (char *) ss_session_identity (node, s);
+  add_session (&run, s, r);
   e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
   e.run = &run;
   ss_node_send (node, vm, &e);
+  g_free (run.values);
 }
 
 /* Finds the floor that the read has to reach; false where a confirmed
@@ -136,6 +166,21 @@
                      SS_RETRY_PROMOTION_MS);
 }
 
+/* A change of primary that is under way and will end in time is worth waiting
+ * for; what nothing will serve is refused at once.
+ */
+static void
+wait_for_primary (SsNode *node, SsRequest *r, SsGroup *group)
+{
+  int64_t until_ms = 0;
+
+  if (ss_dialect_keeps_sessions (node->dialect)
+      && ss_predict_primary (node, group, r->deadline_ms, &until_ms))
+    ss_request_begin_wait (node, r, SS_WAIT_PRIMARY, until_ms - node->now_ms);
+  else
+    refuse (node, r, SS_REASON_NO_PRIMARY);
+}
+
 static void
 route_read (SsNode *node, SsRequest *r, SsGroup *group)
 {
@@ -146,29 +191,53 @@
     {
       if (!*group->primary)
         {
-          refuse (node, r, SS_REASON_NO_PRIMARY);
+          wait_for_primary (node, r, group);
           return;
         }
       ss_request_begin_wait (node, r, SS_WAIT_MARK, MARK_WAIT_MS);
       ss_marks_ask (node, marks);
       return;
     }
-  t = ss_choice_read (node, group, r->floor, r->tried, r->tries);
+  t = ss_dialect_keeps_sessions (node->dialect)
+          ? ss_choice_checked_read (node, r, group)
+          : ss_choice_read (node, group, r->floor, r->tried, r->tries);
   if (t)
     send_run (node, r, ss_node_owner (node, t), t->name, false);
   else if (!waits_for_view (node, r, find_unseen (group)))
     refuse (node, r, SS_REASON_NO_REPLICA);
 }
 
+/* Whether what a transaction at the primary reads first is known to be fresh
+ * enough; else the request waits or is refused.
+ */
+static bool
+has_floor (SsNode *node, SsRequest *r, SsGroup *group)
+{
+  SsMarks *marks = ss_marks_get (node, group->name);
+
+  if (find_floor (node, r, marks))
+    return true;
+  if (!*group->primary)
+    wait_for_primary (node, r, group);
+  else
+    {
+      ss_request_begin_wait (node, r, SS_WAIT_MARK, MARK_WAIT_MS);
+      ss_marks_ask (node, marks);
+    }
+  return false;
+}
+
 static void
 route_write (SsNode *node, SsRequest *r, SsGroup *group)
 {
   SsTarget *t = ss_choice_write (node, group);
 
+  if (r->begins && !has_floor (node, r, group))
+    return;
   if (t)
     send_run (node, r, ss_node_owner (node, t), t->name, false);
   else if (!waits_for_view (node, r, ss_group_primary (group)))
-    refuse (node, r, SS_REASON_NO_PRIMARY);
+    wait_for_primary (node, r, group);
 }
 
 void
@@ -187,6 +256,17 @@
     route_write (node, r, group);
 }
 
+void
+ss_route_again (SsNode *node, SsRequest *r)
+{
+  SsGroup *group = ss_session_group (node, r->session);
+
+  if (group)
+    wait_for_primary (node, r, group);
+  else
+    ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_SERVICE, 0);
+}
+
 /* Decides whether the statement is a read and what it has to see; false
  * where the session's kind is not one of the service's.
  */
@@ -199,6 +279,13 @@
 
   if (!service)
     return true;
+  if (ss_dialect_keeps_sessions (node->dialect))
+    {
+      kind = service->default_kind;
+      r->strict = strcmp (kind, "strict") == 0;
+      r->staleness_ms = r->strict ? 0 : ss_service_staleness (service, kind);
+      return r->staleness_ms >= 0;
+    }
   if (!kind)
     kind = service->default_kind;
   if (ss_local_is_read_only (r->sql))
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -4,7 +4,6 @@
 #include "core/internal.h"
 #include "kernel/names.h"
 
-#define HEARTBEAT_MS 200
 #define HEARD_MS 600
 #define SUBSCRIBE_MS 1000
 #define PULL_AGAIN_MS 300
@@ -50,6 +49,18 @@
   g_tree_foreach (node->members.by_name, visit_one, &v);
 }
 
+/* An entry of a target that lapsed while the platform was away is back within
+ * two seconds of its return.
+ */
+#define GONE_AFTER_MS 2500
+
+/* Whether one watch tells of all objects; else each kind has its own. */
+static bool
+watches_all (const SsNode *node)
+{
+  return (node->params.feeds & (1U << SS_FEED_ALL)) != 0;
+}
+
 /* --- peers' addresses --- */
 
 static void
@@ -62,9 +73,9 @@
   a->port = port;
 }
 
-static SsMember *
-add_member (SsNode *node, const char *vm, const char *failure_domain,
-            const char *ip, uint16_t port)
+SsMember *
+ss_spread_add_member (SsNode *node, const char *vm, const char *failure_domain,
+                      const char *ip, uint16_t port)
 {
   SsMember *m = ss_members_find (&node->members, vm);
   bool moved = !m || strcmp (m->ip, ip) != 0 || m->peer_port != port;
@@ -102,9 +113,11 @@
       if (g_strv_length (parts) == 2)
         {
           char *name = g_strconcat (SEED_PREFIX, seeds[i], NULL);
+          uint64_t port = g_ascii_strtoull (parts[1], NULL, 10);
 
-          push_address (node, name, parts[0],
-                        (uint16_t) g_ascii_strtoull (parts[1], NULL, 10));
+          if (node->params.seed_port)
+            port = node->params.seed_port;
+          push_address (node, name, parts[0], (uint16_t) port);
           ss_node_send (node, name, e);
           g_free (name);
         }
@@ -120,7 +133,7 @@
   Ss__Peer__Heartbeat beat = SS__PEER__HEARTBEAT__INIT;
   GPtrArray *heard = g_ptr_array_new ();
 
-  node->heartbeat_due_ms = node->now_ms + HEARTBEAT_MS;
+  node->heartbeat_due_ms = node->now_ms + node->params.pace.heartbeat_ms;
   visit_peers (node, collect_heard, heard);
   beat.vm = (char *) node->params.vm;
   beat.failure_domain = (char *) node->params.failure_domain;
@@ -131,6 +144,7 @@
   beat.heard = (char **) heard->pdata;
   beat.n_heard = heard->len;
   beat.ready = node->ready;
+  beat.platform_up = !node->platform_down;
   e.body_case = SS__PEER__ENVELOPE__BODY_HEARTBEAT;
   e.heartbeat = &beat;
   visit_peers (node, send_beat, &e);
@@ -154,6 +168,13 @@
   ss_node_send (node, vm, &e);
 }
 
+/* A vm with watches of its own asks its peers only while these don't tell. */
+static bool
+needs_peers (const SsNode *node)
+{
+  return watches_all (node) || node->platform_down || !node->ready;
+}
+
 void
 ss_spread_heartbeat (SsNode *node, const Ss__Peer__Heartbeat *beat)
 {
@@ -161,11 +182,12 @@
 
   if (!*beat->vm || is_self (node, beat->vm) || beat->peer_port > 65535)
     return;
-  m = add_member (node, beat->vm, beat->failure_domain, beat->ip,
-                  (uint16_t) beat->peer_port);
+  m = ss_spread_add_member (node, beat->vm, beat->failure_domain, beat->ip,
+                            (uint16_t) beat->peer_port);
   ss_members_heard (&node->members, m, beat->leaving, beat->heard,
                     beat->n_heard, node->now_ms);
-  if (beat->revision > node->config.revision)
+  m->platform_up = beat->platform_up;
+  if (beat->revision > node->config.revision && needs_peers (node))
     send_pull (node, beat->vm);
 }
 
@@ -180,14 +202,40 @@
   return ss_config_group (&node->config, strchr (object->key, '/') + 1);
 }
 
+/* A target's entry that went may come back: it counts as gone only later. */
+static bool
+postpone (SsNode *node, const SsObject *object)
+{
+  const SsStoredObject *held = ss_config_object (&node->config, object->key);
+  SsRemoval *r;
+
+  if (!object->deleted || !g_str_has_prefix (object->key, "target/"))
+    return false;
+  if (!held || held->deleted)
+    return true;
+  r = g_hash_table_lookup (node->removals, object->key);
+  if (r)
+    return node->now_ms < r->due_ms;
+  r = g_new0 (SsRemoval, 1);
+  r->version = object->version;
+  r->due_ms = node->now_ms + GONE_AFTER_MS;
+  g_hash_table_insert (node->removals, g_strdup (object->key), r);
+  return true;
+}
+
 static bool
 adopt (SsNode *node, const SsObject *object)
 {
   const SsGroup *group = changed_group (node, object);
   uint64_t term = group ? group->term : 0;
   char *error;
-  SsAdoption adoption
-      = ss_config_adopt (&node->config, object, node->now_ms, &error);
+  SsAdoption adoption;
+
+  if (postpone (node, object))
+    return false;
+  adoption = ss_config_adopt (&node->config, object, node->now_ms, &error);
+  if (adoption == SS_ADOPT_DONE)
+    g_hash_table_remove (node->removals, object->key);
 
   if (adoption == SS_ADOPT_INVALID)
     {
@@ -196,7 +244,10 @@
     }
   if (adoption == SS_ADOPT_DONE)
     ss_node_log (node, SS_EVENT_LOG_CONFIG_ADOPTED, object->key,
-                 "version=%" G_GINT64_FORMAT, object->version);
+                 "version=%" G_GINT64_FORMAT " deleted=%d", object->version,
+                 object->deleted);
+  if (adoption == SS_ADOPT_DONE && g_str_has_prefix (object->key, "vm/"))
+    ss_directory_take (node, object);
   group = changed_group (node, object);
   if (term && group && group->term > term)
     ss_entry_superseded (node, group);
@@ -226,6 +277,7 @@
   out->version = o->version;
   out->value.data = (uint8_t *) g_bytes_get_data (o->value, &bytes);
   out->value.len = bytes;
+  out->deleted = o->deleted;
   p->list[p->count++] = out;
   return FALSE;
 }
@@ -303,7 +355,7 @@
     {
       const Ss__Peer__ConfigObject *in = push->objects[i];
       SsObject o = { in->key, in->version, (const char *) in->value.data,
-                     (uint32_t) in->value.len };
+                     (uint32_t) in->value.len, in->deleted };
 
       adopt (node, &o);
     }
@@ -337,6 +389,7 @@
   o.version = object->version;
   o.value.data = (uint8_t *) object->value;
   o.value.len = object->value_bytes;
+  o.deleted = object->deleted;
   push.since = LOOSE_SINCE;
   push.objects = &list;
   push.n_objects = 1;
@@ -352,6 +405,12 @@
   send_loose (node, object);
 }
 
+void
+ss_spread_adopt_quietly (SsNode *node, const SsObject *object)
+{
+  adopt (node, object);
+}
+
 static void
 note_platform (SsNode *node, SsPlatformOutcome outcome)
 {
@@ -365,28 +424,101 @@
                "platform", "watch");
 }
 
+/* The frontier up to which every feed was seen. */
+static int64_t
+lowest_revision (const SsNode *node)
+{
+  int64_t lowest = G_MAXINT64;
+
+  for (uint32_t i = 0; i < SS_FEED_COUNT; i++)
+    if (node->params.feeds & (1U << i))
+      lowest = MIN (lowest, node->feeds[i].revision);
+  return lowest;
+}
+
+typedef struct
+{
+  const char *prefix;
+  int64_t revision;
+  GHashTable *present;
+  GPtrArray *missing;
+} Complete;
+
+static gboolean
+find_missing (gpointer key, gpointer value, gpointer data)
+{
+  Complete *c = data;
+  const SsStoredObject *o = value;
+
+  if (!o->deleted && o->version <= c->revision
+      && g_str_has_prefix (key, c->prefix)
+      && !g_hash_table_contains (c->present, key))
+    g_ptr_array_add (c->missing, g_strdup (key));
+  return FALSE;
+}
+
+/* All objects of a feed were listed: what is held beside them is gone. */
+static bool
+drop_missing (SsNode *node, const SsEvent *e)
+{
+  Complete c = { ss_feed_prefix (e->platform_objects.feed),
+                 e->platform_objects.revision,
+                 g_hash_table_new (g_str_hash, g_str_equal),
+                 g_ptr_array_new_with_free_func (g_free) };
+  bool dropped;
+
+  for (uint32_t i = 0; i < e->platform_objects.object_count; i++)
+    g_hash_table_add (c.present, (gpointer) e->platform_objects.objects[i].key);
+  g_tree_foreach (node->config.objects, find_missing, &c);
+  for (guint i = 0; i < c.missing->len; i++)
+    {
+      SsObject o = { .key = g_ptr_array_index (c.missing, i),
+                     .version = c.revision,
+                     .deleted = true };
+
+      adopt (node, &o);
+    }
+  dropped = c.missing->len > 0;
+  g_hash_table_destroy (c.present);
+  g_ptr_array_free (c.missing, TRUE);
+  return dropped;
+}
+
 void
-ss_spread_objects (SsNode *node, SsPlatformOutcome outcome, int64_t since,
-                   int64_t revision, const SsObject *objects, uint32_t count)
+ss_spread_objects (SsNode *node, const SsEvent *e)
 {
+  SsFeedState *feed = &node->feeds[e->platform_objects.feed];
+  int64_t since = e->platform_objects.since;
   bool adopted = false;
 
-  node->watching = false;
-  note_platform (node, outcome);
-  if (outcome != SS_PLATFORM_DONE)
+  feed->watching = false;
+  note_platform (node, e->platform_objects.outcome);
+  if (e->platform_objects.outcome == SS_PLATFORM_ABSENT)
+    {
+      /* The history that the watch asked for is gone: list anew. */
+      feed->revision = 0;
+      feed->due_ms = node->now_ms;
+      return;
+    }
+  if (e->platform_objects.outcome != SS_PLATFORM_DONE)
     {
-      node->watch_due_ms = node->now_ms + WATCH_RETRY_MS;
+      feed->due_ms = node->now_ms + WATCH_RETRY_MS;
       return;
     }
-  node->watch_due_ms = node->now_ms;
-  for (uint32_t i = 0; i < count; i++)
-    adopted = adopt (node, &objects[i]) || adopted;
-  if (since <= node->config.revision)
-    node->config.revision = MAX (node->config.revision, revision);
+  feed->due_ms = node->now_ms;
+  feed->complete = feed->complete || e->platform_objects.complete;
+  for (uint32_t i = 0; i < e->platform_objects.object_count; i++)
+    adopted = adopt (node, &e->platform_objects.objects[i]) || adopted;
+  if (e->platform_objects.complete)
+    adopted = drop_missing (node, e) || adopted;
+  if (since <= feed->revision)
+    feed->revision = MAX (feed->revision, e->platform_objects.revision);
+  node->config.revision = MAX (node->config.revision, lowest_revision (node));
   if (!adopted)
     return;
   ss_owner_update (node);
-  with_push (node, since, send_to_domain, NULL);
+  if (watches_all (node))
+    with_push (node, since, send_to_domain, NULL);
 }
 
 /* --- the platform's list of vms --- */
@@ -412,7 +544,7 @@
   if (!vm || !domain || !ip || !state || port < 1 || port > 65535
       || is_self (node, vm))
     return;
-  m = add_member (node, vm, domain, ip, (uint16_t) port);
+  m = ss_spread_add_member (node, vm, domain, ip, (uint16_t) port);
   ss_members_set_listed (&node->members, m, strcmp (state, "live") == 0);
 }
 
@@ -521,7 +653,7 @@
 static bool
 holds_watch (SsNode *node)
 {
-  return !node->ready
+  return !node->ready || !watches_all (node)
          || ss_members_rank (&node->members, node->params.failure_domain,
                              "relay")
                 < RELAYS;
@@ -532,13 +664,22 @@
 {
   SsAction *a;
 
-  if (!node->watching && node->now_ms >= node->watch_due_ms)
+  for (uint32_t i = 0; i < SS_FEED_COUNT; i++)
     {
-      node->watching = true;
+      SsFeedState *feed = &node->feeds[i];
+
+      if (!(node->params.feeds & (1U << i)) || feed->watching
+          || node->now_ms < feed->due_ms)
+        continue;
+      if (watches_all (node))
+        feed->revision = node->config.revision;
+      feed->watching = true;
       a = ss_node_push (node, SS_ACTION_PLATFORM_WATCH);
-      a->number = node->config.revision;
+      a->id = i;
+      a->number = feed->revision;
     }
-  if (!node->vms_asked && node->now_ms >= node->vms_due_ms)
+  if (watches_all (node) && !node->vms_asked
+      && node->now_ms >= node->vms_due_ms)
     {
       node->vms_asked = true;
       node->vms_due_ms = node->now_ms + VMS_MS;
@@ -563,18 +704,48 @@
 check_ready (SsNode *node)
 {
   if (node->ready || node->now_ms - node->started_ms < READY_AFTER_MS
-      || g_tree_nnodes (node->config.services) == 0)
+      || g_tree_nnodes (node->config.services) == 0
+      || g_tree_nnodes (node->config.targets) == 0)
     return;
   node->ready = true;
   ss_node_log (node, SS_EVENT_LOG_READY, node->params.vm,
                "revision=%" G_GINT64_FORMAT, node->config.revision);
 }
 
+/* Takes the targets away whose entries did not come back. */
+static void
+remove_gone (SsNode *node)
+{
+  GPtrArray *due = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->removals);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (node->now_ms >= ((SsRemoval *) value)->due_ms)
+      g_ptr_array_add (due, g_strdup (key));
+  for (guint i = 0; i < due->len; i++)
+    {
+      const char *name = g_ptr_array_index (due, i);
+      SsRemoval *r = g_hash_table_lookup (node->removals, name);
+      SsObject o = { .key = name, .version = r->version, .deleted = true };
+
+      adopt (node, &o);
+      g_hash_table_remove (node->removals, name);
+    }
+  if (due->len)
+    ss_owner_update (node);
+  g_ptr_array_free (due, TRUE);
+}
+
 void
 ss_spread_tick (SsNode *node)
 {
   uint64_t generation = node->members.generation;
+  SsMember *self = ss_members_find (&node->members, node->params.vm);
 
+  self->platform_up = !node->platform_down;
   ss_members_update (&node->members, node->now_ms, on_member_changed, node);
   if (generation != node->members.generation
       || node->subscribed_generation != node->members.generation)
@@ -588,5 +759,7 @@
     subscribe (node);
   if (holds_watch (node))
     tick_platform (node);
+  if (g_hash_table_size (node->removals))
+    remove_gone (node);
   check_ready (node);
 }
--- /dev/null
+++ b/src/core/statement.c
@@ -0,0 +1,198 @@
+/* statement: the statements of a dialect that tells them apart.
+ *
+ * What is about the session alone is answered here.  BEGIN is answered here,
+ * too, and sent with the transaction's first statement: a caller that pauses
+ * in between holds nothing at a target.
+ */
+#include "core/statement.h"
+
+#include <string.h>
+
+#include "core/entry.h"
+
+static void
+answer_done (SsNode *node, SsSession *s)
+{
+  ss_session_reply_tag (node, s, "");
+}
+
+/* A statement that can't be; it breaks a transaction that is open. */
+static void
+answer_wrong (SsNode *node, SsSession *s, SsReason reason)
+{
+  if (s->status == 'T')
+    ss_session_lose_transaction (node, s);
+  ss_session_reply (node, s, SS_VERDICT_NOT_RUN, reason, 0);
+}
+
+/* The transaction failed: only its end is left. */
+static void
+run_failed (SsNode *node, SsSession *s, const SsStatement *st)
+{
+  if (st->kind != SS_STATEMENT_COMMIT && st->kind != SS_STATEMENT_ROLLBACK)
+    {
+      ss_session_reply (node, s, SS_VERDICT_NOT_RUN,
+                        SS_REASON_TRANSACTION_FAILED, 0);
+      return;
+    }
+  if (s->pinned_vm)
+    ss_session_send_end (node, s, s->pinned_vm, true);
+  ss_session_unpin (s);
+  s->status = 'I';
+  if (st->kind == SS_STATEMENT_ROLLBACK)
+    answer_done (node, s);
+  else
+    ss_session_reply (node, s, SS_VERDICT_NOT_RUN, SS_REASON_TRANSACTION_LOST,
+                      0);
+}
+
+static void
+begin (SsNode *node, SsSession *s, const SsStatement *st)
+{
+  SsGroup *group = ss_session_group (node, s);
+
+  if (s->status != 'I')
+    {
+      answer_wrong (node, s, SS_REASON_BAD_STATEMENT);
+      return;
+    }
+  if (!group)
+    {
+      ss_session_reply (node, s, SS_VERDICT_NOT_RUN, SS_REASON_NO_SERVICE, 0);
+      return;
+    }
+  s->status = 'T';
+  s->begin_due = true;
+  s->begin_is_read = st->is_read;
+  s->begin_wrote = false;
+  s->begin_ask = ss_marks_get (node, group->name)->last_ask;
+  answer_done (node, s);
+}
+
+static void
+roll_back (SsNode *node, SsSession *s)
+{
+  if (s->pinned_vm)
+    ss_session_send_end (node, s, s->pinned_vm, true);
+  ss_session_unpin (s);
+  s->begin_due = false;
+  s->status = 'I';
+  answer_done (node, s);
+}
+
+static void
+prepare (SsNode *node, SsSession *s, const SsStatement *st)
+{
+  ss_session_state_prepare (&s->state, st->name, st->value, st->is_read);
+  answer_done (node, s);
+}
+
+static void
+deallocate (SsNode *node, SsSession *s, const SsStatement *st)
+{
+  if (ss_session_state_deallocate (&s->state, st->name))
+    answer_done (node, s);
+  else
+    answer_wrong (node, s, SS_REASON_UNPREPARED);
+}
+
+/* What the session has to remember of the statement that R runs. */
+static void
+note_transaction (SsSession *s, SsRequest *r, bool writes, bool commits)
+{
+  if (s->status != 'T')
+    {
+      r->is_read = !writes;
+      r->keeps = writes;
+      return;
+    }
+  r->is_read = s->begin_is_read;
+  r->begins = s->begin_due;
+  r->start_ask = s->begin_ask;
+  s->begin_wrote = s->begin_wrote || writes;
+  r->keeps = commits && s->begin_wrote && !s->begin_is_read;
+}
+
+/* A statement that a target has to run. */
+static void
+run (SsNode *node, SsSession *s, const char *label, const char *text,
+     const SsStatement *st)
+{
+  const SsPrepared *p = NULL;
+  SsRequest *r;
+
+  if (st->kind == SS_STATEMENT_COMMIT && s->status != 'T')
+    {
+      answer_wrong (node, s, SS_REASON_BAD_STATEMENT);
+      return;
+    }
+  if (st->kind == SS_STATEMENT_EXECUTE)
+    {
+      p = ss_session_state_prepared (&s->state, st->name);
+      if (!p)
+        {
+          answer_wrong (node, s, SS_REASON_UNPREPARED);
+          return;
+        }
+    }
+  r = ss_entry_start (node, s, text);
+  r->label = g_strdup (label);
+  if (p)
+    {
+      char *name = ss_replay_name (p->shape, p->is_read);
+
+      r->shape = g_strdup (p->shape);
+      r->shape_is_read = p->is_read;
+      g_free (r->sql);
+      r->sql = node->dialect->execute (node->dialect, name, st->value);
+      g_free (name);
+    }
+  note_transaction (s, r, st->kind == SS_STATEMENT_WRITE || (p && !p->is_read),
+                    st->kind == SS_STATEMENT_COMMIT);
+  ss_entry_go (node, r);
+}
+
+void
+ss_session_statement (SsNode *node, SsSession *s, const char *label,
+                      const char *text)
+{
+  SsStatement st = { 0 };
+
+  node->dialect->parse (node->dialect, text, &st);
+  if (s->status == 'E')
+    {
+      run_failed (node, s, &st);
+      ss_statement_finish (&st);
+      return;
+    }
+  switch (st.kind)
+    {
+    case SS_STATEMENT_READ:
+    case SS_STATEMENT_WRITE:
+    case SS_STATEMENT_EXECUTE:
+    case SS_STATEMENT_COMMIT:
+      run (node, s, label, text, &st);
+      break;
+    case SS_STATEMENT_BEGIN:
+      begin (node, s, &st);
+      break;
+    case SS_STATEMENT_ROLLBACK:
+      roll_back (node, s);
+      break;
+    case SS_STATEMENT_SET:
+      ss_session_state_set (&s->state, st.name, st.value);
+      answer_done (node, s);
+      break;
+    case SS_STATEMENT_PREPARE:
+      prepare (node, s, &st);
+      break;
+    case SS_STATEMENT_DEALLOCATE:
+      deallocate (node, s, &st);
+      break;
+    case SS_STATEMENT_INVALID:
+    default:
+      answer_wrong (node, s, SS_REASON_BAD_STATEMENT);
+      break;
+    }
+  ss_statement_finish (&st);
+}
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -6,7 +6,8 @@
 
 #include "kernel/plugin.h"
 
-#define VERSION "0.1.0"
+#define VERSION "0.2.0"
+#define SETTINGS_VARIABLE "SAPPHIRESTAIR_SETTINGS"
 
 static void
 on_stop_signal (struct ev_loop *loop, ev_signal *w, int events)
@@ -99,10 +100,14 @@
       code = 0;
       goto done;
     }
+  if (!config && !check_config)
+    config = g_strdup (g_getenv (SETTINGS_VARIABLE));
   if (!config && !check_config)
     {
-      fprintf (stderr, "sapphirestaird: --config FILE is needed; see "
-                       "--help\n");
+      fprintf (stderr,
+               "sapphirestaird: --config FILE or %s is needed; see "
+               "--help\n",
+               SETTINGS_VARIABLE);
       goto done;
     }
   error = ss_settings_init (&settings, check_config ? check_config : config);
--- a/src/kernel/clock.c
+++ b/src/kernel/clock.c
@@ -8,7 +8,7 @@
   struct timespec ts;
 
   (void) clock;
-  clock_gettime (CLOCK_MONOTONIC, &ts);
+  clock_gettime (CLOCK_BOOTTIME, &ts);
   return (int64_t) ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -1,4 +1,7 @@
 /* clock: the one source of time, in milliseconds.
+ *
+ * It also counts the time that the machine was suspended: what it measures
+ * proves ages, and an age must not come out too low.
  *
  * A clock is a vtable in the first member, so a test hands in a clock of its
  * own.
@@ -12,11 +15,11 @@
 
 struct SsClock
 {
-  /* Returns monotonic time in milliseconds; never fails. */
+  /* Returns time that never goes back, in milliseconds; never fails. */
   int64_t (*now_ms) (const SsClock *clock);
 };
 
-/* ss_clock_monotonic: a clock that reads the system's monotonic time. */
+/* ss_clock_monotonic: a clock that reads the system's time since boot. */
 const SsClock *ss_clock_monotonic (void);
 
 static inline int64_t
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -41,11 +41,14 @@
   X (TARGET_UP, 400, INFO, "target answers")                                   \
   X (TARGET_DOWN, 401, WARNING, "target does not answer")                      \
   X (TARGET_TERM, 402, INFO, "target changed role or term")                    \
+  X (TARGET_INVALID, 403, ERROR, "target sent an invalid message")             \
   X (SUSPECT, 500, WARNING, "primary suspected")                               \
   X (PROMOTION_STARTED, 501, WARNING, "promotion started")                     \
   X (PROMOTION_RAISED, 502, INFO, "term raised on a majority")                 \
   X (PROMOTION_DONE, 503, INFO, "primary chosen")                              \
   X (PROMOTION_FAILED, 504, WARNING, "promotion given up")                     \
+  X (PROMOTION_CALLED, 505, WARNING, "platform asked to promote a server")     \
+  X (PRIMARY_FOUND, 506, INFO, "servers follow a primary that is not named")   \
   X (CALLER_REFUSED, 600, WARNING, "caller refused")                           \
   X (SPAN, 700, DEBUG, "span")
 
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -14,6 +14,24 @@
   plugins[plugin_count++] = plugin;
 }
 
+bool
+ss_interface_parse (const char *name, SsInterface *interface)
+{
+  *interface = SS_INTERFACE_ANY;
+  if (strcmp (name, "postgresql") == 0)
+    *interface = SS_INTERFACE_POSTGRESQL;
+  else if (strcmp (name, "line") == 0)
+    *interface = SS_INTERFACE_LINE;
+  return *interface != SS_INTERFACE_ANY;
+}
+
+static bool
+runs (const SsShell *shell, const SsPlugin *plugin)
+{
+  return plugin->interface == SS_INTERFACE_ANY
+         || plugin->interface == shell->interface;
+}
+
 static void
 write_log (SsShell *shell, const SsAction *a)
 {
@@ -35,7 +53,7 @@
       return;
     }
   for (uint32_t i = 0; i < plugin_count; i++)
-    if (plugins[i]->handles & (1U << a->kind))
+    if (runs (shell, plugins[i]) && plugins[i]->handles & (1U << a->kind))
       plugins[i]->on_action (shell, a);
 }
 
@@ -95,6 +113,11 @@
   params->transaction_idle_ms = settings->transaction_idle_ms;
   params->stop_bound_ms = settings->stop_bound_ms;
   params->spans = settings->log_spans != 0;
+  params->seed_port = (uint32_t) settings->seed_port;
+#define X(field, fallback, lowest, highest)                                    \
+  params->pace.field = settings->field;
+  SS_PACES (X)
+#undef X
 }
 
 char *
@@ -110,7 +133,11 @@
   shell->settings = settings;
   ss_log_level_parse (settings->log_level, &level);
   ss_log_init (&shell->log, settings->vm_name, level, settings->log_spans != 0);
+  ss_interface_parse (settings->interface, &shell->interface);
   fill_params (&params, settings, g_random_int ());
+  for (uint32_t i = 0; i < plugin_count; i++)
+    if (runs (shell, plugins[i]) && plugins[i]->prepare)
+      plugins[i]->prepare (settings, &params);
   ss_node_init (&shell->node, &params, ss_clock_now_ms (clock));
   ev_timer_init (&shell->tick, on_tick, 0, 0);
   shell->tick.data = shell;
@@ -118,7 +145,8 @@
   shell->prepare.data = shell;
   ev_prepare_start (loop, &shell->prepare);
   for (uint32_t i = 0; i < plugin_count && !error; i++)
-    error = plugins[i]->init (shell);
+    if (runs (shell, plugins[i]))
+      error = plugins[i]->init (shell);
   return error;
 }
 
@@ -126,7 +154,8 @@
 ss_shell_finish (SsShell *shell)
 {
   for (uint32_t i = plugin_count; i > 0; i--)
-    plugins[i - 1]->finish (shell);
+    if (runs (shell, plugins[i - 1]))
+      plugins[i - 1]->finish (shell);
   ev_prepare_stop (shell->loop, &shell->prepare);
   ev_timer_stop (shell->loop, &shell->tick);
   ss_node_finish (&shell->node);
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -17,10 +17,21 @@
 
 typedef struct SsShell SsShell;
 
+/* What callers and targets speak; a plug-in of one runs only with it. */
+typedef enum
+{
+  SS_INTERFACE_ANY,
+  SS_INTERFACE_POSTGRESQL,
+  SS_INTERFACE_LINE
+} SsInterface;
+
 typedef struct
 {
   const char *name;
+  SsInterface interface;
   uint32_t handles; /* bit by SsActionKind */
+  /* Optional: changes the core's parameters before it starts. */
+  void (*prepare) (const SsSettings *settings, SsNodeParams *params);
   /* Returns NULL, or what went wrong; freed by the caller. */
   char *(*init) (SsShell *shell);
   void (*finish) (SsShell *shell);
@@ -36,11 +47,15 @@
   SsNode node;
   ev_timer tick;
   ev_prepare prepare;
+  SsInterface interface;
   int32_t exit_code;
 };
 
 #define SS_HANDLES(kind) (1U << SS_ACTION_##kind)
 
+/* ss_interface_parse: returns false where NAME is none. */
+bool ss_interface_parse (const char *name, SsInterface *interface);
+
 /* ss_plugin_register: PLUGIN is static. */
 void ss_plugin_register (const SsPlugin *plugin);
 
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -34,6 +34,10 @@
   { key, offsetof (SsSettings, field), fallback, lowest, highest },
   SS_SETTINGS_INTEGERS (X)
 #undef X
+#define X(field, fallback, lowest, highest)                                    \
+  { "pace." #field, offsetof (SsSettings, field), fallback, lowest, highest },
+      SS_PACES (X)
+#undef X
 };
 
 static char **
@@ -118,6 +122,75 @@
                           key, ip);
 }
 
+bool
+ss_settings_split (const char *at, char *ip, uint16_t *port)
+{
+  char **parts = g_strsplit (at, ":", 2);
+  guint64 number = 0;
+  struct in_addr parsed;
+  bool ok
+      = g_strv_length (parts) == 2
+        && inet_pton (AF_INET, parts[0], &parsed) == 1
+        && g_ascii_string_to_unsigned (parts[1], 10, 1, 65535, &number, NULL);
+
+  if (ok)
+    g_strlcpy (ip, parts[0], INET_ADDRSTRLEN);
+  *port = (uint16_t) number;
+  g_strfreev (parts);
+  return ok;
+}
+
+/* An address in one setting takes the place of the two for its parts. */
+static char *
+take_address (const char *path, const char *key, const char *at, char **ip,
+              int64_t *number)
+{
+  char text[INET_ADDRSTRLEN];
+  uint16_t port;
+
+  if (!*at)
+    return NULL;
+  if (!ss_settings_split (at, text, &port))
+    return g_strdup_printf ("%s: %s must be IPv4:PORT, not \"%s\"", path, key,
+                            at);
+  if (ip)
+    {
+      g_free (*ip);
+      *ip = g_strdup (text);
+    }
+  if (number)
+    *number = port;
+  return NULL;
+}
+
+static char *
+take_addresses (SsSettings *s, const char *path)
+{
+  char *error = take_address (path, "vm.callers_at", s->callers_at, NULL,
+                              &s->caller_port);
+
+  if (!error)
+    error = take_address (path, "platform.at", s->platform_at, &s->platform_ip,
+                          &s->platform_port);
+  if (!error)
+    error = take_address (path, "vm.ready_at", s->ready_at, NULL, NULL);
+  if (!error)
+    error = take_address (path, "platform.promotions_at", s->promotions_at,
+                          NULL, NULL);
+  if (!error && !s->caller_port)
+    error = g_strdup_printf ("%s: vm.caller_port is missing", path);
+  if (!error && !*s->platform_ip)
+    error = g_strdup_printf ("%s: platform.ip is missing", path);
+  if (!error && !s->platform_port)
+    error = g_strdup_printf ("%s: platform.port is missing", path);
+  if (!error && strcmp (s->interface, "postgresql") != 0
+      && strcmp (s->interface, "line") != 0)
+    error = g_strdup_printf (
+        "%s: vm.interface must be postgresql or line, not \"%s\"", path,
+        s->interface);
+  return error;
+}
+
 static char *
 check_whole (SsSettings *s, const char *path)
 {
@@ -127,6 +200,9 @@
   for (size_t i = 0; i < G_N_ELEMENTS (string_rows); i++)
     if (!*string_field (s, &string_rows[i]))
       return g_strdup_printf ("%s: %s is missing", path, string_rows[i].key);
+  error = take_addresses (s, path);
+  if (error)
+    return error;
   for (size_t i = 0; i < G_N_ELEMENTS (integer_rows); i++)
     if (*integer_field (s, &integer_rows[i]) < 0)
       return g_strdup_printf ("%s: %s is missing", path, integer_rows[i].key);
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -8,6 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/pace.h"
 #include "kernel/log.h"
 
 /* X (field, key, default or NULL where it must be given) */
@@ -15,18 +16,24 @@
   X (vm_name, "vm.name", NULL)                                                 \
   X (failure_domain, "vm.failure_domain", NULL)                                \
   X (ip, "vm.ip", NULL)                                                        \
-  X (platform_ip, "platform.ip", NULL)                                         \
+  X (platform_ip, "platform.ip", "")                                           \
   X (advertised_ip, "vm.advertised_ip", "")                                    \
   X (seeds, "peers.seeds", "")                                                 \
   X (admin_token_file, "admin.token_file", "")                                 \
+  X (interface, "vm.interface", "postgresql")                                  \
+  X (callers_at, "vm.callers_at", "")                                          \
+  X (ready_at, "vm.ready_at", "")                                              \
+  X (platform_at, "platform.at", "")                                           \
+  X (promotions_at, "platform.promotions_at", "")                              \
   X (log_level, "log.level", "info")
 
 /* X (field, key, default (-1: must be given), lowest, highest) */
 #define SS_SETTINGS_INTEGERS(X)                                                \
-  X (caller_port, "vm.caller_port", -1, 1, 65535)                              \
+  X (caller_port, "vm.caller_port", 0, 1, 65535)                               \
   X (peer_port, "vm.peer_port", -1, 1, 65535)                                  \
   X (admin_port, "vm.admin_port", -1, 1, 65535)                                \
-  X (platform_port, "platform.port", -1, 1, 65535)                             \
+  X (platform_port, "platform.port", 0, 1, 65535)                              \
+  X (seed_port, "peers.seed_port", 0, 1, 65535)                                \
   X (max_callers, "callers.max", 8000, 1, 1000000)                             \
   X (startup_timeout_ms, "callers.startup_timeout_ms", 5000, 100, 60000)       \
   X (idle_timeout_ms, "callers.idle_timeout_ms", 3600000, 1000, 86400000)      \
@@ -43,8 +50,16 @@
 #define X(field, key, fallback, lowest, highest) int64_t field;
   SS_SETTINGS_INTEGERS (X)
 #undef X
+#define X(field, fallback, lowest, highest) int64_t field;
+  SS_PACES (X)
+#undef X
 } SsSettings;
 
+/* ss_settings_split: IP:PORT; IP of at least INET_ADDRSTRLEN bytes.  Returns
+ * false where AT is neither.
+ */
+bool ss_settings_split (const char *at, char *ip, uint16_t *port);
+
 /* ss_settings_init: reads and checks PATH.
  *
  * Returns NULL on success, else a message with file, line, key and what is
--- a/src/kernel/stream.c
+++ b/src/kernel/stream.c
@@ -10,6 +10,14 @@
 
 #define READ_CHUNK_BYTES 65536
 #define LISTEN_BACKLOG 1024
+/* An own connection without an answer for so long counts as broken: less than
+ * a statement's usual time-outs and a round trip's resends, more than a burst
+ * of lost packets.
+ */
+#define SILENT_IDLE_S 2
+#define SILENT_INTERVAL_S 1
+#define SILENT_PROBES 2
+#define SILENT_TIMEOUT_MS 2500U
 
 static void
 update_interest (SsStream *s)
@@ -228,6 +236,24 @@
   return fd;
 }
 
+/* A connection that went silent for good is found by probes. */
+static void
+bound_silence (int fd)
+{
+  int one = 1;
+  int idle_s = SILENT_IDLE_S;
+  int interval_s = SILENT_INTERVAL_S;
+  int probes = SILENT_PROBES;
+  unsigned int timeout_ms = SILENT_TIMEOUT_MS;
+
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+              sizeof timeout_ms);
+}
+
 int
 ss_stream_listen (const char *ip, uint16_t port)
 {
@@ -258,6 +284,7 @@
 
   if (fd < 0)
     return -1;
+  bound_silence (fd);
   if (source_ip)
     {
       if (!fill_address (&address, source_ip, 0))
--- a/src/kernel/verdict.h
+++ b/src/kernel/verdict.h
@@ -41,6 +41,10 @@
   X (NOT_HELD, "not_held", "40003", "no majority confirmed the commit")        \
   X (STILL_RUNNING, "still_running", "40003", "the first try still runs")      \
   X (TRANSACTION_LOST, "transaction_lost", "25P02", "the transaction is lost") \
+  X (TRANSACTION_FAILED, "transaction_failed", "25P02",                        \
+     "the transaction failed; it can only be ended")                           \
+  X (BAD_STATEMENT, "bad_statement", "42601", "no such statement here")        \
+  X (UNPREPARED, "unprepared", "26000", "no such prepared statement")          \
   X (STOPPING, "stopping", "57P01", "this vm is stopping")                     \
   X (BAD_SETTING, "bad_setting", "22023", "invalid session setting")           \
   X (TOO_LARGE, "too_large", "54000", "the message is too large")
--- a/src/plugins/admin_http.c
+++ b/src/plugins/admin_http.c
@@ -184,7 +184,10 @@
   g_free (admin.token);
 }
 
-static const SsPlugin plugin
-    = { "admin_http", SS_HANDLES (OPERATOR_REPLY), init, finish, on_action };
+static const SsPlugin plugin = { .name = "admin_http",
+                                 .handles = SS_HANDLES (OPERATOR_REPLY),
+                                 .init = init,
+                                 .finish = finish,
+                                 .on_action = on_action };
 
 SS_PLUGIN_REGISTER (plugin)
--- a/src/plugins/peer.c
+++ b/src/plugins/peer.c
@@ -333,7 +333,10 @@
 }
 
 static const SsPlugin plugin
-    = { "peer", SS_HANDLES (PEER_SEND) | SS_HANDLES (PEER_ADDRESS), init,
-        finish, on_action };
+    = { .name = "peer",
+        .handles = SS_HANDLES (PEER_SEND) | SS_HANDLES (PEER_ADDRESS),
+        .init = init,
+        .finish = finish,
+        .on_action = on_action };
 
 SS_PLUGIN_REGISTER (plugin)
--- a/src/plugins/pgserver.c
+++ b/src/plugins/pgserver.c
@@ -530,9 +530,12 @@
 }
 
 static const SsPlugin plugin
-    = { "pgserver",
-        SS_HANDLES (CALLER_REPLY) | SS_HANDLES (CALLER_PARAMETER)
-            | SS_HANDLES (CALLER_CLOSE),
-        init, finish, on_action };
+    = { .name = "pgserver",
+        .interface = SS_INTERFACE_POSTGRESQL,
+        .handles = SS_HANDLES (CALLER_REPLY) | SS_HANDLES (CALLER_PARAMETER)
+                   | SS_HANDLES (CALLER_CLOSE),
+        .init = init,
+        .finish = finish,
+        .on_action = on_action };
 
 SS_PLUGIN_REGISTER (plugin)
--- a/src/plugins/pqtarget.c
+++ b/src/plugins/pqtarget.c
@@ -406,9 +406,12 @@
 }
 
 static const SsPlugin plugin
-    = { "pqtarget",
-        SS_HANDLES (TARGET_CONNECT) | SS_HANDLES (TARGET_QUERY)
-            | SS_HANDLES (TARGET_CLOSE),
-        init, finish, on_action };
+    = { .name = "pqtarget",
+        .interface = SS_INTERFACE_POSTGRESQL,
+        .handles = SS_HANDLES (TARGET_CONNECT) | SS_HANDLES (TARGET_QUERY)
+                   | SS_HANDLES (TARGET_CLOSE),
+        .init = init,
+        .finish = finish,
+        .on_action = on_action };
 
 SS_PLUGIN_REGISTER (plugin)
--- a/tests/test_command.c
+++ b/tests/test_command.c
@@ -76,7 +76,7 @@
 static void
 put_object (const char *key, int64_t version, const char *json)
 {
-  SsObject o = { key, version, json, (uint32_t) strlen (json) };
+  SsObject o = { key, version, json, (uint32_t) strlen (json), false };
   SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
 
   e.platform_objects.outcome = SS_PLATFORM_DONE;
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -10,7 +10,7 @@
 static SsAdoption
 adopt (SsConfig *config, const char *key, int64_t version, const char *json)
 {
-  SsObject o = { key, version, json, (uint32_t) strlen (json) };
+  SsObject o = { key, version, json, (uint32_t) strlen (json), false };
   char *error;
   SsAdoption result = ss_config_adopt (config, &o, 0, &error);
 
