--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -592,6 +592,96 @@
   assert(message->base.descriptor == &ss__peer__raise_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ss__peer__claim_ask__init
+                     (Ss__Peer__ClaimAsk         *message)
+{
+  static const Ss__Peer__ClaimAsk init_value = SS__PEER__CLAIM_ASK__INIT;
+  *message = init_value;
+}
+size_t ss__peer__claim_ask__get_packed_size
+                     (const Ss__Peer__ClaimAsk *message)
+{
+  assert(message->base.descriptor == &ss__peer__claim_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ss__peer__claim_ask__pack
+                     (const Ss__Peer__ClaimAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ss__peer__claim_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ss__peer__claim_ask__pack_to_buffer
+                     (const Ss__Peer__ClaimAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ss__peer__claim_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ss__Peer__ClaimAsk *
+       ss__peer__claim_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ss__Peer__ClaimAsk *)
+     protobuf_c_message_unpack (&ss__peer__claim_ask__descriptor,
+                                allocator, len, data);
+}
+void   ss__peer__claim_ask__free_unpacked
+                     (Ss__Peer__ClaimAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ss__peer__claim_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ss__peer__claim_reply__init
+                     (Ss__Peer__ClaimReply         *message)
+{
+  static const Ss__Peer__ClaimReply init_value = SS__PEER__CLAIM_REPLY__INIT;
+  *message = init_value;
+}
+size_t ss__peer__claim_reply__get_packed_size
+                     (const Ss__Peer__ClaimReply *message)
+{
+  assert(message->base.descriptor == &ss__peer__claim_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ss__peer__claim_reply__pack
+                     (const Ss__Peer__ClaimReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ss__peer__claim_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ss__peer__claim_reply__pack_to_buffer
+                     (const Ss__Peer__ClaimReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ss__peer__claim_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ss__Peer__ClaimReply *
+       ss__peer__claim_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ss__Peer__ClaimReply *)
+     protobuf_c_message_unpack (&ss__peer__claim_reply__descriptor,
+                                allocator, len, data);
+}
+void   ss__peer__claim_reply__free_unpacked
+                     (Ss__Peer__ClaimReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ss__peer__claim_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ss__peer__raise_reply__init
                      (Ss__Peer__RaiseReply         *message)
 {
@@ -1384,7 +1474,7 @@
   (ProtobufCMessageInit) ss__peer__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__run__field_descriptors[19] =
+static const ProtobufCFieldDescriptor ss__peer__run__field_descriptors[20] =
 {
   {
     "request",
@@ -1614,9 +1704,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirm",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Run, confirm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__run__field_indices_by_name[] = {
   13,   /* field[13] = begins */
+  19,   /* field[19] = confirm */
   7,   /* field[7] = floor */
   11,   /* field[11] = identity */
   5,   /* field[5] = is_read */
@@ -1639,7 +1742,7 @@
 static const ProtobufCIntRange ss__peer__run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor ss__peer__run__descriptor =
 {
@@ -1649,7 +1752,7 @@
   "Ss__Peer__Run",
   "ss.peer",
   sizeof(Ss__Peer__Run),
-  19,
+  20,
   ss__peer__run__field_descriptors,
   ss__peer__run__field_indices_by_name,
   1,  ss__peer__run__number_ranges,
@@ -2130,7 +2233,7 @@
   (ProtobufCMessageInit) ss__peer__mark_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__mark_reply__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ss__peer__mark_reply__field_descriptors[5] =
 {
   {
     "group",
@@ -2180,8 +2283,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__MarkReply, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__mark_reply__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
   3,   /* field[3] = floors */
   0,   /* field[0] = group */
   2,   /* field[2] = mark */
@@ -2190,7 +2306,7 @@
 static const ProtobufCIntRange ss__peer__mark_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ss__peer__mark_reply__descriptor =
 {
@@ -2200,7 +2316,7 @@
   "Ss__Peer__MarkReply",
   "ss.peer",
   sizeof(Ss__Peer__MarkReply),
-  4,
+  5,
   ss__peer__mark_reply__field_descriptors,
   ss__peer__mark_reply__field_indices_by_name,
   1,  ss__peer__mark_reply__number_ranges,
@@ -2258,6 +2374,108 @@
   (ProtobufCMessageInit) ss__peer__raise_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ss__peer__claim_ask__field_descriptors[2] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ClaimAsk, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ClaimAsk, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ss__peer__claim_ask__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange ss__peer__claim_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ss__peer__claim_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ss.peer.ClaimAsk",
+  "ClaimAsk",
+  "Ss__Peer__ClaimAsk",
+  "ss.peer",
+  sizeof(Ss__Peer__ClaimAsk),
+  2,
+  ss__peer__claim_ask__field_descriptors,
+  ss__peer__claim_ask__field_indices_by_name,
+  1,  ss__peer__claim_ask__number_ranges,
+  (ProtobufCMessageInit) ss__peer__claim_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ss__peer__claim_reply__field_descriptors[2] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ClaimReply, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ClaimReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ss__peer__claim_reply__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange ss__peer__claim_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ss__peer__claim_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ss.peer.ClaimReply",
+  "ClaimReply",
+  "Ss__Peer__ClaimReply",
+  "ss.peer",
+  sizeof(Ss__Peer__ClaimReply),
+  2,
+  ss__peer__claim_reply__field_descriptors,
+  ss__peer__claim_reply__field_indices_by_name,
+  1,  ss__peer__claim_reply__number_ranges,
+  (ProtobufCMessageInit) ss__peer__claim_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ss__peer__raise_reply__field_descriptors[4] =
 {
   {
@@ -2705,7 +2923,7 @@
   (ProtobufCMessageInit) ss__peer__stop_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__envelope__field_descriptors[19] =
+static const ProtobufCFieldDescriptor ss__peer__envelope__field_descriptors[21] =
 {
   {
     "from",
@@ -2935,9 +3153,35 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "claim_ask",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ss__Peer__Envelope, body_case),
+    offsetof(Ss__Peer__Envelope, claim_ask),
+    &ss__peer__claim_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_reply",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ss__Peer__Envelope, body_case),
+    offsetof(Ss__Peer__Envelope, claim_reply),
+    &ss__peer__claim_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__envelope__field_indices_by_name[] = {
   4,   /* field[4] = cancel */
+  19,   /* field[19] = claim_ask */
+  20,   /* field[20] = claim_reply */
   13,   /* field[13] = config_pull */
   14,   /* field[14] = config_push */
   0,   /* field[0] = from */
@@ -2960,7 +3204,7 @@
 static const ProtobufCIntRange ss__peer__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor ss__peer__envelope__descriptor =
 {
@@ -2970,7 +3214,7 @@
   "Ss__Peer__Envelope",
   "ss.peer",
   sizeof(Ss__Peer__Envelope),
-  19,
+  21,
   ss__peer__envelope__field_descriptors,
   ss__peer__envelope__field_indices_by_name,
   1,  ss__peer__envelope__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -28,6 +28,8 @@
 typedef struct Ss__Peer__MarkAsk Ss__Peer__MarkAsk;
 typedef struct Ss__Peer__MarkReply Ss__Peer__MarkReply;
 typedef struct Ss__Peer__RaiseAsk Ss__Peer__RaiseAsk;
+typedef struct Ss__Peer__ClaimAsk Ss__Peer__ClaimAsk;
+typedef struct Ss__Peer__ClaimReply Ss__Peer__ClaimReply;
 typedef struct Ss__Peer__RaiseReply Ss__Peer__RaiseReply;
 typedef struct Ss__Peer__ConfigPull Ss__Peer__ConfigPull;
 typedef struct Ss__Peer__ConfigObject Ss__Peer__ConfigObject;
@@ -189,10 +191,14 @@
    */
   char *shape;
   protobuf_c_boolean shape_is_read;
+  /*
+   * only at a primary that is one after this came
+   */
+  protobuf_c_boolean confirm;
 };
 #define SS__PEER__RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__run__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Ss__Peer__RunReply
@@ -315,10 +321,14 @@
    */
   size_t n_floors;
   Ss__Peer__Position **floors;
+  /*
+   * since the primary was asked, when the ask came
+   */
+  uint32_t age_ms;
 };
 #define SS__PEER__MARK_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__mark_reply__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, NULL, 0,NULL, 0 }
 
 
 struct  Ss__Peer__RaiseAsk
@@ -332,6 +342,31 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Asks whether a vm has taken a claim on a group over.
+ */
+struct  Ss__Peer__ClaimAsk
+{
+  ProtobufCMessage base;
+  char *group;
+  int64_t version;
+};
+#define SS__PEER__CLAIM_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ss__peer__claim_ask__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Ss__Peer__ClaimReply
+{
+  ProtobufCMessage base;
+  char *group;
+  int64_t version;
+};
+#define SS__PEER__CLAIM_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ss__peer__claim_reply__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Ss__Peer__RaiseReply
 {
   ProtobufCMessage base;
@@ -455,7 +490,9 @@
   SS__PEER__ENVELOPE__BODY_ROWS_ASK = 16,
   SS__PEER__ENVELOPE__BODY_ROWS_REPLY = 17,
   SS__PEER__ENVELOPE__BODY_STOP_ASK = 18,
-  SS__PEER__ENVELOPE__BODY_STOP_REPLY = 19
+  SS__PEER__ENVELOPE__BODY_STOP_REPLY = 19,
+  SS__PEER__ENVELOPE__BODY_CLAIM_ASK = 20,
+  SS__PEER__ENVELOPE__BODY_CLAIM_REPLY = 21
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SS__PEER__ENVELOPE__BODY__CASE)
 } Ss__Peer__Envelope__BodyCase;
 
@@ -483,6 +520,8 @@
     Ss__Peer__RowsReply *rows_reply;
     Ss__Peer__StopAsk *stop_ask;
     Ss__Peer__StopReply *stop_reply;
+    Ss__Peer__ClaimAsk *claim_ask;
+    Ss__Peer__ClaimReply *claim_reply;
   };
 };
 #define SS__PEER__ENVELOPE__INIT \
@@ -737,6 +776,44 @@
 void   ss__peer__raise_ask__free_unpacked
                      (Ss__Peer__RaiseAsk *message,
                       ProtobufCAllocator *allocator);
+/* Ss__Peer__ClaimAsk methods */
+void   ss__peer__claim_ask__init
+                     (Ss__Peer__ClaimAsk         *message);
+size_t ss__peer__claim_ask__get_packed_size
+                     (const Ss__Peer__ClaimAsk   *message);
+size_t ss__peer__claim_ask__pack
+                     (const Ss__Peer__ClaimAsk   *message,
+                      uint8_t             *out);
+size_t ss__peer__claim_ask__pack_to_buffer
+                     (const Ss__Peer__ClaimAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Ss__Peer__ClaimAsk *
+       ss__peer__claim_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ss__peer__claim_ask__free_unpacked
+                     (Ss__Peer__ClaimAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Ss__Peer__ClaimReply methods */
+void   ss__peer__claim_reply__init
+                     (Ss__Peer__ClaimReply         *message);
+size_t ss__peer__claim_reply__get_packed_size
+                     (const Ss__Peer__ClaimReply   *message);
+size_t ss__peer__claim_reply__pack
+                     (const Ss__Peer__ClaimReply   *message,
+                      uint8_t             *out);
+size_t ss__peer__claim_reply__pack_to_buffer
+                     (const Ss__Peer__ClaimReply   *message,
+                      ProtobufCBuffer     *buffer);
+Ss__Peer__ClaimReply *
+       ss__peer__claim_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ss__peer__claim_reply__free_unpacked
+                     (Ss__Peer__ClaimReply *message,
+                      ProtobufCAllocator *allocator);
 /* Ss__Peer__RaiseReply methods */
 void   ss__peer__raise_reply__init
                      (Ss__Peer__RaiseReply         *message);
@@ -949,6 +1026,12 @@
 typedef void (*Ss__Peer__RaiseAsk_Closure)
                  (const Ss__Peer__RaiseAsk *message,
                   void *closure_data);
+typedef void (*Ss__Peer__ClaimAsk_Closure)
+                 (const Ss__Peer__ClaimAsk *message,
+                  void *closure_data);
+typedef void (*Ss__Peer__ClaimReply_Closure)
+                 (const Ss__Peer__ClaimReply *message,
+                  void *closure_data);
 typedef void (*Ss__Peer__RaiseReply_Closure)
                  (const Ss__Peer__RaiseReply *message,
                   void *closure_data);
@@ -995,6 +1078,8 @@
 extern const ProtobufCMessageDescriptor ss__peer__mark_ask__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__mark_reply__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__raise_ask__descriptor;
+extern const ProtobufCMessageDescriptor ss__peer__claim_ask__descriptor;
+extern const ProtobufCMessageDescriptor ss__peer__claim_reply__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__raise_reply__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__config_pull__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__config_object__descriptor;
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -101,6 +101,8 @@
   char *primary; /* empty while a promotion runs */
   char *operation;
   int64_t changed_ms; /* when this vm adopted it */
+  int64_t confirmed_ms; /* when the platform was last asked whether this
+                           version is in force, and said so; 0: never */
   SsTarget *servers[SS_CONFIG_SERVERS_MAX];
   uint32_t server_count;
 } SsGroup;
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -46,6 +46,17 @@
   return bytes == strlen (value) && memcmp (held, value, bytes) == 0;
 }
 
+bool
+ss_directory_lists_self (const SsNode *node)
+{
+  const SsStoredObject *o = stored_vm (node, node->params.vm);
+  char *value = own_value (node);
+  bool listed = is_listed (o, value);
+
+  free (value);
+  return listed;
+}
+
 static void
 write_own (SsNode *node)
 {
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -285,6 +285,11 @@
 try_again (SsNode *node, SsRequest *r, SsReason reason)
 {
   ss_node_count (node, SS_COUNTER_RETRIES);
+  ss_node_log (node, SS_EVENT_LOG_REQUEST_RETRIED,
+               r->label ? r->label : r->trace,
+               "target=%s owner=%s reason=%s tries=%u ms=%" G_GINT64_FORMAT,
+               r->target, r->vm, ss_reason_name (reason), r->tries + 1,
+               node->now_ms - r->started_ms);
   r->tried[r->tries++] = g_strdup (r->target);
   ss_request_forget_sent (node, r);
   if (!r->is_read && reason == SS_REASON_NO_PRIMARY)
@@ -341,7 +346,7 @@
       ss_session_tell_loss (s, r->sql);
     }
   ss_session_drop_key (s);
-  ss_request_log_span (node, r, verdict);
+  ss_request_log_end (node, r, verdict, (SsReason) reply->reason);
   ss_request_drop (node, r);
   if (commit.offset)
     {
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -63,6 +63,9 @@
 
 void ss_request_free (SsRequest *r);
 void ss_request_log_span (SsNode *node, const SsRequest *r, SsVerdict verdict);
+/* ss_request_log_end: how R ended and what decided it. */
+void ss_request_log_end (SsNode *node, const SsRequest *r, SsVerdict verdict,
+                         SsReason reason);
 /* ss_request_forget_sent: the present try is over. */
 void ss_request_forget_sent (SsNode *node, SsRequest *r);
 void ss_request_begin_wait (SsNode *node, SsRequest *r, SsWait wait,
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -160,6 +160,7 @@
       SsPlatformOutcome outcome;
       SsFeed feed;
       bool complete; /* no other object of the feed is there */
+      bool listed;   /* the answer to PLATFORM_LIST, as of now */
       int64_t since;
       int64_t revision;
       const SsObject *objects;
@@ -195,6 +196,7 @@
   X (TARGET_QUERY)                                                             \
   X (TARGET_CLOSE)                                                             \
   X (PLATFORM_WATCH)                                                           \
+  X (PLATFORM_LIST)                                                            \
   X (PLATFORM_GET)                                                             \
   X (PLATFORM_PUT)                                                             \
   X (PLATFORM_DELETE)                                                          \
@@ -225,6 +227,7 @@
   SsVerdict verdict;
   SsReason reason;
   uint32_t retry_after_ms;
+  uint32_t wait_ms;      /* PLATFORM_WATCH: to be answered by then */
   uint32_t skip_results; /* TARGET_QUERY: results not to be kept */
   bool want_row;         /* TARGET_QUERY: parse the first row */
   char transaction_status;
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -4,6 +4,8 @@
 
 #define ASK_AGAIN_MS 100
 #define ROUND_MS 300
+/* A position that an answer told this long ago is as good as a new one. */
+#define SEEN_MS 250
 
 static void
 send_status_ask (SsNode *node, SsTarget *t, uint64_t ask, SsPosition held)
@@ -144,6 +146,7 @@
   r->askers = askers;
   g_ptr_array_set_size (r->next, 0);
   r->running = true;
+  r->started_ms = node->now_ms;
   r->ask = ++node->next_ask;
   r->due_ms = node->now_ms + ROUND_MS;
   r->confirmed = 0;
@@ -151,7 +154,8 @@
   r->term = group->term;
   ss_node_count (node, SS_COUNTER_MARK_ROUNDS);
   for (uint32_t i = 0; i < group->server_count; i++)
-    send_status_ask (node, group->servers[i], r->ask, (SsPosition){ 0, 0 });
+    if (group->servers[i] == owned->target || !ss_lease_holds (node, group))
+      send_status_ask (node, group->servers[i], r->ask, (SsPosition){ 0, 0 });
 }
 
 static void
@@ -161,10 +165,88 @@
 
   r->running = false;
   g_ptr_array_set_size (r->askers, 0);
-  if (r->next->len && owned->active)
+  if ((r->next->len || !g_queue_is_empty (&owned->unconfirmed))
+      && owned->active)
     start_round (node, owned, group);
 }
 
+/* Lets the jobs go that came before the round, or refuses them. */
+static void
+end_unconfirmed (SsNode *node, SsOwned *owned, bool confirmed)
+{
+  GList *next;
+
+  for (GList *l = owned->unconfirmed.head; l; l = next)
+    {
+      SsJob *job = l->data;
+
+      next = l->next;
+      if (job->received_ms > owned->round.started_ms)
+        continue;
+      g_queue_delete_link (&owned->unconfirmed, l);
+      if (confirmed)
+        ss_job_queue (node, owned, job);
+      else
+        ss_job_answer (node, job, SS_VERDICT_NOT_RUN, SS_REASON_NO_MARK,
+                       SS_RETRY_PROMOTION_MS);
+    }
+}
+
+void
+ss_hold_confirm (SsNode *node, SsJob *job)
+{
+  SsOwned *owned = job->owned;
+  SsGroup *group = ss_owned_group (node, owned);
+
+  if (!group || ss_lease_holds (node, group))
+    {
+      ss_job_queue (node, owned, job);
+      return;
+    }
+  g_queue_push_tail (&owned->unconfirmed, job);
+  if (!owned->round.running)
+    start_round (node, owned, group);
+}
+
+void
+ss_hold_note (SsNode *node, SsOwned *owned, int64_t sent_ms,
+              SsPosition position)
+{
+  (void) node;
+  if (sent_ms < owned->seen.asked_ms)
+    return;
+  owned->seen.asked_ms = sent_ms;
+  owned->seen.position = position;
+}
+
+/* Whether what the primary last answered tells its position well enough. */
+static bool
+knows_position (SsNode *node, const SsOwned *owned, const SsGroup *group)
+{
+  return ss_dialect_keeps_sessions (node->dialect)
+         && ss_lease_holds (node, group)
+         && owned->seen.position.term == group->term
+         && node->now_ms - owned->seen.asked_ms <= SEEN_MS;
+}
+
+static void
+send_mark (SsNode *node, const char *vm, const SsGroup *group, uint64_t ask,
+           SsPosition position, uint32_t age_ms)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__MarkReply m = SS__PEER__MARK_REPLY__INIT;
+  Ss__Peer__Position p;
+
+  ss_position_pack (&p, position);
+  m.group = group->name;
+  m.nonce = ask;
+  m.mark = &p;
+  m.age_ms = age_ms;
+  e.body_case = SS__PEER__ENVELOPE__BODY_MARK_REPLY;
+  e.mark_reply = &m;
+  ss_node_send (node, vm, &e);
+}
+
 static void
 answer_round (SsNode *node, const SsOwned *owned, const SsGroup *group)
 {
@@ -221,6 +303,12 @@
 
   if (!owned || !owned->active)
     return;
+  if (knows_position (node, owned, group))
+    {
+      send_mark (node, from, group, m->nonce, owned->seen.position,
+                 (uint32_t) (node->now_ms - owned->seen.asked_ms));
+      return;
+    }
   ask = g_new0 (SsAsk, 1);
   ask->vm = g_strdup (from);
   ask->ask = m->nonce;
@@ -249,6 +337,7 @@
     return;
   if (state->shown_term > r->term || group->term != r->term)
     {
+      end_unconfirmed (node, owned, false);
       end_round (node, owned, group);
       return;
     }
@@ -259,9 +348,12 @@
       r->has_position = true;
       r->position = state->held;
     }
-  if (!r->has_position || count_bits (r->confirmed) < ss_group_majority (group))
+  if (!r->has_position
+      || (count_bits (r->confirmed) < ss_group_majority (group)
+          && !ss_lease_holds (node, group)))
     return;
   answer_round (node, owned, group);
+  end_unconfirmed (node, owned, true);
   end_round (node, owned, group);
 }
 
@@ -301,6 +393,8 @@
       check_waiters (node, owned, group);
       ask_holders (node, owned, group);
     }
-  if (owned->round.running && node->now_ms >= owned->round.due_ms)
-    end_round (node, owned, group);
+  if (!owned->round.running || node->now_ms < owned->round.due_ms)
+    return;
+  end_unconfirmed (node, owned, false);
+  end_round (node, owned, group);
 }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -88,7 +88,8 @@
   char *shape; /* of the prepared statement that it runs; NULL: none */
   bool shape_is_read;
   bool begins; /* opens the transaction that it is in */
-  bool keeps;  /* what it does may outlast it: COMMIT, or a write alone */
+  bool keeps; /* what it does may outlast it: COMMIT, or a write alone */
+  bool confirm; /* the primary must be one after this came */
   bool is_read;
   int64_t staleness_ms; /* of the kind; 0: the session's floor */
   bool strict;
@@ -248,7 +249,7 @@
   GQueue due;          /* statements (to be freed) before the job's */
   bool rolls_back;     /* its session ended a transaction */
   int64_t again_ms;    /* when its job's statement is sent again; 0: not */
-  SsPosition position; /* of the target, as it last answered here */
+  int64_t sent_ms;     /* when its last statement was sent */
 } SsConnection;
 
 typedef enum
@@ -283,6 +284,7 @@
   bool transaction_is_read;
   bool keeps;
   bool pinned; /* in a transaction that is open */
+  bool confirm; /* only at a primary that is one after this came */
   bool is_read;
   SsPosition floor;
   SsStep step;
@@ -304,6 +306,7 @@
   char **identities; /* of a round's asker; may be NULL */
   SsPosition held;
   uint64_t poll; /* answered by this poll or a later one */
+  int64_t poll_ms; /* no poll for it before */
   int64_t expires_ms;
 } SsAsk;
 
@@ -323,6 +326,7 @@
   GPtrArray *next;   /* came while the round ran */
   bool running;
   uint64_t ask;
+  int64_t started_ms;
   int64_t due_ms;
   uint32_t confirmed; /* bit by server: it showed no higher term */
   bool has_position;
@@ -346,6 +350,7 @@
   int64_t control_started_ms;
   uint64_t poll; /* number of the last poll begun */
   int64_t poll_due_ms;
+  int64_t polled_ms; /* when the last poll began */
   uint64_t raise_term; /* 0: none wanted */
   GPtrArray *raise_vms;
   GPtrArray *asks;
@@ -355,6 +360,8 @@
 
   SsWriters writers;
   GQueue waiters; /* jobs whose commit waits for a majority */
+  GQueue unconfirmed; /* jobs that wait for the primary to be confirmed */
+  SsMark seen; /* the latest position that an answer told */
   uint64_t held_asks[SS_CONFIG_SERVERS_MAX]; /* outstanding, by server */
   int64_t held_asked_ms[SS_CONFIG_SERVERS_MAX];
   SsRound round;
@@ -388,6 +395,11 @@
 
 /* ss_hold_ask_status: has T's owner report a poll made after this. */
 void ss_hold_ask_status (SsNode *node, SsTarget *t);
+/* ss_hold_confirm: takes over JOB until the primary is confirmed. */
+void ss_hold_confirm (SsNode *node, SsJob *job);
+/* ss_hold_note: the primary answered at POSITION what was sent at SENT_MS. */
+void ss_hold_note (SsNode *node, SsOwned *owned, int64_t sent_ms,
+                   SsPosition position);
 /* ss_hold_wait: takes over JOB, whose commit stands at POSITION. */
 void ss_hold_wait (SsNode *node, SsJob *job);
 void ss_hold_check (SsNode *node, SsGroup *group);
@@ -409,6 +421,8 @@
                      const Ss__Peer__StatusAsk *ask);
 void ss_monitor_subscribe (SsNode *node, const char *from,
                            const Ss__Peer__Subscribe *subscribe);
+/* ss_monitor_answer: answers the asks that the target's state satisfies. */
+void ss_monitor_answer (SsNode *node, SsOwned *owned);
 void ss_monitor_raise (SsNode *node, const char *from,
                        const Ss__Peer__RaiseAsk *ask);
 /* ss_monitor_poll_soon: polls at once, or right after what runs now. */
@@ -460,6 +474,8 @@
   uint32_t rank;     /* of this vm as the group's coordinator */
   uint64_t rank_generation;
   int64_t fence; /* of the platform's promotion call */
+  GHashTable *released; /* vms that know of the claim */
+  bool vms_listed;      /* since the claim */
 } SsPromotion;
 
 /* The object whose holder may have the platform promote servers. */
@@ -472,6 +488,28 @@
 /* ss_promote_put: writes the group's object with PRIMARY and its term. */
 void ss_promote_put (SsNode *node, SsPromotion *promotion, const char *primary);
 
+/* --- lease.c: use of a primary without asking its group --- */
+
+/* The longest that a vm uses a primary after the platform confirmed it; a
+ * change of primary waits for so long for a vm that does not answer.
+ */
+#define SS_LEASE_MS 3000
+
+bool ss_lease_holds (const SsNode *node, const SsGroup *group);
+void ss_lease_tick (SsNode *node);
+/* ss_lease_listed: the answer to a list of objects, adopted already. */
+void ss_lease_listed (SsNode *node, const SsEvent *event);
+/* ss_lease_begin_release: a claim took effect: no vm may go on to use the
+ * primary before it.
+ */
+void ss_lease_begin_release (SsNode *node, SsPromotion *promotion);
+void ss_lease_ask_release (SsNode *node, SsPromotion *promotion);
+bool ss_lease_is_released (SsNode *node, SsPromotion *promotion);
+void ss_lease_claim_ask (SsNode *node, const char *from,
+                         const Ss__Peer__ClaimAsk *ask);
+void ss_lease_claim_reply (SsNode *node, const char *from,
+                           const Ss__Peer__ClaimReply *reply);
+
 /* --- lead.c: promotions that the platform carries out --- */
 
 /* ss_lead_is_coordinator: whether this vm orders promotions. */
@@ -495,6 +533,8 @@
 void ss_promote_raised (SsNode *node, const Ss__Peer__RaiseReply *reply);
 void ss_promote_object (SsNode *node, uint64_t call, SsPlatformOutcome outcome,
                         const SsObject *object);
+/* ss_promote_listed: the vms were listed, or another feed was. */
+void ss_promote_listed (SsNode *node, const SsEvent *event);
 /* ss_promote_called: how the platform's promotion of a server ended. */
 void ss_promote_called (SsNode *node, uint64_t call, SsPlatformOutcome outcome);
 /* ss_promote_order: an operator's order, answered as operation CALL. */
@@ -534,6 +574,8 @@
 /* ss_directory_object: how a write of a vm's object ended. */
 void ss_directory_object (SsNode *node, SsPlatformOutcome outcome,
                           const SsObject *object);
+/* ss_directory_lists_self: whether others can know of this vm. */
+bool ss_directory_lists_self (const SsNode *node);
 /* ss_directory_leave: this vm stops. */
 void ss_directory_leave (SsNode *node);
 
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -68,8 +68,6 @@
   reply.transaction_status = 'I';
   if (reason == SS_REASON_BEHIND)
     ss_node_count (node, SS_COUNTER_BEHIND);
-  if (reason == SS_REASON_OVERLOAD)
-    ss_node_count (node, SS_COUNTER_OVERLOAD);
   send_reply (node, vm, &reply);
 }
 
@@ -185,6 +183,7 @@
 
   c->job->step = step;
   c->state = SS_CONNECTION_BUSY;
+  c->sent_ms = node->now_ms;
   a->id = c->id;
   a->label = g_strdup (label);
   a->text = text;
@@ -313,9 +312,10 @@
     return SS_REASON_DRAINING;
   if (!t->state.reachable)
     return SS_REASON_CONNECT;
-  if (run->is_read && ss_dialect_keeps_sessions (node->dialect))
+  if (run->is_read && !run->confirm
+      && ss_dialect_keeps_sessions (node->dialect))
     return SS_REASON_NONE;
-  if (run->is_read)
+  if (run->is_read && !run->confirm)
     return shows_floor (owned, t->state.applied,
                         ss_position_unpack (run->floor))
                ? SS_REASON_NONE
@@ -364,6 +364,7 @@
   job->transaction_is_read = run->transaction_is_read;
   job->keeps = run->keeps;
   job->pinned = run->pinned;
+  job->confirm = run->confirm;
   job->floor = ss_position_unpack (run->floor);
   job->received_ms = node->now_ms;
   job->transaction_status = 'I';
@@ -385,12 +386,30 @@
     start_job (node, c, new_job (node, owned, from, run));
 }
 
+void
+ss_job_queue (SsNode *node, SsOwned *owned, SsJob *job)
+{
+  SsService *service = ss_config_service (&node->config, job->service);
+  uint32_t retry_after_ms;
+
+  if (!ss_queue_admit (&owned->queue, &job->item,
+                       ss_pool_capacity (node, owned), node->now_ms,
+                       g_rand_double (node->rand), &retry_after_ms))
+    {
+      ss_node_count (node, SS_COUNTER_OVERLOAD);
+      ss_job_answer (node, job, SS_VERDICT_NOT_RUN, SS_REASON_OVERLOAD,
+                     retry_after_ms);
+      return;
+    }
+  ss_queue_push (&owned->queue, &job->item, job->service,
+                 service ? service->weight : 1);
+  ss_job_dispatch (node, owned);
+}
+
 void
 ss_owner_run (SsNode *node, const char *from, const Ss__Peer__Run *run)
 {
   SsOwned *owned = ss_owner_find (node, run->target);
-  SsService *service = ss_config_service (&node->config, run->service);
-  uint32_t retry_after_ms = SS_RETRY_SOON_MS;
   SsReason reason;
   SsJob *job;
 
@@ -407,21 +426,14 @@
   reason = check_target (node, owned, run);
   if (reason != SS_REASON_NONE)
     {
-      refuse_run (node, from, run, reason, retry_after_ms);
+      refuse_run (node, from, run, reason, SS_RETRY_SOON_MS);
       return;
     }
   job = new_job (node, owned, from, run);
-  if (!ss_queue_admit (&owned->queue, &job->item,
-                       ss_pool_capacity (node, owned), node->now_ms,
-                       g_rand_double (node->rand), &retry_after_ms))
-    {
-      refuse_run (node, from, run, SS_REASON_OVERLOAD, retry_after_ms);
-      ss_job_free (job);
-      return;
-    }
-  ss_queue_push (&owned->queue, &job->item, job->service,
-                 service ? service->weight : 1);
-  ss_job_dispatch (node, owned);
+  if (job->confirm)
+    ss_hold_confirm (node, job);
+  else
+    ss_job_queue (node, owned, job);
 }
 
 /* Gives the connection to its session's transaction, or back to all. */
@@ -563,6 +575,7 @@
   c->state = SS_CONNECTION_BUSY;
   c->rolls_back = true;
   c->since_ms = node->now_ms;
+  c->sent_ms = node->now_ms;
   a->id = c->id;
   a->text = node->dialect->rollback (node->dialect);
 }
@@ -694,6 +707,19 @@
   job->wire = g_bytes_ref (result->wire);
 }
 
+/* Every answer tells where the target stands. */
+static void
+note_position (SsNode *node, const SsConnection *c,
+               const SsTargetResult *result)
+{
+  SsTarget *t = c->owned->target;
+
+  t->state_ms = MAX (t->state_ms, c->sent_ms);
+  ss_hold_note (node, c->owned, c->sent_ms, result->applied);
+  if (c->owned->asks->len)
+    ss_monitor_answer (node, c->owned);
+}
+
 /* The position right after a commit covers it. */
 static void
 note_commit (SsJob *job, const SsTargetResult *result)
@@ -732,6 +758,8 @@
     }
   note_applied (c->owned->target, result->applied);
   c->owned->target->reachable_ms = node->now_ms;
+  if (ss_dialect_keeps_sessions (node->dialect))
+    note_position (node, c, result);
   if (c->rolls_back)
     {
       end_rollback (node, c, result);
--- a/src/core/marks.c
+++ b/src/core/marks.c
@@ -85,6 +85,7 @@
 static void
 keep_in_ring (SsMarks *m)
 {
+  /* Also where an older position came after a newer one. */
   if (m->count
       && m->latest.asked_ms - m->ring[m->count - 1].asked_ms < RING_SPACING_MS)
     return;
@@ -128,7 +129,7 @@
     }
   m->outstanding = false;
   m->latest.ask = m->last_ask;
-  m->latest.asked_ms = m->last_ask_ms;
+  m->latest.asked_ms = m->last_ask_ms - reply->age_ms;
   m->latest.position = ss_position_unpack (reply->mark);
   keep_in_ring (m);
   keep_floors (m, reply);
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -34,18 +34,58 @@
   return a;
 }
 
+/* Lines a second of one event: enough to see a pattern, few enough to cost
+ * nothing under load.  Answers with success tell least.
+ */
+#define LOG_LINES_PER_S 40
+#define LOG_SUCCESSES_PER_S 5
+
+/* Whether a line of EVENT may be written now; *LEFT_OUT lines were not since
+ * the last one.
+ */
+static bool
+take_quota (SsNode *node, SsLogEvent event, uint32_t *left_out)
+{
+  SsLogQuota *q = &node->log_quotas[event];
+  uint32_t limit = event == SS_EVENT_LOG_REQUEST_RAN ? LOG_SUCCESSES_PER_S
+                                                     : LOG_LINES_PER_S;
+
+  if (node->now_ms - q->since_ms >= 1000)
+    {
+      q->since_ms = node->now_ms;
+      q->written = 0;
+    }
+  if (event != SS_EVENT_LOG_SPAN && q->written >= limit)
+    {
+      q->left_out++;
+      return false;
+    }
+  q->written++;
+  *left_out = q->left_out;
+  q->left_out = 0;
+  return true;
+}
+
 void
 ss_node_log (SsNode *node, SsLogEvent event, const char *subject,
              const char *format, ...)
 {
-  SsAction *a = ss_node_push (node, SS_ACTION_LOG);
+  uint32_t left_out;
+  SsAction *a;
   va_list args;
+  char *text;
 
+  if (!take_quota (node, event, &left_out))
+    return;
+  a = ss_node_push (node, SS_ACTION_LOG);
   a->log_event = event;
   a->name = g_strdup (subject);
   va_start (args, format);
-  a->text = g_strdup_vprintf (format, args);
+  text = g_strdup_vprintf (format, args);
   va_end (args);
+  a->text = left_out ? g_strdup_printf ("%s left_out=%u", text, left_out)
+                     : g_strdup (text);
+  g_free (text);
 }
 
 static bool
--- a/src/core/monitor.c
+++ b/src/core/monitor.c
@@ -102,9 +102,14 @@
     }
 }
 
-/* Answers the asks that the last poll satisfies. */
-static void
-answer_asks (SsNode *node, SsOwned *owned)
+/* What a target holds is also told by its answers, at no cost: an ask for that
+ * waits this long for one before the target is polled.
+ */
+#define HELD_WAIT_MS 120
+#define HELD_HOLD_MS 400
+
+void
+ss_monitor_answer (SsNode *node, SsOwned *owned)
 {
   const SsServerState *s = &owned->target->state;
 
@@ -144,6 +149,7 @@
 start_poll (SsNode *node, SsOwned *owned)
 {
   owned->poll++;
+  owned->polled_ms = node->now_ms;
   start_control (node, owned, SS_CONTROL_POLL,
                  node->dialect->status (node->dialect));
 }
@@ -263,12 +269,27 @@
   log_role (node, t, &old);
   if (owned->raise_term && state.shown_term >= owned->raise_term)
     send_raise_replies (node, owned, state.shown_term == owned->raise_term);
-  answer_asks (node, owned);
+  ss_monitor_answer (node, owned);
   send_reports (node, owned);
   if (group)
     ss_hold_check (node, group);
 }
 
+/* When the first of the asks needs a poll. */
+static int64_t
+asked_wait_ms (SsNode *node, const SsOwned *owned)
+{
+  int64_t wait_ms = HELD_HOLD_MS;
+
+  for (guint i = 0; i < owned->asks->len; i++)
+    {
+      const SsAsk *ask = g_ptr_array_index (owned->asks, i);
+
+      wait_ms = MIN (wait_ms, ask->poll_ms - node->now_ms);
+    }
+  return MAX (wait_ms, node->params.pace.poll_asked_ms);
+}
+
 static void
 schedule_poll (SsNode *node, SsOwned *owned)
 {
@@ -278,7 +299,7 @@
   if (s->applied.offset < s->held.offset)
     wait_ms = node->params.pace.poll_lagging_ms;
   if (owned->asks->len)
-    wait_ms = node->params.pace.poll_asked_ms;
+    wait_ms = asked_wait_ms (node, owned);
   owned->poll_due_ms = node->now_ms + wait_ms;
 }
 
@@ -371,8 +392,12 @@
   check_connection (node, owned);
   if (t->state.reachable && node->now_ms - t->reachable_ms >= UNREACHABLE_MS)
     mark_unreachable (node, owned, false);
-  if (!t->state.reachable)
+  if (!t->state.reachable
+      || node->now_ms - owned->reported_ms >= node->params.pace.report_idle_ms)
     send_reports (node, owned);
+  if (node->now_ms - MAX (t->reachable_ms, owned->polled_ms)
+      >= node->params.pace.silence_ms)
+    owned->poll_due_ms = node->now_ms;
   next_step (node, owned);
 }
 
@@ -398,9 +423,19 @@
   ask->ask = m->ask;
   ask->held = ss_position_unpack (m->held);
   ask->poll = owned->poll + 1;
+  ask->poll_ms = node->now_ms;
   ask->expires_ms = node->now_ms + ASK_HOLD_MS;
   g_ptr_array_add (owned->asks, ask);
-  ss_monitor_poll_soon (node, owned);
+  if (!ask->held.offset || !ss_dialect_keeps_sessions (node->dialect))
+    {
+      ss_monitor_poll_soon (node, owned);
+      return;
+    }
+  ask->poll = 0;
+  ask->poll_ms = node->now_ms + HELD_WAIT_MS;
+  ask->expires_ms = node->now_ms + HELD_HOLD_MS;
+  owned->poll_due_ms = MIN (owned->poll_due_ms, ask->poll_ms);
+  ss_monitor_answer (node, owned);
 }
 
 void
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -19,6 +19,7 @@
   g_free (p->wanted);
   g_free (p->leaving);
   g_free (p->chosen);
+  g_clear_pointer (&p->released, g_hash_table_destroy);
   g_free (p);
 }
 
@@ -156,6 +157,12 @@
     case SS__PEER__ENVELOPE__BODY_RAISE_ASK:
       ss_monitor_raise (node, e->from, e->raise_ask);
       break;
+    case SS__PEER__ENVELOPE__BODY_CLAIM_ASK:
+      ss_lease_claim_ask (node, e->from, e->claim_ask);
+      break;
+    case SS__PEER__ENVELOPE__BODY_CLAIM_REPLY:
+      ss_lease_claim_reply (node, e->from, e->claim_reply);
+      break;
     case SS__PEER__ENVELOPE__BODY_RAISE_REPLY:
       ss_promote_raised (node, e->raise_reply);
       break;
@@ -327,6 +334,7 @@
   ss_promote_tick (node);
   ss_operate_tick (node);
   ss_directory_tick (node);
+  ss_lease_tick (node);
   g_tree_foreach (node->marks, retry_marks, node);
   ss_entry_tick (node);
   if (node->stopping)
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -41,6 +41,8 @@
   uint32_t feeds; /* bit by SsFeed that is watched; 0: all objects in one */
   bool owners_anywhere; /* a failure domain without live vms gives its targets
                            to vms of others */
+  int64_t apply_ms; /* a change of configuration is in force by then */
+  int64_t drain_ms; /* a leaving target gets nothing after that */
   uint32_t seed_port;   /* of peers at the seeds; 0: as the seeds say */
 } SsNodeParams;
 
@@ -51,6 +53,14 @@
   int64_t due_ms; /* when it counts as gone */
 } SsRemoval;
 
+/* Log lines of one event: at most so many a second. */
+typedef struct
+{
+  int64_t since_ms; /* of the present second */
+  uint32_t written;
+  uint32_t left_out;
+} SsLogQuota;
+
 /* What is watched at the platform. */
 typedef struct
 {
@@ -72,6 +82,7 @@
   SsMembers members;
   SsBudget budget;
   const SsDialect *dialect;
+  SsLogQuota log_quotas[SS_EVENT_LOG_COUNT];
   GQueue actions; /* of SsAction */
   GQueue local;   /* of GBytes: messages to this vm itself */
   bool ready;     /* configuration is in force */
@@ -105,6 +116,8 @@
   SsFeedState feeds[SS_FEED_COUNT];
   GHashTable *removals; /* key -> SsRemoval */
   int64_t directory_due_ms;
+  int64_t lease_due_ms;
+  int64_t lease_asked_ms; /* 0: no question is out */
   bool vms_asked;
   int64_t vms_due_ms;
   GBytes *vms_json; /* the platform's list as last seen */
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -161,6 +161,8 @@
   (void) data;
   while ((job = g_queue_pop_head (&o->waiters)))
     ss_job_free (job);
+  while ((job = g_queue_pop_head (&o->unconfirmed)))
+    ss_job_free (job);
   queued = queued_jobs (o, NULL);
   for (guint i = 0; i < queued->len; i++)
     ss_job_free (g_ptr_array_index (queued, i));
@@ -468,7 +470,8 @@
     {
       SsOwned *o = g_ptr_array_index (owned, i);
 
-      if (ss_queue_length (&o->queue) || !g_queue_is_empty (&o->waiters))
+      if (ss_queue_length (&o->queue) || !g_queue_is_empty (&o->waiters)
+          || !g_queue_is_empty (&o->unconfirmed))
         idle = false;
       for (guint j = 0; j < o->connections->len; j++)
         {
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -41,6 +41,8 @@
 void ss_job_dispatch (SsNode *node, SsOwned *owned);
 /* ss_job_give_up: answers the job that runs on C now and closes C. */
 void ss_job_give_up (SsNode *node, SsConnection *c, SsReason reason);
+/* ss_job_queue: has JOB wait for its turn, or refuses it. */
+void ss_job_queue (SsNode *node, SsOwned *owned, SsJob *job);
 /* ss_job_roll_back: ends the transaction on C, which goes back to all. */
 void ss_job_roll_back (SsNode *node, SsConnection *c);
 /* ss_job_end_idle: ends a transaction that was idle for too long. */
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -390,6 +390,12 @@
   ss_promote_put (node, p, p->chosen);
 }
 
+static bool
+is_released (SsNode *node, SsPromotion *p)
+{
+  return !node->dialect->platform_promotes || ss_lease_is_released (node, p);
+}
+
 static void
 tick_raise (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
@@ -410,7 +416,7 @@
        || (node->dialect->platform_promotes && is_covered (p, group, raised)))
       && !p->enough_ms)
     p->enough_ms = node->now_ms;
-  if (p->enough_ms
+  if (p->enough_ms && is_released (node, p)
       && (raised == group->server_count
           || node->now_ms - p->enough_ms >= RAISE_MORE_MS))
     {
@@ -420,6 +426,8 @@
   if (node->now_ms - p->asked_ms < RAISE_AGAIN_MS)
     return;
   p->asked_ms = node->now_ms;
+  if (node->dialect->platform_promotes)
+    ss_lease_ask_release (node, p);
   for (uint32_t i = 0; i < group->server_count; i++)
     if (!p->raised[i])
       send_raise (node, p, group->servers[i]);
@@ -457,6 +465,25 @@
 
 /* --- answers of the platform --- */
 
+static gboolean
+note_listed (gpointer key, gpointer value, gpointer data)
+{
+  SsPromotion *p = value;
+
+  (void) key;
+  (void) data;
+  p->vms_listed = p->vms_listed || p->step == SS_PROMOTE_RAISE;
+  return FALSE;
+}
+
+void
+ss_promote_listed (SsNode *node, const SsEvent *event)
+{
+  if (event->platform_objects.feed == SS_FEED_VMS
+      && event->platform_objects.outcome == SS_PLATFORM_DONE)
+    g_tree_foreach (node->promotions, note_listed, NULL);
+}
+
 static void
 finish (SsNode *node, SsPromotion *p)
 {
@@ -489,6 +516,8 @@
       return;
     }
   ss_promote_enter (node, p, SS_PROMOTE_RAISE);
+  if (node->dialect->platform_promotes)
+    ss_lease_begin_release (node, p);
   tick_raise (node, p, group);
 }
 
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -66,6 +66,43 @@
       = g_strdup (text);
 }
 
+/* The request's end with what decided it: for what it waited, where it was,
+ * how old the view of that target was, which position it needed.
+ */
+static void
+log_end (SsNode *node, const SsRequest *r, SsVerdict verdict, SsReason reason)
+{
+  static const SsLogEvent events[] = { SS_EVENT_LOG_REQUEST_NOT_RUN,
+                                       SS_EVENT_LOG_REQUEST_IN_DOUBT,
+                                       SS_EVENT_LOG_REQUEST_RAN };
+  const SsTarget *t
+      = r->target ? ss_config_target (&node->config, r->target) : NULL;
+  const SsGroup *group = ss_session_group (node, r->session);
+
+  ss_node_log (
+      node, events[verdict], r->label ? r->label : r->trace,
+      "service=%s session=%" G_GUINT64_FORMAT
+      " verdict=%s reason=%s target=%s view_age_ms=%" G_GINT64_FORMAT
+      " owner=%s group_version=%" G_GINT64_FORMAT " term=%" G_GUINT64_FORMAT
+      " primary=%s floor=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT
+      " read=%d begins=%d keeps=%d waited_for=%u tries=%u"
+      " ms=%" G_GINT64_FORMAT,
+      r->session->service, r->session->id, ss_verdict_name (verdict),
+      ss_reason_name (reason), r->target ? r->target : "-",
+      t ? node->now_ms - t->state_ms : -1, r->vm ? r->vm : "-",
+      group ? group->version : 0, group ? group->term : 0,
+      group ? group->primary : "-", r->floor.term, r->floor.offset, r->is_read,
+      r->begins, r->keeps, r->wait, r->tries, node->now_ms - r->started_ms);
+}
+
+void
+ss_request_log_end (SsNode *node, const SsRequest *r, SsVerdict verdict,
+                    SsReason reason)
+{
+  ss_request_log_span (node, r, verdict);
+  log_end (node, r, verdict, reason);
+}
+
 void
 ss_request_log_span (SsNode *node, const SsRequest *r, SsVerdict verdict)
 {
@@ -131,7 +168,7 @@
 {
   SsSession *s = r->session;
 
-  ss_request_log_span (node, r, verdict);
+  ss_request_log_end (node, r, verdict, reason);
   ss_request_drop (node, r);
   ss_session_drop_key (s);
   ss_session_reply (node, s, verdict, reason, retry_after_ms);
@@ -215,4 +252,10 @@
   r->wait_due_ms = node->now_ms + wait_ms;
   if (wait == SS_WAIT_VIEW)
     node->view_waiters++;
+  if (wait == SS_WAIT_PRIMARY)
+    ss_node_log (node, SS_EVENT_LOG_REQUEST_WAITS,
+                 r->label ? r->label : r->trace,
+                 "for=primary predicted_ms=%" G_GINT64_FORMAT
+                 " left_ms=%" G_GINT64_FORMAT,
+                 wait_ms, r->deadline_ms - node->now_ms);
 }
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -49,6 +49,7 @@
   run->begins = r->begins;
   run->transaction_is_read = s->status == 'T' && s->begin_is_read;
   run->keeps = r->keeps;
+  run->confirm = r->confirm;
   if (r->shape)
     run->shape = r->shape;
   run->shape_is_read = r->shape_is_read;
@@ -207,33 +208,13 @@
     refuse (node, r, SS_REASON_NO_REPLICA);
 }
 
-/* Whether what a transaction at the primary reads first is known to be fresh
- * enough; else the request waits or is refused.
- */
-static bool
-has_floor (SsNode *node, SsRequest *r, SsGroup *group)
-{
-  SsMarks *marks = ss_marks_get (node, group->name);
-
-  if (find_floor (node, r, marks))
-    return true;
-  if (!*group->primary)
-    wait_for_primary (node, r, group);
-  else
-    {
-      ss_request_begin_wait (node, r, SS_WAIT_MARK, MARK_WAIT_MS);
-      ss_marks_ask (node, marks);
-    }
-  return false;
-}
-
 static void
 route_write (SsNode *node, SsRequest *r, SsGroup *group)
 {
   SsTarget *t = ss_choice_write (node, group);
 
-  if (r->begins && !has_floor (node, r, group))
-    return;
+  /* What it reads first must be fresh. */
+  r->confirm = r->begins || r->is_read;
   if (t)
     send_run (node, r, ss_node_owner (node, t), t->name, false);
   else if (!waits_for_view (node, r, ss_group_primary (group)))
@@ -250,7 +231,8 @@
     send_run (node, r, s->pinned_vm, s->pinned_target, true);
   else if (!group)
     ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_SERVICE, 0);
-  else if (r->is_read)
+  else if (r->is_read
+           && !(r->strict && ss_dialect_keeps_sessions (node->dialect)))
     route_read (node, r, group);
   else
     route_write (node, r, group);
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -8,6 +8,7 @@
 #define SUBSCRIBE_MS 1000
 #define PULL_AGAIN_MS 300
 #define WATCH_RETRY_MS 300
+#define WATCH_WAIT_MS 8000
 #define VMS_MS 1000
 #define RELAYS 2
 #define READY_AFTER_MS 500
@@ -484,6 +485,24 @@
   return dropped;
 }
 
+/* A list beside the feed's watch, for what has to be known as of now. */
+static void
+take_list (SsNode *node, const SsEvent *e)
+{
+  bool adopted = false;
+
+  if (e->platform_objects.outcome == SS_PLATFORM_DONE)
+    {
+      for (uint32_t i = 0; i < e->platform_objects.object_count; i++)
+        adopted = adopt (node, &e->platform_objects.objects[i]) || adopted;
+      adopted = drop_missing (node, e) || adopted;
+    }
+  if (adopted)
+    ss_owner_update (node);
+  ss_lease_listed (node, e);
+  ss_promote_listed (node, e);
+}
+
 void
 ss_spread_objects (SsNode *node, const SsEvent *e)
 {
@@ -491,6 +510,11 @@
   int64_t since = e->platform_objects.since;
   bool adopted = false;
 
+  if (e->platform_objects.listed)
+    {
+      take_list (node, e);
+      return;
+    }
   feed->watching = false;
   note_platform (node, e->platform_objects.outcome);
   if (e->platform_objects.outcome == SS_PLATFORM_ABSENT)
@@ -659,6 +683,23 @@
                 < RELAYS;
 }
 
+/* A watch may miss changes without a sign: a new one sees them, or that its
+ * history is gone.  Routes and targets have bounds on how late that may be.
+ */
+static uint32_t
+watch_wait_ms (const SsNode *node, SsFeed feed)
+{
+  switch (feed)
+    {
+    case SS_FEED_ROUTES:
+      return (uint32_t) node->params.apply_ms * 6 / 10;
+    case SS_FEED_TARGETS:
+      return (uint32_t) node->params.drain_ms / 2;
+    default:
+      return WATCH_WAIT_MS;
+    }
+}
+
 static void
 tick_platform (SsNode *node)
 {
@@ -677,6 +718,7 @@
       a = ss_node_push (node, SS_ACTION_PLATFORM_WATCH);
       a->id = i;
       a->number = feed->revision;
+      a->wait_ms = watch_wait_ms (node, (SsFeed) i);
     }
   if (watches_all (node) && !node->vms_asked
       && node->now_ms >= node->vms_due_ms)
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -7,6 +7,8 @@
 #include "kernel/plugin.h"
 
 #define VERSION "0.2.0"
+/* How often the settings are looked at for a change. */
+#define SETTINGS_LOOK_S 1.0
 #define SETTINGS_VARIABLE "SAPPHIRESTAIR_SETTINGS"
 
 static void
@@ -19,6 +21,68 @@
   ss_shell_event (w->data, &e);
 }
 
+/* Settings are read again on SIGHUP, and when their content changes. */
+typedef struct
+{
+  SsShell *shell;
+  const char *path;
+  guint hash;
+  ev_signal on_hup;
+  ev_timer look;
+} Reload;
+
+static guint
+hash_file (const char *path)
+{
+  char *text;
+  guint hash;
+
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    return 0;
+  hash = g_str_hash (text);
+  g_free (text);
+  return hash;
+}
+
+static void
+on_hup_signal (struct ev_loop *loop, ev_signal *w, int events)
+{
+  Reload *r = w->data;
+
+  (void) loop;
+  (void) events;
+  r->hash = hash_file (r->path);
+  ss_shell_reload (r->shell, r->path);
+}
+
+static void
+on_look (struct ev_loop *loop, ev_timer *w, int events)
+{
+  Reload *r = w->data;
+  guint hash = hash_file (r->path);
+
+  (void) loop;
+  (void) events;
+  if (!hash || hash == r->hash)
+    return;
+  r->hash = hash;
+  ss_shell_reload (r->shell, r->path);
+}
+
+static void
+start_reload (Reload *r, SsShell *shell, const char *path)
+{
+  r->shell = shell;
+  r->path = path;
+  r->hash = hash_file (path);
+  ev_signal_init (&r->on_hup, on_hup_signal, SIGHUP);
+  r->on_hup.data = r;
+  ev_signal_start (shell->loop, &r->on_hup);
+  ev_timer_init (&r->look, on_look, SETTINGS_LOOK_S, SETTINGS_LOOK_S);
+  r->look.data = r;
+  ev_timer_start (shell->loop, &r->look);
+}
+
 /* Every caller takes a descriptor: use all that the system allows. */
 static void
 raise_descriptor_limit (void)
@@ -32,9 +96,10 @@
 }
 
 static int
-run (const SsSettings *settings)
+run (const SsSettings *settings, const char *path)
 {
   static SsShell shell;
+  static Reload reload;
   struct ev_loop *loop = ev_default_loop (0);
   ev_signal on_term;
   ev_signal on_int;
@@ -56,6 +121,7 @@
   ev_signal_init (&on_int, on_stop_signal, SIGINT);
   on_int.data = &shell;
   ev_signal_start (loop, &on_int);
+  start_reload (&reload, &shell, path);
   ss_log_write (&shell.log, SS_EVENT_LOG_STARTED, "subject", settings->vm_name,
                 "detail", VERSION, NULL);
   ev_run (loop, 0);
@@ -122,7 +188,7 @@
       code = 0;
     }
   else
-    code = run (&settings);
+    code = run (&settings, config);
   ss_settings_finish (&settings);
 done:
   g_option_context_free (context);
--- a/src/kernel/log.c
+++ b/src/kernel/log.c
@@ -1,10 +1,13 @@
 #include "kernel/log.h"
 
+#include <fcntl.h>
 #include <jansson.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 static const char *const level_names[] = {
 #define X(id, name) name,
@@ -32,6 +35,9 @@
   log->vm = vm;
   log->min_level = min_level;
   log->spans = spans;
+  log->dropped = 0;
+  fcntl (STDOUT_FILENO, F_SETFL,
+         fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
 
 static void
@@ -65,13 +71,30 @@
   return event_rows[event].level >= log->min_level;
 }
 
+/* A line that is cut short would spoil the next: it is ended first. */
+static void
+write_line (SsLog *log, const char *text)
+{
+  size_t bytes = strlen (text);
+  ssize_t sent = write (STDOUT_FILENO, text, bytes);
+
+  if (sent == (ssize_t) bytes)
+    log->dropped = 0;
+  else
+    log->dropped++;
+  if (sent > 0 && sent < (ssize_t) bytes)
+    sent = write (STDOUT_FILENO, "\n", 1);
+}
+
 void
-ss_log_write (const SsLog *log, SsLogEvent event, ...)
+ss_log_write (SsLog *log, SsLogEvent event, ...)
 {
   const EventRow *row = &event_rows[event];
   const char *name;
   char time_text[48];
   json_t *line;
+  char *text;
+  char *whole;
   va_list args;
 
   if (!is_wanted (log, event))
@@ -88,8 +111,15 @@
   while ((name = va_arg (args, const char *)))
     add_text (line, name, va_arg (args, const char *));
   va_end (args);
-  json_dumpf (line, stderr, JSON_COMPACT);
-  fputc ('\n', stderr);
+  if (log->dropped)
+    json_object_set_new (line, "dropped",
+                         json_integer ((json_int_t) log->dropped));
+  text = json_dumps (line, JSON_COMPACT);
+  whole = malloc (strlen (text) + 2);
+  sprintf (whole, "%s\n", text);
+  write_line (log, whole);
+  free (whole);
+  free (text);
   json_decref (line);
 }
 
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -1,4 +1,7 @@
-/* log: structured log lines, one JSON object a line on standard error.
+/* log: structured log lines, one JSON object a line on standard output.
+ *
+ * Writing never blocks: a line that the reader has no room for is dropped, and
+ * the next one that is written says how many were.
  *
  * Every event has a number and a name from one table; docs/EVENTS.md is
  * checked against it.
@@ -30,6 +33,8 @@
   X (STOPPED, 102, INFO, "daemon stopped")                                     \
   X (READY, 103, INFO, "configuration in force, serving callers")              \
   X (PAUSED, 104, WARNING, "this vm was paused")                               \
+  X (RELOADED, 105, INFO, "settings read again")                               \
+  X (RELOAD_REFUSED, 106, ERROR, "changed settings are invalid; kept the old") \
   X (CONFIG_ADOPTED, 200, INFO, "configuration object adopted")                \
   X (CONFIG_INVALID, 201, ERROR, "configuration object refused")               \
   X (PLATFORM_DOWN, 210, WARNING, "platform does not answer")                  \
@@ -50,6 +55,11 @@
   X (PROMOTION_CALLED, 505, WARNING, "platform asked to promote a server")     \
   X (PRIMARY_FOUND, 506, INFO, "servers follow a primary that is not named")   \
   X (CALLER_REFUSED, 600, WARNING, "caller refused")                           \
+  X (REQUEST_RAN, 601, INFO, "request answered")                               \
+  X (REQUEST_NOT_RUN, 602, INFO, "request refused as not run")                 \
+  X (REQUEST_IN_DOUBT, 603, WARNING, "request may have run")                   \
+  X (REQUEST_RETRIED, 604, INFO, "request tried again inside")                 \
+  X (REQUEST_WAITS, 605, INFO, "request waits")                                \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
@@ -65,6 +75,7 @@
   const char *vm;
   SsLogLevel min_level;
   bool spans; /* write SPAN events whatever the level */
+  uint64_t dropped; /* lines since the last one that was written */
 } SsLog;
 
 /* ss_log_init: prepares a logger; VM is borrowed and must outlive it. */
@@ -73,7 +84,7 @@
 /* ss_log_write: writes EVENT with pairs of field name and text, ended by
  * NULL.  Lines below the minimum level are dropped.
  */
-void ss_log_write (const SsLog *log, SsLogEvent event, ...)
+void ss_log_write (SsLog *log, SsLogEvent event, ...)
     __attribute__ ((sentinel));
 
 /* ss_log_level_parse: returns false where NAME is no level. */
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -98,6 +98,15 @@
   ev_timer_start (loop, &shell->tick);
 }
 
+static void
+fill_pace (SsNodeParams *params, const SsSettings *settings)
+{
+#define X(field, fallback, lowest, highest)                                    \
+  params->pace.field = settings->field;
+  SS_PACES (X)
+#undef X
+}
+
 static void
 fill_params (SsNodeParams *params, const SsSettings *settings, uint32_t seed)
 {
@@ -113,11 +122,10 @@
   params->transaction_idle_ms = settings->transaction_idle_ms;
   params->stop_bound_ms = settings->stop_bound_ms;
   params->spans = settings->log_spans != 0;
+  params->apply_ms = settings->apply_ms;
+  params->drain_ms = settings->drain_ms;
   params->seed_port = (uint32_t) settings->seed_port;
-#define X(field, fallback, lowest, highest)                                    \
-  params->pace.field = settings->field;
-  SS_PACES (X)
-#undef X
+  fill_pace (params, settings);
 }
 
 char *
@@ -150,6 +158,40 @@
   return error;
 }
 
+/* The core and the plug-ins borrow strings of the settings that they began
+ * with: these stay until the end.
+ */
+static void
+retire (SsShell *shell, SsSettings *settings)
+{
+  if (!shell->retired)
+    shell->retired = g_ptr_array_new ();
+  g_ptr_array_add (shell->retired, settings);
+}
+
+void
+ss_shell_reload (SsShell *shell, const char *path)
+{
+  SsSettings *settings = g_new0 (SsSettings, 1);
+  SsLogLevel level = SS_LOG_INFO;
+  char *error = ss_settings_init (settings, path);
+
+  retire (shell, settings);
+  if (error)
+    {
+      ss_log_write (&shell->log, SS_EVENT_LOG_RELOAD_REFUSED, "subject", path,
+                    "detail", error, NULL);
+      g_free (error);
+      return;
+    }
+  shell->settings = settings;
+  ss_log_level_parse (settings->log_level, &level);
+  shell->log.min_level = level;
+  shell->log.spans = settings->log_spans != 0;
+  fill_pace (&shell->node.params, settings);
+  ss_log_write (&shell->log, SS_EVENT_LOG_RELOADED, "subject", path, NULL);
+}
+
 void
 ss_shell_finish (SsShell *shell)
 {
@@ -159,4 +201,13 @@
   ev_prepare_stop (shell->loop, &shell->prepare);
   ev_timer_stop (shell->loop, &shell->tick);
   ss_node_finish (&shell->node);
+  for (guint i = 0; shell->retired && i < shell->retired->len; i++)
+    {
+      SsSettings *settings = g_ptr_array_index (shell->retired, i);
+
+      ss_settings_finish (settings);
+      g_free (settings);
+    }
+  if (shell->retired)
+    g_ptr_array_free (shell->retired, TRUE);
 }
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -48,6 +48,7 @@
   ev_timer tick;
   ev_prepare prepare;
   SsInterface interface;
+  GPtrArray *retired; /* settings that were read again; NULL: none */
   int32_t exit_code;
 };
 
@@ -72,6 +73,10 @@
 char *ss_shell_init (SsShell *shell, struct ev_loop *loop, const SsClock *clock,
                      const SsSettings *settings);
 void ss_shell_finish (SsShell *shell);
+/* ss_shell_reload: reads the settings at PATH again; what can change while
+ * the daemon runs is in force at once.  Invalid ones are logged and left.
+ */
+void ss_shell_reload (SsShell *shell, const char *path);
 
 /* ss_shell_event: hands EVENT to the core and carries out its actions. */
 void ss_shell_event (SsShell *shell, const SsEvent *event);
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -33,6 +33,8 @@
   X (peer_port, "vm.peer_port", -1, 1, 65535)                                  \
   X (admin_port, "vm.admin_port", -1, 1, 65535)                                \
   X (platform_port, "platform.port", 0, 1, 65535)                              \
+  X (apply_ms, "platform.apply_ms", 3000, 100, 600000)                         \
+  X (drain_ms, "platform.drain_ms", 7000, 100, 600000)                         \
   X (seed_port, "peers.seed_port", 0, 1, 65535)                                \
   X (max_callers, "callers.max", 8000, 1, 1000000)                             \
   X (startup_timeout_ms, "callers.startup_timeout_ms", 5000, 100, 60000)       \
