A transaction stays on the connection of its first statement

Ruled out: the replay of values (no PINNED of that kind in the traces). Change: the owner says whether the statement was sent; a BUSY inside an open transaction waits on its connection; a transaction that its caller takes for lost is rolled back at the target.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1759,7 +1759,7 @@
   (ProtobufCMessageInit) ss__peer__run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__run_reply__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ss__peer__run_reply__field_descriptors[11] =
 {
   {
     "request",
@@ -1881,6 +1881,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sent",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__RunReply, sent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__run_reply__field_indices_by_name[] = {
   6,   /* field[6] = applied */
@@ -1888,6 +1900,7 @@
   2,   /* field[2] = reason */
   0,   /* field[0] = request */
   3,   /* field[3] = retry_after_ms */
+  10,   /* field[10] = sent */
   9,   /* field[9] = tag */
   8,   /* field[8] = target */
   7,   /* field[7] = transaction_status */
@@ -1897,7 +1910,7 @@
 static const ProtobufCIntRange ss__peer__run_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ss__peer__run_reply__descriptor =
 {
@@ -1907,7 +1920,7 @@
   "Ss__Peer__RunReply",
   "ss.peer",
   sizeof(Ss__Peer__RunReply),
-  10,
+  11,
   ss__peer__run_reply__field_descriptors,
   ss__peer__run_reply__field_indices_by_name,
   1,  ss__peer__run_reply__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -220,10 +220,14 @@
    * where wire is empty: a command tag
    */
   char *tag;
+  /*
+   * the target may have run it
+   */
+  protobuf_c_boolean sent;
 };
 #define SS__PEER__RUN_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__run_reply__descriptor) \
-    , 0, 0, 0, 0, {0,NULL}, NULL, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, {0,NULL}, NULL, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Ss__Peer__Cancel
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -262,13 +262,15 @@
 }
 
 static bool
-may_retry (SsNode *node, SsRequest *r, SsVerdict verdict, SsReason reason)
+may_retry (SsNode *node, SsRequest *r, SsVerdict verdict, SsReason reason,
+           bool sent)
 {
   bool harmless = verdict == SS_VERDICT_NOT_RUN
                   || (verdict == SS_VERDICT_MAY_HAVE_RUN && r->is_read);
   bool is_kept = ss_dialect_keeps_sessions (node->dialect);
 
-  if (!harmless || r->session->pinned_vm
+  /* A transaction runs on one connection from its first statement on. */
+  if (!harmless || r->session->pinned_vm || (r->begins && sent)
       || (!r->is_read && (!is_kept || reason == SS_REASON_OVERLOAD))
       || reason == SS_REASON_TARGET_ERROR || reason == SS_REASON_CANCELLED
       || reason == SS_REASON_DEADLINE || r->tries >= SS_REQUEST_TRIES_MAX
@@ -374,7 +376,8 @@
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
       return;
     }
-  if (may_retry (node, r, (SsVerdict) reply->verdict, (SsReason) reply->reason))
+  if (may_retry (node, r, (SsVerdict) reply->verdict, (SsReason) reply->reason,
+                 reply->sent))
     try_again (node, r, (SsReason) reply->reason);
   else
     take_answer (node, r, reply);
@@ -450,7 +453,7 @@
     {
       SsRequest *r = g_ptr_array_index (lost, i);
 
-      if (may_retry (node, r, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_VM_LOST))
+      if (may_retry (node, r, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_VM_LOST, true))
         try_again (node, r, SS_REASON_VM_LOST);
       else
         ss_request_abandon (node, r, SS_REASON_VM_LOST);
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -285,6 +285,7 @@
   bool keeps;
   bool pinned; /* in a transaction that is open */
   bool confirm; /* only at a primary that is one after this came */
+  bool sent;    /* the target may have run the statement */
   bool is_read;
   SsPosition floor;
   SsStep step;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -100,6 +100,7 @@
     }
   if (job->tag)
     reply.tag = job->tag;
+  reply.sent = job->sent;
   send_reply (node, job->vm, &reply);
   ss_job_free (job);
 }
@@ -215,6 +216,7 @@
       send_text (node, c, SS_STEP_PRELUDE, NULL, text);
       return;
     }
+  job->sent = true;
   text = g_strdup (job->sql);
   if (!job->pinned && !job->begins)
     text = with_floor (node, job, text);
@@ -477,6 +479,11 @@
 
   job->connection = NULL;
   release_connection (node, c, job);
+  /* The caller takes its transaction for lost: so must the target. */
+  if (job->transaction_status != 'I' && reason != SS_REASON_NONE
+      && reason != SS_REASON_TARGET_ERROR
+      && ss_dialect_keeps_sessions (node->dialect))
+    ss_job_roll_back (node, c);
   ss_job_answer (node, job, verdict, reason, retry_after_ms);
 }
 
@@ -505,9 +512,11 @@
             int64_t limit_ms)
 {
   SsJob *job = c->job;
+  bool in_transaction
+      = job->pinned || (job->begins && job->step == SS_STEP_PLAIN);
 
-  if (job->pinned ? job->transaction_status != 'T'
-                  : job->transaction_status != 'I')
+  job->sent = false;
+  if (job->transaction_status != (in_transaction ? 'T' : 'I'))
     {
       end_job (node, c, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
       return;
--- a/src/core/monitor.c
+++ b/src/core/monitor.c
@@ -240,13 +240,16 @@
   if (!old->reachable)
     ss_node_log (node, SS_EVENT_LOG_TARGET_UP, t->name, "role=%s",
                  ss_server_role_text (t->state.role));
-  if (old->role == t->state.role && old->shown_term == t->state.shown_term)
+  if (old->role == t->state.role && old->shown_term == t->state.shown_term
+      && old->follow_term == t->state.follow_term
+      && old->barred_term == t->state.barred_term)
     return;
   ss_node_log (node, SS_EVENT_LOG_TARGET_TERM, t->name,
                "role=%s shown_term=%" G_GUINT64_FORMAT
-               " held=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+               " follow_term=%" G_GUINT64_FORMAT
+               " barred_term=%" G_GUINT64_FORMAT " held=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
                ss_server_role_text (t->state.role), t->state.shown_term,
-               t->state.held.term, t->state.held.offset);
+               t->state.follow_term, t->state.barred_term, t->state.held.term, t->state.held.offset);
 }
 
 static void
