No read at a target of an earlier term; holders of leases are listed; cut-off vms step aside

Ruled out: the lease (every VM had released it), the marks' ages. Change: the owner sends no read with a floor of a term that its target does not follow; a VM's object names the groups that it holds leases for, and only holders are waited for; leases of 1.8 s; a missed primary whose replicas still receive counts as missed only after 5 s; a VM without store and most others says that it is not ready and ends idle sessions.

--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -12,14 +12,40 @@
 #define PREFIX "vm/"
 #define SUBJECT "directory"
 
+typedef struct
+{
+  SsNode *node;
+  json_t *leases;
+} Leases;
+
+static gboolean
+add_lease (gpointer key, gpointer value, gpointer data)
+{
+  Leases *l = data;
+  SsTarget *primary = ss_group_primary (value);
+
+  if (primary && ss_node_is_owner (l->node, primary))
+    json_array_append_new (l->leases, json_string (key));
+  return FALSE;
+}
+
+/* What others have to know of this vm: where it is, and which primaries it may
+ * hold leases for.
+ */
 static char *
-own_value (const SsNode *node)
+own_value (SsNode *node)
 {
-  json_t *json = json_pack ("{s:s, s:s, s:i}", "failure_domain",
-                            node->params.failure_domain, "ip", node->params.ip,
-                            "peer_port", (int) node->params.peer_port);
-  char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
+  Leases l = { node, json_array () };
+  json_t *json;
+  char *text;
 
+  if (node->dialect->platform_promotes)
+    g_tree_foreach (node->config.groups, add_lease, &l);
+  json = json_pack ("{s:s, s:s, s:i, s:o}", "failure_domain",
+                    node->params.failure_domain, "ip", node->params.ip,
+                    "peer_port", (int) node->params.peer_port, "leases",
+                    l.leases);
+  text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
   json_decref (json);
   return text;
 }
@@ -46,15 +72,82 @@
   return bytes == strlen (value) && memcmp (held, value, bytes) == 0;
 }
 
+/* The leases that this vm's object names, and since when. */
+static void
+take_own (SsNode *node, const SsObject *object)
+{
+  json_t *json = json_loadb (object->value, object->value_bytes, 0, NULL);
+  json_t *item;
+  size_t i;
+  GHashTable *before = node->leases;
+
+  node->leases
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  json_array_foreach (json_object_get (json, "leases"), i, item)
+  {
+    const char *group = json_string_value (item);
+    const int64_t *since_ms
+        = group ? g_hash_table_lookup (before, group) : NULL;
+    int64_t *copy = g_new (int64_t, 1);
+
+    *copy = since_ms ? *since_ms : node->now_ms;
+    g_hash_table_insert (node->leases, g_strdup (group ? group : ""), copy);
+  }
+  g_hash_table_destroy (before);
+  json_decref (json);
+}
+
+static bool
+names_lease (const SsStoredObject *o, const char *group)
+{
+  gsize bytes;
+  const char *text = g_bytes_get_data (o->value, &bytes);
+  json_t *json = json_loadb (text, bytes, 0, NULL);
+  json_t *item;
+  size_t i;
+  bool found = false;
+
+  json_array_foreach (json_object_get (json, "leases"), i, item)
+  {
+    found = found || g_strcmp0 (json_string_value (item), group) == 0;
+  }
+  json_decref (json);
+  return found;
+}
+
+typedef struct
+{
+  const char *self;
+  const char *group;
+  GHashTable *released;
+  bool pending;
+} Holders;
+
+static gboolean
+find_holder (gpointer key, gpointer value, gpointer data)
+{
+  Holders *h = data;
+  const SsStoredObject *o = value;
+  const char *vm;
+
+  if (o->deleted || !g_str_has_prefix (key, PREFIX))
+    return FALSE;
+  vm = (const char *) key + strlen (PREFIX);
+  if (strcmp (vm, h->self) == 0 || g_hash_table_contains (h->released, vm)
+      || !names_lease (o, h->group))
+    return FALSE;
+  h->pending = true;
+  return TRUE;
+}
+
 bool
-ss_directory_lists_self (const SsNode *node)
+ss_directory_has_holder (const SsNode *node, const char *group,
+                         GHashTable *released)
 {
-  const SsStoredObject *o = stored_vm (node, node->params.vm);
-  char *value = own_value (node);
-  bool listed = is_listed (o, value);
+  Holders h = { node->params.vm, group, released, false };
 
-  free (value);
-  return listed;
+  g_tree_foreach (node->config.objects, find_holder, &h);
+  return h.pending;
 }
 
 static void
@@ -114,7 +207,11 @@
   json_int_t port;
 
   if (strcmp (vm, node->params.vm) == 0)
-    return;
+    {
+      if (!object->deleted)
+        take_own (node, object);
+      return;
+    }
   if (object->deleted)
     {
       if (m)
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -594,6 +594,26 @@
   ss_entry_close (node, id);
 }
 
+void
+ss_entry_end_idle (SsNode *node, uint32_t count)
+{
+  GPtrArray *ending = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->sessions);
+  while (ending->len < count && g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SsSession *s = value;
+
+      if (!s->request && s->status == 'I')
+        g_ptr_array_add (ending, value);
+    }
+  for (guint i = 0; i < ending->len; i++)
+    end_session (node, g_ptr_array_index (ending, i));
+  g_ptr_array_free (ending, TRUE);
+}
+
 bool
 ss_entry_stop (SsNode *node, bool force)
 {
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -87,8 +87,8 @@
   char *sql;
   char *shape; /* of the prepared statement that it runs; NULL: none */
   bool shape_is_read;
-  bool begins; /* opens the transaction that it is in */
-  bool keeps; /* what it does may outlast it: COMMIT, or a write alone */
+  bool begins;  /* opens the transaction that it is in */
+  bool keeps;   /* what it does may outlast it: COMMIT, or a write alone */
   bool confirm; /* the primary must be one after this came */
   bool is_read;
   int64_t staleness_ms; /* of the kind; 0: the session's floor */
@@ -127,6 +127,8 @@
 /* ss_entry_wake: routes the requests of GROUP that wait for WAIT. */
 void ss_entry_wake (SsNode *node, const char *group, SsWait wait);
 void ss_entry_tick (SsNode *node);
+/* ss_entry_end_idle: ends up to COUNT sessions with nothing under way. */
+void ss_entry_end_idle (SsNode *node, uint32_t count);
 /* ss_entry_stop: ends idle sessions; returns whether none is left. */
 bool ss_entry_stop (SsNode *node, bool force);
 bool ss_entry_uses_group (SsNode *node, const char *group);
@@ -283,7 +285,7 @@
   bool begins;
   bool transaction_is_read;
   bool keeps;
-  bool pinned; /* in a transaction that is open */
+  bool pinned;  /* in a transaction that is open */
   bool confirm; /* only at a primary that is one after this came */
   bool sent;    /* the target may have run the statement */
   bool is_read;
@@ -306,7 +308,7 @@
   uint64_t ask;
   char **identities; /* of a round's asker; may be NULL */
   SsPosition held;
-  uint64_t poll; /* answered by this poll or a later one */
+  uint64_t poll;   /* answered by this poll or a later one */
   int64_t poll_ms; /* no poll for it before */
   int64_t expires_ms;
 } SsAsk;
@@ -351,7 +353,7 @@
   int64_t control_started_ms;
   uint64_t poll; /* number of the last poll begun */
   int64_t poll_due_ms;
-  int64_t polled_ms; /* when the last poll began */
+  int64_t polled_ms;   /* when the last poll began */
   uint64_t raise_term; /* 0: none wanted */
   GPtrArray *raise_vms;
   GPtrArray *asks;
@@ -360,9 +362,9 @@
   int64_t reported_ms;
 
   SsWriters writers;
-  GQueue waiters; /* jobs whose commit waits for a majority */
+  GQueue waiters;     /* jobs whose commit waits for a majority */
   GQueue unconfirmed; /* jobs that wait for the primary to be confirmed */
-  SsMark seen; /* the latest position that an answer told */
+  SsMark seen;        /* the latest position that an answer told */
   uint64_t held_asks[SS_CONFIG_SERVERS_MAX]; /* outstanding, by server */
   int64_t held_asked_ms[SS_CONFIG_SERVERS_MAX];
   SsRound round;
@@ -431,6 +433,15 @@
 
 /* --- promote.c: changes of primary --- */
 
+/* A list of the vms that a claim waits for. */
+typedef enum
+{
+  SS_LIST_NONE,
+  SS_LIST_WANTED,
+  SS_LIST_ASKED,
+  SS_LISTED
+} SsListing;
+
 #define SS_PROMOTE_STEPS(X)                                                    \
   X (IDLE, "idle")                                                             \
   X (ADOPT, "adopt")                                                           \
@@ -474,9 +485,12 @@
   int64_t enough_ms; /* when enough servers were raised; 0: not yet */
   uint32_t rank;     /* of this vm as the group's coordinator */
   uint64_t rank_generation;
-  int64_t fence; /* of the platform's promotion call */
+  int64_t fence;        /* of the platform's promotion call */
+  SsPosition received;  /* the highest that a replica had */
+  int64_t received_ms;  /* when that last rose */
+  int64_t watched_ms;   /* when the replicas were last asked */
   GHashTable *released; /* vms that know of the claim */
-  bool vms_listed;      /* since the claim */
+  SsListing vms_listed; /* since the claim */
 } SsPromotion;
 
 /* The object whose holder may have the platform promote servers. */
@@ -494,12 +508,14 @@
 /* The longest that a vm uses a primary after the platform confirmed it; a
  * change of primary waits for so long for a vm that does not answer.
  */
-#define SS_LEASE_MS 3000
+#define SS_LEASE_MS 1800
 
 bool ss_lease_holds (const SsNode *node, const SsGroup *group);
 void ss_lease_tick (SsNode *node);
 /* ss_lease_listed: the answer to a list of objects, adopted already. */
 void ss_lease_listed (SsNode *node, const SsEvent *event);
+/* ss_lease_list_vms: has the platform list the vms now. */
+void ss_lease_list_vms (SsNode *node);
 /* ss_lease_begin_release: a claim took effect: no vm may go on to use the
  * primary before it.
  */
@@ -511,6 +527,13 @@
 void ss_lease_claim_reply (SsNode *node, const char *from,
                            const Ss__Peer__ClaimReply *reply);
 
+/* --- isolation.c: a vm that can serve nobody --- */
+
+/* ss_isolation_misses_most: whether most listed vms are not heard. */
+bool ss_isolation_misses_most (const SsNode *node);
+/* ss_isolation_tick: judges whether this vm is cut off. */
+void ss_isolation_tick (SsNode *node);
+
 /* --- lead.c: promotions that the platform carries out --- */
 
 /* ss_lead_is_coordinator: whether this vm orders promotions. */
@@ -521,6 +544,8 @@
  * begins to name it; returns whether it did.
  */
 bool ss_lead_adopt (SsNode *node, SsPromotion *promotion, SsGroup *group);
+/* ss_lead_watch: looks at the replicas while their primary is missed. */
+void ss_lead_watch (SsNode *node, SsPromotion *promotion, const SsGroup *group);
 bool ss_lead_is_suspect (SsNode *node, const SsPromotion *promotion,
                          const SsGroup *group);
 /* ss_lead_begin: has the platform promote the server that was chosen. */
@@ -534,8 +559,6 @@
 void ss_promote_raised (SsNode *node, const Ss__Peer__RaiseReply *reply);
 void ss_promote_object (SsNode *node, uint64_t call, SsPlatformOutcome outcome,
                         const SsObject *object);
-/* ss_promote_listed: the vms were listed, or another feed was. */
-void ss_promote_listed (SsNode *node, const SsEvent *event);
 /* ss_promote_called: how the platform's promotion of a server ended. */
 void ss_promote_called (SsNode *node, uint64_t call, SsPlatformOutcome outcome);
 /* ss_promote_order: an operator's order, answered as operation CALL. */
@@ -575,8 +598,11 @@
 /* ss_directory_object: how a write of a vm's object ended. */
 void ss_directory_object (SsNode *node, SsPlatformOutcome outcome,
                           const SsObject *object);
-/* ss_directory_lists_self: whether others can know of this vm. */
-bool ss_directory_lists_self (const SsNode *node);
+/* ss_directory_has_holder: whether another vm's object names a lease of GROUP,
+ * beside the vms that RELEASED has.
+ */
+bool ss_directory_has_holder (const SsNode *node, const char *group,
+                              GHashTable *released);
 /* ss_directory_leave: this vm stops. */
 void ss_directory_leave (SsNode *node);
 
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -301,6 +301,21 @@
   return ss_position_covers (applied, translated);
 }
 
+/* A target that still follows an earlier term may hold more entries than the
+ * floor counts, but others: by their number alone it would take itself for
+ * fresh.  It gets no read with a floor of a term that it does not know.
+ */
+static SsReason
+check_term_of_floor (SsNode *node, SsOwned *owned, SsPosition floor)
+{
+  const SsServerState *s = &owned->target->state;
+
+  if (floor.term <= MAX (s->follow_term, s->applied.term))
+    return SS_REASON_NONE;
+  ss_monitor_poll_soon (node, owned);
+  return SS_REASON_BEHIND;
+}
+
 /* Whether the target may take a new statement; SS_REASON_NONE if so. */
 static SsReason
 check_target (SsNode *node, SsOwned *owned, const Ss__Peer__Run *run)
@@ -316,7 +331,7 @@
     return SS_REASON_CONNECT;
   if (run->is_read && !run->confirm
       && ss_dialect_keeps_sessions (node->dialect))
-    return SS_REASON_NONE;
+    return check_term_of_floor (node, owned, ss_position_unpack (run->floor));
   if (run->is_read && !run->confirm)
     return shows_floor (owned, t->state.applied,
                         ss_position_unpack (run->floor))
@@ -741,11 +756,11 @@
 static void
 note_applied (SsTarget *t, SsPosition applied)
 {
-  if (applied.term != t->state.held.term
-      || applied.offset <= t->state.applied.offset)
+  if (applied.term < t->state.held.term
+      || ss_position_compare (applied, t->state.applied) <= 0)
     return;
   t->state.applied = applied;
-  if (t->state.held.offset < applied.offset)
+  if (ss_position_compare (t->state.held, applied) < 0)
     t->state.held = applied;
 }
 
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -6,9 +6,14 @@
 
 /* A refusing address is a crash; a silent one may be a short cut. */
 #define REFUSED_DOWN_MS 300
-#define SILENT_DOWN_MS 1500
+#define SILENT_DOWN_MS 1000
 /* No report of its owner either. */
 #define UNREPORTED_DOWN_MS 5000
+/* Replicas of a missed primary are asked this often, and count as receiving
+ * for so long after their last news.
+ */
+#define WATCH_MS 200
+#define RECEIVED_MS 450
 #define FRESH_REPORT_MS 1500
 /* A primary whose entry is gone counts after the vm has run for so long. */
 #define SETTLED_MS 3000
@@ -92,6 +97,34 @@
   return true;
 }
 
+/* Notes whether the replicas of a primary that is missed still receive. */
+void
+ss_lead_watch (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  const SsTarget *primary = ss_group_primary (group);
+  SsPosition highest = p->received;
+  bool ask = primary && !primary->state.reachable
+             && node->now_ms - p->watched_ms >= WATCH_MS
+             && ss_lead_is_coordinator (node);
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      SsTarget *t = group->servers[i];
+
+      if (t == primary)
+        continue;
+      highest = ss_position_max (highest, t->state.held);
+      if (ask)
+        ss_hold_ask_status (node, t);
+    }
+  if (ask)
+    p->watched_ms = node->now_ms;
+  if (ss_position_compare (highest, p->received) <= 0)
+    return;
+  p->received = highest;
+  p->received_ms = node->now_ms;
+}
+
 bool
 ss_lead_is_suspect (SsNode *node, const SsPromotion *p, const SsGroup *group)
 {
@@ -107,11 +140,15 @@
   if (!primary)
     return node->now_ms - node->started_ms >= SETTLED_MS
            && down_ms >= SILENT_DOWN_MS;
-  if (!primary->state.reachable
-      && node->now_ms - primary->state_ms < FRESH_REPORT_MS)
-    return down_ms
-           >= (primary->state.refused ? REFUSED_DOWN_MS : SILENT_DOWN_MS);
-  return down_ms >= UNREPORTED_DOWN_MS;
+  if (primary->state.reachable
+      || node->now_ms - primary->state_ms >= FRESH_REPORT_MS)
+    return down_ms >= UNREPORTED_DOWN_MS;
+  if (primary->state.refused)
+    return down_ms >= REFUSED_DOWN_MS;
+  /* Replicas that go on receiving hear a primary that others may reach. */
+  return down_ms >= (node->now_ms - p->received_ms < RECEIVED_MS
+                         ? UNREPORTED_DOWN_MS
+                         : SILENT_DOWN_MS);
 }
 
 /* --- the call --- */
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -3,18 +3,19 @@
  * The platform's object of a group names its primary.  Where the platform,
  * asked at some time, says that the object is still as this vm holds it, the
  * vm may take that primary for the only one for SS_LEASE_MS from that time.
- * A change of primary begins with a write to that object, and goes on only
- * once every listed vm has taken it over or that time has passed
- * (ss_lease_is_released).  A vm that the platform does not answer asks a
- * majority of the servers instead (hold.c).
+ * A vm's own object names the groups that it holds leases for.  A change of
+ * primary begins with a write to the group's object, and goes on only once
+ * every holder has taken it over, by its word or by its object, or that time
+ * has passed (ss_lease_is_released).  A vm that the platform does not answer
+ * asks a majority of the servers instead (hold.c).
  */
 #include <string.h>
 
 #include "core/internal.h"
 
 /* Well below the lease, so that one lost answer does not end it. */
-#define RENEW_MS 1200
-#define RENEW_AGAIN_MS 300
+#define RENEW_MS 800
+#define RENEW_AGAIN_MS 200
 #define ASK_TIMEOUT_MS 1500
 /* The clocks of two vms run apart by less than this in a lease. */
 #define DRIFT_MS 50
@@ -23,10 +24,67 @@
 ss_lease_holds (const SsNode *node, const SsGroup *group)
 {
   return group->version && *group->primary && group->confirmed_ms
-         && ss_directory_lists_self (node)
+         && g_hash_table_contains (node->leases, group->name)
          && node->now_ms - group->confirmed_ms < SS_LEASE_MS;
 }
 
+/* --- the vms that a claim waits for --- */
+
+static gboolean
+begin_listing (gpointer key, gpointer value, gpointer data)
+{
+  SsPromotion *p = value;
+
+  (void) key;
+  if (p->vms_listed != SS_LIST_WANTED)
+    return FALSE;
+  p->vms_listed = SS_LIST_ASKED;
+  *(bool *) data = true;
+  return FALSE;
+}
+
+/* One list is out at a time; a claim needs one that was asked for after it. */
+static void
+list_vms (SsNode *node)
+{
+  bool wanted = false;
+
+  if (node->vms_listing)
+    return;
+  g_tree_foreach (node->promotions, begin_listing, &wanted);
+  if (wanted)
+    ss_lease_list_vms (node);
+}
+
+void
+ss_lease_list_vms (SsNode *node)
+{
+  if (node->vms_listing)
+    return;
+  node->vms_listing = true;
+  ss_node_push (node, SS_ACTION_PLATFORM_LIST)->id = SS_FEED_VMS;
+}
+
+static gboolean
+end_listing (gpointer key, gpointer value, gpointer data)
+{
+  SsPromotion *p = value;
+
+  (void) key;
+  if (p->vms_listed == SS_LIST_ASKED)
+    p->vms_listed = *(SsListing *) data;
+  return FALSE;
+}
+
+static void
+take_vms (SsNode *node, SsPlatformOutcome outcome)
+{
+  SsListing state = outcome == SS_PLATFORM_DONE ? SS_LISTED : SS_LIST_WANTED;
+
+  node->vms_listing = false;
+  g_tree_foreach (node->promotions, end_listing, &state);
+}
+
 /* --- keeping it --- */
 
 static gboolean
@@ -63,19 +121,26 @@
   ss_node_push (node, SS_ACTION_PLATFORM_LIST)->id = SS_FEED_GROUPS;
 }
 
+/* A lease counts only where this vm was listed as its holder before it asked:
+ * who claims the group later then sees either the holder or its release.
+ */
 static void
 confirm (SsNode *node, const SsObject *object, int64_t asked_ms)
 {
-  SsGroup *group
-      = ss_config_group (&node->config, strchr (object->key, '/') + 1);
+  const char *name = strchr (object->key, '/') + 1;
+  SsGroup *group = ss_config_group (&node->config, name);
+  const int64_t *since_ms = g_hash_table_lookup (node->leases, name);
 
-  if (group && group->version == object->version)
+  if (group && since_ms && *since_ms <= asked_ms
+      && group->version == object->version)
     group->confirmed_ms = MAX (group->confirmed_ms, asked_ms);
 }
 
 void
 ss_lease_listed (SsNode *node, const SsEvent *e)
 {
+  if (e->platform_objects.feed == SS_FEED_VMS)
+    take_vms (node, e->platform_objects.outcome);
   if (e->platform_objects.feed != SS_FEED_GROUPS || !node->lease_asked_ms)
     return;
   if (e->platform_objects.outcome != SS_PLATFORM_DONE)
@@ -92,37 +157,21 @@
 
 /* --- ending it everywhere --- */
 
-typedef struct
-{
-  SsNode *node;
-  SsPromotion *promotion;
-  bool pending;
-} Release;
-
-static gboolean
-check_released (gpointer key, gpointer value, gpointer data)
-{
-  Release *r = data;
-  const SsMember *m = value;
-
-  if (strcmp (key, r->node->params.vm) == 0 || (!m->listed && !m->live)
-      || g_hash_table_contains (r->promotion->released, key))
-    return FALSE;
-  r->pending = true;
-  return FALSE;
-}
-
 bool
 ss_lease_is_released (SsNode *node, SsPromotion *p)
 {
-  Release r = { node, p, !p->vms_listed };
-
   if (node->now_ms - p->since_ms >= SS_LEASE_MS + DRIFT_MS)
     return true;
-  g_tree_foreach (node->members.by_name, check_released, &r);
-  return !r.pending;
+  return p->vms_listed == SS_LISTED
+         && !ss_directory_has_holder (node, p->group, p->released);
 }
 
+typedef struct
+{
+  SsNode *node;
+  SsPromotion *promotion;
+} Release;
+
 static gboolean
 ask_one (gpointer key, gpointer value, gpointer data)
 {
@@ -145,8 +194,9 @@
 void
 ss_lease_ask_release (SsNode *node, SsPromotion *p)
 {
-  Release r = { node, p, false };
+  Release r = { node, p };
 
+  list_vms (node);
   g_tree_foreach (node->members.by_name, ask_one, &r);
 }
 
@@ -156,8 +206,8 @@
   if (!p->released)
     p->released = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_hash_table_remove_all (p->released);
-  p->vms_listed = false;
-  ss_node_push (node, SS_ACTION_PLATFORM_LIST)->id = SS_FEED_VMS;
+  p->vms_listed = SS_LIST_WANTED;
+  list_vms (node);
 }
 
 void
--- a/src/core/monitor.c
+++ b/src/core/monitor.c
@@ -3,8 +3,6 @@
 #include "core/owner.h"
 
 #define CONTROL_RETRY_MS 100
-/* A server that does not answer for this long counts as unreachable. */
-#define UNREACHABLE_MS 1200
 #define CONTROL_TIMEOUT_MS 3000
 #define CONNECT_TIMEOUT_MS 1000
 #define ASK_HOLD_MS 80
@@ -247,9 +245,11 @@
   ss_node_log (node, SS_EVENT_LOG_TARGET_TERM, t->name,
                "role=%s shown_term=%" G_GUINT64_FORMAT
                " follow_term=%" G_GUINT64_FORMAT
-               " barred_term=%" G_GUINT64_FORMAT " held=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+               " barred_term=%" G_GUINT64_FORMAT " held=%" G_GUINT64_FORMAT
+               "/%" G_GUINT64_FORMAT,
                ss_server_role_text (t->state.role), t->state.shown_term,
-               t->state.follow_term, t->state.barred_term, t->state.held.term, t->state.held.offset);
+               t->state.follow_term, t->state.barred_term, t->state.held.term,
+               t->state.held.offset);
 }
 
 static void
@@ -393,7 +393,8 @@
   SsTarget *t = owned->target;
 
   check_connection (node, owned);
-  if (t->state.reachable && node->now_ms - t->reachable_ms >= UNREACHABLE_MS)
+  if (t->state.reachable
+      && node->now_ms - t->reachable_ms >= node->params.pace.unreachable_ms)
     mark_unreachable (node, owned, false);
   if (!t->state.reachable
       || node->now_ms - owned->reported_ms >= node->params.pace.report_idle_ms)
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -47,6 +47,8 @@
   ss_budget_init (&node->budget);
   node->removals
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  node->leases
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_entry_init (node);
   ss_owner_init (node);
   ss_operate_init (node);
@@ -70,6 +72,7 @@
     g_bytes_unref (bytes);
   g_tree_destroy (node->marks);
   g_hash_table_destroy (node->removals);
+  g_hash_table_destroy (node->leases);
   g_tree_destroy (node->promotions);
   ss_config_finish (&node->config);
   ss_members_finish (&node->members);
@@ -80,7 +83,7 @@
 bool
 ss_node_takes_callers (const SsNode *node)
 {
-  return node->ready && !node->stopping;
+  return node->ready && !node->stopping && !node->isolated;
 }
 
 bool
@@ -335,6 +338,7 @@
   ss_operate_tick (node);
   ss_directory_tick (node);
   ss_lease_tick (node);
+  ss_isolation_tick (node);
   g_tree_foreach (node->marks, retry_marks, node);
   ss_entry_tick (node);
   if (node->stopping)
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -41,8 +41,8 @@
   uint32_t feeds; /* bit by SsFeed that is watched; 0: all objects in one */
   bool owners_anywhere; /* a failure domain without live vms gives its targets
                            to vms of others */
-  int64_t apply_ms; /* a change of configuration is in force by then */
-  int64_t drain_ms; /* a leaving target gets nothing after that */
+  int64_t apply_ms;     /* a change of configuration is in force by then */
+  int64_t drain_ms;     /* a leaving target gets nothing after that */
   uint32_t seed_port;   /* of peers at the seeds; 0: as the seeds say */
 } SsNodeParams;
 
@@ -116,6 +116,10 @@
   SsFeedState feeds[SS_FEED_COUNT];
   GHashTable *removals; /* key -> SsRemoval */
   int64_t directory_due_ms;
+  GHashTable *leases; /* group -> since when this vm's object names it, ms */
+  bool vms_listing;   /* a list of the vms is out */
+  bool isolated;      /* can serve nobody */
+  int64_t alone_since_ms; /* since when most vms are missed; 0: they are not */
   int64_t lease_due_ms;
   int64_t lease_asked_ms; /* 0: no question is out */
   bool vms_asked;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -355,6 +355,8 @@
   if (owned->group_term && strcmp (group->primary, owned->target->name) != 0)
     end_superseded (node, owned);
   owned->group_term = group->term;
+  if (ss_dialect_keeps_sessions (node->dialect) && owned->active)
+    ss_monitor_poll_soon (node, owned);
 }
 
 static gboolean
@@ -383,6 +385,8 @@
 ss_owner_update (SsNode *node)
 {
   g_tree_foreach (node->config.targets, update_one, node);
+  /* The leases that this vm may hold may be others now. */
+  node->directory_due_ms = MIN (node->directory_due_ms, node->now_ms);
 }
 
 static void
--- a/src/core/pace.h
+++ b/src/core/pace.h
@@ -18,8 +18,9 @@
   X (poll_lagging_ms, 10, 1, 60000) /* of one that has not applied all */      \
   X (poll_asked_ms, 1, 1, 1000)     /* of one whose state is asked for */      \
   X (silence_ms, 60000, 1, 60000)   /* a target that did not answer so long */ \
-  X (report_idle_ms, 250, 1, 60000) /* a target's state to other vms */        \
-  X (report_min_ms, 10, 1, 60000)   /* of one whose state changed */
+  X (unreachable_ms, 1200, 1, 60000) /* a target that did not answer at all */ \
+  X (report_idle_ms, 250, 1, 60000)  /* a target's state to other vms */       \
+  X (report_min_ms, 10, 1, 60000)    /* of one whose state changed */
 
 typedef struct
 {
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -465,25 +465,6 @@
 
 /* --- answers of the platform --- */
 
-static gboolean
-note_listed (gpointer key, gpointer value, gpointer data)
-{
-  SsPromotion *p = value;
-
-  (void) key;
-  (void) data;
-  p->vms_listed = p->vms_listed || p->step == SS_PROMOTE_RAISE;
-  return FALSE;
-}
-
-void
-ss_promote_listed (SsNode *node, const SsEvent *event)
-{
-  if (event->platform_objects.feed == SS_FEED_VMS
-      && event->platform_objects.outcome == SS_PLATFORM_DONE)
-    g_tree_foreach (node->promotions, note_listed, NULL);
-}
-
 static void
 finish (SsNode *node, SsPromotion *p)
 {
@@ -588,6 +569,8 @@
 tick_one (SsNode *node, SsPromotion *p, SsGroup *group)
 {
   watch_primary (node, p, group);
+  if (node->dialect->platform_promotes)
+    ss_lead_watch (node, p, group);
   if (p->step != SS_PROMOTE_IDLE && group->term > p->term)
     {
       ss_promote_give_up (node, p, "a later term is in force");
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -72,9 +72,9 @@
 static void
 log_end (SsNode *node, const SsRequest *r, SsVerdict verdict, SsReason reason)
 {
-  static const SsLogEvent events[] = { SS_EVENT_LOG_REQUEST_NOT_RUN,
-                                       SS_EVENT_LOG_REQUEST_IN_DOUBT,
-                                       SS_EVENT_LOG_REQUEST_RAN };
+  static const SsLogEvent events[]
+      = { SS_EVENT_LOG_REQUEST_NOT_RUN, SS_EVENT_LOG_REQUEST_IN_DOUBT,
+          SS_EVENT_LOG_REQUEST_RAN };
   const SsTarget *t
       = r->target ? ss_config_target (&node->config, r->target) : NULL;
   const SsGroup *group = ss_session_group (node, r->session);
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -491,6 +491,7 @@
 {
   bool adopted = false;
 
+  note_platform (node, e->platform_objects.outcome);
   if (e->platform_objects.outcome == SS_PLATFORM_DONE)
     {
       for (uint32_t i = 0; i < e->platform_objects.object_count; i++)
@@ -500,7 +501,6 @@
   if (adopted)
     ss_owner_update (node);
   ss_lease_listed (node, e);
-  ss_promote_listed (node, e);
 }
 
 void
--- a/src/kernel/log.c
+++ b/src/kernel/log.c
@@ -36,8 +36,7 @@
   log->min_level = min_level;
   log->spans = spans;
   log->dropped = 0;
-  fcntl (STDOUT_FILENO, F_SETFL,
-         fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  fcntl (STDOUT_FILENO, F_SETFL, fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
 
 static void
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -41,6 +41,8 @@
   X (PLATFORM_UP, 211, INFO, "platform answers again")                         \
   X (VM_LOST, 300, WARNING, "vm counted as dead")                              \
   X (VM_FOUND, 301, INFO, "vm counted as live")                                \
+  X (ISOLATED, 304, WARNING, "cut off from most vms and the platform")         \
+  X (REJOINED, 305, INFO, "no longer cut off")                                 \
   X (PEER_CLOSED, 302, INFO, "peer connection closed")                         \
   X (PEER_INVALID, 303, ERROR, "peer sent an invalid message")                 \
   X (TARGET_UP, 400, INFO, "target answers")                                   \
@@ -74,7 +76,7 @@
 {
   const char *vm;
   SsLogLevel min_level;
-  bool spans; /* write SPAN events whatever the level */
+  bool spans;       /* write SPAN events whatever the level */
   uint64_t dropped; /* lines since the last one that was written */
 } SsLog;
 
