--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
   $(addprefix $B/src/kernel/,names.o clock.o verdict.o counters.o log.o) \
   $B/src/plugins/pgwire.o
 UNIT_O = $(patsubst %.c,$B/%.o,$(wildcard tests/test_*.c)) $B/tests/unit.o \
-  $(WORLD_O) $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
+  $(WORLD_O) $B/tests/line_world.o $(filter %/line.o %/dialect.o \
+  %/errors.o %/records.o,$(PLATFORM)) $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
   platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch]))
 PROGRAMS = $(addprefix $B/,sapphirestaird sapphirectl ss-standin-target \
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -249,6 +249,7 @@
   int64_t since_ms;
   SsSessionState held; /* what it has set and prepared */
   GQueue due;          /* statements (to be freed) before the job's */
+  char *prelude;       /* the one of them that was sent last */
   bool rolls_back;     /* its session ended a transaction */
   int64_t again_ms;    /* when its job's statement is sent again; 0: not */
   int64_t sent_ms;     /* when its last statement was sent */
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -213,6 +213,8 @@
   take_slot (c, job->item.queue_class);
   if (text)
     {
+      g_free (c->prelude);
+      c->prelude = g_strdup (text);
       send_text (node, c, SS_STEP_PRELUDE, NULL, text);
       return;
     }
@@ -248,14 +250,9 @@
 void
 ss_job_send_again (SsNode *node, SsConnection *c)
 {
-  SsJob *job = c->job;
-
   c->again_ms = 0;
-  if (job->step == SS_STEP_PRELUDE)
-    g_queue_push_head (
-        &c->due, with_floor (node, job,
-                             node->dialect->begin (node->dialect,
-                                                   job->transaction_is_read)));
+  if (c->job->step == SS_STEP_PRELUDE)
+    g_queue_push_head (&c->due, g_steal_pointer (&c->prelude));
   send_next (node, c);
 }
 
@@ -519,6 +516,21 @@
   ss_hold_wait (node, job);
 }
 
+/* Ends a statement that was not run.  Where a part of what its session needs
+ * was not done either, nobody knows what the connection holds.
+ */
+static void
+end_not_run (SsNode *node, SsConnection *c, SsReason reason)
+{
+  const SsJob *job = c->job;
+  bool is_begin = job->begins && g_queue_is_empty (&c->due);
+
+  if (job->step == SS_STEP_PRELUDE && !is_begin)
+    ss_job_give_up (node, c, reason);
+  else
+    end_job (node, c, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
+}
+
 /* The statement was not run; it is sent again while its target may soon run
  * it.
  */
@@ -531,14 +543,10 @@
       = job->pinned || (job->begins && job->step == SS_STEP_PLAIN);
 
   job->sent = false;
-  if (job->transaction_status != (in_transaction ? 'T' : 'I'))
-    {
-      end_job (node, c, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
-      return;
-    }
-  if (node->now_ms - job->started_ms + pause_ms > limit_ms)
+  if (job->transaction_status != (in_transaction ? 'T' : 'I')
+      || node->now_ms - job->started_ms + pause_ms > limit_ms)
     {
-      end_job (node, c, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
+      end_not_run (node, c, reason);
       return;
     }
   c->again_ms = node->now_ms + pause_ms;
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -13,6 +13,7 @@
     ss_job_free (c->job);
   ss_session_state_finish (&c->held);
   g_queue_clear_full (&c->due, g_free);
+  g_free (c->prelude);
   g_free (c->vm);
   g_free (c);
 }
--- /dev/null
+++ b/tests/line_world.c
@@ -0,0 +1,864 @@
+#include "tests/line_world.h"
+
+#include <string.h>
+
+#include "platform/dialect.h"
+#include "platform/line.h"
+
+#define START_MS 100000
+#define HANDSHAKE_MS 12
+#define ANSWER_MAX_MS 30
+#define THINK_MAX_MS 15
+#define SAY_MAX_MS 5000
+#define LAG_MS 20
+
+typedef struct
+{
+  int64_t at_ms;
+  SsEvent event;
+  SsTargetResult result;
+  GBytes *wire;
+  char *cells[9];
+  uint32_t cell_count;
+  SsObject *objects;
+} Due;
+
+/* --- time --- */
+
+static int
+compare_due (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const Due *x = a;
+  const Due *y = b;
+
+  (void) data;
+  return x->at_ms < y->at_ms ? -1 : x->at_ms > y->at_ms;
+}
+
+static Due *
+schedule (LineWorld *w, int64_t after_ms, SsEventKind kind)
+{
+  Due *d = g_new0 (Due, 1);
+
+  d->at_ms = w->now_ms + after_ms;
+  d->event.kind = kind;
+  g_queue_insert_sorted (&w->due, d, compare_due, NULL);
+  return d;
+}
+
+static void
+free_due (gpointer data)
+{
+  Due *d = data;
+
+  if (d->wire)
+    g_bytes_unref (d->wire);
+  for (uint32_t i = 0; i < d->cell_count; i++)
+    g_free (d->cells[i]);
+  g_free (d->objects);
+  g_free (d);
+}
+
+/* --- violations --- */
+
+static void
+violate (LineWorld *w, const char *what, const char *label, const char *text)
+{
+  if (!w->violations++)
+    g_snprintf (w->first_violation, sizeof w->first_violation, "%s: %s %s",
+                what, label, text);
+}
+
+/* --- the platform --- */
+
+static void
+fill_objects (LineWorld *w, Due *d, SsFeed feed, bool all)
+{
+  GPtrArray *found = g_ptr_array_new ();
+  uint32_t count = 0;
+
+  for (GTreeNode *n = g_tree_node_first (w->objects); n;
+       n = g_tree_node_next (n))
+    if (g_str_has_prefix (g_tree_node_key (n), ss_feed_prefix (feed)))
+      g_ptr_array_add (found, n);
+  d->objects = g_new0 (SsObject, found->len + 1);
+  for (guint i = 0; all && i < found->len; i++)
+    {
+      GTreeNode *n = g_ptr_array_index (found, i);
+      SsObject *o = &d->objects[count++];
+
+      o->key = g_tree_node_key (n);
+      o->value = g_tree_node_value (n);
+      o->value_bytes = (uint32_t) strlen (o->value);
+      o->version = *(int64_t *) g_hash_table_lookup (w->versions, o->key);
+    }
+  g_ptr_array_free (found, TRUE);
+  d->event.platform_objects.feed = feed;
+  d->event.platform_objects.outcome
+      = w->platform_down ? SS_PLATFORM_UNKNOWN : SS_PLATFORM_DONE;
+  d->event.platform_objects.objects = d->objects;
+  d->event.platform_objects.object_count = w->platform_down ? 0 : count;
+  d->event.platform_objects.revision = w->version;
+  d->event.platform_objects.complete = all;
+}
+
+static void
+store (LineWorld *w, const char *key, const char *value)
+{
+  int64_t *version = g_new (int64_t, 1);
+
+  *version = ++w->version;
+  g_tree_replace (w->objects, g_strdup (key), g_strdup (value));
+  g_hash_table_replace (w->versions, g_strdup (key), version);
+}
+
+static void
+answer_put (LineWorld *w, const SsAction *a)
+{
+  Due *d = schedule (w, 4, SS_EVENT_PLATFORM_OBJECT);
+  SsObject *o = &d->event.platform_object.object;
+
+  d->event.platform_object.call = a->id;
+  d->event.platform_object.outcome = SS_PLATFORM_UNKNOWN;
+  if (w->platform_down)
+    return;
+  store (w, a->name, a->text);
+  d->event.platform_object.outcome = SS_PLATFORM_DONE;
+  d->cells[0] = g_strdup (a->name);
+  d->cells[1] = g_strdup (a->text);
+  d->cell_count = 2;
+  o->key = d->cells[0];
+  o->value = d->cells[1];
+  o->value_bytes = (uint32_t) strlen (o->value);
+  o->version = w->version;
+}
+
+static void
+answer_platform (LineWorld *w, const SsAction *a)
+{
+  Due *d;
+
+  switch (a->kind)
+    {
+    case SS_ACTION_PLATFORM_WATCH:
+      if (a->number)
+        return; /* changes are told by line_world_put */
+      d = schedule (w, 4, SS_EVENT_PLATFORM_OBJECTS);
+      fill_objects (w, d, (SsFeed) a->id, true);
+      break;
+    case SS_ACTION_PLATFORM_LIST:
+      d = schedule (w, 4, SS_EVENT_PLATFORM_OBJECTS);
+      fill_objects (w, d, (SsFeed) a->id, true);
+      d->event.platform_objects.listed = true;
+      break;
+    case SS_ACTION_PLATFORM_PUT:
+      answer_put (w, a);
+      break;
+    default:
+      break;
+    }
+}
+
+void
+line_world_put (LineWorld *w, const char *key, const char *value)
+{
+  SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
+  SsObject o = { 0 };
+
+  store (w, key, value);
+  o.key = key;
+  o.value = value;
+  o.value_bytes = (uint32_t) strlen (value);
+  o.version = w->version;
+  for (uint32_t i = 0; i < SS_FEED_COUNT; i++)
+    if (i != SS_FEED_ALL && g_str_has_prefix (key, ss_feed_prefix (i)))
+      e.platform_objects.feed = (SsFeed) i;
+  e.platform_objects.outcome = SS_PLATFORM_DONE;
+  e.platform_objects.objects = &o;
+  e.platform_objects.object_count = 1;
+  e.platform_objects.revision = w->version;
+  ss_node_on_event (&w->node, &e, w->now_ms);
+}
+
+/* --- servers --- */
+
+static LineServer *
+find_server (LineWorld *w, const char *name)
+{
+  for (uint32_t i = 0; i < LINE_SERVERS; i++)
+    if (strcmp (w->servers[i].name, name) == 0)
+      return &w->servers[i];
+  return NULL;
+}
+
+/* Replicas receive at once and apply after their lag. */
+static void
+replicate (LineWorld *w)
+{
+  const LineServer *primary = &w->servers[0];
+
+  for (uint32_t i = 1; i < LINE_SERVERS; i++)
+    {
+      LineServer *s = &w->servers[i];
+
+      if (s->deaf || s->barred_term || s->term != primary->term)
+        continue;
+      s->received = primary->received;
+      if (ss_position_compare (s->applied, s->received) == 0)
+        s->dirty_ms = w->now_ms;
+      else if (w->now_ms - s->dirty_ms >= s->lag_ms)
+        s->applied = s->received;
+    }
+}
+
+static uint32_t
+session_of (const char *label)
+{
+  return (uint32_t) g_ascii_strtoull (label + 1, NULL, 10);
+}
+
+typedef struct
+{
+  const SsSessionState *other;
+  bool same;
+} Compare;
+
+static gboolean
+compare_value (gpointer key, gpointer value, gpointer data)
+{
+  Compare *c = data;
+  const char *other
+      = c->other->values ? g_tree_lookup (c->other->values, key) : NULL;
+
+  c->same = other && strcmp (other, value) == 0;
+  return !c->same;
+}
+
+static bool
+has_same_values (const SsSessionState *a, const SsSessionState *b)
+{
+  Compare c = { b, true };
+  gint count_a = a->values ? g_tree_nnodes (a->values) : 0;
+  gint count_b = b->values ? g_tree_nnodes (b->values) : 0;
+
+  if (count_a != count_b)
+    return false;
+  if (a->values)
+    g_tree_foreach (a->values, compare_value, &c);
+  return c.same;
+}
+
+/* What a caller's statement must find where it runs. */
+static void
+check_run (LineWorld *w, LineConnection *c, const char *label,
+           const SsStatement *st)
+{
+  LineSession *s = &w->sessions[session_of (label) - 1];
+  const SsPrepared *p;
+
+  if (!has_same_values (&c->held, &s->state))
+    violate (w, "other values", label, c->server->name);
+  if (st->kind == SS_STATEMENT_EXECUTE)
+    {
+      const SsPrepared *wanted
+          = ss_session_state_prepared (&s->state, s->said.name);
+
+      p = ss_session_state_prepared (&c->held, st->name);
+      if (!p || !wanted || strcmp (p->shape, wanted->shape) != 0
+          || p->is_read != wanted->is_read)
+        violate (w, "other shape", label, c->server->name);
+    }
+  if (s->status == 'T' && s->first_connection && s->first_connection != c->id)
+    violate (w, "other connection", label, c->server->name);
+  if (s->status == 'T')
+    s->first_connection = c->id;
+  if (s->status != 'T' && c->status != 'I')
+    violate (w, "inside a transaction", label, c->server->name);
+  if (c->session && c->session != s->id)
+    violate (w, "inside another's transaction", label, c->server->name);
+  if (s->status != 'T'
+      && !ss_position_covers (c->server->applied, s->committed))
+    violate (w, "behind its own commit", label, c->server->name);
+}
+
+static void
+count_run (LineWorld *w, const char *label)
+{
+  uint32_t ran = line_world_ran (w, label);
+
+  g_hash_table_replace (w->runs, g_strdup (label), GUINT_TO_POINTER (ran + 1));
+}
+
+static void
+commit (LineWorld *w, LineServer *s, const char *label)
+{
+  s->received.term = s->term;
+  s->received.offset++;
+  s->applied = s->received;
+  if (label)
+    w->sessions[session_of (label) - 1].committing = s->received;
+  replicate (w);
+}
+
+/* Runs TEXT; returns the fault. */
+static SsTargetFault
+run_statement (LineWorld *w, LineConnection *c, const char *label,
+               const char *text)
+{
+  LineServer *s = c->server;
+  const SsDialect *d = ss_dialect_line ();
+  SsStatement st;
+  bool writes;
+  SsTargetFault fault = SS_TARGET_FAULT_NONE;
+
+  d->parse (d, text, &st);
+  writes = st.kind == SS_STATEMENT_WRITE;
+  if (st.kind == SS_STATEMENT_EXECUTE)
+    {
+      const SsPrepared *p = ss_session_state_prepared (&c->held, st.name);
+
+      writes = p && !p->is_read;
+      if (!p)
+        fault = SS_TARGET_FAULT_UNPREPARED;
+    }
+  if (s->role != SS_SERVER_PRIMARY
+      && (writes || (st.kind == SS_STATEMENT_BEGIN && !st.is_read)))
+    fault = SS_TARGET_FAULT_NOT_PRIMARY;
+  if (fault != SS_TARGET_FAULT_NONE)
+    goto done;
+  if (label)
+    {
+      check_run (w, c, label, &st);
+      count_run (w, label);
+    }
+  switch (st.kind)
+    {
+    case SS_STATEMENT_SET:
+      ss_session_state_set (&c->held, st.name, st.value);
+      break;
+    case SS_STATEMENT_PREPARE:
+      ss_session_state_prepare (&c->held, st.name, st.value, st.is_read);
+      break;
+    case SS_STATEMENT_BEGIN:
+      c->status = 'T';
+      break;
+    case SS_STATEMENT_COMMIT:
+    case SS_STATEMENT_ROLLBACK:
+      if (st.kind == SS_STATEMENT_COMMIT && c->wrote)
+        commit (w, s, label);
+      c->status = 'I';
+      c->session = 0;
+      c->wrote = false;
+      break;
+    default:
+      c->wrote = c->status == 'T' && (c->wrote || writes);
+      if (writes && c->status == 'I')
+        commit (w, s, label);
+      break;
+    }
+  if (label && c->status == 'T')
+    c->session = session_of (label);
+done:
+  ss_statement_finish (&st);
+  return fault;
+}
+
+static void
+fill_status (LineServer *s, Due *d)
+{
+  d->cells[0] = g_strdup (s->role == SS_SERVER_PRIMARY ? "primary" : "replica");
+  d->cells[1] = g_strdup_printf ("%" G_GUINT64_FORMAT, s->term);
+  d->cells[2] = g_strdup_printf ("%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+                                 s->received.term, s->received.offset);
+  d->cells[3] = g_strdup_printf ("%" G_GUINT64_FORMAT, s->barred_term);
+  for (uint32_t i = 4; i < 7; i++)
+    d->cells[i] = g_strdup ("0");
+  d->cells[7] = g_strdup_printf ("%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+                                 s->applied.term, s->applied.offset);
+  d->cell_count = 8;
+  d->result.row = (const char *const *) d->cells;
+  d->result.row_cells = d->cell_count;
+}
+
+/* Takes the position that TEXT begins with, by the number alone, as the
+ * platform's servers do; returns what is left, or NULL where it is not there.
+ */
+static const char *
+take_floor (const LineServer *s, const char *text)
+{
+  SsPosition floor;
+  char **parts;
+
+  if (!g_str_has_prefix (text, "WAITFOR "))
+    return text;
+  parts = g_strsplit (text, " ", 3);
+  floor = ss_line_position (parts[1]);
+  g_strfreev (parts);
+  if (s->applied.offset < floor.offset)
+    return NULL;
+  return strchr (strchr (text, ' ') + 1, ' ') + 1;
+}
+
+static SsTargetFault
+run_text (LineWorld *w, LineConnection *c, const char *label, const char *text,
+          Due *d)
+{
+  LineServer *s = c->server;
+
+  if (strcmp (text, "STATUS") == 0)
+    {
+      w->status_asks++;
+      w->primary_asks += s == &w->servers[0] ? 1 : 0;
+      fill_status (s, d);
+      return SS_TARGET_FAULT_NONE;
+    }
+  if (strcmp (text, "RESET") == 0)
+    {
+      ss_session_state_finish (&c->held);
+      return SS_TARGET_FAULT_NONE;
+    }
+  if (strcmp (text, "RESUME") == 0)
+    {
+      s->barred_term = 0;
+      return SS_TARGET_FAULT_NONE;
+    }
+  if (g_str_has_prefix (text, "PAUSE "))
+    {
+      s->barred_term = g_ascii_strtoull (text + 6, NULL, 10);
+      return SS_TARGET_FAULT_NONE;
+    }
+  if (label && w->busy_next)
+    {
+      w->busy_next = false;
+      return SS_TARGET_FAULT_BUSY;
+    }
+  if (g_rand_int_range (w->rand, 0, 1000) < (gint32) w->busy_permille)
+    return SS_TARGET_FAULT_BUSY;
+  text = take_floor (s, text);
+  return text ? run_statement (w, c, label, text) : SS_TARGET_FAULT_BEHIND;
+}
+
+static bool
+is_lost (LineWorld *w, const char *label)
+{
+  if (label && w->lose_next)
+    {
+      w->lose_next = false;
+      return true;
+    }
+  return label
+         && g_rand_int_range (w->rand, 0, 1000) < (gint32) w->lost_permille;
+}
+
+static void
+query (LineWorld *w, const SsAction *a)
+{
+  LineConnection *c = g_hash_table_lookup (w->connections, &a->id);
+  int64_t after_ms = 1 + g_rand_int_range (w->rand, 0, ANSWER_MAX_MS);
+  Due *d;
+
+  if (!c)
+    return;
+  replicate (w);
+  d = schedule (w, after_ms, SS_EVENT_TARGET_RESULT);
+  d->result.fault = run_text (w, c, a->label, a->text, d);
+  if (is_lost (w, a->label))
+    {
+      d->event.kind = SS_EVENT_TARGET_CLOSED;
+      d->event.target.connection = c->id;
+      return;
+    }
+  d->result.ok = d->result.fault == SS_TARGET_FAULT_NONE;
+  d->result.transaction_status = c->status;
+  d->result.applied = c->server->applied;
+  d->result.sqlstate = "";
+  d->result.tag = "";
+  d->wire = g_bytes_new_static ("x", 1);
+  d->result.wire = d->wire;
+  d->event.target_result.connection = c->id;
+  d->event.target_result.result = &d->result;
+}
+
+static void
+free_connection (gpointer data)
+{
+  LineConnection *c = data;
+
+  ss_session_state_finish (&c->held);
+  g_free (c);
+}
+
+static void
+connect_server (LineWorld *w, const SsAction *a)
+{
+  LineConnection *c = g_new0 (LineConnection, 1);
+  Due *d = schedule (w, HANDSHAKE_MS, SS_EVENT_TARGET_READY);
+
+  c->id = a->id;
+  c->server = find_server (w, a->name);
+  c->status = 'I';
+  g_hash_table_insert (w->connections, &c->id, c);
+  d->event.target.connection = c->id;
+}
+
+/* --- callers --- */
+
+static void
+take_reply (LineWorld *w, const SsAction *a)
+{
+  LineSession *s = &w->sessions[a->id - 1];
+  bool ran = a->verdict == SS_VERDICT_RAN;
+
+  if (a->id == 0 || a->id > w->session_count)
+    return;
+  s->waits = false;
+  s->verdict = a->verdict;
+  s->reason = a->reason;
+  s->speak_ms = w->now_ms + g_rand_int_range (w->rand, 0, THINK_MAX_MS);
+  if (ran && s->said.kind == SS_STATEMENT_SET)
+    ss_session_state_set (&s->state, s->said.name, s->said.value);
+  if (ran && s->said.kind == SS_STATEMENT_PREPARE)
+    ss_session_state_prepare (&s->state, s->said.name, s->said.value,
+                              s->said.is_read);
+  if (ran
+      && (s->said.kind == SS_STATEMENT_WRITE
+          || s->said.kind == SS_STATEMENT_COMMIT)
+      && a->transaction_status == 'I')
+    s->committed = s->committing;
+  s->status = a->transaction_status ? a->transaction_status : 'I';
+  if (s->status == 'I')
+    s->first_connection = 0;
+  w->served += ran ? 1 : 0;
+  w->not_run += a->verdict == SS_VERDICT_NOT_RUN ? 1 : 0;
+  w->in_doubt += a->verdict == SS_VERDICT_MAY_HAVE_RUN ? 1 : 0;
+}
+
+static void
+take_actions (LineWorld *w)
+{
+  SsAction a;
+
+  while (ss_node_take_action (&w->node, &a))
+    {
+      switch (a.kind)
+        {
+        case SS_ACTION_TARGET_CONNECT:
+          connect_server (w, &a);
+          break;
+        case SS_ACTION_TARGET_QUERY:
+          query (w, &a);
+          break;
+        case SS_ACTION_TARGET_CLOSE:
+          g_hash_table_remove (w->connections, &a.id);
+          break;
+        case SS_ACTION_CALLER_REPLY:
+          take_reply (w, &a);
+          break;
+        default:
+          answer_platform (w, &a);
+          break;
+        }
+      ss_action_clear (&a);
+    }
+}
+
+const char *
+line_world_last_label (LineWorld *w, uint32_t session)
+{
+  static char label[32];
+
+  g_snprintf (label, sizeof label, "c%u-%u", session,
+              w->sessions[session - 1].statements);
+  return label;
+}
+
+uint32_t
+line_world_ran (LineWorld *w, const char *label)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (w->runs, label));
+}
+
+static void
+speak (LineWorld *w, LineSession *s, const char *text)
+{
+  const SsDialect *d = ss_dialect_line ();
+  SsEvent e = { .kind = SS_EVENT_CALLER_STATEMENT };
+
+  ss_statement_finish (&s->said);
+  d->parse (d, text, &s->said);
+  s->statements++;
+  s->waits = true;
+  e.caller_statement.caller = s->id;
+  e.caller_statement.label = line_world_last_label (w, s->id);
+  e.caller_statement.sql = text;
+  ss_node_on_event (&w->node, &e, w->now_ms);
+  take_actions (w);
+}
+
+/* --- time passes --- */
+
+static bool
+is_alive (LineWorld *w, const SsEvent *e)
+{
+  switch (e->kind)
+    {
+    case SS_EVENT_TARGET_READY:
+    case SS_EVENT_TARGET_CLOSED:
+      return g_hash_table_contains (w->connections, &e->target.connection);
+    case SS_EVENT_TARGET_RESULT:
+      return g_hash_table_contains (w->connections,
+                                    &e->target_result.connection);
+    default:
+      return true;
+    }
+}
+
+static void
+deliver (LineWorld *w, Due *d)
+{
+  if (is_alive (w, &d->event))
+    {
+      if (d->event.kind == SS_EVENT_TARGET_CLOSED)
+        g_hash_table_remove (w->connections, &d->event.target.connection);
+      ss_node_on_event (&w->node, &d->event, w->now_ms);
+    }
+  free_due (d);
+  take_actions (w);
+}
+
+static void
+step (LineWorld *w)
+{
+  SsEvent tick = { .kind = SS_EVENT_TICK };
+  Due *d;
+
+  w->now_ms++;
+  replicate (w);
+  while ((d = g_queue_peek_head (&w->due)) && d->at_ms <= w->now_ms)
+    deliver (w, g_queue_pop_head (&w->due));
+  if (ss_node_next_deadline (&w->node) > w->now_ms)
+    return;
+  ss_node_on_event (&w->node, &tick, w->now_ms);
+  take_actions (w);
+}
+
+void
+line_world_advance (LineWorld *w, int64_t ms)
+{
+  for (int64_t i = 0; i < ms; i++)
+    step (w);
+}
+
+bool
+line_world_say (LineWorld *w, uint32_t session, const char *text)
+{
+  LineSession *s = &w->sessions[session - 1];
+
+  speak (w, s, text);
+  for (int64_t i = 0; i < SAY_MAX_MS && s->waits; i++)
+    step (w);
+  return !s->waits;
+}
+
+/* --- random sessions --- */
+
+static void
+say_something (LineWorld *w, LineSession *s)
+{
+  static const char *const outside[]
+      = { "READ 1a",        "READ 2b", "WRITE 1a x", "EXECUTE p 3c",
+          "EXECUTE q 4d y", "BEGIN",   "BEGIN READ" };
+  static const char *const inside[]
+      = { "READ 1a", "EXECUTE p 3c", "WRITE 1a x", "EXECUTE q 4d",
+          "COMMIT",  "COMMIT",       "ROLLBACK" };
+  gint32 choice = g_rand_int_range (w->rand, 0, 10);
+  char *text;
+
+  if (s->status == 'E')
+    text = g_strdup ("ROLLBACK");
+  else if (choice == 0)
+    text = g_strdup_printf ("SET v%d %d", g_rand_int_range (w->rand, 0, 3),
+                            g_rand_int_range (w->rand, 0, 4));
+  else if (choice == 1 || !s->state.prepared)
+    text = g_strdup_printf ("PREPARE p READ shape%d",
+                            g_rand_int_range (w->rand, 0, 4));
+  else if (choice == 2 || !ss_session_state_prepared (&s->state, "q"))
+    text = g_strdup_printf ("PREPARE q WRITE shape%d",
+                            g_rand_int_range (w->rand, 0, 4));
+  else if (s->status == 'T')
+    text = g_strdup (
+        inside[g_rand_int_range (w->rand, 0, G_N_ELEMENTS (inside))]);
+  else
+    text = g_strdup (
+        outside[g_rand_int_range (w->rand, 0, G_N_ELEMENTS (outside))]);
+  s->left--;
+  speak (w, s, text);
+  g_free (text);
+}
+
+static bool
+is_done (const LineWorld *w)
+{
+  for (uint32_t i = 0; i < w->session_count; i++)
+    if (w->sessions[i].left || w->sessions[i].waits)
+      return false;
+  return true;
+}
+
+void
+line_world_mingle (LineWorld *w, uint32_t statements)
+{
+  for (uint32_t i = 0; i < w->session_count; i++)
+    w->sessions[i].left = statements;
+  while (!is_done (w))
+    {
+      for (uint32_t i = 0; i < w->session_count; i++)
+        {
+          LineSession *s = &w->sessions[i];
+
+          if (s->left && !s->waits && w->now_ms >= s->speak_ms)
+            say_something (w, s);
+        }
+      step (w);
+    }
+}
+
+/* --- life --- */
+
+static void
+start_core (LineWorld *w, uint32_t seed)
+{
+  SsNodeParams params = { .vm = "a",
+                          .failure_domain = "d",
+                          .ip = "10.0.0.1",
+                          .peer_port = 1,
+                          .seeds = "",
+                          .seed = seed,
+                          .deadline_ms = 1000,
+                          .transaction_idle_ms = 2000,
+                          .stop_bound_ms = 1000,
+                          .apply_ms = 3000,
+                          .drain_ms = 7000,
+                          .owners_anywhere = true,
+                          .dialect = ss_dialect_line () };
+
+  params.feeds = 1U << SS_FEED_ROUTES | 1U << SS_FEED_TARGETS
+                 | 1U << SS_FEED_GROUPS | 1U << SS_FEED_VMS;
+  params.pace.tick_asked_ms = 5;
+  params.pace.poll_idle_ms = 4000;
+  params.pace.poll_lagging_ms = 4000;
+  params.pace.poll_asked_ms = 10;
+  params.pace.silence_ms = 450;
+  params.pace.unreachable_ms = 900;
+  ss_node_init (&w->node, &params, w->now_ms);
+}
+
+static void
+store_targets (LineWorld *w)
+{
+  for (uint32_t i = 0; i < LINE_SERVERS; i++)
+    {
+      char *key = g_strdup_printf ("target/%s", w->servers[i].name);
+      char *value
+          = g_strdup_printf ("{\"group\":\"g\",\"ip\":\"10.0.1.%u\",\"port\":1,"
+                             "\"failure_domain\":\"d\",\"slots\":2}",
+                             i + 1);
+
+      store (w, key, value);
+      g_free (key);
+      g_free (value);
+    }
+}
+
+static void
+store_routes (LineWorld *w, uint32_t max_connections)
+{
+  char *routes = g_strdup_printf (
+      "{\"services\":{"
+      "\"strict\":{\"group\":\"g\",\"default_kind\":\"strict\","
+      "\"timeout_ms\":1000},"
+      "\"bounded\":{\"group\":\"g\",\"default_kind\":\"b\",\"timeout_ms\":"
+      "1000,\"kinds\":{\"b\":{\"staleness_ms\":2000}}}},"
+      "\"groups\":{\"g\":{\"max_connections\":%u}}}",
+      max_connections);
+
+  store (w, "routes/main", routes);
+  g_free (routes);
+}
+
+static int
+compare_keys (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void) data;
+  return strcmp (a, b);
+}
+
+static void
+open_sessions (LineWorld *w, uint32_t count)
+{
+  w->session_count = count;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      SsEvent e = { .kind = SS_EVENT_CALLER_OPEN };
+
+      w->sessions[i].id = i + 1;
+      w->sessions[i].status = 'I';
+      e.caller_open.caller = i + 1;
+      e.caller_open.service = i % 2 ? "bounded" : "strict";
+      e.caller_open.user = "";
+      ss_node_on_event (&w->node, &e, w->now_ms);
+      take_actions (w);
+    }
+  w->served = 0;
+}
+
+void
+line_world_init (LineWorld *w, uint32_t seed, uint32_t sessions,
+                 uint32_t max_connections)
+{
+  static const char *const names[] = { "t1", "t2", "t3" };
+
+  memset (w, 0, sizeof *w);
+  w->rand = g_rand_new_with_seed (seed);
+  w->now_ms = START_MS;
+  w->objects = g_tree_new_full (compare_keys, NULL, g_free, g_free);
+  w->versions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  w->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  w->connections = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                          free_connection);
+  g_queue_init (&w->due);
+  for (uint32_t i = 0; i < LINE_SERVERS; i++)
+    {
+      LineServer *s = &w->servers[i];
+
+      s->name = names[i];
+      s->role = i ? SS_SERVER_REPLICA : SS_SERVER_PRIMARY;
+      s->term = 1;
+      s->received = (SsPosition){ 1, 0 };
+      s->applied = s->received;
+      s->lag_ms = LAG_MS;
+    }
+  store_routes (w, max_connections);
+  store_targets (w);
+  start_core (w, seed);
+  /* The core finds the primary and names it. */
+  line_world_advance (w, 6000);
+  open_sessions (w, sessions);
+}
+
+void
+line_world_finish (LineWorld *w)
+{
+  ss_node_finish (&w->node);
+  for (uint32_t i = 0; i < w->session_count; i++)
+    {
+      ss_session_state_finish (&w->sessions[i].state);
+      ss_statement_finish (&w->sessions[i].said);
+    }
+  g_queue_clear_full (&w->due, free_due);
+  g_hash_table_destroy (w->connections);
+  g_hash_table_destroy (w->runs);
+  g_hash_table_destroy (w->versions);
+  g_tree_destroy (w->objects);
+  g_rand_free (w->rand);
+}
--- /dev/null
+++ b/tests/test_line.c
@@ -0,0 +1,289 @@
+/* The core with the line dialect: sessions on shared connections. */
+#include <string.h>
+
+#include "tests/line_world.h"
+#include "tests/unit.h"
+
+#define INTERLEAVINGS 1000
+
+static void
+expect_sound (const LineWorld *w, uint32_t seed)
+{
+  if (w->violations)
+    g_printerr ("seed %u: %u violations, first %s\n", seed, w->violations,
+                w->first_violation);
+  CU_ASSERT (w->violations == 0);
+}
+
+/* Values and shapes of one session are never seen by another. */
+static void
+interleavings_keep_sessions_apart (void)
+{
+  uint32_t served = 0;
+  uint32_t all = 0;
+
+  for (uint32_t seed = 1; seed <= INTERLEAVINGS; seed++)
+    {
+      LineWorld w;
+
+      line_world_init (&w, seed, 6, 8);
+      w.busy_permille = seed % 3 == 0 ? 40 : 0;
+      w.lost_permille = seed % 4 == 0 ? 30 : 0;
+      line_world_mingle (&w, 25);
+      expect_sound (&w, seed);
+      served += w.served;
+      all += w.served + w.not_run + w.in_doubt;
+      line_world_finish (&w);
+    }
+  CU_ASSERT (all == INTERLEAVINGS * 6 * 25);
+  /* Most faults cost one statement, or the rest of a transaction. */
+  CU_ASSERT (served * 10 >= all * 8);
+}
+
+/* A first statement whose answer is lost has run: the transaction is over. */
+static void
+first_statement_runs_once (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 1, 2, 8);
+  CU_ASSERT (line_world_say (&w, 2, "BEGIN READ"));
+  w.lose_next = true;
+  CU_ASSERT (line_world_say (&w, 2, "READ 1a"));
+  CU_ASSERT (w.sessions[1].verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (w.sessions[1].status == 'E');
+  CU_ASSERT (line_world_ran (&w, line_world_last_label (&w, 2)) == 1);
+  CU_ASSERT (line_world_say (&w, 2, "ROLLBACK"));
+  CU_ASSERT (w.sessions[1].status == 'I');
+  expect_sound (&w, 1);
+  line_world_finish (&w);
+}
+
+/* A single read whose answer is lost is tried again. */
+static void
+lost_read_is_repeated (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 2, 2, 8);
+  w.lose_next = true;
+  CU_ASSERT (line_world_say (&w, 2, "READ 1a"));
+  CU_ASSERT (w.sessions[1].verdict == SS_VERDICT_RAN);
+  CU_ASSERT (line_world_ran (&w, line_world_last_label (&w, 2)) == 2);
+  line_world_finish (&w);
+}
+
+/* A write whose answer is lost is never sent again. */
+static void
+lost_write_is_in_doubt (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 3, 2, 8);
+  w.lose_next = true;
+  CU_ASSERT (line_world_say (&w, 1, "WRITE 1a x"));
+  CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_MAY_HAVE_RUN);
+  CU_ASSERT (line_world_ran (&w, line_world_last_label (&w, 1)) == 1);
+  line_world_finish (&w);
+}
+
+/* A COMMIT of a transaction that only read keeps nothing. */
+static void
+lost_commit_of_reads_keeps_nothing (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 4, 2, 8);
+  CU_ASSERT (line_world_say (&w, 1, "BEGIN"));
+  CU_ASSERT (line_world_say (&w, 1, "READ 1a"));
+  w.lose_next = true;
+  CU_ASSERT (line_world_say (&w, 1, "COMMIT"));
+  CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (line_world_say (&w, 1, "BEGIN"));
+  CU_ASSERT (line_world_say (&w, 1, "WRITE 1a x"));
+  w.lose_next = true;
+  CU_ASSERT (line_world_say (&w, 1, "COMMIT"));
+  CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_MAY_HAVE_RUN);
+  line_world_finish (&w);
+}
+
+/* A target without room inside a transaction is asked again on the same
+ * connection, and leaves none behind that is pinned to the session.
+ */
+static void
+busy_transaction_keeps_its_connection (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 5, 2, 8);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      CU_ASSERT (line_world_say (&w, 2, "BEGIN READ"));
+      w.busy_next = true;
+      CU_ASSERT (line_world_say (&w, 2, "READ 1a"));
+      CU_ASSERT (line_world_say (&w, 2, "READ 2b"));
+      CU_ASSERT (line_world_say (&w, 2, "COMMIT"));
+      CU_ASSERT (w.sessions[1].verdict == SS_VERDICT_RAN);
+    }
+  expect_sound (&w, 5);
+  line_world_finish (&w);
+}
+
+/* Refused for good inside its transaction, a statement leaves no connection
+ * pinned to its session.
+ */
+static void
+refused_transaction_is_rolled_back (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 6, 2, 8);
+  CU_ASSERT (line_world_say (&w, 2, "BEGIN READ"));
+  w.busy_permille = 1000;
+  CU_ASSERT (line_world_say (&w, 2, "READ 1a"));
+  CU_ASSERT (w.sessions[1].verdict == SS_VERDICT_NOT_RUN);
+  w.busy_permille = 0;
+  CU_ASSERT (line_world_say (&w, 2, "ROLLBACK"));
+  CU_ASSERT (line_world_say (&w, 2, "BEGIN READ"));
+  CU_ASSERT (line_world_say (&w, 2, "READ 1a"));
+  CU_ASSERT (line_world_say (&w, 2, "READ 2b"));
+  CU_ASSERT (line_world_say (&w, 2, "COMMIT"));
+  CU_ASSERT (w.sessions[1].verdict == SS_VERDICT_RAN);
+  expect_sound (&w, 6);
+  line_world_finish (&w);
+}
+
+/* An old primary may hold more entries than the floor counts, of an earlier
+ * term: it gets no read that needs the later one.
+ */
+static void
+earlier_term_gets_no_read (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 7, 2, 8);
+  /* t1 went on alone to 1.113; t2 leads term 2 and t3 follows it. */
+  w.servers[0].role = SS_SERVER_REPLICA;
+  w.servers[0].received = (SsPosition){ 1, 113 };
+  w.servers[0].applied = w.servers[0].received;
+  for (uint32_t i = 1; i < LINE_SERVERS; i++)
+    {
+      w.servers[i].term = 2;
+      w.servers[i].received = (SsPosition){ 2, 85 };
+      w.servers[i].applied = w.servers[i].received;
+      w.servers[i].barred_term = 0;
+    }
+  w.servers[1].role = SS_SERVER_PRIMARY;
+  line_world_put (&w, "group/g",
+                  "{\"term\":2,\"primary\":\"t2\",\"operation\":\"x\"}");
+  line_world_advance (&w, 3000);
+  for (uint32_t i = 0; i < 30; i++)
+    {
+      w.sessions[1].committed = (SsPosition){ 2, 85 };
+      CU_ASSERT (line_world_say (&w, 2, "READ 1a"));
+      CU_ASSERT (w.sessions[1].verdict == SS_VERDICT_RAN);
+    }
+  expect_sound (&w, 7);
+  line_world_finish (&w);
+}
+
+/* While the lease holds, reads of the primary ask no target for its state. */
+static void
+lease_spares_status_asks (void)
+{
+  LineWorld w;
+  uint32_t before;
+
+  line_world_init (&w, 8, 2, 8);
+  CU_ASSERT (line_world_say (&w, 1, "READ 1a"));
+  before = w.primary_asks;
+  for (uint32_t i = 0; i < 20; i++)
+    {
+      CU_ASSERT (line_world_say (&w, 1, "READ 1a"));
+      CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_RAN);
+    }
+  CU_ASSERT (w.primary_asks == before);
+  line_world_finish (&w);
+}
+
+/* Without the platform the lease ends: each strict read is confirmed by a
+ * majority of the servers, and a barred majority confirms none.
+ */
+static void
+expired_lease_asks_the_servers (void)
+{
+  LineWorld w;
+  uint32_t before;
+
+  line_world_init (&w, 9, 2, 8);
+  w.platform_down = true;
+  line_world_advance (&w, SS_LEASE_MS + 500);
+  before = w.status_asks;
+  CU_ASSERT (line_world_say (&w, 1, "READ 1a"));
+  CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_RAN);
+  CU_ASSERT (w.status_asks >= before + 2);
+  w.servers[1].barred_term = 2;
+  w.servers[2].barred_term = 2;
+  CU_ASSERT (line_world_say (&w, 1, "READ 1a"));
+  CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (line_world_ran (&w, line_world_last_label (&w, 1)) == 0);
+  line_world_finish (&w);
+}
+
+/* A commit that no other server holds is not acknowledged. */
+static void
+unheld_commit_is_in_doubt (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 10, 2, 8);
+  w.servers[1].deaf = true;
+  w.servers[2].deaf = true;
+  CU_ASSERT (line_world_say (&w, 1, "WRITE 1a x"));
+  CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_MAY_HAVE_RUN);
+  line_world_finish (&w);
+}
+
+/* What is about the session alone, and what can't be. */
+static void
+sessions_are_kept_at_the_entry (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 11, 2, 8);
+  CU_ASSERT (line_world_say (&w, 1, "COMMIT"));
+  CU_ASSERT (w.sessions[0].reason == SS_REASON_BAD_STATEMENT);
+  CU_ASSERT (line_world_say (&w, 1, "EXECUTE nothing 1a"));
+  CU_ASSERT (w.sessions[0].reason == SS_REASON_UNPREPARED);
+  CU_ASSERT (line_world_say (&w, 1, "DEALLOC nothing"));
+  CU_ASSERT (w.sessions[0].reason == SS_REASON_UNPREPARED);
+  CU_ASSERT (line_world_say (&w, 1, "DANCE"));
+  CU_ASSERT (w.sessions[0].reason == SS_REASON_BAD_STATEMENT);
+  CU_ASSERT (w.sessions[0].status == 'I');
+  CU_ASSERT (line_world_say (&w, 1, "BEGIN"));
+  CU_ASSERT (line_world_say (&w, 1, "BEGIN"));
+  CU_ASSERT (w.sessions[0].status == 'E');
+  CU_ASSERT (line_world_say (&w, 1, "READ 1a"));
+  CU_ASSERT (w.sessions[0].reason == SS_REASON_TRANSACTION_FAILED);
+  CU_ASSERT (line_world_say (&w, 1, "COMMIT"));
+  CU_ASSERT (w.sessions[0].reason == SS_REASON_TRANSACTION_LOST);
+  CU_ASSERT (w.sessions[0].status == 'I');
+  line_world_finish (&w);
+}
+
+CU_TestInfo test_line[] = {
+  { "interleavings keep sessions apart", interleavings_keep_sessions_apart },
+  { "first statement runs once", first_statement_runs_once },
+  { "lost read is repeated", lost_read_is_repeated },
+  { "lost write is in doubt", lost_write_is_in_doubt },
+  { "lost commit of reads keeps nothing", lost_commit_of_reads_keeps_nothing },
+  { "busy transaction keeps its connection",
+    busy_transaction_keeps_its_connection },
+  { "refused transaction is rolled back", refused_transaction_is_rolled_back },
+  { "earlier term gets no read", earlier_term_gets_no_read },
+  { "lease spares status asks", lease_spares_status_asks },
+  { "expired lease asks the servers", expired_lease_asks_the_servers },
+  { "unheld commit is in doubt", unheld_commit_is_in_doubt },
+  { "sessions are kept at the entry", sessions_are_kept_at_the_entry },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -10,6 +10,7 @@
   X (config)                                                                   \
   X (queue)                                                                    \
   X (session)                                                                  \
+  X (line)                                                                     \
   X (command)                                                                  \
   X (settings)                                                                 \
   X (pgwire)                                                                   \
