--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -727,6 +727,141 @@
   assert(message->base.descriptor == &ss__peer__raise_ask__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ss__peer__lease_ask__init
+                     (Ss__Peer__LeaseAsk         *message)
+{
+  static const Ss__Peer__LeaseAsk init_value = SS__PEER__LEASE_ASK__INIT;
+  *message = init_value;
+}
+size_t ss__peer__lease_ask__get_packed_size
+                     (const Ss__Peer__LeaseAsk *message)
+{
+  assert(message->base.descriptor == &ss__peer__lease_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ss__peer__lease_ask__pack
+                     (const Ss__Peer__LeaseAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ss__peer__lease_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ss__peer__lease_ask__pack_to_buffer
+                     (const Ss__Peer__LeaseAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ss__peer__lease_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ss__Peer__LeaseAsk *
+       ss__peer__lease_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ss__Peer__LeaseAsk *)
+     protobuf_c_message_unpack (&ss__peer__lease_ask__descriptor,
+                                allocator, len, data);
+}
+void   ss__peer__lease_ask__free_unpacked
+                     (Ss__Peer__LeaseAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ss__peer__lease_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ss__peer__group_version__init
+                     (Ss__Peer__GroupVersion         *message)
+{
+  static const Ss__Peer__GroupVersion init_value = SS__PEER__GROUP_VERSION__INIT;
+  *message = init_value;
+}
+size_t ss__peer__group_version__get_packed_size
+                     (const Ss__Peer__GroupVersion *message)
+{
+  assert(message->base.descriptor == &ss__peer__group_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ss__peer__group_version__pack
+                     (const Ss__Peer__GroupVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ss__peer__group_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ss__peer__group_version__pack_to_buffer
+                     (const Ss__Peer__GroupVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ss__peer__group_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ss__Peer__GroupVersion *
+       ss__peer__group_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ss__Peer__GroupVersion *)
+     protobuf_c_message_unpack (&ss__peer__group_version__descriptor,
+                                allocator, len, data);
+}
+void   ss__peer__group_version__free_unpacked
+                     (Ss__Peer__GroupVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ss__peer__group_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ss__peer__lease_reply__init
+                     (Ss__Peer__LeaseReply         *message)
+{
+  static const Ss__Peer__LeaseReply init_value = SS__PEER__LEASE_REPLY__INIT;
+  *message = init_value;
+}
+size_t ss__peer__lease_reply__get_packed_size
+                     (const Ss__Peer__LeaseReply *message)
+{
+  assert(message->base.descriptor == &ss__peer__lease_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ss__peer__lease_reply__pack
+                     (const Ss__Peer__LeaseReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ss__peer__lease_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ss__peer__lease_reply__pack_to_buffer
+                     (const Ss__Peer__LeaseReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ss__peer__lease_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Ss__Peer__LeaseReply *
+       ss__peer__lease_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Ss__Peer__LeaseReply *)
+     protobuf_c_message_unpack (&ss__peer__lease_reply__descriptor,
+                                allocator, len, data);
+}
+void   ss__peer__lease_reply__free_unpacked
+                     (Ss__Peer__LeaseReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ss__peer__lease_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ss__peer__claim_ask__init
                      (Ss__Peer__ClaimAsk         *message)
 {
@@ -2818,6 +2953,146 @@
   (ProtobufCMessageInit) ss__peer__raise_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ss__peer__lease_ask__field_descriptors[1] =
+{
+  {
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__LeaseAsk, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ss__peer__lease_ask__field_indices_by_name[] = {
+  0,   /* field[0] = nonce */
+};
+static const ProtobufCIntRange ss__peer__lease_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ss__peer__lease_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ss.peer.LeaseAsk",
+  "LeaseAsk",
+  "Ss__Peer__LeaseAsk",
+  "ss.peer",
+  sizeof(Ss__Peer__LeaseAsk),
+  1,
+  ss__peer__lease_ask__field_descriptors,
+  ss__peer__lease_ask__field_indices_by_name,
+  1,  ss__peer__lease_ask__number_ranges,
+  (ProtobufCMessageInit) ss__peer__lease_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ss__peer__group_version__field_descriptors[2] =
+{
+  {
+    "group",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__GroupVersion, group),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__GroupVersion, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ss__peer__group_version__field_indices_by_name[] = {
+  0,   /* field[0] = group */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange ss__peer__group_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ss__peer__group_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ss.peer.GroupVersion",
+  "GroupVersion",
+  "Ss__Peer__GroupVersion",
+  "ss.peer",
+  sizeof(Ss__Peer__GroupVersion),
+  2,
+  ss__peer__group_version__field_descriptors,
+  ss__peer__group_version__field_indices_by_name,
+  1,  ss__peer__group_version__number_ranges,
+  (ProtobufCMessageInit) ss__peer__group_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ss__peer__lease_reply__field_descriptors[2] =
+{
+  {
+    "nonce",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__LeaseReply, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "groups",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ss__Peer__LeaseReply, n_groups),
+    offsetof(Ss__Peer__LeaseReply, groups),
+    &ss__peer__group_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ss__peer__lease_reply__field_indices_by_name[] = {
+  1,   /* field[1] = groups */
+  0,   /* field[0] = nonce */
+};
+static const ProtobufCIntRange ss__peer__lease_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor ss__peer__lease_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "ss.peer.LeaseReply",
+  "LeaseReply",
+  "Ss__Peer__LeaseReply",
+  "ss.peer",
+  sizeof(Ss__Peer__LeaseReply),
+  2,
+  ss__peer__lease_reply__field_descriptors,
+  ss__peer__lease_reply__field_indices_by_name,
+  1,  ss__peer__lease_reply__number_ranges,
+  (ProtobufCMessageInit) ss__peer__lease_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ss__peer__claim_ask__field_descriptors[2] =
 {
   {
@@ -3380,7 +3655,7 @@
   (ProtobufCMessageInit) ss__peer__stop_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__envelope__field_descriptors[23] =
+static const ProtobufCFieldDescriptor ss__peer__envelope__field_descriptors[25] =
 {
   {
     "from",
@@ -3658,6 +3933,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lease_ask",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ss__Peer__Envelope, body_case),
+    offsetof(Ss__Peer__Envelope, lease_ask),
+    &ss__peer__lease_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lease_reply",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Ss__Peer__Envelope, body_case),
+    offsetof(Ss__Peer__Envelope, lease_reply),
+    &ss__peer__lease_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__envelope__field_indices_by_name[] = {
   4,   /* field[4] = cancel */
@@ -3669,6 +3968,8 @@
   22,   /* field[22] = domain_report */
   0,   /* field[0] = from */
   1,   /* field[1] = heartbeat */
+  23,   /* field[23] = lease_ask */
+  24,   /* field[24] = lease_reply */
   9,   /* field[9] = mark_ask */
   10,   /* field[10] = mark_reply */
   11,   /* field[11] = raise_ask */
@@ -3687,7 +3988,7 @@
 static const ProtobufCIntRange ss__peer__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor ss__peer__envelope__descriptor =
 {
@@ -3697,7 +3998,7 @@
   "Ss__Peer__Envelope",
   "ss.peer",
   sizeof(Ss__Peer__Envelope),
-  23,
+  25,
   ss__peer__envelope__field_descriptors,
   ss__peer__envelope__field_indices_by_name,
   1,  ss__peer__envelope__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -31,6 +31,9 @@
 typedef struct Ss__Peer__MarkAsk Ss__Peer__MarkAsk;
 typedef struct Ss__Peer__MarkReply Ss__Peer__MarkReply;
 typedef struct Ss__Peer__RaiseAsk Ss__Peer__RaiseAsk;
+typedef struct Ss__Peer__LeaseAsk Ss__Peer__LeaseAsk;
+typedef struct Ss__Peer__GroupVersion Ss__Peer__GroupVersion;
+typedef struct Ss__Peer__LeaseReply Ss__Peer__LeaseReply;
 typedef struct Ss__Peer__ClaimAsk Ss__Peer__ClaimAsk;
 typedef struct Ss__Peer__ClaimReply Ss__Peer__ClaimReply;
 typedef struct Ss__Peer__RaiseReply Ss__Peer__RaiseReply;
@@ -422,6 +425,42 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * Asks a vm that the platform answers for the groups as they are now.
+ */
+struct  Ss__Peer__LeaseAsk
+{
+  ProtobufCMessage base;
+  uint64_t nonce;
+};
+#define SS__PEER__LEASE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ss__peer__lease_ask__descriptor) \
+    , 0 }
+
+
+struct  Ss__Peer__GroupVersion
+{
+  ProtobufCMessage base;
+  char *group;
+  int64_t version;
+};
+#define SS__PEER__GROUP_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ss__peer__group_version__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Ss__Peer__LeaseReply
+{
+  ProtobufCMessage base;
+  uint64_t nonce;
+  size_t n_groups;
+  Ss__Peer__GroupVersion **groups;
+};
+#define SS__PEER__LEASE_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ss__peer__lease_reply__descriptor) \
+    , 0, 0,NULL }
+
+
 /*
  * Asks whether a vm has taken a claim on a group over.
  */
@@ -578,7 +617,9 @@
   SS__PEER__ENVELOPE__BODY_CLAIM_ASK = 20,
   SS__PEER__ENVELOPE__BODY_CLAIM_REPLY = 21,
   SS__PEER__ENVELOPE__BODY_DIGEST = 22,
-  SS__PEER__ENVELOPE__BODY_DOMAIN_REPORT = 23
+  SS__PEER__ENVELOPE__BODY_DOMAIN_REPORT = 23,
+  SS__PEER__ENVELOPE__BODY_LEASE_ASK = 24,
+  SS__PEER__ENVELOPE__BODY_LEASE_REPLY = 25
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(SS__PEER__ENVELOPE__BODY__CASE)
 } Ss__Peer__Envelope__BodyCase;
 
@@ -610,6 +651,8 @@
     Ss__Peer__ClaimReply *claim_reply;
     Ss__Peer__Digest *digest;
     Ss__Peer__DomainReport *domain_report;
+    Ss__Peer__LeaseAsk *lease_ask;
+    Ss__Peer__LeaseReply *lease_reply;
   };
 };
 #define SS__PEER__ENVELOPE__INIT \
@@ -921,6 +964,63 @@
 void   ss__peer__raise_ask__free_unpacked
                      (Ss__Peer__RaiseAsk *message,
                       ProtobufCAllocator *allocator);
+/* Ss__Peer__LeaseAsk methods */
+void   ss__peer__lease_ask__init
+                     (Ss__Peer__LeaseAsk         *message);
+size_t ss__peer__lease_ask__get_packed_size
+                     (const Ss__Peer__LeaseAsk   *message);
+size_t ss__peer__lease_ask__pack
+                     (const Ss__Peer__LeaseAsk   *message,
+                      uint8_t             *out);
+size_t ss__peer__lease_ask__pack_to_buffer
+                     (const Ss__Peer__LeaseAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Ss__Peer__LeaseAsk *
+       ss__peer__lease_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ss__peer__lease_ask__free_unpacked
+                     (Ss__Peer__LeaseAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Ss__Peer__GroupVersion methods */
+void   ss__peer__group_version__init
+                     (Ss__Peer__GroupVersion         *message);
+size_t ss__peer__group_version__get_packed_size
+                     (const Ss__Peer__GroupVersion   *message);
+size_t ss__peer__group_version__pack
+                     (const Ss__Peer__GroupVersion   *message,
+                      uint8_t             *out);
+size_t ss__peer__group_version__pack_to_buffer
+                     (const Ss__Peer__GroupVersion   *message,
+                      ProtobufCBuffer     *buffer);
+Ss__Peer__GroupVersion *
+       ss__peer__group_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ss__peer__group_version__free_unpacked
+                     (Ss__Peer__GroupVersion *message,
+                      ProtobufCAllocator *allocator);
+/* Ss__Peer__LeaseReply methods */
+void   ss__peer__lease_reply__init
+                     (Ss__Peer__LeaseReply         *message);
+size_t ss__peer__lease_reply__get_packed_size
+                     (const Ss__Peer__LeaseReply   *message);
+size_t ss__peer__lease_reply__pack
+                     (const Ss__Peer__LeaseReply   *message,
+                      uint8_t             *out);
+size_t ss__peer__lease_reply__pack_to_buffer
+                     (const Ss__Peer__LeaseReply   *message,
+                      ProtobufCBuffer     *buffer);
+Ss__Peer__LeaseReply *
+       ss__peer__lease_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ss__peer__lease_reply__free_unpacked
+                     (Ss__Peer__LeaseReply *message,
+                      ProtobufCAllocator *allocator);
 /* Ss__Peer__ClaimAsk methods */
 void   ss__peer__claim_ask__init
                      (Ss__Peer__ClaimAsk         *message);
@@ -1180,6 +1280,15 @@
 typedef void (*Ss__Peer__RaiseAsk_Closure)
                  (const Ss__Peer__RaiseAsk *message,
                   void *closure_data);
+typedef void (*Ss__Peer__LeaseAsk_Closure)
+                 (const Ss__Peer__LeaseAsk *message,
+                  void *closure_data);
+typedef void (*Ss__Peer__GroupVersion_Closure)
+                 (const Ss__Peer__GroupVersion *message,
+                  void *closure_data);
+typedef void (*Ss__Peer__LeaseReply_Closure)
+                 (const Ss__Peer__LeaseReply *message,
+                  void *closure_data);
 typedef void (*Ss__Peer__ClaimAsk_Closure)
                  (const Ss__Peer__ClaimAsk *message,
                   void *closure_data);
@@ -1235,6 +1344,9 @@
 extern const ProtobufCMessageDescriptor ss__peer__mark_ask__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__mark_reply__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__raise_ask__descriptor;
+extern const ProtobufCMessageDescriptor ss__peer__lease_ask__descriptor;
+extern const ProtobufCMessageDescriptor ss__peer__group_version__descriptor;
+extern const ProtobufCMessageDescriptor ss__peer__lease_reply__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__claim_ask__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__claim_reply__descriptor;
 extern const ProtobufCMessageDescriptor ss__peer__raise_reply__descriptor;
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -141,6 +141,7 @@
 {
   SsRound *r = &owned->round;
   GPtrArray *askers = r->next;
+  bool asks_all;
 
   r->next = r->askers;
   r->askers = askers;
@@ -153,8 +154,11 @@
   r->has_position = false;
   r->term = group->term;
   ss_node_count (node, SS_COUNTER_MARK_ROUNDS);
+  asks_all = !ss_lease_holds (node, group) && ss_lease_may_ask_servers (node);
+  if (!ss_lease_holds (node, group) && !asks_all)
+    node->lease_due_ms = MIN (node->lease_due_ms, node->now_ms);
   for (uint32_t i = 0; i < group->server_count; i++)
-    if (group->servers[i] == owned->target || !ss_lease_holds (node, group))
+    if (group->servers[i] == owned->target || asks_all)
       send_status_ask (node, group->servers[i], r->ask, (SsPosition){ 0, 0 });
 }
 
@@ -338,6 +342,21 @@
   return (uint32_t) __builtin_popcount (bits);
 }
 
+/* Ends the round where the primary is confirmed. */
+static void
+check_round (SsNode *node, SsOwned *owned, const SsGroup *group)
+{
+  SsRound *r = &owned->round;
+  bool by_servers = count_bits (r->confirmed) >= ss_group_majority (group)
+                    && ss_lease_may_ask_servers (node);
+
+  if (!r->has_position || (!by_servers && !ss_lease_holds (node, group)))
+    return;
+  answer_round (node, owned, group);
+  end_unconfirmed (node, owned, true);
+  end_round (node, owned, group);
+}
+
 /* Every answer comes from a poll begun after the round was: where a majority
  * shows no higher term, no later primary had acknowledged anything by then.
  */
@@ -362,13 +381,17 @@
       r->has_position = true;
       r->position = state->held;
     }
-  if (!r->has_position
-      || (count_bits (r->confirmed) < ss_group_majority (group)
-          && !ss_lease_holds (node, group)))
-    return;
-  answer_round (node, owned, group);
-  end_unconfirmed (node, owned, true);
-  end_round (node, owned, group);
+  check_round (node, owned, group);
+}
+
+void
+ss_hold_leased (SsNode *node, SsGroup *group)
+{
+  SsTarget *primary = ss_group_primary (group);
+  SsOwned *owned = primary ? ss_owner_find (node, primary->name) : NULL;
+
+  if (owned && owned->round.running)
+    check_round (node, owned, group);
 }
 
 void
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -402,6 +402,8 @@
 
 /* ss_hold_ask_status: has T's owner report a poll made after this. */
 void ss_hold_ask_status (SsNode *node, SsTarget *t);
+/* ss_hold_leased: a lease on GROUP's primary came. */
+void ss_hold_leased (SsNode *node, SsGroup *group);
 /* ss_hold_confirm: takes over JOB until the primary is confirmed. */
 void ss_hold_confirm (SsNode *node, SsJob *job);
 /* ss_hold_position: the primary's position, where it is known well enough;
@@ -521,6 +523,15 @@
 
 bool ss_lease_holds (const SsNode *node, const SsGroup *group);
 void ss_lease_tick (SsNode *node);
+/* ss_lease_may_ask_servers: whether the platform answers no vm that this one
+ * hears: then nobody here can change a primary, and a majority of its servers
+ * can confirm it.
+ */
+bool ss_lease_may_ask_servers (const SsNode *node);
+void ss_lease_ask (SsNode *node, const char *from,
+                   const Ss__Peer__LeaseAsk *ask);
+void ss_lease_asker_free (gpointer asker);
+void ss_lease_reply (SsNode *node, const Ss__Peer__LeaseReply *reply);
 /* ss_lease_listed: the answer to a list of objects, adopted already. */
 void ss_lease_listed (SsNode *node, const SsEvent *event);
 /* ss_lease_list_vms: has the platform list the vms now. */
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -110,49 +110,206 @@
   return !found;
 }
 
+typedef struct
+{
+  const SsNode *node;
+  GPtrArray *up; /* of names; NULL: only whether there is any */
+  bool found;
+} Search;
+
+static gboolean
+find_up (gpointer key, gpointer value, gpointer data)
+{
+  Search *s = data;
+  const SsMember *m = value;
+
+  if (!m->live || !m->platform_up || strcmp (key, s->node->params.vm) == 0)
+    return FALSE;
+  s->found = true;
+  if (!s->up)
+    return TRUE;
+  g_ptr_array_add (s->up, key);
+  return FALSE;
+}
+
+bool
+ss_lease_may_ask_servers (const SsNode *node)
+{
+  Search s = { node, NULL, false };
+
+  if (!node->dialect->platform_promotes)
+    return true;
+  if (!node->platform_down)
+    return false;
+  g_tree_foreach (node->members.by_name, find_up, &s);
+  return !s.found;
+}
+
+/* The platform does not answer here: any vm that it answers will do. */
+static void
+ask_peer (SsNode *node)
+{
+  Search s = { node, g_ptr_array_new (), false };
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__LeaseAsk ask = SS__PEER__LEASE_ASK__INIT;
+
+  g_tree_foreach (node->members.by_name, find_up, &s);
+  if (s.found)
+    {
+      guint choice
+          = (guint) g_rand_int_range (node->rand, 0, (gint32) s.up->len);
+
+      node->lease_peer_ms = node->now_ms;
+      ask.nonce = ++node->lease_nonce;
+      e.body_case = SS__PEER__ENVELOPE__BODY_LEASE_ASK;
+      e.lease_ask = &ask;
+      ss_node_send (node, g_ptr_array_index (s.up, choice), &e);
+    }
+  g_ptr_array_free (s.up, TRUE);
+}
+
+static void
+send_list (SsNode *node)
+{
+  node->lease_due_ms = node->now_ms + ASK_TIMEOUT_MS;
+  node->lease_asked_ms = node->now_ms;
+  ss_node_push (node, SS_ACTION_PLATFORM_LIST)->id = SS_FEED_GROUPS;
+}
+
+void
+ss_lease_ask (SsNode *node, const char *from, const Ss__Peer__LeaseAsk *ask)
+{
+  SsLeaseAsker *asker = g_new0 (SsLeaseAsker, 1);
+
+  asker->vm = g_strdup (from);
+  asker->nonce = ask->nonce;
+  asker->asked_ms = node->now_ms;
+  g_queue_push_tail (&node->lease_askers, asker);
+  if (!node->lease_asked_ms)
+    send_list (node);
+}
+
+void
+ss_lease_asker_free (gpointer data)
+{
+  SsLeaseAsker *asker = data;
+
+  g_free (asker->vm);
+  g_free (asker);
+}
+
+static void
+send_reply (SsNode *node, const SsLeaseAsker *asker, const SsEvent *list)
+{
+  uint32_t count = list->platform_objects.object_count;
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__LeaseReply reply = SS__PEER__LEASE_REPLY__INIT;
+  Ss__Peer__GroupVersion *versions = g_new (Ss__Peer__GroupVersion, count + 1);
+  Ss__Peer__GroupVersion **entries
+      = g_new (Ss__Peer__GroupVersion *, count + 1);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const SsObject *o = &list->platform_objects.objects[i];
+
+      ss__peer__group_version__init (&versions[i]);
+      versions[i].group = strchr (o->key, '/') + 1;
+      versions[i].version = o->version;
+      entries[i] = &versions[i];
+    }
+  reply.nonce = asker->nonce;
+  reply.groups = entries;
+  reply.n_groups = count;
+  e.body_case = SS__PEER__ENVELOPE__BODY_LEASE_REPLY;
+  e.lease_reply = &reply;
+  ss_node_send (node, asker->vm, &e);
+  g_free (entries);
+  g_free (versions);
+}
+
+/* Answers those who asked before the list was asked for; others need another
+ * one.
+ */
+static void
+answer_askers (SsNode *node, const SsEvent *list, int64_t asked_ms)
+{
+  SsLeaseAsker *asker;
+
+  while ((asker = g_queue_peek_head (&node->lease_askers))
+         && asker->asked_ms <= asked_ms)
+    {
+      if (list->platform_objects.outcome == SS_PLATFORM_DONE)
+        send_reply (node, asker, list);
+      ss_lease_asker_free (g_queue_pop_head (&node->lease_askers));
+    }
+  if (asker)
+    send_list (node);
+}
+
 void
 ss_lease_tick (SsNode *node)
 {
   if (!node->dialect->platform_promotes || node->now_ms < node->lease_due_ms
       || !owns_primary (node))
     return;
-  node->lease_due_ms = node->now_ms + ASK_TIMEOUT_MS;
-  node->lease_asked_ms = node->now_ms;
-  ss_node_push (node, SS_ACTION_PLATFORM_LIST)->id = SS_FEED_GROUPS;
+  if (node->platform_down)
+    ask_peer (node);
+  if (!node->lease_asked_ms)
+    send_list (node);
+  else
+    node->lease_due_ms = node->now_ms + RENEW_AGAIN_MS;
 }
 
 /* A lease counts only where this vm was listed as its holder before it asked:
  * who claims the group later then sees either the holder or its release.
  */
 static void
-confirm (SsNode *node, const SsObject *object, int64_t asked_ms)
+confirm (SsNode *node, const char *name, int64_t version, int64_t asked_ms)
 {
-  const char *name = strchr (object->key, '/') + 1;
   SsGroup *group = ss_config_group (&node->config, name);
   const int64_t *since_ms = g_hash_table_lookup (node->leases, name);
 
-  if (group && since_ms && *since_ms <= asked_ms
-      && group->version == object->version)
-    group->confirmed_ms = MAX (group->confirmed_ms, asked_ms);
+  if (!group || !since_ms || *since_ms > asked_ms || group->version != version)
+    return;
+  group->confirmed_ms = MAX (group->confirmed_ms, asked_ms);
+  if (ss_lease_holds (node, group))
+    ss_hold_leased (node, group);
+}
+
+void
+ss_lease_reply (SsNode *node, const Ss__Peer__LeaseReply *reply)
+{
+  if (reply->nonce != node->lease_nonce)
+    {
+      ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
+      return;
+    }
+  node->lease_due_ms = node->lease_peer_ms + RENEW_MS;
+  for (size_t i = 0; i < reply->n_groups; i++)
+    confirm (node, reply->groups[i]->group, reply->groups[i]->version,
+             node->lease_peer_ms);
 }
 
 void
 ss_lease_listed (SsNode *node, const SsEvent *e)
 {
+  int64_t asked_ms = node->lease_asked_ms;
+
   if (e->platform_objects.feed == SS_FEED_VMS)
     take_vms (node, e->platform_objects.outcome);
   if (e->platform_objects.feed != SS_FEED_GROUPS || !node->lease_asked_ms)
     return;
-  if (e->platform_objects.outcome != SS_PLATFORM_DONE)
+  node->lease_asked_ms = 0;
+  if (e->platform_objects.outcome == SS_PLATFORM_DONE)
     {
-      node->lease_due_ms = node->now_ms + RENEW_AGAIN_MS;
-      node->lease_asked_ms = 0;
-      return;
+      node->lease_due_ms = asked_ms + RENEW_MS;
+      for (uint32_t i = 0; i < e->platform_objects.object_count; i++)
+        confirm (node, strchr (e->platform_objects.objects[i].key, '/') + 1,
+                 e->platform_objects.objects[i].version, asked_ms);
     }
-  node->lease_due_ms = node->lease_asked_ms + RENEW_MS;
-  for (uint32_t i = 0; i < e->platform_objects.object_count; i++)
-    confirm (node, &e->platform_objects.objects[i], node->lease_asked_ms);
-  node->lease_asked_ms = 0;
+  else
+    node->lease_due_ms = node->now_ms + RENEW_AGAIN_MS;
+  answer_askers (node, e, asked_ms);
 }
 
 /* --- ending it everywhere --- */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -47,6 +47,7 @@
   ss_budget_init (&node->budget);
   node->removals
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_queue_init (&node->lease_askers);
   node->leases
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_relay_init (node);
@@ -75,6 +76,7 @@
   g_tree_destroy (node->marks);
   g_hash_table_destroy (node->removals);
   g_hash_table_destroy (node->leases);
+  g_queue_clear_full (&node->lease_askers, ss_lease_asker_free);
   g_tree_destroy (node->promotions);
   ss_config_finish (&node->config);
   ss_members_finish (&node->members);
@@ -177,6 +179,12 @@
     case SS__PEER__ENVELOPE__BODY_DOMAIN_REPORT:
       ss_relay_report (node, e->from, e->domain_report);
       break;
+    case SS__PEER__ENVELOPE__BODY_LEASE_ASK:
+      ss_lease_ask (node, e->from, e->lease_ask);
+      break;
+    case SS__PEER__ENVELOPE__BODY_LEASE_REPLY:
+      ss_lease_reply (node, e->lease_reply);
+      break;
     case SS__PEER__ENVELOPE__BODY_RAISE_REPLY:
       ss_promote_raised (node, e->raise_reply);
       break;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -61,6 +61,14 @@
   uint32_t left_out;
 } SsLogQuota;
 
+/* A vm that the platform does not answer, and that asks this one. */
+typedef struct
+{
+  char *vm;
+  uint64_t nonce;
+  int64_t asked_ms;
+} SsLeaseAsker;
+
 /* What is watched at the platform. */
 typedef struct
 {
@@ -126,6 +134,9 @@
   int64_t alone_since_ms; /* since when most vms are missed; 0: they are not */
   int64_t lease_due_ms;
   int64_t lease_asked_ms; /* 0: no question is out */
+  uint64_t lease_nonce;   /* of the last question to another vm */
+  int64_t lease_peer_ms;  /* when it was sent */
+  GQueue lease_askers;    /* of SsLeaseAsker, oldest first */
   bool vms_asked;
   int64_t vms_due_ms;
   GBytes *vms_json; /* the platform's list as last seen */
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -19,6 +19,8 @@
 #define VMS_MS 1000
 #define RELAYS 2
 #define READY_AFTER_MS 500
+/* With all objects of the platform only the others' first heartbeats lack. */
+#define READY_SOON_MS 150
 #define COORDINATOR_RANKS 3
 /* Marks a peer known only by its address. */
 #define SEED_PREFIX "@"
@@ -882,7 +884,11 @@
 static void
 check_ready (SsNode *node)
 {
-  if (node->ready || node->now_ms - node->started_ms < READY_AFTER_MS
+  int64_t after_ms = has_all_feeds (node) && !watches_all (node)
+                         ? READY_SOON_MS
+                         : READY_AFTER_MS;
+
+  if (node->ready || node->now_ms - node->started_ms < after_ms
       || g_tree_nnodes (node->config.services) == 0
       || g_tree_nnodes (node->config.targets) == 0)
     return;
--- a/tests/line_world.c
+++ b/tests/line_world.c
@@ -533,6 +533,18 @@
   w->in_doubt += a->verdict == SS_VERDICT_MAY_HAVE_RUN ? 1 : 0;
 }
 
+static void
+take_peer_message (LineWorld *w, const SsAction *a)
+{
+  gsize bytes;
+  const uint8_t *data = g_bytes_get_data (a->bytes, &bytes);
+  SsEnvelope *e = ss__peer__envelope__unpack (NULL, bytes, data);
+
+  if (e->body_case == SS__PEER__ENVELOPE__BODY_LEASE_ASK)
+    w->lease_nonce = e->lease_ask->nonce;
+  ss__peer__envelope__free_unpacked (e, NULL);
+}
+
 static void
 take_actions (LineWorld *w)
 {
@@ -554,6 +566,9 @@
         case SS_ACTION_CALLER_REPLY:
           take_reply (w, &a);
           break;
+        case SS_ACTION_PEER_SEND:
+          take_peer_message (w, &a);
+          break;
         default:
           answer_platform (w, &a);
           break;
@@ -595,6 +610,24 @@
   take_actions (w);
 }
 
+void
+line_world_peer (LineWorld *w, SsEnvelope *envelope)
+{
+  SsEvent e = { .kind = SS_EVENT_PEER_MESSAGE };
+  size_t bytes;
+  uint8_t *data;
+
+  envelope->from = (char *) "b";
+  bytes = ss__peer__envelope__get_packed_size (envelope);
+  data = g_malloc (bytes);
+  ss__peer__envelope__pack (envelope, data);
+  e.peer_message.data = data;
+  e.peer_message.data_bytes = (uint32_t) bytes;
+  ss_node_on_event (&w->node, &e, w->now_ms);
+  g_free (data);
+  take_actions (w);
+}
+
 /* --- time passes --- */
 
 static bool
--- a/tests/line_world.h
+++ b/tests/line_world.h
@@ -70,6 +70,7 @@
   LineSession sessions[LINE_SESSIONS_MAX];
   uint32_t session_count;
   bool platform_down;
+  uint64_t lease_nonce; /* of the core's last question to a peer; 0: none */
   /* Faults, in tenths of a percent. */
   uint32_t busy_permille;
   uint32_t lost_permille;
@@ -98,6 +99,8 @@
 bool line_world_say (LineWorld *world, uint32_t session, const char *text);
 /* line_world_start: as line_world_say, without waiting. */
 void line_world_start (LineWorld *world, uint32_t session, const char *text);
+/* line_world_peer: a message from vm "b". */
+void line_world_peer (LineWorld *world, SsEnvelope *envelope);
 /* line_world_mingle: every session says STATEMENTS random ones. */
 void line_world_mingle (LineWorld *world, uint32_t statements);
 /* line_world_put: writes an object of the platform, and tells the core. */
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -236,6 +236,84 @@
   line_world_finish (&w);
 }
 
+static void
+beat_of_peer (LineWorld *w, bool platform_up)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Heartbeat beat = SS__PEER__HEARTBEAT__INIT;
+
+  beat.vm = (char *) "b";
+  beat.failure_domain = (char *) "e";
+  beat.ip = (char *) "10.0.0.2";
+  beat.peer_port = 1;
+  beat.platform_up = platform_up;
+  beat.ready = true;
+  e.body_case = SS__PEER__ENVELOPE__BODY_HEARTBEAT;
+  e.heartbeat = &beat;
+  line_world_peer (w, &e);
+}
+
+static void
+reply_of_peer (LineWorld *w, int64_t version)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__LeaseReply reply = SS__PEER__LEASE_REPLY__INIT;
+  Ss__Peer__GroupVersion group = SS__PEER__GROUP_VERSION__INIT;
+  Ss__Peer__GroupVersion *list = &group;
+
+  group.group = (char *) "g";
+  group.version = version;
+  reply.nonce = w->lease_nonce;
+  reply.groups = &list;
+  reply.n_groups = 1;
+  e.body_case = SS__PEER__ENVELOPE__BODY_LEASE_REPLY;
+  e.lease_reply = &reply;
+  line_world_peer (w, &e);
+}
+
+/* Session 1 reads while vm "b" goes on saying that it has the platform. */
+static SsVerdict
+read_beside_peer (LineWorld *w)
+{
+  line_world_start (w, 1, "READ 1a");
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      beat_of_peer (w, true);
+      line_world_advance (w, 100);
+    }
+  CU_ASSERT (!w->sessions[0].waits);
+  return w->sessions[0].verdict;
+}
+
+/* Where another vm has the platform, that one is asked, and the servers alone
+ * confirm nothing: a primary may have been changed behind a cut.
+ */
+static void
+peer_confirms_the_lease (void)
+{
+  LineWorld w;
+  int64_t version;
+
+  line_world_init (&w, 12, 2, 8);
+  version = ss_config_group (&w.node.config, "g")->version;
+  w.platform_down = true;
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      beat_of_peer (&w, true);
+      line_world_advance (&w, 250);
+    }
+  CU_ASSERT (w.lease_nonce != 0);
+  CU_ASSERT (read_beside_peer (&w) == SS_VERDICT_NOT_RUN);
+  /* An answer about an earlier version confirms nothing either. */
+  reply_of_peer (&w, version - 1);
+  CU_ASSERT (read_beside_peer (&w) == SS_VERDICT_NOT_RUN);
+  line_world_advance (&w, 250);
+  beat_of_peer (&w, true);
+  reply_of_peer (&w, version);
+  CU_ASSERT (read_beside_peer (&w) == SS_VERDICT_RAN);
+  line_world_finish (&w);
+}
+
 /* A commit that no other server holds is not acknowledged. */
 static void
 unheld_commit_is_in_doubt (void)
@@ -289,6 +367,7 @@
   { "earlier term gets no read", earlier_term_gets_no_read },
   { "lease spares status asks", lease_spares_status_asks },
   { "expired lease asks the servers", expired_lease_asks_the_servers },
+  { "peer confirms the lease", peer_confirms_the_lease },
   { "unheld commit is in doubt", unheld_commit_is_in_doubt },
   { "sessions are kept at the entry", sessions_are_kept_at_the_entry },
   CU_TEST_INFO_NULL,
