--- /dev/null
+++ b/src/core/adopt.c
@@ -0,0 +1,378 @@
+#include <string.h>
+
+#include "core/spread.h"
+#include "kernel/names.h"
+
+#define PULL_AGAIN_MS 300
+#define LOOSE_SINCE (-1)
+
+/* An entry of a target that lapsed while the platform was away is back within
+ * two seconds of its return.
+ */
+#define GONE_AFTER_MS 2500
+
+void
+ss_spread_pull_all (SsNode *node, const char *vm)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__ConfigPull pull = SS__PEER__CONFIG_PULL__INIT;
+
+  e.body_case = SS__PEER__ENVELOPE__BODY_CONFIG_PULL;
+  e.config_pull = &pull;
+  ss_node_send (node, vm, &e);
+}
+
+void
+ss_adopt_pull_since (SsNode *node, const char *vm)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__ConfigPull pull = SS__PEER__CONFIG_PULL__INIT;
+
+  if (node->now_ms < node->pull_due_ms)
+    return;
+  node->pull_due_ms = node->now_ms + PULL_AGAIN_MS;
+  pull.since = node->config.revision;
+  e.body_case = SS__PEER__ENVELOPE__BODY_CONFIG_PULL;
+  e.config_pull = &pull;
+  ss_node_send (node, vm, &e);
+}
+
+/* --- configuration --- */
+
+/* The group that OBJECT is about, as it is in force; NULL: none. */
+static const SsGroup *
+changed_group (SsNode *node, const SsObject *object)
+{
+  if (!g_str_has_prefix (object->key, "group/"))
+    return NULL;
+  return ss_config_group (&node->config, strchr (object->key, '/') + 1);
+}
+
+/* A target's entry that went may come back: it counts as gone only later. */
+static bool
+postpone (SsNode *node, const SsObject *object)
+{
+  const SsStoredObject *held = ss_config_object (&node->config, object->key);
+  SsRemoval *r;
+
+  if (!object->deleted || !g_str_has_prefix (object->key, "target/"))
+    return false;
+  if (!held || held->deleted)
+    return true;
+  r = g_hash_table_lookup (node->removals, object->key);
+  if (r)
+    return node->now_ms < r->due_ms;
+  r = g_new0 (SsRemoval, 1);
+  r->version = object->version;
+  r->due_ms = node->now_ms + GONE_AFTER_MS;
+  g_hash_table_insert (node->removals, g_strdup (object->key), r);
+  return true;
+}
+
+static bool
+ss_adopt_now (SsNode *node, const SsObject *object)
+{
+  const SsGroup *group = changed_group (node, object);
+  uint64_t term = group ? group->term : 0;
+  char *error;
+  SsAdoption adoption
+      = ss_config_adopt (&node->config, object, node->now_ms, &error);
+
+  if (adoption == SS_ADOPT_DONE)
+    g_hash_table_remove (node->removals, object->key);
+
+  if (adoption == SS_ADOPT_INVALID)
+    {
+      ss_node_log (node, SS_EVENT_LOG_CONFIG_INVALID, object->key, "%s", error);
+      g_free (error);
+    }
+  if (adoption == SS_ADOPT_DONE)
+    ss_node_log (node, SS_EVENT_LOG_CONFIG_ADOPTED, object->key,
+                 "version=%" G_GINT64_FORMAT " deleted=%d", object->version,
+                 object->deleted);
+  if (adoption == SS_ADOPT_DONE && g_str_has_prefix (object->key, "vm/"))
+    ss_directory_take (node, object);
+  group = changed_group (node, object);
+  if (term && group && group->term > term)
+    ss_entry_superseded (node, group);
+  return adoption == SS_ADOPT_DONE;
+}
+
+bool
+ss_adopt_object (SsNode *node, const SsObject *object)
+{
+  return !postpone (node, object) && ss_adopt_now (node, object);
+}
+
+typedef struct
+{
+  int64_t since;
+  Ss__Peer__ConfigObject *objects;
+  Ss__Peer__ConfigObject **list;
+  uint32_t count;
+} Push;
+
+static gboolean
+add_to_push (gpointer key, gpointer value, gpointer data)
+{
+  Push *p = data;
+  const SsStoredObject *o = value;
+  Ss__Peer__ConfigObject *out = &p->objects[p->count];
+  gsize bytes;
+
+  if (o->version <= p->since)
+    return FALSE;
+  ss__peer__config_object__init (out);
+  out->key = key;
+  out->version = o->version;
+  out->value.data = (uint8_t *) g_bytes_get_data (o->value, &bytes);
+  out->value.len = bytes;
+  out->deleted = o->deleted;
+  p->list[p->count++] = out;
+  return FALSE;
+}
+
+static void
+send_push (SsNode *node, const char *vm, Ss__Peer__ConfigPush *push)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+
+  e.body_case = SS__PEER__ENVELOPE__BODY_CONFIG_PUSH;
+  e.config_push = push;
+  ss_node_send (node, vm, &e);
+}
+
+/* Calls SEND with a push of all objects above SINCE. */
+static void
+with_push (SsNode *node, int64_t since,
+           void (*send) (SsNode *node, Ss__Peer__ConfigPush *push,
+                         const char *vm),
+           const char *vm)
+{
+  uint32_t all = (uint32_t) g_tree_nnodes (node->config.objects);
+  Ss__Peer__ConfigPush push = SS__PEER__CONFIG_PUSH__INIT;
+  Push p = { since, g_new (Ss__Peer__ConfigObject, all + 1),
+             g_new (Ss__Peer__ConfigObject *, all + 1), 0 };
+  gsize bytes = 0;
+
+  g_tree_foreach (node->config.objects, add_to_push, &p);
+  push.since = since;
+  push.revision = node->config.revision;
+  push.complete = since == 0 && !ss_feeds_are_one (node)
+                  && ss_spread_watches (node) && ss_feeds_are_complete (node);
+  push.objects = p.list;
+  push.n_objects = p.count;
+  if (node->vms_json)
+    {
+      push.vms.data = (uint8_t *) g_bytes_get_data (node->vms_json, &bytes);
+      push.vms.len = bytes;
+    }
+  send (node, &push, vm);
+  g_free (p.objects);
+  g_free (p.list);
+}
+
+static void
+send_to_one (SsNode *node, Ss__Peer__ConfigPush *push, const char *vm)
+{
+  send_push (node, vm, push);
+}
+
+static void
+push_to_neighbour (SsNode *node, SsMember *member, void *data)
+{
+  if (strcmp (member->failure_domain, node->params.failure_domain) == 0)
+    send_push (node, member->vm, data);
+}
+
+static void
+send_to_domain (SsNode *node, Ss__Peer__ConfigPush *push, const char *vm)
+{
+  (void) vm;
+  ss_peers_visit (node, push_to_neighbour, push);
+}
+
+void
+ss_adopt_push_domain (SsNode *node, int64_t since)
+{
+  with_push (node, since, send_to_domain, NULL);
+}
+
+void
+ss_spread_pull (SsNode *node, const char *from,
+                const Ss__Peer__ConfigPull *pull)
+{
+  with_push (node, pull->since, send_to_one, from);
+}
+
+/* All objects of a peer were sent. */
+static void
+drop_unsent (SsNode *node, const Ss__Peer__ConfigPush *push)
+{
+  GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (size_t i = 0; i < push->n_objects; i++)
+    g_hash_table_add (present, push->objects[i]->key);
+  ss_adopt_drop_missing (node, "", push->revision, present);
+  g_hash_table_destroy (present);
+}
+
+void
+ss_spread_push (SsNode *node, const char *from,
+                const Ss__Peer__ConfigPush *push)
+{
+  for (size_t i = 0; i < push->n_objects; i++)
+    {
+      const Ss__Peer__ConfigObject *in = push->objects[i];
+      SsObject o = { in->key, in->version, (const char *) in->value.data,
+                     (uint32_t) in->value.len, in->deleted };
+
+      /* The sender waited for what was deleted to come back. */
+      ss_adopt_now (node, &o);
+    }
+  if (push->complete)
+    drop_unsent (node, push);
+  if (push->vms.len)
+    ss_spread_vms (node, (const char *) push->vms.data,
+                   (uint32_t) push->vms.len);
+  ss_owner_update (node);
+  if (push->since == LOOSE_SINCE)
+    return;
+  if (push->since <= node->config.revision)
+    node->config.revision = MAX (node->config.revision, push->revision);
+  else
+    ss_adopt_pull_since (node, from);
+}
+
+static void
+push_to_peer (SsNode *node, SsMember *member, void *data)
+{
+  send_push (node, member->vm, data);
+}
+
+/* Passes OBJECTS on at once, outside of the watch; NEAR: in the failure domain
+ * only.
+ */
+static void
+send_loose (SsNode *node, const SsObject *objects, uint32_t count, bool near)
+{
+  Ss__Peer__ConfigPush push = SS__PEER__CONFIG_PUSH__INIT;
+  Ss__Peer__ConfigObject *copies = g_new (Ss__Peer__ConfigObject, count + 1);
+  Ss__Peer__ConfigObject **list = g_new (Ss__Peer__ConfigObject *, count + 1);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      ss__peer__config_object__init (&copies[i]);
+      copies[i].key = (char *) objects[i].key;
+      copies[i].version = objects[i].version;
+      copies[i].value.data = (uint8_t *) objects[i].value;
+      copies[i].value.len = objects[i].value_bytes;
+      copies[i].deleted = objects[i].deleted;
+      list[i] = &copies[i];
+    }
+  push.since = LOOSE_SINCE;
+  push.objects = list;
+  push.n_objects = count;
+  ss_peers_visit (node, near ? push_to_neighbour : push_to_peer, &push);
+  g_free (list);
+  g_free (copies);
+}
+
+/* A relay passes what it adopted on to its failure domain, whose other vms
+ * watch nothing.
+ */
+void
+ss_adopt_forward (SsNode *node, const SsObject *objects, uint32_t count)
+{
+  if (count && node->members.relayed && ss_spread_watches (node))
+    send_loose (node, objects, count, true);
+}
+
+void
+ss_spread_adopt (SsNode *node, const SsObject *object)
+{
+  if (!ss_adopt_object (node, object))
+    return;
+  ss_owner_update (node);
+  send_loose (node, object, 1, false);
+}
+
+void
+ss_spread_adopt_quietly (SsNode *node, const SsObject *object)
+{
+  ss_adopt_object (node, object);
+}
+
+typedef struct
+{
+  const char *prefix;
+  int64_t revision;
+  GHashTable *present;
+  GPtrArray *missing;
+} Complete;
+
+static gboolean
+find_missing (gpointer key, gpointer value, gpointer data)
+{
+  Complete *c = data;
+  const SsStoredObject *o = value;
+
+  if (!o->deleted && o->version <= c->revision
+      && g_str_has_prefix (key, c->prefix)
+      && !g_hash_table_contains (c->present, key))
+    g_ptr_array_add (c->missing, g_strdup (key));
+  return FALSE;
+}
+
+/* What is held of PREFIX up to REVISION, and is not PRESENT, is gone. */
+bool
+ss_adopt_drop_missing (SsNode *node, const char *prefix, int64_t revision,
+                       GHashTable *present)
+{
+  Complete c
+      = { prefix, revision, present, g_ptr_array_new_with_free_func (g_free) };
+  bool dropped = false;
+
+  g_tree_foreach (node->config.objects, find_missing, &c);
+  for (guint i = 0; i < c.missing->len; i++)
+    {
+      SsObject o = { .key = g_ptr_array_index (c.missing, i),
+                     .version = revision,
+                     .deleted = true };
+
+      if (!ss_adopt_object (node, &o))
+        continue;
+      dropped = true;
+      ss_adopt_forward (node, &o, 1);
+    }
+  g_ptr_array_free (c.missing, TRUE);
+  return dropped;
+}
+
+/* Takes the targets away whose entries did not come back. */
+void
+ss_adopt_remove_gone (SsNode *node)
+{
+  GPtrArray *due = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->removals);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (node->now_ms >= ((SsRemoval *) value)->due_ms)
+      g_ptr_array_add (due, g_strdup (key));
+  for (guint i = 0; i < due->len; i++)
+    {
+      const char *name = g_ptr_array_index (due, i);
+      SsRemoval *r = g_hash_table_lookup (node->removals, name);
+      SsObject o = { .key = name, .version = r->version, .deleted = true };
+
+      if (ss_adopt_now (node, &o))
+        ss_adopt_forward (node, &o, 1);
+      g_hash_table_remove (node->removals, name);
+    }
+  if (due->len)
+    ss_owner_update (node);
+  g_ptr_array_free (due, TRUE);
+}
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -2,9 +2,6 @@
 
 #include "core/entry.h"
 
-/* The owner's verdict is the better one: it gets this long to arrive. */
-#define OWNER_GRACE_MS 100
-
 static void
 clear_session (gpointer data)
 {
@@ -219,8 +216,8 @@
   ss_local_finish (&local);
 }
 
-static void
-send_cancel (SsNode *node, const SsRequest *r)
+void
+ss_request_cancel (SsNode *node, const SsRequest *r)
 {
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__Cancel cancel = SS__PEER__CANCEL__INIT;
@@ -239,7 +236,7 @@
   if (!s || !s->request)
     return;
   if (s->request->vm)
-    send_cancel (node, s->request);
+    ss_request_cancel (node, s->request);
   else
     ss_request_finish (node, s->request, SS_VERDICT_NOT_RUN,
                        SS_REASON_CANCELLED, 0);
@@ -261,9 +258,9 @@
   g_hash_table_remove (node->sessions, &caller);
 }
 
-static bool
-may_retry (SsNode *node, SsRequest *r, SsVerdict verdict, SsReason reason,
-           bool sent)
+bool
+ss_request_may_retry (SsNode *node, SsRequest *r, SsVerdict verdict,
+                      SsReason reason, bool sent)
 {
   bool harmless = verdict == SS_VERDICT_NOT_RUN
                   || (verdict == SS_VERDICT_MAY_HAVE_RUN && r->is_read);
@@ -283,8 +280,8 @@
 }
 
 /* Tries the read at another server. */
-static void
-try_again (SsNode *node, SsRequest *r, SsReason reason)
+void
+ss_request_try_again (SsNode *node, SsRequest *r, SsReason reason)
 {
   ss_node_count (node, SS_COUNTER_RETRIES);
   ss_node_log (node, SS_EVENT_LOG_REQUEST_RETRIED,
@@ -376,207 +373,13 @@
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
       return;
     }
-  if (may_retry (node, r, (SsVerdict) reply->verdict, (SsReason) reply->reason,
-                 reply->sent))
-    try_again (node, r, (SsReason) reply->reason);
+  if (ss_request_may_retry (node, r, (SsVerdict) reply->verdict,
+                            (SsReason) reply->reason, reply->sent))
+    ss_request_try_again (node, r, (SsReason) reply->reason);
   else
     take_answer (node, r, reply);
 }
 
-typedef bool (*RequestTest) (SsNode *node, const SsRequest *r,
-                             const void *data);
-
-/* The requests for which WANTED holds; they may be ended while the array is
- * gone through.
- */
-static GPtrArray *
-requests_where (SsNode *node, RequestTest wanted, const void *data)
-{
-  GPtrArray *found = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, node->requests);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (wanted (node, value, data))
-      g_ptr_array_add (found, value);
-  return found;
-}
-
-/* A write at a server that is not GROUP's primary any more. */
-static bool
-is_superseded (SsNode *node, const SsRequest *r, const void *group)
-{
-  return r->target && !r->is_read
-         && !(r->session->pinned_vm && r->session->pinned_is_read)
-         && ss_session_group (node, r->session) == group
-         && strcmp (r->target, ((const SsGroup *) group)->primary) != 0;
-}
-
-void
-ss_entry_superseded (SsNode *node, const SsGroup *group)
-{
-  GPtrArray *out = requests_where (node, is_superseded, group);
-  GHashTableIter iter;
-  gpointer value;
-
-  for (guint i = 0; i < out->len; i++)
-    ss_request_abandon (node, g_ptr_array_index (out, i), SS_REASON_SUPERSEDED);
-  g_ptr_array_free (out, TRUE);
-  g_hash_table_iter_init (&iter, node->sessions);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      SsSession *s = value;
-
-      if (s->pinned_target && !s->pinned_is_read
-          && ss_session_group (node, s) == group
-          && strcmp (s->pinned_target, group->primary) != 0)
-        ss_session_lose_transaction (node, s);
-    }
-}
-
-static bool
-is_at_vm (SsNode *node, const SsRequest *r, const void *vm)
-{
-  (void) node;
-  return r->vm && strcmp (r->vm, vm) == 0;
-}
-
-void
-ss_entry_vm_lost (SsNode *node, const char *vm)
-{
-  GPtrArray *lost = requests_where (node, is_at_vm, vm);
-  GHashTableIter iter;
-  gpointer value;
-
-  for (guint i = 0; i < lost->len; i++)
-    {
-      SsRequest *r = g_ptr_array_index (lost, i);
-
-      if (may_retry (node, r, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_VM_LOST, true))
-        try_again (node, r, SS_REASON_VM_LOST);
-      else
-        ss_request_abandon (node, r, SS_REASON_VM_LOST);
-    }
-  g_ptr_array_free (lost, TRUE);
-  g_hash_table_iter_init (&iter, node->sessions);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      SsSession *s = value;
-
-      if (s->pinned_vm && strcmp (s->pinned_vm, vm) == 0)
-        ss_session_lose_transaction (node, s);
-    }
-}
-
-typedef struct
-{
-  const char *group;
-  SsWait wait;
-} Waiting;
-
-static bool
-is_waiting (SsNode *node, const SsRequest *r, const void *data)
-{
-  const Waiting *w = data;
-  const SsGroup *group;
-
-  if (r->wait != w->wait)
-    return false;
-  group = ss_session_group (node, r->session);
-  return group && strcmp (group->name, w->group) == 0;
-}
-
-void
-ss_entry_identities (SsNode *node, const char *group, GPtrArray *out)
-{
-  Waiting w = { group, SS_WAIT_MARK };
-  GPtrArray *waiting = requests_where (node, is_waiting, &w);
-
-  for (guint i = 0; i < waiting->len; i++)
-    {
-      const SsRequest *r = g_ptr_array_index (waiting, i);
-      const char *identity = ss_session_identity (node, r->session);
-
-      if (*identity)
-        g_ptr_array_add (out, g_strdup (identity));
-    }
-  g_ptr_array_free (waiting, TRUE);
-}
-
-void
-ss_entry_wake (SsNode *node, const char *group, SsWait wait)
-{
-  Waiting w = { group, wait };
-  GPtrArray *waiting = requests_where (node, is_waiting, &w);
-
-  for (guint i = 0; i < waiting->len; i++)
-    {
-      SsRequest *r = g_ptr_array_index (waiting, i);
-
-      ss_request_end_wait (node, r);
-      ss_route (node, r);
-    }
-  g_ptr_array_free (waiting, TRUE);
-}
-
-static bool
-is_overdue (SsNode *node, const SsRequest *r, const void *data)
-{
-  int64_t due_ms = r->deadline_ms + (r->vm ? OWNER_GRACE_MS : 0);
-
-  (void) data;
-  if (r->wait != SS_WAIT_NONE && r->wait_due_ms < due_ms)
-    due_ms = r->wait_due_ms;
-  return node->now_ms >= due_ms;
-}
-
-static bool
-waits_for_primary (SsNode *node, const SsRequest *r, const void *data)
-{
-  const SsGroup *group = ss_session_group (node, r->session);
-
-  (void) data;
-  return r->wait == SS_WAIT_PRIMARY && group
-         && ss_choice_write (node, (SsGroup *) group) != NULL;
-}
-
-/* Routes what waits for a primary that can be used again. */
-static void
-look_for_primaries (SsNode *node)
-{
-  GPtrArray *ready = requests_where (node, waits_for_primary, NULL);
-
-  for (guint i = 0; i < ready->len; i++)
-    {
-      SsRequest *r = g_ptr_array_index (ready, i);
-
-      ss_request_end_wait (node, r);
-      ss_route (node, r);
-    }
-  g_ptr_array_free (ready, TRUE);
-}
-
-void
-ss_entry_tick (SsNode *node)
-{
-  static const SsReason reasons[]
-      = { SS_REASON_DEADLINE, SS_REASON_NO_MARK, SS_REASON_NO_PRIMARY,
-          SS_REASON_NO_PRIMARY };
-  GPtrArray *overdue = requests_where (node, is_overdue, NULL);
-
-  for (guint i = 0; i < overdue->len; i++)
-    {
-      SsRequest *r = g_ptr_array_index (overdue, i);
-
-      if (r->vm)
-        send_cancel (node, r);
-      ss_request_abandon (node, r, reasons[r->wait]);
-    }
-  g_ptr_array_free (overdue, TRUE);
-  look_for_primaries (node);
-}
-
 bool
 ss_entry_uses_group (SsNode *node, const char *group)
 {
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -66,6 +66,15 @@
 /* ss_request_log_end: how R ended and what decided it. */
 void ss_request_log_end (SsNode *node, const SsRequest *r, SsVerdict verdict,
                          SsReason reason);
+/* ss_request_may_retry: whether R, which ended with VERDICT and REASON, may be
+ * tried again; SENT: a target may have run it.
+ */
+bool ss_request_may_retry (SsNode *node, SsRequest *r, SsVerdict verdict,
+                           SsReason reason, bool sent);
+/* ss_request_try_again: at another server, or at the next primary. */
+void ss_request_try_again (SsNode *node, SsRequest *r, SsReason reason);
+/* ss_request_cancel: tells its owner that R is not waited for. */
+void ss_request_cancel (SsNode *node, const SsRequest *r);
 /* ss_request_forget_sent: the present try is over. */
 void ss_request_forget_sent (SsNode *node, SsRequest *r);
 void ss_request_begin_wait (SsNode *node, SsRequest *r, SsWait wait,
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -82,6 +82,14 @@
     }
 }
 
+/* Whether no later primary can have come about by now. */
+static bool
+is_in_force (SsNode *node, const SsGroup *group)
+{
+  return !node->dialect->platform_promotes || ss_lease_holds (node, group)
+         || ss_lease_may_ask_servers (node);
+}
+
 /* Answers every waiter whose fate is known. */
 static void
 check_waiters (SsNode *node, SsOwned *owned, const SsGroup *group)
@@ -91,7 +99,8 @@
   for (GList *l = owned->waiters.head; l; l = next)
     {
       SsJob *job = l->data;
-      bool held = is_held (group, owned, job->commit);
+      bool held
+          = is_held (group, owned, job->commit) && is_in_force (node, group);
       bool superseded = is_superseded (group, owned, job->commit);
 
       next = l->next;
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -505,7 +505,7 @@
 } SsPromotion;
 
 /* The object whose holder may have the platform promote servers. */
-#define SS_PROMOTE_DUTY_KEY "duty/promotions"
+#define SS_PROMOTE_DUTY_KEY "duty/failover"
 
 /* ss_promote_enter: begins STEP. */
 void ss_promote_enter (SsNode *node, SsPromotion *promotion,
@@ -514,6 +514,13 @@
 /* ss_promote_put: writes the group's object with PRIMARY and its term. */
 void ss_promote_put (SsNode *node, SsPromotion *promotion, const char *primary);
 
+/* --- raise.c --- */
+
+/* ss_raise_tick: asks servers to take the claim's term, and goes on once
+ * enough of them did.
+ */
+void ss_raise_tick (SsNode *node, SsPromotion *promotion, const SsGroup *group);
+
 /* --- lease.c: use of a primary without asking its group --- */
 
 /* The longest that a vm uses a primary after the platform confirmed it; a
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -5,14 +5,6 @@
 #define UNIQUE_VIOLATION "23505"
 #define LOCK_NOT_AVAILABLE "55P03"
 #define READ_ONLY_SERVER "25006"
-/* A replica that is behind by more than this does not catch up in time. */
-#define BEHIND_WAIT_MS 150
-/* A target without room for a statement gets it again after this pause, for
- * as long as its own queue may take.
- */
-#define BUSY_AGAIN_MS 20
-#define BUSY_WAIT_MS 400
-#define BEHIND_AGAIN_MS 15
 
 void
 ss_job_free (SsJob *job)
@@ -164,98 +156,6 @@
   a->want_row = step == SS_STEP_REPLAY;
 }
 
-static void
-take_slot (SsConnection *c, SsQueueClass queue_class)
-{
-  if (c->holds_slot)
-    return;
-  c->holds_slot = true;
-  c->queue_class = queue_class;
-  c->owned->queue.running[queue_class]++;
-}
-
-/* --- statements of sessions that are kept at their entry --- */
-
-static void
-send_text (SsNode *node, SsConnection *c, SsStep step, const char *label,
-           char *text)
-{
-  SsAction *a = ss_node_push (node, SS_ACTION_TARGET_QUERY);
-
-  c->job->step = step;
-  c->state = SS_CONNECTION_BUSY;
-  c->sent_ms = node->now_ms;
-  a->id = c->id;
-  a->label = g_strdup (label);
-  a->text = text;
-}
-
-/* The text with the floor that it has to find, where it can have one. */
-static char *
-with_floor (SsNode *node, const SsJob *job, char *text)
-{
-  char *whole;
-
-  if (!job->is_read || !job->floor.offset)
-    return text;
-  whole = node->dialect->at_floor (node->dialect, job->floor, text);
-  g_free (text);
-  return whole;
-}
-
-/* Sends what the session needs on C, one by one, then its statement. */
-static void
-send_next (SsNode *node, SsConnection *c)
-{
-  SsJob *job = c->job;
-  char *text = g_queue_pop_head (&c->due);
-
-  take_slot (c, job->item.queue_class);
-  if (text)
-    {
-      g_free (c->prelude);
-      c->prelude = g_strdup (text);
-      send_text (node, c, SS_STEP_PRELUDE, NULL, text);
-      return;
-    }
-  job->sent = true;
-  text = g_strdup (job->sql);
-  if (!job->pinned && !job->begins)
-    text = with_floor (node, job, text);
-  send_text (node, c, SS_STEP_PLAIN, job->label, text);
-}
-
-static void
-start_kept (SsNode *node, SsConnection *c)
-{
-  SsJob *job = c->job;
-  char *begin;
-
-  if (!ss_replay_plan (node->dialect, &c->held,
-                       (const char *const *) job->values, job->shape,
-                       job->shape_is_read, job->pinned, &c->due))
-    {
-      job->step = SS_STEP_PRELUDE;
-      ss_job_give_up (node, c, SS_REASON_TRANSACTION_LOST);
-      return;
-    }
-  if (job->begins)
-    {
-      begin = node->dialect->begin (node->dialect, job->transaction_is_read);
-      g_queue_push_tail (&c->due, with_floor (node, job, begin));
-    }
-  send_next (node, c);
-}
-
-void
-ss_job_send_again (SsNode *node, SsConnection *c)
-{
-  c->again_ms = 0;
-  if (c->job->step == SS_STEP_PRELUDE)
-    g_queue_push_head (&c->due, g_steal_pointer (&c->prelude));
-  send_next (node, c);
-}
-
 static void
 start_job (SsNode *node, SsConnection *c, SsJob *job)
 {
@@ -263,7 +163,7 @@
   job->connection = c;
   job->started_ms = node->now_ms;
   if (ss_dialect_keeps_sessions (node->dialect))
-    start_kept (node, c);
+    ss_kept_start (node, c);
   else if (!job->key)
     start_step (node, c, SS_STEP_PLAIN);
   else
@@ -483,9 +383,9 @@
   ss_job_dispatch (node, owned);
 }
 
-static void
-end_job (SsNode *node, SsConnection *c, SsVerdict verdict, SsReason reason,
-         uint32_t retry_after_ms)
+void
+ss_job_end (SsNode *node, SsConnection *c, SsVerdict verdict, SsReason reason,
+            uint32_t retry_after_ms)
 {
   SsJob *job = c->job;
 
@@ -495,20 +395,20 @@
   if (job->transaction_status != 'I' && reason != SS_REASON_NONE
       && reason != SS_REASON_TARGET_ERROR
       && ss_dialect_keeps_sessions (node->dialect))
-    ss_job_roll_back (node, c);
+    ss_kept_roll_back (node, c);
   ss_job_answer (node, job, verdict, reason, retry_after_ms);
 }
 
 /* The job's statement is done; a commit is answered once it is held. */
-static void
-end_committed (SsNode *node, SsConnection *c)
+void
+ss_job_end_committed (SsNode *node, SsConnection *c)
 {
   SsJob *job = c->job;
   SsService *service = ss_config_service (&node->config, job->service);
 
   if (!job->commit.offset || (service && !service->acknowledge_majority))
     {
-      end_job (node, c, SS_VERDICT_RAN, SS_REASON_NONE, 0);
+      ss_job_end (node, c, SS_VERDICT_RAN, SS_REASON_NONE, 0);
       return;
     }
   job->connection = NULL;
@@ -516,125 +416,6 @@
   ss_hold_wait (node, job);
 }
 
-/* Ends a statement that was not run.  Where a part of what its session needs
- * was not done either, nobody knows what the connection holds.
- */
-static void
-end_not_run (SsNode *node, SsConnection *c, SsReason reason)
-{
-  const SsJob *job = c->job;
-  bool is_begin = job->begins && g_queue_is_empty (&c->due);
-
-  if (job->step == SS_STEP_PRELUDE && !is_begin)
-    ss_job_give_up (node, c, reason);
-  else
-    end_job (node, c, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
-}
-
-/* The statement was not run; it is sent again while its target may soon run
- * it.
- */
-static void
-wait_again (SsNode *node, SsConnection *c, SsReason reason, int64_t pause_ms,
-            int64_t limit_ms)
-{
-  SsJob *job = c->job;
-  bool in_transaction
-      = job->pinned || (job->begins && job->step == SS_STEP_PLAIN);
-
-  job->sent = false;
-  if (job->transaction_status != (in_transaction ? 'T' : 'I')
-      || node->now_ms - job->started_ms + pause_ms > limit_ms)
-    {
-      end_not_run (node, c, reason);
-      return;
-    }
-  c->again_ms = node->now_ms + pause_ms;
-  ss_pool_release_slot (c, -1);
-  ss_job_dispatch (node, c->owned);
-}
-
-/* A statement of a kept session, or what goes before it, was not carried out.
- */
-static void
-end_fault (SsNode *node, SsConnection *c, SsTargetFault fault)
-{
-  SsOwned *owned = c->owned;
-
-  switch (fault)
-    {
-    case SS_TARGET_FAULT_BUSY:
-      wait_again (node, c, SS_REASON_OVERLOAD, BUSY_AGAIN_MS, BUSY_WAIT_MS);
-      break;
-    case SS_TARGET_FAULT_BEHIND:
-      wait_again (node, c, SS_REASON_BEHIND, BEHIND_AGAIN_MS, BEHIND_WAIT_MS);
-      break;
-    case SS_TARGET_FAULT_NOT_PRIMARY:
-      owned->target->state.role = SS_SERVER_REPLICA;
-      end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
-               SS_RETRY_PROMOTION_MS);
-      ss_monitor_poll_soon (node, owned);
-      break;
-    case SS_TARGET_FAULT_UNPREPARED:
-      ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
-      break;
-    default:
-      if (c->job->step == SS_STEP_PRELUDE)
-        ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
-      else
-        end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
-      break;
-    }
-}
-
-static void
-end_kept (SsNode *node, SsConnection *c, const SsTargetResult *result)
-{
-  if (!result->ok)
-    end_fault (node, c, result->fault);
-  else if (c->job->step == SS_STEP_PRELUDE)
-    send_next (node, c);
-  else
-    end_committed (node, c);
-}
-
-void
-ss_job_roll_back (SsNode *node, SsConnection *c)
-{
-  SsAction *a = ss_node_push (node, SS_ACTION_TARGET_QUERY);
-
-  g_clear_pointer (&c->vm, g_free);
-  c->state = SS_CONNECTION_BUSY;
-  c->rolls_back = true;
-  c->since_ms = node->now_ms;
-  c->sent_ms = node->now_ms;
-  a->id = c->id;
-  a->text = node->dialect->rollback (node->dialect);
-}
-
-void
-ss_job_end_idle (SsNode *node, SsConnection *c)
-{
-  if (ss_dialect_keeps_sessions (node->dialect))
-    ss_job_roll_back (node, c);
-  else
-    ss_pool_close (node, c);
-}
-
-static void
-end_rollback (SsNode *node, SsConnection *c, const SsTargetResult *result)
-{
-  SsOwned *owned = c->owned;
-
-  c->rolls_back = false;
-  c->since_ms = node->now_ms;
-  if (!result->ok || result->transaction_status != 'I' || !owned->active)
-    ss_pool_close (node, c);
-  else
-    c->state = SS_CONNECTION_IDLE;
-  ss_job_dispatch (node, owned);
-}
-
 static void
 end_plain (SsNode *node, SsConnection *c, const SsTargetResult *result)
 {
@@ -644,21 +425,21 @@
     {
       if (job->is_read && !shows_floor (c->owned, job->applied, job->floor)
           && job->transaction_status == 'I')
-        end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_BEHIND,
-                 SS_RETRY_SOON_MS);
+        ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_BEHIND,
+                    SS_RETRY_SOON_MS);
       else
-        end_committed (node, c);
+        ss_job_end_committed (node, c);
       return;
     }
   /* A part of the message may have been committed before the error. */
   if (job->commit.offset)
-    end_committed (node, c);
+    ss_job_end_committed (node, c);
   else if (strcmp (job->sqlstate, READ_ONLY_SERVER) == 0 && !job->is_read
            && job->transaction_status == 'I')
-    end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
-             SS_RETRY_PROMOTION_MS);
+    ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
+                SS_RETRY_PROMOTION_MS);
   else
-    end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
+    ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
 }
 
 static void
@@ -676,7 +457,7 @@
     }
   job->tag = g_strdup (result->tag);
   if (job->transaction_status == 'I')
-    end_committed (node, c);
+    ss_job_end_committed (node, c);
   else
     start_step (node, c, SS_STEP_RECORD);
 }
@@ -685,7 +466,7 @@
 end_record (SsNode *node, SsConnection *c, const SsTargetResult *result)
 {
   if (result->ok)
-    end_committed (node, c);
+    ss_job_end_committed (node, c);
   else
     start_step (node, c, SS_STEP_ROLLBACK);
 }
@@ -704,13 +485,13 @@
       /* The record counts once a majority holds it, as any commit. */
       job->commit = job->applied;
       ss_node_count (node, SS_COUNTER_REPLAYS);
-      end_committed (node, c);
+      ss_job_end_committed (node, c);
     }
   else if (strcmp (job->sqlstate, UNIQUE_VIOLATION) == 0)
-    end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
+    ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
   else
-    end_job (node, c, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_STILL_RUNNING,
-             SS_RETRY_PROMOTION_MS);
+    ss_job_end (node, c, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_STILL_RUNNING,
+                SS_RETRY_PROMOTION_MS);
 }
 
 static bool
@@ -739,27 +520,6 @@
   job->wire = g_bytes_ref (result->wire);
 }
 
-/* Every answer tells where the target stands. */
-static void
-note_position (SsNode *node, const SsConnection *c,
-               const SsTargetResult *result)
-{
-  SsTarget *t = c->owned->target;
-
-  t->state_ms = MAX (t->state_ms, c->sent_ms);
-  ss_hold_note (node, c->owned, c->sent_ms, result->applied);
-  if (c->owned->asks->len)
-    ss_monitor_answer (node, c->owned);
-}
-
-/* The position right after a commit covers it. */
-static void
-note_commit (SsJob *job, const SsTargetResult *result)
-{
-  if (result->ok && job->keeps && job->step == SS_STEP_PLAIN)
-    job->commit = result->applied;
-}
-
 /* An answer tells the server's position later than the last poll did. */
 static void
 note_applied (SsTarget *t, SsPosition applied)
@@ -791,17 +551,17 @@
   note_applied (c->owned->target, result->applied);
   c->owned->target->reachable_ms = node->now_ms;
   if (ss_dialect_keeps_sessions (node->dialect))
-    note_position (node, c, result);
+    ss_kept_note_position (node, c, result);
   if (c->rolls_back)
     {
-      end_rollback (node, c, result);
+      ss_kept_rolled_back (node, c, result);
       return;
     }
   take_result (c->job, result);
   if (ss_dialect_keeps_sessions (node->dialect))
     {
-      note_commit (c->job, result);
-      end_kept (node, c, result);
+      ss_kept_note_commit (c->job, result);
+      ss_kept_end (node, c, result);
       return;
     }
   switch (c->job->step)
@@ -809,7 +569,7 @@
     case SS_STEP_CLAIM:
     case SS_STEP_COMMIT:
       if (c->job->step == SS_STEP_COMMIT && result->ok)
-        end_committed (node, c);
+        ss_job_end_committed (node, c);
       else
         end_claim (node, c, result);
       break;
@@ -820,7 +580,7 @@
       end_replay (node, c, result);
       break;
     case SS_STEP_ROLLBACK:
-      end_job (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
+      ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
       break;
     case SS_STEP_PLAIN:
     default:
--- /dev/null
+++ b/src/core/kept.c
@@ -0,0 +1,247 @@
+/* kept: statements of sessions that are kept at their entry.
+ *
+ * A connection serves one session after the other.  Before a statement it is
+ * brought to hold what the statement's session set and prepared, and BEGIN is
+ * sent where the statement opens its transaction.
+ */
+#include "core/owner.h"
+
+/* A replica that is behind by more than this does not catch up in time. */
+#define BEHIND_WAIT_MS 150
+/* A target without room for a statement gets it again after this pause, for
+ * as long as its own queue may take.
+ */
+#define BUSY_AGAIN_MS 20
+#define BUSY_WAIT_MS 400
+#define BEHIND_AGAIN_MS 15
+
+static void
+take_slot (SsConnection *c, SsQueueClass queue_class)
+{
+  if (c->holds_slot)
+    return;
+  c->holds_slot = true;
+  c->queue_class = queue_class;
+  c->owned->queue.running[queue_class]++;
+}
+
+static void
+send_text (SsNode *node, SsConnection *c, SsStep step, const char *label,
+           char *text)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_TARGET_QUERY);
+
+  c->job->step = step;
+  c->state = SS_CONNECTION_BUSY;
+  c->sent_ms = node->now_ms;
+  a->id = c->id;
+  a->label = g_strdup (label);
+  a->text = text;
+}
+
+/* The text with the floor that it has to find, where it can have one. */
+static char *
+with_floor (SsNode *node, const SsJob *job, char *text)
+{
+  char *whole;
+
+  if (!job->is_read || !job->floor.offset)
+    return text;
+  whole = node->dialect->at_floor (node->dialect, job->floor, text);
+  g_free (text);
+  return whole;
+}
+
+/* Sends what the session needs on C, one by one, then its statement. */
+static void
+send_next (SsNode *node, SsConnection *c)
+{
+  SsJob *job = c->job;
+  char *text = g_queue_pop_head (&c->due);
+
+  take_slot (c, job->item.queue_class);
+  if (text)
+    {
+      g_free (c->prelude);
+      c->prelude = g_strdup (text);
+      send_text (node, c, SS_STEP_PRELUDE, NULL, text);
+      return;
+    }
+  job->sent = true;
+  text = g_strdup (job->sql);
+  if (!job->pinned && !job->begins)
+    text = with_floor (node, job, text);
+  send_text (node, c, SS_STEP_PLAIN, job->label, text);
+}
+
+void
+ss_kept_start (SsNode *node, SsConnection *c)
+{
+  SsJob *job = c->job;
+  char *begin;
+
+  if (!ss_replay_plan (node->dialect, &c->held,
+                       (const char *const *) job->values, job->shape,
+                       job->shape_is_read, job->pinned, &c->due))
+    {
+      job->step = SS_STEP_PRELUDE;
+      ss_job_give_up (node, c, SS_REASON_TRANSACTION_LOST);
+      return;
+    }
+  if (job->begins)
+    {
+      begin = node->dialect->begin (node->dialect, job->transaction_is_read);
+      g_queue_push_tail (&c->due, with_floor (node, job, begin));
+    }
+  send_next (node, c);
+}
+
+void
+ss_kept_send_again (SsNode *node, SsConnection *c)
+{
+  c->again_ms = 0;
+  if (c->job->step == SS_STEP_PRELUDE)
+    g_queue_push_head (&c->due, g_steal_pointer (&c->prelude));
+  send_next (node, c);
+}
+
+/* Ends a statement that was not run.  Where a part of what its session needs
+ * was not done either, nobody knows what the connection holds.
+ */
+static void
+end_not_run (SsNode *node, SsConnection *c, SsReason reason)
+{
+  const SsJob *job = c->job;
+  bool is_begin = job->begins && g_queue_is_empty (&c->due);
+
+  if (job->step == SS_STEP_PRELUDE && !is_begin)
+    ss_job_give_up (node, c, reason);
+  else
+    ss_job_end (node, c, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
+}
+
+/* The statement was not run; it is sent again while its target may soon run
+ * it.
+ */
+static void
+wait_again (SsNode *node, SsConnection *c, SsReason reason, int64_t pause_ms,
+            int64_t limit_ms)
+{
+  SsJob *job = c->job;
+  bool in_transaction
+      = job->pinned || (job->begins && job->step == SS_STEP_PLAIN);
+
+  job->sent = false;
+  if (job->transaction_status != (in_transaction ? 'T' : 'I')
+      || node->now_ms - job->started_ms + pause_ms > limit_ms)
+    {
+      end_not_run (node, c, reason);
+      return;
+    }
+  c->again_ms = node->now_ms + pause_ms;
+  ss_pool_release_slot (c, -1);
+  ss_job_dispatch (node, c->owned);
+}
+
+/* A statement of a kept session, or what goes before it, was not carried out.
+ */
+static void
+end_fault (SsNode *node, SsConnection *c, SsTargetFault fault)
+{
+  SsOwned *owned = c->owned;
+
+  switch (fault)
+    {
+    case SS_TARGET_FAULT_BUSY:
+      wait_again (node, c, SS_REASON_OVERLOAD, BUSY_AGAIN_MS, BUSY_WAIT_MS);
+      break;
+    case SS_TARGET_FAULT_BEHIND:
+      wait_again (node, c, SS_REASON_BEHIND, BEHIND_AGAIN_MS, BEHIND_WAIT_MS);
+      break;
+    case SS_TARGET_FAULT_NOT_PRIMARY:
+      owned->target->state.role = SS_SERVER_REPLICA;
+      ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
+                  SS_RETRY_PROMOTION_MS);
+      ss_monitor_poll_soon (node, owned);
+      break;
+    case SS_TARGET_FAULT_UNPREPARED:
+      ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
+      break;
+    default:
+      if (c->job->step == SS_STEP_PRELUDE)
+        ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
+      else
+        ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
+      break;
+    }
+}
+
+void
+ss_kept_end (SsNode *node, SsConnection *c, const SsTargetResult *result)
+{
+  if (!result->ok)
+    end_fault (node, c, result->fault);
+  else if (c->job->step == SS_STEP_PRELUDE)
+    send_next (node, c);
+  else
+    ss_job_end_committed (node, c);
+}
+
+void
+ss_kept_roll_back (SsNode *node, SsConnection *c)
+{
+  SsAction *a = ss_node_push (node, SS_ACTION_TARGET_QUERY);
+
+  g_clear_pointer (&c->vm, g_free);
+  c->state = SS_CONNECTION_BUSY;
+  c->rolls_back = true;
+  c->since_ms = node->now_ms;
+  c->sent_ms = node->now_ms;
+  a->id = c->id;
+  a->text = node->dialect->rollback (node->dialect);
+}
+
+void
+ss_kept_end_idle (SsNode *node, SsConnection *c)
+{
+  if (ss_dialect_keeps_sessions (node->dialect))
+    ss_kept_roll_back (node, c);
+  else
+    ss_pool_close (node, c);
+}
+
+void
+ss_kept_rolled_back (SsNode *node, SsConnection *c,
+                     const SsTargetResult *result)
+{
+  SsOwned *owned = c->owned;
+
+  c->rolls_back = false;
+  c->since_ms = node->now_ms;
+  if (!result->ok || result->transaction_status != 'I' || !owned->active)
+    ss_pool_close (node, c);
+  else
+    c->state = SS_CONNECTION_IDLE;
+  ss_job_dispatch (node, owned);
+}
+
+/* Every answer tells where the target stands. */
+void
+ss_kept_note_position (SsNode *node, const SsConnection *c,
+                       const SsTargetResult *result)
+{
+  SsTarget *t = c->owned->target;
+
+  t->state_ms = MAX (t->state_ms, c->sent_ms);
+  ss_hold_note (node, c->owned, c->sent_ms, result->applied);
+  if (c->owned->asks->len)
+    ss_monitor_answer (node, c->owned);
+}
+
+/* The position right after a commit covers it. */
+void
+ss_kept_note_commit (SsJob *job, const SsTargetResult *result)
+{
+  if (result->ok && job->keeps && job->step == SS_STEP_PLAIN)
+    job->commit = result->applied;
+}
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -238,7 +238,7 @@
         continue;
       if (c->state == SS_CONNECTION_PINNED
           && ss_dialect_keeps_sessions (node->dialect))
-        ss_job_roll_back (node, c);
+        ss_kept_roll_back (node, c);
       else
         ss_pool_close (node, c);
     }
@@ -429,14 +429,14 @@
       break;
     case SS_CONNECTION_PINNED:
       if (age_ms >= transaction_idle_ms (node))
-        ss_job_end_idle (node, c);
+        ss_kept_end_idle (node, c);
       break;
     case SS_CONNECTION_BUSY:
     default:
       if (c->job && node->now_ms >= c->job->item.deadline_ms)
         ss_job_give_up (node, c, SS_REASON_DEADLINE);
       else if (c->job && c->again_ms && node->now_ms >= c->again_ms)
-        ss_job_send_again (node, c);
+        ss_kept_send_again (node, c);
       else if (c->rolls_back && age_ms >= ROLLBACK_TIMEOUT_MS)
         ss_pool_close (node, c);
       break;
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -43,13 +43,36 @@
 void ss_job_give_up (SsNode *node, SsConnection *c, SsReason reason);
 /* ss_job_queue: has JOB wait for its turn, or refuses it. */
 void ss_job_queue (SsNode *node, SsOwned *owned, SsJob *job);
-/* ss_job_roll_back: ends the transaction on C, which goes back to all. */
-void ss_job_roll_back (SsNode *node, SsConnection *c);
-/* ss_job_end_idle: ends a transaction that was idle for too long. */
-void ss_job_end_idle (SsNode *node, SsConnection *c);
-/* ss_job_send_again: sends the statement of C's job that was not run. */
-void ss_job_send_again (SsNode *node, SsConnection *c);
+/* ss_job_end: answers C's job and gives C to its transaction, or to all. */
+void ss_job_end (SsNode *node, SsConnection *c, SsVerdict verdict,
+                 SsReason reason, uint32_t retry_after_ms);
+/* ss_job_end_committed: the same for a statement that was run: a commit is
+ * answered once it is held.
+ */
+void ss_job_end_committed (SsNode *node, SsConnection *c);
 /* ss_job_lost_verdict: what a job whose connection broke can be told. */
 SsVerdict ss_job_lost_verdict (const SsJob *job);
 
+/* --- kept.c --- */
+
+/* ss_kept_start: begins C's job. */
+void ss_kept_start (SsNode *node, SsConnection *c);
+/* ss_kept_end: C's target answered. */
+void ss_kept_end (SsNode *node, SsConnection *c, const SsTargetResult *result);
+/* ss_kept_send_again: sends the statement of C's job that was not run. */
+void ss_kept_send_again (SsNode *node, SsConnection *c);
+/* ss_kept_roll_back: ends the transaction on C, which goes back to all;
+ * ss_kept_rolled_back: its target answered.
+ */
+void ss_kept_roll_back (SsNode *node, SsConnection *c);
+void ss_kept_rolled_back (SsNode *node, SsConnection *c,
+                          const SsTargetResult *result);
+/* ss_kept_end_idle: ends a transaction that was idle for too long. */
+void ss_kept_end_idle (SsNode *node, SsConnection *c);
+/* ss_kept_note_position: every answer tells where the target stands. */
+void ss_kept_note_position (SsNode *node, const SsConnection *c,
+                            const SsTargetResult *result);
+/* ss_kept_note_commit: the position right after a commit covers it. */
+void ss_kept_note_commit (SsJob *job, const SsTargetResult *result);
+
 #endif
--- a/src/kernel/log.c
+++ b/src/kernel/log.c
@@ -82,7 +82,7 @@
   else
     log->dropped++;
   if (sent > 0 && sent < (ssize_t) bytes)
-    sent = write (STDOUT_FILENO, "\n", 1);
+    (void) !write (STDOUT_FILENO, "\n", 1);
 }
 
 void
--- a/tests/line_world.c
+++ b/tests/line_world.c
@@ -11,6 +11,7 @@
 #define THINK_MAX_MS 15
 #define SAY_MAX_MS 5000
 #define LAG_MS 20
+#define PROMOTE_MS 300
 
 typedef struct
 {
@@ -133,6 +134,24 @@
   o->version = w->version;
 }
 
+static LineServer *find_server (LineWorld *w, const char *name);
+
+/* Every call has a higher fence than the one before. */
+static void
+promote (LineWorld *w, const SsAction *a)
+{
+  Due *d = schedule (w, 4, SS_EVENT_PLATFORM_PROMOTED);
+
+  if (a->number <= w->last_fence)
+    violate (w, "fence did not rise", a->name, a->text);
+  w->last_fence = a->number;
+  w->promotions++;
+  w->promoted = find_server (w, a->text);
+  w->promote_ms = w->now_ms + PROMOTE_MS;
+  d->event.platform_object.call = a->id;
+  d->event.platform_object.outcome = SS_PLATFORM_DONE;
+}
+
 static void
 answer_platform (LineWorld *w, const SsAction *a)
 {
@@ -154,6 +173,9 @@
     case SS_ACTION_PLATFORM_PUT:
       answer_put (w, a);
       break;
+    case SS_ACTION_PLATFORM_PROMOTE:
+      promote (w, a);
+      break;
     default:
       break;
     }
@@ -191,17 +213,58 @@
   return NULL;
 }
 
+static LineServer *
+find_primary (LineWorld *w)
+{
+  LineServer *primary = NULL;
+
+  for (uint32_t i = 0; i < LINE_SERVERS; i++)
+    {
+      LineServer *s = &w->servers[i];
+
+      if (s->role == SS_SERVER_PRIMARY && !s->down
+          && (!primary || s->term > primary->term))
+        primary = s;
+    }
+  return primary;
+}
+
+/* A promotion lifts the bar of every replica; those that hear the new primary
+ * follow it.
+ */
+static void
+finish_promotion (LineWorld *w)
+{
+  if (!w->promote_ms || w->now_ms < w->promote_ms)
+    return;
+  w->promote_ms = 0;
+  w->promoted->role = SS_SERVER_PRIMARY;
+  w->promoted->term++;
+  for (uint32_t i = 0; i < LINE_SERVERS; i++)
+    {
+      LineServer *s = &w->servers[i];
+
+      s->barred_term = 0;
+      if (s != w->promoted && !s->deaf && !s->down
+          && s->role == SS_SERVER_REPLICA)
+        s->term = w->promoted->term;
+    }
+}
+
 /* Replicas receive at once and apply after their lag. */
 static void
 replicate (LineWorld *w)
 {
-  const LineServer *primary = &w->servers[0];
+  const LineServer *primary;
 
-  for (uint32_t i = 1; i < LINE_SERVERS; i++)
+  finish_promotion (w);
+  primary = find_primary (w);
+  for (uint32_t i = 0; primary && i < LINE_SERVERS; i++)
     {
       LineServer *s = &w->servers[i];
 
-      if (s->deaf || s->barred_term || s->term != primary->term)
+      if (s == primary || s->down || s->deaf || s->barred_term
+          || s->term != primary->term)
         continue;
       s->received = primary->received;
       if (ss_position_compare (s->applied, s->received) == 0)
@@ -496,6 +559,11 @@
 
   c->id = a->id;
   c->server = find_server (w, a->name);
+  if (c->server->down)
+    {
+      d->event.kind = SS_EVENT_TARGET_CLOSED;
+      d->event.target.refused = true;
+    }
   c->status = 'I';
   g_hash_table_insert (w->connections, &c->id, c);
   d->event.target.connection = c->id;
@@ -699,6 +767,24 @@
   return !s->waits;
 }
 
+void
+line_world_crash (LineWorld *w, uint32_t server)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  w->servers[server].down = true;
+  g_hash_table_iter_init (&iter, w->connections);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const LineConnection *c = value;
+
+      if (c->server == &w->servers[server])
+        schedule (w, 1, SS_EVENT_TARGET_CLOSED)->event.target.connection
+            = c->id;
+    }
+}
+
 /* --- random sessions --- */
 
 static void
--- a/tests/line_world.h
+++ b/tests/line_world.h
@@ -26,6 +26,7 @@
   SsPosition applied;
   int64_t lag_ms;
   bool deaf;        /* receives nothing */
+  bool down;        /* refuses connections */
   int64_t dirty_ms; /* since when a replica has more to apply */
 } LineServer;
 
@@ -70,6 +71,10 @@
   LineSession sessions[LINE_SESSIONS_MAX];
   uint32_t session_count;
   bool platform_down;
+  uint32_t promotions;
+  int64_t last_fence;
+  int64_t promote_ms; /* when a promotion takes effect; 0: none runs */
+  LineServer *promoted;
   uint64_t lease_nonce; /* of the core's last question to a peer; 0: none */
   /* Faults, in tenths of a percent. */
   uint32_t busy_permille;
@@ -103,6 +108,8 @@
 void line_world_peer (LineWorld *world, SsEnvelope *envelope);
 /* line_world_mingle: every session says STATEMENTS random ones. */
 void line_world_mingle (LineWorld *world, uint32_t statements);
+/* line_world_crash: SERVER (from 0) breaks its connections and takes none. */
+void line_world_crash (LineWorld *world, uint32_t server);
 /* line_world_put: writes an object of the platform, and tells the core. */
 void line_world_put (LineWorld *world, const char *key, const char *value);
 /* line_world_last_label: of SESSION's last statement; static. */
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,270 @@
+/* The platform's formats: lines, statements, error codes, records. */
+#include <glib.h>
+#include <string.h>
+
+#include "platform/dialect.h"
+#include "platform/errors.h"
+#include "platform/line.h"
+#include "platform/records.h"
+#include "tests/unit.h"
+
+#define FUZZ_ROUNDS 20000
+
+static SsLineResult
+read_text (SsLine *line, const char *text, uint8_t *buffer)
+{
+  memcpy (buffer, text, strlen (text) + 1);
+  return ss_line_read (line, buffer, (uint32_t) strlen (text));
+}
+
+static void
+lines_are_read (void)
+{
+  uint8_t buffer[256];
+  SsLine line;
+
+  CU_ASSERT (read_text (&line, "QUERY a1 READ 1a", buffer) == SS_LINE_PARTIAL);
+  CU_ASSERT (read_text (&line, "QUERY a1  READ 1a\r\nx", buffer)
+             == SS_LINE_WHOLE);
+  CU_ASSERT (line.word == SS_LINE_QUERY && line.used_bytes == 19);
+  CU_ASSERT_STRING_EQUAL (ss_line_take (&line.rest), "a1");
+  /* What follows is passed on as it is, blanks too. */
+  CU_ASSERT_STRING_EQUAL (line.rest, " READ 1a");
+  CU_ASSERT (read_text (&line, "\r\n", buffer) == SS_LINE_WHOLE);
+  CU_ASSERT (line.word == SS_LINE_UNKNOWN);
+  CU_ASSERT (read_text (&line, "query a1 READ\r\n", buffer) == SS_LINE_WHOLE);
+  CU_ASSERT (line.word == SS_LINE_UNKNOWN);
+}
+
+/* A zero byte would hide what follows it from us, but not from a target. */
+static void
+zero_bytes_are_refused (void)
+{
+  uint8_t buffer[] = "QUERY a1 READ 1a?WRITE\r\n";
+  SsLine line;
+
+  buffer[16] = 0;
+  CU_ASSERT (ss_line_read (&line, buffer, sizeof buffer - 1) == SS_LINE_WHOLE);
+  CU_ASSERT (line.word == SS_LINE_UNKNOWN);
+}
+
+static void
+positions_are_read (void)
+{
+  SsPosition p = ss_line_position ("3.1207");
+
+  CU_ASSERT (p.term == 3 && p.offset == 1207);
+  CU_ASSERT (ss_line_position ("-").offset == 0);
+  CU_ASSERT (ss_line_position ("3.").offset == 0);
+  CU_ASSERT (ss_line_position ("3.12x").offset == 0);
+  CU_ASSERT (ss_line_position ("3.-1").offset == 0);
+}
+
+typedef struct
+{
+  const char *text;
+  SsStatementKind kind;
+  bool is_read;
+  const char *name;
+  const char *value;
+} StatementRow;
+
+static const StatementRow statement_rows[] = {
+  { "READ 1a4", SS_STATEMENT_READ, false, NULL, NULL },
+  { "WRITE 1a4 x y", SS_STATEMENT_WRITE, false, NULL, NULL },
+  { "BEGIN", SS_STATEMENT_BEGIN, false, NULL, NULL },
+  { "BEGIN READ", SS_STATEMENT_BEGIN, true, NULL, NULL },
+  { "BEGIN WRITE", SS_STATEMENT_INVALID, false, NULL, NULL },
+  { "COMMIT", SS_STATEMENT_COMMIT, false, NULL, NULL },
+  { "COMMIT now", SS_STATEMENT_INVALID, false, NULL, NULL },
+  { "SET a b c", SS_STATEMENT_SET, false, "a", "b c" },
+  { "SET a", SS_STATEMENT_INVALID, false, NULL, NULL },
+  { "PREPARE s1 WRITE q2c", SS_STATEMENT_PREPARE, false, "s1", "q2c" },
+  { "PREPARE s1 READ q2c", SS_STATEMENT_PREPARE, true, "s1", "q2c" },
+  { "PREPARE s1 q2c", SS_STATEMENT_INVALID, false, NULL, NULL },
+  { "EXECUTE s1 1a4 data", SS_STATEMENT_EXECUTE, false, "s1", "1a4 data" },
+  { "DEALLOC s1", SS_STATEMENT_DEALLOCATE, false, "s1", NULL },
+  { "WAITFOR 3.1 READ 1a", SS_STATEMENT_INVALID, false, NULL, NULL },
+  { "STATUS", SS_STATEMENT_INVALID, false, NULL, NULL },
+  { "PAUSE 9", SS_STATEMENT_INVALID, false, NULL, NULL },
+  { "RESET", SS_STATEMENT_INVALID, false, NULL, NULL },
+  { "", SS_STATEMENT_INVALID, false, NULL, NULL },
+};
+
+/* What only we may say to a target is no statement of a caller. */
+static void
+statements_are_told_apart (void)
+{
+  const SsDialect *d = ss_dialect_line ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (statement_rows); i++)
+    {
+      const StatementRow *row = &statement_rows[i];
+      SsStatement st;
+
+      d->parse (d, row->text, &st);
+      CU_ASSERT (st.kind == row->kind);
+      if (row->kind != SS_STATEMENT_INVALID)
+        {
+          CU_ASSERT (st.is_read == row->is_read);
+          CU_ASSERT (!row->name || g_strcmp0 (st.name, row->name) == 0);
+          CU_ASSERT (!row->value || g_strcmp0 (st.value, row->value) == 0);
+        }
+      ss_statement_finish (&st);
+    }
+}
+
+static void
+status_rows_are_read (void)
+{
+  const SsDialect *d = ss_dialect_line ();
+  const char *row[]
+      = { "replica", "3", "3.1209", "4", "12", "2", "17", "3.1204" };
+  SsServerState s = { 0 };
+
+  CU_ASSERT (d->read_status (d, row, 8, &s));
+  CU_ASSERT (s.role == SS_SERVER_REPLICA && s.follow_term == 3);
+  CU_ASSERT (s.shown_term == 4 && s.barred_term == 4 && s.lag_ms == 12);
+  CU_ASSERT (s.held.offset == 1209 && s.applied.offset == 1204);
+  CU_ASSERT (!d->read_status (d, row, 5, &s));
+  row[0] = "witness";
+  CU_ASSERT (!d->read_status (d, row, 8, &s));
+  row[0] = "primary";
+  row[1] = "x";
+  CU_ASSERT (!d->read_status (d, row, 8, &s));
+  CU_ASSERT (!d->read_status (d, NULL, 0, &s));
+}
+
+/* A promise is only made of what was not run. */
+static void
+promises_need_proof (void)
+{
+  static const char *const promises[]
+      = { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "CONNLIMIT" };
+
+  for (int reason = SS_REASON_NONE; reason <= SS_REASON_TOO_LARGE; reason++)
+    {
+      const char *code
+          = ss_error_code (SS_VERDICT_MAY_HAVE_RUN, (SsReason) reason);
+
+      for (size_t i = 0; i < G_N_ELEMENTS (promises); i++)
+        CU_ASSERT (strcmp (code, promises[i]) != 0);
+    }
+  CU_ASSERT (ss_error_fault ("BUSY") == SS_TARGET_FAULT_BUSY);
+  CU_ASSERT (ss_error_fault ("FAILED") == SS_TARGET_FAULT_STATEMENT);
+  CU_ASSERT (ss_error_fault ("NEWCODE") == SS_TARGET_FAULT_STATEMENT);
+}
+
+static char *
+read_object (SsRecord *r, const char *kind, const char *text)
+{
+  json_t *json = json_loads (text, 0, NULL);
+  char *error = ss_record_read (r, kind, json);
+
+  json_decref (json);
+  return error;
+}
+
+static void
+expect_record (const char *kind, const char *text, const char *value)
+{
+  SsRecord r;
+  char *error = read_object (&r, kind, text);
+
+  CU_ASSERT_PTR_NULL (error);
+  CU_ASSERT (g_strcmp0 (r.value, value) == 0);
+  g_free (error);
+  ss_record_finish (&r);
+}
+
+static void
+records_are_translated (void)
+{
+  expect_record (
+      "servers",
+      "{\"meta\":{\"name\":\"i-1\",\"revision\":7},\"spec\":{"
+      "\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","
+      "\"slots\":3,\"state\":\"draining\",\"born\":5,\"sequence\":1}}",
+      "{\"born_ms\":5,\"draining\":true,\"failure_domain\":\"z\","
+      "\"group\":\"s\",\"ip\":\"10.0.0.9\",\"port\":80,\"slots\":3}");
+  expect_record (
+      "config",
+      "{\"meta\":{\"name\":\"main\",\"revision\":9},\"spec\":{"
+      "\"routes\":[{\"host\":\"h\",\"service\":\"s\",\"kind\":"
+      "\"primary\",\"timeout_ms\":1000}],\"services\":[{\"name\":\"s\","
+      "\"max_conns\":21}],\"limits\":{\"tx_idle_ms\":3000}}}",
+      "{\"groups\":{\"s\":{\"max_connections\":21}},\"services\":{\"h\":"
+      "{\"default_kind\":\"strict\",\"group\":\"s\",\"timeout_ms\":1000}},"
+      "\"transaction_idle_ms\":3000}");
+}
+
+#define META "{\"meta\":{\"name\":\"i\",\"revision\":1}"
+#define PLACE "\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"zone\":\"z\","
+
+static const char *const bad_servers[] = {
+  "{}",
+  META "}",
+  META ",\"spec\":7}",
+  META ",\"spec\":{\"service\":1}}",
+  META ",\"spec\":{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+       "\"state\":\"ready\"}}",
+  META ",\"spec\":{" PLACE "\"state\":\"asleep\"}}",
+  META ",\"spec\":{" PLACE "\"state\":\"ready\",\"slots\":\"many\"}}",
+};
+
+static void
+malformed_records_are_refused (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (bad_servers); i++)
+    {
+      SsRecord r;
+      char *error = read_object (&r, "servers", bad_servers[i]);
+
+      CU_ASSERT_PTR_NOT_NULL (error);
+      g_free (error);
+      ss_record_finish (&r);
+    }
+}
+
+/* Whatever a stranger sends is read without harm, and as at most one line. */
+static void
+random_bytes_do_no_harm (void)
+{
+  static const char alphabet[] = "QUERYADCLOSTB 019.-\r\n\0x";
+  const SsDialect *d = ss_dialect_line ();
+  GRand *rand = g_rand_new_with_seed (1);
+
+  for (uint32_t round = 0; round < FUZZ_ROUNDS; round++)
+    {
+      uint32_t bytes = (uint32_t) g_rand_int_range (rand, 0, 60);
+      uint8_t *data = g_malloc (bytes + 1);
+      SsLine line;
+
+      for (uint32_t i = 0; i < bytes; i++)
+        data[i]
+            = (uint8_t) alphabet[g_rand_int_range (rand, 0, sizeof alphabet)];
+      if (ss_line_read (&line, data, bytes) == SS_LINE_WHOLE)
+        {
+          SsStatement st;
+
+          CU_ASSERT (line.used_bytes <= bytes);
+          d->parse (d, line.rest, &st);
+          ss_statement_finish (&st);
+        }
+      g_free (data);
+    }
+  g_rand_free (rand);
+}
+
+CU_TestInfo test_platform[] = {
+  { "lines are read", lines_are_read },
+  { "zero bytes are refused", zero_bytes_are_refused },
+  { "positions are read", positions_are_read },
+  { "statements are told apart", statements_are_told_apart },
+  { "status rows are read", status_rows_are_read },
+  { "promises need proof", promises_need_proof },
+  { "records are translated", records_are_translated },
+  { "malformed records are refused", malformed_records_are_refused },
+  { "random bytes do no harm", random_bytes_do_no_harm },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -11,6 +11,8 @@
   X (queue)                                                                    \
   X (session)                                                                  \
   X (line)                                                                     \
+  X (failover)                                                                 \
+  X (platform)                                                                 \
   X (command)                                                                  \
   X (settings)                                                                 \
   X (pgwire)                                                                   \
