--- a/src/core/config.c
+++ b/src/core/config.c
@@ -191,7 +191,7 @@
   int64_t weight = 1;
   char *error = check_keys (
       json, " group default_kind acknowledge weight kinds identity "
-            "timeout_ms goal_ms operation ");
+            "timeout_ms operation ");
 
   if (!error)
     error = get_text (json, "group", NULL, &s->group);
@@ -209,8 +209,6 @@
   if (!error)
     error
         = get_number (json, "timeout_ms", 0, 0, TIMEOUT_MAX_MS, &s->timeout_ms);
-  if (!error)
-    error = get_number (json, "goal_ms", 0, 0, TIMEOUT_MAX_MS, &s->goal_ms);
   if (!error)
     error = parse_kinds (s, json_object_get (json, "kinds"));
   if (!error && g_strcmp0 (acknowledge, "majority") != 0
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -89,7 +89,6 @@
   bool knows_callers; /* by their user names */
   uint32_t weight;
   int64_t timeout_ms; /* of a statement; 0: the vm's setting */
-  int64_t goal_ms;    /* for an answer; 0: none */
   SsReadKind kinds[SS_CONFIG_KINDS_MAX];
   uint32_t kind_count;
 } SsService;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -306,10 +306,6 @@
   SsService *service = ss_config_service (&node->config, job->service);
   uint32_t retry_after_ms;
 
-  if (service && service->goal_ms)
-    job->item.wait_max_ms = (uint32_t) MIN (
-        service->goal_ms * SS_QUEUE_GOAL_PERCENT / 100, SS_QUEUE_WAIT_MAX_MS);
-
   if (!ss_queue_admit (&owned->queue, &job->item,
                        ss_pool_capacity (node, owned), node->now_ms,
                        g_rand_double (node->rand), &retry_after_ms))
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -90,10 +90,8 @@
 {
   uint32_t wait_ms = ss_queue_wait_ms (queue, item->queue_class, connections);
   int64_t left_ms = item->deadline_ms - now_ms;
-  uint32_t max_ms
-      = item->wait_max_ms ? item->wait_max_ms : SS_QUEUE_WAIT_MAX_MS;
 
-  if (wait_ms <= max_ms && wait_ms < left_ms
+  if (wait_ms <= SS_QUEUE_WAIT_MAX_MS && wait_ms < left_ms
       && queue->bytes + item->bytes <= SS_QUEUE_BYTES_MAX)
     return true;
   *retry_after_ms = wait_ms + (uint32_t) (spread * (wait_ms + 50));
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -12,10 +12,6 @@
 #include <stdint.h>
 
 #define SS_QUEUE_WAIT_MAX_MS 500
-/* Of a goal for the whole answer, the wait may take so much: the rest is for
- * the statement, its way, and others of the same transaction.
- */
-#define SS_QUEUE_GOAL_PERCENT 40
 #define SS_QUEUE_SERVICE_START_MS 1.0
 #define SS_QUEUE_SERVICE_GAIN 0.05
 /* One connection in this many is left to writes. */
@@ -37,7 +33,6 @@
   uint64_t sequence;
   uint32_t bytes;
   int64_t deadline_ms;
-  uint32_t wait_max_ms; /* a longer one is refused; 0: SS_QUEUE_WAIT_MAX_MS */
   GSequenceIter *place; /* NULL: does not wait */
 } SsQueueItem;
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -191,12 +191,10 @@
       "config",
       "{\"meta\":{\"name\":\"main\",\"revision\":9},\"spec\":{"
       "\"routes\":[{\"host\":\"h\",\"service\":\"s\",\"kind\":"
-      "\"primary\",\"timeout_ms\":1000,\"latency_goal_ms\":400}],\"services\":["
-      "{\"name\":\"s\","
+      "\"primary\",\"timeout_ms\":1000}],\"services\":[{\"name\":\"s\","
       "\"max_conns\":21}],\"limits\":{\"tx_idle_ms\":3000}}}",
       "{\"groups\":{\"s\":{\"max_connections\":21}},\"services\":{\"h\":"
-      "{\"default_kind\":\"strict\",\"goal_ms\":400,\"group\":\"s\",\"timeout_"
-      "ms\":1000}},"
+      "{\"default_kind\":\"strict\",\"group\":\"s\",\"timeout_ms\":1000}},"
       "\"transaction_idle_ms\":3000}");
 }
 
