--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -490,11 +490,11 @@
   char *leaving; /* server that must not be chosen, or NULL */
   char *chosen;
   bool ordered;
-  uint64_t order; /* operation to be answered; 0: none */
-  bool raised[SS_CONFIG_SERVERS_MAX];
-  SsPosition raised_held[SS_CONFIG_SERVERS_MAX];
-  int64_t enough_ms; /* when enough servers were raised; 0: not yet */
-  uint32_t rank;     /* of this vm as the group's coordinator */
+  uint64_t order;     /* operation to be answered; 0: none */
+  GHashTable *raised; /* server -> SsPosition that it holds; by name, as
+                         servers may come and go meanwhile */
+  int64_t enough_ms;  /* when enough servers were raised; 0: not yet */
+  uint32_t rank;      /* of this vm as the group's coordinator */
   uint64_t rank_generation;
   int64_t fence;        /* of the platform's promotion call */
   SsPosition received;  /* the highest that a replica had */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -19,6 +19,7 @@
   g_free (p->wanted);
   g_free (p->leaving);
   g_free (p->chosen);
+  g_hash_table_destroy (p->raised);
   g_clear_pointer (&p->released, g_hash_table_destroy);
   g_free (p);
 }
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -30,6 +30,7 @@
     return p;
   p = g_new0 (SsPromotion, 1);
   p->group = g_strdup (group);
+  p->raised = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   p->primary_ok_ms = node->now_ms;
   g_tree_insert (node->promotions, p->group, p);
   return p;
@@ -160,7 +161,7 @@
   g_snprintf (p->operation, sizeof p->operation,
               "%s-%" G_GUINT64_FORMAT "-%08x", node->params.vm,
               ++node->next_operation, g_rand_int (node->rand));
-  memset (p->raised, 0, sizeof p->raised);
+  g_hash_table_remove_all (p->raised);
   p->enough_ms = 0;
   g_clear_pointer (&p->chosen, g_free);
   g_clear_pointer (&p->leaving, g_free);
--- a/src/core/raise.c
+++ b/src/core/raise.c
@@ -39,26 +39,32 @@
   return group->server_count - ss_group_majority (group) + 1;
 }
 
-static const char *
+/* What TARGET held when it was raised; NULL: it was not. */
+static const SsPosition *
+raised_held (const SsPromotion *p, const SsTarget *target)
+{
+  return g_hash_table_lookup (p->raised, target->name);
+}
+
+static const SsTarget *
 best_candidate (const SsPromotion *p, const SsGroup *group)
 {
-  int32_t best = -1;
+  const SsTarget *best = NULL;
 
   for (uint32_t i = 0; i < group->server_count; i++)
     {
+      const SsTarget *t = group->servers[i];
+      const SsPosition *held = raised_held (p, t);
       int32_t order;
 
-      if (!p->raised[i] || !may_be_chosen (p, group->servers[i]))
+      if (!held || !may_be_chosen (p, t))
         continue;
-      order = best < 0 ? 1
-                       : ss_position_compare (p->raised_held[i],
-                                              p->raised_held[best]);
+      order = best ? ss_position_compare (*held, *raised_held (p, best)) : 1;
       if (order > 0
-          || (order == 0 && p->wanted
-              && strcmp (p->wanted, group->servers[i]->name) == 0))
-        best = (int32_t) i;
+          || (order == 0 && p->wanted && strcmp (p->wanted, t->name) == 0))
+        best = t;
     }
-  return best < 0 ? NULL : group->servers[best]->name;
+  return best;
 }
 
 /* A server that has all that any raised one holds has all that a majority
@@ -67,27 +73,27 @@
 static bool
 is_covered (const SsPromotion *p, const SsGroup *group, uint32_t raised)
 {
-  const char *best = best_candidate (p, group);
-  SsPosition held = { 0, 0 };
+  const SsTarget *best = best_candidate (p, group);
   SsPosition highest = { 0, 0 };
 
   for (uint32_t i = 0; i < group->server_count; i++)
     {
-      if (!p->raised[i])
-        continue;
-      highest = ss_position_max (highest, p->raised_held[i]);
-      if (best && strcmp (group->servers[i]->name, best) == 0)
-        held = p->raised_held[i];
+      const SsPosition *held = raised_held (p, group->servers[i]);
+
+      if (held)
+        highest = ss_position_max (highest, *held);
     }
   return best && raised >= candidates_needed (group)
-         && ss_position_compare (held, highest) >= 0;
+         && ss_position_compare (*raised_held (p, best), highest) >= 0;
 }
 
 static void
 name_primary (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
+  const SsTarget *best = best_candidate (p, group);
+
   g_free (p->chosen);
-  p->chosen = g_strdup (best_candidate (p, group));
+  p->chosen = g_strdup (best->name);
   ss_node_log (node, SS_EVENT_LOG_PROMOTION_RAISED, p->group,
                "term=%" G_GUINT64_FORMAT " chosen=%s ms=%" G_GINT64_FORMAT,
                p->term, p->chosen, node->now_ms - p->started_ms);
@@ -118,15 +124,16 @@
     return;
   for (uint32_t i = 0; i < group->server_count; i++)
     {
-      raised += p->raised[i] ? 1 : 0;
-      if (p->raised[i] && may_be_chosen (p, group->servers[i]))
-        candidates++;
+      if (!raised_held (p, group->servers[i]))
+        continue;
+      raised++;
+      candidates += may_be_chosen (p, group->servers[i]) ? 1 : 0;
     }
   if ((candidates >= candidates_needed (group)
        || (node->dialect->platform_promotes && is_covered (p, group, raised)))
       && !p->enough_ms)
     p->enough_ms = node->now_ms;
-  if (p->enough_ms && is_released (node, p)
+  if (p->enough_ms && candidates && is_released (node, p)
       && (raised == group->server_count
           || node->now_ms - p->enough_ms >= RAISE_MORE_MS))
     {
@@ -139,7 +146,7 @@
   if (node->dialect->platform_promotes)
     ss_lease_ask_release (node, p);
   for (uint32_t i = 0; i < group->server_count; i++)
-    if (!p->raised[i])
+    if (!raised_held (p, group->servers[i]))
       send_raise (node, p, group->servers[i]);
 }
 
@@ -150,6 +157,7 @@
   SsGroup *group = t ? ss_config_group (&node->config, t->group) : NULL;
   SsPromotion *p = group ? g_tree_lookup (node->promotions, group->name) : NULL;
   SsServerState state;
+  SsPosition *held;
 
   if (!p || p->step != SS_PROMOTE_RAISE || reply->term != p->term
       || !reply->state)
@@ -163,12 +171,8 @@
       return;
     }
   ss_state_unpack (reply->state, &state);
-  for (uint32_t i = 0; i < group->server_count; i++)
-    {
-      if (group->servers[i] != t)
-        continue;
-      p->raised[i] = true;
-      p->raised_held[i] = state.held;
-    }
+  held = g_new (SsPosition, 1);
+  *held = state.held;
+  g_hash_table_replace (p->raised, g_strdup (t->name), held);
   ss_raise_tick (node, p, group);
 }
