Watchers are vms that the platform answers

Ruled out: pushes (sent within 20 ms once a relay had the change). Change: a VM watches where fewer than two that rank before it in its failure domain are answered by the store.

--- a/src/core/feeds.c
+++ b/src/core/feeds.c
@@ -206,7 +206,7 @@
   if (!ss_feeds_are_one (node))
     return !node->members.relayed
            || (!node->ready && node->now_ms - node->started_ms >= UNREADY_MS)
-           || ss_members_is_relay (&node->members, node->now_ms);
+           || ss_members_is_watcher (&node->members);
   if (!node->ready)
     return true;
   return ss_members_rank (&node->members, node->params.failure_domain, "relay")
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -407,15 +407,32 @@
       g_ptr_array_add (out, (gpointer) r.best[i]);
 }
 
+typedef struct
+{
+  const SsMembers *members;
+  uint64_t own_score;
+  uint32_t watchers;
+} Watchers;
+
+static gboolean
+count_watcher (gpointer key, gpointer value, gpointer data)
+{
+  Watchers *w = data;
+  const SsMember *m = value;
+
+  if (!m->live || m->leaving || !m->platform_up
+      || strcmp (m->failure_domain, w->members->failure_domain) != 0)
+    return FALSE;
+  if (ss_rank_score (key, "relay") > w->own_score)
+    w->watchers++;
+  return FALSE;
+}
+
 bool
-ss_members_is_relay (const SsMembers *members, int64_t now_ms)
+ss_members_is_watcher (const SsMembers *members)
 {
-  GPtrArray *relays = g_ptr_array_new ();
-  bool found = false;
+  Watchers w = { members, ss_rank_score (members->self, "relay"), 0 };
 
-  ss_members_relays (members, members->failure_domain, now_ms, relays);
-  for (guint i = 0; i < relays->len; i++)
-    found = found || strcmp (g_ptr_array_index (relays, i), members->self) == 0;
-  g_ptr_array_free (relays, TRUE);
-  return found;
+  g_tree_foreach (members->by_name, count_watcher, &w);
+  return w.watchers < SS_MEMBERS_RELAYS;
 }
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -98,8 +98,11 @@
  */
 void ss_members_relays (const SsMembers *members, const char *failure_domain,
                         int64_t now_ms, GPtrArray *out);
-/* ss_members_is_relay: whether this vm relays for its failure domain. */
-bool ss_members_is_relay (const SsMembers *members, int64_t now_ms);
+/* ss_members_is_watcher: whether this vm watches the platform for its failure
+ * domain: fewer than SS_MEMBERS_RELAYS vms that rank before it are answered
+ * by the platform.
+ */
+bool ss_members_is_watcher (const SsMembers *members);
 /* ss_members_collect_silent: adds to OUT the vms (borrowed) that are known
  * since before SINCE_MS and that nobody heard after it; never this one.
  */
