Writes that no majority would hold are refused before they are sent

Ruled out: the promotion (over after 0.8 s). Change: once a commit has waited 400 ms, new commits are refused as not run until a server has caught up, which its owner goes on asking for. Test: test_line, unheld commit is in doubt (the later statements).

--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -268,7 +268,9 @@
 
   /* A transaction runs on one connection from its first statement on. */
   if (!harmless || r->session->pinned_vm || (r->begins && sent)
-      || (!r->is_read && (!is_kept || reason == SS_REASON_OVERLOAD))
+      || (!r->is_read
+          && (!is_kept || reason == SS_REASON_OVERLOAD
+              || reason == SS_REASON_NO_MAJORITY))
       || reason == SS_REASON_TARGET_ERROR || reason == SS_REASON_CANCELLED
       || reason == SS_REASON_DEADLINE || r->tries >= SS_REQUEST_TRIES_MAX
       || node->now_ms >= r->deadline_ms)
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -4,6 +4,8 @@
 
 #define ASK_AGAIN_MS 100
 #define ROUND_MS 300
+/* Far above a replica's lag and two ways between regions. */
+#define STUCK_MS 400
 /* A position that an answer told this long ago is as good as a new one. */
 #define SEEN_MS 250
 
@@ -65,20 +67,18 @@
 static void
 ask_holders (SsNode *node, SsOwned *owned, const SsGroup *group)
 {
-  const SsJob *last = g_queue_peek_tail (&owned->waiters);
-
-  for (uint32_t i = 0; last && i < group->server_count; i++)
+  for (uint32_t i = 0; owned->unheld.offset && i < group->server_count; i++)
     {
       SsTarget *t = group->servers[i];
 
-      if (t == owned->target || holds (t, last->commit))
+      if (t == owned->target || holds (t, owned->unheld))
         continue;
       if (owned->held_asks[i]
           && node->now_ms - owned->held_asked_ms[i] < ASK_AGAIN_MS)
         continue;
       owned->held_asks[i] = ++node->next_ask;
       owned->held_asked_ms[i] = node->now_ms;
-      send_status_ask (node, t, owned->held_asks[i], last->commit);
+      send_status_ask (node, t, owned->held_asks[i], owned->unheld);
     }
 }
 
@@ -90,6 +90,32 @@
          || ss_lease_may_ask_servers (node);
 }
 
+/* Notes whether commits are held at all: where one waits for long, others
+ * would, too, until a server has caught up.
+ */
+static void
+check_stuck (SsNode *node, SsOwned *owned, const SsGroup *group)
+{
+  const SsJob *first = g_queue_peek_head (&owned->waiters);
+  bool stuck = owned->stuck;
+
+  if (owned->unheld.offset
+      && (is_held (group, owned, owned->unheld)
+          || is_superseded (group, owned, owned->unheld)))
+    owned->unheld = (SsPosition){ 0, 0 };
+  if (!owned->unheld.offset)
+    stuck = false;
+  else if (first && node->now_ms - first->committed_ms >= STUCK_MS)
+    stuck = true;
+  if (stuck == owned->stuck)
+    return;
+  owned->stuck = stuck;
+  ss_node_log (node, stuck ? SS_EVENT_LOG_UNHELD : SS_EVENT_LOG_HELD,
+               owned->target->name,
+               "group=%s unheld=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+               group->name, owned->unheld.term, owned->unheld.offset);
+}
+
 /* Answers every waiter whose fate is known. */
 static void
 check_waiters (SsNode *node, SsOwned *owned, const SsGroup *group)
@@ -122,6 +148,8 @@
   SsOwned *owned = job->owned;
   SsGroup *group = ss_owned_group (node, owned);
 
+  job->committed_ms = node->now_ms;
+  owned->unheld = ss_position_max (owned->unheld, job->commit);
   g_queue_push_tail (&owned->waiters, job);
   if (!group)
     return;
@@ -136,9 +164,10 @@
     {
       SsOwned *owned = ss_owner_find (node, group->servers[i]->name);
 
-      if (!owned || g_queue_is_empty (&owned->waiters))
+      if (!owned || !owned->unheld.offset)
         continue;
       check_waiters (node, owned, group);
+      check_stuck (node, owned, group);
       ask_holders (node, owned, group);
     }
 }
@@ -434,9 +463,10 @@
 
   if (!group)
     return;
-  if (!g_queue_is_empty (&owned->waiters))
+  if (owned->unheld.offset)
     {
       check_waiters (node, owned, group);
+      check_stuck (node, owned, group);
       ask_holders (node, owned, group);
     }
   if (!owned->round.running || node->now_ms < owned->round.due_ms)
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -303,6 +303,7 @@
   SsPosition applied;
   int64_t received_ms;
   int64_t started_ms;
+  int64_t committed_ms;
 };
 
 /* A question for a target's state that waits for a poll. */
@@ -367,6 +368,8 @@
 
   SsWriters writers;
   GQueue waiters;     /* jobs whose commit waits for a majority */
+  SsPosition unheld;  /* the highest commit that waits, or waited in vain */
+  bool stuck;         /* commits are not held: no new ones are taken */
   GQueue unconfirmed; /* jobs that wait for the primary to be confirmed */
   SsMark seen;        /* the latest position that an answer told */
   uint64_t held_asks[SS_CONFIG_SERVERS_MAX]; /* outstanding, by server */
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -332,6 +332,12 @@
       refuse_run (node, from, run, SS_REASON_NOT_OWNER, SS_RETRY_SOON_MS);
       return;
     }
+  if (run->keeps && owned->stuck && ss_dialect_keeps_sessions (node->dialect))
+    {
+      refuse_run (node, from, run, SS_REASON_NO_MAJORITY,
+                  SS_RETRY_PROMOTION_MS);
+      return;
+    }
   if (run->pinned)
     {
       run_pinned (node, owned, from, run);
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -49,6 +49,8 @@
   X (TARGET_UP, 400, INFO, "target answers")                                   \
   X (TARGET_DOWN, 401, WARNING, "target does not answer")                      \
   X (TARGET_TERM, 402, INFO, "target changed role or term")                    \
+  X (UNHELD, 404, WARNING, "commits are not held by a majority")               \
+  X (HELD, 405, INFO, "commits are held again")                                \
   X (TARGET_INVALID, 403, ERROR, "target sent an invalid message")             \
   X (SUSPECT, 500, WARNING, "primary suspected")                               \
   X (PROMOTION_STARTED, 501, WARNING, "promotion started")                     \
--- a/src/kernel/verdict.h
+++ b/src/kernel/verdict.h
@@ -29,6 +29,8 @@
   X (NO_MARK, "no_mark", "57P03", "the primary's position is not confirmed")   \
   X (NO_CONFIG, "no_config", "57P03", "no configuration is in force yet")      \
   X (NOT_OWNER, "not_owner", "57P03", "this vm does not own the target")       \
+  X (NO_MAJORITY, "no_majority", "57P03",                                      \
+     "no majority of the servers takes commits")                               \
   X (DRAINING, "draining", "57P03", "the target is draining")                  \
   X (BEHIND, "behind", "57P03", "the target is behind the session's floor")    \
   X (OVERLOAD, "overload", "53000", "the target's queue is full")              \
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -325,6 +325,19 @@
   w.servers[2].deaf = true;
   CU_ASSERT (line_world_say (&w, 1, "WRITE 1a x"));
   CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_MAY_HAVE_RUN);
+  /* The next ones are refused before they are sent. */
+  CU_ASSERT (line_world_say (&w, 1, "WRITE 1a y"));
+  CU_ASSERT (w.sessions[0].reason == SS_REASON_NO_MAJORITY);
+  CU_ASSERT (line_world_ran (&w, line_world_last_label (&w, 1)) == 0);
+  CU_ASSERT (line_world_say (&w, 1, "BEGIN"));
+  CU_ASSERT (line_world_say (&w, 1, "WRITE 1a z"));
+  CU_ASSERT (line_world_say (&w, 1, "COMMIT"));
+  CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_NOT_RUN);
+  /* Once one hears again, writes go on by themselves. */
+  w.servers[1].deaf = false;
+  line_world_advance (&w, 500);
+  CU_ASSERT (line_world_say (&w, 1, "WRITE 1a x"));
+  CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_RAN);
   line_world_finish (&w);
 }
 
