--- a/src/core/members.c
+++ b/src/core/members.c
@@ -350,11 +350,12 @@
 
 typedef struct
 {
-  const SsMembers *members;
   const char *failure_domain;
   int64_t now_ms;
-  const char *best[SS_MEMBERS_RELAYS];
+  bool live; /* else those that are listed, but not known as live */
+  const SsMember *best[SS_MEMBERS_RELAYS];
   uint64_t scores[SS_MEMBERS_RELAYS];
+  uint32_t wanted;
 } Relays;
 
 static bool
@@ -362,8 +363,21 @@
 {
   if (m->leaving || strcmp (m->failure_domain, r->failure_domain) != 0)
     return false;
-  return m->live
-         || (m->listed && r->now_ms - m->added_ms < SS_MEMBER_CANDIDATE_MS);
+  if (r->live)
+    return m->live;
+  return !m->live && m->listed && r->now_ms >= m->relay_again_ms;
+}
+
+static void
+insert_relay (Relays *r, uint32_t place, const SsMember *m, uint64_t score)
+{
+  for (uint32_t i = r->wanted - 1; i > place; i--)
+    {
+      r->best[i] = r->best[i - 1];
+      r->scores[i] = r->scores[i - 1];
+    }
+  r->best[place] = m;
+  r->scores[place] = score;
 }
 
 static gboolean
@@ -373,38 +387,46 @@
   const SsMember *m = value;
   uint64_t score;
 
-  (void) key;
   if (!may_relay (r, m))
     return FALSE;
-  score = ss_rank_score (m->vm, "relay");
-  for (uint32_t i = 0; i < SS_MEMBERS_RELAYS; i++)
+  score = ss_rank_score (key, "relay");
+  for (uint32_t i = 0; i < r->wanted; i++)
     {
       if (r->best[i] && score <= r->scores[i])
         continue;
-      for (uint32_t j = SS_MEMBERS_RELAYS - 1; j > i; j--)
-        {
-          r->best[j] = r->best[j - 1];
-          r->scores[j] = r->scores[j - 1];
-        }
-      r->best[i] = m->vm;
-      r->scores[i] = score;
+      insert_relay (r, i, m, score);
       break;
     }
   return FALSE;
 }
 
+static void
+add_relays (const SsMembers *members, Relays *r, GPtrArray *out)
+{
+  g_tree_foreach (members->by_name, rank_relay, r);
+  for (uint32_t i = 0; i < r->wanted; i++)
+    if (r->best[i])
+      g_ptr_array_add (out, r->best[i]->vm);
+}
+
+/* Where relays are lost, nobody is known as live any more: then those that the
+ * platform lists are tried by their rank.
+ */
 void
 ss_members_relays (const SsMembers *members, const char *failure_domain,
                    int64_t now_ms, GPtrArray *out)
 {
-  Relays r = { .members = members,
-               .failure_domain = failure_domain,
-               .now_ms = now_ms };
-
-  g_tree_foreach (members->by_name, rank_relay, &r);
-  for (uint32_t i = 0; i < SS_MEMBERS_RELAYS; i++)
-    if (r.best[i])
-      g_ptr_array_add (out, (gpointer) r.best[i]);
+  Relays live = { .failure_domain = failure_domain,
+                  .now_ms = now_ms,
+                  .live = true,
+                  .wanted = SS_MEMBERS_RELAYS };
+  Relays listed = { .failure_domain = failure_domain, .now_ms = now_ms };
+  guint before = out->len;
+
+  add_relays (members, &live, out);
+  listed.wanted = SS_MEMBERS_RELAYS - (out->len - before);
+  if (listed.wanted)
+    add_relays (members, &listed, out);
 }
 
 typedef struct
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -23,10 +23,10 @@
 #define SS_MEMBERS_MESH_MAX 12
 /* Of relays in a failure domain: one may be lost unnoticed. */
 #define SS_MEMBERS_RELAYS 2
-/* A vm that the platform lists is a candidate for relay for so long before it
- * is heard.
+/* A listed vm that does not answer as a relay in time is left out for a while.
  */
-#define SS_MEMBER_CANDIDATE_MS 2500
+#define SS_MEMBER_RELAY_TRY_MS 1000
+#define SS_MEMBER_RELAY_AGAIN_MS 3000
 
 typedef struct
 {
@@ -42,7 +42,9 @@
   int64_t reported_ms; /* when another vm last said that it is live */
   int64_t remote_ms;   /* when its failure domain's relay last said so */
   int64_t added_ms;
-  GHashTable *heard; /* names that it hears */
+  int64_t relay_tried_ms; /* since when it is tried as a relay; 0: it is not */
+  int64_t relay_again_ms; /* it is not tried before */
+  GHashTable *heard;      /* names that it hears */
 } SsMember;
 
 typedef struct
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -247,6 +247,21 @@
   return v ? v->hash : 0;
 }
 
+/* A relay that is only listed has to answer. */
+static void
+note_try (SsNode *node, SsMember *m)
+{
+  if (m->live)
+    m->relay_tried_ms = 0;
+  else if (!m->relay_tried_ms)
+    m->relay_tried_ms = node->now_ms;
+  else if (node->now_ms - m->relay_tried_ms >= SS_MEMBER_RELAY_TRY_MS)
+    {
+      m->relay_tried_ms = 0;
+      m->relay_again_ms = node->now_ms + SS_MEMBER_RELAY_AGAIN_MS;
+    }
+}
+
 void
 ss_relay_beat (SsNode *node, SsEnvelope *beat)
 {
@@ -264,6 +279,7 @@
           relays_here = true;
           continue;
         }
+      note_try (node, ss_members_find (&node->members, vm));
       beat->heartbeat->digest = known_hash (node, vm);
       ss_node_send (node, vm, beat);
     }
--- a/tests/line_world.c
+++ b/tests/line_world.c
@@ -559,7 +559,7 @@
 
   c->id = a->id;
   c->server = find_server (w, a->name);
-  if (c->server->down)
+  if (!c->server || c->server->down)
     {
       d->event.kind = SS_EVENT_TARGET_CLOSED;
       d->event.target.refused = true;
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -60,6 +60,27 @@
   line_world_finish (&w);
 }
 
+/* A server that joins the group meanwhile changes the others' places in it. */
+static void
+joining_server_mixes_nothing_up (void)
+{
+  LineWorld w;
+
+  line_world_init (&w, 7, 2, 8);
+  w.servers[1].deaf = true;
+  for (uint32_t i = 0; i < 5; i++)
+    CU_ASSERT (insist (&w, 1, "WRITE 1a x") < 500);
+  line_world_crash (&w, 0);
+  for (uint32_t i = 0; i < 2000 && w.servers[2].barred_term == 0; i++)
+    line_world_advance (&w, 1);
+  line_world_put (&w, "target/t0",
+                  "{\"group\":\"g\",\"ip\":\"10.0.1.9\",\"port\":1,"
+                  "\"failure_domain\":\"d\",\"slots\":2}");
+  line_world_advance (&w, CHANGE_MAX_MS);
+  CU_ASSERT (!w.promoted || w.promoted == &w.servers[2]);
+  line_world_finish (&w);
+}
+
 /* With one server left nobody can tell what a majority acknowledged. */
 static void
 single_server_is_not_chosen (void)
@@ -152,6 +173,7 @@
 CU_TestInfo test_failover[] = {
   { "crashed primary is replaced", crashed_primary_is_replaced },
   { "server with most is chosen", server_with_most_is_chosen },
+  { "joining server mixes nothing up", joining_server_mixes_nothing_up },
   { "single server is not chosen", single_server_is_not_chosen },
   { "draining primary is replaced", draining_primary_is_replaced },
   { "later primary is adopted", later_primary_is_adopted },
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -132,6 +132,93 @@
   ss_members_finish (&members);
 }
 
+/* A vm that the platform lists may just not have been heard yet. */
+static void
+listed_vm_is_not_dead_before_it_is_heard (void)
+{
+  GPtrArray *silent = g_ptr_array_new ();
+  SsMember *b;
+
+  begin ();
+  b = ss_members_add (&members, "b", "d1", "10.0.0.2", 1);
+  b->added_ms = START_MS;
+  ss_members_collect_silent (&members, START_MS - 30000, silent);
+  CU_ASSERT (silent->len == 0);
+  ss_members_collect_silent (&members, START_MS + 1, silent);
+  CU_ASSERT (silent->len == 1);
+  g_ptr_array_free (silent, TRUE);
+  ss_members_finish (&members);
+}
+
+/* Reported vms live without heartbeats, and only as long as reports come. */
+static void
+reports_keep_a_vm_alive (void)
+{
+  SsMember *b;
+
+  begin ();
+  members.relayed = true;
+  b = ss_members_add (&members, "b", "d2", "10.0.0.2", 1);
+  ss_members_reported (&members, b, false, true, START_MS);
+  update (START_MS + SS_MEMBER_REPORTED_MS - 1);
+  CU_ASSERT (is_live ("b"));
+  update (START_MS + SS_MEMBER_REPORTED_MS);
+  CU_ASSERT (!is_live ("b"));
+  ss_members_finish (&members);
+}
+
+/* Two vms of a failure domain watch: those that rank first among the ones
+ * that the platform answers.
+ */
+static void
+watchers_are_vms_that_the_platform_answers (void)
+{
+  static const char *const names[] = { "b", "c", "d", "e" };
+  uint32_t before = 0;
+
+  begin ();
+  for (uint32_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      beat (names[i], START_MS, NULL);
+      ss_members_find (&members, names[i])->platform_up = true;
+      if (ss_rank_score (names[i], "relay") > ss_rank_score ("a", "relay"))
+        before++;
+    }
+  update (START_MS);
+  CU_ASSERT (ss_members_is_watcher (&members) == (before < SS_MEMBERS_RELAYS));
+  for (uint32_t i = 0; i < G_N_ELEMENTS (names); i++)
+    ss_members_find (&members, names[i])->platform_up = false;
+  CU_ASSERT (ss_members_is_watcher (&members));
+  ss_members_finish (&members);
+}
+
+/* Relays are two of the failure domain; one that leaves is replaced. */
+static void
+relays_are_two_of_the_failure_domain (void)
+{
+  static const char *const names[] = { "b", "c", "d", "e" };
+  GPtrArray *relays = g_ptr_array_new ();
+  const char *first;
+
+  begin ();
+  for (uint32_t i = 0; i < G_N_ELEMENTS (names); i++)
+    beat (names[i], START_MS, NULL);
+  update (START_MS);
+  ss_members_relays (&members, "d1", START_MS, relays);
+  CU_ASSERT (relays->len == SS_MEMBERS_RELAYS);
+  first = g_ptr_array_index (relays, 0);
+  ss_members_find (&members, first)->leaving = true;
+  g_ptr_array_set_size (relays, 0);
+  ss_members_relays (&members, "d1", START_MS, relays);
+  CU_ASSERT (relays->len == SS_MEMBERS_RELAYS);
+  CU_ASSERT (strcmp (g_ptr_array_index (relays, 0), first) != 0);
+  g_ptr_array_set_size (relays, 0);
+  ss_members_relays (&members, "d9", START_MS, relays);
+  CU_ASSERT (relays->len == 0);
+  g_ptr_array_free (relays, TRUE);
+  ss_members_finish (&members);
+}
+
 CU_TestInfo test_members[] = {
   { "takes no role before its heartbeat", takes_no_role_before_its_heartbeat },
   { "is dead only where others miss it too",
@@ -140,5 +227,12 @@
   { "a leaving vm gives its roles up", a_leaving_vm_gives_its_roles_up },
   { "forgets who is neither listed nor heard",
     forgets_who_is_neither_listed_nor_heard },
+  { "listed vm is not dead before it is heard",
+    listed_vm_is_not_dead_before_it_is_heard },
+  { "reports keep a vm alive", reports_keep_a_vm_alive },
+  { "watchers are vms that the platform answers",
+    watchers_are_vms_that_the_platform_answers },
+  { "relays are two of the failure domain",
+    relays_are_two_of_the_failure_domain },
   CU_TEST_INFO_NULL,
 };
--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,230 @@
+/* Many vms in two failure domains, without a network: who each takes for live.
+ */
+#include <string.h>
+
+#include "core/internal.h"
+#include "platform/dialect.h"
+#include "tests/unit.h"
+
+#define VMS 20
+#define START_MS 100000
+#define STEP_MS 5
+#define SETTLE_MS 4000
+
+typedef struct
+{
+  SsNode node;
+  char name[16];
+  bool up;
+} Vm;
+
+static Vm vms[VMS];
+static int64_t now_ms;
+static uint64_t sent;       /* messages */
+static uint64_t sent_apart; /* of them between failure domains */
+
+static Vm *
+find_vm (const char *name)
+{
+  for (uint32_t i = 0; i < VMS; i++)
+    if (strcmp (vms[i].name, name) == 0)
+      return &vms[i];
+  return NULL;
+}
+
+static const char *
+domain_of (uint32_t i)
+{
+  return i < VMS / 2 ? "d1" : "d2";
+}
+
+static void
+start_vm (uint32_t i)
+{
+  SsNodeParams params = { .failure_domain = domain_of (i),
+                          .ip = "10.0.0.1",
+                          .peer_port = 1,
+                          .seeds = "",
+                          .seed = i + 1,
+                          .deadline_ms = 1000,
+                          .transaction_idle_ms = 1000,
+                          .stop_bound_ms = 1000,
+                          .apply_ms = 3000,
+                          .drain_ms = 7000,
+                          .dialect = ss_dialect_line () };
+
+  g_snprintf (vms[i].name, sizeof vms[i].name, "vm%02u", i);
+  params.vm = vms[i].name;
+  params.feeds = 1U << SS_FEED_VMS;
+  ss_node_init (&vms[i].node, &params, now_ms);
+  vms[i].up = true;
+}
+
+/* Tells vm I of all vms, as the platform's list does. */
+static void
+list_vms (uint32_t i)
+{
+  SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
+  SsObject objects[VMS] = { 0 };
+  char *keys[VMS];
+  char *values[VMS];
+
+  for (uint32_t j = 0; j < VMS; j++)
+    {
+      keys[j] = g_strdup_printf ("vm/%s", vms[j].name);
+      values[j] = g_strdup_printf (
+          "{\"failure_domain\":\"%s\",\"ip\":\"10.0.0.1\",\"leases\":[],"
+          "\"peer_port\":%u}",
+          domain_of (j), j + 1);
+      objects[j].key = keys[j];
+      objects[j].value = values[j];
+      objects[j].value_bytes = (uint32_t) strlen (values[j]);
+      objects[j].version = 5;
+    }
+  e.platform_objects.feed = SS_FEED_VMS;
+  e.platform_objects.outcome = SS_PLATFORM_DONE;
+  e.platform_objects.complete = true;
+  e.platform_objects.objects = objects;
+  e.platform_objects.object_count = VMS;
+  e.platform_objects.revision = 5;
+  ss_node_on_event (&vms[i].node, &e, now_ms);
+  for (uint32_t j = 0; j < VMS; j++)
+    {
+      g_free (keys[j]);
+      g_free (values[j]);
+    }
+}
+
+static void
+deliver (Vm *from, const SsAction *a)
+{
+  Vm *to = a->kind == SS_ACTION_PEER_SEND ? find_vm (a->name) : NULL;
+  SsEvent e = { .kind = SS_EVENT_PEER_MESSAGE };
+  gsize bytes;
+
+  if (!to)
+    return;
+  sent++;
+  if (strcmp (from->node.params.failure_domain, to->node.params.failure_domain)
+      != 0)
+    sent_apart++;
+  if (!to->up)
+    return;
+  e.peer_message.data = g_bytes_get_data (a->bytes, &bytes);
+  e.peer_message.data_bytes = (uint32_t) bytes;
+  ss_node_on_event (&to->node, &e, now_ms);
+}
+
+static void
+advance (int64_t ms)
+{
+  SsEvent tick = { .kind = SS_EVENT_TICK };
+  SsAction a;
+
+  for (int64_t at = 0; at < ms; at += STEP_MS)
+    {
+      now_ms += STEP_MS;
+      for (uint32_t i = 0; i < VMS; i++)
+        {
+          if (!vms[i].up)
+            continue;
+          ss_node_on_event (&vms[i].node, &tick, now_ms);
+          while (ss_node_take_action (&vms[i].node, &a))
+            {
+              deliver (&vms[i], &a);
+              ss_action_clear (&a);
+            }
+        }
+    }
+}
+
+static void
+begin (void)
+{
+  now_ms = START_MS;
+  for (uint32_t i = 0; i < VMS; i++)
+    start_vm (i);
+  for (uint32_t i = 0; i < VMS; i++)
+    list_vms (i);
+  advance (SETTLE_MS);
+}
+
+static void
+end (void)
+{
+  for (uint32_t i = 0; i < VMS; i++)
+    ss_node_finish (&vms[i].node);
+}
+
+/* Of all vms that are up, how many VM takes for live. */
+static uint32_t
+count_live (const Vm *vm)
+{
+  uint32_t live = 0;
+
+  for (uint32_t i = 0; i < VMS; i++)
+    {
+      const SsMember *m = ss_members_find (&vm->node.members, vms[i].name);
+
+      live += m && m->live ? 1 : 0;
+    }
+  return live;
+}
+
+static void
+expect_live (uint32_t wanted)
+{
+  for (uint32_t i = 0; i < VMS; i++)
+    if (vms[i].up)
+      CU_ASSERT (count_live (&vms[i]) == wanted);
+}
+
+static void
+all_know_all (void)
+{
+  begin ();
+  expect_live (VMS);
+  end ();
+}
+
+/* A vm that is gone is missed everywhere, also where it was a relay. */
+static void
+gone_vms_are_missed_everywhere (void)
+{
+  GPtrArray *relays = g_ptr_array_new ();
+
+  begin ();
+  ss_members_relays (&vms[0].node.members, "d1", now_ms, relays);
+  CU_ASSERT (relays->len == SS_MEMBERS_RELAYS);
+  for (guint i = 0; i < relays->len; i++)
+    find_vm (g_ptr_array_index (relays, i))->up = false;
+  g_ptr_array_free (relays, TRUE);
+  vms[VMS - 1].up = false;
+  advance (SETTLE_MS);
+  expect_live (VMS - 3);
+  end ();
+}
+
+/* What goes between failure domains does not grow with their vms. */
+static void
+messages_stay_few (void)
+{
+  uint64_t beats;
+
+  begin ();
+  sent = 0;
+  sent_apart = 0;
+  advance (10000);
+  beats = 10000 / vms[0].node.params.pace.heartbeat_ms + 1;
+  CU_ASSERT (sent_apart <= beats * 2 * SS_MEMBERS_RELAYS * SS_MEMBERS_RELAYS);
+  /* A heartbeat and a digest for each vm and relay, and the reports. */
+  CU_ASSERT (sent - sent_apart <= beats * 2 * VMS * SS_MEMBERS_RELAYS);
+  end ();
+}
+
+CU_TestInfo test_relay[] = {
+  { "all know all", all_know_all },
+  { "gone vms are missed everywhere", gone_vms_are_missed_everywhere },
+  { "messages stay few", messages_stay_few },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -11,6 +11,7 @@
   X (queue)                                                                    \
   X (session)                                                                  \
   X (line)                                                                     \
+  X (relay)                                                                    \
   X (failover)                                                                 \
   X (platform)                                                                 \
   X (command)                                                                  \
