Polls only for what answers don't tell

Change: an ask that is answered takes its poll with it; the second replica is polled after 300 ms, the first after 120.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2556,7 +2556,7 @@
   (ProtobufCMessageInit) ss__peer__session_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__status_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ss__peer__status_ask__field_descriptors[4] =
 {
   {
     "target",
@@ -2594,16 +2594,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "poll_after_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__StatusAsk, poll_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__status_ask__field_indices_by_name[] = {
   1,   /* field[1] = ask */
   2,   /* field[2] = held */
+  3,   /* field[3] = poll_after_ms */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange ss__peer__status_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ss__peer__status_ask__descriptor =
 {
@@ -2613,7 +2626,7 @@
   "Ss__Peer__StatusAsk",
   "ss.peer",
   sizeof(Ss__Peer__StatusAsk),
-  3,
+  4,
   ss__peer__status_ask__field_descriptors,
   ss__peer__status_ask__field_indices_by_name,
   1,  ss__peer__status_ask__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -337,10 +337,14 @@
    * answer once this is held
    */
   Ss__Peer__Position *held;
+  /*
+   * where no answer of the target tells it before
+   */
+  uint32_t poll_after_ms;
 };
 #define SS__PEER__STATUS_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__status_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, NULL }
+    , (char *)protobuf_c_empty_string, 0, NULL, 0 }
 
 
 struct  Ss__Peer__StatusReport
--- a/src/core/hold.c
+++ b/src/core/hold.c
@@ -3,6 +3,12 @@
 #include "core/owner.h"
 
 #define ASK_AGAIN_MS 100
+/* What a target holds is also told by its answers to reads, at no cost: it is
+ * polled only where none came in this time.  One server is enough, so the
+ * others are polled later.
+ */
+#define FIRST_POLL_AFTER_MS 120
+#define OTHERS_POLL_AFTER_MS 300
 #define ROUND_MS 300
 /* Far above a replica's lag and two ways between regions. */
 #define STUCK_MS 400
@@ -10,7 +16,8 @@
 #define SEEN_MS 250
 
 static void
-send_status_ask (SsNode *node, SsTarget *t, uint64_t ask, SsPosition held)
+send_status_ask (SsNode *node, SsTarget *t, uint64_t ask, SsPosition held,
+                 uint32_t poll_after_ms)
 {
   const char *owner = ss_node_owner (node, t);
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
@@ -23,6 +30,7 @@
   m.target = t->name;
   m.ask = ask;
   m.held = &p;
+  m.poll_after_ms = poll_after_ms;
   e.body_case = SS__PEER__ENVELOPE__BODY_STATUS_ASK;
   e.status_ask = &m;
   ss_node_send (node, owner, &e);
@@ -31,7 +39,7 @@
 void
 ss_hold_ask_status (SsNode *node, SsTarget *t)
 {
-  send_status_ask (node, t, ++node->next_ask, (SsPosition){ 0, 0 });
+  send_status_ask (node, t, ++node->next_ask, (SsPosition){ 0, 0 }, 0);
 }
 
 /* --- commits that wait for a majority --- */
@@ -67,6 +75,8 @@
 static void
 ask_holders (SsNode *node, SsOwned *owned, const SsGroup *group)
 {
+  uint32_t poll_after_ms = FIRST_POLL_AFTER_MS;
+
   for (uint32_t i = 0; owned->unheld.offset && i < group->server_count; i++)
     {
       SsTarget *t = group->servers[i];
@@ -78,7 +88,9 @@
         continue;
       owned->held_asks[i] = ++node->next_ask;
       owned->held_asked_ms[i] = node->now_ms;
-      send_status_ask (node, t, owned->held_asks[i], owned->unheld);
+      send_status_ask (node, t, owned->held_asks[i], owned->unheld,
+                       poll_after_ms);
+      poll_after_ms = OTHERS_POLL_AFTER_MS;
     }
 }
 
@@ -197,7 +209,8 @@
     node->lease_due_ms = MIN (node->lease_due_ms, node->now_ms);
   for (uint32_t i = 0; i < group->server_count; i++)
     if (group->servers[i] == owned->target || asks_all)
-      send_status_ask (node, group->servers[i], r->ask, (SsPosition){ 0, 0 });
+      send_status_ask (node, group->servers[i], r->ask, (SsPosition){ 0, 0 },
+                       0);
 }
 
 static void
--- a/src/core/monitor.c
+++ b/src/core/monitor.c
@@ -107,10 +107,6 @@
     }
 }
 
-/* What a target holds is also told by its answers, at no cost: an ask for that
- * waits this long for one before the target is polled.
- */
-#define HELD_WAIT_MS 120
 #define HELD_HOLD_MS 400
 
 void
@@ -133,6 +129,10 @@
       send_report (node, owned, ask->vm, ask->ask);
       g_ptr_array_remove_index (owned->asks, i - 1);
     }
+  /* What was answered without a poll needs none. */
+  if (!owned->asks->len && ss_dialect_keeps_sessions (node->dialect))
+    owned->poll_due_ms = MAX (
+        owned->poll_due_ms, owned->polled_ms + node->params.pace.poll_idle_ms);
 }
 
 /* --- the control connection --- */
@@ -443,7 +443,7 @@
       return;
     }
   ask->poll = 0;
-  ask->poll_ms = node->now_ms + HELD_WAIT_MS;
+  ask->poll_ms = node->now_ms + m->poll_after_ms;
   ask->expires_ms = node->now_ms + HELD_HOLD_MS;
   owned->poll_due_ms = MIN (owned->poll_due_ms, ask->poll_ms);
   ss_monitor_answer (node, owned);
