--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -98,8 +98,9 @@
     ss_route (node, r);
 }
 
-static void
-refuse_open (SsNode *node, uint64_t caller, SsReason reason, const char *text)
+void
+ss_entry_refuse_open (SsNode *node, uint64_t caller, SsReason reason,
+                      const char *text)
 {
   SsAction *a = ss_node_push (node, SS_ACTION_CALLER_REPLY);
 
@@ -119,16 +120,22 @@
   SsGroup *group;
   const char *error = NULL;
 
+  if (!node->ready && !node->stopping
+      && ss_dialect_keeps_sessions (node->dialect))
+    {
+      ss_opens_add (node, caller, service, user);
+      return;
+    }
   if (node->stopping || !node->ready)
     {
-      refuse_open (node, caller,
-                   node->stopping ? SS_REASON_STOPPING : SS_REASON_NO_CONFIG,
-                   NULL);
+      ss_entry_refuse_open (
+          node, caller,
+          node->stopping ? SS_REASON_STOPPING : SS_REASON_NO_CONFIG, NULL);
       return;
     }
   if (!ss_config_service (&node->config, service))
     {
-      refuse_open (node, caller, SS_REASON_NO_SERVICE, NULL);
+      ss_entry_refuse_open (node, caller, SS_REASON_NO_SERVICE, NULL);
       return;
     }
   s = g_new0 (SsSession, 1);
@@ -148,7 +155,7 @@
     error = ss_session_set (node, s, settings[i], settings[i + 1]);
   if (error)
     {
-      refuse_open (node, caller, SS_REASON_BAD_SETTING, error);
+      ss_entry_refuse_open (node, caller, SS_REASON_BAD_SETTING, error);
       clear_session (s);
       return;
     }
@@ -248,7 +255,10 @@
   SsSession *s = find_session (node, caller);
 
   if (!s)
-    return;
+    {
+      ss_opens_remove (node, caller);
+      return;
+    }
   if (s->pinned_vm)
     ss_session_send_end (node, s, s->pinned_vm, false);
   else if (s->request && s->request->vm)
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -17,6 +17,17 @@
 /* ss_session_replace: copies VALUE to FIELD; an empty one becomes NULL. */
 void ss_session_replace (char **field, const char *value);
 
+/* ss_entry_refuse_open: ends a caller that has no session; TEXT may be NULL. */
+void ss_entry_refuse_open (SsNode *node, uint64_t caller, SsReason reason,
+                           const char *text);
+
+/* --- opens.c: callers that come while this vm starts --- */
+
+/* ss_opens_add: has CALLER wait until this vm is ready. */
+void ss_opens_add (SsNode *node, uint64_t caller, const char *service,
+                   const char *user);
+void ss_opens_remove (SsNode *node, uint64_t caller);
+
 /* --- statement.c --- */
 
 /* ss_session_statement: a statement of a dialect whose statements can be told
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -570,6 +570,12 @@
 void ss_relay_report (SsNode *node, const char *from,
                       const Ss__Peer__DomainReport *report);
 
+/* --- opens.c --- */
+
+void ss_opens_init (SsNode *node);
+void ss_opens_finish (SsNode *node);
+void ss_opens_tick (SsNode *node);
+
 /* --- isolation.c: a vm that can serve nobody --- */
 
 /* ss_isolation_misses_most: whether most listed vms are not heard. */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -52,6 +52,7 @@
   node->leases
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_relay_init (node);
+  ss_opens_init (node);
   ss_entry_init (node);
   ss_owner_init (node);
   ss_operate_init (node);
@@ -70,6 +71,7 @@
   ss_owner_finish (node);
   ss_operate_finish (node);
   ss_relay_finish (node);
+  ss_opens_finish (node);
   while (ss_node_take_action (node, &action))
     ss_action_clear (&action);
   while ((bytes = g_queue_pop_head (&node->local)))
@@ -353,6 +355,7 @@
     return;
   node->ticked_ms = node->now_ms;
   ss_spread_tick (node);
+  ss_opens_tick (node);
   ss_owner_tick (node);
   ss_promote_tick (node);
   ss_operate_tick (node);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -99,6 +99,7 @@
   int64_t stop_due_ms;
   int64_t stop_idle_ms; /* since when nothing is left to do */
 
+  GQueue opens;         /* callers that wait for this vm to be ready */
   GHashTable *sessions; /* id -> SsSession */
   GHashTable *requests; /* id -> SsRequest */
   uint64_t next_request;
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -341,6 +341,42 @@
   line_world_finish (&w);
 }
 
+/* Callers that come while the vm starts are served once it is ready. */
+static void
+callers_wait_for_the_start (void)
+{
+  LineWorld w;
+  SsEvent open = { .kind = SS_EVENT_CALLER_OPEN };
+
+  line_world_init (&w, 13, 2, 8);
+  w.node.ready = false;
+  g_tree_remove_all (w.node.config.services);
+  open.caller_open.caller = 1;
+  open.caller_open.service = "strict";
+  open.caller_open.user = "";
+  w.sessions[0].waits = true;
+  ss_node_on_event (&w.node, &open, w.now_ms);
+  line_world_advance (&w, 300);
+  CU_ASSERT (w.sessions[0].waits);
+  line_world_put (&w, "routes/main",
+                  "{\"services\":{\"strict\":{\"group\":\"g\","
+                  "\"default_kind\":\"strict\"}},"
+                  "\"groups\":{\"g\":{\"max_connections\":8}}}");
+  line_world_advance (&w, 100);
+  CU_ASSERT (!w.sessions[0].waits);
+  CU_ASSERT (w.sessions[0].verdict == SS_VERDICT_RAN);
+  /* One that waits for too long is refused. */
+  w.node.ready = false;
+  g_tree_remove_all (w.node.config.services);
+  w.sessions[1].waits = true;
+  open.caller_open.caller = 2;
+  ss_node_on_event (&w.node, &open, w.now_ms);
+  line_world_advance (&w, 1500);
+  CU_ASSERT (!w.sessions[1].waits);
+  CU_ASSERT (w.sessions[1].reason == SS_REASON_NO_CONFIG);
+  line_world_finish (&w);
+}
+
 /* What is about the session alone, and what can't be. */
 static void
 sessions_are_kept_at_the_entry (void)
@@ -382,6 +418,7 @@
   { "expired lease asks the servers", expired_lease_asks_the_servers },
   { "peer confirms the lease", peer_confirms_the_lease },
   { "unheld commit is in doubt", unheld_commit_is_in_doubt },
+  { "callers wait for the start", callers_wait_for_the_start },
   { "sessions are kept at the entry", sessions_are_kept_at_the_entry },
   CU_TEST_INFO_NULL,
 };
