Settings take the bounds of any deployment

Cause: the template named the time limits of one deployment. In a deployment without such a limit the line came out empty and the file was no TOML; a limit written 2.5e3 or 600.0 was refused as no whole number; the time to stop was fixed and could end after the platform's own grace.

Ruled out: filling the gaps in the adapter. It holds names and formats and decides nothing, so the default stays in the settings table.

Change: a number with no fraction counts as whole, with one error for all others. The new vm.grace_s bounds the time to stop at 75 % of the grace.

--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define TICK_MIN_S 0.001
+/* Of the time until a stop is forced: the rest is for the last answers. */
+#define GRACE_SHARE 0.75
 
 static const SsPlugin *plugins[SS_PLUGINS_MAX];
 static uint32_t plugin_count;
@@ -121,6 +123,10 @@
   params->deadline_ms = settings->deadline_ms;
   params->transaction_idle_ms = settings->transaction_idle_ms;
   params->stop_bound_ms = settings->stop_bound_ms;
+  if (settings->grace_s > 0)
+    params->stop_bound_ms
+        = MIN (params->stop_bound_ms,
+               (int64_t) (settings->grace_s * GRACE_SHARE * 1000));
   params->spans = settings->log_spans != 0;
   params->apply_ms = settings->apply_ms;
   params->drain_ms = settings->drain_ms;
--- a/src/kernel/settings.c
+++ b/src/kernel/settings.c
@@ -40,6 +40,22 @@
 #undef X
 };
 
+typedef struct
+{
+  const char *key;
+  size_t offset;
+  double fallback;
+  double lowest;
+  double highest;
+} RealRow;
+
+static const RealRow real_rows[] = {
+#define X(field, key, fallback, lowest, highest)                               \
+  { key, offsetof (SsSettings, field), fallback, lowest, highest },
+  SS_SETTINGS_REALS (X)
+#undef X
+};
+
 static char **
 string_field (SsSettings *s, const StringRow *row)
 {
@@ -52,10 +68,18 @@
   return (int64_t *) (void *) ((char *) s + row->offset);
 }
 
+static double *
+real_field (SsSettings *s, const RealRow *row)
+{
+  return (double *) (void *) ((char *) s + row->offset);
+}
+
 static void
 set_defaults (SsSettings *s)
 {
   memset (s, 0, sizeof *s);
+  for (size_t i = 0; i < G_N_ELEMENTS (real_rows); i++)
+    *real_field (s, &real_rows[i]) = real_rows[i].fallback;
   for (size_t i = 0; i < G_N_ELEMENTS (string_rows); i++)
     *string_field (s, &string_rows[i]) = g_strdup (string_rows[i].fallback);
   for (size_t i = 0; i < G_N_ELEMENTS (integer_rows); i++)
@@ -85,15 +109,32 @@
 {
   bool is_flag = row->lowest == 0 && row->highest == 1;
   SsTomlType wanted = is_flag ? SS_TOML_BOOLEAN : SS_TOML_INTEGER;
+  int64_t number = e->number;
+  bool is_whole = e->type == SS_TOML_FLOAT && !is_flag
+                  && e->real == (double) (int64_t) e->real;
 
-  if (e->type != wanted)
+  if (is_whole)
+    number = (int64_t) e->real;
+  else if (e->type != wanted)
     return g_strdup_printf ("%s:%u: %s must be %s", path, e->line, e->key,
                             is_flag ? "true or false" : "an integer");
-  if (e->number < row->lowest || e->number > row->highest)
+  if (number < row->lowest || number > row->highest)
     return g_strdup_printf ("%s:%u: %s must be from %" G_GINT64_FORMAT
                             " to %" G_GINT64_FORMAT,
                             path, e->line, e->key, row->lowest, row->highest);
-  *integer_field (s, row) = e->number;
+  *integer_field (s, row) = number;
+  return NULL;
+}
+
+static char *
+take_real (SsSettings *s, const RealRow *row, const char *path,
+           const SsTomlEntry *e)
+{
+  if ((e->type != SS_TOML_FLOAT && e->type != SS_TOML_INTEGER)
+      || !(e->real >= row->lowest && e->real <= row->highest))
+    return g_strdup_printf ("%s:%u: %s must be a number from %g to %g", path,
+                            e->line, e->key, row->lowest, row->highest);
+  *real_field (s, row) = e->real;
   return NULL;
 }
 
@@ -106,6 +147,9 @@
   for (size_t i = 0; i < G_N_ELEMENTS (integer_rows); i++)
     if (strcmp (integer_rows[i].key, e->key) == 0)
       return take_integer (s, &integer_rows[i], path, e);
+  for (size_t i = 0; i < G_N_ELEMENTS (real_rows); i++)
+    if (strcmp (real_rows[i].key, e->key) == 0)
+      return take_real (s, &real_rows[i], path, e);
   return g_strdup_printf ("%s:%u: unknown key %s; docs/SETTINGS.md lists "
                           "the allowed keys",
                           path, e->line, e->key);
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -44,6 +44,9 @@
   X (stop_bound_ms, "vm.stop_bound_ms", 10000, 100, 600000)                    \
   X (log_spans, "log.spans", 0, 0, 1)
 
+/* X (field, key, default, lowest, highest): numbers that may have a fraction */
+#define SS_SETTINGS_REALS(X) X (grace_s, "vm.grace_s", 0.0, 0.0, 3600.0)
+
 typedef struct
 {
 #define X(field, key, fallback) char *field;
@@ -55,6 +58,9 @@
 #define X(field, fallback, lowest, highest) int64_t field;
   SS_PACES (X)
 #undef X
+#define X(field, key, fallback, lowest, highest) double field;
+  SS_SETTINGS_REALS (X)
+#undef X
 } SsSettings;
 
 /* ss_settings_split: IP:PORT; IP of at least INET_ADDRSTRLEN bytes.  Returns
--- a/src/kernel/toml_shim.cc
+++ b/src/kernel/toml_shim.cc
@@ -26,6 +26,12 @@
     {
       entry.type = SS_TOML_INTEGER;
       entry.number = value.as_integer ();
+      entry.real = static_cast<double> (entry.number);
+    }
+  else if (value.is_floating ())
+    {
+      entry.type = SS_TOML_FLOAT;
+      entry.real = value.as_floating ();
     }
   else if (value.is_boolean ())
     {
--- a/src/kernel/toml_shim.h
+++ b/src/kernel/toml_shim.h
@@ -18,6 +18,7 @@
   {
     SS_TOML_STRING,
     SS_TOML_INTEGER,
+    SS_TOML_FLOAT,
     SS_TOML_BOOLEAN,
     SS_TOML_OTHER
   } SsTomlType;
@@ -28,6 +29,7 @@
     SsTomlType type;
     char *text;     /* for strings */
     int64_t number; /* for integers and booleans */
+    double real;    /* for integers and floats */
     uint32_t line;
   } SsTomlEntry;
 
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -91,10 +91,37 @@
   ss_settings_finish (&s);
 }
 
+/* The users' platform writes whole numbers as it likes. */
+static void
+takes_numbers_of_the_platform (void)
+{
+  char *error = check (GOOD "apply_ms = 3000.0\n[callers]\nmax = 7\n");
+
+  CU_ASSERT_PTR_NULL (error);
+  g_free (error);
+  expect (GOOD "apply_ms = 3000.5\n", "apply_ms must be an integer");
+  error = check ("[vm]\nname = \"a\"\nfailure_domain = \"d\"\n"
+                 "ip = \"127.0.0.1\"\ninterface = \"line\"\n"
+                 "callers_at = \"127.0.0.1:1\"\nready_at = \"127.0.0.1:5\"\n"
+                 "peer_port = 2\nadmin_port = 3\ngrace_s = 2.5\n"
+                 "[platform]\nat = \"127.0.0.1:4\"\n"
+                 "promotions_at = \"127.0.0.1:6\"\n");
+  CU_ASSERT_PTR_NULL (error);
+  g_free (error);
+  expect (GOOD "at = \"somewhere:1\"\n", "platform.at must be IPv4:PORT");
+  expect ("[vm]\nname = \"a\"\nfailure_domain = \"d\"\n"
+          "ip = \"127.0.0.1\"\ncaller_port = 1\npeer_port = 2\n"
+          "admin_port = 3\ninterface = \"telnet\"\n"
+          "[platform]\nip = \"127.0.0.1\"\nport = 4\n",
+          "vm.interface must be postgresql or line");
+  expect ("[vm]\ngrace_s = -1\n", "grace_s must be a number");
+}
+
 CU_TestInfo test_settings[] = {
   { "takes a whole file", takes_a_whole_file },
   { "names line, key and what is allowed", names_line_key_and_what_is_allowed },
   { "refuses names for addresses", refuses_names_for_addresses },
   { "says that a file is absent", says_that_a_file_is_absent },
+  { "takes numbers of the platform", takes_numbers_of_the_platform },
   CU_TEST_INFO_NULL,
 };
