Split the two largest files

Change: outcome.c holds how a statement ends and what its caller is told, job.c only how it is queued and started. parse.c holds the members of stored objects and their bounds, config.c only what is known and since when. No behaviour changes.

Before and after: 91 unit tests pass.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -2,10 +2,6 @@
 
 #include "core/owner.h"
 
-#define UNIQUE_VIOLATION "23505"
-#define LOCK_NOT_AVAILABLE "55P03"
-#define READ_ONLY_SERVER "25006"
-
 void
 ss_job_free (SsJob *job)
 {
@@ -141,8 +137,8 @@
   return sql;
 }
 
-static void
-start_step (SsNode *node, SsConnection *c, SsStep step)
+void
+ss_job_start_step (SsNode *node, SsConnection *c, SsStep step)
 {
   SsAction *a;
   uint32_t skip_results;
@@ -165,9 +161,9 @@
   if (ss_dialect_keeps_sessions (node->dialect))
     ss_kept_start (node, c);
   else if (!job->key)
-    start_step (node, c, SS_STEP_PLAIN);
+    ss_job_start_step (node, c, SS_STEP_PLAIN);
   else
-    start_step (node, c, c->vm ? SS_STEP_COMMIT : SS_STEP_CLAIM);
+    ss_job_start_step (node, c, c->vm ? SS_STEP_COMMIT : SS_STEP_CLAIM);
 }
 
 void
@@ -189,8 +185,9 @@
   ss_pool_open_more (node, owned);
 }
 
-static bool
-shows_floor (const SsOwned *owned, SsPosition applied, SsPosition floor)
+bool
+ss_owned_shows_floor (const SsOwned *owned, SsPosition applied,
+                      SsPosition floor)
 {
   SsPosition translated
       = ss_position_translate (floor, &owned->target->state.history);
@@ -230,8 +227,8 @@
       && ss_dialect_keeps_sessions (node->dialect))
     return check_term_of_floor (node, owned, ss_position_unpack (run->floor));
   if (run->is_read && !run->confirm)
-    return shows_floor (owned, t->state.applied,
-                        ss_position_unpack (run->floor))
+    return ss_owned_shows_floor (owned, t->state.applied,
+                                 ss_position_unpack (run->floor))
                ? SS_REASON_NONE
                : SS_REASON_BEHIND;
   if (!group || strcmp (group->primary, t->name) != 0
@@ -355,277 +352,3 @@
   else
     ss_job_queue (node, owned, job);
 }
-
-/* Gives the connection to its session's transaction, or back to all. */
-static void
-release_connection (SsNode *node, SsConnection *c, const SsJob *job)
-{
-  SsOwned *owned = c->owned;
-
-  if (node->params.spans)
-    ss_node_log (node, SS_EVENT_LOG_SPAN, job->trace,
-                 "hop=target target=%s ms=%" G_GINT64_FORMAT,
-                 owned->target->name, node->now_ms - job->started_ms);
-  c->job = NULL;
-  c->since_ms = node->now_ms;
-  if (job->transaction_status != 'I')
-    {
-      c->state = SS_CONNECTION_PINNED;
-      if (!c->vm)
-        c->vm = g_strdup (job->vm);
-      c->session = job->session;
-      if (!ss_dialect_keeps_sessions (node->dialect))
-        return;
-      /* Between two statements it leaves its slot to others. */
-      ss_pool_release_slot (c, node->now_ms - job->started_ms);
-      ss_job_dispatch (node, owned);
-      return;
-    }
-  g_clear_pointer (&c->vm, g_free);
-  ss_pool_release_slot (c, node->now_ms - job->started_ms);
-  c->state = SS_CONNECTION_IDLE;
-  if (!owned->active)
-    ss_pool_close (node, c);
-  ss_job_dispatch (node, owned);
-}
-
-void
-ss_job_end (SsNode *node, SsConnection *c, SsVerdict verdict, SsReason reason,
-            uint32_t retry_after_ms)
-{
-  SsJob *job = c->job;
-
-  job->connection = NULL;
-  release_connection (node, c, job);
-  /* The caller takes its transaction for lost: so must the target. */
-  if (job->transaction_status != 'I' && reason != SS_REASON_NONE
-      && reason != SS_REASON_TARGET_ERROR
-      && ss_dialect_keeps_sessions (node->dialect))
-    ss_kept_roll_back (node, c);
-  ss_job_answer (node, job, verdict, reason, retry_after_ms);
-}
-
-/* The job's statement is done; a commit is answered once it is held. */
-void
-ss_job_end_committed (SsNode *node, SsConnection *c)
-{
-  SsJob *job = c->job;
-  SsService *service = ss_config_service (&node->config, job->service);
-
-  if (!job->commit.offset || (service && !service->acknowledge_majority))
-    {
-      ss_job_end (node, c, SS_VERDICT_RAN, SS_REASON_NONE, 0);
-      return;
-    }
-  job->connection = NULL;
-  release_connection (node, c, job);
-  ss_hold_wait (node, job);
-}
-
-static void
-end_plain (SsNode *node, SsConnection *c, const SsTargetResult *result)
-{
-  SsJob *job = c->job;
-
-  if (result->ok)
-    {
-      if (job->is_read && !shows_floor (c->owned, job->applied, job->floor)
-          && job->transaction_status == 'I')
-        ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_BEHIND,
-                    SS_RETRY_SOON_MS);
-      else
-        ss_job_end_committed (node, c);
-      return;
-    }
-  /* A part of the message may have been committed before the error. */
-  if (job->commit.offset)
-    ss_job_end_committed (node, c);
-  else if (strcmp (job->sqlstate, READ_ONLY_SERVER) == 0 && !job->is_read
-           && job->transaction_status == 'I')
-    ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
-                SS_RETRY_PROMOTION_MS);
-  else
-    ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
-}
-
-static void
-end_claim (SsNode *node, SsConnection *c, const SsTargetResult *result)
-{
-  SsJob *job = c->job;
-
-  if (!result->ok)
-    {
-      bool is_taken = strcmp (job->sqlstate, UNIQUE_VIOLATION) == 0
-                      || strcmp (job->sqlstate, LOCK_NOT_AVAILABLE) == 0;
-
-      start_step (node, c, is_taken ? SS_STEP_REPLAY : SS_STEP_ROLLBACK);
-      return;
-    }
-  job->tag = g_strdup (result->tag);
-  if (job->transaction_status == 'I')
-    ss_job_end_committed (node, c);
-  else
-    start_step (node, c, SS_STEP_RECORD);
-}
-
-static void
-end_record (SsNode *node, SsConnection *c, const SsTargetResult *result)
-{
-  if (result->ok)
-    ss_job_end_committed (node, c);
-  else
-    start_step (node, c, SS_STEP_ROLLBACK);
-}
-
-/* The key was there: its record says how the first try ended. */
-static void
-end_replay (SsNode *node, SsConnection *c, const SsTargetResult *result)
-{
-  SsJob *job = c->job;
-
-  if (result->ok && result->row && result->row_cells && result->row[0])
-    {
-      g_clear_pointer (&job->wire, g_bytes_unref);
-      g_free (job->tag);
-      job->tag = g_strdup (result->row[0]);
-      /* The record counts once a majority holds it, as any commit. */
-      job->commit = job->applied;
-      ss_node_count (node, SS_COUNTER_REPLAYS);
-      ss_job_end_committed (node, c);
-    }
-  else if (strcmp (job->sqlstate, UNIQUE_VIOLATION) == 0)
-    ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
-  else
-    ss_job_end (node, c, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_STILL_RUNNING,
-                SS_RETRY_PROMOTION_MS);
-}
-
-static bool
-keeps_wire (SsStep step)
-{
-  return step == SS_STEP_PLAIN || step == SS_STEP_CLAIM
-         || step == SS_STEP_COMMIT;
-}
-
-static void
-take_result (SsJob *job, const SsTargetResult *result)
-{
-  job->transaction_status = result->transaction_status;
-  job->applied = result->applied;
-  if (result->commit.offset)
-    {
-      job->commit = result->commit;
-      ss_writers_committed (&job->owned->writers, job->identity,
-                            result->commit);
-    }
-  if (!keeps_wire (job->step) && (result->ok || job->step != SS_STEP_RECORD))
-    return;
-  if (!result->ok)
-    g_strlcpy (job->sqlstate, result->sqlstate, sizeof job->sqlstate);
-  g_clear_pointer (&job->wire, g_bytes_unref);
-  job->wire = g_bytes_ref (result->wire);
-}
-
-/* An answer tells the server's position later than the last poll did. */
-static void
-note_applied (SsTarget *t, SsPosition applied)
-{
-  if (applied.term < t->state.held.term
-      || ss_position_compare (applied, t->state.applied) <= 0)
-    return;
-  t->state.applied = applied;
-  if (ss_position_compare (t->state.held, applied) < 0)
-    t->state.held = applied;
-}
-
-void
-ss_owner_result (SsNode *node, uint64_t connection,
-                 const SsTargetResult *result)
-{
-  SsConnection *c = g_hash_table_lookup (node->connections, &connection);
-
-  if (!c || (!c->is_control && !c->job && !c->rolls_back))
-    {
-      ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
-      return;
-    }
-  if (c->is_control)
-    {
-      ss_monitor_result (node, c->owned, result);
-      return;
-    }
-  note_applied (c->owned->target, result->applied);
-  c->owned->target->reachable_ms = node->now_ms;
-  if (ss_dialect_keeps_sessions (node->dialect))
-    ss_kept_note_position (node, c, result);
-  if (c->rolls_back)
-    {
-      ss_kept_rolled_back (node, c, result);
-      return;
-    }
-  take_result (c->job, result);
-  if (ss_dialect_keeps_sessions (node->dialect))
-    {
-      ss_kept_note_commit (c->job, result);
-      ss_kept_end (node, c, result);
-      return;
-    }
-  switch (c->job->step)
-    {
-    case SS_STEP_CLAIM:
-    case SS_STEP_COMMIT:
-      if (c->job->step == SS_STEP_COMMIT && result->ok)
-        ss_job_end_committed (node, c);
-      else
-        end_claim (node, c, result);
-      break;
-    case SS_STEP_RECORD:
-      end_record (node, c, result);
-      break;
-    case SS_STEP_REPLAY:
-      end_replay (node, c, result);
-      break;
-    case SS_STEP_ROLLBACK:
-      ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
-      break;
-    case SS_STEP_PLAIN:
-    default:
-      end_plain (node, c, result);
-      break;
-    }
-}
-
-/* What a job whose connection broke can be told. */
-SsVerdict
-ss_job_lost_verdict (const SsJob *job)
-{
-  if (!job->keeps)
-    return SS_VERDICT_NOT_RUN;
-  switch (job->step)
-    {
-    case SS_STEP_PRELUDE:
-      return SS_VERDICT_NOT_RUN;
-    case SS_STEP_CLAIM:
-      /* Its COMMIT was not sent, unless the statement holds one. */
-      return strchr (job->sql, ';') ? SS_VERDICT_MAY_HAVE_RUN
-                                    : SS_VERDICT_NOT_RUN;
-    case SS_STEP_ROLLBACK:
-      return SS_VERDICT_NOT_RUN;
-    default:
-      return SS_VERDICT_MAY_HAVE_RUN;
-    }
-}
-
-/* A running statement is not waited for any more.  Its answer may still come,
- * so the connection can't be used again; closing it ends a transaction.
- */
-void
-ss_job_give_up (SsNode *node, SsConnection *c, SsReason reason)
-{
-  SsJob *job = g_steal_pointer (&c->job);
-
-  job->transaction_status = 'I';
-  ss_pool_close (node, c);
-  ss_job_answer (node, job, ss_job_lost_verdict (job), reason,
-                 SS_RETRY_SOON_MS);
-}
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -33,16 +33,24 @@
 
 /* --- job.c --- */
 
+/* ss_owned_shows_floor: whether a server at APPLIED shows all up to FLOOR. */
+bool ss_owned_shows_floor (const SsOwned *owned, SsPosition applied,
+                           SsPosition floor);
 void ss_job_free (SsJob *job);
 /* ss_job_answer: sends JOB's reply and frees it. */
 void ss_job_answer (SsNode *node, SsJob *job, SsVerdict verdict,
                     SsReason reason, uint32_t retry_after_ms);
 /* ss_job_dispatch: runs what waits on the connections that are free. */
 void ss_job_dispatch (SsNode *node, SsOwned *owned);
-/* ss_job_give_up: answers the job that runs on C now and closes C. */
-void ss_job_give_up (SsNode *node, SsConnection *c, SsReason reason);
+/* ss_job_start_step: sends STEP of C's job to the target. */
+void ss_job_start_step (SsNode *node, SsConnection *c, SsStep step);
 /* ss_job_queue: has JOB wait for its turn, or refuses it. */
 void ss_job_queue (SsNode *node, SsOwned *owned, SsJob *job);
+
+/* --- outcome.c --- */
+
+/* ss_job_give_up: answers the job that runs on C now and closes C. */
+void ss_job_give_up (SsNode *node, SsConnection *c, SsReason reason);
 /* ss_job_end: answers C's job and gives C to its transaction, or to all. */
 void ss_job_end (SsNode *node, SsConnection *c, SsVerdict verdict,
                  SsReason reason, uint32_t retry_after_ms);
--- /dev/null
+++ b/src/core/parse.c
@@ -0,0 +1,186 @@
+#include "core/parse.h"
+
+#include <string.h>
+
+/* The longest age a kind of read may ask for: a week. */
+#define STALENESS_MAX_MS (7LL * 24 * 3600 * 1000)
+#define WEIGHT_MAX 1000
+#define SLOTS_MAX 100000
+
+char *
+ss_parse_text (json_t *json, const char *name, const char *fallback, char **out)
+{
+  json_t *value = json_object_get (json, name);
+  const char *text;
+
+  if (!value && fallback)
+    {
+      *out = g_strdup (fallback);
+      return NULL;
+    }
+  text = json_string_value (value);
+  if (!text)
+    return g_strdup_printf ("\"%s\" must be a string", name);
+  *out = g_strdup (text);
+  return NULL;
+}
+
+char *
+ss_parse_number (json_t *json, const char *name, int64_t fallback,
+                 int64_t lowest, int64_t highest, int64_t *out)
+{
+  json_t *value = json_object_get (json, name);
+
+  *out = fallback;
+  if (!value && fallback >= lowest)
+    return NULL;
+  if (!json_is_integer (value) || json_integer_value (value) < lowest
+      || json_integer_value (value) > highest)
+    return g_strdup_printf ("\"%s\" must be an integer from %" G_GINT64_FORMAT
+                            " to %" G_GINT64_FORMAT,
+                            name, lowest, highest);
+  *out = json_integer_value (value);
+  return NULL;
+}
+
+char *
+ss_parse_check_keys (json_t *json, const char *allowed)
+{
+  const char *key;
+  json_t *value;
+
+  json_object_foreach (json, key, value)
+  {
+    char *word = g_strdup_printf (" %s ", key);
+    bool known = strstr (allowed, word) != NULL;
+
+    g_free (word);
+    if (!known)
+      return g_strdup_printf ("unknown member \"%s\"; allowed are%s", key,
+                              allowed);
+  }
+  return NULL;
+}
+
+static char *
+parse_kinds (SsService *s, json_t *kinds)
+{
+  const char *name;
+  json_t *kind;
+
+  if (kinds && !json_is_object (kinds))
+    return g_strdup ("\"kinds\" must be an object");
+  json_object_foreach (kinds, name, kind)
+  {
+    char *error = ss_parse_check_keys (kind, " staleness_ms ");
+    int64_t staleness_ms;
+
+    if (!error)
+      error = ss_parse_number (kind, "staleness_ms", -1, 0, STALENESS_MAX_MS,
+                               &staleness_ms);
+    if (error)
+      return error;
+    if (s->kind_count == SS_CONFIG_KINDS_MAX)
+      return g_strdup ("too many kinds");
+    s->kinds[s->kind_count].name = g_strdup (name);
+    s->kinds[s->kind_count++].staleness_ms = staleness_ms;
+  }
+  return NULL;
+}
+
+char *
+ss_parse_service (SsService *s, json_t *json)
+{
+  char *acknowledge = NULL;
+  char *identity = NULL;
+  int64_t weight = 1;
+  char *error = ss_parse_check_keys (
+      json, " group default_kind acknowledge weight kinds identity "
+            "timeout_ms operation ");
+
+  if (!error)
+    error = ss_parse_text (json, "group", NULL, &s->group);
+  if (!error)
+    error = ss_parse_text (json, "default_kind", "", &s->default_kind);
+  if (!error)
+    error = ss_parse_text (json, "acknowledge", "majority", &acknowledge);
+  if (!error)
+    error = ss_parse_text (json, "identity", "none", &identity);
+  if (!error && g_strcmp0 (identity, "none") != 0
+      && g_strcmp0 (identity, "user") != 0)
+    error = g_strdup ("\"identity\" must be \"none\" or \"user\"");
+  if (!error)
+    error = ss_parse_number (json, "weight", 1, 1, WEIGHT_MAX, &weight);
+  if (!error)
+    error = ss_parse_number (json, "timeout_ms", 0, 0, SS_TIMEOUT_MAX_MS,
+                             &s->timeout_ms);
+  if (!error)
+    error = parse_kinds (s, json_object_get (json, "kinds"));
+  if (!error && g_strcmp0 (acknowledge, "majority") != 0
+      && g_strcmp0 (acknowledge, "primary") != 0)
+    error = g_strdup ("\"acknowledge\" must be \"majority\" or \"primary\"");
+  if (!error && s->default_kind && *s->default_kind
+      && strcmp (s->default_kind, "strict") != 0
+      && ss_service_staleness (s, s->default_kind) < 0)
+    error = g_strdup ("\"default_kind\" names no kind of the service");
+  s->weight = (uint32_t) weight;
+  s->acknowledge_majority
+      = !acknowledge || strcmp (acknowledge, "majority") == 0;
+  s->knows_callers = g_strcmp0 (identity, "user") == 0;
+  g_free (identity);
+  g_free (acknowledge);
+  return error;
+}
+
+char *
+ss_parse_target (SsTarget *t, json_t *json)
+{
+  json_t *draining = json_object_get (json, "draining");
+  bool has_slots = json_object_get (json, "slots") != NULL;
+  int64_t port = 0;
+  int64_t max_connections = 0;
+  int64_t slots = 0;
+  char *error = ss_parse_check_keys (
+      json, " group ip port failure_domain max_connections "
+            "slots born_ms draining operation ");
+
+  if (!error)
+    error = ss_parse_text (json, "group", NULL, &t->group);
+  if (!error)
+    error = ss_parse_text (json, "ip", NULL, &t->ip);
+  if (!error)
+    error = ss_parse_text (json, "failure_domain", NULL, &t->failure_domain);
+  if (!error)
+    error = ss_parse_number (json, "port", -1, 1, 65535, &port);
+  /* A target that tells its slots may leave its connections to its group. */
+  if (!error && (json_object_get (json, "max_connections") || !has_slots))
+    error = ss_parse_number (json, "max_connections", -1, 4, SS_CONNECTIONS_MAX,
+                             &max_connections);
+  if (!error)
+    error = ss_parse_number (json, "slots", 0, 0, SLOTS_MAX, &slots);
+  if (!error)
+    error = ss_parse_number (json, "born_ms", 0, 0, G_MAXINT64, &t->born_ms);
+  if (!error && draining && !json_is_boolean (draining))
+    error = g_strdup ("\"draining\" must be true or false");
+  t->port = (uint16_t) port;
+  t->max_connections = (uint32_t) max_connections;
+  t->slots = (uint32_t) slots;
+  t->draining = json_is_true (draining);
+  return error;
+}
+
+char *
+ss_parse_group (SsGroup *g, json_t *json)
+{
+  int64_t term = 0;
+  char *error = ss_parse_check_keys (json, " term primary operation ");
+
+  if (!error)
+    error = ss_parse_number (json, "term", -1, 1, G_MAXINT64, &term);
+  if (!error)
+    error = ss_parse_text (json, "primary", NULL, &g->primary);
+  if (!error)
+    error = ss_parse_text (json, "operation", "", &g->operation);
+  g->term = (uint64_t) term;
+  return error;
+}
