The test platform's answers keep their own copies

Cause: an answer of the stand-in platform in tests/line_world.c pointed into the store, which went on changing while the answer was on its way: a use after free that make sanitize showed in "crashed primary is replaced".

Ruled out: the product. The freed text belonged to the test's store; the daemon's answers are built from the call's own body.

Change: an answer's keys and values are copied when it is made, so that it also shows the store as it was then.

Before: abort in the sanitizer build at the first failover test.

No file of the product changed.

--- a/tests/line_world.c
+++ b/tests/line_world.c
@@ -19,6 +19,7 @@
   SsEvent event;
   SsTargetResult result;
   GBytes *wire;
+  GStringChunk *texts; /* of the objects: the store goes on meanwhile */
   char *cells[9];
   uint32_t cell_count;
   SsObject *objects;
@@ -56,6 +57,8 @@
     g_bytes_unref (d->wire);
   for (uint32_t i = 0; i < d->cell_count; i++)
     g_free (d->cells[i]);
+  if (d->texts)
+    g_string_chunk_free (d->texts);
   g_free (d->objects);
   g_free (d);
 }
@@ -83,13 +86,14 @@
     if (g_str_has_prefix (g_tree_node_key (n), ss_feed_prefix (feed)))
       g_ptr_array_add (found, n);
   d->objects = g_new0 (SsObject, found->len + 1);
+  d->texts = g_string_chunk_new (1024);
   for (guint i = 0; all && i < found->len; i++)
     {
       GTreeNode *n = g_ptr_array_index (found, i);
       SsObject *o = &d->objects[count++];
 
-      o->key = g_tree_node_key (n);
-      o->value = g_tree_node_value (n);
+      o->key = g_string_chunk_insert (d->texts, g_tree_node_key (n));
+      o->value = g_string_chunk_insert (d->texts, g_tree_node_value (n));
       o->value_bytes = (uint32_t) strlen (o->value);
       o->version = *(int64_t *) g_hash_table_lookup (w->versions, o->key);
     }
