--- a/src/core/adopt.c
+++ b/src/core/adopt.c
@@ -52,11 +52,12 @@
 static bool
 postpone (SsNode *node, const SsObject *object)
 {
-  const SsStoredObject *held = ss_config_object (&node->config, object->key);
+  const SsStoredObject *held;
   SsRemoval *r;
 
   if (!object->deleted || !g_str_has_prefix (object->key, "target/"))
     return false;
+  held = ss_config_object (&node->config, object->key);
   if (!held || held->deleted)
     return true;
   r = g_hash_table_lookup (node->removals, object->key);
@@ -70,7 +71,7 @@
 }
 
 static bool
-ss_adopt_now (SsNode *node, const SsObject *object)
+adopt_now (SsNode *node, const SsObject *object)
 {
   const SsGroup *group = changed_group (node, object);
   uint64_t term = group ? group->term : 0;
@@ -101,7 +102,7 @@
 bool
 ss_adopt_object (SsNode *node, const SsObject *object)
 {
-  return !postpone (node, object) && ss_adopt_now (node, object);
+  return !postpone (node, object) && adopt_now (node, object);
 }
 
 typedef struct
@@ -228,7 +229,7 @@
                      (uint32_t) in->value.len, in->deleted };
 
       /* The sender waited for what was deleted to come back. */
-      ss_adopt_now (node, &o);
+      adopt_now (node, &o);
     }
   if (push->complete)
     drop_unsent (node, push);
@@ -297,12 +298,6 @@
   send_loose (node, object, 1, false);
 }
 
-void
-ss_spread_adopt_quietly (SsNode *node, const SsObject *object)
-{
-  ss_adopt_object (node, object);
-}
-
 typedef struct
 {
   const char *prefix;
@@ -368,7 +363,7 @@
       SsRemoval *r = g_hash_table_lookup (node->removals, name);
       SsObject o = { .key = name, .version = r->version, .deleted = true };
 
-      if (ss_adopt_now (node, &o))
+      if (adopt_now (node, &o))
         ss_adopt_forward (node, &o, 1);
       g_hash_table_remove (node->removals, name);
     }
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "core/spread.h"
 
 /* Between two tries to write this vm's object. */
 #define WRITE_AGAIN_MS 1000
@@ -241,7 +242,7 @@
   if (!object->key || !g_str_has_prefix (object->key, PREFIX))
     return;
   if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
-    ss_spread_adopt_quietly (node, object);
+    ss_adopt_object (node, object);
   if (outcome == SS_PLATFORM_CONFLICT)
     node->directory_due_ms = node->now_ms;
 }
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -313,9 +313,8 @@
 }
 
 void
-ss_lead_tick (SsNode *node, SsPromotion *p, SsGroup *group)
+ss_lead_tick (SsNode *node, SsPromotion *p)
 {
-  (void) group;
   if (p->step == SS_PROMOTE_DUTY && node->now_ms - p->asked_ms >= DUTY_AGAIN_MS)
     claim_duty (node, p);
   if (p->step != SS_PROMOTE_LEAD)
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -422,7 +422,7 @@
       break;
     case SS_PROMOTE_DUTY:
     case SS_PROMOTE_LEAD:
-      ss_lead_tick (node, p, group);
+      ss_lead_tick (node, p);
       break;
     case SS_PROMOTE_CLAIM_READ:
     case SS_PROMOTE_NAME_READ:
