One piece of code keeps the connections of callers

Cause: the plug-in of the line protocol had been written as a copy of the PostgreSQL one: accepting, sweeping, closing, telling the core. The two had begun to differ by accident (one accepted a single connection an event). Both plug-ins for the platform's objects read the outcome of an HTTP answer alike.

Ruled out: a difference on the wire. The PostgreSQL plug-in now takes all waiting connections at once, and tells the core of a caller that goes while it is opened; it opens at once there, so that never waits.

--- /dev/null
+++ b/src/kernel/callers.c
@@ -0,0 +1,248 @@
+#include "kernel/callers.h"
+
+#include <errno.h>
+
+#define SWEEP_S 1.0
+/* For the other side to take the last answer and end the connection. */
+#define CLOSING_MS 2000
+
+static int64_t
+now_ms (const SsCaller *c)
+{
+  return ss_clock_now_ms (c->callers->shell->clock);
+}
+
+static bool
+core_knows (const SsCaller *c)
+{
+  return c->state == SS_CALLER_OPENING || c->state == SS_CALLER_IDLE
+         || c->state == SS_CALLER_BUSY;
+}
+
+static void
+tell_core_closed (SsCallers *callers, uint64_t id)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_CLOSE, .caller = { id } };
+
+  ss_shell_event (callers->shell, &e);
+}
+
+/* --- one caller --- */
+
+GByteArray *
+ss_caller_output (SsCaller *c)
+{
+  return ss_stream_output (&c->stream);
+}
+
+void
+ss_caller_rest (SsCaller *c)
+{
+  c->state = SS_CALLER_IDLE;
+  c->active_ms = now_ms (c);
+}
+
+void
+ss_caller_answered (SsCaller *c)
+{
+  ss_stream_flush (&c->stream);
+  ss_stream_feed (&c->stream);
+}
+
+void
+ss_caller_close (SsCaller *c)
+{
+  c->state = SS_CALLER_CLOSING;
+  c->active_ms = now_ms (c);
+  ss_stream_close_when_sent (&c->stream);
+}
+
+void
+ss_caller_end (SsCaller *c)
+{
+  SsCallers *callers = c->callers;
+  uint64_t id = c->id;
+  bool known = core_knows (c);
+
+  ss_caller_close (c);
+  if (known)
+    tell_core_closed (callers, id);
+}
+
+void
+ss_caller_free (SsCaller *c)
+{
+  ss_stream_finish (&c->stream);
+  g_hash_table_remove (c->callers->by_id, &c->id);
+  g_free (c);
+}
+
+void
+ss_caller_drop (SsCaller *c)
+{
+  SsCallers *callers = c->callers;
+  uint64_t id = c->id;
+  bool known = core_knows (c);
+
+  ss_caller_free (c);
+  if (known)
+    tell_core_closed (callers, id);
+}
+
+/* --- input --- */
+
+static void
+take_messages (SsCaller *c)
+{
+  const SsCallersClass *klass = c->callers->klass;
+
+  while (c->stream.input
+         && (c->state == SS_CALLER_STARTING || c->state == SS_CALLER_IDLE))
+    {
+      uint32_t used_bytes = klass->take_message (c);
+
+      if (!used_bytes)
+        break;
+      ss_stream_consume (&c->stream, used_bytes);
+    }
+  if (c->state == SS_CALLER_CLOSING)
+    ss_stream_consume (&c->stream, UINT32_MAX);
+  else
+    ss_stream_pause_reading (&c->stream,
+                             c->stream.input
+                                 && c->stream.input->len
+                                        > klass->pending_input_max_bytes);
+  ss_stream_flush (&c->stream);
+}
+
+static void
+on_input (SsStream *stream)
+{
+  SsCaller *c = (SsCaller *) stream;
+
+  c->active_ms = now_ms (c);
+  take_messages (c);
+}
+
+static void
+on_closed (SsStream *stream)
+{
+  ss_caller_drop ((SsCaller *) stream);
+}
+
+/* --- all of them --- */
+
+static void
+accept_one (SsCallers *callers, int fd)
+{
+  static const SsStreamClass klass = { on_input, on_closed, NULL };
+  SsCaller *c = g_malloc0 (callers->klass->caller_bytes);
+
+  c->callers = callers;
+  c->id = ++callers->next_id;
+  c->status = 'I';
+  c->active_ms = now_ms (c);
+  ss_stream_init (&c->stream, &klass, callers->shell->loop, fd, false);
+  g_hash_table_insert (callers->by_id, &c->id, c);
+  if (callers->klass->on_accept)
+    callers->klass->on_accept (c);
+}
+
+static void
+on_accept (struct ev_loop *loop, ev_io *w, int events)
+{
+  int fd;
+
+  (void) loop;
+  (void) events;
+  while ((fd = ss_stream_accept (w->fd, NULL)) >= 0)
+    accept_one (w->data, fd);
+}
+
+static bool
+is_overdue (const SsCaller *c, int64_t age_ms)
+{
+  const SsSettings *s = c->callers->shell->settings;
+
+  return (c->state == SS_CALLER_STARTING && age_ms >= s->startup_timeout_ms)
+         || (c->state == SS_CALLER_IDLE && age_ms >= s->idle_timeout_ms);
+}
+
+static void
+sweep_one (SsCaller *c)
+{
+  int64_t age_ms = now_ms (c) - c->active_ms;
+
+  if (c->state == SS_CALLER_CLOSING && age_ms >= CLOSING_MS)
+    ss_caller_free (c);
+  else if (is_overdue (c, age_ms))
+    c->callers->klass->on_overdue (c);
+}
+
+static void
+on_sweep (struct ev_loop *loop, ev_timer *w, int events)
+{
+  SsCallers *callers = w->data;
+  GList *all = g_hash_table_get_values (callers->by_id);
+
+  (void) loop;
+  (void) events;
+  /* Each ends only itself. */
+  for (GList *l = all; l; l = l->next)
+    sweep_one (l->data);
+  g_list_free (all);
+}
+
+char *
+ss_callers_init (SsCallers *callers, const SsCallersClass *klass,
+                 SsShell *shell)
+{
+  const SsSettings *s = shell->settings;
+  int fd = ss_stream_listen (s->ip, (uint16_t) s->caller_port);
+
+  if (fd < 0)
+    return g_strdup_printf ("can't listen for callers on %s:%d: %s", s->ip,
+                            (int) s->caller_port, g_strerror (errno));
+  callers->klass = klass;
+  callers->shell = shell;
+  callers->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
+  ev_io_init (&callers->accept_io, on_accept, fd, EV_READ);
+  callers->accept_io.data = callers;
+  ev_io_start (shell->loop, &callers->accept_io);
+  ev_timer_init (&callers->sweep, on_sweep, SWEEP_S, SWEEP_S);
+  callers->sweep.data = callers;
+  ev_timer_start (shell->loop, &callers->sweep);
+  return NULL;
+}
+
+void
+ss_callers_finish (SsCallers *callers)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!callers->by_id)
+    return;
+  ev_io_stop (callers->shell->loop, &callers->accept_io);
+  ev_timer_stop (callers->shell->loop, &callers->sweep);
+  g_hash_table_iter_init (&iter, callers->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      ss_stream_finish (&((SsCaller *) value)->stream);
+      g_free (value);
+    }
+  g_clear_pointer (&callers->by_id, g_hash_table_destroy);
+}
+
+SsCaller *
+ss_callers_find (const SsCallers *callers, uint64_t id)
+{
+  return g_hash_table_lookup (callers->by_id, &id);
+}
+
+bool
+ss_callers_is_over (const SsCallers *callers)
+{
+  return g_hash_table_size (callers->by_id)
+         > (guint) callers->shell->settings->max_callers;
+}
--- a/src/plugins/pgserver.c
+++ b/src/plugins/pgserver.c
@@ -1,107 +1,48 @@
 /* pgserver: callers, by the PostgreSQL protocol. */
-#include <errno.h>
 #include <string.h>
 
-#include "kernel/plugin.h"
-#include "kernel/stream.h"
+#include "kernel/callers.h"
 #include "plugins/pgwire.h"
 
-#define SWEEP_S 1.0
-#define CLOSING_MS 2000
 #define SETTING_PREFIX "sapphirestair."
 #define SETTINGS_MAX 16
-#define PENDING_INPUT_MAX_BYTES (2 * SS_PGWIRE_MESSAGE_MAX_BYTES)
 #define SERVER_VERSION "15.0 (sapphirestair)"
 
-typedef enum
-{
-  CALLER_STARTING, /* its start-up packet is due */
-  CALLER_OPENING,  /* the core decides on it */
-  CALLER_IDLE,
-  CALLER_BUSY,
-  CALLER_CLOSING
-} CallerState;
-
 typedef struct
 {
-  SsStream stream; /* first: callbacks cast back */
-  uint64_t id;
+  SsCaller base; /* first: callbacks cast back */
   uint32_t secret;
-  CallerState state;
   bool skips_to_sync;
-  char status;
-  int64_t active_ms;
 } Caller;
 
-typedef struct
-{
-  SsShell *shell;
-  ev_io accept_io;
-  ev_timer sweep;
-  GHashTable *callers; /* id -> Caller */
-  uint64_t next_id;
-} Server;
-
-static Server server;
+static SsCallers callers;
 
 static GByteArray *
 out (Caller *c)
 {
-  return ss_stream_output (&c->stream);
-}
-
-static void
-free_caller (Caller *c)
-{
-  ss_stream_finish (&c->stream);
-  g_hash_table_remove (server.callers, &c->id);
-  g_free (c);
-}
-
-static void
-tell_core (SsEventKind kind, uint64_t id)
-{
-  SsEvent e = { .kind = kind, .caller = { id } };
-
-  ss_shell_event (server.shell, &e);
-}
-
-/* Ends the connection from this side, after what was written. */
-static void
-close_caller (Caller *c)
-{
-  c->state = CALLER_CLOSING;
-  c->active_ms = ss_clock_now_ms (server.shell->clock);
-  ss_stream_close_when_sent (&c->stream);
+  return ss_caller_output (&c->base);
 }
 
 static void
 refuse (Caller *c, const char *sqlstate, const char *message)
 {
-  bool core_knows = c->state == CALLER_IDLE || c->state == CALLER_BUSY
-                    || c->state == CALLER_OPENING;
-  uint64_t id = c->id;
-
-  ss_log_write (&server.shell->log, SS_EVENT_LOG_CALLER_REFUSED, "subject",
+  ss_log_write (&callers.shell->log, SS_EVENT_LOG_CALLER_REFUSED, "subject",
                 sqlstate, "detail", message, NULL);
   ss_pgwire_error (out (c), "FATAL", sqlstate, message, NULL, NULL);
-  close_caller (c);
-  if (core_knows)
-    tell_core (SS_EVENT_CALLER_CLOSE, id);
+  ss_caller_end (&c->base);
 }
 
 static void
 send_ready (Caller *c)
 {
-  ss_pgwire_ready (out (c), c->status);
-  c->state = CALLER_IDLE;
-  c->active_ms = ss_clock_now_ms (server.shell->clock);
+  ss_pgwire_ready (out (c), c->base.status);
+  ss_caller_rest (&c->base);
 }
 
 static void
 send_greeting (Caller *c)
 {
-  c->status = 'I';
+  c->base.status = 'I';
   ss_pgwire_auth_ok (out (c));
   ss_pgwire_parameter (out (c), "server_version", SERVER_VERSION);
   ss_pgwire_parameter (out (c), "server_encoding", "UTF8");
@@ -109,7 +50,7 @@
   ss_pgwire_parameter (out (c), "DateStyle", "ISO, MDY");
   ss_pgwire_parameter (out (c), "integer_datetimes", "on");
   ss_pgwire_parameter (out (c), "standard_conforming_strings", "on");
-  ss_pgwire_key_data (out (c), (uint32_t) c->id, c->secret);
+  ss_pgwire_key_data (out (c), (uint32_t) c->base.id, c->secret);
   send_ready (c);
 }
 
@@ -163,19 +104,18 @@
   SsEvent e = { .kind = SS_EVENT_CALLER_OPEN };
   Settings settings;
 
-  if (g_hash_table_size (server.callers)
-      > (guint) server.shell->settings->max_callers)
+  if (ss_callers_is_over (&callers))
     {
       refuse (c, "53300", "too many callers on this vm");
       return;
     }
   collect_settings (&settings, m);
-  c->state = CALLER_OPENING;
-  e.caller_open.caller = c->id;
+  c->base.state = SS_CALLER_OPENING;
+  e.caller_open.caller = c->base.id;
   e.caller_open.service = database ? database : (user ? user : "");
   e.caller_open.user = user ? user : "";
   e.caller_open.settings = settings.pairs;
-  ss_shell_event (server.shell, &e);
+  ss_shell_event (callers.shell, &e);
   for (uint32_t i = 0; i < settings.count; i++)
     g_free (settings.copies[i]);
 }
@@ -183,18 +123,20 @@
 static void
 take_cancel (const SsPgwireMessage *m)
 {
+  SsEvent e = { .kind = SS_EVENT_CALLER_CANCEL };
   GHashTableIter iter;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, server.callers);
+  g_hash_table_iter_init (&iter, callers.by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const Caller *c = value;
 
-      if ((uint32_t) c->id != m->cancel_process
+      if ((uint32_t) c->base.id != m->cancel_process
           || c->secret != m->cancel_secret)
         continue;
-      tell_core (SS_EVENT_CALLER_CANCEL, c->id);
+      e.caller.caller = c->base.id;
+      ss_shell_event (callers.shell, &e);
       return;
     }
 }
@@ -204,10 +146,10 @@
 {
   SsEvent e = { .kind = SS_EVENT_CALLER_STATEMENT };
 
-  c->state = CALLER_BUSY;
-  e.caller_statement.caller = c->id;
+  c->base.state = SS_CALLER_BUSY;
+  e.caller_statement.caller = c->base.id;
   e.caller_statement.sql = m->text;
-  ss_shell_event (server.shell, &e);
+  ss_shell_event (callers.shell, &e);
 }
 
 static void
@@ -245,8 +187,7 @@
       send_ready (c);
       break;
     case SS_PGWIRE_TERMINATE:
-      close_caller (c);
-      tell_core (SS_EVENT_CALLER_CLOSE, c->id);
+      ss_caller_end (&c->base);
       break;
     default:
       break;
@@ -254,7 +195,7 @@
 }
 
 static void
-take_message (Caller *c, const SsPgwireMessage *m)
+take_any (Caller *c, const SsPgwireMessage *m)
 {
   switch (m->kind)
     {
@@ -266,7 +207,7 @@
       break;
     case SS_PGWIRE_CANCEL:
       take_cancel (m);
-      close_caller (c);
+      ss_caller_close (&c->base);
       break;
     case SS_PGWIRE_BAD_VERSION:
     case SS_PGWIRE_MALFORMED:
@@ -281,69 +222,30 @@
     }
 }
 
-static void
-take_messages (Caller *c)
+static uint32_t
+take_message (SsCaller *caller)
 {
-  while (c->stream.input
-         && (c->state == CALLER_STARTING || c->state == CALLER_IDLE))
-    {
-      SsPgwireMessage m
-          = ss_pgwire_read (c->stream.input->data, c->stream.input->len,
-                            c->state == CALLER_STARTING);
-      uint32_t used_bytes = m.used_bytes;
-
-      if (m.kind == SS_PGWIRE_NONE)
-        break;
-      take_message (c, &m);
-      ss_stream_consume (&c->stream, used_bytes);
-    }
-  if (c->state == CALLER_CLOSING)
-    ss_stream_consume (&c->stream, UINT32_MAX);
-  else
-    ss_stream_pause_reading (&c->stream, c->stream.input
-                                             && c->stream.input->len
-                                                    > PENDING_INPUT_MAX_BYTES);
-  ss_stream_flush (&c->stream);
+  SsPgwireMessage m
+      = ss_pgwire_read (caller->stream.input->data, caller->stream.input->len,
+                        caller->state == SS_CALLER_STARTING);
+  uint32_t used_bytes = m.used_bytes;
+
+  if (m.kind == SS_PGWIRE_NONE)
+    return 0;
+  take_any ((Caller *) caller, &m);
+  return used_bytes;
 }
 
 static void
-on_input (SsStream *stream)
+on_accept (SsCaller *caller)
 {
-  Caller *c = (Caller *) stream;
-
-  c->active_ms = ss_clock_now_ms (server.shell->clock);
-  take_messages (c);
+  ((Caller *) caller)->secret = g_random_int ();
 }
 
 static void
-on_closed (SsStream *stream)
+on_overdue (SsCaller *caller)
 {
-  Caller *c = (Caller *) stream;
-  uint64_t id = c->id;
-  bool core_knows = c->state == CALLER_IDLE || c->state == CALLER_BUSY;
-
-  free_caller (c);
-  if (core_knows)
-    tell_core (SS_EVENT_CALLER_CLOSE, id);
-}
-
-static void
-on_accept (struct ev_loop *loop, ev_io *w, int events)
-{
-  static const SsStreamClass klass = { on_input, on_closed, NULL };
-  Caller *c;
-  int fd;
-
-  (void) events;
-  fd = ss_stream_accept (w->fd, NULL);
-  if (fd < 0)
-    return;
-  c = g_new0 (Caller, 1);
-  c->id = ++server.next_id;
-  c->secret = g_random_int ();
-  c->active_ms = ss_clock_now_ms (server.shell->clock);
-  ss_stream_init (&c->stream, &klass, loop, fd, false);
-  g_hash_table_insert (server.callers, &c->id, c);
+  refuse ((Caller *) caller, "57P05", "idle for too long");
 }
 
 /* --- actions of the core --- */
@@ -404,33 +306,32 @@
 static void
 reply (Caller *c, const SsAction *a)
 {
-  bool was_busy = c->state == CALLER_BUSY;
+  bool was_busy = c->base.state == SS_CALLER_BUSY;
 
-  if (c->state == CALLER_OPENING)
+  if (c->base.state == SS_CALLER_OPENING)
     {
       if (a->verdict == SS_VERDICT_RAN)
         send_greeting (c);
       else
         put_failure (c, a, "FATAL");
-      ss_stream_flush (&c->stream);
+      ss_stream_flush (&c->base.stream);
       return;
     }
   if (!was_busy)
     return;
-  c->status = a->transaction_status;
+  c->base.status = a->transaction_status;
   if (a->verdict == SS_VERDICT_RAN || a->bytes)
     put_success (c, a);
   else
     put_failure (c, a, "ERROR");
   send_ready (c);
-  ss_stream_flush (&c->stream);
-  ss_stream_feed (&c->stream);
+  ss_caller_answered (&c->base);
 }
 
 static void
 on_action (SsShell *shell, SsAction *a)
 {
-  Caller *c = g_hash_table_lookup (server.callers, &a->id);
+  Caller *c = (Caller *) ss_callers_find (&callers, a->id);
 
   (void) shell;
   if (!c)
@@ -448,7 +349,7 @@
         ss_pgwire_error (out (c), "FATAL", "57P01", "this vm is stopping",
                          "verdict=not_run reason=stopping retry_after_ms=0",
                          "Connect again.");
-      close_caller (c);
+      ss_caller_close (&c->base);
       break;
     default:
       break;
@@ -457,76 +358,24 @@
 
 /* --- life --- */
 
-static void
-on_sweep (struct ev_loop *loop, ev_timer *w, int events)
-{
-  const SsSettings *settings = server.shell->settings;
-  int64_t now_ms = ss_clock_now_ms (server.shell->clock);
-  GPtrArray *overdue = g_ptr_array_new ();
-  GPtrArray *closed = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-
-  (void) loop;
-  (void) w;
-  (void) events;
-  g_hash_table_iter_init (&iter, server.callers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const Caller *c = value;
-      int64_t age_ms = now_ms - c->active_ms;
-
-      if (c->state == CALLER_CLOSING && age_ms >= CLOSING_MS)
-        g_ptr_array_add (closed, value);
-      if ((c->state == CALLER_STARTING
-           && age_ms >= settings->startup_timeout_ms)
-          || (c->state == CALLER_IDLE && age_ms >= settings->idle_timeout_ms))
-        g_ptr_array_add (overdue, value);
-    }
-  for (guint i = 0; i < overdue->len; i++)
-    refuse (g_ptr_array_index (overdue, i), "57P05", "idle for too long");
-  for (guint i = 0; i < closed->len; i++)
-    free_caller (g_ptr_array_index (closed, i));
-  g_ptr_array_free (closed, TRUE);
-  g_ptr_array_free (overdue, TRUE);
-}
+static const SsCallersClass callers_class
+    = { .caller_bytes = sizeof (Caller),
+        .pending_input_max_bytes = 2 * SS_PGWIRE_MESSAGE_MAX_BYTES,
+        .take_message = take_message,
+        .on_accept = on_accept,
+        .on_overdue = on_overdue };
 
 static char *
 init (SsShell *shell)
 {
-  int fd = ss_stream_listen (shell->settings->ip,
-                             (uint16_t) shell->settings->caller_port);
-
-  server.shell = shell;
-  if (fd < 0)
-    return g_strdup_printf (
-        "can't listen for callers on %s:%d: %s", shell->settings->ip,
-        (int) shell->settings->caller_port, g_strerror (errno));
-  server.callers = g_hash_table_new (g_int64_hash, g_int64_equal);
-  ev_io_init (&server.accept_io, on_accept, fd, EV_READ);
-  ev_io_start (shell->loop, &server.accept_io);
-  ev_timer_init (&server.sweep, on_sweep, SWEEP_S, SWEEP_S);
-  ev_timer_start (shell->loop, &server.sweep);
-  return NULL;
+  return ss_callers_init (&callers, &callers_class, shell);
 }
 
 static void
 finish (SsShell *shell)
 {
-  GHashTableIter iter;
-  gpointer value;
-
-  if (!server.callers)
-    return;
-  ev_io_stop (shell->loop, &server.accept_io);
-  ev_timer_stop (shell->loop, &server.sweep);
-  g_hash_table_iter_init (&iter, server.callers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      ss_stream_finish (&((Caller *) value)->stream);
-      g_free (value);
-    }
-  g_hash_table_destroy (server.callers);
+  (void) shell;
+  ss_callers_finish (&callers);
 }
 
 static const SsPlugin plugin
--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "kernel/httpc.h"
+#include "kernel/outcome.h"
 #include "kernel/plugin.h"
 
 #define CALL_TIMEOUT_MS 1500
@@ -34,27 +34,6 @@
 
 /* --- answers --- */
 
-/* Whether the call took effect is unknown unless the answer says it. */
-static SsPlatformOutcome
-outcome_of (const Call *call)
-{
-  if (call->http.end == SS_HTTP_NOT_SENT)
-    return SS_PLATFORM_REFUSED;
-  if (call->http.end == SS_HTTP_UNKNOWN)
-    return SS_PLATFORM_UNKNOWN;
-  switch (call->http.status)
-    {
-    case 200:
-      return SS_PLATFORM_DONE;
-    case 404:
-      return SS_PLATFORM_ABSENT;
-    case 409:
-      return SS_PLATFORM_CONFLICT;
-    default:
-      return SS_PLATFORM_REFUSED;
-    }
-}
-
 /* Fills OUT from {"key", "version", "value"}; *TEXT holds the value. */
 static bool
 read_object (json_t *json, SsObject *out, char **text)
@@ -155,7 +134,7 @@
 finish_call (SsHttpCall *http)
 {
   Call *call = (Call *) http;
-  SsPlatformOutcome outcome = outcome_of (call);
+  SsPlatformOutcome outcome = ss_http_outcome (http);
   json_t *json = json_loadb ((const char *) http->answer->data,
                              http->answer->len, JSON_DECODE_ANY, NULL);
 
