An order to promote can name the term it means

A promotion ends within 2 to 4 ms, so on a busy machine the first was done before the second arrived; the second then changed what the first had made, and both were rightly accepted. Ruled out: a promotion that runs being overtaken (the version of the object decides there; the logs show terms 2 and 3 one after the other). Change: "promote group G [to S] if term N" is refused once another term is in force.

--- a/src/core/command.c
+++ b/src/core/command.c
@@ -13,7 +13,7 @@
       "drain target NAME\n"
       "undrain target NAME\n"
       "stop vm NAME\n"
-      "promote group NAME [to SERVER]\n"
+      "promote group NAME [to SERVER] [if term NUMBER]\n"
       "set service NAME kind.KIND.staleness_ms = NUMBER\n"
       "set service NAME default_kind = 'KIND'\n"
       "set service NAME acknowledge = 'majority'|'primary'\n"
@@ -202,6 +202,29 @@
   return need_word (p, noun) && need_name (p, "a name", &c->name);
 }
 
+static bool
+need_term (Parser *p, uint64_t *term)
+{
+  const GTokenValue *v = &p->scanner->next_value;
+
+  if (g_scanner_peek_next_token (p->scanner) != G_TOKEN_INT || v->v_int64 == 0)
+    return expected (p, "a term, from 1");
+  *term = v->v_int64;
+  g_scanner_get_next_token (p->scanner);
+  return true;
+}
+
+static bool
+parse_promote (Parser *p, SsCommand *c)
+{
+  if (!parse_named (p, c, SS_COMMAND_PROMOTE, "group"))
+    return false;
+  if (take_word (p, "to") && !need_name (p, "a server", &c->to))
+    return false;
+  return !take_word (p, "if")
+         || (need_word (p, "term") && need_term (p, &c->if_term));
+}
+
 static bool
 parse_command (Parser *p, SsCommand *c)
 {
@@ -214,8 +237,7 @@
   if (take_word (p, "stop"))
     return parse_named (p, c, SS_COMMAND_STOP, "vm");
   if (take_word (p, "promote"))
-    return parse_named (p, c, SS_COMMAND_PROMOTE, "group")
-           && (!take_word (p, "to") || need_name (p, "a server", &c->to));
+    return parse_promote (p, c);
   if (take_word (p, "set"))
     return parse_named (p, c, SS_COMMAND_SET, "service")
            && need_name (p, "a key", &c->key)
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -2,7 +2,7 @@
  *
  *   show TABLE [where FIELD OP VALUE [and ...]] [order by FIELD [desc]]
  *   drain target NAME        undrain target NAME       stop vm NAME
- *   promote group NAME [to SERVER]
+ *   promote group NAME [to SERVER] [if term NUMBER]
  *   set service NAME KEY = VALUE
  *   help
  */
@@ -71,9 +71,10 @@
   char *order_by;
   bool descending;
   char *name;
-  char *to;      /* of promote; NULL: any server */
-  char *key;     /* of set */
-  json_t *value; /* of set */
+  char *to;         /* of promote; NULL: any server */
+  uint64_t if_term; /* of promote: only while it is in force; 0: any */
+  char *key;        /* of set */
+  json_t *value;    /* of set */
 } SsCommand;
 
 /* ss_command_init: parses TEXT.  Returns NULL, or a message that names the
--- a/src/core/operate.c
+++ b/src/core/operate.c
@@ -480,6 +480,21 @@
     end_operation (node, o, SS_VERDICT_RAN, "the vm is stopping", 0);
 }
 
+/* The order was meant for a state that is no longer in force. */
+static void
+reply_other_term (SsNode *node, uint64_t id, const SsCommand *command,
+                  const SsGroup *group)
+{
+  char *message = g_strdup_printf (
+      "term %" G_GUINT64_FORMAT
+      " is not in force; in force: term %" G_GUINT64_FORMAT ", primary %s",
+      command->if_term, group->term,
+      *group->primary ? group->primary : "(none)");
+
+  reply_message (node, id, SS_VERDICT_NOT_RUN, message, group->version);
+  g_free (message);
+}
+
 static void
 promote (SsNode *node, uint64_t id, SsCommand *command)
 {
@@ -493,6 +508,8 @@
   else if (command->to && (!to || strcmp (to->group, group->name) != 0))
     reply_message (node, id, SS_VERDICT_NOT_RUN, "no such server in this group",
                    0);
+  else if (command->if_term && command->if_term != group->term)
+    reply_other_term (node, id, command, group);
   else if (to && strcmp (to->name, group->primary) == 0)
     reply_message (node, id, SS_VERDICT_NOT_RUN,
                    "this server is the primary already", group->version);
--- a/tests/test_command.c
+++ b/tests/test_command.c
@@ -31,6 +31,9 @@
                 "order by name desc;",
                 NULL);
   expect_error ("promote group claims-db to claims-db-2", NULL);
+  expect_error ("promote group claims-db to claims-db-2 if term 3", NULL);
+  expect_error ("promote group claims-db if term 0",
+                "column 33: expected a term, from 1");
   expect_error ("set service claims kind.report.staleness_ms = 30000", NULL);
   expect_error ("", "column 1: expected show, drain, undrain, stop, promote, "
                     "set or help");
@@ -237,6 +240,28 @@
   ss_node_finish (&node);
 }
 
+/* Of two orders that mean the same term, the later one finds it gone. */
+static void
+order_for_a_past_term_is_refused (void)
+{
+  SsAction put;
+
+  begin ();
+  put_object ("target/t1", 5,
+              "{\"group\":\"g\",\"ip\":\"10.0.1.1\",\"port\":1,"
+              "\"failure_domain\":\"d\"}");
+  put_object ("group/g", 6,
+              "{\"term\":2,\"primary\":\"t1\",\"operation\":\"x\"}");
+  order ("promote group g if term 1", true);
+  expect_verdict (SS_VERDICT_NOT_RUN, "term 1 is not in force");
+  order ("promote group g if term 2", true);
+  CU_ASSERT (take (SS_ACTION_PLATFORM_PUT, &put));
+  CU_ASSERT_STRING_EQUAL (put.name, "group/g");
+  CU_ASSERT (put.number == 6);
+  ss_action_clear (&put);
+  ss_node_finish (&node);
+}
+
 CU_TestInfo test_command[] = {
   { "names column and what was expected", names_column_and_what_was_expected },
   { "selects and orders", selects_and_orders },
@@ -245,5 +270,6 @@
     the_loser_of_a_conflict_hears_what_won },
   { "a lost answer is read back", a_lost_answer_is_read_back },
   { "an unanswered change may have run", an_unanswered_change_may_have_run },
+  { "order for a past term is refused", order_for_a_past_term_is_refused },
   CU_TEST_INFO_NULL,
 };
