Lost relays lose nobody else, and a silent vm is missed by all soon

Cause: a vm that is cut off from both relays of its failure domain took all others for lost, became coordinator of its own and won claims that it then gave up; the coordinator that stayed waited for the lease again. It found its neighbours only after a second: the next relays by rank were on the other side. Its failure domain was unknown to the others meanwhile, whose reports went on to the old relays. Seen in the same test: each hop added a silence of its own before a silent vm was missed. Ruled out: a minority that waits (trace: here only the side of 14 vms reached the platform, so it alone could promote). Change: after its relays fall silent a vm is unsure for 1.2 s: it keeps its own failure domain, asks all of it, claims nothing, and takes those for relays that answer; its reports go to all listed vms of failure domains where it knows nobody. Relays answer whoever reports, in full at first. A vm that no relay of its domain lists any longer is dropped at once. In the tests a silent vm is missed everywhere 0.7 s after its last beat but one, before 1.7 s in its failure domain and 3 s elsewhere; four new tests, each failed first.

--- a/src/core/change.h
+++ b/src/core/change.h
@@ -133,7 +133,9 @@
 
 /* --- lead.c: promotions that the platform carries out --- */
 
-/* ss_lead_is_coordinator: whether this vm orders promotions. */
+/* ss_lead_is_coordinator: whether this vm orders promotions; never while it
+ * is unsure who lives.
+ */
 bool ss_lead_is_coordinator (SsNode *node);
 /* ss_lead_term: the term that a new primary of GROUP will lead. */
 uint64_t ss_lead_term (const SsGroup *group);
--- a/src/core/lead.c
+++ b/src/core/lead.c
@@ -32,8 +32,11 @@
 bool
 ss_lead_is_coordinator (SsNode *node)
 {
-  const char *vm = ss_members_coordinator (&node->members, SUBJECT);
+  const char *vm;
 
+  if (ss_members_is_unsure (&node->members, node->now_ms))
+    return false;
+  vm = ss_members_coordinator (&node->members, SUBJECT);
   return vm && strcmp (vm, node->params.vm) == 0;
 }
 
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -29,6 +29,9 @@
   members->failure_domain = g_strdup (failure_domain);
   members->generation = 1;
   members->settled_known = false;
+  members->relayed = false;
+  members->told_ms = 0;
+  members->unsure_until_ms = 0;
   self = ss_members_add (members, vm, failure_domain, ip, peer_port);
   self->live = true;
   self->heard_ms = now_ms;
@@ -61,6 +64,7 @@
       m->heard_ms = INT64_MIN / 2;
       m->reported_ms = INT64_MIN / 2;
       m->remote_ms = INT64_MIN / 2;
+      m->relays_ms = INT64_MIN / 2;
       m->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       g_tree_insert (members->by_name, m->vm, m);
     }
@@ -130,6 +134,39 @@
   return FALSE;
 }
 
+void
+ss_members_told (SsMembers *members, int64_t now_ms)
+{
+  members->told_ms = now_ms;
+}
+
+bool
+ss_members_is_unsure (const SsMembers *members, int64_t now_ms)
+{
+  return members->relayed && now_ms < members->unsure_until_ms;
+}
+
+static void
+note_lost_relays (SsMembers *members, int64_t now_ms)
+{
+  if (!members->told_ms || now_ms - members->told_ms < SS_MEMBER_REPORTED_MS)
+    return;
+  members->lost_told_ms = members->told_ms;
+  members->told_ms = 0;
+  members->unsure_until_ms = now_ms + SS_MEMBER_UNSURE_MS;
+}
+
+/* Whether MEMBER was known through the relays that were lost.  One that was
+ * heard itself, as they were, is missed for itself.
+ */
+static bool
+is_kept (const SsMembers *members, const SsMember *m, int64_t now_ms)
+{
+  return ss_members_is_unsure (members, now_ms) && m->live
+         && strcmp (m->failure_domain, members->failure_domain) == 0
+         && members->lost_told_ms - m->heard_ms >= SS_MEMBER_SILENCE_MS;
+}
+
 static bool
 judge (const SsMembers *members, const SsMember *m, int64_t now_ms)
 {
@@ -140,7 +177,7 @@
   if (!is_silent (m, now_ms) || now_ms - m->reported_ms < SS_MEMBER_REPORTED_MS)
     return true;
   if (members->relayed)
-    return false;
+    return is_kept (members, m, now_ms);
   /* Never heard: it takes no role before its first heartbeat. */
   if (!m->live)
     return false;
@@ -178,6 +215,7 @@
 {
   Update u = { members, now_ms, g_ptr_array_new (), g_ptr_array_new () };
 
+  note_lost_relays (members, now_ms);
   g_tree_foreach (members->by_name, update_one, &u);
   for (guint i = 0; i < u.changed->len; i++)
     {
@@ -350,6 +388,7 @@
 
 typedef struct
 {
+  const SsMembers *members;
   const char *failure_domain;
   int64_t now_ms;
   bool live; /* else those that are listed, but not known as live */
@@ -358,13 +397,23 @@
   uint32_t wanted;
 } Relays;
 
+/* After its relays were lost a vm needs one that it hears. */
+static bool
+may_relay_live (const Relays *r, const SsMember *m)
+{
+  if (!m->live || !ss_members_is_unsure (r->members, r->now_ms)
+      || strcmp (m->failure_domain, r->members->failure_domain) != 0)
+    return m->live;
+  return strcmp (m->vm, r->members->self) == 0 || !is_silent (m, r->now_ms);
+}
+
 static bool
 may_relay (const Relays *r, const SsMember *m)
 {
   if (m->leaving || strcmp (m->failure_domain, r->failure_domain) != 0)
     return false;
   if (r->live)
-    return m->live;
+    return may_relay_live (r, m);
   return !m->live && m->listed && r->now_ms >= m->relay_again_ms;
 }
 
@@ -416,11 +465,14 @@
 ss_members_relays (const SsMembers *members, const char *failure_domain,
                    int64_t now_ms, GPtrArray *out)
 {
-  Relays live = { .failure_domain = failure_domain,
+  Relays live = { .members = members,
+                  .failure_domain = failure_domain,
                   .now_ms = now_ms,
                   .live = true,
                   .wanted = SS_MEMBERS_RELAYS };
-  Relays listed = { .failure_domain = failure_domain, .now_ms = now_ms };
+  Relays listed = { .members = members,
+                    .failure_domain = failure_domain,
+                    .now_ms = now_ms };
   guint before = out->len;
 
   add_relays (members, &live, out);
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -23,6 +23,10 @@
 #define SS_MEMBERS_MESH_MAX 12
 /* Of relays in a failure domain: one may be lost unnoticed. */
 #define SS_MEMBERS_RELAYS 2
+/* After its relays are lost a vm may know of no other for so long: a beat to
+ * the new ones, of these to the relays of other failure domains, and back.
+ */
+#define SS_MEMBER_UNSURE_MS 1200
 /* A listed vm that does not answer as a relay in time is left out for a while.
  */
 #define SS_MEMBER_RELAY_TRY_MS 1000
@@ -41,6 +45,7 @@
   int64_t heard_ms;
   int64_t reported_ms; /* when another vm last said that it is live */
   int64_t remote_ms;   /* when its failure domain's relay last said so */
+  int64_t relays_ms;   /* when it last sent its failure domain's report */
   int64_t added_ms;
   int64_t relay_tried_ms; /* since when it is tried as a relay; 0: it is not */
   int64_t relay_again_ms; /* it is not tried before */
@@ -56,6 +61,9 @@
   bool relayed;        /* too many for each to hear all: relays report */
   bool settled;        /* see ss_members_is_settled */
   bool settled_known;
+  int64_t told_ms;         /* when a relay last answered; 0: since then lost */
+  int64_t lost_told_ms;    /* told_ms of the relays that were lost */
+  int64_t unsure_until_ms; /* see ss_members_is_unsure */
 } SsMembers;
 
 void ss_members_init (SsMembers *members, const char *vm,
@@ -95,6 +103,13 @@
 /* ss_members_reported: others say that MEMBER is live. */
 void ss_members_reported (SsMembers *members, SsMember *member, bool leaving,
                           bool platform_up, int64_t now_ms);
+/* ss_members_told: a relay answered this vm, or this vm relays itself. */
+void ss_members_told (SsMembers *members, int64_t now_ms);
+/* ss_members_is_unsure: the relays were lost a short time ago.  The vms of the
+ * own failure domain are taken for what they were; that others are missed says
+ * nothing.
+ */
+bool ss_members_is_unsure (const SsMembers *members, int64_t now_ms);
 /* ss_members_relays: adds to OUT the names (borrowed) of the vms that relay
  * for FAILURE_DOMAIN.
  */
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -125,8 +125,7 @@
   SsFeedState feeds[SS_FEED_COUNT];
   GHashTable *removals; /* key -> SsRemoval */
   GHashTable *views;    /* vm -> the vms that it last reported in full */
-  uint64_t report_hash; /* of this relay's last full report */
-  int64_t report_full_ms;
+  GHashTable *reports;  /* relay -> the last full report that it got */
   int64_t config_differs_ms; /* since when a relay holds another one */
   int64_t directory_due_ms;
   GHashTable *leases; /* group -> since when this vm's object names it, ms */
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -26,15 +26,23 @@
 typedef struct
 {
   uint64_t hash;
-  GPtrArray *vms; /* of names */
+  int64_t said_ms; /* when it was last said to hold */
+  GHashTable *vms; /* names */
 } View;
 
+/* The last report in full that a relay got. */
+typedef struct
+{
+  uint64_t hash;
+  int64_t sent_ms;
+} FullReport;
+
 static void
 free_view (gpointer data)
 {
   View *v = data;
 
-  g_ptr_array_unref (v->vms);
+  g_hash_table_unref (v->vms);
   g_free (v);
 }
 
@@ -43,12 +51,15 @@
 {
   node->views
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_view);
+  node->reports
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void
 ss_relay_finish (SsNode *node)
 {
   g_hash_table_destroy (node->views);
+  g_hash_table_destroy (node->reports);
 }
 
 /* --- what this vm tells --- */
@@ -187,10 +198,70 @@
   return FALSE;
 }
 
-/* The relays of all other failure domains. */
+typedef struct
+{
+  const SsNode *node;
+  GPtrArray *relays;
+} Reporters;
+
+static gboolean
+add_reporter (gpointer key, gpointer value, gpointer data)
+{
+  Reporters *r = data;
+  const SsMember *m = value;
+
+  if (r->node->now_ms - m->relays_ms < SS_MEMBER_SILENCE_MS
+      && !is_own (r->node, m)
+      && !g_ptr_array_find_with_equal_func (r->relays, key, g_str_equal, NULL))
+    g_ptr_array_add (r->relays, key);
+  return FALSE;
+}
+
+typedef struct
+{
+  const char *failure_domain;
+  bool any_live;
+  GPtrArray *listed;
+} Domain;
+
+static gboolean
+collect_listed (gpointer key, gpointer value, gpointer data)
+{
+  Domain *d = data;
+  const SsMember *m = value;
+
+  if (strcmp (m->failure_domain, d->failure_domain) != 0)
+    return FALSE;
+  d->any_live |= m->live;
+  if (m->listed)
+    g_ptr_array_add (d->listed, key);
+  return d->any_live;
+}
+
+/* The relays of FAILURE_DOMAIN.  Who of it is left after a cut that took all
+ * known ones can't be told by rank: then every listed vm is.
+ */
+static void
+add_relays_of (SsNode *node, const char *failure_domain, GPtrArray *relays)
+{
+  Domain d = { failure_domain, false, g_ptr_array_new () };
+
+  g_tree_foreach (node->members.by_name, collect_listed, &d);
+  if (d.any_live || !ss_members_is_unsure (&node->members, node->now_ms))
+    ss_members_relays (&node->members, failure_domain, node->now_ms, relays);
+  else
+    g_ptr_array_extend (relays, d.listed, NULL, NULL);
+  g_ptr_array_free (d.listed, TRUE);
+}
+
+/* The relays of all other failure domains: those that are known by their rank
+ * and those that report themselves, as new ones do before their predecessors
+ * are missed here.
+ */
 static GPtrArray *
 other_relays (SsNode *node)
 {
+  Reporters reporters = { node, NULL };
   GHashTable *domains = g_hash_table_new (g_str_hash, g_str_equal);
   GPtrArray *names = g_ptr_array_new ();
   GPtrArray *relays = g_ptr_array_new ();
@@ -202,13 +273,56 @@
       const char *domain = g_ptr_array_index (names, i);
 
       if (strcmp (domain, node->params.failure_domain) != 0)
-        ss_members_relays (&node->members, domain, node->now_ms, relays);
+        add_relays_of (node, domain, relays);
     }
   g_ptr_array_free (names, TRUE);
   g_hash_table_destroy (domains);
+  reporters.relays = relays;
+  g_tree_foreach (node->members.by_name, add_reporter, &reporters);
   return relays;
 }
 
+/* Notes that RELAY gets a report of HASH now; returns whether in full. */
+static bool
+note_report (SsNode *node, const char *relay, uint64_t hash)
+{
+  FullReport *last = g_hash_table_lookup (node->reports, relay);
+
+  if (last && last->hash == hash
+      && node->now_ms - last->sent_ms < REPORT_FULL_MS)
+    return false;
+  last = g_new (FullReport, 1);
+  last->hash = hash;
+  last->sent_ms = node->now_ms;
+  g_hash_table_replace (node->reports, g_strdup (relay), last);
+  return true;
+}
+
+static gboolean
+is_old_report (gpointer key, gpointer value, gpointer data)
+{
+  const SsNode *node = data;
+  const FullReport *last = value;
+
+  (void) key;
+  return node->now_ms - last->sent_ms > REPORT_FULL_MS;
+}
+
+/* A relay that is only listed has to answer. */
+static void
+note_try (SsNode *node, SsMember *m)
+{
+  if (m->live)
+    m->relay_tried_ms = 0;
+  else if (!m->relay_tried_ms)
+    m->relay_tried_ms = node->now_ms;
+  else if (node->now_ms - m->relay_tried_ms >= SS_MEMBER_RELAY_TRY_MS)
+    {
+      m->relay_tried_ms = 0;
+      m->relay_again_ms = node->now_ms + SS_MEMBER_RELAY_AGAIN_MS;
+    }
+}
+
 static void
 send_reports (SsNode *node)
 {
@@ -221,19 +335,19 @@
   packed_init (&p, vms);
   report.failure_domain = (char *) node->params.failure_domain;
   report.hash = hash_view (vms);
-  report.full = report.hash != node->report_hash
-                || node->now_ms - node->report_full_ms >= REPORT_FULL_MS;
-  if (report.full)
-    {
-      report.vms = p.list;
-      report.n_vms = vms->len;
-      node->report_hash = report.hash;
-      node->report_full_ms = node->now_ms;
-    }
   e.body_case = SS__PEER__ENVELOPE__BODY_DOMAIN_REPORT;
   e.domain_report = &report;
   for (guint i = 0; i < relays->len; i++)
-    ss_node_send (node, g_ptr_array_index (relays, i), &e);
+    {
+      const char *relay = g_ptr_array_index (relays, i);
+
+      note_try (node, ss_members_find (&node->members, relay));
+      report.full = note_report (node, relay, report.hash);
+      report.vms = p.list;
+      report.n_vms = report.full ? vms->len : 0;
+      ss_node_send (node, relay, &e);
+    }
+  g_hash_table_foreach_remove (node->reports, is_old_report, node);
   packed_finish (&p);
   g_ptr_array_free (relays, TRUE);
   g_ptr_array_free (vms, TRUE);
@@ -247,29 +361,40 @@
   return v ? v->hash : 0;
 }
 
-/* A relay that is only listed has to answer. */
-static void
-note_try (SsNode *node, SsMember *m)
+static gboolean
+add_own_live (gpointer key, gpointer value, gpointer data)
 {
-  if (m->live)
-    m->relay_tried_ms = 0;
-  else if (!m->relay_tried_ms)
-    m->relay_tried_ms = node->now_ms;
-  else if (node->now_ms - m->relay_tried_ms >= SS_MEMBER_RELAY_TRY_MS)
-    {
-      m->relay_tried_ms = 0;
-      m->relay_again_ms = node->now_ms + SS_MEMBER_RELAY_AGAIN_MS;
-    }
+  Reporters *r = data;
+  const SsMember *m = value;
+
+  if (m->live && is_own (r->node, m) && strcmp (key, r->node->params.vm) != 0
+      && !g_ptr_array_find_with_equal_func (r->relays, key, g_str_equal, NULL))
+    g_ptr_array_add (r->relays, key);
+  return FALSE;
 }
 
-void
-ss_relay_beat (SsNode *node, SsEnvelope *beat)
+/* Those that relay for this vm.  While that is open, anyone of its failure
+ * domain may: the next by rank can be lost as well.
+ */
+static GPtrArray *
+own_relays (SsNode *node)
 {
   GPtrArray *relays = g_ptr_array_new ();
-  bool relays_here = false;
+  Reporters reporters = { node, relays };
 
   ss_members_relays (&node->members, node->params.failure_domain, node->now_ms,
                      relays);
+  if (ss_members_is_unsure (&node->members, node->now_ms))
+    g_tree_foreach (node->members.by_name, add_own_live, &reporters);
+  return relays;
+}
+
+void
+ss_relay_beat (SsNode *node, SsEnvelope *beat)
+{
+  GPtrArray *relays = own_relays (node);
+  bool relays_here = false;
+
   for (guint i = 0; i < relays->len; i++)
     {
       const char *vm = g_ptr_array_index (relays, i);
@@ -284,23 +409,77 @@
       ss_node_send (node, vm, beat);
     }
   if (relays_here)
-    send_reports (node);
+    {
+      ss_members_told (&node->members, node->now_ms);
+      send_reports (node);
+    }
   g_ptr_array_free (relays, TRUE);
 }
 
 /* --- what others tell --- */
 
+/* Whether a relay of FAILURE_DOMAIN says that VM is live. */
+static bool
+is_said_live (SsNode *node, const char *failure_domain, const char *vm)
+{
+  GHashTableIter iter;
+  gpointer relay;
+  gpointer view;
+
+  g_hash_table_iter_init (&iter, node->views);
+  while (g_hash_table_iter_next (&iter, &relay, &view))
+    {
+      const View *v = view;
+      const SsMember *m = ss_members_find (&node->members, relay);
+
+      if (node->now_ms - v->said_ms < SS_MEMBER_SILENCE_MS
+          && g_hash_table_contains (v->vms, vm) && m
+          && strcmp (m->failure_domain, failure_domain) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* A relay of FAILURE_DOMAIN leaves vms out that it listed before: where no
+ * other relay there lists them, they are not waited for any longer.
+ */
+static void
+drop_omitted (SsNode *node, const char *failure_domain, GHashTable *before)
+{
+  int64_t over_ms = node->now_ms - SS_MEMBER_REPORTED_MS;
+  GHashTableIter iter;
+  gpointer vm;
+
+  g_hash_table_iter_init (&iter, before);
+  while (g_hash_table_iter_next (&iter, &vm, NULL))
+    {
+      SsMember *m = ss_members_find (&node->members, vm);
+
+      if (!m || is_said_live (node, failure_domain, vm))
+        continue;
+      m->reported_ms = MIN (m->reported_ms, over_ms);
+      m->remote_ms = MIN (m->remote_ms, over_ms);
+    }
+}
+
 static void
-keep_view (SsNode *node, const char *from, uint64_t hash,
-           Ss__Peer__VmState **vms, size_t count)
+keep_view (SsNode *node, const char *from, const char *failure_domain,
+           uint64_t hash, Ss__Peer__VmState **vms, size_t count)
 {
+  const View *before = g_hash_table_lookup (node->views, from);
+  GHashTable *listed = before ? g_hash_table_ref (before->vms) : NULL;
   View *v = g_new0 (View, 1);
 
   v->hash = hash;
-  v->vms = g_ptr_array_new_with_free_func (g_free);
+  v->said_ms = node->now_ms;
+  v->vms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (size_t i = 0; i < count; i++)
-    g_ptr_array_add (v->vms, g_strdup (vms[i]->vm));
+    g_hash_table_add (v->vms, g_strdup (vms[i]->vm));
   g_hash_table_replace (node->views, g_strdup (from), v);
+  if (!listed)
+    return;
+  drop_omitted (node, failure_domain, listed);
+  g_hash_table_unref (listed);
 }
 
 static void
@@ -327,12 +506,17 @@
 static void
 refresh (SsNode *node, const char *from, bool remote)
 {
-  const View *v = g_hash_table_lookup (node->views, from);
+  View *v = g_hash_table_lookup (node->views, from);
+  GHashTableIter iter;
+  gpointer vm;
 
-  for (guint i = 0; v && i < v->vms->len; i++)
+  if (!v)
+    return;
+  v->said_ms = node->now_ms;
+  g_hash_table_iter_init (&iter, v->vms);
+  while (g_hash_table_iter_next (&iter, &vm, NULL))
     {
-      SsMember *m
-          = ss_members_find (&node->members, g_ptr_array_index (v->vms, i));
+      SsMember *m = ss_members_find (&node->members, vm);
 
       if (!m)
         continue;
@@ -350,10 +534,12 @@
   if (!m)
     return;
   m->heard_ms = node->now_ms;
+  ss_members_told (&node->members, node->now_ms);
   if (digest->full)
     {
       take_states (node, digest->vms, digest->n_vms);
-      keep_view (node, from, digest->hash, digest->vms, digest->n_vms);
+      keep_view (node, from, m->failure_domain, digest->hash, digest->vms,
+                 digest->n_vms);
     }
   if (digest->hash == known_hash (node, from))
     refresh (node, from, false);
@@ -371,12 +557,17 @@
 ss_relay_report (SsNode *node, const char *from,
                  const Ss__Peer__DomainReport *report)
 {
+  SsMember *m = ss_members_find (&node->members, from);
+
   if (strcmp (report->failure_domain, node->params.failure_domain) == 0)
     return;
+  if (m)
+    m->relays_ms = node->now_ms;
   if (report->full)
     {
       take_states (node, report->vms, report->n_vms);
-      keep_view (node, from, report->hash, report->vms, report->n_vms);
+      keep_view (node, from, report->failure_domain, report->hash, report->vms,
+                 report->n_vms);
     }
   if (report->hash == known_hash (node, from))
     refresh (node, from, true);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1,8 +1,10 @@
 /* Many vms in two failure domains, without a network: who each takes for live.
  */
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/internal.h"
+#include "core/rank.h"
 #include "platform/dialect.h"
 #include "tests/unit.h"
 
@@ -16,6 +18,7 @@
   SsNode node;
   char name[16];
   bool up;
+  bool cut; /* reaches only others that are cut */
 } Vm;
 
 static Vm vms[VMS];
@@ -58,6 +61,7 @@
   params.feeds = 1U << SS_FEED_VMS;
   ss_node_init (&vms[i].node, &params, now_ms);
   vms[i].up = true;
+  vms[i].cut = false;
 }
 
 /* Tells vm I of all vms, as the platform's list does. */
@@ -108,7 +112,7 @@
   if (strcmp (from->node.params.failure_domain, to->node.params.failure_domain)
       != 0)
     sent_apart++;
-  if (!to->up)
+  if (!to->up || to->cut != from->cut)
     return;
   e.peer_message.data = g_bytes_get_data (a->bytes, &bytes);
   e.peer_message.data_bytes = (uint32_t) bytes;
@@ -222,9 +226,182 @@
   end ();
 }
 
+/* Ends the relays of the first failure domain, without a farewell. */
+static void
+silence_relays (void)
+{
+  GPtrArray *relays = g_ptr_array_new ();
+
+  ss_members_relays (&vms[0].node.members, "d1", now_ms, relays);
+  for (guint i = 0; i < relays->len; i++)
+    find_vm (g_ptr_array_index (relays, i))->up = false;
+  g_ptr_array_free (relays, TRUE);
+}
+
+/* Of VM's failure domain, how many it takes for live. */
+static uint32_t
+count_own_live (const Vm *vm)
+{
+  uint32_t live = 0;
+
+  for (uint32_t i = 0; i < VMS; i++)
+    {
+      const SsMember *m = ss_members_find (&vm->node.members, vms[i].name);
+
+      if (strcmp (vms[i].node.params.failure_domain,
+                  vm->node.params.failure_domain)
+          == 0)
+        live += m && m->live ? 1 : 0;
+    }
+  return live;
+}
+
+/* While no relay answers, a vm neither takes its neighbours for lost nor
+ * itself for the only one left.
+ */
+static void
+lost_relays_lose_nobody_else (void)
+{
+  uint32_t missed = 0;
+  uint32_t coordinators = 0;
+
+  begin ();
+  silence_relays ();
+  for (int64_t at = 0; at < SETTLE_MS; at += STEP_MS)
+    {
+      advance (STEP_MS);
+      for (uint32_t i = 0; i < VMS / 2; i++)
+        {
+          if (!vms[i].up)
+            continue;
+          if (count_own_live (&vms[i]) < VMS / 2 - SS_MEMBERS_RELAYS)
+            missed++;
+          if (ss_lead_is_coordinator (&vms[i].node)
+              && count_live (&vms[i]) < VMS - SS_MEMBERS_RELAYS)
+            coordinators++;
+        }
+    }
+  CU_ASSERT (missed == 0);
+  CU_ASSERT (coordinators == 0);
+  expect_live (VMS - SS_MEMBERS_RELAYS);
+  end ();
+}
+
+static int
+compare_rank (gconstpointer a, gconstpointer b)
+{
+  uint64_t x = ss_rank_score ((*(Vm *const *) a)->name, "relay");
+  uint64_t y = ss_rank_score ((*(Vm *const *) b)->name, "relay");
+
+  return x < y ? -1 : x > y;
+}
+
+/* Cuts the COUNT vms of the first failure domain that are the last to relay. */
+static void
+cut_last_ranked (uint32_t count)
+{
+  Vm *by_rank[VMS / 2];
+
+  for (uint32_t i = 0; i < VMS / 2; i++)
+    by_rank[i] = &vms[i];
+  qsort (by_rank, VMS / 2, sizeof *by_rank, compare_rank);
+  for (uint32_t i = 0; i < count; i++)
+    by_rank[i]->cut = true;
+}
+
+/* How many of those that are cut, as VM is, it takes for lost. */
+static uint32_t
+count_cut_missed (const Vm *vm)
+{
+  uint32_t missed = 0;
+
+  for (uint32_t i = 0; i < VMS; i++)
+    {
+      const SsMember *m = ss_members_find (&vm->node.members, vms[i].name);
+
+      if (vms[i].cut)
+        missed += m && m->live ? 0 : 1;
+    }
+  return missed;
+}
+
+/* A failure domain that is cut in two: on the side without relays the vms that
+ * would relay next are on the other one, too.
+ */
+static void
+side_without_relays_stays_together (void)
+{
+  uint32_t missed = 0;
+
+  begin ();
+  cut_last_ranked (5);
+  for (int64_t at = 0; at < SETTLE_MS; at += STEP_MS)
+    {
+      advance (STEP_MS);
+      for (uint32_t i = 0; i < VMS / 2; i++)
+        if (vms[i].cut)
+          missed += count_cut_missed (&vms[i]);
+    }
+  CU_ASSERT (missed == 0);
+  end ();
+}
+
+/* New relays hear of the other failure domains without waiting for a report
+ * that comes by the clock.
+ */
+static void
+new_relays_know_all_soon (void)
+{
+  int64_t since_ms;
+  int64_t bound_ms;
+
+  begin ();
+  silence_relays ();
+  since_ms = now_ms;
+  /* The old relays' silence, then a beat each: to the new relays, of these to
+   * the other failure domain, back from there, and to all.
+   */
+  bound_ms
+      = SS_MEMBER_REPORTED_MS + 4 * vms[0].node.params.pace.heartbeat_ms + 100;
+  while (now_ms - since_ms < bound_ms)
+    advance (STEP_MS);
+  expect_live (VMS - SS_MEMBERS_RELAYS);
+  end ();
+}
+
+/* A vm that falls silent is missed by its relays, and then by all that these
+ * tell: nobody adds a silence of its own to theirs.
+ */
+static void
+silent_vm_is_missed_by_all_soon (void)
+{
+  GPtrArray *relays = g_ptr_array_new ();
+  int64_t beat_ms;
+  uint32_t silent = 0;
+
+  begin ();
+  beat_ms = vms[0].node.params.pace.heartbeat_ms;
+  ss_members_relays (&vms[0].node.members, "d1", now_ms, relays);
+  while (g_ptr_array_find_with_equal_func (relays, vms[silent].name,
+                                           g_str_equal, NULL))
+    silent++;
+  g_ptr_array_free (relays, TRUE);
+  vms[silent].up = false;
+  /* The silence, then a beat each: to the neighbours, to the relays of the
+   * other failure domain, and to the vms there.
+   */
+  advance (SS_MEMBER_SILENCE_MS + 3 * beat_ms + 100);
+  expect_live (VMS - 1);
+  end ();
+}
+
 CU_TestInfo test_relay[] = {
   { "all know all", all_know_all },
   { "gone vms are missed everywhere", gone_vms_are_missed_everywhere },
   { "messages stay few", messages_stay_few },
+  { "lost relays lose nobody else", lost_relays_lose_nobody_else },
+  { "side without relays stays together", side_without_relays_stays_together },
+  { "new relays know all soon", new_relays_know_all_soon },
+  { "silent vm is missed by all soon", silent_vm_is_missed_by_all_soon },
   CU_TEST_INFO_NULL,
 };
