--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
   platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch]))
 PROGRAMS = $(addprefix $B/,sapphirestaird sapphirectl ss-standin-target \
-  ss-standin-platform ss-standin-network ss-load ss-scenario ss-property ss-unit ss-bench ss-client)
+  ss-standin-platform ss-standin-network ss-load ss-scenario ss-property ss-unit ss-bench ss-client ss-soak)
 
 all: packages
 	@$(MAKE) --no-print-directory $(PROGRAMS)
@@ -64,6 +64,8 @@
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-client: $B/tests/client.o
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$B/ss-soak: $B/bench/ss_soak.o
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-load: $(LOAD_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 
--- a/bench/deploy.h
+++ b/bench/deploy.h
@@ -104,6 +104,10 @@
  * -1.
  */
 bool ss_deploy_list_vms (SsDeploy *deploy, int32_t leaving);
+/* ss_deploy_link: sets the faults of the network at VM: JSON members as
+ * ss-standin-network takes them, without the address.
+ */
+bool ss_deploy_link (SsDeploy *deploy, uint32_t vm, const char *json);
 /* ss_deploy_cut_domain: cuts or heals all between DOMAIN and the rest. */
 bool ss_deploy_cut_domain (SsDeploy *deploy, const char *domain, bool cut);
 
--- a/bench/deploy_control.c
+++ b/bench/deploy_control.c
@@ -1,3 +1,4 @@
+#include <jansson.h>
 #include <libpq-fe.h>
 #include <stdlib.h>
 #include <string.h>
@@ -123,6 +124,24 @@
   return best;
 }
 
+bool
+ss_deploy_link (SsDeploy *deploy, uint32_t vm, const char *json)
+{
+  json_t *body = json_loads (json, 0, NULL);
+  char *url = g_strdup_printf ("http://%s:%d/link", deploy->platform.ip,
+                               SS_DEPLOY_PLATFORM_PORT + 1);
+  char *text;
+  bool ok;
+
+  json_object_set_new (body, "ip", json_string (deploy->vms[vm].ip));
+  text = json_dumps (body, JSON_COMPACT);
+  ok = text && ss_deploy_http ("POST", url, text, NULL) == 200;
+  free (text);
+  json_decref (body);
+  g_free (url);
+  return ok;
+}
+
 bool
 ss_deploy_cut_domain (SsDeploy *deploy, const char *domain, bool cut)
 {
--- /dev/null
+++ b/bench/soak.sh
@@ -0,0 +1,32 @@
+#!/bin/sh
+# Plays scenarios of faults that follow from seeds, against real processes.
+#
+# usage: bench/soak.sh DIR FIRST LAST [JOBS [OPTION...]]
+#
+# DIR gets the scenarios and what each printed; OPTIONs go to ss-soak.  Prints
+# a line for each seed and ends with 1 if one failed.  A seed that failed stays
+# as tests/soak/NAME.scn, with a line on its cause.
+set -eu
+
+. "$(dirname "$0")/days.sh"
+
+[ $# -ge 3 ] || die "usage: bench/soak.sh DIR FIRST LAST [JOBS [OPTION...]]"
+dir=$1
+first=$2
+last=$3
+jobs=${4:-1}
+shift 3
+[ $# -eq 0 ] || shift
+mkdir -p "$dir"
+B=${B:-build}
+
+seq "$first" "$last" | xargs -P "$jobs" -I SEED sh -euc '
+  seed=$1 dir=$2 b=$3
+  shift 3
+  "$b/ss-soak" "$@" "$seed" > "$dir/$seed.scn"
+  if "$b/ss-scenario" "$dir/$seed.scn" > "$dir/$seed.out" 2>&1; then
+    echo "seed $seed: passed"
+  else
+    echo "seed $seed: FAILED: $(tail -n 1 "$dir/$seed.out")"
+    exit 1
+  fi' _ SEED "$dir" "$B" "$@"
--- a/bench/ss_scenario.c
+++ b/bench/ss_scenario.c
@@ -214,6 +214,18 @@
   return true;
 }
 
+/* "link N JSON" */
+static bool
+do_link (Run *run, char **argv)
+{
+  uint32_t vm = argv[1] ? (uint32_t) atoi (argv[1]) : 0;
+
+  if (!argv[1] || !argv[2] || vm >= run->deploy.vm_count
+      || !ss_deploy_link (&run->deploy, vm, argv[2]))
+    return fail (run, "the network refused the fault");
+  return true;
+}
+
 static bool
 do_platform (Run *run, char **argv)
 {
@@ -313,7 +325,7 @@
   return ok || fail (run, "%s is not answered as expected", argv[2]);
 }
 
-/* "ctl VM COMMAND [EXIT-CODE]" */
+/* "ctl VM COMMAND [EXIT-CODE|any]" */
 static bool
 do_ctl (Run *run, char **argv)
 {
@@ -325,6 +337,8 @@
     return fail (run, "ctl needs a vm and a command");
   code = ss_deploy_ctl (&run->deploy, (uint32_t) atoi (argv[1]), argv[2],
                         &output);
+  if (argv[3] && strcmp (argv[3], "any") == 0)
+    wanted = code;
   if (code != wanted)
     fail (run, "sapphirectl ended with %d, expected %d: %s", code, wanted,
           output);
@@ -467,6 +481,7 @@
   { "start", do_start },
   { "cut", do_cut },
   { "heal", do_cut },
+  { "link", do_link },
   { "platform", do_platform },
   { "control", do_control },
   { "put", do_put },
--- /dev/null
+++ b/bench/ss_soak.c
@@ -0,0 +1,462 @@
+/* ss-soak: writes a scenario of faults that follows from a seed.
+ *
+ * The faults overlap, last for random times and are all over before the load
+ * ends.  No two of them act on one process at a time; besides that anything
+ * may meet.  ss-scenario runs the scenario, and the load checks the promises
+ * with what callers and targets see.
+ */
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VMS_PER_DOMAIN 2
+#define SERVERS 3
+/* The deployment settles, and then recovers, without faults. */
+#define QUIET_START_MS 1500
+#define QUIET_END_MS 2500
+/* A fault is over after this long at the latest. */
+#define FAULT_MAX_MS 4000
+#define FAULT_MIN_MS 50
+/* A fault that finds nothing left to act on is drawn anew this often. */
+#define DRAWS 8
+
+static const char *const domains[]
+    = { "aarhus-hal", "koege-hal", "odense-hal" };
+
+#define DOMAINS ((uint32_t) G_N_ELEMENTS (domains))
+#define VMS (DOMAINS * VMS_PER_DOMAIN)
+
+/* What a fault acts on, and nothing else may meanwhile. */
+typedef enum
+{
+  PLACE_VM,
+  PLACE_LINK,
+  PLACE_TARGET,
+  PLACE_DOMAIN,
+  PLACE_PLATFORM,
+  PLACE_GROUP,
+  PLACE_COUNT
+} Place;
+
+static const uint32_t place_sizes[PLACE_COUNT]
+    = { VMS, VMS, SERVERS, DOMAINS, 1, 1 };
+
+typedef struct
+{
+  int64_t at_ms;
+  uint32_t order; /* among those of the same time */
+  char *text;
+} Line;
+
+typedef struct
+{
+  GRand *rand;
+  GPtrArray *lines; /* of Line */
+  int64_t busy_until_ms[PLACE_COUNT][VMS];
+  int64_t begin_ms;
+  int64_t end_ms;
+  int32_t seconds;
+  int32_t faults;
+} Soak;
+
+/* A fault of one place from AT_MS to UNTIL_MS. */
+typedef struct
+{
+  Soak *soak;
+  uint32_t index;
+  int64_t at_ms;
+  int64_t until_ms;
+} Span;
+
+static void G_GNUC_PRINTF (3, 4)
+    add (Soak *soak, int64_t at_ms, const char *format, ...)
+{
+  Line *line = g_new (Line, 1);
+  va_list args;
+
+  va_start (args, format);
+  line->at_ms = at_ms;
+  line->order = soak->lines->len;
+  line->text = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_ptr_array_add (soak->lines, line);
+}
+
+static int32_t
+draw (Soak *soak, int32_t low, int32_t high)
+{
+  return g_rand_int_range (soak->rand, low, high + 1);
+}
+
+/* --- faults --- */
+
+static void
+vm_killed (const Span *s)
+{
+  add (s->soak, s->at_ms, "kill vm %u", s->index);
+  add (s->soak, s->until_ms, "start vm %u", s->index);
+}
+
+/* It ends in its own time, so that no end is scheduled. */
+static void
+vm_stopped (const Span *s)
+{
+  add (s->soak, s->at_ms, "stop vm %u", s->index);
+  add (s->soak, s->until_ms, "await exit vm %u", s->index);
+  add (s->soak, s->until_ms, "start vm %u", s->index);
+}
+
+static void
+vm_frozen (const Span *s)
+{
+  add (s->soak, s->at_ms, "freeze vm %u", s->index);
+  add (s->soak, s->until_ms, "thaw vm %u", s->index);
+}
+
+static void
+target_killed (const Span *s)
+{
+  add (s->soak, s->at_ms, "kill target %u", s->index);
+  add (s->soak, s->until_ms, "start target %u", s->index);
+}
+
+static void
+target_frozen (const Span *s)
+{
+  add (s->soak, s->at_ms, "freeze target %u", s->index);
+  add (s->soak, s->until_ms, "thaw target %u", s->index);
+}
+
+static void
+target_control (const Span *s, const char *name, int32_t value)
+{
+  add (s->soak, s->at_ms, "control target %u %s %d", s->index, name, value);
+  add (s->soak, s->until_ms, "control target %u %s 0", s->index, name);
+}
+
+static void
+target_slow (const Span *s)
+{
+  target_control (s, "slow_ms", draw (s->soak, 1, 200));
+}
+
+static void
+target_lags (const Span *s)
+{
+  target_control (s, "apply_lag_ms", draw (s->soak, 1, 1500));
+}
+
+static void
+target_connects_slowly (const Span *s)
+{
+  target_control (s, "connect_ms", draw (s->soak, 1, 500));
+}
+
+static void
+target_drained (const Span *s)
+{
+  add (s->soak, s->at_ms, "ctl 0 \"drain target claims-db-%u\" any",
+       s->index + 1);
+  add (s->soak, s->until_ms, "ctl 0 \"undrain target claims-db-%u\" any",
+       s->index + 1);
+}
+
+static void
+promotion_ordered (const Span *s)
+{
+  add (s->soak, s->at_ms, "ctl %d \"promote group claims-db\" any",
+       draw (s->soak, 0, (int32_t) VMS - 1));
+}
+
+static void
+domain_cut (const Span *s)
+{
+  add (s->soak, s->at_ms, "cut %s", domains[s->index]);
+  add (s->soak, s->until_ms, "heal %s", domains[s->index]);
+}
+
+static void
+link_fault (const Span *s, const char *json)
+{
+  add (s->soak, s->at_ms, "link %u '%s'", s->index, json);
+  add (s->soak, s->until_ms, "link %u '{}'", s->index);
+}
+
+static void
+link_delayed (const Span *s)
+{
+  char json[48];
+
+  g_snprintf (json, sizeof json, "{\"delay_ms\":%d}", draw (s->soak, 1, 400));
+  link_fault (s, json);
+}
+
+static void
+link_deaf (const Span *s)
+{
+  link_fault (s, "{\"silent_in\":true}");
+}
+
+static void
+link_mute (const Span *s)
+{
+  link_fault (s, "{\"silent_out\":true}");
+}
+
+static void
+link_reset (const Span *s)
+{
+  add (s->soak, s->at_ms, "link %u '{\"reset\":true}'", s->index);
+}
+
+static void
+platform_fault (const Span *s, const char *name, const char *value,
+                const char *usual)
+{
+  add (s->soak, s->at_ms, "platform '{\"%s\":%s}'", name, value);
+  add (s->soak, s->until_ms, "platform '{\"%s\":%s}'", name, usual);
+}
+
+static void
+platform_down (const Span *s)
+{
+  platform_fault (s, "down", "true", "false");
+}
+
+static void
+platform_slow (const Span *s)
+{
+  char value[16];
+
+  g_snprintf (value, sizeof value, "%d", draw (s->soak, 1, 800));
+  platform_fault (s, "slow_ms", value, "0");
+}
+
+static void
+platform_loses_answers (const Span *s)
+{
+  char value[16];
+
+  g_snprintf (value, sizeof value, "%d", draw (s->soak, 1, 4));
+  platform_fault (s, "lose_after_effect", value, "0");
+}
+
+typedef struct
+{
+  Place place;
+  uint32_t weight; /* among all faults */
+  void (*plan) (const Span *span);
+} Fault;
+
+static const Fault faults[] = {
+  { PLACE_VM, 4, vm_killed },
+  { PLACE_VM, 2, vm_stopped },
+  { PLACE_VM, 4, vm_frozen },
+  { PLACE_TARGET, 3, target_killed },
+  { PLACE_TARGET, 3, target_frozen },
+  { PLACE_TARGET, 2, target_slow },
+  { PLACE_TARGET, 2, target_lags },
+  { PLACE_TARGET, 1, target_connects_slowly },
+  { PLACE_TARGET, 1, target_drained },
+  { PLACE_GROUP, 2, promotion_ordered },
+  { PLACE_DOMAIN, 3, domain_cut },
+  { PLACE_LINK, 2, link_delayed },
+  { PLACE_LINK, 2, link_deaf },
+  { PLACE_LINK, 2, link_mute },
+  { PLACE_LINK, 2, link_reset },
+  { PLACE_PLATFORM, 2, platform_down },
+  { PLACE_PLATFORM, 1, platform_slow },
+  { PLACE_PLATFORM, 2, platform_loses_answers },
+};
+
+/* --- the plan --- */
+
+static const Fault *
+draw_fault (Soak *soak)
+{
+  uint32_t all = 0;
+  uint32_t at;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    all += faults[i].weight;
+  at = (uint32_t) g_rand_int_range (soak->rand, 0, (gint32) all);
+  for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+    {
+      if (at < faults[i].weight)
+        return &faults[i];
+      at -= faults[i].weight;
+    }
+  return &faults[0];
+}
+
+/* The network takes one failure domain as cut at a time, and a cut target
+ * can't be told to be healed while it doesn't run.
+ */
+static bool
+is_free (const Soak *soak, const Fault *fault, uint32_t index, int64_t at_ms)
+{
+  if (soak->busy_until_ms[fault->place][index] > at_ms)
+    return false;
+  if (fault->place != PLACE_DOMAIN && fault->place != PLACE_TARGET)
+    return true;
+  for (uint32_t i = 0; i < SERVERS; i++)
+    if (fault->place == PLACE_DOMAIN
+        && soak->busy_until_ms[PLACE_TARGET][i] > at_ms)
+      return false;
+  for (uint32_t i = 0; i < DOMAINS; i++)
+    if (soak->busy_until_ms[PLACE_DOMAIN][i] > at_ms)
+      return false;
+  return true;
+}
+
+static bool
+plan_fault (Soak *soak, int64_t at_ms)
+{
+  const Fault *fault = draw_fault (soak);
+  Span s = { .soak = soak, .at_ms = at_ms };
+
+  s.index = (uint32_t) g_rand_int_range (soak->rand, 0,
+                                         (gint32) place_sizes[fault->place]);
+  s.until_ms
+      = MIN (at_ms + draw (soak, FAULT_MIN_MS, FAULT_MAX_MS), soak->end_ms);
+  if (!is_free (soak, fault, s.index, at_ms))
+    return false;
+  soak->busy_until_ms[fault->place][s.index] = s.until_ms + FAULT_MIN_MS;
+  fault->plan (&s);
+  return true;
+}
+
+static int
+compare_times (gconstpointer a, gconstpointer b)
+{
+  const Line *x = *(Line *const *) a;
+  const Line *y = *(Line *const *) b;
+
+  if (x->at_ms != y->at_ms)
+    return x->at_ms < y->at_ms ? -1 : 1;
+  return x->order < y->order ? -1 : x->order > y->order;
+}
+
+static int
+compare_numbers (gconstpointer a, gconstpointer b)
+{
+  int64_t x = *(const int64_t *) a;
+  int64_t y = *(const int64_t *) b;
+
+  return x < y ? -1 : x > y;
+}
+
+/* Times first, so that what is busy is known in order. */
+static void
+plan (Soak *soak)
+{
+  GArray *times = g_array_new (FALSE, FALSE, sizeof (int64_t));
+
+  for (int32_t i = 0; i < soak->faults; i++)
+    {
+      int64_t at_ms = draw (soak, (int32_t) soak->begin_ms,
+                            (int32_t) soak->end_ms - FAULT_MIN_MS);
+
+      g_array_append_val (times, at_ms);
+    }
+  g_array_sort (times, compare_numbers);
+  for (guint i = 0; i < times->len; i++)
+    for (uint32_t tries = 0; tries < DRAWS; tries++)
+      if (plan_fault (soak, g_array_index (times, int64_t, i)))
+        break;
+  g_array_free (times, TRUE);
+  g_ptr_array_sort (soak->lines, compare_times);
+}
+
+static void
+print_lines (const Soak *soak)
+{
+  int64_t now_ms = 0;
+
+  for (guint i = 0; i < soak->lines->len; i++)
+    {
+      const Line *line = g_ptr_array_index (soak->lines, i);
+
+      if (line->at_ms > now_ms)
+        printf ("wait %d\n", (int) (line->at_ms - now_ms));
+      now_ms = line->at_ms;
+      puts (line->text);
+    }
+}
+
+/* What must hold in every run, and that every vm serves again. */
+static void
+print_checks (void)
+{
+  static const char *const zero[] = {
+    "lost", "doubled", "stale", "crossed", "mixed", "ran_though_not_run"
+  };
+
+  puts ("result");
+  puts ("expect compared = 1");
+  for (size_t i = 0; i < G_N_ELEMENTS (zero); i++)
+    printf ("expect %s = 0\n", zero[i]);
+  for (uint32_t i = 0; i < VMS; i++)
+    printf ("await-sql %u \"INSERT INTO filings (key, value) "
+            "VALUES ('after-%u', 'after-%u')\" \"INSERT 0 1\"\n",
+            i, i, i);
+}
+
+static void
+print_scenario (Soak *soak, int32_t seed)
+{
+  printf ("# ss-soak --seconds %d --faults %d %d\n", soak->seconds,
+          soak->faults, seed);
+  printf ("deployment vms=%d servers=%d\n", VMS_PER_DOMAIN, SERVERS);
+  printf ("load callers=16 seconds=%d writes=50 transactions=%d ids=%d "
+          "roam=10 tokens=50 think-ms=4 seed=%d\n",
+          soak->seconds, draw (soak, 0, 60), draw (soak, 0, 60), seed);
+  plan (soak);
+  print_lines (soak);
+  print_checks ();
+}
+
+static void
+line_free (gpointer data)
+{
+  Line *line = data;
+
+  g_free (line->text);
+  g_free (line);
+}
+
+int
+main (int argc, char **argv)
+{
+  Soak soak = { .seconds = 14, .faults = 8, .begin_ms = QUIET_START_MS };
+  const GOptionEntry options[] = {
+    { "seconds", 0, 0, G_OPTION_ARG_INT, &soak.seconds, "Length of the load",
+      "S" },
+    { "faults", 0, 0, G_OPTION_ARG_INT, &soak.faults, "How many at most", "N" },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new ("SEED - a soak's scenario");
+  GError *error = NULL;
+
+  g_option_context_add_main_entries (context, options, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, &error) || argc != 2
+      || soak.faults < 0
+      || soak.seconds * 1000 <= QUIET_START_MS + QUIET_END_MS)
+    {
+      fprintf (stderr, "ss-soak: %s\n",
+               error ? error->message
+                     : "needs one seed, and 5 seconds or more");
+      return 2;
+    }
+  g_option_context_free (context);
+  soak.end_ms = soak.seconds * 1000 - QUIET_END_MS;
+  soak.rand = g_rand_new_with_seed ((guint32) atoi (argv[1]));
+  soak.lines = g_ptr_array_new_with_free_func (line_free);
+  print_scenario (&soak, atoi (argv[1]));
+  g_ptr_array_free (soak.lines, TRUE);
+  g_rand_free (soak.rand);
+  return 0;
+}
