A fault soak: scenarios that follow from a seed

The network stand-in delays, resets and silences one way; the stand-in servers can lie, so that the checks are seen to fail.

--- a/bench/ss_soak.c
+++ b/bench/ss_soak.c
@@ -392,7 +392,7 @@
 print_checks (void)
 {
   static const char *const zero[] = {
-    "lost", "doubled", "stale", "crossed", "mixed", "ran_though_not_run"
+    "ran_though_not_run", "lost", "doubled", "stale", "crossed", "mixed"
   };
 
   puts ("result");
--- a/standin/server.c
+++ b/standin/server.c
@@ -53,6 +53,31 @@
     load_terms (server, data_path);
 }
 
+bool
+ss_server_set_lie (SsServer *server, const char *name)
+{
+  static const char *const names[] = {
+#define X(id, text) text,
+    SS_LIES (X)
+#undef X
+  };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      if (strcmp (names[i], name) != 0)
+        continue;
+      server->lie = (SsLie) i;
+      return true;
+    }
+  return false;
+}
+
+bool
+ss_server_is_lying (SsServer *server, SsLie lie, uint32_t every)
+{
+  return server->lie == lie && ++server->lie_turns % every == 0;
+}
+
 bool
 ss_server_raise (SsServer *server, uint64_t term)
 {
@@ -62,7 +87,7 @@
     return true;
   server->shown_term = term;
   remember_term (server);
-  if (server->role == SS_ROLE_PRIMARY)
+  if (server->role == SS_ROLE_PRIMARY && server->lie != SS_LIE_TERM)
     server->role = SS_ROLE_FENCED;
   server->link_generation++;
   return true;
--- a/standin/server.h
+++ b/standin/server.h
@@ -17,6 +17,24 @@
   SS_ROLE_FENCED
 } SsRole;
 
+/* What a server gets wrong, so that the checks can be seen to fail. */
+#define SS_LIES(X)                                                             \
+  X (NONE, "none")                                                             \
+  X (APPLIED, "applied") /* tells that all it holds is applied */              \
+  X (TERM, "term")       /* goes on as a primary after a later term */         \
+  X (COMMIT, "commit")   /* knows no transactions */                           \
+  X (REQUEST, "request") /* takes a request id twice */                        \
+  X (REFUSAL, "refusal") /* refuses some commits that it ran */                \
+  X (CHECK, "check")     /* fails some commits that it ran for good */         \
+  X (ANSWER, "answer")   /* gives other values now and then */
+
+typedef enum
+{
+#define X(id, name) SS_LIE_##id,
+  SS_LIES (X)
+#undef X
+} SsLie;
+
 typedef struct
 {
   const SsClock *clock;
@@ -36,6 +54,8 @@
   int64_t slow_ms;
   int64_t max_connections;
   bool cut; /* replication, both ways */
+  SsLie lie;
+  uint32_t lie_turns;
 } SsServer;
 
 int64_t ss_server_now_ms (const SsServer *server);
@@ -45,6 +65,11 @@
                      const char *data_path);
 void ss_server_finish (SsServer *server);
 
+/* ss_server_set_lie: returns false where NAME is none. */
+bool ss_server_set_lie (SsServer *server, const char *name);
+/* ss_server_is_lying: whether it tells LIE now: one time in EVERY. */
+bool ss_server_is_lying (SsServer *server, SsLie lie, uint32_t every);
+
 /* ss_server_raise: returns whether TERM is now the highest shown one. */
 bool ss_server_raise (SsServer *server, uint64_t term);
 bool ss_server_promote (SsServer *server, uint64_t term);
--- a/standin/session.c
+++ b/standin/session.c
@@ -5,6 +5,10 @@
 #include "plugins/pgwire.h"
 #include "standin/sql.h"
 
+/* Of commits, and of values, one in so many is a lie. */
+#define REFUSAL_TURNS 20
+#define ANSWER_TURNS 50
+
 static GByteArray *
 out (SsSqlSession *c)
 {
@@ -84,7 +88,8 @@
 {
   if (!write_allowed (c))
     return false;
-  if (strcmp (q->name, SS_STORE_UNIQUE_TABLE) == 0)
+  if (strcmp (q->name, SS_STORE_UNIQUE_TABLE) == 0
+      && c->server->lie != SS_LIE_REQUEST)
     {
       if (ss_store_values (&c->server->store, q->name, q->key))
         {
@@ -161,6 +166,8 @@
     {
       const char *cells[2] = { key, g_ptr_array_index (values, i) };
 
+      if (ss_server_is_lying (c->server, SS_LIE_ANSWER, ANSWER_TURNS))
+        cells[1] = "other";
       if (q->columns == SS_SQL_KEY_VALUE)
         put_row (c, cells, 2);
       else if (q->columns == SS_SQL_VALUE)
@@ -216,6 +223,14 @@
   complete (c, "SELECT 1");
 }
 
+/* The position that is told as applied. */
+static uint64_t
+told_applied (const SsServer *s)
+{
+  return s->lie == SS_LIE_APPLIED ? ss_store_held (&s->store)
+                                  : s->store.applied;
+}
+
 static void
 call_status (SsSqlSession *c)
 {
@@ -232,8 +247,8 @@
   numbers[0] = s->shown_term;
   numbers[1] = ss_store_term_at (store, ss_store_held (store));
   numbers[2] = ss_store_held (store);
-  numbers[3] = ss_store_term_at (store, store->applied);
-  numbers[4] = store->applied;
+  numbers[3] = ss_store_term_at (store, told_applied (s));
+  numbers[4] = told_applied (s);
   numbers[5] = (uint64_t) (ss_server_now_ms (s) - s->heard_ms);
   numbers[6] = s->follow_term;
   cells[0] = ss_server_role_name (s);
@@ -408,13 +423,35 @@
       return false;
     }
   commit (c);
+  if (ss_server_is_lying (c->server, SS_LIE_REFUSAL, REFUSAL_TURNS))
+    {
+      ss_sql_session_fail (c, "40001", "could not serialize access");
+      return false;
+    }
+  if (ss_server_is_lying (c->server, SS_LIE_CHECK, REFUSAL_TURNS))
+    {
+      ss_sql_session_fail (c, "23514", "a check constraint is violated");
+      return false;
+    }
   complete (c, "COMMIT");
   return true;
 }
 
+static bool
+is_ignored (const SsSqlSession *c, const SsSql *q)
+{
+  return c->server->lie == SS_LIE_COMMIT
+         && (q->kind == SS_SQL_BEGIN || q->kind == SS_SQL_COMMIT);
+}
+
 static bool
 run_statement (SsSqlSession *c, const SsSql *q)
 {
+  if (is_ignored (c, q))
+    {
+      complete (c, q->kind == SS_SQL_BEGIN ? "BEGIN" : "COMMIT");
+      return true;
+    }
   if (c->status == 'E' && q->kind != SS_SQL_COMMIT
       && q->kind != SS_SQL_ROLLBACK)
     {
@@ -485,9 +522,9 @@
       put_position (c, "sapphirestair.commit", c->shown_commit);
       c->shown_commit = 0;
     }
-  if (c->shown_applied != c->server->store.applied && !c->is_link)
+  if (c->shown_applied != told_applied (c->server) && !c->is_link)
     {
-      c->shown_applied = c->server->store.applied;
+      c->shown_applied = told_applied (c->server);
       put_position (c, "sapphirestair.applied", c->shown_applied);
     }
   ss_pgwire_ready (out (c), c->status);
--- a/standin/target.c
+++ b/standin/target.c
@@ -2,6 +2,7 @@
  *
  * It speaks the PostgreSQL protocol.  SELECT sapphirestair_control('NAME', N)
  * sets its faults: apply_lag_ms, connect_ms, slow_ms, max_connections, cut.
+ * SS_STANDIN_LIE in the environment names what it gets wrong (SS_LIES).
  */
 #include <signal.h>
 #include <stdlib.h>
@@ -305,6 +306,7 @@
   static ev_signal on_term;
   static ev_signal on_int;
   struct ev_loop *loop = ev_default_loop (0);
+  const char *lie = getenv ("SS_STANDIN_LIE");
   int fd;
 
   if (argc < 4)
@@ -314,6 +316,11 @@
     }
   ss_server_init (&target.server, ss_clock_monotonic (),
                   argc > 4 ? argv[4] : NULL);
+  if (lie && !ss_server_set_lie (&target.server, lie))
+    {
+      fprintf (stderr, "ss-standin-target: no such lie: %s\n", lie);
+      return 2;
+    }
   ss_link_init (&target.link, loop, &target.server);
   target.clients = g_ptr_array_new ();
   fd = ss_stream_listen (argv[2], (uint16_t) atoi (argv[3]));
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 B=${B:-build}
 HISTORIES=${HISTORIES:-1000}
+SOAK=${SOAK:-3}
 JOBS=${JOBS:-8}
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
@@ -66,6 +67,22 @@
   fi
 done
 
+# Faults that follow from seeds, and those that once found something.
+sh bench/soak.sh "$out/soak" 1 "$SOAK" "$SOAK" --seconds 9 --faults 6 \
+  >"$out/soaks" 2>&1
+cat "$out/soaks"
+note soak "$(grep -c ': passed' "$out/soaks")" \
+  "$(grep -vc ': passed' "$out/soaks")"
+for file in tests/soak/*.scn; do
+  [ -r "$file" ] || continue
+  if "$B/ss-scenario" "$file" >"$out/scenario" 2>&1; then
+    note "$file" 1 0
+  else
+    note "$file" 0 1
+    cat "$out/scenario"
+  fi
+done
+
 [ "$known" -eq 0 ] || cat KNOWN-RED.txt
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
