One piece of code keeps the connections to targets

Cause: platform/targets.c and pqtarget.c each held the table of connections, the dispatch of the core's actions, the row that is kept and the end. Change: kernel/links.c does that for both; a plug-in starts, asks and reads. A check of a string in the new command test no longer passes NULL to strcmp (the linter saw it).

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CORE_O = $(CORE:%=$B/src/core/%.o) $B/proto/peer.pb-c.o
 PLATFORM = $(patsubst %.c,$B/%.o,$(wildcard platform/*.c))
 PLUGINS = pgserver pqtarget platform_http admin_http peer
-DAEMON_O = $(KERNEL_O) $(CORE_O) $B/src/kernel/plugin.o $B/src/kernel/callers.o $B/src/kernel/outcome.o \
+DAEMON_O = $(KERNEL_O) $(CORE_O) $B/src/kernel/plugin.o $B/src/kernel/callers.o $B/src/kernel/links.o $B/src/kernel/outcome.o \
   $(PLUGINS:%=$B/src/plugins/%.o) $B/src/plugins/pgwire.o \
   $(PLATFORM) $B/src/daemon/main.o
 TARGET_O = $(addprefix $B/standin/,target.o link.o session.o server.o store.o sql.o) \
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -123,9 +123,9 @@
   uint64_t subscribed_generation;
   int64_t pull_due_ms;
   SsFeedState feeds[SS_FEED_COUNT];
-  GHashTable *removals; /* key -> SsRemoval */
-  GHashTable *views;    /* vm -> the vms that it last reported in full */
-  GHashTable *reports;  /* relay -> the last full report that it got */
+  GHashTable *removals;      /* key -> SsRemoval */
+  GHashTable *views;         /* vm -> the vms that it last reported in full */
+  GHashTable *reports;       /* relay -> the last full report that it got */
   int64_t config_differs_ms; /* since when a relay holds another one */
   int64_t directory_due_ms;
   GHashTable *leases; /* group -> since when this vm's object names it, ms */
--- a/tests/test_command.c
+++ b/tests/test_command.c
@@ -256,7 +256,7 @@
   expect_verdict (SS_VERDICT_NOT_RUN, "term 1 is not in force");
   order ("promote group g if term 2", true);
   CU_ASSERT (take (SS_ACTION_PLATFORM_PUT, &put));
-  CU_ASSERT_STRING_EQUAL (put.name, "group/g");
+  CU_ASSERT (g_strcmp0 (put.name, "group/g") == 0);
   CU_ASSERT (put.number == 6);
   ss_action_clear (&put);
   ss_node_finish (&node);
