Functions of the core are named after their files

Cause: functions of adopt.c, feeds.c, pending.c, job.c and outcome.c carried the prefixes of spread, entry and owner, from before those files were split. Change: renamed, and internal.h has a section for each file.

--- a/src/core/adopt.c
+++ b/src/core/adopt.c
@@ -12,7 +12,7 @@
 #define GONE_AFTER_MS 2500
 
 void
-ss_spread_pull_all (SsNode *node, const char *vm)
+ss_adopt_pull_all (SsNode *node, const char *vm)
 {
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__ConfigPull pull = SS__PEER__CONFIG_PULL__INIT;
@@ -95,7 +95,7 @@
     ss_directory_take (node, object);
   group = changed_group (node, object);
   if (term && group && group->term > term)
-    ss_entry_superseded (node, group);
+    ss_pending_superseded (node, group);
   return adoption == SS_ADOPT_DONE;
 }
 
@@ -160,7 +160,7 @@
   push.since = since;
   push.revision = node->config.revision;
   push.complete = since == 0 && !ss_feeds_are_one (node)
-                  && ss_spread_watches (node) && ss_feeds_are_complete (node);
+                  && ss_feeds_watches (node) && ss_feeds_are_complete (node);
   push.objects = p.list;
   push.n_objects = p.count;
   if (node->vms_json)
@@ -200,8 +200,7 @@
 }
 
 void
-ss_spread_pull (SsNode *node, const char *from,
-                const Ss__Peer__ConfigPull *pull)
+ss_adopt_pull (SsNode *node, const char *from, const Ss__Peer__ConfigPull *pull)
 {
   with_push (node, pull->since, send_to_one, from);
 }
@@ -219,8 +218,7 @@
 }
 
 void
-ss_spread_push (SsNode *node, const char *from,
-                const Ss__Peer__ConfigPush *push)
+ss_adopt_push (SsNode *node, const char *from, const Ss__Peer__ConfigPush *push)
 {
   for (size_t i = 0; i < push->n_objects; i++)
     {
@@ -234,8 +232,8 @@
   if (push->complete)
     drop_unsent (node, push);
   if (push->vms.len)
-    ss_spread_vms (node, (const char *) push->vms.data,
-                   (uint32_t) push->vms.len);
+    ss_feeds_vms (node, (const char *) push->vms.data,
+                  (uint32_t) push->vms.len);
   ss_owner_update (node);
   if (push->since == LOOSE_SINCE)
     return;
@@ -285,12 +283,12 @@
 void
 ss_adopt_forward (SsNode *node, const SsObject *objects, uint32_t count)
 {
-  if (count && node->members.relayed && ss_spread_watches (node))
+  if (count && node->members.relayed && ss_feeds_watches (node))
     send_loose (node, objects, count, true);
 }
 
 void
-ss_spread_adopt (SsNode *node, const SsObject *object)
+ss_adopt_one (SsNode *node, const SsObject *object)
 {
   if (!ss_adopt_object (node, object))
     return;
--- a/src/core/feeds.c
+++ b/src/core/feeds.c
@@ -106,7 +106,7 @@
 }
 
 void
-ss_spread_objects (SsNode *node, const SsEvent *e)
+ss_feeds_objects (SsNode *node, const SsEvent *e)
 {
   SsFeedState *feed = &node->feeds[e->platform_objects.feed];
   int64_t since = e->platform_objects.since;
@@ -181,7 +181,7 @@
  * forgotten; who is live is judged by heartbeats.
  */
 void
-ss_spread_vms (SsNode *node, const char *json, uint32_t json_bytes)
+ss_feeds_vms (SsNode *node, const char *json, uint32_t json_bytes)
 {
   json_t *list = json_loadb (json, json_bytes, 0, NULL);
   json_t *item;
@@ -201,7 +201,7 @@
 }
 
 bool
-ss_spread_watches (SsNode *node)
+ss_feeds_watches (SsNode *node)
 {
   if (!ss_feeds_are_one (node))
     return !node->members.relayed
@@ -233,7 +233,7 @@
 void
 ss_feeds_tick (SsNode *node)
 {
-  bool watches = ss_spread_watches (node);
+  bool watches = ss_feeds_watches (node);
   SsAction *a;
 
   /* Every vm lists all objects once. */
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -118,22 +118,25 @@
 void ss_entry_close (SsNode *node, uint64_t caller);
 void ss_entry_reply (SsNode *node, const char *from,
                      const Ss__Peer__RunReply *reply);
-void ss_entry_vm_lost (SsNode *node, const char *vm);
-/* ss_entry_superseded: GROUP has a later term: what is out at its earlier
- * primary can't be acknowledged any more.
- */
-void ss_entry_superseded (SsNode *node, const SsGroup *group);
-/* ss_entry_identities: adds the callers of GROUP that wait for a mark. */
-void ss_entry_identities (SsNode *node, const char *group, GPtrArray *out);
-/* ss_entry_wake: routes the requests of GROUP that wait for WAIT. */
-void ss_entry_wake (SsNode *node, const char *group, SsWait wait);
-void ss_entry_tick (SsNode *node);
 /* ss_entry_end_idle: ends up to COUNT sessions with nothing under way. */
 void ss_entry_end_idle (SsNode *node, uint32_t count);
 /* ss_entry_stop: ends idle sessions; returns whether none is left. */
 bool ss_entry_stop (SsNode *node, bool force);
 bool ss_entry_uses_group (SsNode *node, const char *group);
 
+/* --- pending.c: requests that are under way --- */
+
+void ss_pending_vm_lost (SsNode *node, const char *vm);
+/* ss_pending_superseded: GROUP has a later term: what is out at its earlier
+ * primary can't be acknowledged any more.
+ */
+void ss_pending_superseded (SsNode *node, const SsGroup *group);
+/* ss_pending_identities: adds the callers of GROUP that wait for a mark. */
+void ss_pending_identities (SsNode *node, const char *group, GPtrArray *out);
+/* ss_pending_wake: routes the requests of GROUP that wait for WAIT. */
+void ss_pending_wake (SsNode *node, const char *group, SsWait wait);
+void ss_pending_tick (SsNode *node);
+
 /* --- local.c: statements about the session itself --- */
 
 typedef enum
@@ -385,7 +388,6 @@
  * ask for.
  */
 void ss_owner_update (SsNode *node);
-void ss_owner_run (SsNode *node, const char *from, const Ss__Peer__Run *run);
 void ss_owner_cancel (SsNode *node, const char *from, uint64_t request);
 void ss_owner_session_end (SsNode *node, const char *vm,
                            const Ss__Peer__SessionEnd *end);
@@ -393,8 +395,6 @@
 void ss_owner_ready (SsNode *node, uint64_t connection);
 /* ss_owner_closed: EVENT is TARGET_CLOSED. */
 void ss_owner_closed (SsNode *node, const SsEvent *event);
-void ss_owner_result (SsNode *node, uint64_t connection,
-                      const SsTargetResult *result);
 void ss_owner_tick (SsNode *node);
 /* ss_owner_unreachable: the target does not answer: what waits for it is
  * refused, and reads that run are given up.
@@ -402,6 +402,12 @@
 void ss_owner_unreachable (SsNode *node, SsOwned *owned);
 bool ss_owner_is_idle (SsNode *node);
 
+/* --- job.c and outcome.c: a statement at its target --- */
+
+void ss_job_run (SsNode *node, const char *from, const Ss__Peer__Run *run);
+void ss_outcome_result (SsNode *node, uint64_t connection,
+                        const SsTargetResult *result);
+
 /* --- hold.c: a commit is answered once a majority holds it --- */
 
 /* ss_hold_ask_status: has T's owner report a poll made after this. */
@@ -472,28 +478,34 @@
 /* ss_isolation_tick: judges whether this vm is cut off. */
 void ss_isolation_tick (SsNode *node);
 
-/* --- spread.c: heartbeats, configuration and subscriptions --- */
+/* --- spread.c: heartbeats and subscriptions --- */
 
 void ss_spread_tick (SsNode *node);
 void ss_spread_heartbeat (SsNode *node, const Ss__Peer__Heartbeat *beat);
-void ss_spread_pull (SsNode *node, const char *from,
-                     const Ss__Peer__ConfigPull *pull);
-void ss_spread_push (SsNode *node, const char *from,
-                     const Ss__Peer__ConfigPush *push);
-/* ss_spread_objects: the answer to a watch, as EVENT has it. */
-void ss_spread_objects (SsNode *node, const SsEvent *event);
-void ss_spread_vms (SsNode *node, const char *json, uint32_t json_bytes);
-/* ss_spread_adopt: takes one object and passes it on to the peers. */
-void ss_spread_adopt (SsNode *node, const SsObject *object);
 void ss_spread_beat_now (SsNode *node);
-/* ss_spread_watches: whether this vm watches the platform itself. */
-bool ss_spread_watches (SsNode *node);
-/* ss_spread_pull_all: asks VM for all objects that it holds. */
-void ss_spread_pull_all (SsNode *node, const char *vm);
 SsMember *ss_spread_add_member (SsNode *node, const char *vm,
                                 const char *failure_domain, const char *ip,
                                 uint16_t port);
 
+/* --- feeds.c: what the platform tells --- */
+
+/* ss_feeds_objects: the answer to a watch, as EVENT has it. */
+void ss_feeds_objects (SsNode *node, const SsEvent *event);
+void ss_feeds_vms (SsNode *node, const char *json, uint32_t json_bytes);
+/* ss_feeds_watches: whether this vm watches the platform itself. */
+bool ss_feeds_watches (SsNode *node);
+
+/* --- adopt.c: configuration between vms --- */
+
+void ss_adopt_pull (SsNode *node, const char *from,
+                    const Ss__Peer__ConfigPull *pull);
+void ss_adopt_push (SsNode *node, const char *from,
+                    const Ss__Peer__ConfigPush *push);
+/* ss_adopt_one: takes one object and passes it on to the peers. */
+void ss_adopt_one (SsNode *node, const SsObject *object);
+/* ss_adopt_pull_all: asks VM for all objects that it holds. */
+void ss_adopt_pull_all (SsNode *node, const char *vm);
+
 /* --- directory.c: the vms as objects of the platform --- */
 
 void ss_directory_tick (SsNode *node);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -318,7 +318,7 @@
 }
 
 void
-ss_owner_run (SsNode *node, const char *from, const Ss__Peer__Run *run)
+ss_job_run (SsNode *node, const char *from, const Ss__Peer__Run *run)
 {
   SsOwned *owned = ss_owner_find (node, run->target);
   SsReason reason;
--- a/src/core/marks.c
+++ b/src/core/marks.c
@@ -61,7 +61,7 @@
   ask.group = marks->group;
   ask.nonce = marks->last_ask;
   g_ptr_array_set_size (marks->identities, 0);
-  ss_entry_identities (node, marks->group, marks->identities);
+  ss_pending_identities (node, marks->group, marks->identities);
   ask.identities = (char **) marks->identities->pdata;
   ask.n_identities = marks->identities->len;
   e.body_case = SS__PEER__ENVELOPE__BODY_MARK_ASK;
@@ -116,7 +116,7 @@
   m->latest.position = position;
   m->latest.ask = MAX (m->latest.ask, 1);
   keep_in_ring (m);
-  ss_entry_wake (node, group, SS_WAIT_MARK);
+  ss_pending_wake (node, group, SS_WAIT_MARK);
 }
 
 static void
@@ -154,7 +154,7 @@
   m->latest.position = ss_position_unpack (reply->mark);
   keep_in_ring (m);
   keep_floors (m, reply);
-  ss_entry_wake (node, reply->group, SS_WAIT_MARK);
+  ss_pending_wake (node, reply->group, SS_WAIT_MARK);
   if (m->wanted && !m->outstanding)
     send_ask (node, m);
 }
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -129,7 +129,7 @@
     return;
   ss_hold_check (node, group);
   if (node->view_waiters)
-    ss_entry_wake (node, group->name, SS_WAIT_VIEW);
+    ss_pending_wake (node, group->name, SS_WAIT_VIEW);
 }
 
 static void
@@ -141,7 +141,7 @@
       ss_spread_heartbeat (node, e->heartbeat);
       break;
     case SS__PEER__ENVELOPE__BODY_RUN:
-      ss_owner_run (node, e->from, e->run);
+      ss_job_run (node, e->from, e->run);
       break;
     case SS__PEER__ENVELOPE__BODY_RUN_REPLY:
       ss_entry_reply (node, e->from, e->run_reply);
@@ -192,10 +192,10 @@
       ss_promote_raised (node, e->raise_reply);
       break;
     case SS__PEER__ENVELOPE__BODY_CONFIG_PULL:
-      ss_spread_pull (node, e->from, e->config_pull);
+      ss_adopt_pull (node, e->from, e->config_pull);
       break;
     case SS__PEER__ENVELOPE__BODY_CONFIG_PUSH:
-      ss_spread_push (node, e->from, e->config_push);
+      ss_adopt_push (node, e->from, e->config_push);
       break;
     case SS__PEER__ENVELOPE__BODY_ROWS_ASK:
       ss_operate_rows_ask (node, e->from, e->rows_ask);
@@ -363,7 +363,7 @@
   ss_lease_tick (node);
   ss_isolation_tick (node);
   g_tree_foreach (node->marks, retry_marks, node);
-  ss_entry_tick (node);
+  ss_pending_tick (node);
   if (node->stopping)
     tick_stop (node);
 }
@@ -380,7 +380,7 @@
 lose_peer (SsNode *node, const char *vm)
 {
   ss_members_lost (&node->members, vm, node->now_ms);
-  ss_entry_vm_lost (node, vm);
+  ss_pending_vm_lost (node, vm);
   ss_owner_vm_lost (node, vm);
 }
 
@@ -416,11 +416,11 @@
       ss_owner_closed (node, e);
       break;
     case SS_EVENT_TARGET_RESULT:
-      ss_owner_result (node, e->target_result.connection,
-                       e->target_result.result);
+      ss_outcome_result (node, e->target_result.connection,
+                         e->target_result.result);
       break;
     case SS_EVENT_PLATFORM_OBJECTS:
-      ss_spread_objects (node, e);
+      ss_feeds_objects (node, e);
       break;
     case SS_EVENT_PLATFORM_PROMOTED:
       ss_promote_called (node, e->platform_object.call,
@@ -439,7 +439,7 @@
     case SS_EVENT_PLATFORM_VMS:
       node->vms_asked = false;
       if (e->platform_vms.json)
-        ss_spread_vms (node, e->platform_vms.json, e->platform_vms.json_bytes);
+        ss_feeds_vms (node, e->platform_vms.json, e->platform_vms.json_bytes);
       break;
     case SS_EVENT_STOP:
       ss_node_begin_stop (node);
--- a/src/core/operate.c
+++ b/src/core/operate.c
@@ -395,7 +395,7 @@
 {
   char *message;
 
-  ss_spread_adopt (node, object);
+  ss_adopt_one (node, object);
   if (is_ours (o, object))
     {
       end_operation (node, o, SS_VERDICT_RAN, "accepted", object->version);
--- a/src/core/outcome.c
+++ b/src/core/outcome.c
@@ -191,8 +191,8 @@
 }
 
 void
-ss_owner_result (SsNode *node, uint64_t connection,
-                 const SsTargetResult *result)
+ss_outcome_result (SsNode *node, uint64_t connection,
+                   const SsTargetResult *result)
 {
   SsConnection *c = g_hash_table_lookup (node->connections, &connection);
 
--- a/src/core/pending.c
+++ b/src/core/pending.c
@@ -37,7 +37,7 @@
 }
 
 void
-ss_entry_superseded (SsNode *node, const SsGroup *group)
+ss_pending_superseded (SsNode *node, const SsGroup *group)
 {
   GPtrArray *out = requests_where (node, is_superseded, group);
   GHashTableIter iter;
@@ -66,7 +66,7 @@
 }
 
 void
-ss_entry_vm_lost (SsNode *node, const char *vm)
+ss_pending_vm_lost (SsNode *node, const char *vm)
 {
   GPtrArray *lost = requests_where (node, is_at_vm, vm);
   GHashTableIter iter;
@@ -112,7 +112,7 @@
 }
 
 void
-ss_entry_identities (SsNode *node, const char *group, GPtrArray *out)
+ss_pending_identities (SsNode *node, const char *group, GPtrArray *out)
 {
   Waiting w = { group, SS_WAIT_MARK };
   GPtrArray *waiting = requests_where (node, is_waiting, &w);
@@ -129,7 +129,7 @@
 }
 
 void
-ss_entry_wake (SsNode *node, const char *group, SsWait wait)
+ss_pending_wake (SsNode *node, const char *group, SsWait wait)
 {
   Waiting w = { group, wait };
   GPtrArray *waiting = requests_where (node, is_waiting, &w);
@@ -182,7 +182,7 @@
 }
 
 void
-ss_entry_tick (SsNode *node)
+ss_pending_tick (SsNode *node)
 {
   static const SsReason reasons[]
       = { SS_REASON_DEADLINE, SS_REASON_NO_MARK, SS_REASON_NO_PRIMARY,
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -348,7 +348,7 @@
 {
   SsGroup *group;
 
-  ss_spread_adopt (node, object);
+  ss_adopt_one (node, object);
   group = ss_config_group (&node->config, p->group);
   if (group && strcmp (group->operation, p->operation) == 0)
     go_on (node, p, group);
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -546,10 +546,10 @@
   if (digest->config_hash == node->config.hash)
     node->config_differs_ms = node->now_ms;
   else if (node->now_ms - node->config_differs_ms >= PULL_AGAIN_MS
-           && !ss_spread_watches (node))
+           && !ss_feeds_watches (node))
     {
       node->config_differs_ms = node->now_ms;
-      ss_spread_pull_all (node, from);
+      ss_adopt_pull_all (node, from);
     }
 }
 
--- a/src/core/spread.c
+++ b/src/core/spread.c
@@ -150,7 +150,7 @@
   beat.heard = (char **) heard->pdata;
   beat.n_heard = heard->len;
   beat.ready = node->ready;
-  beat.platform_up = ss_spread_watches (node) && !node->platform_down;
+  beat.platform_up = ss_feeds_watches (node) && !node->platform_down;
   e.body_case = SS__PEER__ENVELOPE__BODY_HEARTBEAT;
   e.heartbeat = &beat;
   if (node->members.relayed)
@@ -277,7 +277,7 @@
                member->vm, "failure_domain=%s", member->failure_domain);
   if (member->live)
     return;
-  ss_entry_vm_lost (data, member->vm);
+  ss_pending_vm_lost (data, member->vm);
   ss_owner_vm_lost (data, member->vm);
 }
 
@@ -303,7 +303,7 @@
   uint64_t generation = node->members.generation;
   SsMember *self = ss_members_find (&node->members, node->params.vm);
 
-  self->platform_up = ss_spread_watches (node) && !node->platform_down;
+  self->platform_up = ss_feeds_watches (node) && !node->platform_down;
   node->members.relayed = is_relayed (node);
   ss_members_update (&node->members, node->now_ms, on_member_changed, node);
   if (generation != node->members.generation
@@ -316,7 +316,7 @@
     ss_spread_beat_now (node);
   if (node->now_ms >= node->subscribe_due_ms)
     subscribe (node);
-  if (!ss_feeds_are_one (node) || ss_spread_watches (node))
+  if (!ss_feeds_are_one (node) || ss_feeds_watches (node))
     ss_feeds_tick (node);
   if (g_hash_table_size (node->removals))
     ss_adopt_remove_gone (node);
