A transaction is known by the request that opened it

The owner found the connection of a transaction by vm and session. An entry that takes its owner for lost, or a new life of the entry, can begin another transaction under the same session while the first is still open there; statements then went to whichever came first. Ruled out: connections that go back to the pool with an open transaction (every path checks the status that the target told); an owner's old connections (its process was new). Change: a statement in a transaction names the request that opened it, and only that connection takes it. A statement outside of one ends what is still open for its session.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -2014,7 +2014,7 @@
   (ProtobufCMessageInit) ss__peer__domain_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__run__field_descriptors[20] =
+static const ProtobufCFieldDescriptor ss__peer__run__field_descriptors[21] =
 {
   {
     "request",
@@ -2256,6 +2256,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "transaction",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Run, transaction),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__run__field_indices_by_name[] = {
   13,   /* field[13] = begins */
@@ -2276,13 +2288,14 @@
   4,   /* field[4] = sql */
   2,   /* field[2] = target */
   10,   /* field[10] = trace */
+  20,   /* field[20] = transaction */
   14,   /* field[14] = transaction_is_read */
   16,   /* field[16] = values */
 };
 static const ProtobufCIntRange ss__peer__run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor ss__peer__run__descriptor =
 {
@@ -2292,7 +2305,7 @@
   "Ss__Peer__Run",
   "ss.peer",
   sizeof(Ss__Peer__Run),
-  20,
+  21,
   ss__peer__run__field_descriptors,
   ss__peer__run__field_indices_by_name,
   1,  ss__peer__run__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -266,10 +266,14 @@
    * only at a primary that is one after this came
    */
   protobuf_c_boolean confirm;
+  /*
+   * if pinned: the request that opened it
+   */
+  uint64_t transaction;
 };
 #define SS__PEER__RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__run__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, NULL, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Ss__Peer__RunReply
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -332,7 +332,10 @@
     }
   s->begin_due = false;
   if (!s->pinned_vm)
-    s->pinned_is_read = r->is_read;
+    {
+      s->pinned_is_read = r->is_read;
+      s->transaction = r->id;
+    }
   ss_session_replace (&s->pinned_vm, r->vm);
   ss_session_replace (&s->pinned_target, r->target);
 }
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -74,7 +74,8 @@
   char *pinned_vm;    /* while a transaction is open */
   char *pinned_target;
   bool pinned_is_read;
-  bool loss_untold; /* its transaction was lost between two statements */
+  uint64_t transaction; /* while pinned: the request that opened it */
+  bool loss_untold;     /* its transaction was lost between two statements */
   SsRequest *request;
 } SsSession;
 
@@ -253,6 +254,7 @@
   SsJob *job;
   char *vm; /* of the session that it is pinned to */
   uint64_t session;
+  uint64_t transaction; /* while it is pinned: the request that opened it */
   int64_t since_ms;
   SsSessionState held; /* what it has set and prepared */
   GQueue due;          /* statements (to be freed) before the job's */
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -289,7 +289,7 @@
 run_pinned (SsNode *node, SsOwned *owned, const char *from,
             const Ss__Peer__Run *run)
 {
-  SsConnection *c = ss_pool_find_pinned (owned, from, run->session);
+  SsConnection *c = ss_pool_find_pinned (owned, from, run->transaction);
 
   if (!c || c->state != SS_CONNECTION_PINNED)
     refuse_run (node, from, run, SS_REASON_TRANSACTION_LOST, 0);
@@ -297,6 +297,23 @@
     start_job (node, c, new_job (node, owned, from, run));
 }
 
+/* A session that sends a statement outside of a transaction knows of none: one
+ * that is open for it was lost on the way.
+ */
+static void
+end_lost_transactions (SsNode *node, SsOwned *owned, const char *from,
+                       uint64_t session)
+{
+  for (guint i = owned->connections->len; i > 0; i--)
+    {
+      SsConnection *c = g_ptr_array_index (owned->connections, i - 1);
+
+      if (c->state == SS_CONNECTION_PINNED && c->session == session && c->vm
+          && strcmp (c->vm, from) == 0)
+        ss_kept_end_idle (node, c);
+    }
+}
+
 void
 ss_job_queue (SsNode *node, SsOwned *owned, SsJob *job)
 {
@@ -340,6 +357,7 @@
       run_pinned (node, owned, from, run);
       return;
     }
+  end_lost_transactions (node, owned, from, run->session);
   reason = check_target (node, owned, run);
   if (reason != SS_REASON_NONE)
     {
--- a/src/core/outcome.c
+++ b/src/core/outcome.c
@@ -23,8 +23,11 @@
     {
       c->state = SS_CONNECTION_PINNED;
       if (!c->vm)
-        c->vm = g_strdup (job->vm);
-      c->session = job->session;
+        {
+          c->vm = g_strdup (job->vm);
+          c->session = job->session;
+          c->transaction = job->request;
+        }
       if (!ss_dialect_keeps_sessions (node->dialect))
         return;
       /* Between two statements it leaves its slot to others. */
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -21,8 +21,12 @@
 void ss_pool_free (SsConnection *c);
 /* ss_pool_release_slot: RAN_MS below 0 is not a measure. */
 void ss_pool_release_slot (SsConnection *c, int64_t ran_ms);
+/* ss_pool_find_pinned: the connection of the transaction that VM opened by its
+ * request TRANSACTION, or NULL.  A session is not enough: its entry may have
+ * lost a transaction that is still open here, or be a new life of VM.
+ */
 SsConnection *ss_pool_find_pinned (SsOwned *owned, const char *vm,
-                                   uint64_t session);
+                                   uint64_t transaction);
 SsConnection *ss_pool_find_idle (SsOwned *owned);
 /* ss_pool_find_nearest: the idle connection that needs least for JOB. */
 SsConnection *ss_pool_find_nearest (SsOwned *owned, const SsJob *job);
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -97,13 +97,13 @@
 }
 
 SsConnection *
-ss_pool_find_pinned (SsOwned *owned, const char *vm, uint64_t session)
+ss_pool_find_pinned (SsOwned *owned, const char *vm, uint64_t transaction)
 {
   for (guint i = 0; i < owned->connections->len; i++)
     {
       SsConnection *c = g_ptr_array_index (owned->connections, i);
 
-      if (c->session == session && c->vm && strcmp (c->vm, vm) == 0)
+      if (c->transaction == transaction && c->vm && strcmp (c->vm, vm) == 0)
         return c;
     }
   return NULL;
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -84,6 +84,7 @@
   run.sql.len = strlen (r->sql);
   run.is_read = r->is_read;
   run.pinned = pinned;
+  run.transaction = pinned ? s->transaction : 0;
   ss_position_pack (&floor, r->floor);
   run.floor = &floor;
   run.left_ms = (uint32_t) MAX (r->deadline_ms - node->now_ms, 0);
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -404,6 +404,91 @@
   line_world_finish (&w);
 }
 
+static void
+run_of_peer (LineWorld *w, uint64_t request, uint64_t transaction,
+             const char *text)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Run run = SS__PEER__RUN__INIT;
+  Ss__Peer__Position floor = SS__PEER__POSITION__INIT;
+
+  run.request = request;
+  run.session = 5;
+  run.target = (char *) "t1";
+  run.service = (char *) "strict";
+  run.sql.data = (uint8_t *) text;
+  run.sql.len = strlen (text);
+  run.keeps = true;
+  run.pinned = transaction != 0;
+  run.begins = !run.pinned;
+  run.transaction = transaction;
+  run.floor = &floor;
+  run.left_ms = 1000;
+  e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
+  e.run = &run;
+  line_world_peer (w, &e);
+}
+
+/* Of the connections with an open transaction, how many wrote in it. */
+static uint32_t
+count_wrote (LineWorld *w, uint32_t *open)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t wrote = 0;
+
+  *open = 0;
+  g_hash_table_iter_init (&iter, w->connections);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const LineConnection *c = value;
+
+      *open += c->status == 'T' ? 1 : 0;
+      wrote += c->status == 'T' && c->wrote ? 1 : 0;
+    }
+  return wrote;
+}
+
+/* A session's entry took its first transaction for lost, or the entry is a
+ * new life of its vm: the second one is not mixed up with the first.
+ */
+static void
+second_transaction_keeps_to_its_own (void)
+{
+  LineWorld w;
+  uint32_t open;
+
+  line_world_init (&w, 31, 1, 8);
+  run_of_peer (&w, 100, 0, "READ 1a");
+  run_of_peer (&w, 200, 0, "READ 1a");
+  line_world_advance (&w, 100);
+  CU_ASSERT (count_wrote (&w, &open) == 0);
+  CU_ASSERT (open == 2);
+  run_of_peer (&w, 201, 200, "WRITE 1a x");
+  line_world_advance (&w, 100);
+  run_of_peer (&w, 101, 100, "WRITE 1b y");
+  line_world_advance (&w, 100);
+  CU_ASSERT (count_wrote (&w, &open) == 2);
+  line_world_finish (&w);
+}
+
+/* A statement outside of a transaction tells that the one before it is lost. */
+static void
+lost_transaction_ends_with_the_next_statement (void)
+{
+  LineWorld w;
+  uint32_t open;
+
+  line_world_init (&w, 32, 1, 8);
+  run_of_peer (&w, 100, 0, "WRITE 1a x");
+  line_world_advance (&w, 100);
+  run_of_peer (&w, 200, 0, "READ 1a");
+  line_world_advance (&w, 100);
+  CU_ASSERT (count_wrote (&w, &open) == 0);
+  CU_ASSERT (open == 1);
+  line_world_finish (&w);
+}
+
 CU_TestInfo test_line[] = {
   { "interleavings keep sessions apart", interleavings_keep_sessions_apart },
   { "first statement runs once", first_statement_runs_once },
@@ -420,5 +505,9 @@
   { "unheld commit is in doubt", unheld_commit_is_in_doubt },
   { "callers wait for the start", callers_wait_for_the_start },
   { "sessions are kept at the entry", sessions_are_kept_at_the_entry },
+  { "second transaction keeps to its own",
+    second_transaction_keeps_to_its_own },
+  { "lost transaction ends with the next statement",
+    lost_transaction_ends_with_the_next_statement },
   CU_TEST_INFO_NULL,
 };
