Views of relays and questions of operators are modules of their own

Change: show.c answers questions, operation.h has what it shares with orders; views.c keeps what relays say, relay.c who says it to whom.

--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -467,6 +467,22 @@
 void ss_relay_report (SsNode *node, const char *from,
                       const Ss__Peer__DomainReport *report);
 
+/* --- views.c: which vms the relays say are live --- */
+
+void ss_views_init (SsNode *node);
+void ss_views_finish (SsNode *node);
+/* ss_views_hash: of the list that VM last sent in full; 0: none. */
+uint64_t ss_views_hash (const SsNode *node, const char *vm);
+/* ss_views_keep: FROM, a relay of FAILURE_DOMAIN, sent its list in full.  What
+ * it leaves out since, and no other relay there lists, is dead.
+ */
+void ss_views_keep (SsNode *node, const char *from, const char *failure_domain,
+                    uint64_t hash, Ss__Peer__VmState **vms, size_t count);
+/* ss_views_refresh: the vms of FROM's last list are live still; REMOTE: it
+ * relays for their failure domain.
+ */
+void ss_views_refresh (SsNode *node, const char *from, bool remote);
+
 /* --- opens.c --- */
 
 void ss_opens_init (SsNode *node);
@@ -538,10 +554,10 @@
 /* ss_operate_promoted: how the promotion ordered as CALL ended. */
 void ss_operate_promoted (SsNode *node, uint64_t call, SsVerdict verdict,
                           const char *message, int64_t version);
-void ss_operate_rows_ask (SsNode *node, const char *from,
-                          const Ss__Peer__RowsAsk *ask);
-void ss_operate_rows_reply (SsNode *node, const char *from,
-                            const Ss__Peer__RowsReply *reply);
+void ss_show_rows_ask (SsNode *node, const char *from,
+                       const Ss__Peer__RowsAsk *ask);
+void ss_show_rows_reply (SsNode *node, const char *from,
+                         const Ss__Peer__RowsReply *reply);
 void ss_operate_stop_ask (SsNode *node, const char *from,
                           const Ss__Peer__StopAsk *ask);
 void ss_operate_stop_reply (SsNode *node, const Ss__Peer__StopReply *reply);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -198,10 +198,10 @@
       ss_adopt_push (node, e->from, e->config_push);
       break;
     case SS__PEER__ENVELOPE__BODY_ROWS_ASK:
-      ss_operate_rows_ask (node, e->from, e->rows_ask);
+      ss_show_rows_ask (node, e->from, e->rows_ask);
       break;
     case SS__PEER__ENVELOPE__BODY_ROWS_REPLY:
-      ss_operate_rows_reply (node, e->from, e->rows_reply);
+      ss_show_rows_reply (node, e->from, e->rows_reply);
       break;
     case SS__PEER__ENVELOPE__BODY_STOP_ASK:
       ss_operate_stop_ask (node, e->from, e->stop_ask);
--- a/src/core/operate.c
+++ b/src/core/operate.c
@@ -2,40 +2,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/command.h"
-#include "core/internal.h"
-#include "core/tables.h"
+#include "core/operation.h"
 
-#define ROWS_BOUND_MS 600
 #define STOP_BOUND_MS 1000
 #define UPDATE_BOUND_MS 4000
 #define READ_AGAIN_MS 200
 
-typedef enum
-{
-  OPERATION_ROWS,
-  OPERATION_UPDATE,      /* the platform was asked to update */
-  OPERATION_UPDATE_READ, /* its answer was lost: the object is read back */
-  OPERATION_PROMOTE,
-  OPERATION_STOP
-} OperationKind;
-
-typedef struct
-{
-  uint64_t call;
-  uint64_t id; /* of the operator's request */
-  OperationKind kind;
-  SsCommand command;
-  json_t *rows;
-  GHashTable *silent; /* vms that did not answer yet */
-  char *key;
-  char *json;
-  char operation[96];
-  int64_t version; /* on which the update is based */
-  int64_t due_ms;
-  int64_t asked_ms;
-} SsOperation;
-
 static void
 operation_free (gpointer data)
 {
@@ -62,16 +34,16 @@
   g_hash_table_destroy (node->operations);
 }
 
-static SsOperation *
-find_operation (SsNode *node, uint64_t call)
+SsOperation *
+ss_operation_find (SsNode *node, uint64_t call)
 {
   return g_hash_table_lookup (node->operations, &call);
 }
 
 /* --- replies --- */
 
-static void
-push_reply (SsNode *node, uint64_t id, SsVerdict verdict, json_t *body)
+void
+ss_operation_reply (SsNode *node, uint64_t id, SsVerdict verdict, json_t *body)
 {
   SsAction *a = ss_node_push (node, SS_ACTION_OPERATOR_REPLY);
   char *text;
@@ -95,20 +67,20 @@
 
   if (version)
     json_object_set_new (body, "version", json_integer (version));
-  push_reply (node, id, verdict, body);
+  ss_operation_reply (node, id, verdict, body);
 }
 
-static void
-end_operation (SsNode *node, SsOperation *o, SsVerdict verdict,
-               const char *message, int64_t version)
+void
+ss_operation_end (SsNode *node, SsOperation *o, SsVerdict verdict,
+                  const char *message, int64_t version)
 {
   reply_message (node, o->id, verdict, message, version);
   g_hash_table_remove (node->operations, &o->call);
 }
 
-static SsOperation *
-new_operation (SsNode *node, uint64_t id, OperationKind kind,
-               SsCommand *command, int64_t bound_ms)
+SsOperation *
+ss_operation_new (SsNode *node, uint64_t id, SsOperationKind kind,
+                  SsCommand *command, int64_t bound_ms)
 {
   SsOperation *o = g_new0 (SsOperation, 1);
 
@@ -124,114 +96,6 @@
   return o;
 }
 
-/* --- show --- */
-
-static void
-end_rows (SsNode *node, SsOperation *o)
-{
-  json_t *body;
-  json_t *silent;
-  GHashTableIter iter;
-  gpointer vm;
-  char *error = ss_command_select (&o->command, o->rows);
-
-  if (error)
-    {
-      end_operation (node, o, SS_VERDICT_NOT_RUN, error, 0);
-      g_free (error);
-      return;
-    }
-  silent = json_array ();
-  g_hash_table_iter_init (&iter, o->silent);
-  while (g_hash_table_iter_next (&iter, &vm, NULL))
-    json_array_append_new (silent, json_string (vm));
-  body = json_pack ("{s:O, s:o, s:I}", "rows", o->rows, "silent_vms", silent,
-                    "revision", (json_int_t) node->config.revision);
-  push_reply (node, o->id, SS_VERDICT_RAN, body);
-  g_hash_table_remove (node->operations, &o->call);
-}
-
-typedef struct
-{
-  SsNode *node;
-  SsOperation *operation;
-} Ask;
-
-static gboolean
-ask_one (gpointer key, gpointer value, gpointer data)
-{
-  Ask *ask = data;
-  const SsMember *m = value;
-  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
-  Ss__Peer__RowsAsk rows = SS__PEER__ROWS_ASK__INIT;
-
-  if (strcmp (key, ask->node->params.vm) == 0 || (!m->live && !m->listed))
-    return FALSE;
-  g_hash_table_add (ask->operation->silent, g_strdup (key));
-  rows.call = ask->operation->call;
-  rows.table = (char *) ss_table_name (ask->operation->command.table);
-  e.body_case = SS__PEER__ENVELOPE__BODY_ROWS_ASK;
-  e.rows_ask = &rows;
-  ss_node_send (ask->node, key, &e);
-  return FALSE;
-}
-
-static void
-show (SsNode *node, uint64_t id, SsCommand *command)
-{
-  SsOperation *o
-      = new_operation (node, id, OPERATION_ROWS, command, ROWS_BOUND_MS);
-  Ask ask = { node, o };
-
-  json_decref (o->rows);
-  o->rows = ss_tables_rows (node, o->command.table);
-  if (ss_tables_is_shared (o->command.table))
-    g_tree_foreach (node->members.by_name, ask_one, &ask);
-  if (g_hash_table_size (o->silent) == 0)
-    end_rows (node, o);
-}
-
-void
-ss_operate_rows_ask (SsNode *node, const char *from,
-                     const Ss__Peer__RowsAsk *ask)
-{
-  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
-  Ss__Peer__RowsReply reply = SS__PEER__ROWS_REPLY__INIT;
-  SsTable table;
-  json_t *rows;
-  char *text;
-
-  if (!ss_table_find (ask->table, &table))
-    return;
-  rows = ss_tables_rows (node, table);
-  text = json_dumps (rows, JSON_COMPACT);
-  reply.call = ask->call;
-  reply.rows.data = (uint8_t *) text;
-  reply.rows.len = strlen (text);
-  e.body_case = SS__PEER__ENVELOPE__BODY_ROWS_REPLY;
-  e.rows_reply = &reply;
-  ss_node_send (node, from, &e);
-  free (text);
-  json_decref (rows);
-}
-
-void
-ss_operate_rows_reply (SsNode *node, const char *from,
-                       const Ss__Peer__RowsReply *reply)
-{
-  SsOperation *o = find_operation (node, reply->call);
-  json_t *rows;
-
-  if (!o || o->kind != OPERATION_ROWS || !g_hash_table_remove (o->silent, from))
-    return;
-  rows = json_loadb ((const char *) reply->rows.data, reply->rows.len, 0, NULL);
-  if (json_is_array (rows))
-    json_array_extend (o->rows, rows);
-  json_decref (rows);
-  if (g_hash_table_size (o->silent) == 0)
-    end_rows (node, o);
-}
-
 /* --- updates of the configuration --- */
 
 static void
@@ -293,7 +157,8 @@
       free (text);
       return;
     }
-  o = new_operation (node, id, OPERATION_UPDATE, command, UPDATE_BOUND_MS);
+  o = ss_operation_new (node, id, SS_OPERATION_UPDATE, command,
+                        UPDATE_BOUND_MS);
   g_strlcpy (o->operation, operation, sizeof o->operation);
   o->key = g_strdup (key);
   o->json = g_strdup (text);
@@ -398,20 +263,20 @@
   ss_adopt_one (node, object);
   if (is_ours (o, object))
     {
-      end_operation (node, o, SS_VERDICT_RAN, "accepted", object->version);
+      ss_operation_end (node, o, SS_VERDICT_RAN, "accepted", object->version);
       return;
     }
   if (object->version == o->version)
     {
       /* It may still be under way to the platform. */
-      end_operation (node, o, SS_VERDICT_MAY_HAVE_RUN,
-                     "the platform does not show the change", o->version);
+      ss_operation_end (node, o, SS_VERDICT_MAY_HAVE_RUN,
+                        "the platform does not show the change", o->version);
       return;
     }
   message = g_strdup_printf ("conflict: version %" G_GINT64_FORMAT " won: %.*s",
                              object->version, (int) object->value_bytes,
                              object->value);
-  end_operation (node, o, SS_VERDICT_NOT_RUN, message, object->version);
+  ss_operation_end (node, o, SS_VERDICT_NOT_RUN, message, object->version);
   g_free (message);
 }
 
@@ -419,18 +284,18 @@
 ss_operate_object (SsNode *node, uint64_t call, SsPlatformOutcome outcome,
                    const SsObject *object)
 {
-  SsOperation *o = find_operation (node, call);
+  SsOperation *o = ss_operation_find (node, call);
 
   if (!o || !o->key)
     return;
   if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
     end_update (node, o, object);
-  else if (o->kind == OPERATION_UPDATE && outcome == SS_PLATFORM_REFUSED)
-    end_operation (node, o, SS_VERDICT_NOT_RUN, "the platform does not answer",
-                   0);
+  else if (o->kind == SS_OPERATION_UPDATE && outcome == SS_PLATFORM_REFUSED)
+    ss_operation_end (node, o, SS_VERDICT_NOT_RUN,
+                      "the platform does not answer", 0);
   else
     {
-      o->kind = OPERATION_UPDATE_READ;
+      o->kind = SS_OPERATION_UPDATE_READ;
       o->asked_ms = node->now_ms;
     }
 }
@@ -450,7 +315,7 @@
       reply_message (node, id, SS_VERDICT_NOT_RUN, "no such live vm", 0);
       return;
     }
-  o = new_operation (node, id, OPERATION_STOP, command, STOP_BOUND_MS);
+  o = ss_operation_new (node, id, SS_OPERATION_STOP, command, STOP_BOUND_MS);
   ask.call = o->call;
   e.body_case = SS__PEER__ENVELOPE__BODY_STOP_ASK;
   e.stop_ask = &ask;
@@ -474,10 +339,10 @@
 void
 ss_operate_stop_reply (SsNode *node, const Ss__Peer__StopReply *reply)
 {
-  SsOperation *o = find_operation (node, reply->call);
+  SsOperation *o = ss_operation_find (node, reply->call);
 
-  if (o && o->kind == OPERATION_STOP)
-    end_operation (node, o, SS_VERDICT_RAN, "the vm is stopping", 0);
+  if (o && o->kind == SS_OPERATION_STOP)
+    ss_operation_end (node, o, SS_VERDICT_RAN, "the vm is stopping", 0);
 }
 
 /* The order was meant for a state that is no longer in force. */
@@ -515,7 +380,7 @@
                    "this server is the primary already", group->version);
   else
     {
-      o = new_operation (node, id, OPERATION_PROMOTE, command, INT32_MAX);
+      o = ss_operation_new (node, id, SS_OPERATION_PROMOTE, command, INT32_MAX);
       ss_promote_order (node, group->name, o->command.to, o->call);
     }
 }
@@ -524,10 +389,10 @@
 ss_operate_promoted (SsNode *node, uint64_t call, SsVerdict verdict,
                      const char *message, int64_t version)
 {
-  SsOperation *o = find_operation (node, call);
+  SsOperation *o = ss_operation_find (node, call);
 
   if (o)
-    end_operation (node, o, verdict, message, version);
+    ss_operation_end (node, o, verdict, message, version);
 }
 
 /* --- commands --- */
@@ -538,7 +403,7 @@
   switch (command->kind)
     {
     case SS_COMMAND_SHOW:
-      show (node, id, command);
+      ss_show (node, id, command);
       break;
     case SS_COMMAND_DRAIN:
     case SS_COMMAND_UNDRAIN:
@@ -582,18 +447,19 @@
 static void
 tick_operation (SsNode *node, SsOperation *o)
 {
-  if (o->kind == OPERATION_UPDATE_READ
+  if (o->kind == SS_OPERATION_UPDATE_READ
       && node->now_ms - o->asked_ms >= READ_AGAIN_MS)
     get_update (node, o);
   if (node->now_ms < o->due_ms)
     return;
-  if (o->kind == OPERATION_ROWS)
-    end_rows (node, o);
+  if (o->kind == SS_OPERATION_ROWS)
+    ss_show_end (node, o);
   else
-    end_operation (node, o, SS_VERDICT_MAY_HAVE_RUN,
-                   o->kind == OPERATION_STOP ? "the vm did not answer"
-                                             : "the platform did not answer",
-                   0);
+    ss_operation_end (node, o, SS_VERDICT_MAY_HAVE_RUN,
+                      o->kind == SS_OPERATION_STOP
+                          ? "the vm did not answer"
+                          : "the platform did not answer",
+                      0);
 }
 
 void
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -22,14 +22,6 @@
 /* Another configuration than a relay's is fetched this often at most. */
 #define PULL_AGAIN_MS 1000
 
-/* The vms that a peer last sent in full. */
-typedef struct
-{
-  uint64_t hash;
-  int64_t said_ms; /* when it was last said to hold */
-  GHashTable *vms; /* names */
-} View;
-
 /* The last report in full that a relay got. */
 typedef struct
 {
@@ -37,20 +29,10 @@
   int64_t sent_ms;
 } FullReport;
 
-static void
-free_view (gpointer data)
-{
-  View *v = data;
-
-  g_hash_table_unref (v->vms);
-  g_free (v);
-}
-
 void
 ss_relay_init (SsNode *node)
 {
-  node->views
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_view);
+  ss_views_init (node);
   node->reports
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -58,7 +40,7 @@
 void
 ss_relay_finish (SsNode *node)
 {
-  g_hash_table_destroy (node->views);
+  ss_views_finish (node);
   g_hash_table_destroy (node->reports);
 }
 
@@ -202,12 +184,12 @@
 {
   const SsNode *node;
   GPtrArray *relays;
-} Reporters;
+} RelayList;
 
 static gboolean
 add_reporter (gpointer key, gpointer value, gpointer data)
 {
-  Reporters *r = data;
+  RelayList *r = data;
   const SsMember *m = value;
 
   if (r->node->now_ms - m->relays_ms < SS_MEMBER_SILENCE_MS
@@ -261,7 +243,7 @@
 static GPtrArray *
 other_relays (SsNode *node)
 {
-  Reporters reporters = { node, NULL };
+  RelayList list = { node, NULL };
   GHashTable *domains = g_hash_table_new (g_str_hash, g_str_equal);
   GPtrArray *names = g_ptr_array_new ();
   GPtrArray *relays = g_ptr_array_new ();
@@ -277,8 +259,8 @@
     }
   g_ptr_array_free (names, TRUE);
   g_hash_table_destroy (domains);
-  reporters.relays = relays;
-  g_tree_foreach (node->members.by_name, add_reporter, &reporters);
+  list.relays = relays;
+  g_tree_foreach (node->members.by_name, add_reporter, &list);
   return relays;
 }
 
@@ -353,18 +335,10 @@
   g_ptr_array_free (vms, TRUE);
 }
 
-static uint64_t
-known_hash (const SsNode *node, const char *vm)
-{
-  const View *v = g_hash_table_lookup (node->views, vm);
-
-  return v ? v->hash : 0;
-}
-
 static gboolean
 add_own_live (gpointer key, gpointer value, gpointer data)
 {
-  Reporters *r = data;
+  RelayList *r = data;
   const SsMember *m = value;
 
   if (m->live && is_own (r->node, m) && strcmp (key, r->node->params.vm) != 0
@@ -380,12 +354,12 @@
 own_relays (SsNode *node)
 {
   GPtrArray *relays = g_ptr_array_new ();
-  Reporters reporters = { node, relays };
+  RelayList list = { node, relays };
 
   ss_members_relays (&node->members, node->params.failure_domain, node->now_ms,
                      relays);
   if (ss_members_is_unsure (&node->members, node->now_ms))
-    g_tree_foreach (node->members.by_name, add_own_live, &reporters);
+    g_tree_foreach (node->members.by_name, add_own_live, &list);
   return relays;
 }
 
@@ -405,7 +379,7 @@
           continue;
         }
       note_try (node, ss_members_find (&node->members, vm));
-      beat->heartbeat->digest = known_hash (node, vm);
+      beat->heartbeat->digest = ss_views_hash (node, vm);
       ss_node_send (node, vm, beat);
     }
   if (relays_here)
@@ -418,70 +392,6 @@
 
 /* --- what others tell --- */
 
-/* Whether a relay of FAILURE_DOMAIN says that VM is live. */
-static bool
-is_said_live (SsNode *node, const char *failure_domain, const char *vm)
-{
-  GHashTableIter iter;
-  gpointer relay;
-  gpointer view;
-
-  g_hash_table_iter_init (&iter, node->views);
-  while (g_hash_table_iter_next (&iter, &relay, &view))
-    {
-      const View *v = view;
-      const SsMember *m = ss_members_find (&node->members, relay);
-
-      if (node->now_ms - v->said_ms < SS_MEMBER_SILENCE_MS
-          && g_hash_table_contains (v->vms, vm) && m
-          && strcmp (m->failure_domain, failure_domain) == 0)
-        return true;
-    }
-  return false;
-}
-
-/* A relay of FAILURE_DOMAIN leaves vms out that it listed before: where no
- * other relay there lists them, they are not waited for any longer.
- */
-static void
-drop_omitted (SsNode *node, const char *failure_domain, GHashTable *before)
-{
-  int64_t over_ms = node->now_ms - SS_MEMBER_REPORTED_MS;
-  GHashTableIter iter;
-  gpointer vm;
-
-  g_hash_table_iter_init (&iter, before);
-  while (g_hash_table_iter_next (&iter, &vm, NULL))
-    {
-      SsMember *m = ss_members_find (&node->members, vm);
-
-      if (!m || is_said_live (node, failure_domain, vm))
-        continue;
-      m->reported_ms = MIN (m->reported_ms, over_ms);
-      m->remote_ms = MIN (m->remote_ms, over_ms);
-    }
-}
-
-static void
-keep_view (SsNode *node, const char *from, const char *failure_domain,
-           uint64_t hash, Ss__Peer__VmState **vms, size_t count)
-{
-  const View *before = g_hash_table_lookup (node->views, from);
-  GHashTable *listed = before ? g_hash_table_ref (before->vms) : NULL;
-  View *v = g_new0 (View, 1);
-
-  v->hash = hash;
-  v->said_ms = node->now_ms;
-  v->vms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  for (size_t i = 0; i < count; i++)
-    g_hash_table_add (v->vms, g_strdup (vms[i]->vm));
-  g_hash_table_replace (node->views, g_strdup (from), v);
-  if (!listed)
-    return;
-  drop_omitted (node, failure_domain, listed);
-  g_hash_table_unref (listed);
-}
-
 static void
 take_states (SsNode *node, Ss__Peer__VmState **vms, size_t count)
 {
@@ -500,32 +410,6 @@
     }
 }
 
-/* The vms of FROM's last full list are live still; REMOTE: it relays for
- * their failure domain.
- */
-static void
-refresh (SsNode *node, const char *from, bool remote)
-{
-  View *v = g_hash_table_lookup (node->views, from);
-  GHashTableIter iter;
-  gpointer vm;
-
-  if (!v)
-    return;
-  v->said_ms = node->now_ms;
-  g_hash_table_iter_init (&iter, v->vms);
-  while (g_hash_table_iter_next (&iter, &vm, NULL))
-    {
-      SsMember *m = ss_members_find (&node->members, vm);
-
-      if (!m)
-        continue;
-      m->reported_ms = node->now_ms;
-      if (remote)
-        m->remote_ms = node->now_ms;
-    }
-}
-
 void
 ss_relay_digest (SsNode *node, const char *from, const Ss__Peer__Digest *digest)
 {
@@ -538,11 +422,11 @@
   if (digest->full)
     {
       take_states (node, digest->vms, digest->n_vms);
-      keep_view (node, from, m->failure_domain, digest->hash, digest->vms,
-                 digest->n_vms);
+      ss_views_keep (node, from, m->failure_domain, digest->hash, digest->vms,
+                     digest->n_vms);
     }
-  if (digest->hash == known_hash (node, from))
-    refresh (node, from, false);
+  if (digest->hash == ss_views_hash (node, from))
+    ss_views_refresh (node, from, false);
   if (digest->config_hash == node->config.hash)
     node->config_differs_ms = node->now_ms;
   else if (node->now_ms - node->config_differs_ms >= PULL_AGAIN_MS
@@ -566,9 +450,9 @@
   if (report->full)
     {
       take_states (node, report->vms, report->n_vms);
-      keep_view (node, from, report->failure_domain, report->hash, report->vms,
-                 report->n_vms);
+      ss_views_keep (node, from, report->failure_domain, report->hash,
+                     report->vms, report->n_vms);
     }
-  if (report->hash == known_hash (node, from))
-    refresh (node, from, true);
+  if (report->hash == ss_views_hash (node, from))
+    ss_views_refresh (node, from, true);
 }
--- /dev/null
+++ b/src/core/show.c
@@ -0,0 +1,116 @@
+/* show: operators' questions; each vm tells the rows that it knows. */
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/operation.h"
+#include "core/tables.h"
+
+/* Vms that did not answer by then are named as silent. */
+#define ROWS_BOUND_MS 600
+
+void
+ss_show_end (SsNode *node, SsOperation *o)
+{
+  json_t *body;
+  json_t *silent;
+  GHashTableIter iter;
+  gpointer vm;
+  char *error = ss_command_select (&o->command, o->rows);
+
+  if (error)
+    {
+      ss_operation_end (node, o, SS_VERDICT_NOT_RUN, error, 0);
+      g_free (error);
+      return;
+    }
+  silent = json_array ();
+  g_hash_table_iter_init (&iter, o->silent);
+  while (g_hash_table_iter_next (&iter, &vm, NULL))
+    json_array_append_new (silent, json_string (vm));
+  body = json_pack ("{s:O, s:o, s:I}", "rows", o->rows, "silent_vms", silent,
+                    "revision", (json_int_t) node->config.revision);
+  ss_operation_reply (node, o->id, SS_VERDICT_RAN, body);
+  g_hash_table_remove (node->operations, &o->call);
+}
+
+typedef struct
+{
+  SsNode *node;
+  SsOperation *operation;
+} Ask;
+
+static gboolean
+ask_one (gpointer key, gpointer value, gpointer data)
+{
+  Ask *ask = data;
+  const SsMember *m = value;
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__RowsAsk rows = SS__PEER__ROWS_ASK__INIT;
+
+  if (strcmp (key, ask->node->params.vm) == 0 || (!m->live && !m->listed))
+    return FALSE;
+  g_hash_table_add (ask->operation->silent, g_strdup (key));
+  rows.call = ask->operation->call;
+  rows.table = (char *) ss_table_name (ask->operation->command.table);
+  e.body_case = SS__PEER__ENVELOPE__BODY_ROWS_ASK;
+  e.rows_ask = &rows;
+  ss_node_send (ask->node, key, &e);
+  return FALSE;
+}
+
+void
+ss_show (SsNode *node, uint64_t id, SsCommand *command)
+{
+  SsOperation *o
+      = ss_operation_new (node, id, SS_OPERATION_ROWS, command, ROWS_BOUND_MS);
+  Ask ask = { node, o };
+
+  json_decref (o->rows);
+  o->rows = ss_tables_rows (node, o->command.table);
+  if (ss_tables_is_shared (o->command.table))
+    g_tree_foreach (node->members.by_name, ask_one, &ask);
+  if (g_hash_table_size (o->silent) == 0)
+    ss_show_end (node, o);
+}
+
+void
+ss_show_rows_ask (SsNode *node, const char *from, const Ss__Peer__RowsAsk *ask)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__RowsReply reply = SS__PEER__ROWS_REPLY__INIT;
+  SsTable table;
+  json_t *rows;
+  char *text;
+
+  if (!ss_table_find (ask->table, &table))
+    return;
+  rows = ss_tables_rows (node, table);
+  text = json_dumps (rows, JSON_COMPACT);
+  reply.call = ask->call;
+  reply.rows.data = (uint8_t *) text;
+  reply.rows.len = strlen (text);
+  e.body_case = SS__PEER__ENVELOPE__BODY_ROWS_REPLY;
+  e.rows_reply = &reply;
+  ss_node_send (node, from, &e);
+  free (text);
+  json_decref (rows);
+}
+
+void
+ss_show_rows_reply (SsNode *node, const char *from,
+                    const Ss__Peer__RowsReply *reply)
+{
+  SsOperation *o = ss_operation_find (node, reply->call);
+  json_t *rows;
+
+  if (!o || o->kind != SS_OPERATION_ROWS
+      || !g_hash_table_remove (o->silent, from))
+    return;
+  rows = json_loadb ((const char *) reply->rows.data, reply->rows.len, 0, NULL);
+  if (json_is_array (rows))
+    json_array_extend (o->rows, rows);
+  json_decref (rows);
+  if (g_hash_table_size (o->silent) == 0)
+    ss_show_end (node, o);
+}
--- /dev/null
+++ b/src/core/views.c
@@ -0,0 +1,132 @@
+/* views: which vms the relays say are live.
+ *
+ * A relay sends its list in full where it changed, and else its hash.
+ */
+#include <string.h>
+
+#include "core/internal.h"
+
+/* The vms that a peer last sent in full. */
+typedef struct
+{
+  uint64_t hash;
+  int64_t said_ms; /* when it was last said to hold */
+  GHashTable *vms; /* names */
+} View;
+
+static void
+free_view (gpointer data)
+{
+  View *v = data;
+
+  g_hash_table_unref (v->vms);
+  g_free (v);
+}
+
+void
+ss_views_init (SsNode *node)
+{
+  node->views
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_view);
+}
+
+void
+ss_views_finish (SsNode *node)
+{
+  g_hash_table_destroy (node->views);
+}
+
+uint64_t
+ss_views_hash (const SsNode *node, const char *vm)
+{
+  const View *v = g_hash_table_lookup (node->views, vm);
+
+  return v ? v->hash : 0;
+}
+
+/* Whether a relay of FAILURE_DOMAIN says that VM is live. */
+static bool
+is_said_live (SsNode *node, const char *failure_domain, const char *vm)
+{
+  GHashTableIter iter;
+  gpointer relay;
+  gpointer view;
+
+  g_hash_table_iter_init (&iter, node->views);
+  while (g_hash_table_iter_next (&iter, &relay, &view))
+    {
+      const View *v = view;
+      const SsMember *m = ss_members_find (&node->members, relay);
+
+      if (node->now_ms - v->said_ms < SS_MEMBER_SILENCE_MS
+          && g_hash_table_contains (v->vms, vm) && m
+          && strcmp (m->failure_domain, failure_domain) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* A relay of FAILURE_DOMAIN leaves vms out that it listed before: where no
+ * other relay there lists them, they are not waited for any longer.
+ */
+static void
+drop_omitted (SsNode *node, const char *failure_domain, GHashTable *before)
+{
+  int64_t over_ms = node->now_ms - SS_MEMBER_REPORTED_MS;
+  GHashTableIter iter;
+  gpointer vm;
+
+  g_hash_table_iter_init (&iter, before);
+  while (g_hash_table_iter_next (&iter, &vm, NULL))
+    {
+      SsMember *m = ss_members_find (&node->members, vm);
+
+      if (!m || is_said_live (node, failure_domain, vm))
+        continue;
+      m->reported_ms = MIN (m->reported_ms, over_ms);
+      m->remote_ms = MIN (m->remote_ms, over_ms);
+    }
+}
+
+void
+ss_views_keep (SsNode *node, const char *from, const char *failure_domain,
+               uint64_t hash, Ss__Peer__VmState **vms, size_t count)
+{
+  const View *before = g_hash_table_lookup (node->views, from);
+  GHashTable *listed = before ? g_hash_table_ref (before->vms) : NULL;
+  View *v = g_new0 (View, 1);
+
+  v->hash = hash;
+  v->said_ms = node->now_ms;
+  v->vms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (size_t i = 0; i < count; i++)
+    g_hash_table_add (v->vms, g_strdup (vms[i]->vm));
+  g_hash_table_replace (node->views, g_strdup (from), v);
+  if (!listed)
+    return;
+  drop_omitted (node, failure_domain, listed);
+  g_hash_table_unref (listed);
+}
+
+void
+ss_views_refresh (SsNode *node, const char *from, bool remote)
+{
+  View *v = g_hash_table_lookup (node->views, from);
+  GHashTableIter iter;
+  gpointer vm;
+
+  if (!v)
+    return;
+  v->said_ms = node->now_ms;
+  g_hash_table_iter_init (&iter, v->vms);
+  while (g_hash_table_iter_next (&iter, &vm, NULL))
+    {
+      SsMember *m = ss_members_find (&node->members, vm);
+
+      if (!m)
+        continue;
+      m->reported_ms = node->now_ms;
+      if (remote)
+        m->remote_ms = node->now_ms;
+    }
+}
