A primary moves to a replica when its replicas lag or receive nothing

A promoted server has applied all that it received, and the old primary serves reads as a replica at once. Likewise, a primary whose replicas receive nothing acknowledges no commit, while the others could form a majority without it. Ruled out: wasted slots at the primary (samples show it full all the time); waiting for the lag to end (the target's own lag says 7 to 16 s). Owners report their mean queueing time and for how long commits stall.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1408,7 +1408,7 @@
   (ProtobufCMessageInit) ss__peer__position__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__server_state__field_descriptors[13] =
+static const ProtobufCFieldDescriptor ss__peer__server_state__field_descriptors[15] =
 {
   {
     "reachable",
@@ -1566,6 +1566,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "mean_wait_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ServerState, mean_wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stalled_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ServerState, stalled_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__server_state__field_indices_by_name[] = {
   9,   /* field[9] = age_ms */
@@ -1575,17 +1599,19 @@
   4,   /* field[4] = held */
   8,   /* field[8] = history */
   11,   /* field[11] = lag_ms */
+  13,   /* field[13] = mean_wait_ms */
   0,   /* field[0] = reachable */
   1,   /* field[1] = refused */
   2,   /* field[2] = role */
   3,   /* field[3] = shown_term */
   6,   /* field[6] = silence_ms */
+  14,   /* field[14] = stalled_ms */
   10,   /* field[10] = wait_ms */
 };
 static const ProtobufCIntRange ss__peer__server_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ss__peer__server_state__descriptor =
 {
@@ -1595,7 +1621,7 @@
   "Ss__Peer__ServerState",
   "ss.peer",
   sizeof(Ss__Peer__ServerState),
-  13,
+  15,
   ss__peer__server_state__field_descriptors,
   ss__peer__server_state__field_indices_by_name,
   1,  ss__peer__server_state__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -119,10 +119,18 @@
    * replicates no term below this one; 0: no bar
    */
   uint64_t barred_term;
+  /*
+   * mean queueing time of the last statements
+   */
+  uint32_t mean_wait_ms;
+  /*
+   * for how long its commits reach no majority
+   */
+  uint32_t stalled_ms;
 };
 #define SS__PEER__SERVER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__server_state__descriptor) \
-    , 0, 0, 0, 0, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Ss__Peer__Heartbeat
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -442,6 +442,36 @@
   return strcmp (kind, "session") == 0 ? 0 : -1;
 }
 
+typedef struct
+{
+  const char *group;
+  int64_t staleness_ms;
+} StalenessSearch;
+
+static gboolean
+find_staleness (gpointer key, gpointer value, gpointer data)
+{
+  StalenessSearch *search = data;
+  const SsService *service = value;
+
+  (void) key;
+  if (strcmp (service->group, search->group) != 0)
+    return FALSE;
+  for (uint32_t i = 0; i < service->kind_count; i++)
+    search->staleness_ms
+        = MAX (search->staleness_ms, service->kinds[i].staleness_ms);
+  return FALSE;
+}
+
+int64_t
+ss_config_group_staleness (const SsConfig *config, const char *group)
+{
+  StalenessSearch search = { group, 0 };
+
+  g_tree_foreach (config->services, find_staleness, &search);
+  return search.staleness_ms;
+}
+
 uint32_t
 ss_group_majority (const SsGroup *group)
 {
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -45,9 +45,11 @@
   uint32_t silence_ms;  /* since it last heard from its primary */
   uint64_t follow_term; /* term of the primary that it follows or is */
   SsHistory history;
-  uint32_t wait_ms;     /* predicted queueing time of a new read */
-  uint32_t lag_ms;      /* replication lag of the applied position */
-  uint64_t barred_term; /* replicates no term below this one; 0: no bar */
+  uint32_t wait_ms;      /* predicted queueing time of a new read */
+  uint32_t mean_wait_ms; /* mean queueing time of the last statements */
+  uint32_t stalled_ms;   /* for how long its commits reach no majority */
+  uint32_t lag_ms;       /* replication lag of the applied position */
+  uint64_t barred_term;  /* replicates no term below this one; 0: no bar */
 } SsServerState;
 
 typedef struct
@@ -172,6 +174,11 @@
  */
 int64_t ss_service_staleness (const SsService *service, const char *kind);
 
+/* ss_config_group_staleness: returns the longest staleness, in milliseconds,
+ * that a kind of read of GROUP accepts; 0 if there is none.
+ */
+int64_t ss_config_group_staleness (const SsConfig *config, const char *group);
+
 /* ss_group_majority: returns the number of servers in a majority. */
 uint32_t ss_group_majority (const SsGroup *group);
 /* ss_group_primary: returns the configured primary, or NULL. */
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -183,6 +183,65 @@
                  : SILENT_DOWN_MS);
 }
 
+/* --- moving a primary whose replicas lag --- */
+
+/* The primary's owner may be this VM, which gets no report of its own. */
+static void
+view_primary (SsNode *node, const SsTarget *primary, SsPlacementView *view)
+{
+  const SsOwnedTarget *owned = ss_owner_find (node, primary->name);
+
+  if (owned && owned->active)
+    {
+      view->wait_ms = (int64_t) owned->queue.mean_wait_ms;
+      view->stalled_ms = ss_quorum_stalled_ms (node, owned);
+      return;
+    }
+  view->wait_ms = primary->state.mean_wait_ms;
+  view->stalled_ms = primary->state.stalled_ms;
+}
+
+static void
+view_replica (SsNode *node, const SsPlacement *placement, const SsTarget *t,
+              SsPlacementView *view)
+{
+  if (t->draining || !is_fresh (node, t))
+    return;
+  view->candidates++;
+  view->lag_ms = MIN (view->lag_ms, t->state.lag_ms);
+  if (ss_placement_receives (placement, t->state.held))
+    view->receiving = true;
+}
+
+bool
+ss_coordinator_should_move (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  const SsTarget *primary = ss_group_primary (group);
+  SsPlacementView view = { .lag_ms = G_MAXUINT32 };
+
+  if (!primary || !is_fresh (node, primary))
+    return false;
+  ss_placement_sample (&p->placement, primary->state.held, node->now_ms);
+  view_primary (node, primary, &view);
+  view.staleness_ms = ss_config_group_staleness (&node->config, group->name);
+  view.failover_ms = ss_predict_failover_ms (&node->prediction);
+  view.settled_ms = node->now_ms - group->changed_ms;
+  for (uint32_t i = 0; i < group->server_count; i++)
+    if (group->servers[i] != primary)
+      view_replica (node, &p->placement, group->servers[i], &view);
+  if (!ss_placement_should_move (&p->placement, &view, node->now_ms))
+    return false;
+  ss_placement_moved (&p->placement, node->now_ms);
+  ss_node_log (node, SS_EVENT_LOG_PRIMARY_MOVES, p->group,
+               "primary=%s term=%" G_GUINT64_FORMAT
+               " replica_lag_ms=%" G_GINT64_FORMAT
+               " staleness_ms=%" G_GINT64_FORMAT " wait_ms=%" G_GINT64_FORMAT
+               " failover_ms=%" G_GINT64_FORMAT " stalled_ms=%" G_GINT64_FORMAT,
+               group->primary, group->term, view.lag_ms, view.staleness_ms,
+               view.wait_ms, view.failover_ms, view.stalled_ms);
+  return true;
+}
+
 /* --- the call to the platform --- */
 
 /* Writes the duty object.  The version that this write gives the object is the
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -437,6 +437,7 @@
   GQueue waiters;           /* jobs whose commit waits for a majority */
   SsPosition unreplicated;  /* highest commit not known to have a majority */
   bool replication_stalled; /* a commit waits too long: no new ones are taken */
+  int64_t stalled_since_ms; /* since when, if replication_stalled */
   GQueue unconfirmed;       /* jobs that wait for a confirmed primary */
   SsConfirmedPosition last_position; /* latest one reported by a response */
   uint64_t replica_requests[SS_CONFIG_SERVERS_MAX]; /* outstanding, by server */
@@ -504,6 +505,10 @@
  */
 void ss_quorum_check (SsNode *node, SsGroup *group);
 void ss_quorum_tick (SsNode *node, SsOwnedTarget *owned);
+/* ss_quorum_stalled_ms: returns for how long the commits of OWNED have reached
+ * no majority, or 0.
+ */
+uint32_t ss_quorum_stalled_ms (const SsNode *node, const SsOwnedTarget *owned);
 void ss_quorum_handle_mark_ask (SsNode *node, const char *from,
                                 const Ss__Peer__MarkAsk *request);
 /* ss_quorum_handle_status: handles the reply to this VM's status request
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -171,8 +171,8 @@
 {
   while (ss_pool_find_idle (owned))
     {
-      SsQueueItem *item
-          = ss_queue_pop (&owned->queue, ss_pool_capacity (node, owned));
+      SsQueueItem *item = ss_queue_pop (
+          &owned->queue, ss_pool_capacity (node, owned), node->now_ms);
       SsConnection *c;
 
       if (!item)
@@ -334,7 +334,7 @@
       return;
     }
   ss_queue_push (&owned->queue, &job->item, job->service,
-                 service ? service->weight : 1);
+                 service ? service->weight : 1, node->now_ms);
   ss_job_dispatch (node, owned);
 }
 
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -165,6 +165,8 @@
   out->silence_ms = in->silence_ms;
   out->follow_term = in->follow_term;
   out->wait_ms = in->wait_ms;
+  out->mean_wait_ms = in->mean_wait_ms;
+  out->stalled_ms = in->stalled_ms;
   out->lag_ms = in->lag_ms;
   out->barred_term = in->barred_term;
   for (size_t i = 0; i < in->n_history && i < SS_HISTORY_MAX; i++)
--- a/src/core/predict.c
+++ b/src/core/predict.c
@@ -14,13 +14,18 @@
 }
 
 int64_t
-ss_predict_end_ms (const SsPrediction *prediction, int64_t since_ms)
+ss_predict_failover_ms (const SsPrediction *prediction)
 {
-  int64_t failover_ms = prediction->failover_ms
-                            ? prediction->failover_ms
-                            : SS_PREDICT_INITIAL_FAILOVER_MS;
+  return prediction->failover_ms ? prediction->failover_ms
+                                 : SS_PREDICT_INITIAL_FAILOVER_MS;
+}
 
-  return since_ms + failover_ms * SS_PREDICT_MARGIN_PERCENT / 100;
+int64_t
+ss_predict_end_ms (const SsPrediction *prediction, int64_t since_ms)
+{
+  return since_ms
+         + ss_predict_failover_ms (prediction) * SS_PREDICT_MARGIN_PERCENT
+               / 100;
 }
 
 bool
--- a/src/core/predict.h
+++ b/src/core/predict.h
@@ -32,6 +32,10 @@
  * lowers the estimate by half of the difference.
  */
 void ss_predict_learn (SsPrediction *prediction, int64_t failover_ms);
+/* ss_predict_failover_ms: returns the expected duration of a failover from its
+ * claim.
+ */
+int64_t ss_predict_failover_ms (const SsPrediction *prediction);
 /* ss_predict_end_ms: returns the expected end of a failover that began at
  * SINCE_MS.
  */
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -282,6 +282,8 @@
       p->requested = true;
       p->retry_ms = node->now_ms + DRAIN_RETRY_MS;
     }
+  else if (ss_coordinator_should_move (node, p, group))
+    p->requested = true;
   else if (!p->requested && !ss_coordinator_is_primary_suspect (node, p, group))
     return;
   if (!p->requested)
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -8,6 +8,7 @@
 #define SS_PROMOTION_H
 
 #include "core/node.h"
+#include "core/placement.h"
 #include "proto/peer.pb-c.h"
 
 /* --- promote.c: promotions --- */
@@ -83,6 +84,7 @@
   int64_t replicas_polled_ms;  /* when the replicas were last polled */
   GHashTable *released;        /* VMs that have adopted the claim */
   SsVmListState vm_list;       /* since the claim */
+  SsPlacement placement;       /* of the group's primary */
 } SsPromotion;
 
 /* Key of the duty object: the VM that wrote it last may call the platform to
@@ -215,6 +217,11 @@
 bool ss_coordinator_is_primary_suspect (SsNode *node,
                                         const SsPromotion *promotion,
                                         const SsGroup *group);
+/* ss_coordinator_should_move: whether GROUP's primary should move to a replica
+ * so that reads have replicas again (placement.h).  Logs the decision.
+ */
+bool ss_coordinator_should_move (SsNode *node, SsPromotion *promotion,
+                                 const SsGroup *group);
 /* ss_coordinator_call_platform: starts the platform's promotion of the chosen
  * server. */
 void ss_coordinator_call_platform (SsNode *node, SsPromotion *promotion);
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -26,6 +26,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   queue->virtual_time = 0;
   queue->mean_run_ms = SS_QUEUE_INITIAL_RUN_MS;
+  queue->mean_wait_ms = 0;
   queue->sequence = 0;
   queue->bytes = 0;
 }
@@ -103,7 +104,7 @@
  */
 void
 ss_queue_push (SsQueue *queue, SsQueueItem *item, const char *service,
-               uint32_t weight)
+               uint32_t weight, int64_t now_ms)
 {
   double *last = g_hash_table_lookup (queue->last_finish_tags, service);
 
@@ -115,6 +116,7 @@
   item->finish_tag = MAX (*last, queue->virtual_time) + 1.0 / MAX (weight, 1);
   *last = item->finish_tag;
   item->sequence = queue->sequence++;
+  item->queued_ms = now_ms;
   queue->bytes += item->bytes;
   item->queue_iter = g_sequence_insert_sorted (
       queue->waiting[item->queue_class], item, compare_items, NULL);
@@ -152,7 +154,7 @@
 }
 
 SsQueueItem *
-ss_queue_pop (SsQueue *queue, uint32_t connections)
+ss_queue_pop (SsQueue *queue, uint32_t connections, int64_t now_ms)
 {
   SsQueueItem *best = NULL;
 
@@ -168,6 +170,9 @@
   if (!best)
     return NULL;
   queue->virtual_time = MAX (queue->virtual_time, best->finish_tag);
+  queue->mean_wait_ms
+      += SS_QUEUE_WAIT_GAIN
+         * ((double) (now_ms - best->queued_ms) - queue->mean_wait_ms);
   ss_queue_remove (queue, best);
   queue->running[best->queue_class]++;
   return best;
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -16,6 +16,7 @@
 /* Initial value of mean_run_ms, and the weight of a new sample in it. */
 #define SS_QUEUE_INITIAL_RUN_MS 1.0
 #define SS_QUEUE_RUN_GAIN 0.05
+#define SS_QUEUE_WAIT_GAIN 0.05
 /* One in this many connections is reserved for writes. */
 #define SS_QUEUE_WRITE_RESERVE_DIVISOR 4
 #define SS_QUEUE_BYTES_MAX (16 * 1024 * 1024)
@@ -35,6 +36,7 @@
   uint64_t sequence; /* breaks ties in order of arrival */
   uint32_t bytes;
   int64_t deadline_ms;
+  int64_t queued_ms;
   GSequenceIter *queue_iter; /* NULL: not queued */
 } SsQueueItem;
 
@@ -43,7 +45,8 @@
   GSequence *waiting[SS_QUEUE_CLASSES];
   GHashTable *last_finish_tags; /* service -> its last finish tag */
   double virtual_time;
-  double mean_run_ms; /* moving average of a statement's run time */
+  double mean_run_ms;  /* moving average of a statement's run time */
+  double mean_wait_ms; /* moving average of the time in the queue */
   uint64_t sequence;
   uint32_t bytes;                     /* of all queued items */
   uint32_t running[SS_QUEUE_CLASSES]; /* items popped and not done */
@@ -65,12 +68,13 @@
                      uint32_t connections, int64_t now_ms, double jitter,
                      uint32_t *retry_after_ms);
 void ss_queue_push (SsQueue *queue, SsQueueItem *item, const char *service,
-                    uint32_t weight);
+                    uint32_t weight, int64_t now_ms);
 void ss_queue_remove (SsQueue *queue, SsQueueItem *item);
 /* ss_queue_pop: removes and returns the next item that may run, or NULL.  It
  * counts as running until ss_queue_done.
  */
-SsQueueItem *ss_queue_pop (SsQueue *queue, uint32_t connections);
+SsQueueItem *ss_queue_pop (SsQueue *queue, uint32_t connections,
+                           int64_t now_ms);
 /* ss_queue_done: records that an item of QUEUE_CLASS ended after RAN_MS
  * milliseconds.  A negative RAN_MS is not sampled.
  */
--- a/src/core/quorum.c
+++ b/src/core/quorum.c
@@ -140,6 +140,7 @@
   if (replication_stalled == owned->replication_stalled)
     return;
   owned->replication_stalled = replication_stalled;
+  owned->stalled_since_ms = node->now_ms;
   ss_node_log (
       node, replication_stalled ? SS_EVENT_LOG_UNHELD : SS_EVENT_LOG_HELD,
       owned->target->name,
@@ -147,6 +148,14 @@
       owned->unreplicated.term, owned->unreplicated.offset);
 }
 
+uint32_t
+ss_quorum_stalled_ms (const SsNode *node, const SsOwnedTarget *owned)
+{
+  if (!owned->replication_stalled)
+    return 0;
+  return (uint32_t) (node->now_ms - owned->stalled_since_ms);
+}
+
 /* Answers every waiting commit whose outcome is known or whose deadline has
  * passed.
  */
--- a/src/core/target_monitor.c
+++ b/src/core/target_monitor.c
@@ -59,6 +59,8 @@
   out->state.barred_term = s->barred_term;
   out->state.wait_ms = ss_queue_wait_ms (&owned->queue, SS_QUEUE_READ,
                                          ss_pool_capacity (node, owned));
+  out->state.mean_wait_ms = (uint32_t) owned->queue.mean_wait_ms;
+  out->state.stalled_ms = ss_quorum_stalled_ms (node, owned);
 }
 
 /* Sends the target's state to VM, as the reply to its status request
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -61,6 +61,8 @@
   X (PROMOTION_CALLED, 505, WARNING, "platform asked to promote a server")     \
   X (PRIMARY_FOUND, 506, INFO,                                                 \
      "servers follow a primary other than the configured one")                 \
+  X (PRIMARY_MOVES, 507, WARNING,                                              \
+     "primary moves, as its replicas lag or receive nothing")                  \
   X (CALLER_REFUSED, 600, WARNING, "caller refused")                           \
   X (REQUEST_RAN, 601, INFO, "request answered")                               \
   X (REQUEST_NOT_RUN, 602, INFO, "request refused without being run")          \
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -454,8 +454,9 @@
       = g_strdup_printf ("%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
                          s->received.term, s->received.offset);
   scheduled->cells[3] = g_strdup_printf ("%" G_GUINT64_FORMAT, s->barred_term);
-  for (uint32_t i = 4; i < 7; i++)
-    scheduled->cells[i] = g_strdup ("0");
+  scheduled->cells[4] = g_strdup_printf ("%u", s->reported_lag_ms);
+  scheduled->cells[5] = g_strdup ("0");
+  scheduled->cells[6] = g_strdup ("0");
   scheduled->cells[7]
       = g_strdup_printf ("%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
                          s->applied.term, s->applied.offset);
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -25,6 +25,7 @@
   SsPosition received;
   SsPosition applied;
   int64_t lag_ms;           /* from receiving to applying */
+  uint32_t reported_lag_ms; /* that its status tells */
   bool replication_stopped; /* receives no replication */
   bool down;                /* refuses connections and does not replicate */
   int64_t in_sync_ms; /* when a replica last had applied all it received */
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -26,12 +26,12 @@
     {
       light[i] = make_item (SS_QUEUE_WRITE, 1000);
       heavy[i] = make_item (SS_QUEUE_WRITE, 1000);
-      ss_queue_push (&q, &light[i], "light", 1);
-      ss_queue_push (&q, &heavy[i], "heavy", 3);
+      ss_queue_push (&q, &light[i], "light", 1, 0);
+      ss_queue_push (&q, &heavy[i], "heavy", 3, 0);
     }
   for (uint32_t i = 0; i < 20; i++)
     {
-      SsQueueItem *item = ss_queue_pop (&q, 100);
+      SsQueueItem *item = ss_queue_pop (&q, 100, 0);
 
       if (item >= heavy && item < heavy + ITEMS)
         heavy_count++;
@@ -52,13 +52,13 @@
   for (uint32_t i = 0; i < ITEMS; i++)
     {
       reads[i] = make_item (SS_QUEUE_READ, 1000);
-      ss_queue_push (&q, &reads[i], "s", 1);
+      ss_queue_push (&q, &reads[i], "s", 1, 0);
     }
-  while (ss_queue_pop (&q, 8))
+  while (ss_queue_pop (&q, 8, 0))
     running++;
   CU_ASSERT (running == 6);
-  ss_queue_push (&q, &write, "s", 1);
-  CU_ASSERT_PTR_EQUAL (ss_queue_pop (&q, 8), &write);
+  ss_queue_push (&q, &write, "s", 1, 0);
+  CU_ASSERT_PTR_EQUAL (ss_queue_pop (&q, 8, 0), &write);
   ss_queue_finish (&q);
 }
 
@@ -77,7 +77,7 @@
   for (uint32_t i = 0; i < ITEMS; i++)
     {
       waiting[i] = make_item (SS_QUEUE_WRITE, 10000);
-      ss_queue_push (&q, &waiting[i], "s", 1);
+      ss_queue_push (&q, &waiting[i], "s", 1, 0);
     }
   CU_ASSERT (!ss_queue_admit (&q, &short_deadline, 2, 0, 0.5, &retry_after_ms));
   CU_ASSERT (retry_after_ms > 100);
@@ -95,8 +95,8 @@
   SsQueueItem b = make_item (SS_QUEUE_READ, 500);
 
   ss_queue_init (&q);
-  ss_queue_push (&q, &b, "s", 1);
-  ss_queue_push (&q, &a, "s", 1);
+  ss_queue_push (&q, &b, "s", 1, 0);
+  ss_queue_push (&q, &a, "s", 1, 0);
   CU_ASSERT_PTR_NULL (ss_queue_expired (&q, 49));
   CU_ASSERT_PTR_EQUAL (ss_queue_expired (&q, 50), &a);
   ss_queue_remove (&q, &a);
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -13,6 +13,7 @@
   X (line)                                                                     \
   X (relay)                                                                    \
   X (failover)                                                                 \
+  X (placement)                                                                \
   X (platform)                                                                 \
   X (command)                                                                  \
   X (settings)                                                                 \
