--- a/src/core/config.c
+++ b/src/core/config.c
@@ -38,6 +38,7 @@
     g_free (s->kinds[i].name);
   g_free (s->name);
   g_free (s->group);
+  g_free (s->flow);
   g_free (s->default_kind);
   g_free (s);
 }
@@ -130,12 +131,14 @@
 }
 
 static char *
-adopt_service (SsConfig *c, const char *name, int64_t version, json_t *json)
+adopt_service (SsConfig *c, const char *name, const char *flow, int64_t version,
+               json_t *json)
 {
   SsService *s = g_new0 (SsService, 1);
   char *error = ss_parse_service (s, json);
 
   s->name = g_strdup (name);
+  s->flow = g_strdup (flow);
   s->version = version;
   if (error)
     service_free (s);
@@ -236,22 +239,36 @@
   attach_servers (g->name, g, c);
 }
 
+static char *
+parse_group_limit (json_t *group, int64_t *connections)
+{
+  char *error = ss_parse_check_keys (group, " max_connections ");
+
+  if (!error)
+    error = ss_parse_number (group, "max_connections", -1, 1,
+                             SS_CONNECTIONS_MAX, connections);
+  return error;
+}
+
+/* Checks all limits before it adopts the first. */
 static char *
 adopt_group_limits (SsConfig *c, json_t *groups)
 {
+  int64_t connections = 0;
   const char *name;
   json_t *group;
+  char *error = NULL;
 
   json_object_foreach (groups, name, group)
   {
-    int64_t connections = 0;
-    char *error = ss_parse_check_keys (group, " max_connections ");
-
     if (!error)
-      error = ss_parse_number (group, "max_connections", -1, 1,
-                               SS_CONNECTIONS_MAX, &connections);
-    if (error)
-      return error;
+      error = parse_group_limit (group, &connections);
+  }
+  if (error)
+    return error;
+  json_object_foreach (groups, name, group)
+  {
+    g_free (parse_group_limit (group, &connections));
     g_hash_table_replace (c->max_connections, g_strdup (name),
                           GINT_TO_POINTER ((gint) connections));
     ensure_group (c, name);
@@ -260,10 +277,11 @@
 }
 
 /* Replaces all services: those that JSON does not list are removed.  Keeps the
- * previous services if any part is invalid.
+ * previous services if any part is invalid.  The services of one object are one
+ * flow: they are kinds of requests of one customer.
  */
 static char *
-adopt_routes (SsConfig *c, int64_t version, json_t *json)
+adopt_routes (SsConfig *c, const char *key, int64_t version, json_t *json)
 {
   GTree *before = c->services;
   char *error
@@ -276,7 +294,7 @@
   json_object_foreach (json_object_get (json, "services"), name, service)
   {
     if (!error)
-      error = adopt_service (c, name, version, service);
+      error = adopt_service (c, name, key, version, service);
   }
   if (!error)
     error = ss_parse_number (json, "transaction_idle_ms", 0, 0,
@@ -306,9 +324,9 @@
   if (!json_is_object (json))
     error = g_strdup_printf ("not a JSON object: %s", where.text);
   else if (g_str_has_prefix (key, "routes/"))
-    error = adopt_routes (c, version, json);
+    error = adopt_routes (c, key, version, json);
   else if (g_str_has_prefix (key, "service/"))
-    error = adopt_service (c, strchr (key, '/') + 1, version, json);
+    error = adopt_service (c, strchr (key, '/') + 1, key, version, json);
   else if (g_str_has_prefix (key, "target/"))
     error = adopt_target (c, strchr (key, '/') + 1, version, json);
   else if (g_str_has_prefix (key, "group/"))
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -88,11 +88,13 @@
   char *name;
   int64_t version;
   char *group;
+  char *flow;         /* shares the targets' connections as one (queue.h) */
   char *default_kind; /* empty: statements go to the primary */
   bool acknowledge_majority;
   bool identifies_callers; /* a user name identifies one caller */
   uint32_t weight;
   int64_t timeout_ms; /* of a statement; 0: the VM's setting */
+  uint32_t urgency;   /* 0 is the most urgent */
   SsReadKind kinds[SS_CONFIG_KINDS_MAX];
   uint32_t kind_count;
 } SsService;
@@ -145,8 +147,7 @@
 
 /* ss_config_adopt: adopts OBJECT if it is newer than the stored one.  On
  * SS_ADOPT_INVALID, *ERROR is a message that the caller frees, and the
- * previous object stays in force.  An invalid object routes/NAME may have set
- * the limits of groups that precede the error.
+ * previous object stays in force.
  */
 SsAdoption ss_config_adopt (SsConfig *config, const SsObject *object,
                             int64_t now_ms, char **error);
--- a/src/core/confirmed.c
+++ b/src/core/confirmed.c
@@ -127,12 +127,10 @@
 
   if (!confirmed || requested_ms <= confirmed->latest.requested_ms)
     return;
-  /* It answers no request, so only its age counts; seq 1 marks that a position
-   * is known.
-   */
+  /* It answers no request, so only its age counts. */
   confirmed->latest.requested_ms = requested_ms;
   confirmed->latest.position = position;
-  confirmed->latest.seq = MAX (confirmed->latest.seq, 1);
+  confirmed->latest.known = true;
   add_to_ring (confirmed);
   ss_pending_wake (node, group, SS_WAIT_CONFIRMED);
 }
@@ -171,6 +169,7 @@
       return;
     }
   confirmed->outstanding = false;
+  confirmed->latest.known = true;
   confirmed->latest.seq = confirmed->last_seq;
   confirmed->latest.requested_ms = confirmed->last_sent_ms - reply->age_ms;
   confirmed->latest.position = ss_position_unpack (reply->mark);
@@ -193,6 +192,5 @@
       return true;
     }
   *found = confirmed->latest;
-  return confirmed->latest.seq != 0
-         && confirmed->latest.requested_ms >= since_ms;
+  return confirmed->latest.known && confirmed->latest.requested_ms >= since_ms;
 }
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -271,6 +271,14 @@
   g_hash_table_remove (node->sessions, &caller);
 }
 
+/* Whether only the primary can run R. */
+static bool
+needs_primary (SsNode *node, const SsRequest *r)
+{
+  return !r->is_read
+         || (r->strict && ss_dialect_multiplexes_sessions (node->dialect));
+}
+
 bool
 ss_request_may_retry (SsNode *node, SsRequest *r, SsVerdict verdict,
                       SsReason reason, bool sent)
@@ -280,13 +288,14 @@
   bool multiplexes_sessions = ss_dialect_multiplexes_sessions (node->dialect);
 
   /* A transaction stays on the connection that ran its first statement.  A
-   * write is retried only where the dialect multiplexes sessions, and not while
-   * the primary is overloaded or lacks a majority.
+   * write is retried only where the dialect multiplexes sessions.  A statement
+   * for the primary is not retried while that is overloaded or lacks a
+   * majority: it would return to the same queue at once.
    */
   if (!is_safe || r->session->pinned_vm || (r->begins && sent)
-      || (!r->is_read
-          && (!multiplexes_sessions || reason == SS_REASON_OVERLOAD
-              || reason == SS_REASON_NO_MAJORITY))
+      || (!r->is_read && !multiplexes_sessions)
+      || (needs_primary (node, r)
+          && (reason == SS_REASON_OVERLOAD || reason == SS_REASON_NO_MAJORITY))
       || reason == SS_REASON_TARGET_ERROR || reason == SS_REASON_CANCELLED
       || reason == SS_REASON_DEADLINE || r->tries >= SS_REQUEST_RETRIES_MAX
       || node->now_ms >= r->deadline_ms)
@@ -298,7 +307,8 @@
 }
 
 void
-ss_request_retry (SsNode *node, SsRequest *r, SsReason reason)
+ss_request_retry (SsNode *node, SsRequest *r, SsReason reason,
+                  uint32_t retry_after_ms)
 {
   ss_node_count (node, SS_COUNTER_RETRIES);
   ss_node_log (node, SS_EVENT_LOG_REQUEST_RETRIED,
@@ -307,6 +317,8 @@
                r->target, r->vm, ss_reason_name (reason), r->tries + 1,
                node->now_ms - r->started_ms);
   r->tried[r->tries++] = g_strdup (r->target);
+  r->refusal = reason;
+  r->retry_after_ms = retry_after_ms;
   ss_request_end_attempt (node, r);
   if (!r->is_read && reason == SS_REASON_NO_PRIMARY)
     ss_route_await_primary (node, r);
@@ -396,7 +408,7 @@
     }
   if (ss_request_may_retry (node, r, (SsVerdict) reply->verdict,
                             (SsReason) reply->reason, reply->sent))
-    ss_request_retry (node, r, (SsReason) reply->reason);
+    ss_request_retry (node, r, (SsReason) reply->reason, reply->retry_after_ms);
   else
     forward_reply (node, r, reply);
 }
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -105,9 +105,10 @@
 bool ss_request_may_retry (SsNode *node, SsRequest *r, SsVerdict verdict,
                            SsReason reason, bool sent);
 /* ss_request_retry: retries a read on another server, or a write on the
- * next primary.
+ * next primary.  REASON and RETRY_AFTER_MS are those of the failed attempt.
  */
-void ss_request_retry (SsNode *node, SsRequest *r, SsReason reason);
+void ss_request_retry (SsNode *node, SsRequest *r, SsReason reason,
+                       uint32_t retry_after_ms);
 /* ss_request_cancel: tells the owner that the result of R is not needed. */
 void ss_request_cancel (SsNode *node, const SsRequest *r);
 /* ss_request_end_attempt: ends R's current attempt: it is at no target now. */
--- a/src/core/internal.h
+++ b/src/core/internal.h
@@ -68,7 +68,6 @@
   char *user;
   char *kind; /* write, session, strict or one of the service's kinds of read;
                  NULL: the service's default */
-  bool strict;
   char *request_key; /* idempotency key; NULL: none */
   char *trace;       /* trace id; NULL: a new one for each request */
   int64_t deadline_ms;
@@ -126,7 +125,9 @@
   int64_t deadline_ms;
   char *vm; /* owner that it was sent to; NULL: not sent */
   char *target;
-  uint32_t tries; /* failed attempts, on the targets in tried */
+  uint32_t tries;          /* failed attempts, on the targets in tried */
+  SsReason refusal;        /* of the last failed attempt */
+  uint32_t retry_after_ms; /* that came with it */
   char *tried[SS_REQUEST_RETRIES_MAX];
   char trace[33];
 };
@@ -242,7 +243,8 @@
  */
 typedef struct
 {
-  uint64_t seq; /* of the request that it answers; 0: there is none yet */
+  bool known;
+  uint64_t seq; /* of the last request that was answered; 0: none */
   int64_t requested_ms;
   SsPosition position;
 } SsConfirmedPosition;
@@ -438,10 +440,13 @@
   SsPosition unreplicated;  /* highest commit not known to have a majority */
   bool replication_stalled; /* a commit waits too long: no new ones are taken */
   int64_t stalled_since_ms; /* since when, if replication_stalled */
+  double mean_hold_ms;      /* moving average of the time until a commit is
+                               replicated to a majority */
   GQueue unconfirmed;       /* jobs that wait for a confirmed primary */
   SsConfirmedPosition last_position; /* latest one reported by a response */
   uint64_t replica_requests[SS_CONFIG_SERVERS_MAX]; /* outstanding, by server */
   int64_t replica_requested_ms[SS_CONFIG_SERVERS_MAX];
+  SsPosition replica_wanted[SS_CONFIG_SERVERS_MAX]; /* that it asked for */
   SsConfirmationRound round;
 };
 
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -324,6 +324,11 @@
   SsService *service = ss_config_service (&node->config, job->service);
   uint32_t retry_after_ms;
 
+  job->item.urgency = service ? service->urgency : 0;
+  job->item.after_run_ms = job->keeps ? (int64_t) owned->mean_hold_ms : 0;
+  ss_queue_assign (&owned->queue, &job->item, job->service,
+                   service ? service->flow : job->service,
+                   service ? service->weight : 1);
   if (!ss_queue_admit (&owned->queue, &job->item,
                        ss_pool_capacity (node, owned), node->now_ms,
                        g_rand_double (node->rand), &retry_after_ms))
@@ -333,8 +338,7 @@
                      retry_after_ms);
       return;
     }
-  ss_queue_push (&owned->queue, &job->item, job->service,
-                 service ? service->weight : 1, node->now_ms);
+  ss_queue_push (&owned->queue, &job->item, node->now_ms);
   ss_job_dispatch (node, owned);
 }
 
--- a/src/core/job_result.c
+++ b/src/core/job_result.c
@@ -21,6 +21,8 @@
                  owned->target->name, node->now_ms - job->started_ms);
   c->job = NULL;
   c->since_ms = node->now_ms;
+  ss_queue_sample_run (&owned->queue, job->service,
+                       node->now_ms - job->started_ms);
   if (job->transaction_status != 'I')
     {
       c->state = SS_CONNECTION_PINNED;
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -103,6 +103,19 @@
     }
 }
 
+static void
+count_traffic (SsNode *node, const char *vm, const SsEnvelope *envelope,
+               size_t bytes)
+{
+  const SsMember *m = ss_members_find (&node->members, vm);
+  bool same = m && strcmp (m->failure_domain, node->params.failure_domain) == 0;
+  SsTrafficKind kind = ss_traffic_kind ((int) envelope->body_case);
+
+  node->traffic
+      .bytes[kind][same ? SS_TRAFFIC_SAME_DOMAIN : SS_TRAFFIC_OTHER_DOMAIN]
+      += bytes;
+}
+
 void
 ss_node_send (SsNode *node, const char *vm, SsEnvelope *envelope)
 {
@@ -125,6 +138,7 @@
   a->name = g_strdup (vm);
   a->bytes = packed;
   a->is_control = is_control (envelope);
+  count_traffic (node, vm, envelope, bytes);
   ss_node_count (node, SS_COUNTER_PEER_MESSAGES);
   node->counters.values[SS_COUNTER_PEER_BYTES] += bytes;
   if (!a->is_control)
--- a/src/core/multiplex.c
+++ b/src/core/multiplex.c
@@ -152,6 +152,16 @@
   ss_job_dispatch (node, c->owned);
 }
 
+/* The target does not know the prepared statement, so the connection's state is
+ * not the one assumed here.
+ */
+static void
+end_unprepared (SsNode *node, SsConnection *c)
+{
+  c->job->step = SS_STEP_SETUP;
+  ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
+}
+
 /* Handles the failure of the job's statement or of its session state replay.
  */
 static void
@@ -174,13 +184,14 @@
       ss_target_monitor_poll_soon (node, owned);
       break;
     case SS_TARGET_FAULT_UNPREPARED:
-      ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
+      end_unprepared (node, c);
       break;
     default:
       if (c->job->step == SS_STEP_SETUP)
         ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
       else
-        ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_TARGET_ERROR, 0);
+        ss_job_end (node, c, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_TARGET_ERROR,
+                    0);
       break;
     }
 }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -20,6 +20,7 @@
 #include "core/event.h"
 #include "core/members.h"
 #include "core/timing.h"
+#include "core/traffic.h"
 #include "core/predict.h"
 #include "kernel/counters.h"
 
@@ -86,6 +87,7 @@
   int64_t ticked_ms;
   GRand *rand;
   SsCounters counters;
+  SsTraffic traffic;
   SsConfig config;
   SsMembers members;
   SsRetryBudget retry_budget;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -141,14 +141,10 @@
 {
   GPtrArray *found = g_ptr_array_new ();
 
-  for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
-    {
-      GSequenceIter *iter = g_sequence_get_begin_iter (owned->queue.waiting[i]);
-
-      for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
-        if (!filter || job_matches (g_sequence_get (iter), filter))
-          g_ptr_array_add (found, g_sequence_get (iter));
-    }
+  ss_queue_collect (&owned->queue, found);
+  for (guint i = found->len; filter && i > 0; i--)
+    if (!job_matches (g_ptr_array_index (found, i - 1), filter))
+      g_ptr_array_remove_index_fast (found, i - 1);
   return found;
 }
 
--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -6,6 +6,7 @@
 #define STALENESS_MAX_MS (7LL * 24 * 3600 * 1000)
 #define WEIGHT_MAX 1000
 #define SLOTS_MAX 100000
+#define URGENCY_MAX 1000
 
 char *
 ss_parse_text (json_t *json, const char *name, const char *fallback, char **out)
@@ -95,9 +96,10 @@
   char *acknowledge = NULL;
   char *identity = NULL;
   int64_t weight = 1;
+  int64_t urgency = 0;
   char *error = ss_parse_check_keys (
       json, " group default_kind acknowledge weight kinds identity "
-            "timeout_ms operation ");
+            "timeout_ms urgency operation ");
 
   if (!error)
     error = ss_parse_text (json, "group", NULL, &s->group);
@@ -115,6 +117,8 @@
   if (!error)
     error = ss_parse_number (json, "timeout_ms", 0, 0, SS_TIMEOUT_MAX_MS,
                              &s->timeout_ms);
+  if (!error)
+    error = ss_parse_number (json, "urgency", 0, 0, URGENCY_MAX, &urgency);
   if (!error)
     error = parse_kinds (s, json_object_get (json, "kinds"));
   if (!error && g_strcmp0 (acknowledge, "majority") != 0
@@ -126,6 +130,7 @@
     error = g_strdup ("\"default_kind\" must be empty, \"session\", \"strict\" "
                       "or a name in \"kinds\"");
   s->weight = (uint32_t) weight;
+  s->urgency = (uint32_t) urgency;
   s->acknowledge_majority
       = !acknowledge || strcmp (acknowledge, "majority") == 0;
   s->identifies_callers = g_strcmp0 (identity, "user") == 0;
--- a/src/core/pending.c
+++ b/src/core/pending.c
@@ -83,7 +83,7 @@
 
       if (ss_request_may_retry (node, r, SS_VERDICT_MAY_HAVE_RUN,
                                 SS_REASON_VM_LOST, true))
-        ss_request_retry (node, r, SS_REASON_VM_LOST);
+        ss_request_retry (node, r, SS_REASON_VM_LOST, SS_RETRY_SOON_MS);
       else
         ss_request_abandon (node, r, SS_REASON_VM_LOST);
     }
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -25,7 +25,7 @@
 #include "core/position.h"
 
 /* Mean queueing time at the primary from which it counts as overloaded. */
-#define SS_PLACEMENT_WAIT_MS 20
+#define SS_PLACEMENT_WAIT_MS 60
 /* First pause after a move, and the longest one. */
 #define SS_PLACEMENT_PAUSE_MS 10000
 #define SS_PLACEMENT_PAUSE_MAX_MS 300000
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -31,10 +31,6 @@
 #define READ_RETRY_MS 200
 /* Delay of the next promotion after one has ended. */
 #define RETRY_MS 300
-/* Delay that is set when a promotion for a draining primary starts; the end of
- * that promotion sets RETRY_MS instead.
- */
-#define DRAIN_RETRY_MS 2000
 
 SsPromotion *
 ss_promote_get (SsNode *node, const char *group)
@@ -278,10 +274,7 @@
       || ss_coordinator_adopt_primary (node, p, group))
     return;
   if (is_primary_draining (group))
-    {
-      p->requested = true;
-      p->retry_ms = node->now_ms + DRAIN_RETRY_MS;
-    }
+    p->requested = true;
   else if (ss_coordinator_should_move (node, p, group))
     p->requested = true;
   else if (!p->requested && !ss_coordinator_is_primary_suspect (node, p, group))
@@ -305,10 +298,7 @@
       || node->now_ms < p->retry_ms || node->stopping)
     return;
   if (is_primary_draining (group) && p->rank == 0)
-    {
-      p->requested = true;
-      p->retry_ms = node->now_ms + DRAIN_RETRY_MS;
-    }
+    p->requested = true;
   else if (!p->requested && !is_primary_suspect (node, p, group))
     return;
   if (!p->requested)
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -1,17 +1,52 @@
 #include "core/queue.h"
 
-static int
-compare_items (gconstpointer a, gconstpointer b, gpointer data)
+struct SsQueueFlow
 {
-  const SsQueueItem *x = a;
-  const SsQueueItem *y = b;
+  uint32_t weight;
+  double finish_tag; /* virtual finish time of its next item */
+  uint32_t length;
+  GSequence *waiting[SS_QUEUE_CLASSES]; /* of SsQueueItem, by rank */
+};
 
-  (void) data;
-  if (x->finish_tag < y->finish_tag)
-    return -1;
-  if (x->finish_tag > y->finish_tag)
-    return 1;
-  return x->sequence < y->sequence ? -1 : x->sequence > y->sequence;
+struct SsQueueService
+{
+  double mean_run_ms; /* 0: not sampled yet */
+};
+
+static void
+flow_free (gpointer data)
+{
+  SsQueueFlow *flow = data;
+
+  for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
+    g_sequence_free (flow->waiting[i]);
+  g_free (flow);
+}
+
+static SsQueueFlow *
+get_flow (SsQueue *queue, const char *name)
+{
+  SsQueueFlow *flow = g_hash_table_lookup (queue->flows, name);
+
+  if (flow)
+    return flow;
+  flow = g_new0 (SsQueueFlow, 1);
+  for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
+    flow->waiting[i] = g_sequence_new (NULL);
+  g_hash_table_insert (queue->flows, g_strdup (name), flow);
+  return flow;
+}
+
+static SsQueueService *
+get_service (SsQueue *queue, const char *name)
+{
+  SsQueueService *service = g_hash_table_lookup (queue->services, name);
+
+  if (service)
+    return service;
+  service = g_new0 (SsQueueService, 1);
+  g_hash_table_insert (queue->services, g_strdup (name), service);
+  return service;
 }
 
 void
@@ -19,10 +54,12 @@
 {
   for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
     {
-      queue->waiting[i] = g_sequence_new (NULL);
+      queue->length[i] = 0;
       queue->running[i] = 0;
     }
-  queue->last_finish_tags
+  queue->flows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, flow_free);
+  queue->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   queue->virtual_time = 0;
   queue->mean_run_ms = SS_QUEUE_INITIAL_RUN_MS;
@@ -34,9 +71,39 @@
 void
 ss_queue_finish (SsQueue *queue)
 {
-  for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
-    g_sequence_free (queue->waiting[i]);
-  g_hash_table_destroy (queue->last_finish_tags);
+  g_hash_table_destroy (queue->flows);
+  g_hash_table_destroy (queue->services);
+}
+
+uint32_t
+ss_queue_length (const SsQueue *queue)
+{
+  return queue->length[SS_QUEUE_WRITE] + queue->length[SS_QUEUE_READ];
+}
+
+void
+ss_queue_assign (SsQueue *queue, SsQueueItem *item, const char *service,
+                 const char *flow, uint32_t weight)
+{
+  item->service = get_service (queue, service);
+  item->flow = get_flow (queue, flow);
+  item->flow->weight = MAX (weight, 1);
+}
+
+/* --- prediction and admission --- */
+
+static double
+run_ms (const SsQueue *queue, const SsQueueItem *item)
+{
+  return item->service->mean_run_ms > 0 ? item->service->mean_run_ms
+                                        : queue->mean_run_ms;
+}
+
+static double
+rank_ms (const SsQueue *queue, const SsQueueItem *item, int64_t now_ms)
+{
+  return (double) now_ms + (double) item->urgency * SS_QUEUE_URGENCY_MS
+         + run_ms (queue, item) * SS_QUEUE_RUN_FACTOR;
 }
 
 static uint32_t
@@ -56,16 +123,77 @@
 }
 
 static uint32_t
-class_length (const SsQueue *queue, SsQueueClass queue_class)
+running_count (const SsQueue *queue)
 {
-  return (uint32_t) g_sequence_get_length (queue->waiting[queue_class]);
+  return queue->running[SS_QUEUE_WRITE] + queue->running[SS_QUEUE_READ];
 }
 
-uint32_t
-ss_queue_length (const SsQueue *queue)
+/* Returns the run time of FLOW's queued items whose rank is at most UP_TO_MS
+ * and that run before an item of QUEUE_CLASS: reads do not delay writes, which
+ * have connections of their own.
+ */
+static double
+work_ahead_ms (const SsQueue *queue, const SsQueueFlow *flow,
+               SsQueueClass queue_class, double up_to_ms)
+{
+  double work_ms = 0;
+
+  for (uint32_t i = 0; i <= (uint32_t) queue_class; i++)
+    {
+      GSequenceIter *iter = g_sequence_get_begin_iter (flow->waiting[i]);
+
+      for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
+        {
+          const SsQueueItem *item = g_sequence_get (iter);
+
+          if (item->rank_ms > up_to_ms)
+            break;
+          work_ms += run_ms (queue, item);
+        }
+    }
+  return work_ms;
+}
+
+/* Returns the time that the other flows take before WORK_MS of FLOW are done:
+ * at most all of their work, and no more than their weights allow.
+ */
+static double
+work_of_others_ms (const SsQueue *queue, const SsQueueFlow *flow,
+                   SsQueueClass queue_class, double work_ms)
 {
-  return class_length (queue, SS_QUEUE_WRITE)
-         + class_length (queue, SS_QUEUE_READ);
+  GHashTableIter iter;
+  gpointer value;
+  double sum_ms = 0;
+
+  g_hash_table_iter_init (&iter, queue->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const SsQueueFlow *other = value;
+      double share_ms = work_ms * other->weight / flow->weight;
+
+      if (other != flow && other->length)
+        sum_ms += MIN (work_ahead_ms (queue, other, queue_class, G_MAXDOUBLE),
+                       share_ms);
+    }
+  return sum_ms;
+}
+
+static uint32_t
+item_wait_ms (const SsQueue *queue, const SsQueueItem *item,
+              uint32_t connections, int64_t now_ms)
+{
+  uint32_t usable = class_connections (item->queue_class, connections);
+  double own_ms;
+
+  if (!ss_queue_length (queue) && running_count (queue) < usable)
+    return 0;
+  own_ms = run_ms (queue, item)
+           + work_ahead_ms (queue, item->flow, item->queue_class,
+                            rank_ms (queue, item, now_ms));
+  return (uint32_t) ((own_ms
+                      + work_of_others_ms (queue, item->flow, item->queue_class,
+                                           own_ms))
+                     / usable);
 }
 
 uint32_t
@@ -73,13 +201,11 @@
                   uint32_t connections)
 {
   uint32_t usable = class_connections (queue_class, connections);
-  uint32_t ahead = class_length (queue, SS_QUEUE_WRITE);
-  uint32_t busy
-      = queue->running[SS_QUEUE_WRITE] + queue->running[SS_QUEUE_READ];
+  uint32_t ahead = 0;
 
-  if (queue_class == SS_QUEUE_READ)
-    ahead += class_length (queue, SS_QUEUE_READ);
-  if (ahead == 0 && busy < usable)
+  for (uint32_t i = 0; i <= (uint32_t) queue_class; i++)
+    ahead += queue->length[i];
+  if (ahead == 0 && running_count (queue) < usable)
     return 0;
   return (uint32_t) (queue->mean_run_ms * (ahead + 1) / usable);
 }
@@ -89,7 +215,7 @@
                 uint32_t connections, int64_t now_ms, double jitter,
                 uint32_t *retry_after_ms)
 {
-  uint32_t wait_ms = ss_queue_wait_ms (queue, item->queue_class, connections);
+  uint32_t wait_ms = item_wait_ms (queue, item, connections, now_ms);
   int64_t left_ms = item->deadline_ms - now_ms;
 
   if (wait_ms <= SS_QUEUE_WAIT_MAX_MS && wait_ms < left_ms
@@ -99,27 +225,41 @@
   return false;
 }
 
-/* A service that was idle starts at the current virtual time, so idle time
- * earns it no credit.
+/* --- scheduling --- */
+
+static int
+compare_items (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const SsQueueItem *x = a;
+  const SsQueueItem *y = b;
+
+  (void) data;
+  if (x->rank_ms < y->rank_ms)
+    return -1;
+  if (x->rank_ms > y->rank_ms)
+    return 1;
+  return x->sequence < y->sequence ? -1 : x->sequence > y->sequence;
+}
+
+/* A flow that was idle starts at the current virtual time, so idle time earns
+ * it no credit.
  */
 void
-ss_queue_push (SsQueue *queue, SsQueueItem *item, const char *service,
-               uint32_t weight, int64_t now_ms)
+ss_queue_push (SsQueue *queue, SsQueueItem *item, int64_t now_ms)
 {
-  double *last = g_hash_table_lookup (queue->last_finish_tags, service);
+  SsQueueFlow *flow = item->flow;
 
-  if (!last)
-    {
-      last = g_new0 (double, 1);
-      g_hash_table_insert (queue->last_finish_tags, g_strdup (service), last);
-    }
-  item->finish_tag = MAX (*last, queue->virtual_time) + 1.0 / MAX (weight, 1);
-  *last = item->finish_tag;
-  item->sequence = queue->sequence++;
+  if (!flow->length)
+    flow->finish_tag
+        = MAX (flow->finish_tag, queue->virtual_time) + 1.0 / flow->weight;
   item->queued_ms = now_ms;
+  item->rank_ms = rank_ms (queue, item, now_ms);
+  item->sequence = queue->sequence++;
+  item->queue_iter = g_sequence_insert_sorted (flow->waiting[item->queue_class],
+                                               item, compare_items, NULL);
+  flow->length++;
+  queue->length[item->queue_class]++;
   queue->bytes += item->bytes;
-  item->queue_iter = g_sequence_insert_sorted (
-      queue->waiting[item->queue_class], item, compare_items, NULL);
 }
 
 void
@@ -129,47 +269,75 @@
     return;
   g_sequence_remove (item->queue_iter);
   item->queue_iter = NULL;
+  item->flow->length--;
+  queue->length[item->queue_class]--;
   queue->bytes -= item->bytes;
 }
 
-static SsQueueItem *
-first_item (const SsQueue *queue, SsQueueClass queue_class)
-{
-  GSequenceIter *iter = g_sequence_get_begin_iter (queue->waiting[queue_class]);
-
-  return g_sequence_iter_is_end (iter) ? NULL : g_sequence_get (iter);
-}
-
 static bool
 may_run (const SsQueue *queue, SsQueueClass queue_class, uint32_t connections)
 {
-  uint32_t busy
-      = queue->running[SS_QUEUE_WRITE] + queue->running[SS_QUEUE_READ];
-
-  if (busy >= connections)
+  if (running_count (queue) >= connections)
     return false;
   return queue_class == SS_QUEUE_WRITE
          || queue->running[SS_QUEUE_READ]
                 < class_connections (queue_class, connections);
 }
 
-SsQueueItem *
-ss_queue_pop (SsQueue *queue, uint32_t connections, int64_t now_ms)
+static SsQueueItem *
+first_item (const SsQueueFlow *flow, SsQueueClass queue_class)
+{
+  GSequenceIter *iter = g_sequence_get_begin_iter (flow->waiting[queue_class]);
+
+  return g_sequence_iter_is_end (iter) ? NULL : g_sequence_get (iter);
+}
+
+/* Returns the first item of FLOW that may run, or NULL. */
+static SsQueueItem *
+first_runnable (const SsQueue *queue, const SsQueueFlow *flow,
+                uint32_t connections)
 {
   SsQueueItem *best = NULL;
 
   for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
     {
-      SsQueueItem *item = first_item (queue, (SsQueueClass) i);
+      SsQueueItem *item = first_item (flow, (SsQueueClass) i);
 
       if (!item || !may_run (queue, (SsQueueClass) i, connections))
         continue;
       if (!best || compare_items (item, best, NULL) < 0)
         best = item;
     }
+  return best;
+}
+
+static bool
+precedes (const SsQueueItem *a, const SsQueueItem *b)
+{
+  if (a->flow->finish_tag != b->flow->finish_tag)
+    return a->flow->finish_tag < b->flow->finish_tag;
+  return a->sequence < b->sequence;
+}
+
+SsQueueItem *
+ss_queue_pop (SsQueue *queue, uint32_t connections, int64_t now_ms)
+{
+  SsQueueItem *best = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, queue->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      SsQueueItem *item = first_runnable (queue, value, connections);
+
+      if (item && (!best || precedes (item, best)))
+        best = item;
+    }
   if (!best)
     return NULL;
-  queue->virtual_time = MAX (queue->virtual_time, best->finish_tag);
+  queue->virtual_time = MAX (queue->virtual_time, best->flow->finish_tag);
+  best->flow->finish_tag += 1.0 / best->flow->weight;
   queue->mean_wait_ms
       += SS_QUEUE_WAIT_GAIN
          * ((double) (now_ms - best->queued_ms) - queue->mean_wait_ms);
@@ -178,6 +346,15 @@
   return best;
 }
 
+/* --- samples --- */
+
+/* A run time of 0 ms is one below the clock's resolution. */
+static double
+sample_ms (int64_t ran_ms)
+{
+  return (double) ran_ms + 0.1;
+}
+
 void
 ss_queue_done (SsQueue *queue, SsQueueClass queue_class, int64_t ran_ms)
 {
@@ -185,23 +362,60 @@
   if (ran_ms < 0)
     return;
   queue->mean_run_ms
-      += SS_QUEUE_RUN_GAIN * ((double) ran_ms + 0.1 - queue->mean_run_ms);
+      += SS_QUEUE_RUN_GAIN * (sample_ms (ran_ms) - queue->mean_run_ms);
+}
+
+void
+ss_queue_sample_run (SsQueue *queue, const char *service, int64_t ran_ms)
+{
+  SsQueueService *s = get_service (queue, service);
+
+  if (s->mean_run_ms > 0)
+    s->mean_run_ms += SS_QUEUE_RUN_GAIN * (sample_ms (ran_ms) - s->mean_run_ms);
+  else
+    s->mean_run_ms = sample_ms (ran_ms);
+}
+
+/* --- all items --- */
+
+void
+ss_queue_collect (const SsQueue *queue, GPtrArray *out)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, queue->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
+      {
+        const SsQueueFlow *flow = value;
+        GSequenceIter *item = g_sequence_get_begin_iter (flow->waiting[i]);
+
+        for (; !g_sequence_iter_is_end (item);
+             item = g_sequence_iter_next (item))
+          g_ptr_array_add (out, g_sequence_get (item));
+      }
 }
 
 SsQueueItem *
 ss_queue_expired (const SsQueue *queue, int64_t now_ms)
 {
-  for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
-    {
-      GSequenceIter *iter = g_sequence_get_begin_iter (queue->waiting[i]);
+  GPtrArray *items;
+  SsQueueItem *found = NULL;
 
-      for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
-        {
-          SsQueueItem *item = g_sequence_get (iter);
+  if (!ss_queue_length (queue))
+    return NULL;
+  items = g_ptr_array_new ();
+  ss_queue_collect (queue, items);
+  for (guint i = 0; i < items->len && !found; i++)
+    {
+      SsQueueItem *item = g_ptr_array_index (items, i);
 
-          if (item->deadline_ms <= now_ms)
-            return item;
-        }
+      if (item->deadline_ms - item->after_run_ms
+              - (int64_t) run_ms (queue, item)
+          <= now_ms)
+        found = item;
     }
-  return NULL;
+  g_ptr_array_free (items, TRUE);
+  return found;
 }
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -1,9 +1,19 @@
 /* queue: admission control and scheduling of the statements for one target.
  *
- * Services share the connections by weight (weighted fair queueing).  A share
- * of the connections is reserved for writes.  Admission control refuses a
- * statement at once if its predicted wait exceeds SS_QUEUE_WAIT_MAX_MS or would
- * miss its deadline, or if the queue would exceed SS_QUEUE_BYTES_MAX.
+ * Load pattern: for seconds a target gets more work than its slots run, from
+ * statements that differ in urgency and in run time.
+ *
+ * Flows, which are services or the services of one customer, share the
+ * connections by weight (weighted fair queueing).  Within a flow the statement
+ * with the lowest rank runs first.  The rank is the time of arrival, plus a
+ * delay for statements that are less urgent and for those that run longer: more
+ * statements are served in time, and none starves.  A share of the connections
+ * is reserved for writes.
+ *
+ * Admission control refuses a statement at once if its predicted wait exceeds
+ * SS_QUEUE_WAIT_MAX_MS or would miss its deadline, or if the queue would exceed
+ * SS_QUEUE_BYTES_MAX.  A queued statement that can't end by its deadline any
+ * more expires.
  */
 #ifndef SS_QUEUE_H
 #define SS_QUEUE_H
@@ -12,7 +22,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define SS_QUEUE_WAIT_MAX_MS 500
+#define SS_QUEUE_WAIT_MAX_MS 350
+/* Rank delay for each level of urgency, and for each ms of expected run time.
+ */
+#define SS_QUEUE_URGENCY_MS 500
+#define SS_QUEUE_RUN_FACTOR 8.0
 /* Initial value of mean_run_ms, and the weight of a new sample in it. */
 #define SS_QUEUE_INITIAL_RUN_MS 1.0
 #define SS_QUEUE_RUN_GAIN 0.05
@@ -28,36 +42,49 @@
   SS_QUEUE_CLASSES
 } SsQueueClass;
 
+typedef struct SsQueueFlow SsQueueFlow;
+typedef struct SsQueueService SsQueueService;
+
 /* To be embedded as the first member of a queued job. */
 typedef struct
 {
   SsQueueClass queue_class;
-  double finish_tag; /* virtual finish time */
-  uint64_t sequence; /* breaks ties in order of arrival */
+  uint32_t urgency; /* 0 is the most urgent */
   uint32_t bytes;
   int64_t deadline_ms;
   int64_t queued_ms;
+  int64_t after_run_ms; /* needed between its run and its deadline */
+  SsQueueFlow *flow;
+  SsQueueService *service;
+  double rank_ms;
+  uint64_t sequence;         /* breaks ties in order of arrival */
   GSequenceIter *queue_iter; /* NULL: not queued */
 } SsQueueItem;
 
 typedef struct
 {
-  GSequence *waiting[SS_QUEUE_CLASSES];
-  GHashTable *last_finish_tags; /* service -> its last finish tag */
+  GHashTable *flows;    /* name -> SsQueueFlow */
+  GHashTable *services; /* name -> SsQueueService */
   double virtual_time;
   double mean_run_ms;  /* moving average of a statement's run time */
   double mean_wait_ms; /* moving average of the time in the queue */
   uint64_t sequence;
   uint32_t bytes;                     /* of all queued items */
+  uint32_t length[SS_QUEUE_CLASSES];  /* queued items */
   uint32_t running[SS_QUEUE_CLASSES]; /* items popped and not done */
 } SsQueue;
 
 void ss_queue_init (SsQueue *queue);
 void ss_queue_finish (SsQueue *queue);
 
+/* ss_queue_assign: assigns ITEM to SERVICE and to FLOW, which has WEIGHT.  To
+ * be called before ss_queue_admit and ss_queue_push.
+ */
+void ss_queue_assign (SsQueue *queue, SsQueueItem *item, const char *service,
+                      const char *flow, uint32_t weight);
 /* ss_queue_wait_ms: returns the predicted wait in milliseconds of one more
- * statement of QUEUE_CLASS.  CONNECTIONS is the number of all usable
- * connections here and below.
+ * statement of QUEUE_CLASS behind all others.  CONNECTIONS is the number of all
+ * usable connections here and below.
  */
 uint32_t ss_queue_wait_ms (const SsQueue *queue, SsQueueClass queue_class,
                            uint32_t connections);
@@ -67,8 +94,7 @@
 bool ss_queue_admit (const SsQueue *queue, const SsQueueItem *item,
                      uint32_t connections, int64_t now_ms, double jitter,
                      uint32_t *retry_after_ms);
-void ss_queue_push (SsQueue *queue, SsQueueItem *item, const char *service,
-                    uint32_t weight, int64_t now_ms);
+void ss_queue_push (SsQueue *queue, SsQueueItem *item, int64_t now_ms);
 void ss_queue_remove (SsQueue *queue, SsQueueItem *item);
 /* ss_queue_pop: removes and returns the next item that may run, or NULL.  It
  * counts as running until ss_queue_done.
@@ -79,9 +105,16 @@
  * milliseconds.  A negative RAN_MS is not sampled.
  */
 void ss_queue_done (SsQueue *queue, SsQueueClass queue_class, int64_t ran_ms);
-/* ss_queue_expired: returns a queued item whose deadline has passed, or NULL.
+/* ss_queue_sample_run: records that a statement of SERVICE ran for RAN_MS
+ * milliseconds.
+ */
+void ss_queue_sample_run (SsQueue *queue, const char *service, int64_t ran_ms);
+/* ss_queue_expired: returns a queued item that can't end by its deadline any
+ * more, or NULL.
  */
 SsQueueItem *ss_queue_expired (const SsQueue *queue, int64_t now_ms);
 uint32_t ss_queue_length (const SsQueue *queue);
+/* ss_queue_collect: adds all queued items to OUT. */
+void ss_queue_collect (const SsQueue *queue, GPtrArray *out);
 
 #endif
--- a/src/core/quorum.c
+++ b/src/core/quorum.c
@@ -10,6 +10,8 @@
 #include "core/owner.h"
 
 #define STATUS_RETRY_MS 100
+/* Weight of a new sample in mean_hold_ms. */
+#define HOLD_GAIN 0.05
 /* A target's responses to reads also carry its position, at no extra cost: it
  * is polled only if no response arrives within this time.  One server is
  * enough, so the others are polled later.
@@ -106,6 +108,7 @@
         continue;
       owned->replica_requests[i] = ++node->next_status_request;
       owned->replica_requested_ms[i] = node->now_ms;
+      owned->replica_wanted[i] = owned->unreplicated;
       send_status_request (node, t, owned->replica_requests[i],
                            owned->unreplicated, poll_after_ms);
       poll_after_ms = OTHERS_POLL_AFTER_MS;
@@ -176,7 +179,12 @@
         continue;
       g_queue_delete_link (&owned->waiters, l);
       if (replicated)
-        ss_job_answer (node, job, SS_VERDICT_RAN, SS_REASON_NONE, 0);
+        {
+          owned->mean_hold_ms += HOLD_GAIN
+                                 * ((double) (node->now_ms - job->committed_ms)
+                                    - owned->mean_hold_ms);
+          ss_job_answer (node, job, SS_VERDICT_RAN, SS_REASON_NONE, 0);
+        }
       else
         ss_job_answer (node, job, SS_VERDICT_MAY_HAVE_RUN,
                        superseded ? SS_REASON_SUPERSEDED : SS_REASON_NOT_HELD,
@@ -502,7 +510,11 @@
         {
           if (group->servers[j] != target)
             continue;
-          if (owned->replica_requests[j] == request_id)
+          /* A server without the position is asked again after a pause only:
+           * it answers at once if it was shown a later term.
+           */
+          if (owned->replica_requests[j] == request_id
+              && has_replicated (target, owned->replica_wanted[j]))
             owned->replica_requests[j] = 0;
           if (owned->round.running && owned->round.request_id == request_id)
             on_round_reply (node, owned, group, j, state);
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -171,6 +171,19 @@
                      SS_RETRY_PROMOTION_MS);
 }
 
+/* Refuses a read that no server may serve.  If an overloaded server was the
+ * only one that could, the caller is told when that one has room.
+ */
+static void
+refuse_read (SsNode *node, SsRequest *r)
+{
+  if (r->tries && r->refusal == SS_REASON_OVERLOAD)
+    ss_request_finish (node, r, SS_VERDICT_NOT_RUN, r->refusal,
+                       r->retry_after_ms);
+  else
+    refuse (node, r, SS_REASON_NO_REPLICA);
+}
+
 /* Has R wait for a usable primary if a failover is expected to end before R's
  * deadline; else refuses it at once.
  */
@@ -209,7 +222,7 @@
   if (t)
     send_run (node, r, ss_node_owner (node, t), t->name, false);
   else if (!begin_status_wait (node, r, find_unreported (group)))
-    refuse (node, r, SS_REASON_NO_REPLICA);
+    refuse_read (node, r);
 }
 
 static void
@@ -283,7 +296,7 @@
                  && !ss_session_sql_begins_with (r->sql, "start");
   if (!r->is_read)
     return true;
-  r->strict = s->strict || strcmp (kind, "strict") == 0;
+  r->strict = strcmp (kind, "strict") == 0;
   r->staleness_ms = r->strict ? 0 : ss_service_staleness (service, kind);
   return r->staleness_ms >= 0;
 }
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -16,7 +16,6 @@
  */
 #define OWN_WATCH_AFTER_MS 3000
 #define VMS_INTERVAL_MS 1000
-#define RELAYS 2
 
 bool
 ss_watch_is_single (const SsNode *node)
@@ -219,7 +218,7 @@
   if (!node->ready)
     return true;
   return ss_members_rank (&node->members, node->params.failure_domain, "relay")
-         < RELAYS;
+         < SS_MEMBERS_RELAYS;
 }
 
 /* A watch may miss changes silently.  The next watch delivers them, or reports
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -9,7 +9,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#define VERSION "0.1.0"
+#define VERSION "0.2.0"
 #define DEFAULT_ADDRESS "127.0.0.1:7200"
 #define CALL_TIMEOUT_MS 15000L
 #define CONNECT_TIMEOUT_MS 1000L
--- a/src/kernel/plugin.h
+++ b/src/kernel/plugin.h
@@ -52,7 +52,6 @@
   SsInterface interface;
   GPtrArray *reloaded_settings; /* all SsSettings read by reloads, also invalid
                                    ones; NULL: none */
-  int32_t exit_code;
 };
 
 #define SS_HANDLES(kind) (1U << SS_ACTION_##kind)
--- a/src/plugins/admin_http.c
+++ b/src/plugins/admin_http.c
@@ -18,8 +18,25 @@
   uint64_t next_id;
 } admin;
 
+#define TRAFFIC_METRIC "sapphirestair_peer_message_bytes_total"
+
+static void
+add_traffic (GString *out, const SsTraffic *traffic)
+{
+  g_string_append (out, "# HELP " TRAFFIC_METRIC
+                        " bytes sent to peers, by kind of message and link\n"
+                        "# TYPE " TRAFFIC_METRIC " counter\n");
+  for (uint32_t i = 0; i < SS_TRAFFIC_KIND_COUNT; i++)
+    for (uint32_t j = 0; j < SS_TRAFFIC_LINK_COUNT; j++)
+      g_string_append_printf (
+          out,
+          TRAFFIC_METRIC "{kind=\"%s\",link=\"%s\"} %" G_GUINT64_FORMAT "\n",
+          ss_traffic_kind_name ((SsTrafficKind) i),
+          ss_traffic_link_name ((SsTrafficLink) j), traffic->bytes[i][j]);
+}
+
 static char *
-metrics_text (const SsCounters *counters)
+metrics_text (const SsCounters *counters, const SsTraffic *traffic)
 {
   GString *out = g_string_new (NULL);
 
@@ -34,6 +51,7 @@
                               name, ss_counter_help ((SsCounterId) i), name,
                               name, counters->values[i]);
     }
+  add_traffic (out, traffic);
   return g_string_free (out, FALSE);
 }
 
@@ -87,7 +105,8 @@
   (void) httpd;
   if (strcmp (r->path, "/metrics") == 0)
     {
-      char *text = metrics_text (&admin.runtime->node.counters);
+      char *text = metrics_text (&admin.runtime->node.counters,
+                                 &admin.runtime->node.traffic);
 
       ss_http_reply (r, 200, METRICS_TYPE, text);
       g_free (text);
--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -62,7 +62,7 @@
 
   for (size_t i = 0; i < count; i++)
     if (read_object (json_array_get (items, i), &objects[valid_count],
-                     &texts[valid_count]))
+                     &texts[i]))
       valid_count++;
   e.platform_objects.outcome = outcome;
   e.platform_objects.since = call->since;
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -513,10 +513,12 @@
       s->barred_term = g_ascii_strtoull (text + 6, NULL, 10);
       return SS_TARGET_FAULT_NONE;
     }
-  if (label && sim->busy_next)
+  if (label && sim->fault_next != SS_TARGET_FAULT_NONE)
     {
-      sim->busy_next = false;
-      return SS_TARGET_FAULT_BUSY;
+      SsTargetFault fault = sim->fault_next;
+
+      sim->fault_next = SS_TARGET_FAULT_NONE;
+      return fault;
     }
   if (g_rand_int_range (sim->rand, 0, 1000) < (gint32) sim->busy_permille)
     return SS_TARGET_FAULT_BUSY;
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -81,8 +81,8 @@
   /* Probability of injected faults, per mille. */
   uint32_t busy_permille; /* a server answers BUSY */
   uint32_t lost_permille; /* the connection closes instead of the answer */
-  /* The same faults, for the next caller statement that a server gets. */
-  bool busy_next;
+  /* Faults for the next caller statement that a server gets. */
+  SsTargetFault fault_next;
   bool lose_next;
   /* Results. */
   GHashTable *runs;         /* label -> how often a server ran the statement */
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -28,10 +28,6 @@
   failed=$((failed + $3))
 }
 
-count() { # file, word
-  sed -n "s/.*[^0-9]\{0,1\}\([0-9][0-9]*\) $2.*/\1/p" "$1" | tail -n 1
-}
-
 # Unit tests.
 "$B/ss-unit" >"$out/unit" 2>&1
 grep -v ' \.\.\.passed$' "$out/unit" | grep -v '^$'
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -98,10 +98,26 @@
   ss_config_finish (&c);
 }
 
+static void
+invalid_routes_change_no_limits (void)
+{
+  SsConfig c;
+
+  ss_config_init (&c);
+  CU_ASSERT (adopt (&c, "routes/main", 1,
+                    "{\"services\":{},\"groups\":{\"a\":"
+                    "{\"max_connections\":20},\"b\":{}}}")
+             == SS_ADOPT_INVALID);
+  CU_ASSERT_PTR_NULL (ss_config_group (&c, "a"));
+  CU_ASSERT (g_hash_table_size (c.max_connections) == 0);
+  ss_config_finish (&c);
+}
+
 CU_TestInfo test_config[] = {
   { "only newer versions are adopted", only_newer_versions_are_adopted },
   { "invalid object changes nothing", invalid_object_changes_nothing },
   { "groups find servers and primary", groups_find_servers_and_primary },
   { "read kinds of services are parsed", read_kinds_of_services_are_parsed },
+  { "invalid routes change no limits", invalid_routes_change_no_limits },
   CU_TEST_INFO_NULL,
 };
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -125,7 +125,7 @@
   for (uint32_t i = 0; i < 4; i++)
     {
       CU_ASSERT (line_sim_execute (&sim, 2, "BEGIN READ"));
-      sim.busy_next = true;
+      sim.fault_next = SS_TARGET_FAULT_BUSY;
       CU_ASSERT (line_sim_execute (&sim, 2, "READ 1a"));
       CU_ASSERT (line_sim_execute (&sim, 2, "READ 2b"));
       CU_ASSERT (line_sim_execute (&sim, 2, "COMMIT"));
@@ -506,6 +506,120 @@
   line_sim_finish (&sim);
 }
 
+/* A target's own error does not tell whether the statement has run. */
+static void
+target_error_may_have_run (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 5, 2, 8);
+  sim.fault_next = SS_TARGET_FAULT_STATEMENT;
+  CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1a x"));
+  CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_MAY_HAVE_RUN);
+  CU_ASSERT (sim.sessions[0].reason == SS_REASON_TARGET_ERROR);
+  line_sim_finish (&sim);
+}
+
+/* A target that does not know the prepared statement has not run it, so that a
+ * write may be retried.
+ */
+static void
+unprepared_write_is_retried (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 5, 2, 8);
+  sim.fault_next = SS_TARGET_FAULT_UNPREPARED;
+  CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1a x"));
+  CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_RAN);
+  CU_ASSERT (line_sim_run_count (&sim, line_sim_last_label (&sim, 1)) == 1);
+  expect_no_violations (&sim, 5);
+  line_sim_finish (&sim);
+}
+
+/* An unsolicited position answers no request: a strict read that asked for none
+ * must not take it for the answer to its own.
+ */
+static void
+unsolicited_position_answers_no_request (void)
+{
+  SsConfirmedPositions *confirmed;
+  LineSim sim;
+
+  line_sim_init (&sim, 5, 2, 8);
+  confirmed = ss_confirmed_get (&sim.node, "other");
+  ss_confirmed_handle_unsolicited (&sim.node, "other", (SsPosition){ 1, 5 }, 0);
+  CU_ASSERT (confirmed->latest.known);
+  CU_ASSERT (confirmed->latest.seq == 0);
+  line_sim_finish (&sim);
+}
+
+/* Fills the queues of all servers, as far as admission control can tell. */
+static void
+overload_servers (LineSim *sim)
+{
+  for (uint32_t i = 0; i < LINE_SERVERS; i++)
+    {
+      SsOwnedTarget *owned = ss_owner_find (&sim->node, sim->servers[i].name);
+
+      owned->queue.running[SS_QUEUE_READ] = 10;
+      owned->queue.mean_run_ms = 100000;
+    }
+}
+
+/* A strict read can run at the primary only: if that is overloaded, an
+ * immediate retry would return to the same queue.
+ */
+static void
+overloaded_primary_gets_no_immediate_retry (void)
+{
+  LineSim sim;
+  uint64_t retries;
+
+  line_sim_init (&sim, 5, 2, 8);
+  overload_servers (&sim);
+  retries = sim.node.counters.values[SS_COUNTER_RETRIES];
+  CU_ASSERT (line_sim_execute (&sim, 1, "READ 1a"));
+  CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (sim.sessions[0].reason == SS_REASON_OVERLOAD);
+  CU_ASSERT (sim.node.counters.values[SS_COUNTER_RETRIES] == retries);
+  line_sim_finish (&sim);
+}
+
+/* A read that every server refused as overloaded is told so, with the time when
+ * the last one has room; no replica is said to lag.
+ */
+static void
+read_of_overloaded_group_is_told_so (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 5, 2, 8);
+  overload_servers (&sim);
+  CU_ASSERT (line_sim_execute (&sim, 2, "READ 1a"));
+  CU_ASSERT (sim.sessions[1].verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (sim.sessions[1].reason == SS_REASON_OVERLOAD);
+  line_sim_finish (&sim);
+}
+
+/* Replicas that were shown a later term answer each question for a position at
+ * once, without having it.  The owner must not ask again in the same moment:
+ * where it owns the replicas too, it would never do anything else.
+ */
+static void
+raised_replicas_are_asked_with_pauses (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 5, 2, 8);
+  sim.servers[1].barred_term = 2;
+  sim.servers[2].barred_term = 2;
+  CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1a x"));
+  CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_MAY_HAVE_RUN);
+  CU_ASSERT (sim.status_requests < 100);
+  line_sim_finish (&sim);
+}
+
 CU_TestInfo test_line[] = {
   { "interleaved sessions stay isolated", interleaved_sessions_stay_isolated },
   { "first statement is not repeated", first_statement_is_not_repeated },
@@ -527,5 +641,15 @@
     transactions_of_a_session_stay_separate },
   { "lost transaction ends with next statement",
     lost_transaction_ends_with_next_statement },
+  { "target error may have run", target_error_may_have_run },
+  { "unprepared write is retried", unprepared_write_is_retried },
+  { "unsolicited position answers no request",
+    unsolicited_position_answers_no_request },
+  { "overloaded primary gets no immediate retry",
+    overloaded_primary_gets_no_immediate_retry },
+  { "read of overloaded group is told so",
+    read_of_overloaded_group_is_told_so },
+  { "raised replicas are asked with pauses",
+    raised_replicas_are_asked_with_pauses },
   CU_TEST_INFO_NULL,
 };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -199,10 +199,12 @@
       "config",
       "{\"meta\":{\"name\":\"main\",\"revision\":9},\"spec\":{"
       "\"routes\":[{\"host\":\"h\",\"service\":\"s\",\"kind\":"
-      "\"primary\",\"timeout_ms\":1000}],\"services\":[{\"name\":\"s\","
+      "\"primary\",\"timeout_ms\":1000,\"priority\":2}],\"services\":[{"
+      "\"name\":\"s\","
       "\"max_conns\":21}],\"limits\":{\"tx_idle_ms\":3000}}}",
       "{\"groups\":{\"s\":{\"max_connections\":21}},\"services\":{\"h\":"
-      "{\"default_kind\":\"strict\",\"group\":\"s\",\"timeout_ms\":1000}},"
+      "{\"default_kind\":\"strict\",\"group\":\"s\","
+      "\"timeout_ms\":1000,\"urgency\":2}},"
       "\"transaction_idle_ms\":3000}");
 }
 
