--- a/src/core/choice.c
+++ b/src/core/choice.c
@@ -1,7 +1,7 @@
 /* choice: selects the server for a read or a write. */
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/requests.h"
 
 /* A server whose last response is older than this is not selected. */
 #define REACHABLE_MAX_AGE_MS 3000
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/owned.h"
 #include "core/peers.h"
 #include "kernel/compare.h"
 
--- a/src/core/confirmed.c
+++ b/src/core/confirmed.c
@@ -5,7 +5,7 @@
  */
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/requests.h"
 
 #define RING_SPACING_MS 250
 #define CONFIRM_RETRY_MS 100
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -5,7 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/owned.h"
+#include "core/promotion.h"
 
 /* A refused connection means a crash; no response may be a short network
  * partition.
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/membership.h"
 #include "core/peers.h"
 
 /* Interval between attempts to write this VM's object. */
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -6,7 +6,7 @@
 #ifndef SS_ENTRY_H
 #define SS_ENTRY_H
 
-#include "core/internal.h"
+#include "core/requests.h"
 
 /* --- session.c --- */
 
--- a/src/core/isolation.c
+++ b/src/core/isolation.c
@@ -7,7 +7,8 @@
  * Where no VM is ready the platform uses all of them, so it does no harm if
  * every VM reports this.
  */
-#include "core/internal.h"
+#include "core/owned.h"
+#include "core/promotion.h"
 
 /* More than the delay of one lost heartbeat, less than the timeouts of callers.
  */
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -13,7 +13,9 @@
  */
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/membership.h"
+#include "core/owned.h"
+#include "core/promotion.h"
 
 /* Renewal interval: well below SS_LEASE_MS, so that a single lost response does
  * not let the lease expire.
--- /dev/null
+++ b/src/core/membership.h
@@ -0,0 +1,110 @@
+/* membership: the layer of membership and configuration: which VMs live, what
+ * they tell each other, and what the platform stores.
+ */
+#ifndef SS_MEMBERSHIP_H
+#define SS_MEMBERSHIP_H
+
+#include "core/message.h"
+
+/* --- relay.c: failure detection through relays, for many VMs --- */
+
+void ss_relay_init (SsNode *node);
+void ss_relay_finish (SsNode *node);
+/* ss_relay_send_heartbeat: sends HEARTBEAT to this VM's relays, each with the
+ * hash of the last full list from that relay.  If this VM is a relay, also
+ * sends reports to the relays of other failure domains.
+ */
+void ss_relay_send_heartbeat (SsNode *node, SsEnvelope *heartbeat);
+/* ss_relay_send_digest: answers a heartbeat of VM with a digest, which is full
+ * unless VM has the one with KNOWN_HASH.
+ */
+void ss_relay_send_digest (SsNode *node, const char *vm, uint64_t known_hash);
+void ss_relay_handle_digest (SsNode *node, const char *from,
+                             const Ss__Peer__Digest *digest);
+void ss_relay_handle_report (SsNode *node, const char *from,
+                             const Ss__Peer__DomainReport *report);
+
+/* --- relay_views.c: which VMs the relays report as live --- */
+
+void ss_relay_views_init (SsNode *node);
+void ss_relay_views_finish (SsNode *node);
+/* ss_relay_views_hash: returns the hash of the last full list from VM, or 0. */
+uint64_t ss_relay_views_hash (const SsNode *node, const char *vm);
+/* ss_relay_views_store: stores a full list from FROM, a relay of
+ * FAILURE_DOMAIN.  A VM that was in its previous list, and that no relay there
+ * lists now, is dead.
+ */
+void ss_relay_views_store (SsNode *node, const char *from,
+                           const char *failure_domain, uint64_t hash,
+                           Ss__Peer__VmState **vms, size_t count);
+/* ss_relay_views_refresh: records that FROM's last list is still valid. REMOTE:
+ * FROM is a relay of another failure domain.
+ */
+void ss_relay_views_refresh (SsNode *node, const char *from, bool remote);
+
+/* --- isolation.c: detection of an isolated VM --- */
+
+/* ss_isolation_lost_majority: whether less than half of the other VMs that the
+ * platform lists are live.
+ */
+bool ss_isolation_lost_majority (const SsNode *node);
+/* ss_isolation_tick: updates whether this VM is isolated, and ends idle
+ * sessions while it is.
+ */
+void ss_isolation_tick (SsNode *node);
+
+/* --- peers.c: heartbeats and subscriptions --- */
+
+void ss_peers_tick (SsNode *node);
+void ss_peers_handle_heartbeat (SsNode *node,
+                                const Ss__Peer__Heartbeat *heartbeat);
+/* ss_peers_send_heartbeat: sends a heartbeat at once. */
+void ss_peers_send_heartbeat (SsNode *node);
+/* ss_peers_add_member: adds VM or updates its address. */
+SsMember *ss_peers_add_member (SsNode *node, const char *vm,
+                               const char *failure_domain, const char *ip,
+                               uint16_t port);
+
+/* --- watch.c: watches on the platform --- */
+
+/* ss_watch_handle_objects: handles the response to a watch or list request. */
+void ss_watch_handle_objects (SsNode *node, const SsEvent *event);
+/* ss_watch_handle_vms: handles the platform's list of VMs, a JSON array. */
+void ss_watch_handle_vms (SsNode *node, const char *json, uint32_t json_bytes);
+/* ss_watch_is_active: whether this VM watches the platform itself. */
+bool ss_watch_is_active (SsNode *node);
+
+/* --- config_sync.c: configuration exchange between VMs --- */
+
+void ss_config_sync_handle_pull (SsNode *node, const char *from,
+                                 const Ss__Peer__ConfigPull *pull);
+void ss_config_sync_handle_push (SsNode *node, const char *from,
+                                 const Ss__Peer__ConfigPush *push);
+/* ss_config_sync_publish: adopts OBJECT if it is newer, and then forwards it to
+ * all peers.
+ */
+void ss_config_sync_publish (SsNode *node, const SsObject *object);
+/* ss_config_sync_pull_all: requests all objects that VM stores. */
+void ss_config_sync_pull_all (SsNode *node, const char *vm);
+
+/* --- directory.c: the VM directory at the platform --- */
+
+void ss_directory_tick (SsNode *node);
+/* ss_directory_apply: applies OBJECT, an adopted object vm/NAME. */
+void ss_directory_apply (SsNode *node, const SsObject *object);
+/* ss_directory_handle_object: handles the outcome of a write of a VM's object.
+ */
+void ss_directory_handle_object (SsNode *node, SsPlatformOutcome outcome,
+                                 const SsObject *object);
+/* ss_directory_has_holder: whether the object of another VM that is not in
+ * RELEASED lists a lease on GROUP.
+ */
+bool ss_directory_has_holder (const SsNode *node, const char *group,
+                              GHashTable *released);
+/* ss_directory_deregister: deletes this VM's object, on shutdown. */
+void ss_directory_deregister (SsNode *node);
+
+/* ss_node_begin_shutdown: begins the graceful shutdown of this VM. */
+void ss_node_begin_shutdown (SsNode *node);
+
+#endif
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -1,7 +1,7 @@
 #include <stdarg.h>
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/message.h"
 
 const char *
 ss_watch_prefix (SsWatch watch)
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -5,7 +5,7 @@
 #ifndef SS_OWNER_H
 #define SS_OWNER_H
 
-#include "core/internal.h"
+#include "core/owned.h"
 
 /* ss_owned_group: returns the group of the target, or NULL. */
 SsGroup *ss_owned_group (SsNode *node, const SsOwnedTarget *owned);
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -1,6 +1,8 @@
 #include <string.h>
 
+#include "core/owned.h"
 #include "core/peers.h"
+#include "core/promotion.h"
 #include "kernel/compare.h"
 
 /* A heartbeat lists the VMs that were heard within this time. */
--- a/src/core/peers.h
+++ b/src/core/peers.h
@@ -5,7 +5,7 @@
 #ifndef SS_PEERS_H
 #define SS_PEERS_H
 
-#include "core/internal.h"
+#include "core/membership.h"
 
 /* --- peers.c --- */
 
--- a/src/core/predict.c
+++ b/src/core/predict.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#include "core/internal.h"
+#include "core/message.h"
 
 void
 ss_predict_learn (SsPrediction *prediction, int64_t failover_ms)
--- a/src/core/quorum.c
+++ b/src/core/quorum.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "core/owner.h"
+#include "core/promotion.h"
 
 #define STATUS_RETRY_MS 100
 /* Weight of a new sample in mean_hold_ms. */
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -16,7 +16,7 @@
 #include <string.h>
 #include <xxhash.h>
 
-#include "core/internal.h"
+#include "core/membership.h"
 
 /* A relay gets a full report at least this often, as it may have restarted and
  * lost the previous one.
--- a/src/core/relay_views.c
+++ b/src/core/relay_views.c
@@ -5,7 +5,7 @@
  */
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/membership.h"
 
 /* The last full list of live VMs from a relay. */
 typedef struct
--- a/src/core/session_sql.c
+++ b/src/core/session_sql.c
@@ -3,7 +3,7 @@
  */
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/requests.h"
 #include "core/scanner.h"
 
 #define PREFIX "sapphirestair."
--- a/src/core/tables.c
+++ b/src/core/tables.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/owner.h"
+#include "core/promotion.h"
 
 typedef struct
 {
--- a/src/core/term_raise.c
+++ b/src/core/term_raise.c
@@ -3,7 +3,8 @@
  */
 #include <string.h>
 
-#include "core/internal.h"
+#include "core/membership.h"
+#include "core/promotion.h"
 
 /* Retry interval of raise requests. */
 #define RAISE_RETRY_MS 150
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -1,7 +1,9 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "core/owned.h"
 #include "core/peers.h"
+#include "core/promotion.h"
 
 #define WATCH_RETRY_MS 300
 #define WATCH_WAIT_MS 8000
