--- a/bench/variants.sh
+++ b/bench/variants.sh
@@ -43,6 +43,9 @@
 fast_promotion  s/promote_ms = [0-9.]*/promote_ms = 100.0/
 slow_promotion  s/promote_ms = [0-9.]*/promote_ms = 2000.0/
 weak_processor  s/cpu_share = [0-9.]*/cpu_share = 0.1/
+usual_lag       s/lag_ms = { mean = [0-9.]*\(.*\) max = [0-9.]* }, promote/lag_ms = { mean = 900.0\1 max = 5400.0 }, promote/
+far_regions     s/cross_region_ms = [0-9.]*/cross_region_ms = 40.0/
+turned_urgency  s/priority = 1/priority = 9/; s/priority = 2/priority = 1/; s/priority = 9/priority = 2/
 EOF
 }
 
@@ -54,10 +57,19 @@
   } { print }' "$site"
 }
 
+# Prints the site with all run times doubled, and half of the requests.
+double_work () {
+  scale_rate 0.5 | awk 'match ($0, /work_ms = { mean = [0-9.]+/) {
+    mean = substr ($0, RSTART + 19, RLENGTH - 19) * 2
+    $0 = substr ($0, 1, RSTART + 18) sprintf ("%.1f", mean) substr ($0, RSTART + RLENGTH)
+  } { print }'
+}
+
 write_variant () {
   case $1 in
     three_times) scale_rate 3 ;;
     a_third) scale_rate 0.33 ;;
+    double_work) double_work ;;
     *) sed "$2" "$site" ;;
   esac > "$dir/$1.toml"
   if cmp -s "$site" "$dir/$1.toml"; then
@@ -67,7 +79,7 @@
 
 bad=0
 day_row_head variant
-{ variants; echo 'three_times -'; echo 'a_third -'; } > "$dir/variants"
+{ variants; printf '%s -\n' three_times a_third double_work; } > "$dir/variants"
 while read -r name script; do
   case " $* " in
     '  ' | *" $name "*) ;;
