--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -71,7 +71,8 @@
   char *requested_server; /* server that an operator requests, or NULL */
   char *replaced_primary; /* primary to be replaced, never chosen; or NULL */
   char *chosen;           /* the new primary; NULL: not chosen yet */
-  bool requested;         /* by an operator or a drain, not by a failure */
+  bool requested;         /* the primary has not failed: an operator, a drain or
+                             its placement (placement.h) asks for it */
   uint64_t operator_call; /* operator command to be answered; 0: none */
   GHashTable *raised_positions; /* server name -> SsPosition of its log; not by
                   pointer, as servers may be added and removed meanwhile */
