Read again: no walk of all services on each tick, one rule for the primary

The coordinator walked all services for each group on each tick, also where no primary was in trouble: at 2,700 databases that is groups times services. A look at a queue for expired statements allocated a list each time. entry.c had the rule of route.c for what only the primary can run a second time. Limits of groups were parsed twice to be adopted. Change: the placement's cheap conditions come first (ss_placement_is_in_trouble, used by the decision itself); the queue is walked in place; ss_route_needs_primary serves both; limits are checked, then read. No behaviour changes, no test changes.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -240,13 +240,14 @@
 }
 
 static char *
-parse_group_limit (json_t *group, int64_t *connections)
+check_group_limit (json_t *group)
 {
+  int64_t connections;
   char *error = ss_parse_check_keys (group, " max_connections ");
 
   if (!error)
     error = ss_parse_number (group, "max_connections", -1, 1,
-                             SS_CONNECTIONS_MAX, connections);
+                             SS_CONNECTIONS_MAX, &connections);
   return error;
 }
 
@@ -254,7 +255,6 @@
 static char *
 adopt_group_limits (SsConfig *c, json_t *groups)
 {
-  int64_t connections = 0;
   const char *name;
   json_t *group;
   char *error = NULL;
@@ -262,13 +262,15 @@
   json_object_foreach (groups, name, group)
   {
     if (!error)
-      error = parse_group_limit (group, &connections);
+      error = check_group_limit (group);
   }
   if (error)
     return error;
   json_object_foreach (groups, name, group)
   {
-    g_free (parse_group_limit (group, &connections));
+    json_int_t connections
+        = json_integer_value (json_object_get (group, "max_connections"));
+
     g_hash_table_replace (c->max_connections, g_strdup (name),
                           GINT_TO_POINTER ((gint) connections));
     ensure_group (c, name);
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -224,6 +224,8 @@
     return false;
   ss_placement_sample (&p->placement, primary->state.held, node->now_ms);
   view_primary (node, primary, &view);
+  if (!ss_placement_is_in_trouble (&view))
+    return false;
   view.staleness_ms = ss_config_group_staleness (&node->config, group->name);
   view.failover_ms = ss_predict_failover_ms (&node->prediction);
   view.settled_ms = node->now_ms - group->changed_ms;
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -271,14 +271,6 @@
   g_hash_table_remove (node->sessions, &caller);
 }
 
-/* Whether only the primary can run R. */
-static bool
-needs_primary (SsNode *node, const SsRequest *r)
-{
-  return !r->is_read
-         || (r->strict && ss_dialect_multiplexes_sessions (node->dialect));
-}
-
 bool
 ss_request_may_retry (SsNode *node, SsRequest *r, SsVerdict verdict,
                       SsReason reason, bool sent)
@@ -294,7 +286,7 @@
    */
   if (!is_safe || r->session->pinned_vm || (r->begins && sent)
       || (!r->is_read && !multiplexes_sessions)
-      || (needs_primary (node, r)
+      || (ss_route_needs_primary (node, r)
           && (reason == SS_REASON_OVERLOAD || reason == SS_REASON_NO_MAJORITY))
       || reason == SS_REASON_TARGET_ERROR || reason == SS_REASON_CANCELLED
       || reason == SS_REASON_DEADLINE || r->tries >= SS_REQUEST_RETRIES_MAX
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -140,6 +140,8 @@
  * kind.
  */
 bool ss_route_classify (SsNode *node, SsRequest *r);
+/* ss_route_needs_primary: whether only the primary can run R. */
+bool ss_route_needs_primary (const SsNode *node, const SsRequest *r);
 /* ss_route: sends R to the owner of a target, has it wait, or refuses it. */
 void ss_route (SsNode *node, SsRequest *r);
 /* ss_route_await_primary: has R, which its primary refused, wait until the
--- a/src/core/placement.c
+++ b/src/core/placement.c
@@ -24,17 +24,35 @@
          && ss_position_covers (held, p->expected);
 }
 
+static bool
+has_queue (const SsPlacementView *view)
+{
+  return view->wait_ms >= SS_PLACEMENT_WAIT_MS;
+}
+
+static bool
+has_stalled (const SsPlacementView *view)
+{
+  return view->stalled_ms >= SS_PLACEMENT_STALLED_MS;
+}
+
+bool
+ss_placement_is_in_trouble (const SsPlacementView *view)
+{
+  return has_queue (view) || has_stalled (view);
+}
+
 static bool
 is_overloaded_by_lag (const SsPlacementView *view)
 {
-  return view->receiving && view->wait_ms >= SS_PLACEMENT_WAIT_MS
+  return view->receiving && has_queue (view)
          && view->lag_ms >= view->staleness_ms + view->failover_ms;
 }
 
 static bool
 is_cut_from_replicas (const SsPlacementView *view)
 {
-  return view->candidates && view->stalled_ms >= SS_PLACEMENT_STALLED_MS;
+  return view->candidates && has_stalled (view);
 }
 
 bool
--- a/src/core/placement.h
+++ b/src/core/placement.h
@@ -71,6 +71,10 @@
  * primary's log.
  */
 bool ss_placement_receives (const SsPlacement *placement, SsPosition held);
+/* ss_placement_is_in_trouble: whether the primary's queue or its commits,
+ * wait_ms and stalled_ms of VIEW, are a reason to look at the rest.
+ */
+bool ss_placement_is_in_trouble (const SsPlacementView *view);
 bool ss_placement_should_move (const SsPlacement *placement,
                                const SsPlacementView *view, int64_t now_ms);
 /* ss_placement_moved: records that a move started. */
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -397,25 +397,35 @@
       }
 }
 
+static SsQueueItem *
+expired_in_flow (const SsQueue *queue, const SsQueueFlow *flow, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
+    {
+      GSequenceIter *iter = g_sequence_get_begin_iter (flow->waiting[i]);
+
+      for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
+        {
+          SsQueueItem *item = g_sequence_get (iter);
+          int64_t needed_ms
+              = (int64_t) run_ms (queue, item) + item->after_run_ms;
+
+          if (item->deadline_ms - needed_ms <= now_ms)
+            return item;
+        }
+    }
+  return NULL;
+}
+
 SsQueueItem *
 ss_queue_expired (const SsQueue *queue, int64_t now_ms)
 {
-  GPtrArray *items;
+  GHashTableIter iter;
+  gpointer flow;
   SsQueueItem *found = NULL;
 
-  if (!ss_queue_length (queue))
-    return NULL;
-  items = g_ptr_array_new ();
-  ss_queue_collect (queue, items);
-  for (guint i = 0; i < items->len && !found; i++)
-    {
-      SsQueueItem *item = g_ptr_array_index (items, i);
-
-      if (item->deadline_ms - item->after_run_ms
-              - (int64_t) run_ms (queue, item)
-          <= now_ms)
-        found = item;
-    }
-  g_ptr_array_free (items, TRUE);
+  g_hash_table_iter_init (&iter, queue->flows);
+  while (!found && g_hash_table_iter_next (&iter, NULL, &flow))
+    found = expired_in_flow (queue, flow, now_ms);
   return found;
 }
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -240,6 +240,13 @@
     wait_for_primary (node, r, group);
 }
 
+bool
+ss_route_needs_primary (const SsNode *node, const SsRequest *r)
+{
+  return !r->is_read
+         || (r->strict && ss_dialect_multiplexes_sessions (node->dialect));
+}
+
 void
 ss_route (SsNode *node, SsRequest *r)
 {
@@ -250,11 +257,10 @@
     send_run (node, r, s->pinned_vm, s->pinned_target, true);
   else if (!group)
     ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_SERVICE, 0);
-  else if (r->is_read
-           && !(r->strict && ss_dialect_multiplexes_sessions (node->dialect)))
-    route_read (node, r, group);
-  else
+  else if (ss_route_needs_primary (node, r))
     route_write (node, r, group);
+  else
+    route_read (node, r, group);
 }
 
 void
