The scenario command "start platform" starts the platform

Cause: do_start knew VMs and targets only, so "start platform" fell through to target 0, which was running; the step failed with no word of why. Ruled out: find_process finds the platform, kill and freeze of it work. Change: do_start calls ss_deploy_start_platform, the start that a deployment uses. The stand-in has no disk: it starts without objects. No product code.

--- a/bench/deploy.c
+++ b/bench/deploy.c
@@ -289,8 +289,8 @@
   return g_build_filename (d->programs, name, NULL);
 }
 
-static bool
-start_platform (SsDeploy *d)
+bool
+ss_deploy_start_platform (SsDeploy *d)
 {
   char *port = g_strdup_printf ("%d", SS_DEPLOY_PLATFORM_PORT);
   char *argv[] = { ss_deploy_program (d, "ss-standin-platform"), d->platform.ip,
@@ -476,8 +476,9 @@
   bool ok;
 
   init_processes (deploy, domains, vms_per_domain, servers);
-  ok = write_token (deploy) && start_platform (deploy) && start_network (deploy)
-       && ss_deploy_publish_vms (deploy, -1) && put_configuration (deploy);
+  ok = write_token (deploy) && ss_deploy_start_platform (deploy)
+       && start_network (deploy) && ss_deploy_publish_vms (deploy, -1)
+       && put_configuration (deploy);
   for (uint32_t i = 0; ok && i < deploy->target_count; i++)
     ok = ss_deploy_start_target (deploy, i);
   for (uint32_t i = 0; ok && i < deploy->vm_count; i++)
--- a/bench/deploy.h
+++ b/bench/deploy.h
@@ -67,6 +67,10 @@
                       uint32_t vms_per_domain, uint32_t servers);
 
 bool ss_deploy_start_vm (SsDeploy *deploy, uint32_t vm);
+/* ss_deploy_start_platform: starts the stand-in platform without objects and
+ * waits until it answers.
+ */
+bool ss_deploy_start_platform (SsDeploy *deploy);
 bool ss_deploy_start_target (SsDeploy *deploy, uint32_t target);
 /* ss_deploy_wait_ready: returns false if VM does not answer its health check
  * with 200 within TIMEOUT_MS.
--- a/bench/ss_scenario.c
+++ b/bench/ss_scenario.c
@@ -206,6 +206,8 @@
     return fail (run, "no such process, or it is already running");
   if (p >= run->deploy.vms && p < run->deploy.vms + SS_DEPLOY_MAX)
     return ss_deploy_start_vm (&run->deploy, index);
+  if (p == &run->deploy.platform)
+    return ss_deploy_start_platform (&run->deploy);
   return ss_deploy_start_target (&run->deploy, index);
 }
 
