Logs and metrics that tell the CONFIG hypotheses apart

Nothing told which version of the routes a VM has in force, since when, whether an object was seen and not adopted, or where a watch stands, so the three hypotheses of docs/incidents/2026-12-config.md looked the same from outside.

Behaviour is as before: no decision reads the new fields.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 KERNEL_O = $(KERNEL:%=$B/src/kernel/%.o) $B/src/kernel/toml_shim.o
 CORE_O = $(CORE:%=$B/src/core/%.o) $B/proto/peer.pb-c.o
 PLATFORM = $(patsubst %.c,$B/%.o,$(wildcard platform/*.c))
-PLUGINS = pgserver pqtarget platform_http admin_http peer
+PLUGINS = pgserver pqtarget platform_http admin_http metrics peer
 DAEMON_O = $(KERNEL_O) $(CORE_O) $B/src/kernel/plugin.o $B/src/kernel/callers.o $B/src/kernel/target_connections.o $B/src/kernel/http_outcome.o \
   $(PLUGINS:%=$B/src/plugins/%.o) $B/src/plugins/pgwire.o \
   $(PLATFORM) $B/src/daemon/main.o
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -345,7 +345,7 @@
 }
 
 static void
-store_object (SsConfig *c, const SsObject *object)
+store_object (SsConfig *c, const SsObject *object, int64_t now_ms)
 {
   SsStoredObject *o = g_new0 (SsStoredObject, 1);
   const SsStoredObject *stored = ss_config_object (c, object->key);
@@ -358,6 +358,7 @@
   o->version = object->version;
   o->value = g_bytes_new (object->value, object->value_bytes);
   o->deleted = object->deleted;
+  o->adopted_ms = now_ms;
   g_tree_replace (c->objects, o->key, o);
 }
 
@@ -404,7 +405,7 @@
                            object->value_bytes, now_ms);
   if (*error)
     return SS_ADOPT_INVALID;
-  store_object (config, object);
+  store_object (config, object, now_ms);
   return SS_ADOPT_DONE;
 }
 
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -133,6 +133,7 @@
   int64_t version;
   GBytes *value;
   bool deleted;
+  int64_t adopted_ms; /* when this VM adopted this version */
 } SsStoredObject;
 
 typedef enum
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -76,6 +76,28 @@
   return true;
 }
 
+/* Logs an object that is not adopted although it has other content than the
+ * stored one.
+ */
+static void
+log_not_newer (SsNode *node, const SsObject *object)
+{
+  const SsStoredObject *stored = ss_config_object (&node->config, object->key);
+  gsize bytes;
+  const char *value = g_bytes_get_data (stored->value, &bytes);
+
+  if (stored->deleted == object->deleted && bytes == object->value_bytes
+      && (bytes == 0 || memcmp (value, object->value, bytes) == 0))
+    return;
+  ss_node_count (node, SS_COUNTER_CONFIG_NOT_NEWER);
+  ss_node_log (node, SS_EVENT_LOG_CONFIG_NOT_NEWER, object->key,
+               "version=%" G_GINT64_FORMAT
+               " deleted=%d stored=%" G_GINT64_FORMAT
+               " stored_age_ms=%" G_GINT64_FORMAT,
+               object->version, object->deleted, stored->version,
+               node->now_ms - stored->adopted_ms);
+}
+
 static bool
 adopt_now (SsNode *node, const SsObject *object)
 {
@@ -90,9 +112,12 @@
 
   if (adoption == SS_ADOPT_INVALID)
     {
+      ss_node_count (node, SS_COUNTER_CONFIG_REFUSED);
       ss_node_log (node, SS_EVENT_LOG_CONFIG_INVALID, object->key, "%s", error);
       g_free (error);
     }
+  if (adoption == SS_ADOPT_NOT_NEWER)
+    log_not_newer (node, object);
   if (adoption == SS_ADOPT_DONE)
     ss_node_log (node, SS_EVENT_LOG_CONFIG_ADOPTED, object->key,
                  "version=%" G_GINT64_FORMAT " deleted=%d", object->version,
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -77,6 +77,7 @@
   bool complete;  /* all of its objects were received once */
   int64_t due_ms; /* when the next watch request is due */
   int64_t revision;
+  int64_t answered_ms; /* when the platform last answered it; 0: never */
 } SsWatchState;
 
 typedef struct
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -140,6 +140,12 @@
       watch->due_ms = node->now_ms + WATCH_RETRY_MS;
       return;
     }
+  watch->answered_ms = node->now_ms;
+  if (e->platform_objects.revision < watch->revision)
+    ss_node_log (node, SS_EVENT_LOG_PLATFORM_BEHIND,
+                 ss_watch_prefix (e->platform_objects.watch),
+                 "revision=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT,
+                 e->platform_objects.revision, watch->revision);
   watch->due_ms = node->now_ms;
   if (e->platform_objects.watch == SS_WATCH_VMS)
     watch->due_ms += VMS_BATCH_MS;
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -32,6 +32,10 @@
   X (PROMOTIONS, "promotions", "promotions started here")                      \
   X (PLATFORM_CALLS, "platform_calls", "calls on the platform")                \
   X (PLATFORM_ERRORS, "platform_errors", "calls on the platform that failed")  \
+  X (CONFIG_REFUSED, "config_refused",                                         \
+     "objects of the platform refused as invalid")                             \
+  X (CONFIG_NOT_NEWER, "config_not_newer",                                     \
+     "objects with other content not adopted, as the stored one is newer")     \
   X (PEER_MESSAGES, "peer_messages", "messages sent to peers")                 \
   X (PEER_BYTES, "peer_bytes", "bytes sent to peers")                          \
   X (CONTROL_MESSAGES, "control_messages", "control messages sent")            \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -38,9 +38,13 @@
      "changed settings are invalid; the previous settings stay in use")        \
   X (CONFIG_ADOPTED, 200, INFO, "configuration object adopted")                \
   X (CONFIG_INVALID, 201, ERROR, "configuration object refused")               \
+  X (CONFIG_NOT_NEWER, 202, INFO,                                              \
+     "configuration object not adopted, as the stored one is newer")           \
   X (PLATFORM_DOWN, 210, WARNING, "platform does not answer")                  \
   X (PLATFORM_UP, 211, INFO, "platform answers again")                         \
   X (PLATFORM_CALL, 212, DEBUG, "platform call ended")                         \
+  X (PLATFORM_BEHIND, 213, WARNING,                                            \
+     "platform answers with a lower revision than before")                     \
   X (VM_LOST, 300, WARNING, "vm considered dead")                              \
   X (VM_FOUND, 301, INFO, "vm considered live")                                \
   X (ISOLATED, 304, WARNING, "isolated from most vms and the platform")        \
--- a/src/plugins/admin_http.c
+++ b/src/plugins/admin_http.c
@@ -3,6 +3,7 @@
 
 #include "kernel/httpd.h"
 #include "kernel/plugin.h"
+#include "plugins/metrics.h"
 
 #define JSON_TYPE "application/json"
 #define METRICS_TYPE "text/plain; version=0.0.4"
@@ -18,43 +19,6 @@
   uint64_t next_id;
 } admin;
 
-#define TRAFFIC_METRIC "sapphirestair_peer_message_bytes_total"
-
-static void
-add_traffic (GString *out, const SsTraffic *traffic)
-{
-  g_string_append (out, "# HELP " TRAFFIC_METRIC
-                        " bytes sent to peers, by kind of message and link\n"
-                        "# TYPE " TRAFFIC_METRIC " counter\n");
-  for (uint32_t i = 0; i < SS_TRAFFIC_KIND_COUNT; i++)
-    for (uint32_t j = 0; j < SS_TRAFFIC_LINK_COUNT; j++)
-      g_string_append_printf (
-          out,
-          TRAFFIC_METRIC "{kind=\"%s\",link=\"%s\"} %" G_GUINT64_FORMAT "\n",
-          ss_traffic_kind_name ((SsTrafficKind) i),
-          ss_traffic_link_name ((SsTrafficLink) j), traffic->bytes[i][j]);
-}
-
-static char *
-metrics_text (const SsCounters *counters, const SsTraffic *traffic)
-{
-  GString *out = g_string_new (NULL);
-
-  for (uint32_t i = 0; i < SS_COUNTER_COUNT; i++)
-    {
-      const char *name = ss_counter_name ((SsCounterId) i);
-
-      g_string_append_printf (out,
-                              "# HELP sapphirestair_%s_total %s\n"
-                              "# TYPE sapphirestair_%s_total counter\n"
-                              "sapphirestair_%s_total %" G_GUINT64_FORMAT "\n",
-                              name, ss_counter_help ((SsCounterId) i), name,
-                              name, counters->values[i]);
-    }
-  add_traffic (out, traffic);
-  return g_string_free (out, FALSE);
-}
-
 /* Compares in a time that does not depend on how many characters match. */
 static bool
 is_same_token (const char *given, const char *wanted)
@@ -105,8 +69,7 @@
   (void) httpd;
   if (strcmp (r->path, "/metrics") == 0)
     {
-      char *text = metrics_text (&admin.runtime->node.counters,
-                                 &admin.runtime->node.traffic);
+      char *text = ss_metrics_text (&admin.runtime->node);
 
       ss_http_reply (r, 200, METRICS_TYPE, text);
       g_free (text);
--- /dev/null
+++ b/src/plugins/metrics.c
@@ -0,0 +1,129 @@
+#include "plugins/metrics.h"
+
+#include "core/traffic.h"
+
+#define TRAFFIC_METRIC "sapphirestair_peer_message_bytes_total"
+#define ROUTES_METRIC "sapphirestair_routes_version"
+#define ROUTES_AGE_METRIC "sapphirestair_routes_age_ms"
+#define WATCH_METRIC "sapphirestair_watch_revision"
+#define WATCH_AGE_METRIC "sapphirestair_watch_age_ms"
+
+static void
+add_traffic (GString *out, const SsTraffic *traffic)
+{
+  g_string_append (out, "# HELP " TRAFFIC_METRIC
+                        " bytes sent to peers, by kind of message and link\n"
+                        "# TYPE " TRAFFIC_METRIC " counter\n");
+  for (uint32_t i = 0; i < SS_TRAFFIC_KIND_COUNT; i++)
+    for (uint32_t j = 0; j < SS_TRAFFIC_LINK_COUNT; j++)
+      g_string_append_printf (
+          out,
+          TRAFFIC_METRIC "{kind=\"%s\",link=\"%s\"} %" G_GUINT64_FORMAT "\n",
+          ss_traffic_kind_name ((SsTrafficKind) i),
+          ss_traffic_link_name ((SsTrafficLink) j), traffic->bytes[i][j]);
+}
+
+static void
+add_counters (GString *out, const SsCounters *counters)
+{
+  for (uint32_t i = 0; i < SS_COUNTER_COUNT; i++)
+    {
+      const char *name = ss_counter_name ((SsCounterId) i);
+
+      g_string_append_printf (out,
+                              "# HELP sapphirestair_%s_total %s\n"
+                              "# TYPE sapphirestair_%s_total counter\n"
+                              "sapphirestair_%s_total %" G_GUINT64_FORMAT "\n",
+                              name, ss_counter_help ((SsCounterId) i), name,
+                              name, counters->values[i]);
+    }
+}
+
+static void
+add_help (GString *out, const char *name, const char *help)
+{
+  g_string_append_printf (out, "# HELP %s %s\n# TYPE %s gauge\n", name, help,
+                          name);
+}
+
+static void
+add_gauge (GString *out, const char *name, const char *help, int64_t value)
+{
+  add_help (out, name, help);
+  g_string_append_printf (out, "%s %" G_GINT64_FORMAT "\n", name, value);
+}
+
+typedef struct
+{
+  GString *out;
+  const char *name;
+  int64_t now_ms; /* report the age; 0: report the version */
+} RouteGauges;
+
+static gboolean
+add_route_gauge (gpointer key, gpointer value, gpointer data)
+{
+  const RouteGauges *g = data;
+  const SsStoredObject *o = value;
+
+  if (g_str_has_prefix (key, ss_watch_prefix (SS_WATCH_ROUTES)))
+    g_string_append_printf (g->out, "%s{key=\"%s\"} %" G_GINT64_FORMAT "\n",
+                            g->name, (const char *) key,
+                            g->now_ms ? g->now_ms - o->adopted_ms : o->version);
+  return FALSE;
+}
+
+static void
+add_routes (GString *out, const SsNode *node)
+{
+  RouteGauges versions = { out, ROUTES_METRIC, 0 };
+  RouteGauges ages = { out, ROUTES_AGE_METRIC, node->now_ms };
+
+  add_help (out, ROUTES_METRIC, "version of the routes in force");
+  g_tree_foreach (node->config.objects, add_route_gauge, &versions);
+  add_help (out, ROUTES_AGE_METRIC, "time since that version was adopted");
+  g_tree_foreach (node->config.objects, add_route_gauge, &ages);
+}
+
+/* Adds one line for each watch of this VM. */
+static void
+add_watches (GString *out, const SsNode *node, const char *name, bool age)
+{
+  for (uint32_t i = 0; i < SS_WATCH_COUNT; i++)
+    {
+      const SsWatchState *watch = &node->watches[i];
+
+      if ((node->params.watches & (1U << i)) && watch->answered_ms)
+        g_string_append_printf (out, "%s{watch=\"%s\"} %" G_GINT64_FORMAT "\n",
+                                name, ss_watch_prefix ((SsWatch) i),
+                                age ? node->now_ms - watch->answered_ms
+                                    : watch->revision);
+    }
+}
+
+static void
+add_config (GString *out, const SsNode *node)
+{
+  add_gauge (out, "sapphirestair_config_revision",
+             "platform revision up to which the configuration is complete",
+             node->config.revision);
+  add_gauge (out, "sapphirestair_platform_up",
+             "1 while the platform answers this VM's watches",
+             !node->platform_down);
+  add_help (out, WATCH_METRIC, "revision that a watch continues from");
+  add_watches (out, node, WATCH_METRIC, false);
+  add_help (out, WATCH_AGE_METRIC, "time since a watch was last answered");
+  add_watches (out, node, WATCH_AGE_METRIC, true);
+  add_routes (out, node);
+}
+
+char *
+ss_metrics_text (const SsNode *node)
+{
+  GString *out = g_string_new (NULL);
+
+  add_counters (out, &node->counters);
+  add_traffic (out, &node->traffic);
+  add_config (out, node);
+  return g_string_free (out, FALSE);
+}
