--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
   $(PLATFORM) $B/src/daemon/main.o
 TARGET_O = $(addprefix $B/standin/,target.o log_receiver.o session.o server.o store.o sql.o) \
   $B/src/kernel/stream.o $B/src/kernel/clock.o $B/src/plugins/pgwire.o
-PLATFORM_O = $B/standin/platform.o $B/src/kernel/compare.o $B/src/kernel/httpd.o
+PLATFORM_O = $(addprefix $B/standin/,platform.o objects.o) $B/src/kernel/compare.o $B/src/kernel/httpd.o
 LOAD_O = $(addprefix $B/bench/,ss_load.o load_ops.o load_report.o \
   ledger.o)
 SCENARIO_O = $(addprefix $B/bench/,ss_scenario.o deploy.o deploy_control.o)
--- a/src/kernel/httpd.c
+++ b/src/kernel/httpd.c
@@ -67,6 +67,8 @@
   response = MHD_create_response_from_buffer (
       strlen (r->response_body), r->response_body, MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header (response, "Content-Type", r->response_type);
+  if (r->header_name)
+    MHD_add_response_header (response, r->header_name, r->header_value);
   result = MHD_queue_response (r->connection, (unsigned) r->response_status,
                                response);
   MHD_destroy_response (response);
@@ -121,6 +123,7 @@
     h->klass->on_disconnect (h, r);
   g_byte_array_free (r->body, TRUE);
   g_free (r->response_body);
+  g_free (r->header_value);
   g_free (r->method);
   g_free (r->path);
   g_free (r);
@@ -189,6 +192,15 @@
   ev_timer_start (h->loop, &h->timer);
 }
 
+void
+ss_http_set_response_header (SsHttpRequest *request, const char *name,
+                             const char *value)
+{
+  g_free (request->header_value);
+  request->header_name = name;
+  request->header_value = g_strdup (value);
+}
+
 const char *
 ss_http_query (SsHttpRequest *request, const char *name)
 {
--- a/src/kernel/httpd.h
+++ b/src/kernel/httpd.h
@@ -45,6 +45,8 @@
   int32_t response_status; /* 0: close the connection without a response */
   char *response_body;
   const char *response_type; /* content type */
+  const char *header_name;   /* of one more response header; NULL: none */
+  char *header_value;
   bool replied;
   bool suspended;
   void *data; /* for use by the handler */
@@ -62,6 +64,12 @@
 void ss_http_reply (SsHttpRequest *request, int32_t status, const char *type,
                     const char *body);
 
+/* ss_http_set_response_header: sets a header of the reply, before the reply.
+ * NAME is a static string, VALUE is copied.  A request has at most one.
+ */
+void ss_http_set_response_header (SsHttpRequest *request, const char *name,
+                                  const char *value);
+
 /* ss_http_query, ss_http_header: return a query argument or a request header,
  * or NULL.
  */
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -2,8 +2,13 @@
  *
  * Stores versioned objects in memory, with conditional updates and watches,
  * and a list of VMs that is published with a delay.  POST /control sets the
- * list and the faults to inject; "slow_ms" and "vms_lag_ms" are in
- * milliseconds.
+ * list and the faults to inject; "slow_ms", "vms_lag_ms" and "rewrite_ms" are
+ * in milliseconds.
+ *
+ * "copy" takes a copy of the store, "restore" returns to the last one: later
+ * writes are lost, revisions are given out again, and the header Store-Era of
+ * all responses rises by one.  The objects that clients other than the VMs
+ * wrote since are written again after "rewrite_ms"; 0: not at all.
  */
 #include <ev.h>
 #include <glib.h>
@@ -14,17 +19,13 @@
 #include <string.h>
 
 #include "kernel/httpd.h"
-#include "kernel/compare.h"
+#include "standin/objects.h"
 
 #define JSON_TYPE "application/json"
+#define ERA_HEADER "Store-Era"
+#define REWRITE_MS 500
 #define TICK_S 0.005
 
-typedef struct
-{
-  int64_t version;
-  json_t *value;
-} Object;
-
 typedef struct
 {
   SsHttpRequest *request;
@@ -37,10 +38,14 @@
   SsHttpd httpd; /* must be first: handlers cast it to Platform */
   struct ev_loop *loop;
   ev_timer tick;
-  GTree *objects;
-  int64_t revision;
-  json_t *vms;         /* as returned to clients */
-  json_t *vms_pending; /* replaces vms at vms_due_s; NULL: none */
+  Objects objects;
+  Objects copy;   /* restored by "restore" */
+  Objects before; /* the objects that the last restore replaced */
+  int64_t era;    /* rises with each restore */
+  int64_t rewrite_ms;
+  double rewrite_due_s; /* when lost objects are written again; 0: never */
+  json_t *vms;          /* as returned to clients */
+  json_t *vms_pending;  /* replaces vms at vms_due_s; NULL: none */
   double vms_due_s;
   GPtrArray *pending_requests;
   bool down;
@@ -54,20 +59,15 @@
   int64_t writes;
 } Platform;
 
-static void
-object_free (gpointer data)
-{
-  Object *o = data;
-
-  json_decref (o->value);
-  g_free (o);
-}
-
 static void
 reply_json (SsHttpRequest *r, int32_t status, json_t *body)
 {
   char *text = json_dumps (body, JSON_COMPACT);
+  char *era = g_strdup_printf ("%" G_GINT64_FORMAT,
+                               ((Platform *) (void *) r->httpd)->era);
 
+  ss_http_set_response_header (r, ERA_HEADER, era);
+  g_free (era);
   ss_http_reply (r, status, JSON_TYPE, text);
   free (text);
   json_decref (body);
@@ -103,7 +103,7 @@
 {
   Listing l = { prefix, since, json_array () };
 
-  g_tree_foreach (p->objects, list_one, &l);
+  g_tree_foreach (p->objects.by_key, list_one, &l);
   return l.items;
 }
 
@@ -116,16 +116,22 @@
 {
   const char *prefix = ss_http_query (r, "prefix");
   int64_t since = ss_http_query_number (r, "since", 0);
-  json_t *items = list_objects (p, prefix ? prefix : "", since);
+  json_t *items;
 
+  if (since > p->objects.revision)
+    {
+      reply_json (r, 410, json_pack ("{s:s}", "error", "no such revision"));
+      return true;
+    }
+  items = list_objects (p, prefix ? prefix : "", since);
   if (json_array_size (items) == 0 && !expired && since > 0)
     {
       json_decref (items);
       return false;
     }
-  reply_json (
-      r, 200,
-      json_pack ("{s:I, s:o}", "revision", p->revision, "items", items));
+  reply_json (r, 200,
+              json_pack ("{s:I, s:o}", "revision", p->objects.revision, "items",
+                         items));
   return true;
 }
 
@@ -152,9 +158,9 @@
   int64_t if_version = ss_http_query_number (r, "if_version", -1);
   json_t *value
       = json_loadb ((const char *) r->body->data, r->body->len, 0, NULL);
-  Object *old = g_tree_lookup (p->objects, key);
+  const Object *old = g_tree_lookup (p->objects.by_key, key);
   int64_t old_version = old ? old->version : 0;
-  Object *o;
+  const Object *o;
 
   p->writes++;
   if (!value)
@@ -170,10 +176,7 @@
                       : json_pack ("{s:s, s:i}", "key", key, "version", 0));
       return;
     }
-  o = g_new0 (Object, 1);
-  o->version = ++p->revision;
-  o->value = value;
-  g_tree_replace (p->objects, g_strdup (key), o);
+  o = objects_put (&p->objects, key, value);
   if (p->lose_after_effect > 0)
     {
       p->lose_after_effect--;
@@ -187,7 +190,7 @@
 static void
 get_object (Platform *p, SsHttpRequest *r, const char *key)
 {
-  Object *o = g_tree_lookup (p->objects, key);
+  const Object *o = g_tree_lookup (p->objects.by_key, key);
 
   p->reads++;
   if (!o)
@@ -251,6 +254,43 @@
   }
 }
 
+/* Returns to the last copy.  Waiting watches are cut off without a response. */
+static void
+restore_copy (Platform *p)
+{
+  objects_copy (&p->before, &p->objects);
+  objects_copy (&p->objects, &p->copy);
+  p->era++;
+  p->rewrite_due_s
+      = p->rewrite_ms ? ev_now (p->loop) + (double) p->rewrite_ms / 1000.0 : 0;
+  while (p->pending_requests->len)
+    {
+      PendingRequest *pending = g_ptr_array_index (p->pending_requests, 0);
+
+      ss_http_reply (pending->request, 0, JSON_TYPE, NULL);
+      g_ptr_array_remove_index_fast (p->pending_requests, 0);
+    }
+}
+
+/* Writes the objects again that a restore lost, as their writers do. */
+static void
+rewrite_lost (Platform *p)
+{
+  GPtrArray *keys = g_ptr_array_new_with_free_func (g_free);
+
+  p->rewrite_due_s = 0;
+  objects_collect_foreign (&p->before, &p->objects, keys);
+  for (guint i = 0; i < keys->len; i++)
+    {
+      const char *key = g_ptr_array_index (keys, i);
+      const Object *o = g_tree_lookup (p->before.by_key, key);
+
+      objects_put (&p->objects, key, json_incref (o->value));
+    }
+  g_ptr_array_free (keys, TRUE);
+  notify_watches (p);
+}
+
 static void
 handle_control (Platform *p, SsHttpRequest *r)
 {
@@ -268,6 +308,12 @@
     p->vms_lag_ms = json_integer_value (item);
   if ((item = json_object_get (body, "cut_ips")))
     set_partitioned_ips (p, item);
+  if ((item = json_object_get (body, "rewrite_ms")))
+    p->rewrite_ms = json_integer_value (item);
+  if (json_is_true (json_object_get (body, "copy")))
+    objects_copy (&p->copy, &p->objects);
+  if (json_is_true (json_object_get (body, "restore")))
+    restore_copy (p);
   if ((item = json_object_get (body, "vms")))
     {
       json_decref (p->vms_pending);
@@ -277,7 +323,7 @@
   json_decref (body);
   reply_json (r, 200,
               json_pack ("{s:I, s:I, s:I}", "reads", p->reads, "writes",
-                         p->writes, "revision", p->revision));
+                         p->writes, "revision", p->objects.revision));
 }
 
 static void
@@ -325,6 +371,8 @@
       p->vms = p->vms_pending;
       p->vms_pending = NULL;
     }
+  if (p->rewrite_due_s > 0 && ev_now (loop) >= p->rewrite_due_s)
+    rewrite_lost (p);
   for (guint i = 0; i < p->pending_requests->len;)
     {
       PendingRequest *pending = g_ptr_array_index (p->pending_requests, i);
@@ -367,7 +415,10 @@
       return 2;
     }
   p->loop = ev_default_loop (0);
-  p->objects = g_tree_new_full (ss_compare_strings, NULL, g_free, object_free);
+  objects_init (&p->objects);
+  objects_init (&p->copy);
+  objects_init (&p->before);
+  p->rewrite_ms = REWRITE_MS;
   p->pending_requests = g_ptr_array_new_with_free_func (g_free);
   p->partitioned_ips
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
