--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -3362,7 +3362,7 @@
   (ProtobufCMessageInit) ss__peer__config_pull__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__config_object__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ss__peer__config_object__field_descriptors[5] =
 {
   {
     "key",
@@ -3412,17 +3412,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ConfigObject, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__config_object__field_indices_by_name[] = {
   3,   /* field[3] = deleted */
   0,   /* field[0] = key */
+  4,   /* field[4] = sequence */
   2,   /* field[2] = value */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange ss__peer__config_object__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ss__peer__config_object__descriptor =
 {
@@ -3432,7 +3445,7 @@
   "Ss__Peer__ConfigObject",
   "ss.peer",
   sizeof(Ss__Peer__ConfigObject),
-  4,
+  5,
   ss__peer__config_object__field_descriptors,
   ss__peer__config_object__field_indices_by_name,
   1,  ss__peer__config_object__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -600,13 +600,20 @@
 {
   ProtobufCMessage base;
   char *key;
+  /*
+   * era and revision (version.h)
+   */
   int64_t version;
   ProtobufCBinaryData value;
   protobuf_c_boolean deleted;
+  /*
+   * the operator's own number; 0: unknown
+   */
+  int64_t sequence;
 };
 #define SS__PEER__CONFIG_OBJECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__config_object__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, 0, 0 }
 
 
 struct  Ss__Peer__ConfigPush
--- a/src/core/admin.c
+++ b/src/core/admin.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "core/operation.h"
+#include "core/version.h"
 
 #define STOP_TIMEOUT_MS 1000
 #define UPDATE_TIMEOUT_MS 4000
@@ -72,7 +73,8 @@
   json_t *body = json_pack ("{s:s}", "message", message);
 
   if (version)
-    json_object_set_new (body, "version", json_integer (version));
+    json_object_set_new (body, "version",
+                         json_integer (ss_version_revision (version)));
   ss_operation_reply (node, id, verdict, body);
 }
 
@@ -107,22 +109,14 @@
 static void
 write_object (SsNode *node, SsOperation *o)
 {
-  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_PUT);
-
-  a->id = o->call;
-  a->name = g_strdup (o->key);
-  a->text = g_strdup (o->json);
-  a->number = o->version;
+  ss_platform_put (node, o->call, o->key, o->json, o->version);
 }
 
 static void
 read_object (SsNode *node, SsOperation *o)
 {
-  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_GET);
-
   o->asked_ms = node->now_ms;
-  a->id = o->call;
-  a->name = g_strdup (o->key);
+  ss_platform_get (node, o->call, o->key);
 }
 
 /* Returns the object under KEY as JSON, or NULL; sets *VERSION. */
@@ -135,7 +129,7 @@
 
   if (!o)
     return NULL;
-  *version = o->version;
+  *version = ss_config_expected_version (&node->config, key);
   text = g_bytes_get_data (o->value, &bytes);
   return json_loadb (text, bytes, 0, NULL);
 }
@@ -284,8 +278,8 @@
       return;
     }
   message = g_strdup_printf ("conflict: version %" G_GINT64_FORMAT " won: %.*s",
-                             object->version, (int) object->value_bytes,
-                             object->value);
+                             ss_version_revision (object->version),
+                             (int) object->value_bytes, object->value);
   ss_operation_end (node, o, SS_VERDICT_NOT_RUN, message, object->version);
   g_free (message);
 }
--- a/src/core/admin_show.c
+++ b/src/core/admin_show.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/operation.h"
+#include "core/version.h"
 #include "core/tables.h"
 
 /* VMs that do not answer within this time are listed in silent_vms. */
@@ -29,7 +30,8 @@
   while (g_hash_table_iter_next (&iter, &vm, NULL))
     json_array_append_new (silent, json_string (vm));
   body = json_pack ("{s:O, s:o, s:I}", "rows", o->rows, "silent_vms", silent,
-                    "revision", (json_int_t) node->config.revision);
+                    "revision",
+                    (json_int_t) ss_version_revision (node->config.revision));
   ss_operation_reply (node, o->id, SS_VERDICT_RAN, body);
   g_hash_table_remove (node->operations, &o->call);
 }
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "core/parse.h"
+#include "core/version.h"
 #include "kernel/compare.h"
 
 const char *
@@ -358,6 +359,14 @@
   o->version = object->version;
   o->value = g_bytes_new (object->value, object->value_bytes);
   o->deleted = object->deleted;
+  o->sequence = object->sequence;
+  o->seen_version = object->version;
+  o->seen_deleted = object->deleted;
+  if (stored && stored->seen_version > object->version)
+    {
+      o->seen_version = stored->seen_version;
+      o->seen_deleted = stored->seen_deleted;
+    }
   o->adopted_ms = now_ms;
   g_tree_replace (c->objects, o->key, o);
 }
@@ -380,13 +389,99 @@
   g_tree_foreach (c->groups, attach_servers, c);
 }
 
+/* --- order of objects --- */
+
+/* Whether the content under KEY stays in force when a restored store no longer
+ * has it: the operator or the VMs write it again.
+ */
+static bool
+outlives_restore (const char *key)
+{
+  return !g_str_has_prefix (key, "target/") && !g_str_has_prefix (key, "vm/");
+}
+
+/* Returns a rank that rises with each change of a group: its terms rise, and a
+ * term has no primary before it has one.  0: OBJECT is no valid group.
+ */
+static uint64_t
+group_rank (const SsObject *object)
+{
+  json_t *json = json_loadb (object->value, object->value_bytes, 0, NULL);
+  SsGroup *g = g_new0 (SsGroup, 1);
+  char *error = ss_parse_group (g, json);
+  uint64_t rank = error ? 0 : 2 * g->term + (*g->primary ? 1 : 0);
+
+  g_free (error);
+  group_free (g);
+  json_decref (json);
+  return rank;
+}
+
+static SsObject
+object_of (const SsStoredObject *stored)
+{
+  gsize bytes;
+  const char *value = g_bytes_get_data (stored->value, &bytes);
+
+  return (SsObject){ .key = stored->key,
+                     .version = stored->version,
+                     .value = value,
+                     .value_bytes = (uint32_t) bytes,
+                     .deleted = stored->deleted,
+                     .sequence = stored->sequence };
+}
+
+/* Compares the contents of two objects of different eras: below 0 if STORED is
+ * the older one, above 0 if it is the newer one, 0 if they do not tell.
+ */
+static int
+compare_contents (const SsStoredObject *stored, const SsObject *object)
+{
+  SsObject before = object_of (stored);
+  uint64_t rank_before;
+  uint64_t rank;
+
+  if (before.deleted || object->deleted)
+    return 0;
+  if (before.sequence && object->sequence)
+    return before.sequence < object->sequence
+               ? -1
+               : before.sequence > object->sequence;
+  if (!g_str_has_prefix (object->key, "group/"))
+    return 0;
+  rank_before = group_rank (&before);
+  rank = group_rank (object);
+  return rank_before < rank ? -1 : rank_before > rank;
+}
+
 /* A deletion carries the version of the object that it deletes. */
 static bool
 is_newer (const SsStoredObject *stored, const SsObject *object)
 {
+  int order = 0;
+
   if (stored->version == object->version)
     return object->deleted && !stored->deleted;
-  return stored->version < object->version;
+  if (ss_version_era (stored->version) != ss_version_era (object->version))
+    {
+      if (object->deleted && outlives_restore (object->key))
+        return false;
+      order = compare_contents (stored, object);
+    }
+  return order ? order < 0 : stored->version < object->version;
+}
+
+/* Records what the platform holds although it is not adopted. */
+static void
+record_seen (SsConfig *c, const SsObject *object)
+{
+  SsStoredObject *o = g_tree_lookup (c->objects, object->key);
+
+  if (object->version < o->seen_version
+      || (object->version == o->seen_version && !object->deleted))
+    return;
+  o->seen_version = object->version;
+  o->seen_deleted = object->deleted;
 }
 
 SsAdoption
@@ -397,7 +492,10 @@
 
   *error = NULL;
   if (stored && !is_newer (stored, object))
-    return SS_ADOPT_NOT_NEWER;
+    {
+      record_seen (config, object);
+      return SS_ADOPT_NOT_NEWER;
+    }
   if (object->deleted)
     remove_object (config, object->key);
   else
@@ -445,6 +543,22 @@
   return g_tree_lookup (config->objects, key);
 }
 
+int64_t
+ss_config_expected_version (const SsConfig *config, const char *key)
+{
+  const SsStoredObject *o = ss_config_object (config, key);
+
+  return o && !o->seen_deleted ? o->seen_version : 0;
+}
+
+bool
+ss_config_is_lost (const SsConfig *config, const char *key)
+{
+  const SsStoredObject *o = ss_config_object (config, key);
+
+  return o && !o->deleted && (o->seen_version != o->version || o->seen_deleted);
+}
+
 uint32_t
 ss_config_max_connections (const SsConfig *config, const SsTarget *target)
 {
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -1,9 +1,12 @@
 /* config: the configuration in force, built from platform objects.
  *
- * An object is adopted only if its version is higher than the stored one; a
- * deletion may carry the same version.  Keys are service/NAME, target/NAME and
- * group/NAME.  routes/NAME replaces all services at once and declares the
- * groups.  Objects under other keys are stored and forwarded uninterpreted.
+ * An object is adopted only if it is newer than the stored one: within an era
+ * of the store by its version; a deletion may carry the same version.  In a
+ * later era the store may hold older content: there the operator's sequence
+ * number and a group's term decide first, so that neither goes back.  Keys are
+ * service/NAME, target/NAME and group/NAME.  routes/NAME replaces all services
+ * at once and declares the groups.  Objects under other keys are stored and
+ * forwarded uninterpreted.
  */
 #ifndef SS_CONFIG_H
 #define SS_CONFIG_H
@@ -133,7 +136,11 @@
   int64_t version;
   GBytes *value;
   bool deleted;
-  int64_t adopted_ms; /* when this VM adopted this version */
+  int64_t sequence;     /* as in SsObject */
+  int64_t adopted_ms;   /* when this VM adopted this version */
+  int64_t seen_version; /* the latest version known at the platform, which may
+                           have older content after a restore */
+  bool seen_deleted;    /* that version is a deletion */
 } SsStoredObject;
 
 typedef enum
@@ -164,6 +171,14 @@
 SsGroup *ss_config_group (const SsConfig *config, const char *name);
 const SsStoredObject *ss_config_object (const SsConfig *config,
                                         const char *key);
+/* ss_config_expected_version: returns the version that a write of KEY has to
+ * expect at the platform; 0: there is no such object.
+ */
+int64_t ss_config_expected_version (const SsConfig *config, const char *key);
+/* ss_config_is_lost: whether the platform, restored from a copy, holds older
+ * content under KEY than is in force here, or none.
+ */
+bool ss_config_is_lost (const SsConfig *config, const char *key);
 
 /* ss_config_max_connections: returns the limit on all connections to TARGET:
  * its own or its group's; 0 if neither is configured.
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -2,6 +2,7 @@
 
 #include "core/owned.h"
 #include "core/peers.h"
+#include "core/version.h"
 #include "kernel/compare.h"
 
 #define PULL_INTERVAL_MS 300
@@ -91,11 +92,13 @@
     return;
   ss_node_count (node, SS_COUNTER_CONFIG_NOT_NEWER);
   ss_node_log (node, SS_EVENT_LOG_CONFIG_NOT_NEWER, object->key,
-               "version=%" G_GINT64_FORMAT
-               " deleted=%d stored=%" G_GINT64_FORMAT
+               "version=" SS_VERSION_FORMAT " sequence=%" G_GINT64_FORMAT
+               " deleted=%d stored=" SS_VERSION_FORMAT
+               " stored_sequence=%" G_GINT64_FORMAT
                " stored_age_ms=%" G_GINT64_FORMAT,
-               object->version, object->deleted, stored->version,
-               node->now_ms - stored->adopted_ms);
+               SS_VERSION_ARGS (object->version), object->sequence,
+               object->deleted, SS_VERSION_ARGS (stored->version),
+               stored->sequence, node->now_ms - stored->adopted_ms);
 }
 
 static bool
@@ -120,7 +123,9 @@
     log_not_newer (node, object);
   if (adoption == SS_ADOPT_DONE)
     ss_node_log (node, SS_EVENT_LOG_CONFIG_ADOPTED, object->key,
-                 "version=%" G_GINT64_FORMAT " deleted=%d", object->version,
+                 "version=" SS_VERSION_FORMAT " sequence=%" G_GINT64_FORMAT
+                 " deleted=%d",
+                 SS_VERSION_ARGS (object->version), object->sequence,
                  object->deleted);
   if (adoption == SS_ADOPT_DONE && g_str_has_prefix (object->key, "vm/"))
     ss_directory_apply (node, object);
@@ -130,6 +135,17 @@
   return adoption == SS_ADOPT_DONE;
 }
 
+void
+ss_config_sync_extend_deletions (SsNode *node)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, node->pending_deletions);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((SsPendingDeletion *) value)->due_ms = node->now_ms + DELETION_GRACE_MS;
+}
+
 bool
 ss_config_sync_adopt (SsNode *node, const SsObject *object)
 {
@@ -160,6 +176,7 @@
   out->value.data = (uint8_t *) g_bytes_get_data (o->value, &bytes);
   out->value.len = bytes;
   out->deleted = o->deleted;
+  out->sequence = o->sequence;
   p->list[p->count++] = out;
   return FALSE;
 }
@@ -253,11 +270,16 @@
 ss_config_sync_handle_push (SsNode *node, const char *from,
                             const Ss__Peer__ConfigPush *push)
 {
+  ss_era_observe (node, ss_version_era (push->revision), from);
   for (size_t i = 0; i < push->n_objects; i++)
     {
       const Ss__Peer__ConfigObject *in = push->objects[i];
-      SsObject o = { in->key, in->version, (const char *) in->value.data,
-                     (uint32_t) in->value.len, in->deleted };
+      SsObject o = { in->key,
+                     in->version,
+                     (const char *) in->value.data,
+                     (uint32_t) in->value.len,
+                     in->deleted,
+                     in->sequence };
 
       /* The sender has already waited out the grace period of deletions. */
       adopt_now (node, &o);
@@ -301,6 +323,7 @@
       copies[i].value.data = (uint8_t *) objects[i].value;
       copies[i].value.len = objects[i].value_bytes;
       copies[i].deleted = objects[i].deleted;
+      copies[i].sequence = objects[i].sequence;
       list[i] = &copies[i];
     }
   push.since = WITHOUT_REVISION;
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -5,8 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/membership.h"
 #include "core/owned.h"
 #include "core/promotion.h"
+#include "core/version.h"
 
 /* A refused connection means a crash; no response may be a short network
  * partition.
@@ -253,16 +255,15 @@
 static void
 write_duty (SsNode *node, SsPromotion *p)
 {
-  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_PUT);
   json_t *json = json_pack ("{s:s, s:s}", "holder", node->params.vm,
                             "operation", p->operation);
+  char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
 
   p->call = ++node->next_call;
   p->asked_ms = node->now_ms;
-  a->id = p->call;
-  a->name = g_strdup (SS_PROMOTE_DUTY_KEY);
-  a->text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
-  a->number = node->duty_version;
+  ss_platform_put (node, p->call, SS_PROMOTE_DUTY_KEY, text,
+                   node->duty_version);
+  free (text);
   json_decref (json);
 }
 
@@ -285,8 +286,8 @@
   a->text = g_strdup (p->chosen);
   a->number = p->fencing_token;
   ss_node_log (node, SS_EVENT_LOG_PROMOTION_CALLED, p->group,
-               "term=%" G_GUINT64_FORMAT " server=%s fence=%" G_GINT64_FORMAT,
-               p->term, p->chosen, p->fencing_token);
+               "term=%" G_GUINT64_FORMAT " server=%s fence=" SS_VERSION_FORMAT,
+               p->term, p->chosen, SS_VERSION_ARGS (p->fencing_token));
 }
 
 typedef struct
@@ -320,11 +321,8 @@
 static void
 read_duty (SsNode *node, SsPromotion *p)
 {
-  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_GET);
-
   p->call = ++node->next_call;
-  a->id = p->call;
-  a->name = g_strdup (SS_PROMOTE_DUTY_KEY);
+  ss_platform_get (node, p->call, SS_PROMOTE_DUTY_KEY);
 }
 
 static bool
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -160,27 +160,22 @@
 {
   const SsStoredObject *o = stored_vm (node, node->params.vm);
   char *value = own_value (node);
-  SsAction *a;
+  char *key = g_strconcat (PREFIX, node->params.vm, NULL);
 
   if (!is_up_to_date (o, value))
-    {
-      a = ss_node_push (node, SS_ACTION_PLATFORM_PUT);
-      a->id = ++node->next_call;
-      a->name = g_strconcat (PREFIX, node->params.vm, NULL);
-      a->text = g_strdup (value);
-      a->number = o && !o->deleted ? o->version : 0;
-    }
+    ss_platform_put (node, ++node->next_call, key, value,
+                     ss_config_expected_version (&node->config, key));
+  g_free (key);
   free (value);
 }
 
 static void
 delete_vm_object (SsNode *node, const char *vm, int64_t version)
 {
-  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_DELETE);
+  char *key = g_strconcat (PREFIX, vm, NULL);
 
-  a->id = ++node->next_call;
-  a->name = g_strconcat (PREFIX, vm, NULL);
-  a->number = version;
+  ss_platform_delete (node, ++node->next_call, key, version);
+  g_free (key);
 }
 
 /* Deletes the objects of VMs that have been dead for DEAD_MS. */
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -73,10 +73,12 @@
 typedef struct
 {
   const char *key;
-  int64_t version;
+  int64_t version;   /* version.h */
   const char *value; /* JSON */
   uint32_t value_bytes;
   bool deleted;
+  int64_t sequence; /* the operator's own number of this content, which rises
+                       with each change; 0: unknown */
 } SsObject;
 
 /* The watches on the platform: one for all objects, or one for each kind. */
@@ -120,6 +122,7 @@
 typedef struct
 {
   SsEventKind kind;
+  int64_t era; /* PLATFORM_*: of the store that responded; 0: not known */
   union
   {
     struct
@@ -166,8 +169,8 @@
       SsWatch watch;
       bool complete;    /* objects holds all objects that the watch covers */
       bool listed;      /* answers PLATFORM_LIST with the present state */
-      int64_t since;    /* revision that the watch started from */
-      int64_t revision; /* platform revision of the response */
+      int64_t since;    /* version that the watch started from */
+      int64_t revision; /* version of the store at the response */
       const SsObject *objects;
       uint32_t object_count;
     } platform_objects;
@@ -228,7 +231,7 @@
                     TARGET_CONNECT: the target's group */
   GBytes *bytes; /* wire or peer message */
   uint32_t port;
-  int64_t number; /* version or revision */
+  int64_t number; /* version */
   SsVerdict verdict;
   SsReason reason;
   uint32_t retry_after_ms;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -74,8 +74,41 @@
 /* ss_watch_is_active: whether this VM watches the platform itself. */
 bool ss_watch_is_active (SsNode *node);
 
+/* --- era.c: returns of the platform's store from a copy --- */
+
+/* ss_era_observe: records that the store is in ERA, as SOURCE shows: the
+ * platform or a VM.  If the store has come back from a copy, the watches list
+ * all objects again.
+ */
+void ss_era_observe (SsNode *node, int64_t era, const char *source);
+/* ss_era_confirm: records that the store has responded: later eras are returns
+ * from a copy.
+ */
+void ss_era_confirm (SsNode *node);
+/* ss_era_is_current: whether VERSION is of the present era. */
+bool ss_era_is_current (const SsNode *node, int64_t version);
+
+/* ss_platform_get: reads the object KEY; the response has the id CALL. */
+void ss_platform_get (SsNode *node, uint64_t call, const char *key);
+/* ss_platform_put: writes VALUE to the object KEY if its version is VERSION; 0:
+ * if there is no such object.  If VERSION is of an earlier era, reads the
+ * object instead: the response then shows another writer's object, or none.
+ */
+void ss_platform_put (SsNode *node, uint64_t call, const char *key,
+                      const char *value, int64_t version);
+/* ss_platform_delete: deletes the object KEY if its version is VERSION; 0: any.
+ * Does nothing if VERSION is of an earlier era.
+ */
+void ss_platform_delete (SsNode *node, uint64_t call, const char *key,
+                         int64_t version);
+
 /* --- config_sync.c: configuration exchange between VMs --- */
 
+/* ss_config_sync_extend_deletions: restarts the grace periods of all deferred
+ * deletions, as what led to them was read before the store was restored.
+ */
+void ss_config_sync_extend_deletions (SsNode *node);
+
 void ss_config_sync_handle_pull (SsNode *node, const char *from,
                                  const Ss__Peer__ConfigPull *pull);
 void ss_config_sync_handle_push (SsNode *node, const char *from,
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -388,9 +388,32 @@
   ss_owner_vm_lost (node, vm);
 }
 
+static bool
+is_answered (SsPlatformOutcome outcome)
+{
+  return outcome != SS_PLATFORM_UNKNOWN && outcome != SS_PLATFORM_REFUSED;
+}
+
+/* Records the era of the store that responded, before what it responded. */
+static void
+observe_era (SsNode *node, const SsEvent *e)
+{
+  SsPlatformOutcome outcome = e->kind == SS_EVENT_PLATFORM_OBJECTS
+                                  ? e->platform_objects.outcome
+                                  : e->platform_object.outcome;
+
+  if (e->kind != SS_EVENT_PLATFORM_OBJECTS
+      && e->kind != SS_EVENT_PLATFORM_OBJECT)
+    return;
+  ss_era_observe (node, e->era, "platform");
+  if (is_answered (outcome))
+    ss_era_confirm (node);
+}
+
 static void
 dispatch_event (SsNode *node, const SsEvent *e)
 {
+  observe_era (node, e);
   switch (e->kind)
     {
     case SS_EVENT_CALLER_OPEN:
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -73,10 +73,11 @@
 /* State of one watch on the platform. */
 typedef struct
 {
-  bool watching;  /* a watch request is outstanding */
-  bool complete;  /* all of its objects were received once */
-  int64_t due_ms; /* when the next watch request is due */
-  int64_t revision;
+  bool watching;       /* a watch request is outstanding */
+  bool complete;       /* all of its objects were received once */
+  int64_t due_ms;      /* when the next watch request is due */
+  int64_t revision;    /* version up to which its objects are known */
+  int64_t since;       /* version that the last request started from */
   int64_t answered_ms; /* when the platform last answered it; 0: never */
 } SsWatchState;
 
@@ -121,6 +122,10 @@
   uint64_t next_operation;
   int64_t duty_version; /* last seen version of the duty object */
 
+  int64_t era;          /* the latest era of the platform's store (era.c) */
+  bool era_known;       /* the store of that era has responded */
+  int64_t era_since_ms; /* when this VM learned of it; 0: the first era */
+
   int64_t heartbeat_due_ms;
   int64_t subscribe_due_ms;
   uint64_t subscribed_generation;
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -3,6 +3,7 @@
 #include "core/owned.h"
 #include "core/peers.h"
 #include "core/promotion.h"
+#include "core/version.h"
 #include "kernel/compare.h"
 
 /* A heartbeat lists the VMs that were heard within this time. */
@@ -197,6 +198,7 @@
   if (node->members.relayed
       && strcmp (m->failure_domain, node->params.failure_domain) == 0)
     ss_relay_send_digest (node, heartbeat->vm, heartbeat->digest);
+  ss_era_observe (node, ss_version_era (heartbeat->revision), heartbeat->vm);
   if (heartbeat->revision > node->config.revision && pulls_from_peers (node))
     ss_config_sync_pull_newer (node, heartbeat->vm);
 }
@@ -308,7 +310,8 @@
     return;
   node->ready = true;
   ss_node_log (node, SS_EVENT_LOG_READY, node->params.vm,
-               "revision=%" G_GINT64_FORMAT, node->config.revision);
+               "revision=" SS_VERSION_FORMAT,
+               SS_VERSION_ARGS (node->config.revision));
 }
 
 void
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -31,6 +31,7 @@
 #define READ_RETRY_MS 200
 /* Delay of the next promotion after one has ended. */
 #define RETRY_MS 300
+#define GROUP_PREFIX "group/"
 
 SsPromotion *
 ss_promote_get (SsNode *node, const char *group)
@@ -129,16 +130,14 @@
 void
 ss_promote_write_group (SsNode *node, SsPromotion *p, const char *primary)
 {
-  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_PUT);
   json_t *json = json_pack ("{s:I, s:s, s:s}", "term", (json_int_t) p->term,
                             "primary", primary, "operation", p->operation);
   char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
+  char *key = g_strdup_printf (GROUP_PREFIX "%s", p->group);
 
   p->call = ++node->next_call;
-  a->id = p->call;
-  a->name = g_strdup_printf ("group/%s", p->group);
-  a->text = g_strdup (text);
-  a->number = p->version;
+  ss_platform_put (node, p->call, key, text, p->version);
+  g_free (key);
   free (text);
   json_decref (json);
 }
@@ -146,12 +145,12 @@
 static void
 get_group (SsNode *node, SsPromotion *p)
 {
-  SsAction *a = ss_node_push (node, SS_ACTION_PLATFORM_GET);
+  char *key = g_strdup_printf (GROUP_PREFIX "%s", p->group);
 
   p->call = ++node->next_call;
   p->asked_ms = node->now_ms;
-  a->id = p->call;
-  a->name = g_strdup_printf ("group/%s", p->group);
+  ss_platform_get (node, p->call, key);
+  g_free (key);
 }
 
 static uint64_t
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/entry.h"
+#include "core/version.h"
 
 void
 ss_request_free (SsRequest *r)
@@ -84,14 +85,14 @@
       node, events[verdict], r->label ? r->label : r->trace,
       "service=%s session=%" G_GUINT64_FORMAT
       " verdict=%s reason=%s target=%s view_age_ms=%" G_GINT64_FORMAT
-      " owner=%s group_version=%" G_GINT64_FORMAT " term=%" G_GUINT64_FORMAT
+      " owner=%s group_version=" SS_VERSION_FORMAT " term=%" G_GUINT64_FORMAT
       " primary=%s floor=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT
       " read=%d begins=%d keeps=%d waited_for=%u tries=%u"
       " ms=%" G_GINT64_FORMAT,
       r->session->service, r->session->id, ss_verdict_name (verdict),
       ss_reason_name (reason), r->target ? r->target : "-",
       t ? node->now_ms - t->state_ms : -1, r->vm ? r->vm : "-",
-      group ? group->version : 0, group ? group->term : 0,
+      SS_VERSION_ARGS (group ? group->version : 0), group ? group->term : 0,
       group ? group->primary : "-", r->floor.term, r->floor.offset, r->is_read,
       r->begins, r->keeps, r->wait, r->tries, node->now_ms - r->started_ms);
 }
--- a/src/core/tables.c
+++ b/src/core/tables.c
@@ -4,6 +4,7 @@
 
 #include "core/owner.h"
 #include "core/promotion.h"
+#include "core/version.h"
 
 typedef struct
 {
@@ -36,13 +37,15 @@
   for (uint32_t i = 0; i < s->kind_count; i++)
     g_string_append_printf (kinds, "%s%s=%" G_GINT64_FORMAT, i ? " " : "",
                             s->kinds[i].name, s->kinds[i].staleness_ms);
-  add_row (
-      r, json_pack ("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:I}", "name", s->name,
-                    "group", s->group, "primary", group ? group->primary : "",
-                    "kinds_staleness_ms", kinds->str, "default_kind",
-                    s->default_kind, "acknowledge",
-                    s->acknowledge_majority ? "majority" : "primary", "weight",
-                    (int) s->weight, "version", (json_int_t) s->version));
+  add_row (r, json_pack ("{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:I, s:I}",
+                         "name", s->name, "group", s->group, "primary",
+                         group ? group->primary : "", "kinds_staleness_ms",
+                         kinds->str, "default_kind", s->default_kind,
+                         "acknowledge",
+                         s->acknowledge_majority ? "majority" : "primary",
+                         "weight", (int) s->weight, "version",
+                         (json_int_t) ss_version_revision (s->version), "era",
+                         (json_int_t) ss_version_era (s->version)));
   g_string_free (kinds, TRUE);
   return FALSE;
 }
@@ -73,7 +76,7 @@
 
   return json_pack (
       "{s:s, s:s, s:s, s:s, s:b, s:s, s:I, s:s, s:s, s:I, s:I, s:i, s:i, "
-      "s:i, s:i, s:b, s:I, s:I}",
+      "s:i, s:i, s:b, s:I, s:I, s:I}",
       "name", t->name, "group", t->group, "failure_domain", t->failure_domain,
       "owner_vm", owner ? owner : "", "reachable", s->reachable, "role",
       ss_server_role_text (s->role), "term", (json_int_t) s->shown_term, "held",
@@ -85,7 +88,9 @@
       "max_connections", (int) t->max_connections, "queued",
       owned ? (int) ss_queue_length (&owned->queue) : 0, "running",
       owned ? (int) (owned->queue.running[0] + owned->queue.running[1]) : 0,
-      "draining", t->draining, "version", (json_int_t) t->version, "age_ms",
+      "draining", t->draining, "version",
+      (json_int_t) ss_version_revision (t->version), "era",
+      (json_int_t) ss_version_era (t->version), "age_ms",
       (json_int_t) (t->state_ms ? node->now_ms - t->state_ms : -1));
 }
 
@@ -112,12 +117,13 @@
   for (uint32_t i = 0; i < g->server_count; i++)
     reachable += g->servers[i]->state.reachable ? 1 : 0;
   add_row (r,
-           json_pack ("{s:s, s:I, s:s, s:i, s:i, s:b, s:s, s:I}", "name",
+           json_pack ("{s:s, s:I, s:s, s:i, s:i, s:b, s:s, s:I, s:I}", "name",
                       g->name, "term", (json_int_t) g->term, "primary",
                       g->primary, "servers", (int) g->server_count,
                       "reachable_servers", (int) reachable, "promotion_running",
                       p->step != SS_PROMOTE_IDLE, "operation", g->operation,
-                      "version", (json_int_t) g->version));
+                      "version", (json_int_t) ss_version_revision (g->version),
+                      "era", (json_int_t) ss_version_era (g->version)));
   return FALSE;
 }
 
@@ -130,10 +136,10 @@
            json_pack ("{s:s, s:s, s:b, s:b, s:I, s:i, s:i, s:b, s:I}", "vm",
                       n->params.vm, "failure_domain", n->params.failure_domain,
                       "ready", n->ready, "leaving", n->stopping, "revision",
-                      (json_int_t) n->config.revision, "sessions",
-                      (int) g_hash_table_size (n->sessions), "requests",
-                      (int) g_hash_table_size (n->requests), "platform_down",
-                      n->platform_down, "up_ms",
+                      (json_int_t) ss_version_revision (n->config.revision),
+                      "sessions", (int) g_hash_table_size (n->sessions),
+                      "requests", (int) g_hash_table_size (n->requests),
+                      "platform_down", n->platform_down, "up_ms",
                       (json_int_t) (n->now_ms - n->started_ms)));
 }
 
@@ -172,8 +178,11 @@
   const char *text = g_bytes_get_data (o->value, &bytes);
 
   add_row (data,
-           json_pack ("{s:s, s:I, s:s%}", "key", (const char *) key, "version",
-                      (json_int_t) o->version, "value", text, bytes));
+           json_pack ("{s:s, s:I, s:I, s:I, s:s%}", "key", (const char *) key,
+                      "version", (json_int_t) ss_version_revision (o->version),
+                      "era", (json_int_t) ss_version_era (o->version),
+                      "sequence", (json_int_t) o->sequence, "value", text,
+                      bytes));
   return FALSE;
 }
 
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -4,6 +4,7 @@
 #include "core/owned.h"
 #include "core/peers.h"
 #include "core/promotion.h"
+#include "core/version.h"
 
 #define WATCH_RETRY_MS 300
 #define WATCH_WAIT_MS 8000
@@ -95,6 +96,18 @@
   return adopted_count > 0;
 }
 
+/* Whether a response of the store is of an earlier era, or continues a watch
+ * over a return of the store from a copy: it does not show all changes.
+ */
+static bool
+is_outdated (const SsNode *node, const SsEvent *e)
+{
+  int64_t since = e->platform_objects.since;
+
+  return e->platform_objects.outcome == SS_PLATFORM_DONE
+         && (e->era < node->era || (since && !ss_era_is_current (node, since)));
+}
+
 /* Handles the response to an explicit list request, which is sent in addition
  * to the watch where current data is required.
  */
@@ -102,6 +115,15 @@
 handle_list (SsNode *node, const SsEvent *e)
 {
   bool adopted = false;
+  SsEvent lost;
+
+  if (is_outdated (node, e))
+    {
+      lost = *e;
+      lost.platform_objects.outcome = SS_PLATFORM_UNKNOWN;
+      lost.platform_objects.object_count = 0;
+      e = &lost;
+    }
 
   update_platform_down (node, e->platform_objects.outcome);
   if (e->platform_objects.outcome == SS_PLATFORM_DONE)
@@ -126,11 +148,16 @@
       handle_list (node, e);
       return;
     }
+  if (since != watch->since)
+    return; /* to a request before a restore */
   watch->watching = false;
   update_platform_down (node, e->platform_objects.outcome);
-  if (e->platform_objects.outcome == SS_PLATFORM_ABSENT)
+  if (e->platform_objects.outcome == SS_PLATFORM_ABSENT
+      || is_outdated (node, e))
     {
-      /* The requested revision has been compacted: list all objects again. */
+      /* The requested revision has been compacted, or lost in a restore: list
+       * all objects again.
+       */
       watch->revision = 0;
       watch->due_ms = node->now_ms;
       return;
@@ -144,8 +171,9 @@
   if (e->platform_objects.revision < watch->revision)
     ss_node_log (node, SS_EVENT_LOG_PLATFORM_BEHIND,
                  ss_watch_prefix (e->platform_objects.watch),
-                 "revision=%" G_GINT64_FORMAT " before=%" G_GINT64_FORMAT,
-                 e->platform_objects.revision, watch->revision);
+                 "revision=" SS_VERSION_FORMAT " before=" SS_VERSION_FORMAT,
+                 SS_VERSION_ARGS (e->platform_objects.revision),
+                 SS_VERSION_ARGS (watch->revision));
   watch->due_ms = node->now_ms;
   if (e->platform_objects.watch == SS_WATCH_VMS)
     watch->due_ms += VMS_BATCH_MS;
@@ -263,8 +291,11 @@
           || node->now_ms < watch->due_ms || (watch->complete && !is_watching))
         continue;
       if (ss_watch_is_single (node))
-        watch->revision = node->config.revision;
+        watch->revision = ss_era_is_current (node, node->config.revision)
+                              ? node->config.revision
+                              : 0;
       watch->watching = true;
+      watch->since = watch->revision;
       a = ss_node_push (node, SS_ACTION_PLATFORM_WATCH);
       a->id = i;
       a->number = watch->revision;
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -32,6 +32,8 @@
   X (PROMOTIONS, "promotions", "promotions started here")                      \
   X (PLATFORM_CALLS, "platform_calls", "calls on the platform")                \
   X (PLATFORM_ERRORS, "platform_errors", "calls on the platform that failed")  \
+  X (PLATFORM_RESTORES, "platform_restores",                                   \
+     "returns of the platform's store from a copy")                            \
   X (CONFIG_REFUSED, "config_refused",                                         \
      "objects of the platform refused as invalid")                             \
   X (CONFIG_NOT_NEWER, "config_not_newer",                                     \
--- a/src/kernel/http_outcome.c
+++ b/src/kernel/http_outcome.c
@@ -1,5 +1,22 @@
 #include "kernel/http_outcome.h"
 
+#include "core/version.h"
+
+#define ERA_HEADER "Store-Era"
+
+int64_t
+ss_http_era (const SsHttpCall *call)
+{
+  const char *text = ss_http_call_header (call, ERA_HEADER);
+  guint64 era;
+
+  if (!text
+      || !g_ascii_string_to_unsigned (text, 10, 0, SS_VERSION_ERA_MAX, &era,
+                                      NULL))
+    return 0;
+  return (int64_t) era;
+}
+
 SsPlatformOutcome
 ss_http_outcome (const SsHttpCall *call)
 {
--- a/src/kernel/http_outcome.h
+++ b/src/kernel/http_outcome.h
@@ -9,5 +9,9 @@
  * has no response, since it may have taken effect.
  */
 SsPlatformOutcome ss_http_outcome (const SsHttpCall *call);
+/* ss_http_era: returns the era of the store that responded to CALL; 0 if it is
+ * unknown: no response, or none with a valid header of that name.
+ */
+int64_t ss_http_era (const SsHttpCall *call);
 
 #endif
--- a/src/kernel/httpc.c
+++ b/src/kernel/httpc.c
@@ -214,6 +214,17 @@
   curl_multi_add_handle (client->multi, easy);
 }
 
+const char *
+ss_http_call_header (const SsHttpCall *call, const char *name)
+{
+  struct curl_header *header;
+
+  if (curl_easy_header (call->easy, name, 0, CURLH_HEADER, -1, &header)
+      != CURLHE_OK)
+    return NULL;
+  return header->value;
+}
+
 void
 ss_http_call_cancel (SsHttpCall *call)
 {
--- a/src/kernel/httpc.h
+++ b/src/kernel/httpc.h
@@ -66,6 +66,10 @@
  */
 void ss_http_call_start (SsHttpc *client, SsHttpCall *call, const char *method,
                          const char *url, int32_t timeout_ms);
+/* ss_http_call_header: returns a header of the response, or NULL; valid during
+ * on_done.
+ */
+const char *ss_http_call_header (const SsHttpCall *call, const char *name);
 /* ss_http_call_cancel: aborts CALL without on_done and frees it. */
 void ss_http_call_cancel (SsHttpCall *call);
 
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -45,6 +45,8 @@
   X (PLATFORM_CALL, 212, DEBUG, "platform call ended")                         \
   X (PLATFORM_BEHIND, 213, WARNING,                                            \
      "platform answers with a lower revision than before")                     \
+  X (PLATFORM_RESTORED, 214, WARNING,                                          \
+     "the platform's store has come back from a copy")                         \
   X (VM_LOST, 300, WARNING, "vm considered dead")                              \
   X (VM_FOUND, 301, INFO, "vm considered live")                                \
   X (ISOLATED, 304, WARNING, "isolated from most vms and the platform")        \
--- a/src/plugins/metrics.c
+++ b/src/plugins/metrics.c
@@ -1,9 +1,11 @@
 #include "plugins/metrics.h"
 
 #include "core/traffic.h"
+#include "core/version.h"
 
 #define TRAFFIC_METRIC "sapphirestair_peer_message_bytes_total"
 #define ROUTES_METRIC "sapphirestair_routes_version"
+#define SEQUENCE_METRIC "sapphirestair_routes_sequence"
 #define ROUTES_AGE_METRIC "sapphirestair_routes_age_ms"
 #define WATCH_METRIC "sapphirestair_watch_revision"
 #define WATCH_AGE_METRIC "sapphirestair_watch_age_ms"
@@ -53,36 +55,58 @@
   g_string_append_printf (out, "%s %" G_GINT64_FORMAT "\n", name, value);
 }
 
+/* Returns what a gauge of the routes object O reports. */
+typedef int64_t (*RouteValue) (const SsNode *node, const SsStoredObject *o);
+
+static int64_t
+route_revision (const SsNode *node, const SsStoredObject *o)
+{
+  (void) node;
+  return ss_version_revision (o->version);
+}
+
+static int64_t
+route_sequence (const SsNode *node, const SsStoredObject *o)
+{
+  (void) node;
+  return o->sequence;
+}
+
+static int64_t
+route_age_ms (const SsNode *node, const SsStoredObject *o)
+{
+  return node->now_ms - o->adopted_ms;
+}
+
 typedef struct
 {
   GString *out;
+  const SsNode *node;
   const char *name;
-  int64_t now_ms; /* report the age; 0: report the version */
-} RouteGauges;
+  RouteValue value;
+} RouteGauge;
 
 static gboolean
-add_route_gauge (gpointer key, gpointer value, gpointer data)
+add_route (gpointer key, gpointer value, gpointer data)
 {
-  const RouteGauges *g = data;
-  const SsStoredObject *o = value;
+  const RouteGauge *g = data;
 
   if (g_str_has_prefix (key, ss_watch_prefix (SS_WATCH_ROUTES)))
     g_string_append_printf (g->out, "%s{key=\"%s\"} %" G_GINT64_FORMAT "\n",
                             g->name, (const char *) key,
-                            g->now_ms ? g->now_ms - o->adopted_ms : o->version);
+                            g->value (g->node, value));
   return FALSE;
 }
 
+/* Adds one line for each routes object. */
 static void
-add_routes (GString *out, const SsNode *node)
+add_routes (GString *out, const SsNode *node, const char *name,
+            const char *help, RouteValue value)
 {
-  RouteGauges versions = { out, ROUTES_METRIC, 0 };
-  RouteGauges ages = { out, ROUTES_AGE_METRIC, node->now_ms };
+  RouteGauge g = { out, node, name, value };
 
-  add_help (out, ROUTES_METRIC, "version of the routes in force");
-  g_tree_foreach (node->config.objects, add_route_gauge, &versions);
-  add_help (out, ROUTES_AGE_METRIC, "time since that version was adopted");
-  g_tree_foreach (node->config.objects, add_route_gauge, &ages);
+  add_help (out, name, help);
+  g_tree_foreach (node->config.objects, add_route, &g);
 }
 
 /* Adds one line for each watch of this VM. */
@@ -97,7 +121,7 @@
         g_string_append_printf (out, "%s{watch=\"%s\"} %" G_GINT64_FORMAT "\n",
                                 name, ss_watch_prefix ((SsWatch) i),
                                 age ? node->now_ms - watch->answered_ms
-                                    : watch->revision);
+                                    : ss_version_revision (watch->revision));
     }
 }
 
@@ -106,7 +130,10 @@
 {
   add_gauge (out, "sapphirestair_config_revision",
              "platform revision up to which the configuration is complete",
-             node->config.revision);
+             ss_version_revision (node->config.revision));
+  add_gauge (out, "sapphirestair_platform_era",
+             "number of the platform's store since its last return from a copy",
+             node->era);
   add_gauge (out, "sapphirestair_platform_up",
              "1 while the platform answers this VM's watches",
              !node->platform_down);
@@ -114,7 +141,12 @@
   add_watches (out, node, WATCH_METRIC, false);
   add_help (out, WATCH_AGE_METRIC, "time since a watch was last answered");
   add_watches (out, node, WATCH_AGE_METRIC, true);
-  add_routes (out, node);
+  add_routes (out, node, ROUTES_METRIC, "revision of the routes in force",
+              route_revision);
+  add_routes (out, node, SEQUENCE_METRIC,
+              "the operator's number of the routes in force", route_sequence);
+  add_routes (out, node, ROUTES_AGE_METRIC,
+              "time since that version was adopted", route_age_ms);
 }
 
 char *
--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/version.h"
 #include "kernel/http_outcome.h"
 #include "kernel/plugin.h"
 
@@ -38,12 +39,13 @@
  * freed with free.  Returns false if the key or the value is missing.
  */
 static bool
-read_object (json_t *json, SsObject *out, char **text)
+read_object (json_t *json, int64_t era, SsObject *out, char **text)
 {
   json_t *value = json_object_get (json, "value");
 
   out->key = json_string_value (json_object_get (json, "key"));
-  out->version = json_integer_value (json_object_get (json, "version"));
+  out->version = ss_version (
+      era, json_integer_value (json_object_get (json, "version")));
   *text = value ? json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
   out->value = *text;
   out->value_bytes = *text ? (uint32_t) strlen (*text) : 0;
@@ -57,17 +59,18 @@
   size_t count = json_array_size (items);
   SsObject *objects = g_new0 (SsObject, count + 1);
   char **texts = g_new0 (char *, count + 1);
-  SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
+  SsEvent e
+      = { .kind = SS_EVENT_PLATFORM_OBJECTS, .era = ss_http_era (&call->http) };
   uint32_t valid_count = 0;
 
   for (size_t i = 0; i < count; i++)
-    if (read_object (json_array_get (items, i), &objects[valid_count],
+    if (read_object (json_array_get (items, i), e.era, &objects[valid_count],
                      &texts[i]))
       valid_count++;
   e.platform_objects.outcome = outcome;
   e.platform_objects.since = call->since;
-  e.platform_objects.revision
-      = json_integer_value (json_object_get (json, "revision"));
+  e.platform_objects.revision = ss_version (
+      e.era, json_integer_value (json_object_get (json, "revision")));
   e.platform_objects.objects = objects;
   e.platform_objects.object_count = valid_count;
   ss_runtime_event (platform.runtime, &e);
@@ -80,7 +83,8 @@
 static void
 report_object (Call *call, SsPlatformOutcome outcome, json_t *json)
 {
-  SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECT };
+  SsEvent e
+      = { .kind = SS_EVENT_PLATFORM_OBJECT, .era = ss_http_era (&call->http) };
   SsObject *object = &e.platform_object.object;
   char *text = NULL;
 
@@ -88,13 +92,14 @@
   e.platform_object.outcome = outcome;
   if (call->kind == SS_ACTION_PLATFORM_PUT && outcome == SS_PLATFORM_DONE)
     {
-      object->version = json_integer_value (json_object_get (json, "version"));
+      object->version = ss_version (
+          e.era, json_integer_value (json_object_get (json, "version")));
       object->value = call->http.body;
       object->value_bytes = (uint32_t) strlen (call->http.body);
     }
   else if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
     {
-      if (!read_object (json, object, &text))
+      if (!read_object (json, e.era, object, &text))
         e.platform_object.outcome = SS_PLATFORM_UNKNOWN;
     }
   object->key = call->key;
@@ -164,12 +169,12 @@
     {
     case SS_ACTION_PLATFORM_WATCH:
       return g_strdup_printf ("v1/watch?since=%" G_GINT64_FORMAT "&wait_ms=%d",
-                              a->number, WATCH_WAIT_MS);
+                              ss_version_revision (a->number), WATCH_WAIT_MS);
     case SS_ACTION_PLATFORM_VMS:
       return g_strdup ("v1/vms");
     case SS_ACTION_PLATFORM_PUT:
       return g_strdup_printf ("v1/objects/%s?if_version=%" G_GINT64_FORMAT,
-                              a->name, a->number);
+                              a->name, ss_version_revision (a->number));
     default:
       return g_strdup_printf ("v1/objects/%s", a->name);
     }
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/version.h"
 #include "platform/dialect.h"
 #include "platform/line.h"
 
@@ -43,6 +44,7 @@
 {
   ScheduledEvent *scheduled = g_new0 (ScheduledEvent, 1);
 
+  scheduled->event.era = sim->era;
   scheduled->at_ms = sim->now_ms + after_ms;
   scheduled->event.kind = kind;
   g_queue_insert_sorted (&sim->schedule, scheduled, compare_scheduled, NULL);
@@ -111,35 +113,153 @@
   scheduled->event.platform_objects.complete = all;
 }
 
-static void
-store_object (LineSim *sim, const char *key, const char *value)
+void
+line_sim_store (LineSim *sim, const char *key, const char *value)
 {
   int64_t *version = g_new (int64_t, 1);
 
-  *version = ++sim->version;
+  sim->version = ss_version (sim->era, ss_version_revision (sim->version) + 1);
+  *version = sim->version;
   g_tree_replace (sim->objects, g_strdup (key), g_strdup (value));
   g_hash_table_replace (sim->versions, g_strdup (key), version);
 }
 
+/* Returns the version of the object KEY; 0 if there is none. */
+static int64_t
+stored_version (LineSim *sim, const char *key)
+{
+  const int64_t *version = g_hash_table_lookup (sim->versions, key);
+
+  return version ? *version : 0;
+}
+
+const char *
+line_sim_stored (LineSim *sim, const char *key)
+{
+  return g_tree_lookup (sim->objects, key);
+}
+
+/* Responds to a read or write of the object KEY with the object as it is. */
 static void
-answer_put (LineSim *sim, const SsAction *a)
+answer_with_object (LineSim *sim, const SsAction *a, SsPlatformOutcome outcome)
 {
   ScheduledEvent *scheduled = schedule (sim, 4, SS_EVENT_PLATFORM_OBJECT);
   SsObject *o = &scheduled->event.platform_object.object;
+  const char *value = line_sim_stored (sim, a->name);
 
+  scheduled->cells[0] = g_strdup (a->name);
+  scheduled->cells[1] = g_strdup (value ? value : "");
+  scheduled->cell_count = 2;
   scheduled->event.platform_object.call = a->id;
+  o->key = scheduled->cells[0];
   scheduled->event.platform_object.outcome = SS_PLATFORM_UNKNOWN;
   if (sim->platform_down)
     return;
-  store_object (sim, a->name, a->text);
-  scheduled->event.platform_object.outcome = SS_PLATFORM_DONE;
-  scheduled->cells[0] = g_strdup (a->name);
-  scheduled->cells[1] = g_strdup (a->text);
-  scheduled->cell_count = 2;
-  o->key = scheduled->cells[0];
+  scheduled->event.platform_object.outcome
+      = value ? outcome : SS_PLATFORM_ABSENT;
   o->value = scheduled->cells[1];
   o->value_bytes = (uint32_t) strlen (o->value);
-  o->version = sim->version;
+  o->version = stored_version (sim, a->name);
+}
+
+static void
+answer_put (LineSim *sim, const SsAction *a)
+{
+  bool matches = a->number == stored_version (sim, a->name);
+
+  if (matches && !sim->platform_down)
+    line_sim_store (sim, a->name, a->text);
+  answer_with_object (sim, a,
+                      matches ? SS_PLATFORM_DONE : SS_PLATFORM_CONFLICT);
+}
+
+/* Responds to an outstanding watch without a result. */
+static void
+end_watch (LineSim *sim, SsWatch watch, SsPlatformOutcome outcome)
+{
+  ScheduledEvent *scheduled;
+
+  if (!sim->watch_since[watch])
+    return;
+  scheduled = schedule (sim, 4, SS_EVENT_PLATFORM_OBJECTS);
+  scheduled->event.platform_objects.watch = watch;
+  scheduled->event.platform_objects.since = sim->watch_since[watch];
+  scheduled->event.platform_objects.outcome = outcome;
+  sim->watch_since[watch] = 0;
+}
+
+static gboolean
+copy_object (gpointer key, gpointer value, gpointer data)
+{
+  g_tree_replace (data, g_strdup (key), g_strdup (value));
+  return FALSE;
+}
+
+/* Copies the store's objects, with their revisions in ERA. */
+static void
+copy_store (GTree *objects, GHashTable *versions, GTree *to_objects,
+            GHashTable *to_versions, int64_t era)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_tree_foreach (objects, copy_object, to_objects);
+  g_hash_table_iter_init (&iter, versions);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      int64_t *version = g_new (int64_t, 1);
+
+      *version = ss_version (era, ss_version_revision (*(int64_t *) value));
+      g_hash_table_replace (to_versions, g_strdup (key), version);
+    }
+}
+
+static gint
+compare_keys (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void) data;
+  return strcmp (a, b);
+}
+
+static GTree *
+new_objects (void)
+{
+  return g_tree_new_full (compare_keys, NULL, g_free, g_free);
+}
+
+static GHashTable *
+new_versions (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+line_sim_copy (LineSim *sim)
+{
+  g_clear_pointer (&sim->copied_objects, g_tree_destroy);
+  g_clear_pointer (&sim->copied_versions, g_hash_table_destroy);
+  sim->copied_objects = new_objects ();
+  sim->copied_versions = new_versions ();
+  sim->copied_version = sim->version;
+  copy_store (sim->objects, sim->versions, sim->copied_objects,
+              sim->copied_versions, sim->era);
+}
+
+void
+line_sim_restore (LineSim *sim)
+{
+  sim->era++;
+  g_tree_destroy (sim->objects);
+  g_hash_table_destroy (sim->versions);
+  sim->objects = new_objects ();
+  sim->versions = new_versions ();
+  sim->version
+      = ss_version (sim->era, ss_version_revision (sim->copied_version));
+  copy_store (sim->copied_objects, sim->copied_versions, sim->objects,
+              sim->versions, sim->era);
+  for (uint32_t i = 0; i < SS_WATCH_COUNT; i++)
+    end_watch (sim, (SsWatch) i, SS_PLATFORM_UNKNOWN);
 }
 
 static LineServer *find_server (LineSim *sim, const char *name);
@@ -168,6 +288,9 @@
   switch (a->kind)
     {
     case SS_ACTION_PLATFORM_WATCH:
+      sim->watch_since[a->id] = a->number;
+      if (ss_version_revision (a->number) > ss_version_revision (sim->version))
+        end_watch (sim, (SsWatch) a->id, SS_PLATFORM_ABSENT);
       if (a->number)
         return; /* line_sim_put delivers changes */
       scheduled = schedule (sim, 4, SS_EVENT_PLATFORM_OBJECTS);
@@ -181,6 +304,9 @@
     case SS_ACTION_PLATFORM_PUT:
       answer_put (sim, a);
       break;
+    case SS_ACTION_PLATFORM_GET:
+      answer_with_object (sim, a, SS_PLATFORM_DONE);
+      break;
     case SS_ACTION_PLATFORM_PROMOTE:
       promote (sim, a);
       break;
@@ -195,7 +321,7 @@
   SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
   SsObject o = { 0 };
 
-  store_object (sim, key, value);
+  line_sim_store (sim, key, value);
   o.key = key;
   o.value = value;
   o.value_bytes = (uint32_t) strlen (value);
@@ -203,7 +329,9 @@
   for (uint32_t i = 0; i < SS_WATCH_COUNT; i++)
     if (i != SS_WATCH_ALL && g_str_has_prefix (key, ss_watch_prefix (i)))
       e.platform_objects.watch = (SsWatch) i;
+  e.era = sim->era;
   e.platform_objects.outcome = SS_PLATFORM_DONE;
+  e.platform_objects.since = sim->watch_since[e.platform_objects.watch];
   e.platform_objects.objects = &o;
   e.platform_objects.object_count = 1;
   e.platform_objects.revision = sim->version;
@@ -919,7 +1047,7 @@
                              "\"failure_domain\":\"d\",\"slots\":2}",
                              i + 1);
 
-      store_object (sim, key, value);
+      line_sim_store (sim, key, value);
       g_free (key);
       g_free (value);
     }
@@ -937,17 +1065,10 @@
       "\"groups\":{\"g\":{\"max_connections\":%u}}}",
       max_connections);
 
-  store_object (sim, "routes/main", routes);
+  line_sim_store (sim, "routes/main", routes);
   g_free (routes);
 }
 
-static int
-compare_keys (gconstpointer a, gconstpointer b, gpointer data)
-{
-  (void) data;
-  return strcmp (a, b);
-}
-
 static void
 open_sessions (LineSim *sim, uint32_t count)
 {
@@ -976,9 +1097,8 @@
   memset (sim, 0, sizeof *sim);
   sim->rand = g_rand_new_with_seed (seed);
   sim->now_ms = START_MS;
-  sim->objects = g_tree_new_full (compare_keys, NULL, g_free, g_free);
-  sim->versions
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  sim->objects = new_objects ();
+  sim->versions = new_versions ();
   sim->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   sim->connections = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                             free_connection);
@@ -1016,5 +1136,7 @@
   g_hash_table_destroy (sim->runs);
   g_hash_table_destroy (sim->versions);
   g_tree_destroy (sim->objects);
+  g_clear_pointer (&sim->copied_objects, g_tree_destroy);
+  g_clear_pointer (&sim->copied_versions, g_hash_table_destroy);
   g_rand_free (sim->rand);
 }
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -63,10 +63,15 @@
   SsNode node;
   GRand *rand;
   int64_t now_ms;
-  int64_t version;      /* of the last object written at the platform */
-  GTree *objects;       /* key -> value */
-  GHashTable *versions; /* key -> version */
-  GQueue schedule;      /* of ScheduledEvent, by time */
+  int64_t era;     /* of the platform's store */
+  int64_t version; /* of the last object written at the platform */
+  int64_t watch_since[SS_WATCH_COUNT]; /* of the last watch requests */
+  GTree *objects;                      /* key -> value */
+  GHashTable *versions;                /* key -> version */
+  GTree *copied_objects; /* as objects, when the store was copied */
+  GHashTable *copied_versions;
+  int64_t copied_version;
+  GQueue schedule; /* of ScheduledEvent, by time */
   LineServer servers[LINE_SERVERS];
   GHashTable *connections; /* id -> LineConnection */
   LineSession sessions[LINE_SESSIONS_MAX];
@@ -124,6 +129,16 @@
 void line_sim_crash (LineSim *sim, uint32_t server);
 /* line_sim_put: writes an object at the platform and notifies the core. */
 void line_sim_put (LineSim *sim, const char *key, const char *value);
+/* line_sim_store: writes an object at the platform without telling the core. */
+void line_sim_store (LineSim *sim, const char *key, const char *value);
+/* line_sim_copy: takes a copy of the platform's store. */
+void line_sim_copy (LineSim *sim);
+/* line_sim_restore: returns the store to the last copy, in a new era. */
+void line_sim_restore (LineSim *sim);
+/* line_sim_stored: returns the value of the object KEY at the platform, or
+ * NULL.
+ */
+const char *line_sim_stored (LineSim *sim, const char *key);
 /* line_sim_last_label: returns the label of SESSION's last statement, valid
  * until the next call.
  */
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -11,7 +11,7 @@
 static SsAdoption
 adopt (SsConfig *config, const char *key, int64_t version, const char *json)
 {
-  SsObject o = { key, version, json, (uint32_t) strlen (json), false };
+  SsObject o = { key, version, json, (uint32_t) strlen (json), false, 0 };
   char *error;
   SsAdoption result = ss_config_adopt (config, &o, 0, &error);
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -167,7 +167,7 @@
 read_object (SsRecord *r, const char *kind, const char *text)
 {
   json_t *json = json_loads (text, 0, NULL);
-  char *error = ss_record_read (r, kind, json);
+  char *error = ss_record_read (r, kind, json, 0);
 
   json_decref (json);
   return error;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -13,6 +13,7 @@
   X (line)                                                                     \
   X (relay)                                                                    \
   X (failover)                                                                 \
+  X (restore)                                                                  \
   X (placement)                                                                \
   X (platform)                                                                 \
   X (command)                                                                  \
