A promotion over a return of the platform's store begins anew or names its server

What callers would see: a group that stays without a primary.

Cause: a promotion went on with a claim that the restored store no longer had; its next write expected a revision of an earlier era and met another object, or none (404), which it read again until the step timed out; and a primary whose name was lost was never named again, as all VMs that keep the later term wait for the platform to show it.

Change: a promotion remembers the era that it started in. If that is over it is given up (to the operator: may have run), and begins anew with a claim of the present era; if the platform was already asked to promote a server, that one is waited for and named, but not called for again. The coordinator writes the name of a lost primary again, at most 50 groups a second (REWRITE_INTERVAL_MS). Writes expect what the platform was last seen to hold. A token of an earlier era makes no call.

Evidence: tests/test_restore.c restores the store at 121 moments of a promotion, 20 ms apart, and at 155 pairs of moments of copy and restore, twice in a row; fencing tokens must rise over all eras.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -551,6 +551,15 @@
   return o && !o->seen_deleted ? o->seen_version : 0;
 }
 
+void
+ss_config_record_absent (SsConfig *config, const char *key)
+{
+  SsStoredObject *o = g_tree_lookup (config->objects, key);
+
+  if (o)
+    o->seen_deleted = true;
+}
+
 bool
 ss_config_is_lost (const SsConfig *config, const char *key)
 {
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -175,6 +175,8 @@
  * expect at the platform; 0: there is no such object.
  */
 int64_t ss_config_expected_version (const SsConfig *config, const char *key);
+/* ss_config_record_absent: records that the platform has no object KEY. */
+void ss_config_record_absent (SsConfig *config, const char *key);
 /* ss_config_is_lost: whether the platform, restored from a copy, holds older
  * content under KEY than is in force here, or none.
  */
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -42,6 +42,10 @@
 #define CALL_RETRY_MS 1500
 /* Retry interval of the write of the duty object. */
 #define DUTY_RETRY_MS 200
+/* Interval between the writes of lost group objects: far below the platform's
+ * rate, as there may be thousands.
+ */
+#define REWRITE_INTERVAL_MS 20
 /* Another VM's promotion is not taken over for this long. */
 #define CLAIM_TIMEOUT_MS 2500
 #define COORDINATOR_SUBJECT "promotions"
@@ -96,6 +100,16 @@
   return leader;
 }
 
+/* Writes the name of a server that leads already to the group's object. */
+static void
+name_primary (SsNode *node, SsPromotion *p, const char *primary)
+{
+  g_free (p->chosen);
+  p->chosen = g_strdup (primary);
+  ss_promote_enter (node, p, SS_PROMOTE_ADOPT);
+  ss_promote_write_group (node, p, primary);
+}
+
 bool
 ss_coordinator_adopt_primary (SsNode *node, SsPromotion *p, SsGroup *group)
 {
@@ -106,20 +120,33 @@
   if (group->version && leader->state.follow_term <= group->term
       && (*group->primary || leader->state.follow_term < group->term))
     return false;
-  p->term = leader->state.follow_term;
-  p->version = group->version;
-  p->started_ms = node->now_ms;
-  g_free (p->chosen);
-  p->chosen = g_strdup (leader->name);
-  g_snprintf (p->operation, sizeof p->operation,
-              "%s-adopt-%" G_GUINT64_FORMAT "-%08x", node->params.vm,
-              ++node->next_operation, g_rand_int (node->rand));
+  ss_promote_begin (node, p, group, leader->state.follow_term, "-adopt");
   ss_node_log (node, SS_EVENT_LOG_PRIMARY_FOUND, p->group,
                "term=%" G_GUINT64_FORMAT
                " primary=%s before=%s/%" G_GUINT64_FORMAT,
                p->term, leader->name, group->primary, group->term);
-  ss_promote_enter (node, p, SS_PROMOTE_ADOPT);
-  ss_promote_write_group (node, p, leader->name);
+  name_primary (node, p, leader->name);
+  return true;
+}
+
+bool
+ss_coordinator_rewrite (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  char *key = g_strconcat ("group/", group->name, NULL);
+  bool lost = *group->primary && ss_config_is_lost (&node->config, key);
+
+  g_free (key);
+  if (!lost || node->now_ms < node->rewrite_due_ms)
+    return false;
+  node->rewrite_due_ms = node->now_ms + REWRITE_INTERVAL_MS;
+  ss_promote_begin (node, p, group, group->term, "-rewrite");
+  ss_node_log (node, SS_EVENT_LOG_PRIMARY_REWRITTEN, p->group,
+               "term=%" G_GUINT64_FORMAT
+               " primary=%s version=" SS_VERSION_FORMAT
+               " at_platform=" SS_VERSION_FORMAT,
+               p->term, group->primary, SS_VERSION_ARGS (group->version),
+               SS_VERSION_ARGS (p->version));
+  name_primary (node, p, group->primary);
   return true;
 }
 
@@ -346,7 +373,8 @@
     node->duty_version = MAX (node->duty_version, object->version);
   if (outcome == SS_PLATFORM_ABSENT)
     node->duty_version = 0;
-  if (!p || p->step != SS_PROMOTE_DUTY)
+  /* The tick ends a promotion that a restore made void. */
+  if (!p || p->step != SS_PROMOTE_DUTY || ss_promote_is_void (node, p))
     return;
   if (known && is_own_write (p, object))
     {
@@ -414,8 +442,10 @@
     write_duty (node, p);
   if (p->step != SS_PROMOTE_LEAD)
     return;
-  if (node->now_ms - p->since_ms >= CALL_RETRY_MS)
-    ss_coordinator_call_platform (node, p);
-  else
+  if (node->now_ms - p->since_ms < CALL_RETRY_MS)
     check_promoted (node, p);
+  else if (p->claim_lost)
+    ss_promote_give_up (node, p, "the platform may have lost the claim");
+  else
+    ss_coordinator_call_platform (node, p);
 }
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -120,7 +120,8 @@
   GHashTable *operations; /* call -> SsOperation */
   uint64_t next_call;
   uint64_t next_operation;
-  int64_t duty_version; /* last seen version of the duty object */
+  int64_t rewrite_due_ms; /* when the next lost group object may be written */
+  int64_t duty_version;   /* last seen version of the duty object */
 
   int64_t era;          /* the latest era of the platform's store (era.c) */
   bool era_known;       /* the store of that era has responded */
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -163,16 +163,57 @@
   return term;
 }
 
-static void
-start_promotion (SsNode *node, SsPromotion *p, const SsGroup *group)
+void
+ss_promote_begin (SsNode *node, SsPromotion *p, const SsGroup *group,
+                  uint64_t term, const char *kind)
 {
-  p->term = node->dialect->platform_promotes ? ss_coordinator_next_term (group)
-                                             : highest_term (group) + 1;
-  p->version = group->version;
+  char *key = g_strconcat (GROUP_PREFIX, group->name, NULL);
+
+  p->term = term;
+  p->version = ss_config_expected_version (&node->config, key);
+  p->era = node->era;
+  p->claim_lost = false;
   p->started_ms = node->now_ms;
   g_snprintf (p->operation, sizeof p->operation,
-              "%s-%" G_GUINT64_FORMAT "-%08x", node->params.vm,
+              "%s%s-%" G_GUINT64_FORMAT "-%08x", node->params.vm, kind,
               ++node->next_operation, g_rand_int (node->rand));
+  g_free (key);
+}
+
+bool
+ss_promote_is_void (const SsNode *node, const SsPromotion *p)
+{
+  return p->step != SS_PROMOTE_IDLE && p->era != node->era;
+}
+
+/* Ends a promotion over a return of the platform's store from a copy: its claim
+ * may be lost, or its writes may have taken effect.  A server that the platform
+ * was already asked to promote is waited for: naming it needs no claim.
+ */
+static void
+handle_restore (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  if (p->step == SS_PROMOTE_CALL || p->step == SS_PROMOTE_LEAD)
+    {
+      ss_promote_begin (node, p, group, p->term, "-restore");
+      p->claim_lost = true;
+      ss_promote_enter (node, p, SS_PROMOTE_LEAD);
+      return;
+    }
+  if (p->step == SS_PROMOTE_CLAIM)
+    p->step = SS_PROMOTE_CLAIM_READ;
+  ss_promote_give_up (node, p,
+                      "the platform's store has come back from a copy");
+}
+
+static void
+start_promotion (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  ss_promote_begin (node, p, group,
+                    node->dialect->platform_promotes
+                        ? ss_coordinator_next_term (group)
+                        : highest_term (group) + 1,
+                    "");
   g_hash_table_remove_all (p->raised_positions);
   p->quorum_ms = 0;
   g_clear_pointer (&p->chosen, g_free);
@@ -270,7 +311,8 @@
 {
   if (node->now_ms < p->retry_ms || node->stopping
       || !ss_coordinator_is_self (node)
-      || ss_coordinator_adopt_primary (node, p, group))
+      || ss_coordinator_adopt_primary (node, p, group)
+      || ss_coordinator_rewrite (node, p, group))
     return;
   if (is_primary_draining (group))
     p->requested = true;
@@ -294,7 +336,8 @@
       return;
     }
   if (ss_promote_rank (node, p) >= COORDINATOR_RANKS
-      || node->now_ms < p->retry_ms || node->stopping)
+      || node->now_ms < p->retry_ms || node->stopping
+      || (p->rank == 0 && ss_coordinator_rewrite (node, p, group)))
     return;
   if (is_primary_draining (group) && p->rank == 0)
     p->requested = true;
@@ -389,11 +432,19 @@
 
   if (!p || p->call != call || p->step == SS_PROMOTE_IDLE)
     return;
+  if (ss_promote_is_void (node, p))
+    return; /* the tick ends it */
   if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
     {
       adopt_and_continue (node, p, object);
       return;
     }
+  if (outcome == SS_PLATFORM_ABSENT)
+    {
+      ss_config_record_absent (&node->config, object->key);
+      ss_promote_give_up (node, p, "the platform has no such object");
+      return;
+    }
   if (p->step == SS_PROMOTE_CLAIM_READ || p->step == SS_PROMOTE_NAME_READ)
     return; /* the tick reads again */
   if (p->step == SS_PROMOTE_ADOPT)
@@ -418,6 +469,11 @@
   track_primary (node, p, group);
   if (node->dialect->platform_promotes)
     ss_coordinator_poll_replicas (node, p, group);
+  if (ss_promote_is_void (node, p))
+    {
+      handle_restore (node, p, group);
+      return;
+    }
   if (p->step != SS_PROMOTE_IDLE && group->term > p->term)
     {
       ss_promote_give_up (node, p, "a later term is in force");
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -67,6 +67,8 @@
   uint64_t call;           /* id of the last platform call */
   uint64_t term;           /* that the new primary is to lead */
   int64_t version;    /* of the group's object that the next write expects */
+  int64_t era;        /* of the platform's store when it started */
+  bool claim_lost;    /* the platform may have lost the claim */
   char operation[96]; /* unique id, stored in the group's object */
   char *requested_server; /* server that an operator requests, or NULL */
   char *replaced_primary; /* primary to be replaced, never chosen; or NULL */
@@ -106,6 +108,15 @@
  */
 void ss_promote_write_group (SsNode *node, SsPromotion *promotion,
                              const char *primary);
+/* ss_promote_begin: starts an attempt for TERM that writes GROUP's object over
+ * the one that the platform has.  KIND is part of its operation id.
+ */
+void ss_promote_begin (SsNode *node, SsPromotion *promotion,
+                       const SsGroup *group, uint64_t term, const char *kind);
+/* ss_promote_is_void: whether PROMOTION runs and the platform's store has come
+ * back from a copy since it started: what it wrote may be lost.
+ */
+bool ss_promote_is_void (const SsNode *node, const SsPromotion *promotion);
 void ss_promote_tick (SsNode *node);
 void ss_term_raise_handle_reply (SsNode *node,
                                  const Ss__Peer__RaiseReply *reply);
@@ -208,6 +219,11 @@
  */
 bool ss_coordinator_adopt_primary (SsNode *node, SsPromotion *promotion,
                                    SsGroup *group);
+/* ss_coordinator_rewrite: starts to name GROUP's primary again if the platform,
+ * restored from a copy, has lost it.  Returns whether it did.
+ */
+bool ss_coordinator_rewrite (SsNode *node, SsPromotion *promotion,
+                             const SsGroup *group);
 /* ss_coordinator_poll_replicas: polls the replicas while their primary is
  * unreachable. */
 void ss_coordinator_poll_replicas (SsNode *node, SsPromotion *promotion,
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -69,6 +69,8 @@
      "servers follow a primary other than the configured one")                 \
   X (PRIMARY_MOVES, 507, WARNING,                                              \
      "primary moves, as its replicas lag or receive nothing")                  \
+  X (PRIMARY_REWRITTEN, 508, WARNING,                                          \
+     "primary named again, as the platform's store has lost it")               \
   X (CALLER_REFUSED, 600, WARNING, "caller refused")                           \
   X (REQUEST_RAN, 601, INFO, "request answered")                               \
   X (REQUEST_NOT_RUN, 602, INFO, "request refused without being run")          \
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -167,6 +167,8 @@
 {
   bool matches = a->number == stored_version (sim, a->name);
 
+  if (sim->puts_lost)
+    return;
   if (matches && !sim->platform_down)
     line_sim_store (sim, a->name, a->text);
   answer_with_object (sim, a,
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -77,6 +77,7 @@
   LineSession sessions[LINE_SESSIONS_MAX];
   uint32_t session_count;
   bool platform_down;
+  bool puts_lost; /* writes are neither done nor answered */
   uint32_t promotions;
   int64_t last_fencing_token;
   int64_t
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -186,6 +186,121 @@
   line_sim_finish (&sim);
 }
 
+/* --- promotions and leases --- */
+
+/* Time until a group without a primary is served again: the failover, an
+ * attempt that began anew, and a whole lease.
+ */
+#define RECOVERY_MAX_MS 6000
+/* Step between the moments of a restore, well below each step of a promotion.
+ */
+#define MOMENT_STEP_MS 20
+#define MOMENT_LAST_MS 2400
+
+static bool
+writes_run (LineSim *sim, int64_t within_ms)
+{
+  int64_t due_ms = sim->now_ms + within_ms;
+
+  while (sim->now_ms < due_ms)
+    {
+      if (line_sim_execute (sim, 1, "WRITE 1a x")
+          && sim->sessions[0].verdict == SS_VERDICT_RAN)
+        return true;
+      line_sim_advance (sim, 50);
+    }
+  return false;
+}
+
+/* Whether the platform's object of the group names the primary in force. */
+static bool
+platform_names_primary (LineSim *sim)
+{
+  const SsGroup *g = ss_config_group (&sim->node.config, "g");
+  const char *stored = line_sim_stored (sim, "group/g");
+  char *wanted = g_strdup_printf ("\"primary\":\"%s\",\"term\":%d}", g->primary,
+                                  (int) g->term);
+  bool found = stored && *g->primary && strstr (stored, wanted);
+
+  g_free (wanted);
+  return found;
+}
+
+/* Crashes the primary, copies the store COPY_MS and restores it RESTORE_MS
+ * after that.  Fencing tokens that do not rise are violations.
+ */
+static void
+promote_over_restore (int64_t copy_ms, int64_t restore_ms, uint32_t restores)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 11, 2, 8);
+  CU_ASSERT (writes_run (&sim, 500));
+  line_sim_crash (&sim, 0);
+  line_sim_advance (&sim, copy_ms);
+  line_sim_copy (&sim);
+  line_sim_advance (&sim, restore_ms - copy_ms);
+  for (uint32_t i = 0; i < restores; i++)
+    {
+      line_sim_restore (&sim);
+      line_sim_advance (&sim, 100);
+    }
+  CU_ASSERT (writes_run (&sim, RECOVERY_MAX_MS));
+  line_sim_advance (&sim, 1000);
+  CU_ASSERT (platform_names_primary (&sim));
+  CU_ASSERT (ss_config_group (&sim.node.config, "g")->term >= 2);
+  CU_ASSERT (sim.promoted
+             && strcmp (ss_config_group (&sim.node.config, "g")->primary,
+                        sim.promoted->name)
+                    == 0);
+  CU_ASSERT (sim.violations == 0);
+  if (!platform_names_primary (&sim) || sim.violations)
+    g_printerr ("copy %d restore %d: promotions %u, term %d, stored %s %s\n",
+                (int) copy_ms, (int) restore_ms, sim.promotions,
+                (int) ss_config_group (&sim.node.config, "g")->term,
+                line_sim_stored (&sim, "group/g"), sim.first_violation);
+  line_sim_finish (&sim);
+}
+
+/* Guards against a group without a primary, and against fencing tokens that go
+ * back, after a restore at any step of a promotion.
+ */
+static void
+promotion_ends_after_restore_at_any_step (void)
+{
+  for (int64_t ms = 0; ms <= MOMENT_LAST_MS; ms += MOMENT_STEP_MS)
+    promote_over_restore (0, ms, 1);
+}
+
+static void
+promotion_ends_after_two_restores (void)
+{
+  for (int64_t ms = 200; ms <= MOMENT_LAST_MS; ms += 5 * MOMENT_STEP_MS)
+    for (int64_t copy_ms = 0; copy_ms < ms; copy_ms += 10 * MOMENT_STEP_MS)
+      promote_over_restore (copy_ms, ms, 2);
+}
+
+/* Guards against a primary that the platform no longer names: the write that
+ * named it was lost, and no VM wrote it again.
+ */
+static void
+lost_name_of_primary_is_written_again (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 12, 2, 8);
+  line_sim_copy (&sim);
+  line_sim_crash (&sim, 0);
+  CU_ASSERT (writes_run (&sim, RECOVERY_MAX_MS));
+  line_sim_restore (&sim);
+  line_sim_advance (&sim, SS_LEASE_MS);
+  CU_ASSERT (platform_names_primary (&sim));
+  CU_ASSERT (ss_config_group (&sim.node.config, "g")->term == 2);
+  CU_ASSERT (sim.promotions == 1);
+  CU_ASSERT (writes_run (&sim, 500));
+  line_sim_finish (&sim);
+}
+
 CU_TestInfo test_restore[] = {
   { "change after restore is in force", change_after_restore_is_in_force },
   { "older copy does not replace configuration",
@@ -196,5 +311,10 @@
     group_does_not_go_back_to_earlier_term },
   { "restored store is listed again", restored_store_is_listed_again },
   { "response of earlier era is ignored", response_of_earlier_era_is_ignored },
+  { "promotion ends after restore at any step",
+    promotion_ends_after_restore_at_any_step },
+  { "promotion ends after two restores", promotion_ends_after_two_restores },
+  { "lost name of primary is written again",
+    lost_name_of_primary_is_written_again },
   CU_TEST_INFO_NULL,
 };
