A lease is confirmed, waited for and ended within one era of the store

What callers would see: two VMs that use two primaries of one group.

Cause: (1) a claim proceeds at once if no VM's object lists a lease; a restore may have lost the object that does. (2) The time since when a group has no primary was carried over from a claim of the same term, also one that the restored store no longer has, while a lease on the former primary could be confirmed in between. (3) A lease counted as listed by this VM's object, though the restored store did not have that object.

Change: (1) for one lease time after a VM learned of a new era, a claim waits for the whole lease; (2) the time counts within one era; (3) a lease is confirmed only if this VM's object was seen in the same era, and its groups count from then; a deleted object lists none. A lease itself ends by its own time: it was asked for before the restore, and a restore that lost nothing of the group costs no write.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -190,25 +190,39 @@
 
 /* Returns since when the group has had no primary, or 0 if it has one.  A claim
  * on a group with a primary raises the term, so no primary was set between two
- * claims of the same term.
+ * claims of the same term in one era.  Between two eras the platform may have
+ * lost the first claim and confirmed the former primary.
  */
 static int64_t
-no_primary_since (const SsConfig *c, const SsGroup *g, int64_t now_ms)
+no_primary_since (const SsGroup *before, const SsGroup *g, int64_t now_ms)
 {
-  const SsGroup *before = ss_config_group (c, g->name);
-
   if (*g->primary)
     return 0;
-  if (before && before->term == g->term && before->no_primary_since_ms)
+  if (before && before->term == g->term && before->no_primary_since_ms
+      && ss_version_era (before->version) == ss_version_era (g->version))
     return before->no_primary_since_ms;
   return now_ms;
 }
 
+/* The same content in a later era: a lease on its primary ends by its own time.
+ */
+static void
+keep_lease (const SsGroup *before, SsGroup *g)
+{
+  if (!before || before->term != g->term
+      || strcmp (before->primary, g->primary) != 0
+      || strcmp (before->operation, g->operation) != 0)
+    return;
+  g->changed_ms = before->changed_ms;
+  g->confirmed_ms = before->confirmed_ms;
+}
+
 static char *
 adopt_group (SsConfig *c, const char *name, int64_t version, json_t *json,
              int64_t now_ms)
 {
   SsGroup *g = g_new0 (SsGroup, 1);
+  const SsGroup *before;
   char *error = ss_parse_group (g, json);
 
   g->name = g_strdup (name);
@@ -219,7 +233,9 @@
       group_free (g);
       return error;
     }
-  g->no_primary_since_ms = no_primary_since (c, g, now_ms);
+  before = ss_config_group (c, name);
+  g->no_primary_since_ms = no_primary_since (before, g, now_ms);
+  keep_lease (before, g);
   g_tree_replace (c->groups, g->name, g);
   attach_servers (g->name, g, c);
   return NULL;
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -5,6 +5,7 @@
 
 #include "core/membership.h"
 #include "core/peers.h"
+#include "core/version.h"
 
 /* Interval between attempts to write this VM's object. */
 #define WRITE_INTERVAL_MS 1000
@@ -75,16 +76,20 @@
   return bytes == strlen (value) && memcmp (stored, value, bytes) == 0;
 }
 
-/* Updates node->leases from this VM's object.  Groups that it named before keep
- * their start time.
+/* Updates node->leases from this VM's object; none if it is deleted.  Groups
+ * that it named before in the same era keep their start time.
  */
 static void
 update_leases (SsNode *node, const SsObject *object)
 {
-  json_t *json = json_loadb (object->value, object->value_bytes, 0, NULL);
+  json_t *json = object->deleted
+                     ? NULL
+                     : json_loadb (object->value, object->value_bytes, 0, NULL);
   json_t *item;
   size_t i;
   GHashTable *before = node->leases;
+  bool same_era = ss_version_era (node->leases_version)
+                  == ss_version_era (object->version);
 
   node->leases
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -92,12 +97,13 @@
   {
     const char *group = json_string_value (item);
     const int64_t *since_ms
-        = group ? g_hash_table_lookup (before, group) : NULL;
+        = group && same_era ? g_hash_table_lookup (before, group) : NULL;
     int64_t *copy = g_new (int64_t, 1);
 
     *copy = since_ms ? *since_ms : node->now_ms;
     g_hash_table_insert (node->leases, g_strdup (group ? group : ""), copy);
   }
+  node->leases_version = object->version;
   g_hash_table_destroy (before);
   json_decref (json);
 }
@@ -208,8 +214,7 @@
 
   if (strcmp (vm, node->params.vm) == 0)
     {
-      if (!object->deleted)
-        update_leases (node, object);
+      update_leases (node, object);
       return;
     }
   if (object->deleted)
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -16,6 +16,7 @@
 #include "core/membership.h"
 #include "core/owned.h"
 #include "core/promotion.h"
+#include "core/version.h"
 
 /* Renewal interval: well below SS_LEASE_MS, so that a single lost response does
  * not let the lease expire.
@@ -277,8 +278,8 @@
 }
 
 /* Extends the lease on group NAME.  A lease is valid only if this VM's object
- * named it before the request was sent: a VM that claims the group later then
- * sees either the holder or its release.
+ * named it before the request was sent, in the same era: a VM that claims the
+ * group later then sees either the holder or its release.
  */
 static void
 confirm_lease (SsNode *node, const char *name, int64_t version,
@@ -288,7 +289,8 @@
   const int64_t *since_ms = g_hash_table_lookup (node->leases, name);
 
   if (!group || !since_ms || *since_ms > requested_ms
-      || group->version != version)
+      || group->version != version
+      || ss_version_era (node->leases_version) != ss_version_era (version))
     return;
   group->confirmed_ms = MAX (group->confirmed_ms, requested_ms);
   if (ss_lease_holds (node, group))
@@ -349,12 +351,22 @@
   return node->now_ms - since_ms >= SS_LEASE_MS + CLOCK_DRIFT_MS;
 }
 
+/* Whether a lease of an earlier era may still be valid: the object that lists
+ * its holder may be lost.  It was requested before this VM learned of the era.
+ */
+static bool
+may_have_lost_holders (const SsNode *node)
+{
+  return node->era_since_ms
+         && node->now_ms - node->era_since_ms < SS_LEASE_MS + CLOCK_DRIFT_MS;
+}
+
 bool
 ss_lease_is_released (SsNode *node, SsPromotion *p)
 {
   if (is_expired (node, p))
     return true;
-  return p->vm_list == SS_VM_LIST_RECEIVED
+  return !may_have_lost_holders (node) && p->vm_list == SS_VM_LIST_RECEIVED
          && !ss_directory_has_holder (node, p->group, p->released);
 }
 
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -140,6 +140,7 @@
   int64_t directory_due_ms;
   GHashTable *leases; /* group -> since when this VM's object lists a lease on
                          its primary, in ms */
+  int64_t leases_version;    /* of the object that leases is read from */
   bool vm_list_outstanding;  /* a list request for the objects vm/NAME is
                                 outstanding */
   bool isolated;             /* partitioned from most VMs and the platform */
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -14,6 +14,7 @@
   X (relay)                                                                    \
   X (failover)                                                                 \
   X (restore)                                                                  \
+  X (restore_lease)                                                            \
   X (placement)                                                                \
   X (platform)                                                                 \
   X (command)                                                                  \
