A VM that is behind its peers asks them, whatever its watches say

What callers would see: one VM handles their requests by an older configuration, longer than 3 s after the acknowledgement.

Cause: a VM pulled from its peers only while platform_down was set, and any answered watch clears that. With a silent watch of the routes and three others that are answered it neither watched nor pulled. A VM that starts from a restored copy is the same case: its store answers, with an older configuration.

Change: heartbeats carry the operator's number of the configuration in force; a VM that sees a higher one for 400 ms (at once while it is not ready) asks that VM for the numbered objects alone. Event CONFIG_BEHIND tells it. Ruled out: pulling by revision, as revisions of VMs that watch differ all the time (each is the lowest of four watches).

Evidence: "vm behind its peers asks them" fails before (133 passed, 1 failed) and passes now; "vm that catches up asks nobody" guards the cost on a usual change. Unit tests: 134 passed, 0 failed. Bytes: 3 or 4 a heartbeat.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1628,7 +1628,7 @@
   (ProtobufCMessageInit) ss__peer__server_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__heartbeat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor ss__peer__heartbeat__field_descriptors[11] =
 {
   {
     "vm",
@@ -1750,6 +1750,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "sequence",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__Heartbeat, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__heartbeat__field_indices_by_name[] = {
   9,   /* field[9] = digest */
@@ -1761,12 +1773,13 @@
   8,   /* field[8] = platform_up */
   7,   /* field[7] = ready */
   5,   /* field[5] = revision */
+  10,   /* field[10] = sequence */
   0,   /* field[0] = vm */
 };
 static const ProtobufCIntRange ss__peer__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor ss__peer__heartbeat__descriptor =
 {
@@ -1776,7 +1789,7 @@
   "Ss__Peer__Heartbeat",
   "ss.peer",
   sizeof(Ss__Peer__Heartbeat),
-  10,
+  11,
   ss__peer__heartbeat__field_descriptors,
   ss__peer__heartbeat__field_indices_by_name,
   1,  ss__peer__heartbeat__number_ranges,
@@ -3324,7 +3337,7 @@
   (ProtobufCMessageInit) ss__peer__raise_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ss__peer__config_pull__field_descriptors[1] =
+static const ProtobufCFieldDescriptor ss__peer__config_pull__field_descriptors[2] =
 {
   {
     "since",
@@ -3338,14 +3351,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefix",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Ss__Peer__ConfigPull, prefix),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ss__peer__config_pull__field_indices_by_name[] = {
+  1,   /* field[1] = prefix */
   0,   /* field[0] = since */
 };
 static const ProtobufCIntRange ss__peer__config_pull__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor ss__peer__config_pull__descriptor =
 {
@@ -3355,7 +3381,7 @@
   "Ss__Peer__ConfigPull",
   "ss.peer",
   sizeof(Ss__Peer__ConfigPull),
-  1,
+  2,
   ss__peer__config_pull__field_descriptors,
   ss__peer__config_pull__field_indices_by_name,
   1,  ss__peer__config_pull__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -165,10 +165,14 @@
    * hash of the receiver's last full Digest; 0: none
    */
   uint64_t digest;
+  /*
+   * the operator's highest number in force; 0: unknown
+   */
+  int64_t sequence;
 };
 #define SS__PEER__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
@@ -590,10 +594,14 @@
 {
   ProtobufCMessage base;
   int64_t since;
+  /*
+   * of the keys; if not empty, the answer has no revision
+   */
+  char *prefix;
 };
 #define SS__PEER__CONFIG_PULL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ss__peer__config_pull__descriptor) \
-    , 0 }
+    , 0, (char *)protobuf_c_empty_string }
 
 
 struct  Ss__Peer__ConfigObject
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -88,6 +88,7 @@
   config->transaction_idle_ms = 0;
   config->hash = 0;
   config->revision = 0;
+  config->sequence = 0;
 }
 
 void
@@ -384,6 +385,7 @@
       o->seen_deleted = stored->seen_deleted;
     }
   o->adopted_ms = now_ms;
+  c->sequence = MAX (c->sequence, o->sequence);
   g_tree_replace (c->objects, o->key, o);
 }
 
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -127,7 +127,9 @@
   GHashTable *max_connections; /* group -> limit for each of its servers */
   int64_t transaction_idle_ms; /* 0: the VM's setting */
   uint64_t hash;               /* of all objects; equal on VMs in sync */
-  int64_t revision; /* platform revision up to which objects is complete */
+  int64_t
+      revision; /* version of the platform up to which objects is complete */
+  int64_t sequence; /* the highest of all objects */
 } SsConfig;
 
 typedef struct
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -15,30 +15,41 @@
  */
 #define DELETION_GRACE_MS 2500
 
-void
-ss_config_sync_pull_all (SsNode *node, const char *vm)
+static void
+send_pull (SsNode *node, const char *vm, int64_t since, const char *prefix)
 {
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__ConfigPull pull = SS__PEER__CONFIG_PULL__INIT;
 
+  pull.since = since;
+  pull.prefix = (char *) prefix;
   e.body_case = SS__PEER__ENVELOPE__BODY_CONFIG_PULL;
   e.config_pull = &pull;
   ss_node_send (node, vm, &e);
 }
 
 void
-ss_config_sync_pull_newer (SsNode *node, const char *vm)
+ss_config_sync_pull_all (SsNode *node, const char *vm)
 {
-  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
-  Ss__Peer__ConfigPull pull = SS__PEER__CONFIG_PULL__INIT;
+  send_pull (node, vm, 0, "");
+}
+
+void
+ss_config_sync_pull_operator (SsNode *node, const char *vm)
+{
+  ss_node_log (node, SS_EVENT_LOG_CONFIG_BEHIND, vm,
+               "sequence=%" G_GINT64_FORMAT " platform_down=%d",
+               node->config.sequence, node->platform_down);
+  send_pull (node, vm, 0, ss_watch_prefix (SS_WATCH_ROUTES));
+}
 
+void
+ss_config_sync_pull_newer (SsNode *node, const char *vm)
+{
   if (node->now_ms < node->pull_due_ms)
     return;
   node->pull_due_ms = node->now_ms + PULL_INTERVAL_MS;
-  pull.since = node->config.revision;
-  e.body_case = SS__PEER__ENVELOPE__BODY_CONFIG_PULL;
-  e.config_pull = &pull;
-  ss_node_send (node, vm, &e);
+  send_pull (node, vm, node->config.revision, "");
 }
 
 /* --- configuration --- */
@@ -155,6 +166,7 @@
 typedef struct
 {
   int64_t since;
+  const char *prefix;
   Ss__Peer__ConfigObject *objects;
   Ss__Peer__ConfigObject **list;
   uint32_t count;
@@ -168,7 +180,7 @@
   Ss__Peer__ConfigObject *out = &p->objects[p->count];
   gsize bytes;
 
-  if (o->version <= p->since)
+  if (o->version <= p->since || !g_str_has_prefix (key, p->prefix))
     return FALSE;
   ss__peer__config_object__init (out);
   out->key = key;
@@ -191,23 +203,25 @@
   ss_node_send (node, vm, &e);
 }
 
-/* Calls SEND with VM and a push of all objects with versions above SINCE. */
+/* Calls SEND with VM and a push of all objects with versions above SINCE and
+ * keys that begin with PREFIX.
+ */
 static void
-push_since (SsNode *node, int64_t since,
+push_since (SsNode *node, int64_t since, const char *prefix,
             void (*send) (SsNode *node, Ss__Peer__ConfigPush *push,
                           const char *vm),
             const char *vm)
 {
   uint32_t all = (uint32_t) g_tree_nnodes (node->config.objects);
   Ss__Peer__ConfigPush push = SS__PEER__CONFIG_PUSH__INIT;
-  PushContext p = { since, g_new (Ss__Peer__ConfigObject, all + 1),
+  PushContext p = { since, prefix, g_new (Ss__Peer__ConfigObject, all + 1),
                     g_new (Ss__Peer__ConfigObject *, all + 1), 0 };
   gsize bytes = 0;
 
   g_tree_foreach (node->config.objects, add_to_push, &p);
-  push.since = since;
+  push.since = *prefix ? WITHOUT_REVISION : since;
   push.revision = node->config.revision;
-  push.complete = since == 0 && !ss_watch_is_single (node)
+  push.complete = since == 0 && !*prefix && !ss_watch_is_single (node)
                   && ss_watch_is_active (node) && ss_watch_is_complete (node);
   push.objects = p.list;
   push.n_objects = p.count;
@@ -244,14 +258,14 @@
 void
 ss_config_sync_push_domain (SsNode *node, int64_t since)
 {
-  push_since (node, since, send_to_domain, NULL);
+  push_since (node, since, "", send_to_domain, NULL);
 }
 
 void
 ss_config_sync_handle_pull (SsNode *node, const char *from,
                             const Ss__Peer__ConfigPull *pull)
 {
-  push_since (node, pull->since, send_to_one, from);
+  push_since (node, pull->since, pull->prefix, send_to_one, from);
 }
 
 /* Deletes the objects that are missing from a complete push. */
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -19,6 +19,10 @@
  * group even if it neither uses it nor owns a server of it.
  */
 #define COORDINATOR_RANKS 3
+/* A change reaches all VMs within less than this, unless a VM's watch is
+ * silent.
+ */
+#define BEHIND_MS 400
 /* Name prefix of a peer known only by its address. */
 #define SEED_PREFIX "@"
 
@@ -157,6 +161,7 @@
   heartbeat.peer_port = node->params.peer_port;
   heartbeat.leaving = node->stopping;
   heartbeat.revision = node->config.revision;
+  heartbeat.sequence = node->config.sequence;
   heartbeat.heard = (char **) heard->pdata;
   heartbeat.n_heard = heard->len;
   heartbeat.ready = node->ready;
@@ -172,6 +177,26 @@
   g_ptr_array_free (heard, TRUE);
 }
 
+/* Asks VM, which has a later configuration of the operator in force than this
+ * VM, if peers have been ahead for BEHIND_MS.  This does not depend on the
+ * watches: the one of the routes may be silent while others are answered.
+ */
+static void
+check_behind (SsNode *node, const char *vm, int64_t sequence)
+{
+  if (sequence <= node->config.sequence)
+    return;
+  if (!node->behind_since_ms || node->behind_sequence != node->config.sequence)
+    {
+      node->behind_sequence = node->config.sequence;
+      node->behind_since_ms = node->now_ms;
+    }
+  if (node->ready && node->now_ms - node->behind_since_ms < BEHIND_MS)
+    return;
+  node->behind_since_ms = node->now_ms;
+  ss_config_sync_pull_operator (node, vm);
+}
+
 /* A VM with its own watches pulls from peers only while the watches do not
  * deliver.
  */
@@ -199,6 +224,7 @@
       && strcmp (m->failure_domain, node->params.failure_domain) == 0)
     ss_relay_send_digest (node, heartbeat->vm, heartbeat->digest);
   ss_era_observe (node, ss_version_era (heartbeat->revision), heartbeat->vm);
+  check_behind (node, heartbeat->vm, heartbeat->sequence);
   if (heartbeat->revision > node->config.revision && pulls_from_peers (node))
     ss_config_sync_pull_newer (node, heartbeat->vm);
 }
--- a/src/core/peers.h
+++ b/src/core/peers.h
@@ -49,6 +49,10 @@
  * within the grace period.
  */
 void ss_config_sync_delete_expired (SsNode *node);
+/* ss_config_sync_pull_operator: requests from VM the objects that the operator
+ * numbers, whatever their versions are.
+ */
+void ss_config_sync_pull_operator (SsNode *node, const char *vm);
 /* ss_config_sync_pull_newer: requests from VM the objects newer than this VM's
  * revision; at most one request every 300 ms.
  */
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -40,6 +40,8 @@
   X (CONFIG_INVALID, 201, ERROR, "configuration object refused")               \
   X (CONFIG_NOT_NEWER, 202, INFO,                                              \
      "configuration object not adopted, as the stored one is newer")           \
+  X (CONFIG_BEHIND, 203, INFO,                                                 \
+     "a vm has a later configuration in force; asking it")                     \
   X (PLATFORM_DOWN, 210, WARNING, "platform does not answer")                  \
   X (PLATFORM_UP, 211, INFO, "platform answers again")                         \
   X (PLATFORM_CALL, 212, DEBUG, "platform call ended")                         \
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -759,7 +759,7 @@
 }
 
 static void
-record_lease_request (LineSim *sim, const SsAction *a)
+record_peer_message (LineSim *sim, const SsAction *a)
 {
   gsize bytes;
   const uint8_t *data = g_bytes_get_data (a->bytes, &bytes);
@@ -767,6 +767,8 @@
 
   if (e->body_case == SS__PEER__ENVELOPE__BODY_LEASE_ASK)
     sim->lease_nonce = e->lease_ask->nonce;
+  if (e->body_case == SS__PEER__ENVELOPE__BODY_CONFIG_PULL)
+    sim->config_pulls++;
   ss__peer__envelope__free_unpacked (e, NULL);
 }
 
@@ -792,7 +794,7 @@
           handle_reply (sim, &a);
           break;
         case SS_ACTION_PEER_SEND:
-          record_lease_request (sim, &a);
+          record_peer_message (sim, &a);
           break;
         default:
           answer_platform (sim, &a);
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -83,7 +83,8 @@
   int64_t
       promotion_due_ms; /* when a promotion takes effect; 0: none in progress */
   LineServer *promoted; /* of the last promotion, or NULL */
-  uint64_t lease_nonce; /* of the core's last lease request; 0: none */
+  uint32_t config_pulls; /* requests for configuration to VM "b" */
+  uint64_t lease_nonce;  /* of the core's last lease request; 0: none */
   /* Probability of injected faults, per mille. */
   uint32_t busy_permille; /* a server answers BUSY */
   uint32_t lost_permille; /* the connection closes instead of the answer */
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -301,6 +301,74 @@
   line_sim_finish (&sim);
 }
 
+/* --- a VM that is behind its peers --- */
+
+static void
+receive_heartbeat (LineSim *sim, int64_t sequence)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Heartbeat heartbeat = SS__PEER__HEARTBEAT__INIT;
+
+  heartbeat.vm = (char *) "b";
+  heartbeat.failure_domain = (char *) "d";
+  heartbeat.ip = (char *) "10.0.0.2";
+  heartbeat.peer_port = 1;
+  heartbeat.ready = true;
+  heartbeat.platform_up = true;
+  heartbeat.sequence = sequence;
+  e.body_case = SS__PEER__ENVELOPE__BODY_HEARTBEAT;
+  e.heartbeat = &heartbeat;
+  line_sim_deliver_peer_message (sim, &e);
+}
+
+/* Guards against CONFIG: a VM whose watch of the routes is silent, while its
+ * other watches are answered, neither watched nor asked its peers.
+ */
+static void
+vm_behind_its_peers_asks_them (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 17, 2, 8);
+  CU_ASSERT (!sim.node.platform_down);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      receive_heartbeat (&sim, 9);
+      line_sim_advance (&sim, 250);
+    }
+  CU_ASSERT (sim.config_pulls > 0);
+  line_sim_finish (&sim);
+}
+
+/* A change spreads to all VMs at nearly the same time: a peer that is ahead for
+ * one heartbeat is no reason to ask it.
+ */
+static void
+vm_that_catches_up_asks_nobody (void)
+{
+  static const char routes[] = "{\"services\":{\"a\":{\"group\":\"g\"}}}";
+  LineSim sim;
+  SsObject o = { .key = "routes/main",
+                 .value = routes,
+                 .value_bytes = sizeof routes - 1,
+                 .sequence = 9 };
+  char *error;
+
+  line_sim_init (&sim, 18, 2, 8);
+  receive_heartbeat (&sim, 9);
+  line_sim_advance (&sim, 250);
+  o.version = sim.version + 1;
+  CU_ASSERT (ss_config_adopt (&sim.node.config, &o, sim.now_ms, &error)
+             == SS_ADOPT_DONE);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      receive_heartbeat (&sim, 9);
+      line_sim_advance (&sim, 250);
+    }
+  CU_ASSERT (sim.config_pulls == 0);
+  line_sim_finish (&sim);
+}
+
 CU_TestInfo test_restore[] = {
   { "change after restore is in force", change_after_restore_is_in_force },
   { "older copy does not replace configuration",
@@ -316,5 +384,7 @@
   { "promotion ends after two restores", promotion_ends_after_two_restores },
   { "lost name of primary is written again",
     lost_name_of_primary_is_written_again },
+  { "vm behind its peers asks them", vm_behind_its_peers_asks_them },
+  { "vm that catches up asks nobody", vm_that_catches_up_asks_nobody },
   CU_TEST_INFO_NULL,
 };
