--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -237,6 +237,42 @@
     }
 }
 
+/* Guards against CONFIG: one route that can't be read kept out all others, and
+ * all later configurations with it.
+ */
+static void
+unreadable_route_leaves_others_in_force (void)
+{
+  static const char *const bad[]
+      = { "{\"host\":\"h\",\"service\":\"s\",\"kind\":\"eventual\","
+          "\"max_staleness_ms\":5}",
+          "{\"host\":\"h\",\"service\":7,\"kind\":\"primary\"}",
+          "{\"host\":\"h\",\"service\":\"s\",\"kind\":\"primary\","
+          "\"timeout_ms\":\"1 s\"}",
+          "{\"service\":\"s\",\"kind\":\"primary\"}", "7" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      char *text = g_strdup_printf (
+          META ",\"spec\":{\"version\":4,\"routes\":[%s,{\"host\":\"good\","
+               "\"service\":\"s\",\"kind\":\"primary\"}]}}",
+          bad[i]);
+      SsRecord r;
+      char *error = read_object (&r, "config", text);
+
+      CU_ASSERT_PTR_NULL (error);
+      CU_ASSERT (g_strcmp0 (r.value,
+                            "{\"groups\":{},\"services\":{\"good\":"
+                            "{\"default_kind\":\"strict\",\"group\":\"s\","
+                            "\"timeout_ms\":0,\"urgency\":0}},"
+                            "\"transaction_idle_ms\":0}")
+                 == 0);
+      g_free (error);
+      ss_record_finish (&r);
+      g_free (text);
+    }
+}
+
 /* Arbitrary input is parsed without memory errors, and a line ends within it.
  */
 static void
@@ -278,6 +314,8 @@
     statement_in_doubt_gets_no_not_run_code },
   { "records are converted", records_are_converted },
   { "malformed records are refused", malformed_records_are_refused },
+  { "unreadable route leaves others in force",
+    unreadable_route_leaves_others_in_force },
   { "random bytes are parsed safely", random_bytes_are_parsed_safely },
   CU_TEST_INFO_NULL,
 };
