A restore of the store does not undo the draining of a server

What callers would see: new statements at a server that leaves, until it reports again.

Cause: the copy's entry of a server that began to drain in the lost seconds says that it is ready, and is of a later era. Change: within one life of a server (born) draining stays over a change of era.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -154,6 +154,7 @@
 adopt_target (SsConfig *c, const char *name, int64_t version, json_t *json)
 {
   SsTarget parsed = { 0 };
+  bool draining_before;
   char *error = ss_parse_target (&parsed, json);
   SsTarget *t;
 
@@ -171,6 +172,8 @@
     }
   else
     target_clear_settings (t);
+  draining_before = t->draining && t->born_ms && t->born_ms == parsed.born_ms
+                    && ss_version_era (t->version) != ss_version_era (version);
   t->version = version;
   t->group = parsed.group;
   t->ip = parsed.ip;
@@ -178,7 +181,10 @@
   t->failure_domain = parsed.failure_domain;
   t->max_connections = parsed.max_connections;
   t->slots = parsed.slots;
-  t->draining = parsed.draining;
+  /* In a new era the copy's entry may be older: a server that leaves does not
+   * stay.
+   */
+  t->draining = parsed.draining || draining_before;
   t->removed = false;
   /* A new incarnation of the server: its last known state is void. */
   if (t->born_ms != parsed.born_ms)
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -113,6 +113,34 @@
   ss_config_finish (&c);
 }
 
+/* Guards against new work for a server that leaves: the copy's older entry said
+ * that it was ready.
+ */
+static void
+draining_outlasts_restore (void)
+{
+  static const char entry[]
+      = "{\"group\":\"g\",\"ip\":\"10.0.0.1\",\"port\":1,"
+        "\"failure_domain\":\"d\",\"slots\":2,\"born_ms\":%d,"
+        "\"draining\":%s}";
+  SsConfig c;
+  char *draining = g_strdup_printf (entry, 5, "true");
+  char *ready = g_strdup_printf (entry, 5, "false");
+  char *reborn = g_strdup_printf (entry, 6, "false");
+
+  ss_config_init (&c);
+  adopt (&c, "target/t", ss_version (0, 50), 0, draining);
+  CU_ASSERT (adopt (&c, "target/t", ss_version (1, 40), 0, ready)
+             == SS_ADOPT_DONE);
+  CU_ASSERT (ss_config_target (&c, "t")->draining);
+  adopt (&c, "target/t", ss_version (1, 44), 0, reborn);
+  CU_ASSERT (!ss_config_target (&c, "t")->draining);
+  ss_config_finish (&c);
+  g_free (draining);
+  g_free (ready);
+  g_free (reborn);
+}
+
 static void
 put_routes (LineSim *sim, const char *service)
 {
@@ -377,6 +405,7 @@
     newer_configuration_of_peer_is_adopted },
   { "group does not go back to earlier term",
     group_does_not_go_back_to_earlier_term },
+  { "draining outlasts restore", draining_outlasts_restore },
   { "restored store is listed again", restored_store_is_listed_again },
   { "response of earlier era is ignored", response_of_earlier_era_is_ignored },
   { "promotion ends after restore at any step",
