Any VM writes a lost name again; restores in histories, scenarios and the soak

Cause: two VMs knew of a promotion that the platform had lost, but only the coordinator of first rank writes it again, and that one had started since: it took the copy's older name, the servers refused its term, and nothing ended that. Change: every VM that knows a lost name writes it, after 500 ms for each rank; the conditional write lets one win.

--- a/bench/ss_soak.c
+++ b/bench/ss_soak.c
@@ -258,6 +258,21 @@
   platform_fault (window, "lose_after_effect", value, "0");
 }
 
+/* The platform is away and comes back from a copy taken when the window began;
+ * other clients write their objects again soon after.
+ */
+static void
+platform_restored (const FaultWindow *window)
+{
+  int64_t away_ms = random_between (window->soak, 0, 500);
+
+  add_line (window->soak, window->at_ms, "platform '{\"copy\":true}'");
+  add_line (window->soak, MAX (window->until_ms - away_ms, window->at_ms),
+            "platform '{\"down\":true}'");
+  add_line (window->soak, window->until_ms,
+            "platform '{\"restore\":true,\"down\":false}'");
+}
+
 typedef struct
 {
   Resource resource;
@@ -284,6 +299,7 @@
   { RESOURCE_PLATFORM, 2, platform_down },
   { RESOURCE_PLATFORM, 1, platform_slow },
   { RESOURCE_PLATFORM, 2, platform_lost_responses },
+  { RESOURCE_PLATFORM, 3, platform_restored },
 };
 
 /* --- schedule --- */
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -389,6 +389,7 @@
     {
       o->seen_version = stored->seen_version;
       o->seen_deleted = stored->seen_deleted;
+      o->lost_ms = now_ms;
     }
   o->adopted_ms = now_ms;
   c->sequence = MAX (c->sequence, o->sequence);
@@ -497,7 +498,7 @@
 
 /* Records what the platform holds although it is not adopted. */
 static void
-record_seen (SsConfig *c, const SsObject *object)
+record_seen (SsConfig *c, const SsObject *object, int64_t now_ms)
 {
   SsStoredObject *o = g_tree_lookup (c->objects, object->key);
 
@@ -506,6 +507,8 @@
     return;
   o->seen_version = object->version;
   o->seen_deleted = object->deleted;
+  if (!o->lost_ms)
+    o->lost_ms = now_ms;
 }
 
 SsAdoption
@@ -517,7 +520,7 @@
   *error = NULL;
   if (stored && !is_newer (stored, object))
     {
-      record_seen (config, object);
+      record_seen (config, object, now_ms);
       return SS_ADOPT_NOT_NEWER;
     }
   if (object->deleted)
@@ -576,20 +579,25 @@
 }
 
 void
-ss_config_record_absent (SsConfig *config, const char *key)
+ss_config_record_absent (SsConfig *config, const char *key, int64_t now_ms)
 {
   SsStoredObject *o = g_tree_lookup (config->objects, key);
 
-  if (o)
-    o->seen_deleted = true;
+  if (!o)
+    return;
+  o->seen_deleted = true;
+  if (!o->lost_ms)
+    o->lost_ms = now_ms;
 }
 
-bool
-ss_config_is_lost (const SsConfig *config, const char *key)
+int64_t
+ss_config_lost_since (const SsConfig *config, const char *key)
 {
   const SsStoredObject *o = ss_config_object (config, key);
 
-  return o && !o->deleted && (o->seen_version != o->version || o->seen_deleted);
+  if (!o || o->deleted || (o->seen_version == o->version && !o->seen_deleted))
+    return 0;
+  return o->lost_ms;
 }
 
 uint32_t
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -143,6 +143,7 @@
   int64_t seen_version; /* the latest version known at the platform, which may
                            have older content after a restore */
   bool seen_deleted;    /* that version is a deletion */
+  int64_t lost_ms; /* since when the platform has other content; 0: never */
 } SsStoredObject;
 
 typedef enum
@@ -178,11 +179,13 @@
  */
 int64_t ss_config_expected_version (const SsConfig *config, const char *key);
 /* ss_config_record_absent: records that the platform has no object KEY. */
-void ss_config_record_absent (SsConfig *config, const char *key);
-/* ss_config_is_lost: whether the platform, restored from a copy, holds older
- * content under KEY than is in force here, or none.
+void ss_config_record_absent (SsConfig *config, const char *key,
+                              int64_t now_ms);
+/* ss_config_lost_since: returns since when the platform, restored from a copy,
+ * is known to hold older content under KEY than is in force here, or none; 0 if
+ * it does not.
  */
-bool ss_config_is_lost (const SsConfig *config, const char *key);
+int64_t ss_config_lost_since (const SsConfig *config, const char *key);
 
 /* ss_config_max_connections: returns the limit on all connections to TARGET:
  * its own or its group's; 0 if neither is configured.
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -46,6 +46,10 @@
  * rate, as there may be thousands.
  */
 #define REWRITE_INTERVAL_MS 20
+/* Delay for each rank, so that normally one VM writes.  Every VM may be the
+ * only one that knows the name: others may have started since.
+ */
+#define REWRITE_RANK_DELAY_MS 500
 /* Another VM's promotion is not taken over for this long. */
 #define CLAIM_TIMEOUT_MS 2500
 #define COORDINATOR_SUBJECT "promotions"
@@ -133,10 +137,12 @@
 ss_coordinator_rewrite (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
   char *key = g_strconcat ("group/", group->name, NULL);
-  bool lost = *group->primary && ss_config_is_lost (&node->config, key);
+  int64_t lost_ms = ss_config_lost_since (&node->config, key);
 
   g_free (key);
-  if (!lost || node->now_ms < node->rewrite_due_ms)
+  if (!lost_ms || !*group->primary || node->now_ms < node->rewrite_due_ms
+      || node->now_ms - lost_ms
+             < (int64_t) ss_promote_rank (node, p) * REWRITE_RANK_DELAY_MS)
     return false;
   node->rewrite_due_ms = node->now_ms + REWRITE_INTERVAL_MS;
   ss_promote_begin (node, p, group, group->term, "-rewrite");
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -310,9 +310,9 @@
 tick_idle_platform (SsNode *node, SsPromotion *p, SsGroup *group)
 {
   if (node->now_ms < p->retry_ms || node->stopping
+      || ss_coordinator_rewrite (node, p, group)
       || !ss_coordinator_is_self (node)
-      || ss_coordinator_adopt_primary (node, p, group)
-      || ss_coordinator_rewrite (node, p, group))
+      || ss_coordinator_adopt_primary (node, p, group))
     return;
   if (is_primary_draining (group))
     p->requested = true;
@@ -335,9 +335,9 @@
       tick_idle_platform (node, p, group);
       return;
     }
-  if (ss_promote_rank (node, p) >= COORDINATOR_RANKS
-      || node->now_ms < p->retry_ms || node->stopping
-      || (p->rank == 0 && ss_coordinator_rewrite (node, p, group)))
+  if (node->now_ms < p->retry_ms || node->stopping
+      || ss_coordinator_rewrite (node, p, group)
+      || ss_promote_rank (node, p) >= COORDINATOR_RANKS)
     return;
   if (is_primary_draining (group) && p->rank == 0)
     p->requested = true;
@@ -441,7 +441,7 @@
     }
   if (outcome == SS_PLATFORM_ABSENT)
     {
-      ss_config_record_absent (&node->config, object->key);
+      ss_config_record_absent (&node->config, object->key, node->now_ms);
       ss_promote_give_up (node, p, "the platform has no such object");
       return;
     }
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -220,7 +220,8 @@
 bool ss_coordinator_adopt_primary (SsNode *node, SsPromotion *promotion,
                                    SsGroup *group);
 /* ss_coordinator_rewrite: starts to name GROUP's primary again if the platform,
- * restored from a copy, has lost it.  Returns whether it did.
+ * restored from a copy, has lost it and the VMs of higher rank have had time
+ * to. Returns whether it did.
  */
 bool ss_coordinator_rewrite (SsNode *node, SsPromotion *promotion,
                              const SsGroup *group);
--- a/tests/property.c
+++ b/tests/property.c
@@ -18,6 +18,7 @@
 static int defect;
 static gboolean verbose;
 static gboolean calm;
+static gboolean restores;
 
 static void
 print_report (uint32_t number, const SimReport *r)
@@ -48,6 +49,8 @@
     { "broken", 0, 0, G_OPTION_ARG_INT, &defect,
       "Defect to inject: a SimDefect of tests/sim.h", "N" },
     { "calm", 0, 0, G_OPTION_ARG_NONE, &calm, "No faults", NULL },
+    { "restores", 0, 0, G_OPTION_ARG_NONE, &restores,
+      "The platform's store returns from copies", NULL },
     { "verbose", 0, 0, G_OPTION_ARG_NONE, &verbose,
       "Print a report of each history", NULL },
     { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
@@ -66,23 +69,24 @@
     }
   for (int i = 0; i < count; i++)
     {
-      SimParams params
-          = { (uint32_t) (seed + i), !calm, faults_ms, (SimDefect) defect };
+      SimParams params = { (uint32_t) (seed + i), !calm, faults_ms,
+                           (SimDefect) defect, restores };
       SimReport report;
 
       sim_run (&params, &report);
       sum.acknowledged += report.acknowledged;
       sum.promotions += report.promotions;
       sum.may_have_run += report.may_have_run;
+      sum.restores += report.restores;
       if (verbose || sim_violations (&report))
         print_report (params.seed, &report);
       failed += sim_violations (&report) ? 1 : 0;
     }
   printf ("histories %d acknowledged %" G_GUINT64_FORMAT
           " promotions %" G_GUINT64_FORMAT " may_have_run %" G_GUINT64_FORMAT
-          "\n%d passed, %d failed\n",
+          " restores %" G_GUINT64_FORMAT "\n%d passed, %d failed\n",
           count, sum.acknowledged, sum.promotions, sum.may_have_run,
-          count - failed, failed);
+          sum.restores, count - failed, failed);
   g_option_context_free (context);
   return failed ? 1 : 0;
 }
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.."
 B=${B:-build}
 HISTORIES=${HISTORIES:-1000}
+RESTORES=${RESTORES:-200}
 SOAK=${SOAK:-3}
 JOBS=${JOBS:-8}
 out=$(mktemp -d)
@@ -36,20 +37,26 @@
 record unit "${p:-0}" "${f:-1}"
 
 # Property tests on simulated histories, split over JOBS processes.
-share=$(((HISTORIES + JOBS - 1) / JOBS))
-i=0
-while [ "$i" -lt "$JOBS" ]; do
-  "$B/ss-property" --seed $((1 + i * share)) --count "$share" \
-    >"$out/property.$i" 2>&1 &
-  i=$((i + 1))
-done
-wait
-for file in "$out"/property.*; do
-  grep -A1 '^seed' "$file"
-  f=$(sed -n 's/^[0-9]* passed, \([0-9]*\) failed$/\1/p' "$file")
-  p=$(sed -n 's/^\([0-9]*\) passed, .*/\1/p' "$file")
-  record histories "${p:-0}" "${f:-1}"
-done
+histories() { # name, count, option...
+  name=$1
+  share=$((($2 + JOBS - 1) / JOBS))
+  shift 2
+  i=0
+  while [ "$i" -lt "$JOBS" ]; do
+    "$B/ss-property" "$@" --seed $((1 + i * share)) --count "$share" \
+      >"$out/$name.$i" 2>&1 &
+    i=$((i + 1))
+  done
+  wait
+  for file in "$out/$name".*; do
+    grep -A1 '^seed' "$file"
+    f=$(sed -n 's/^[0-9]* passed, \([0-9]*\) failed$/\1/p' "$file")
+    p=$(sed -n 's/^\([0-9]*\) passed, .*/\1/p' "$file")
+    record "$name" "${p:-0}" "${f:-1}"
+  done
+}
+histories histories "$HISTORIES"
+histories restores "$RESTORES" --restores
 
 # Scenarios against real processes, one at a time: those of the documented
 # guarantees, and regression scenarios from failures of the soak test.
--- a/tests/sim.c
+++ b/tests/sim.c
@@ -1,6 +1,7 @@
 #include <stdarg.h>
 #include <string.h>
 
+#include "core/version.h"
 #include "tests/sim_internal.h"
 #include "xxhash.h"
 
@@ -218,12 +219,16 @@
 {
   const SsGroup *group = ss_config_group (&n->core.config, "g");
   int64_t version = group ? group->version : 0;
+  uint64_t rank = group ? 2 * group->term + (*group->primary ? 1 : 0) : 0;
+  bool same_era = ss_version_era (version) == ss_version_era (n->last_version);
 
-  if (version < n->last_version)
+  if (rank < n->last_rank || (same_era && version < n->last_version))
     sim_violation (sim, &sim->report->reverted,
-                   "%s returned to configuration version %d", n->vm,
-                   (int) version);
+                   "%s returned to configuration " SS_VERSION_FORMAT
+                   " term %" G_GUINT64_FORMAT,
+                   n->vm, SS_VERSION_ARGS (version), rank / 2);
   n->last_version = version;
+  n->last_rank = rank;
 }
 
 void
@@ -265,6 +270,7 @@
   n->incarnation++;
   n->paused_until_ms = 0;
   n->last_version = 0;
+  n->last_rank = 0;
 }
 
 static void
@@ -355,6 +361,16 @@
     }
 }
 
+/* Copies are up to some seconds old when the store returns to them. */
+static void
+copy_or_restore (Simulation *sim)
+{
+  if (sim_chance (sim, 300))
+    sim_platform_restore (sim);
+  if (sim_chance (sim, 500))
+    sim_platform_copy (sim);
+}
+
 static void
 heal_all (Simulation *sim)
 {
@@ -383,6 +399,8 @@
       return;
     }
   inject_random_fault (sim);
+  if (sim->params.restores)
+    copy_or_restore (sim);
   sim_schedule (sim, SCHEDULED_FAULT, sim_random (sim, 100, 1200));
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -29,7 +29,8 @@
   SIM_DEFECT_APPLIED_POSITION, /* replicas report all entries held as applied */
   SIM_DEFECT_RESULT,           /* some results carry a wrong value */
   SIM_DEFECT_ATOMICITY,        /* servers commit each statement on its own */
-  SIM_DEFECT_IDENTITY          /* callers connect under other callers' names */
+  SIM_DEFECT_IDENTITY,         /* callers connect under other callers' names */
+  SIM_DEFECT_ERA               /* the platform tells no era */
 } SimDefect;
 
 typedef struct
@@ -38,6 +39,7 @@
   bool faults;
   int64_t faults_ms; /* how long faults are injected */
   SimDefect defect;
+  bool restores; /* the platform's store returns from copies */
 } SimParams;
 
 typedef struct
@@ -52,10 +54,11 @@
   uint64_t crossed;            /* reads that returned another key's value */
   uint64_t mixed;              /* transactions applied in part */
   uint64_t ran_though_not_run; /* writes reported as not run that did run */
-  uint64_t reverted;           /* returns to an older configuration version */
+  uint64_t reverted;           /* returns to an older configuration */
   uint64_t late;  /* replies past deadline and margin, without faults */
   bool recovered; /* a write succeeded after the last fault */
   uint64_t promotions;
+  uint64_t restores; /* of the platform's store */
   uint64_t replica_reads;
   uint64_t actions_hash; /* of all actions of all cores, in order */
   char first_violation[200];
--- a/tests/sim_internal.h
+++ b/tests/sim_internal.h
@@ -41,6 +41,7 @@
   char tag[32];
   char sqlstate[6];
   SsPlatformOutcome outcome;
+  int64_t era; /* PLATFORM_ANSWER: of the store */
   int64_t revision;
   GPtrArray *objects; /* of StoredObject copies */
 } ScheduledEvent;
@@ -55,6 +56,7 @@
   char domain[8];
   char ip[16];
   int64_t last_version; /* of the group object in the configuration */
+  uint64_t last_rank;   /* rises with its term, and once that has a primary */
 } SimNode;
 
 typedef struct
@@ -139,6 +141,9 @@
   bool domain_partitioned[SIM_DOMAINS];
   GTree *objects; /* key -> StoredObject */
   int64_t revision;
+  int64_t era;
+  GTree *copy; /* of objects, or NULL */
+  int64_t copy_revision;
   bool platform_down;
   int32_t put_answers_to_lose;
   int64_t faults_end_ms;
@@ -150,7 +155,7 @@
 typedef struct
 {
   char *key;
-  int64_t version;
+  int64_t revision;
   char *value;
 } StoredObject;
 
@@ -197,6 +202,10 @@
 
 /* sim_platform.c */
 void sim_platform_init (Simulation *sim);
+/* sim_platform_copy: takes a copy of the store. */
+void sim_platform_copy (Simulation *sim);
+/* sim_platform_restore: returns to the last copy, if there is one. */
+void sim_platform_restore (Simulation *sim);
 void sim_platform_finish (Simulation *sim);
 /* sim_platform_action: executes ACTION of NODE and takes over its contents. */
 void sim_platform_action (Simulation *sim, int32_t node, SsAction *action);
--- a/tests/sim_platform.c
+++ b/tests/sim_platform.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/version.h"
 #include "kernel/compare.h"
 
 #include "tests/sim_internal.h"
@@ -24,7 +25,7 @@
   StoredObject *copy = g_new0 (StoredObject, 1);
 
   copy->key = g_strdup (o->key);
-  copy->version = o->version;
+  copy->revision = o->revision;
   copy->value = g_strdup (o->value);
   return copy;
 }
@@ -36,7 +37,7 @@
 
   o->key = g_strdup (key);
   o->value = g_strdup (value);
-  o->version = ++sim->revision;
+  o->revision = ++sim->revision;
   g_tree_replace (sim->objects, o->key, o);
 }
 
@@ -71,6 +72,58 @@
 sim_platform_finish (Simulation *sim)
 {
   g_tree_destroy (sim->objects);
+  g_clear_pointer (&sim->copy, g_tree_destroy);
+}
+
+/* --- copies --- */
+
+static gboolean
+add_copy (gpointer key, gpointer value, gpointer data)
+{
+  StoredObject *o = stored_object_copy (value);
+
+  (void) key;
+  g_tree_replace (data, o->key, o);
+  return FALSE;
+}
+
+static GTree *
+copy_objects (GTree *from)
+{
+  GTree *to = g_tree_new_full (ss_compare_strings, NULL, NULL,
+                               sim_stored_object_free);
+
+  g_tree_foreach (from, add_copy, to);
+  return to;
+}
+
+void
+sim_platform_copy (Simulation *sim)
+{
+  g_clear_pointer (&sim->copy, g_tree_destroy);
+  sim->copy = copy_objects (sim->objects);
+  sim->copy_revision = sim->revision;
+}
+
+void
+sim_platform_restore (Simulation *sim)
+{
+  if (!sim->copy)
+    return;
+  g_tree_destroy (sim->objects);
+  sim->objects = copy_objects (sim->copy);
+  sim->revision = sim->copy_revision;
+  sim->era++;
+  sim->report->restores++;
+}
+
+/* --- calls --- */
+
+/* The version of REVISION as the platform's adapter reports it. */
+static int64_t
+version_of (const Simulation *sim, int64_t era, int64_t revision)
+{
+  return ss_version (sim->params.defect == SIM_DEFECT_ERA ? 0 : era, revision);
 }
 
 static char *
@@ -100,6 +153,7 @@
   answer->action = call->action;
   memset (&call->action, 0, sizeof call->action);
   answer->outcome = outcome;
+  answer->era = sim->era;
   answer->revision = sim->revision;
   answer->objects = g_ptr_array_new ();
   return answer;
@@ -131,7 +185,7 @@
   const StoredObject *o = value;
 
   (void) key;
-  if (o->version > n->since)
+  if (o->revision > n->since)
     g_ptr_array_add (n->out, stored_object_copy (o));
   return FALSE;
 }
@@ -139,10 +193,16 @@
 static void
 answer_watch (Simulation *sim, ScheduledEvent *call)
 {
-  NewerObjects newer = { call->action.number, NULL };
+  int64_t since = ss_version_revision (call->action.number);
+  NewerObjects newer = { since, NULL };
   ScheduledEvent *scheduled;
 
-  if (sim->revision <= call->action.number
+  if (since > sim->revision)
+    {
+      schedule_answer (sim, call, 2, SS_PLATFORM_ABSENT);
+      return;
+    }
+  if (sim->revision <= since
       && sim->clock.now_ms - (int64_t) call->id < LONG_POLL_MS)
     {
       scheduled = sim_schedule (sim, SCHEDULED_PLATFORM_CALL, WATCH_CHECK_MS);
@@ -173,11 +233,11 @@
 answer_put (Simulation *sim, ScheduledEvent *call)
 {
   StoredObject *old = g_tree_lookup (sim->objects, call->action.name);
-  int64_t version = old ? old->version : 0;
+  int64_t revision = old ? old->revision : 0;
   SsPlatformOutcome outcome = SS_PLATFORM_DONE;
   ScheduledEvent *answer;
 
-  if (version != call->action.number)
+  if (revision != ss_version_revision (call->action.number))
     outcome = SS_PLATFORM_CONFLICT;
   else
     store_object (sim, call->action.name, call->action.text);
@@ -236,6 +296,7 @@
 deliver_objects (Simulation *sim, ScheduledEvent *scheduled)
 {
   SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
+  int64_t era = scheduled->era;
   SsObject *objects = g_new0 (SsObject, scheduled->objects->len + 1);
 
   for (guint i = 0; i < scheduled->objects->len; i++)
@@ -243,13 +304,14 @@
       const StoredObject *o = g_ptr_array_index (scheduled->objects, i);
 
       objects[i].key = o->key;
-      objects[i].version = o->version;
+      objects[i].version = version_of (sim, era, o->revision);
       objects[i].value = o->value;
       objects[i].value_bytes = (uint32_t) strlen (o->value);
     }
   e.platform_objects.outcome = scheduled->outcome;
   e.platform_objects.since = scheduled->action.number;
-  e.platform_objects.revision = scheduled->revision;
+  e.era = ss_version_era (version_of (sim, era, 0));
+  e.platform_objects.revision = version_of (sim, era, scheduled->revision);
   e.platform_objects.objects = objects;
   e.platform_objects.object_count = scheduled->objects->len;
   sim_deliver (sim, scheduled->node, &e);
@@ -262,6 +324,7 @@
   SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECT };
   SsObject *object = &e.platform_object.object;
 
+  e.era = ss_version_era (version_of (sim, scheduled->era, 0));
   e.platform_object.call = scheduled->action.id;
   e.platform_object.outcome = scheduled->outcome;
   object->key = scheduled->action.name;
@@ -269,7 +332,7 @@
     {
       const StoredObject *o = g_ptr_array_index (scheduled->objects, 0);
 
-      object->version = o->version;
+      object->version = version_of (sim, scheduled->era, o->revision);
       object->value = o->value;
       object->value_bytes = (uint32_t) strlen (o->value);
     }
--- a/tests/test_histories.c
+++ b/tests/test_histories.c
@@ -14,7 +14,8 @@
 static void
 run (uint32_t seed, SimDefect defect, SimReport *report)
 {
-  SimParams params = { seed, true, FAULTS_MS, defect };
+  SimParams params
+      = { seed, true, FAULTS_MS, defect, defect == SIM_DEFECT_ERA };
 
   sim_run (&params, report);
 }
@@ -119,6 +120,32 @@
   CU_ASSERT (count_violations (SIM_DEFECT_IDENTITY, stale) > 0);
 }
 
+/* Guards against a group without writes after a restore: only VMs of low rank
+ * knew its last change, and none of them wrote it again.
+ */
+static void
+change_known_to_some_vms_is_written_again (void)
+{
+  SimParams params = { 912, true, FAULTS_MS, SIM_DEFECT_NONE, true };
+  SimReport r;
+
+  sim_run (&params, &r);
+  CU_ASSERT (r.restores > 0);
+  CU_ASSERT (sim_violations (&r) == 0);
+}
+
+static uint64_t
+not_recovered (const SimReport *r)
+{
+  return r->recovered ? 0 : 1;
+}
+
+static void
+platform_without_eras_ends_writes (void)
+{
+  CU_ASSERT (count_violations (SIM_DEFECT_ERA, not_recovered) > 0);
+}
+
 CU_TestInfo test_histories[] = {
   { "same seed gives same actions", same_seed_gives_same_actions },
   { "false log positions lose writes", false_log_positions_lose_writes },
@@ -131,5 +158,8 @@
   { "partial commits are detected", partial_commits_are_detected },
   { "swapped identities give stale reads",
     swapped_identities_give_stale_reads },
+  { "change known to some vms is written again",
+    change_known_to_some_vms_is_written_again },
+  { "platform without eras ends writes", platform_without_eras_ends_writes },
   CU_TEST_INFO_NULL,
 };
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -18,7 +18,7 @@
   SsObject o
       = { key, version, json, (uint32_t) strlen (json), false, sequence };
   char *error;
-  SsAdoption result = ss_config_adopt (config, &o, 0, &error);
+  SsAdoption result = ss_config_adopt (config, &o, 1, &error);
 
   g_free (error);
   return result;
@@ -66,11 +66,11 @@
              == SS_ADOPT_NOT_NEWER);
   CU_ASSERT_PTR_NOT_NULL (ss_config_service (&c, "a"));
   CU_ASSERT_PTR_NULL (ss_config_service (&c, "b"));
-  CU_ASSERT (ss_config_is_lost (&c, "routes/main"));
+  CU_ASSERT (ss_config_lost_since (&c, "routes/main") > 0);
   CU_ASSERT (ss_config_expected_version (&c, "routes/main")
              == ss_version (1, 40));
   CU_ASSERT (adopt_routes (&c, ss_version (1, 43), 30, "a") == SS_ADOPT_DONE);
-  CU_ASSERT (!ss_config_is_lost (&c, "routes/main"));
+  CU_ASSERT (ss_config_lost_since (&c, "routes/main") == 0);
   ss_config_finish (&c);
 }
 
@@ -329,15 +329,18 @@
   line_sim_finish (&sim);
 }
 
-/* --- a VM that is behind its peers --- */
+/* --- other VMs --- */
+
+/* Ranks before the VM "a" of the simulation. */
+#define COORDINATOR_VM "f"
 
 static void
-receive_heartbeat (LineSim *sim, int64_t sequence)
+receive_heartbeat (LineSim *sim, const char *vm, int64_t sequence)
 {
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__Heartbeat heartbeat = SS__PEER__HEARTBEAT__INIT;
 
-  heartbeat.vm = (char *) "b";
+  heartbeat.vm = (char *) vm;
   heartbeat.failure_domain = (char *) "d";
   heartbeat.ip = (char *) "10.0.0.2";
   heartbeat.peer_port = 1;
@@ -349,6 +352,33 @@
   line_sim_deliver_peer_message (sim, &e);
 }
 
+/* Guards against a name that is lost for good: VM "b" coordinates promotions,
+ * but it started after the restore and knows only what the platform holds.
+ */
+static void
+name_known_to_no_coordinator_is_written_again (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 19, 2, 8);
+  line_sim_copy (&sim);
+  line_sim_crash (&sim, 0);
+  CU_ASSERT (writes_run (&sim, RECOVERY_MAX_MS));
+  receive_heartbeat (&sim, COORDINATOR_VM, 0);
+  line_sim_advance (&sim, 100);
+  CU_ASSERT (!ss_coordinator_is_self (&sim.node));
+  line_sim_restore (&sim);
+  for (uint32_t i = 0; i < 12; i++)
+    {
+      receive_heartbeat (&sim, COORDINATOR_VM, 0);
+      line_sim_advance (&sim, 250);
+    }
+  CU_ASSERT (!ss_coordinator_is_self (&sim.node));
+  CU_ASSERT (platform_names_primary (&sim));
+  CU_ASSERT (ss_config_group (&sim.node.config, "g")->term == 2);
+  line_sim_finish (&sim);
+}
+
 /* Guards against CONFIG: a VM whose watch of the routes is silent, while its
  * other watches are answered, neither watched nor asked its peers.
  */
@@ -361,7 +391,7 @@
   CU_ASSERT (!sim.node.platform_down);
   for (uint32_t i = 0; i < 4; i++)
     {
-      receive_heartbeat (&sim, 9);
+      receive_heartbeat (&sim, "b", 9);
       line_sim_advance (&sim, 250);
     }
   CU_ASSERT (sim.config_pulls > 0);
@@ -383,14 +413,14 @@
   char *error;
 
   line_sim_init (&sim, 18, 2, 8);
-  receive_heartbeat (&sim, 9);
+  receive_heartbeat (&sim, "b", 9);
   line_sim_advance (&sim, 250);
   o.version = sim.version + 1;
   CU_ASSERT (ss_config_adopt (&sim.node.config, &o, sim.now_ms, &error)
              == SS_ADOPT_DONE);
   for (uint32_t i = 0; i < 4; i++)
     {
-      receive_heartbeat (&sim, 9);
+      receive_heartbeat (&sim, "b", 9);
       line_sim_advance (&sim, 250);
     }
   CU_ASSERT (sim.config_pulls == 0);
@@ -413,6 +443,8 @@
   { "promotion ends after two restores", promotion_ends_after_two_restores },
   { "lost name of primary is written again",
     lost_name_of_primary_is_written_again },
+  { "name known to no coordinator is written again",
+    name_known_to_no_coordinator_is_written_again },
   { "vm behind its peers asks them", vm_behind_its_peers_asks_them },
   { "vm that catches up asks nobody", vm_that_catches_up_asks_nobody },
   CU_TEST_INFO_NULL,
