A group whose servers have taken a lost term is promoted above it

Cause: a restore loses a promotion and every VM that knew of it starts anew. The platform names the former primary at its old term, which is up and says so, so no VM suspects it; but two of three servers have taken the later term and refuse the old one, so nothing that it commits is acknowledged. Only the restore makes this possible: else the claim is always at the platform before a server is raised. Change: if too few servers are left in the group's term for a majority, for 1.5 s (another VM's promotion names its primary in less), a promotion begins; its term is above all that were shown.

--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -17,6 +17,10 @@
 #define SILENT_SILENCE_MS 1000
 /* Replicas hear the primary, but no VM reaches it. */
 #define UNREACHED_DOWN_MS 5000
+/* A promotion of another VM that this one has not heard of names its primary in
+ * less time.
+ */
+#define OVERTAKEN_MS 1500
 /* Delay for each coordinator rank, so that the first one normally acts alone.
  */
 #define RANK_DELAY_MS 500
@@ -261,8 +265,33 @@
   return MAX ((others + 1) / 2, 1);
 }
 
+/* Whether so many servers have taken a later term that none of the group's term
+ * gathers a majority: the platform lost the claim of that term.
+ */
 static bool
-is_primary_suspect (SsNode *node, const SsPromotion *p, const SsGroup *group)
+is_overtaken (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  uint32_t later = 0;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      const SsTarget *t = group->servers[i];
+
+      if (t->state.reachable && node->now_ms - t->reachable_ms < FRESH_REPORT_MS
+          && t->state.shown_term > group->term)
+        later++;
+    }
+  if (group->server_count - later >= ss_group_majority (group))
+    p->overtaken_ms = 0;
+  else if (!p->overtaken_ms)
+    p->overtaken_ms = node->now_ms;
+  return p->overtaken_ms
+         && node->now_ms - p->overtaken_ms
+                >= OVERTAKEN_MS + (int64_t) p->rank * RANK_DELAY_MS;
+}
+
+static bool
+is_primary_suspect (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
   const SsTarget *primary = ss_group_primary (group);
   int64_t down_ms = node->now_ms - p->primary_seen_ms;
@@ -273,6 +302,8 @@
     return node->now_ms - group->changed_ms >= CLAIM_TIMEOUT_MS + delay_ms;
   if (!primary)
     return false;
+  if (is_overtaken (node, p, group))
+    return true;
   if (primary->state.refused && down_ms >= CRASH_DOWN_MS + delay_ms
       && count_silent (node, group, CRASH_SILENCE_MS) >= needed)
     return true;
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -59,6 +59,8 @@
   char *group;
   SsPromoteStep step;
   int64_t primary_seen_ms; /* when the primary was last known to serve */
+  int64_t overtaken_ms;    /* since when too few servers are left in the term of
+                              the group; 0: enough are */
   uint64_t seen_term;      /* term of the group when it was last looked at */
   int64_t since_ms;        /* when the step started */
   int64_t started_ms;      /* when the promotion started */
