The operator's number goes before any version; the order is a module of its own

Cause: across eras the operator's number decided already; a store that comes back without telling its era (no header) would still keep out all changes at lower revisions. The number rises with each change whatever the store does. Change: config_order.c, out of config.c: numbers first where both objects have one, then versions, then, between eras, a group's term. Evidence: "operator's number goes before revision" fails with versions first in one era, passes now.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -5,7 +5,7 @@
 # UPWARD still include a higher layer; the list may only get shorter.
 set -eu
 cd "$(dirname "$0")/.."
-MEMBERSHIP="members rank relay relay_views isolation peers watch config config_sync
+MEMBERSHIP="members rank relay relay_views isolation peers watch config config_order era config_sync
   directory parse"
 PROMOTION="promote coordinator term_raise lease placement predict"
 UPWARD="config_sync.c:owned.h isolation.c:owned.h isolation.c:promotion.h
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "core/config_order.h"
 #include "core/parse.h"
 #include "core/version.h"
 #include "kernel/compare.h"
@@ -62,10 +63,10 @@
   g_free (t);
 }
 
-static void
-group_free (gpointer data)
+void
+ss_group_free (gpointer group)
 {
-  SsGroup *g = data;
+  SsGroup *g = group;
 
   g_free (g->name);
   g_free (g->primary);
@@ -82,7 +83,8 @@
       = g_tree_new_full (ss_compare_strings, NULL, NULL, service_free);
   config->targets
       = g_tree_new_full (ss_compare_strings, NULL, NULL, target_free);
-  config->groups = g_tree_new_full (ss_compare_strings, NULL, NULL, group_free);
+  config->groups
+      = g_tree_new_full (ss_compare_strings, NULL, NULL, ss_group_free);
   config->max_connections
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   config->transaction_idle_ms = 0;
@@ -237,7 +239,7 @@
   g->changed_ms = now_ms;
   if (error)
     {
-      group_free (g);
+      ss_group_free (g);
       return error;
     }
   before = ss_config_group (c, name);
@@ -414,88 +416,6 @@
   g_tree_foreach (c->groups, attach_servers, c);
 }
 
-/* --- order of objects --- */
-
-/* Whether the content under KEY stays in force when a restored store no longer
- * has it: the operator or the VMs write it again.
- */
-static bool
-outlives_restore (const char *key)
-{
-  return !g_str_has_prefix (key, "target/") && !g_str_has_prefix (key, "vm/");
-}
-
-/* Returns a rank that rises with each change of a group: its terms rise, and a
- * term has no primary before it has one.  0: OBJECT is no valid group.
- */
-static uint64_t
-group_rank (const SsObject *object)
-{
-  json_t *json = json_loadb (object->value, object->value_bytes, 0, NULL);
-  SsGroup *g = g_new0 (SsGroup, 1);
-  char *error = ss_parse_group (g, json);
-  uint64_t rank = error ? 0 : 2 * g->term + (*g->primary ? 1 : 0);
-
-  g_free (error);
-  group_free (g);
-  json_decref (json);
-  return rank;
-}
-
-static SsObject
-object_of (const SsStoredObject *stored)
-{
-  gsize bytes;
-  const char *value = g_bytes_get_data (stored->value, &bytes);
-
-  return (SsObject){ .key = stored->key,
-                     .version = stored->version,
-                     .value = value,
-                     .value_bytes = (uint32_t) bytes,
-                     .deleted = stored->deleted,
-                     .sequence = stored->sequence };
-}
-
-/* Compares the contents of two objects of different eras: below 0 if STORED is
- * the older one, above 0 if it is the newer one, 0 if they do not tell.
- */
-static int
-compare_contents (const SsStoredObject *stored, const SsObject *object)
-{
-  SsObject before = object_of (stored);
-  uint64_t rank_before;
-  uint64_t rank;
-
-  if (before.deleted || object->deleted)
-    return 0;
-  if (before.sequence && object->sequence)
-    return before.sequence < object->sequence
-               ? -1
-               : before.sequence > object->sequence;
-  if (!g_str_has_prefix (object->key, "group/"))
-    return 0;
-  rank_before = group_rank (&before);
-  rank = group_rank (object);
-  return rank_before < rank ? -1 : rank_before > rank;
-}
-
-/* A deletion carries the version of the object that it deletes. */
-static bool
-is_newer (const SsStoredObject *stored, const SsObject *object)
-{
-  int order = 0;
-
-  if (stored->version == object->version)
-    return object->deleted && !stored->deleted;
-  if (ss_version_era (stored->version) != ss_version_era (object->version))
-    {
-      if (object->deleted && outlives_restore (object->key))
-        return false;
-      order = compare_contents (stored, object);
-    }
-  return order ? order < 0 : stored->version < object->version;
-}
-
 /* Records what the platform holds although it is not adopted. */
 static void
 record_seen (SsConfig *c, const SsObject *object, int64_t now_ms)
@@ -518,7 +438,7 @@
   const SsStoredObject *stored = ss_config_object (config, object->key);
 
   *error = NULL;
-  if (stored && !is_newer (stored, object))
+  if (stored && !ss_config_is_newer (stored, object))
     {
       record_seen (config, object, now_ms);
       return SS_ADOPT_NOT_NEWER;
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -1,12 +1,9 @@
 /* config: the configuration in force, built from platform objects.
  *
- * An object is adopted only if it is newer than the stored one: within an era
- * of the store by its version; a deletion may carry the same version.  In a
- * later era the store may hold older content: there the operator's sequence
- * number and a group's term decide first, so that neither goes back.  Keys are
- * service/NAME, target/NAME and group/NAME.  routes/NAME replaces all services
- * at once and declares the groups.  Objects under other keys are stored and
- * forwarded uninterpreted.
+ * An object is adopted only if it is newer than the stored one
+ * (config_order.h).  Keys are service/NAME, target/NAME and group/NAME.
+ * routes/NAME replaces all services at once and declares the groups.  Objects
+ * under other keys are stored and forwarded uninterpreted.
  */
 #ifndef SS_CONFIG_H
 #define SS_CONFIG_H
@@ -203,6 +200,8 @@
  */
 int64_t ss_config_group_staleness (const SsConfig *config, const char *group);
 
+/* ss_group_free: frees GROUP, an SsGroup. */
+void ss_group_free (gpointer group);
 /* ss_group_majority: returns the number of servers in a majority. */
 uint32_t ss_group_majority (const SsGroup *group);
 /* ss_group_primary: returns the configured primary, or NULL. */
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -52,6 +52,23 @@
   ss_config_finish (&c);
 }
 
+/* Guards against CONFIG: a store that came back without telling its era kept
+ * out all changes at lower revisions.
+ */
+static void
+operators_number_goes_before_revision (void)
+{
+  SsConfig c;
+
+  ss_config_init (&c);
+  CU_ASSERT (adopt_routes (&c, ss_version (0, 57), 30, "a") == SS_ADOPT_DONE);
+  CU_ASSERT (adopt_routes (&c, ss_version (0, 58), 25, "b")
+             == SS_ADOPT_NOT_NEWER);
+  CU_ASSERT (adopt_routes (&c, ss_version (0, 41), 35, "c") == SS_ADOPT_DONE);
+  CU_ASSERT_PTR_NOT_NULL (ss_config_service (&c, "c"));
+  ss_config_finish (&c);
+}
+
 /* Guards against CONFIG: the copy's older configuration replaced the one in
  * force.
  */
@@ -429,6 +446,8 @@
 
 CU_TestInfo test_restore[] = {
   { "change after restore is in force", change_after_restore_is_in_force },
+  { "operator's number goes before revision",
+    operators_number_goes_before_revision },
   { "older copy does not replace configuration",
     older_copy_does_not_replace_configuration },
   { "newer configuration of peer is adopted",
