--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -11,6 +11,7 @@
 #define ANSWER_MAX_MS 30
 #define THINK_TIME_MAX_MS 15
 #define REPLY_MAX_MS 5000
+#define WRITE_RETRY_MS 50
 #define APPLY_LAG_MS 20
 #define PROMOTION_DELAY_MS 300
 
@@ -928,6 +929,21 @@
   return !s->awaiting_reply;
 }
 
+bool
+line_sim_write (LineSim *sim, int64_t within_ms)
+{
+  int64_t due_ms = sim->now_ms + within_ms;
+
+  while (sim->now_ms < due_ms)
+    {
+      if (line_sim_execute (sim, 1, "WRITE 1a x")
+          && sim->sessions[0].verdict == SS_VERDICT_RAN)
+        return true;
+      line_sim_advance (sim, WRITE_RETRY_MS);
+    }
+  return false;
+}
+
 void
 line_sim_crash (LineSim *sim, uint32_t server)
 {
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -125,6 +125,10 @@
  * statements and got its replies.
  */
 void line_sim_run_random (LineSim *sim, uint32_t statements);
+/* line_sim_write: writes in session 1 until a write runs, for at most
+ * WITHIN_MS. Returns whether one did.
+ */
+bool line_sim_write (LineSim *sim, int64_t within_ms);
 /* line_sim_crash: crashes SERVER (from 0): its connections break, new ones
  * are refused.
  */
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -242,21 +242,6 @@
 #define MOMENT_STEP_MS 20
 #define MOMENT_LAST_MS 2400
 
-static bool
-writes_run (LineSim *sim, int64_t within_ms)
-{
-  int64_t due_ms = sim->now_ms + within_ms;
-
-  while (sim->now_ms < due_ms)
-    {
-      if (line_sim_execute (sim, 1, "WRITE 1a x")
-          && sim->sessions[0].verdict == SS_VERDICT_RAN)
-        return true;
-      line_sim_advance (sim, 50);
-    }
-  return false;
-}
-
 /* Whether the platform's object of the group names the primary in force. */
 static bool
 platform_names_primary (LineSim *sim)
@@ -280,7 +265,7 @@
   LineSim sim;
 
   line_sim_init (&sim, 11, 2, 8);
-  CU_ASSERT (writes_run (&sim, 500));
+  CU_ASSERT (line_sim_write (&sim, 500));
   line_sim_crash (&sim, 0);
   line_sim_advance (&sim, copy_ms);
   line_sim_copy (&sim);
@@ -290,7 +275,7 @@
       line_sim_restore (&sim);
       line_sim_advance (&sim, 100);
     }
-  CU_ASSERT (writes_run (&sim, RECOVERY_MAX_MS));
+  CU_ASSERT (line_sim_write (&sim, RECOVERY_MAX_MS));
   line_sim_advance (&sim, 1000);
   CU_ASSERT (platform_names_primary (&sim));
   CU_ASSERT (ss_config_group (&sim.node.config, "g")->term >= 2);
@@ -336,13 +321,13 @@
   line_sim_init (&sim, 12, 2, 8);
   line_sim_copy (&sim);
   line_sim_crash (&sim, 0);
-  CU_ASSERT (writes_run (&sim, RECOVERY_MAX_MS));
+  CU_ASSERT (line_sim_write (&sim, RECOVERY_MAX_MS));
   line_sim_restore (&sim);
   line_sim_advance (&sim, SS_LEASE_MS);
   CU_ASSERT (platform_names_primary (&sim));
   CU_ASSERT (ss_config_group (&sim.node.config, "g")->term == 2);
   CU_ASSERT (sim.promotions == 1);
-  CU_ASSERT (writes_run (&sim, 500));
+  CU_ASSERT (line_sim_write (&sim, 500));
   line_sim_finish (&sim);
 }
 
@@ -380,7 +365,7 @@
   line_sim_init (&sim, 19, 2, 8);
   line_sim_copy (&sim);
   line_sim_crash (&sim, 0);
-  CU_ASSERT (writes_run (&sim, RECOVERY_MAX_MS));
+  CU_ASSERT (line_sim_write (&sim, RECOVERY_MAX_MS));
   receive_heartbeat (&sim, COORDINATOR_VM, 0);
   line_sim_advance (&sim, 100);
   CU_ASSERT (!ss_coordinator_is_self (&sim.node));
--- a/tests/test_restore_lease.c
+++ b/tests/test_restore_lease.c
@@ -10,21 +10,6 @@
   "{\"failure_domain\":\"d\",\"ip\":\"10.0.0.3\",\"leases\":[\"g\"],"          \
   "\"peer_port\":3}"
 
-static bool
-writes_run (LineSim *sim, int64_t within_ms)
-{
-  int64_t due_ms = sim->now_ms + within_ms;
-
-  while (sim->now_ms < due_ms)
-    {
-      if (line_sim_execute (sim, 1, "WRITE 1a x")
-          && sim->sessions[0].verdict == SS_VERDICT_RAN)
-        return true;
-      line_sim_advance (sim, 50);
-    }
-  return false;
-}
-
 /* Guards against an outage of writes after a restore that lost nothing of the
  * group: the lease ends by its own time only.
  */
@@ -34,7 +19,7 @@
   LineSim sim;
 
   line_sim_init (&sim, 13, 2, 8);
-  CU_ASSERT (writes_run (&sim, 500));
+  CU_ASSERT (line_sim_write (&sim, 500));
   line_sim_copy (&sim);
   line_sim_restore (&sim);
   for (uint32_t i = 0; i < 40; i++)
