What a restore costs: no look at each group on each tick, no second parse

Each idle group looked up its object on each tick (a string and a tree search) to see whether the platform had lost it: the group itself has that now. 2. A restore gives all targets new versions; each was parsed again and all groups searched for it. A target whose content is the same gets the version alone. 3. A VM that the platform does not answer tried to write lost names every 0.3 s. 4. A VM that refuses what its peers have in force asked them every 0.4 s; now 2 s. 5. A promotion that went on over a restore was learned as a shorter one.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -340,6 +340,40 @@
   return NULL;
 }
 
+/* Whether OBJECT has the same content as STORED, at another version. */
+static bool
+is_unchanged (const SsStoredObject *stored, const SsObject *object)
+{
+  gsize bytes;
+  const char *value;
+
+  if (!stored || stored->deleted || object->deleted)
+    return false;
+  value = g_bytes_get_data (stored->value, &bytes);
+  return bytes == object->value_bytes
+         && memcmp (value, object->value, bytes) == 0;
+}
+
+/* Updates the version of a target whose object has the same content as before.
+ * Returns false if it is another one.  After a restore all targets have new
+ * versions, and most the same content.
+ */
+static bool
+refresh_target (SsConfig *c, const SsStoredObject *stored,
+                const SsObject *object)
+{
+  SsTarget *t;
+
+  if (!g_str_has_prefix (object->key, "target/")
+      || !is_unchanged (stored, object))
+    return false;
+  t = ss_config_target (c, strchr (object->key, '/') + 1);
+  if (!t || t->removed)
+    return false;
+  t->version = object->version;
+  return true;
+}
+
 static char *
 adopt_parsed (SsConfig *c, const char *key, int64_t version, const char *value,
               uint32_t value_bytes, int64_t now_ms)
@@ -370,6 +404,23 @@
                                (XXH64_hash_t) version * 2 + (deleted ? 1 : 0));
 }
 
+/* Updates since when the platform has lost the content of O, a group's object.
+ */
+static void
+update_lost (const SsConfig *c, const SsStoredObject *o, int64_t now_ms)
+{
+  SsGroup *g = g_str_has_prefix (o->key, "group/")
+                   ? ss_config_group (c, strchr (o->key, '/') + 1)
+                   : NULL;
+
+  if (!g)
+    return;
+  if (o->deleted || (o->seen_version == o->version && !o->seen_deleted))
+    g->lost_ms = 0;
+  else if (!g->lost_ms)
+    g->lost_ms = now_ms;
+}
+
 static void
 store_object (SsConfig *c, const SsObject *object, int64_t now_ms)
 {
@@ -391,11 +442,11 @@
     {
       o->seen_version = stored->seen_version;
       o->seen_deleted = stored->seen_deleted;
-      o->lost_ms = now_ms;
     }
   o->adopted_ms = now_ms;
   c->sequence = MAX (c->sequence, o->sequence);
   g_tree_replace (c->objects, o->key, o);
+  update_lost (c, o, now_ms);
 }
 
 /* Only the deletion of a target takes effect.  Other objects that are deleted
@@ -427,8 +478,7 @@
     return;
   o->seen_version = object->version;
   o->seen_deleted = object->deleted;
-  if (!o->lost_ms)
-    o->lost_ms = now_ms;
+  update_lost (c, o, now_ms);
 }
 
 SsAdoption
@@ -445,7 +495,7 @@
     }
   if (object->deleted)
     remove_object (config, object->key);
-  else
+  else if (!refresh_target (config, stored, object))
     *error = adopt_parsed (config, object->key, object->version, object->value,
                            object->value_bytes, now_ms);
   if (*error)
@@ -506,18 +556,7 @@
   if (!o)
     return;
   o->seen_deleted = true;
-  if (!o->lost_ms)
-    o->lost_ms = now_ms;
-}
-
-int64_t
-ss_config_lost_since (const SsConfig *config, const char *key)
-{
-  const SsStoredObject *o = ss_config_object (config, key);
-
-  if (!o || o->deleted || (o->seen_version == o->version && !o->seen_deleted))
-    return 0;
-  return o->lost_ms;
+  update_lost (config, o, now_ms);
 }
 
 uint32_t
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -109,6 +109,8 @@
   int64_t changed_ms;          /* when this VM adopted this version */
   int64_t no_primary_since_ms; /* since when this VM knows of no primary in this
                          term; 0: a primary is set */
+  int64_t lost_ms; /* since when the platform, restored from a copy, is known to
+                      hold older content or none; 0: it does not */
   int64_t confirmed_ms; /* when the last query was sent by which the platform
                            confirmed this version as current; 0: never */
   SsTarget *servers[SS_CONFIG_SERVERS_MAX];
@@ -140,7 +142,6 @@
   int64_t seen_version; /* the latest version known at the platform, which may
                            have older content after a restore */
   bool seen_deleted;    /* that version is a deletion */
-  int64_t lost_ms; /* since when the platform has other content; 0: never */
 } SsStoredObject;
 
 typedef enum
@@ -178,11 +179,6 @@
 /* ss_config_record_absent: records that the platform has no object KEY. */
 void ss_config_record_absent (SsConfig *config, const char *key,
                               int64_t now_ms);
-/* ss_config_lost_since: returns since when the platform, restored from a copy,
- * is known to hold older content under KEY than is in force here, or none; 0 if
- * it does not.
- */
-int64_t ss_config_lost_since (const SsConfig *config, const char *key);
 
 /* ss_config_max_connections: returns the limit on all connections to TARGET:
  * its own or its group's; 0 if neither is configured.
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -136,12 +136,9 @@
 bool
 ss_coordinator_rewrite (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
-  char *key = g_strconcat ("group/", group->name, NULL);
-  int64_t lost_ms = ss_config_lost_since (&node->config, key);
-
-  g_free (key);
-  if (!lost_ms || !*group->primary || node->now_ms < node->rewrite_due_ms
-      || node->now_ms - lost_ms
+  if (!group->lost_ms || !*group->primary || node->platform_down
+      || node->now_ms < node->rewrite_due_ms
+      || node->now_ms - group->lost_ms
              < (int64_t) ss_promote_rank (node, p) * REWRITE_RANK_DELAY_MS)
     return false;
   node->rewrite_due_ms = node->now_ms + REWRITE_INTERVAL_MS;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -132,7 +132,7 @@
   uint64_t subscribed_generation;
   int64_t pull_due_ms;
   int64_t behind_sequence; /* config.sequence when a peer was last seen ahead */
-  int64_t behind_since_ms; /* since when peers are ahead of it; 0: never */
+  int64_t behind_due_ms;   /* when a peer that is ahead is asked; 0: never */
   SsWatchState watches[SS_WATCH_COUNT];
   GHashTable *pending_deletions; /* key -> SsPendingDeletion */
   GHashTable *relay_views;       /* VM -> the VMs in its last full report */
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -23,6 +23,9 @@
  * silent.
  */
 #define BEHIND_MS 400
+/* Interval of further requests: this VM may refuse what the peer has in force.
+ */
+#define BEHIND_RETRY_MS 2000
 /* Name prefix of a peer known only by its address. */
 #define SEED_PREFIX "@"
 
@@ -186,14 +189,14 @@
 {
   if (sequence <= node->config.sequence)
     return;
-  if (!node->behind_since_ms || node->behind_sequence != node->config.sequence)
+  if (!node->behind_due_ms || node->behind_sequence != node->config.sequence)
     {
       node->behind_sequence = node->config.sequence;
-      node->behind_since_ms = node->now_ms;
+      node->behind_due_ms = node->now_ms + (node->ready ? BEHIND_MS : 0);
     }
-  if (node->ready && node->now_ms - node->behind_since_ms < BEHIND_MS)
+  if (node->now_ms < node->behind_due_ms)
     return;
-  node->behind_since_ms = node->now_ms;
+  node->behind_due_ms = node->now_ms + BEHIND_RETRY_MS;
   ss_config_sync_pull_operator (node, vm);
 }
 
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -199,7 +199,10 @@
 {
   if (p->step == SS_PROMOTE_CALL || p->step == SS_PROMOTE_LEAD)
     {
+      int64_t started_ms = p->started_ms;
+
       ss_promote_begin (node, p, group, p->term, "-restore");
+      p->started_ms = started_ms;
       p->claim_lost = true;
       ss_promote_enter (node, p, SS_PROMOTE_LEAD);
       return;
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -83,11 +83,11 @@
              == SS_ADOPT_NOT_NEWER);
   CU_ASSERT_PTR_NOT_NULL (ss_config_service (&c, "a"));
   CU_ASSERT_PTR_NULL (ss_config_service (&c, "b"));
-  CU_ASSERT (ss_config_lost_since (&c, "routes/main") > 0);
   CU_ASSERT (ss_config_expected_version (&c, "routes/main")
              == ss_version (1, 40));
   CU_ASSERT (adopt_routes (&c, ss_version (1, 43), 30, "a") == SS_ADOPT_DONE);
-  CU_ASSERT (ss_config_lost_since (&c, "routes/main") == 0);
+  CU_ASSERT (ss_config_expected_version (&c, "routes/main")
+             == ss_version (1, 43));
   ss_config_finish (&c);
 }
 
@@ -124,9 +124,11 @@
                     "{\"term\":6,\"primary\":\"\"}")
              == SS_ADOPT_NOT_NEWER);
   CU_ASSERT_STRING_EQUAL (ss_config_group (&c, "g")->primary, "t2");
+  CU_ASSERT (ss_config_group (&c, "g")->lost_ms > 0);
   CU_ASSERT (adopt (&c, "group/g", ss_version (1, 58), 0,
                     "{\"term\":7,\"primary\":\"\"}")
              == SS_ADOPT_DONE);
+  CU_ASSERT (ss_config_group (&c, "g")->lost_ms == 0);
   ss_config_finish (&c);
 }
 
