--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -7,29 +7,8 @@
 
 #include "core/internal.h"
 
-/* A crash shows by refused connections and by replicas that hear nothing from
- * the primary.
- */
-#define CRASH_DOWN_MS 300
-#define CRASH_SILENCE_MS 250
-/* A frozen or partitioned primary answers nobody; a slow one still does. */
-#define SILENT_DOWN_MS 1500
-#define SILENT_SILENCE_MS 1000
-/* Replicas hear the primary, but no VM reaches it. */
-#define UNREACHED_DOWN_MS 5000
-/* A promotion of another VM that this one has not heard of names its primary in
- * less time.
- */
-#define OVERTAKEN_MS 1500
-/* Delay for each coordinator rank, so that the first one normally acts alone.
- */
-#define RANK_DELAY_MS 500
 /* VMs with a rank below this start promotions of the group. */
 #define COORDINATOR_RANKS 3
-/* A claim that has named no primary for this long counts as abandoned. */
-#define CLAIM_TIMEOUT_MS 1500
-/* A report older than this is stale. */
-#define FRESH_REPORT_MS 1500
 #define STEP_TIMEOUT_MS 4000
 /* Interval of reads after a write whose response was lost. */
 #define READ_RETRY_MS 200
@@ -125,7 +104,7 @@
   answer_operator (node, p, verdict, reason);
   p->retry_ms = node->now_ms + RETRY_MS;
   p->requested = false;
-  p->primary_seen_ms = node->now_ms - SILENT_DOWN_MS;
+  p->primary_seen_ms = node->now_ms - SS_SUSPICION_SILENT_MS;
   ss_promote_enter (node, p, SS_PROMOTE_IDLE);
 }
 
@@ -235,102 +214,6 @@
   ss_promote_write_group (node, p, "");
 }
 
-/* --- failure detection --- */
-
-/* Counts the replicas that are reachable and have heard nothing from the
- * primary for SILENCE_MS.
- */
-static uint32_t
-count_silent (SsNode *node, const SsGroup *group, uint32_t silence_ms)
-{
-  uint32_t silent = 0;
-
-  for (uint32_t i = 0; i < group->server_count; i++)
-    {
-      const SsTarget *t = group->servers[i];
-
-      if (strcmp (t->name, group->primary) != 0 && t->state.reachable
-          && node->now_ms - t->reachable_ms < FRESH_REPORT_MS
-          && t->state.silence_ms >= silence_ms)
-        silent++;
-    }
-  return silent;
-}
-
-/* Returns how many replicas must have stopped hearing from the primary: at
- * least half of them, and at least one.
- */
-static uint32_t
-witnesses_needed (const SsGroup *group)
-{
-  uint32_t others = group->server_count - 1;
-
-  return MAX ((others + 1) / 2, 1);
-}
-
-/* Whether so many servers have taken a later term that none of the group's term
- * gathers a majority: the platform lost the claim of that term.
- */
-static bool
-is_overtaken (SsNode *node, SsPromotion *p, const SsGroup *group)
-{
-  uint32_t later = 0;
-
-  for (uint32_t i = 0; i < group->server_count; i++)
-    {
-      const SsTarget *t = group->servers[i];
-
-      if (t->state.reachable && node->now_ms - t->reachable_ms < FRESH_REPORT_MS
-          && t->state.shown_term > group->term)
-        later++;
-    }
-  if (group->server_count - later >= ss_group_majority (group))
-    p->overtaken_ms = 0;
-  else if (!p->overtaken_ms)
-    p->overtaken_ms = node->now_ms;
-  return p->overtaken_ms
-         && node->now_ms - p->overtaken_ms
-                >= OVERTAKEN_MS + (int64_t) p->rank * RANK_DELAY_MS;
-}
-
-static bool
-is_primary_suspect (SsNode *node, SsPromotion *p, const SsGroup *group)
-{
-  const SsTarget *primary = ss_group_primary (group);
-  int64_t down_ms = node->now_ms - p->primary_seen_ms;
-  int64_t delay_ms = (int64_t) p->rank * RANK_DELAY_MS;
-  uint32_t needed = witnesses_needed (group);
-
-  if (!*group->primary)
-    return node->now_ms - group->changed_ms >= CLAIM_TIMEOUT_MS + delay_ms;
-  if (!primary)
-    return false;
-  if (is_overtaken (node, p, group))
-    return true;
-  if (primary->state.refused && down_ms >= CRASH_DOWN_MS + delay_ms
-      && count_silent (node, group, CRASH_SILENCE_MS) >= needed)
-    return true;
-  if (down_ms >= SILENT_DOWN_MS + delay_ms
-      && count_silent (node, group, SILENT_SILENCE_MS) >= needed)
-    return true;
-  return down_ms >= UNREACHED_DOWN_MS + delay_ms;
-}
-
-static void
-track_primary (SsNode *node, SsPromotion *p, const SsGroup *group)
-{
-  const SsTarget *t = ss_group_primary (group);
-
-  if (p->seen_term != group->term)
-    {
-      p->seen_term = group->term;
-      p->primary_seen_ms = node->now_ms;
-    }
-  if (t && t->state.reachable && t->state.role == SS_SERVER_PRIMARY
-      && t->state.shown_term == group->term)
-    p->primary_seen_ms = MAX (p->primary_seen_ms, t->reachable_ms);
-}
-
 static bool
 is_primary_draining (const SsGroup *group)
 {
@@ -375,7 +258,7 @@
     return;
   if (is_primary_draining (group) && p->rank == 0)
     p->requested = true;
-  else if (!p->requested && !is_primary_suspect (node, p, group))
+  else if (!p->requested && !ss_suspicion_is_primary_suspect (node, p, group))
     return;
   if (!p->requested)
     ss_node_log (node, SS_EVENT_LOG_SUSPECT, p->group,
@@ -500,7 +383,7 @@
 static void
 tick_one (SsNode *node, SsPromotion *p, SsGroup *group)
 {
-  track_primary (node, p, group);
+  ss_suspicion_track_primary (node, p, group);
   if (node->dialect->platform_promotes)
     ss_coordinator_poll_replicas (node, p, group);
   if (ss_promote_is_void (node, p))
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -149,6 +149,23 @@
  */
 void ss_promote_resumed (SsNode *node);
 
+/* --- suspicion.c: detection of a failed primary --- */
+
+/* A frozen or partitioned primary answers nobody for this long; a slow one
+ * still does.
+ */
+#define SS_SUSPICION_SILENT_MS 1500
+
+/* ss_suspicion_track_primary: records when the primary was last known to serve.
+ */
+void ss_suspicion_track_primary (SsNode *node, SsPromotion *promotion,
+                                 const SsGroup *group);
+/* ss_suspicion_is_primary_suspect: whether a promotion of GROUP is due, as its
+ * primary has failed or can't gather a majority.
+ */
+bool ss_suspicion_is_primary_suspect (SsNode *node, SsPromotion *promotion,
+                                      const SsGroup *group);
+
 /* --- term_raise.c: raising the servers' terms --- */
 
 /* ss_term_raise_tick: asks the servers to raise their term to the claim's, and
