What is stored of the platform's objects is a module; one comparison, one packing

Found by reading the whole change once more.

A stale VM name in a test's comment. No behaviour changes; no test's assertion is touched.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -5,8 +5,8 @@
 # UPWARD still include a higher layer; the list may only get shorter.
 set -eu
 cd "$(dirname "$0")/.."
-MEMBERSHIP="members rank relay relay_views isolation peers watch config config_order era config_sync
-  directory parse"
+MEMBERSHIP="members rank relay relay_views isolation peers watch config
+  config_order config_store era config_sync directory parse"
 PROMOTION="promote suspicion coordinator term_raise lease placement predict"
 UPWARD="config_sync.c:owned.h isolation.c:owned.h isolation.c:promotion.h
   peers.c:owned.h peers.c:promotion.h watch.c:owned.h watch.c:promotion.h
--- a/src/core/admin.c
+++ b/src/core/admin.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/config_store.h"
 #include "core/operation.h"
 #include "core/version.h"
 
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -2,9 +2,9 @@
 
 #include <jansson.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "core/config_order.h"
+#include "core/config_store.h"
 #include "core/parse.h"
 #include "core/version.h"
 #include "kernel/compare.h"
@@ -340,20 +340,6 @@
   return NULL;
 }
 
-/* Whether OBJECT has the same content as STORED, at another version. */
-static bool
-is_unchanged (const SsStoredObject *stored, const SsObject *object)
-{
-  gsize bytes;
-  const char *value;
-
-  if (!stored || stored->deleted || object->deleted)
-    return false;
-  value = g_bytes_get_data (stored->value, &bytes);
-  return bytes == object->value_bytes
-         && memcmp (value, object->value, bytes) == 0;
-}
-
 /* Updates the version of a target whose object has the same content as before.
  * Returns false if it is another one.  After a restore all targets have new
  * versions, and most the same content.
@@ -365,7 +351,7 @@
   SsTarget *t;
 
   if (!g_str_has_prefix (object->key, "target/")
-      || !is_unchanged (stored, object))
+      || !ss_stored_object_is_equal (stored, object))
     return false;
   t = ss_config_target (c, strchr (object->key, '/') + 1);
   if (!t || t->removed)
@@ -397,58 +383,6 @@
   return error;
 }
 
-static uint64_t
-hash_object (const char *key, int64_t version, bool deleted)
-{
-  return XXH3_64bits_withSeed (key, strlen (key),
-                               (XXH64_hash_t) version * 2 + (deleted ? 1 : 0));
-}
-
-/* Updates since when the platform has lost the content of O, a group's object.
- */
-static void
-update_lost (const SsConfig *c, const SsStoredObject *o, int64_t now_ms)
-{
-  SsGroup *g = g_str_has_prefix (o->key, "group/")
-                   ? ss_config_group (c, strchr (o->key, '/') + 1)
-                   : NULL;
-
-  if (!g)
-    return;
-  if (o->deleted || (o->seen_version == o->version && !o->seen_deleted))
-    g->lost_ms = 0;
-  else if (!g->lost_ms)
-    g->lost_ms = now_ms;
-}
-
-static void
-store_object (SsConfig *c, const SsObject *object, int64_t now_ms)
-{
-  SsStoredObject *o = g_new0 (SsStoredObject, 1);
-  const SsStoredObject *stored = ss_config_object (c, object->key);
-
-  if (stored)
-    c->hash ^= hash_object (stored->key, stored->version, stored->deleted);
-  c->hash ^= hash_object (object->key, object->version, object->deleted);
-
-  o->key = g_strdup (object->key);
-  o->version = object->version;
-  o->value = g_bytes_new (object->value, object->value_bytes);
-  o->deleted = object->deleted;
-  o->sequence = object->sequence;
-  o->seen_version = object->version;
-  o->seen_deleted = object->deleted;
-  if (stored && stored->seen_version > object->version)
-    {
-      o->seen_version = stored->seen_version;
-      o->seen_deleted = stored->seen_deleted;
-    }
-  o->adopted_ms = now_ms;
-  c->sequence = MAX (c->sequence, o->sequence);
-  g_tree_replace (c->objects, o->key, o);
-  update_lost (c, o, now_ms);
-}
-
 /* Only the deletion of a target takes effect.  Other objects that are deleted
  * at the platform stay in force until another object replaces them.
  */
@@ -467,20 +401,6 @@
   g_tree_foreach (c->groups, attach_servers, c);
 }
 
-/* Records what the platform holds although it is not adopted. */
-static void
-record_seen (SsConfig *c, const SsObject *object, int64_t now_ms)
-{
-  SsStoredObject *o = g_tree_lookup (c->objects, object->key);
-
-  if (object->version < o->seen_version
-      || (object->version == o->seen_version && !object->deleted))
-    return;
-  o->seen_version = object->version;
-  o->seen_deleted = object->deleted;
-  update_lost (c, o, now_ms);
-}
-
 SsAdoption
 ss_config_adopt (SsConfig *config, const SsObject *object, int64_t now_ms,
                  char **error)
@@ -490,7 +410,7 @@
   *error = NULL;
   if (stored && !ss_config_is_newer (stored, object))
     {
-      record_seen (config, object, now_ms);
+      ss_config_record_seen (config, object, now_ms);
       return SS_ADOPT_NOT_NEWER;
     }
   if (object->deleted)
@@ -500,7 +420,7 @@
                            object->value_bytes, now_ms);
   if (*error)
     return SS_ADOPT_INVALID;
-  store_object (config, object, now_ms);
+  ss_config_store_object (config, object, now_ms);
   return SS_ADOPT_DONE;
 }
 
@@ -540,25 +460,6 @@
   return g_tree_lookup (config->objects, key);
 }
 
-int64_t
-ss_config_expected_version (const SsConfig *config, const char *key)
-{
-  const SsStoredObject *o = ss_config_object (config, key);
-
-  return o && !o->seen_deleted ? o->seen_version : 0;
-}
-
-void
-ss_config_record_absent (SsConfig *config, const char *key, int64_t now_ms)
-{
-  SsStoredObject *o = g_tree_lookup (config->objects, key);
-
-  if (!o)
-    return;
-  o->seen_deleted = true;
-  update_lost (config, o, now_ms);
-}
-
 uint32_t
 ss_config_max_connections (const SsConfig *config, const SsTarget *target)
 {
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -126,8 +126,7 @@
   GHashTable *max_connections; /* group -> limit for each of its servers */
   int64_t transaction_idle_ms; /* 0: the VM's setting */
   uint64_t hash;               /* of all objects; equal on VMs in sync */
-  int64_t
-      revision; /* version of the platform up to which objects is complete */
+  int64_t revision; /* version of the platform that objects is complete to */
   int64_t sequence; /* the highest of all objects */
 } SsConfig;
 
@@ -172,13 +171,6 @@
 SsGroup *ss_config_group (const SsConfig *config, const char *name);
 const SsStoredObject *ss_config_object (const SsConfig *config,
                                         const char *key);
-/* ss_config_expected_version: returns the version that a write of KEY has to
- * expect at the platform; 0: there is no such object.
- */
-int64_t ss_config_expected_version (const SsConfig *config, const char *key);
-/* ss_config_record_absent: records that the platform has no object KEY. */
-void ss_config_record_absent (SsConfig *config, const char *key,
-                              int64_t now_ms);
 
 /* ss_config_max_connections: returns the limit on all connections to TARGET:
  * its own or its group's; 0 if neither is configured.
--- a/src/core/config_order.c
+++ b/src/core/config_order.c
@@ -2,6 +2,7 @@
 
 #include <jansson.h>
 
+#include "core/config_store.h"
 #include "core/parse.h"
 #include "core/version.h"
 
@@ -31,17 +32,6 @@
   return rank;
 }
 
-static SsObject
-object_of (const SsStoredObject *stored)
-{
-  gsize bytes;
-  const char *value = g_bytes_get_data (stored->value, &bytes);
-
-  return (SsObject){ .key = stored->key,
-                     .value = value,
-                     .value_bytes = (uint32_t) bytes };
-}
-
 static int
 compare_numbers (uint64_t before, uint64_t after)
 {
@@ -65,7 +55,7 @@
 static int
 compare_groups (const SsStoredObject *stored, const SsObject *object)
 {
-  SsObject before = object_of (stored);
+  SsObject before = ss_stored_object_view (stored);
 
   if (stored->deleted || object->deleted
       || !g_str_has_prefix (object->key, "group/"))
--- /dev/null
+++ b/src/core/config_store.c
@@ -0,0 +1,117 @@
+#include "core/config_store.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/version.h"
+
+bool
+ss_stored_object_is_equal (const SsStoredObject *stored, const SsObject *object)
+{
+  gsize bytes;
+  const char *value;
+
+  if (!stored || stored->deleted != object->deleted)
+    return false;
+  value = g_bytes_get_data (stored->value, &bytes);
+  return bytes == object->value_bytes
+         && (bytes == 0 || memcmp (value, object->value, bytes) == 0);
+}
+
+SsObject
+ss_stored_object_view (const SsStoredObject *stored)
+{
+  gsize bytes;
+  const char *value = g_bytes_get_data (stored->value, &bytes);
+
+  return (SsObject){ .key = stored->key,
+                     .version = stored->version,
+                     .value = value,
+                     .value_bytes = (uint32_t) bytes,
+                     .deleted = stored->deleted,
+                     .sequence = stored->sequence };
+}
+
+static uint64_t
+hash_object (const char *key, int64_t version, bool deleted)
+{
+  return XXH3_64bits_withSeed (key, strlen (key),
+                               (XXH64_hash_t) version * 2 + (deleted ? 1 : 0));
+}
+
+/* Updates since when the platform has lost the content of O, a group's object.
+ */
+static void
+update_lost (const SsConfig *c, const SsStoredObject *o, int64_t now_ms)
+{
+  SsGroup *g = g_str_has_prefix (o->key, "group/")
+                   ? ss_config_group (c, strchr (o->key, '/') + 1)
+                   : NULL;
+
+  if (!g)
+    return;
+  if (o->deleted || (o->seen_version == o->version && !o->seen_deleted))
+    g->lost_ms = 0;
+  else if (!g->lost_ms)
+    g->lost_ms = now_ms;
+}
+
+void
+ss_config_store_object (SsConfig *c, const SsObject *object, int64_t now_ms)
+{
+  SsStoredObject *o = g_new0 (SsStoredObject, 1);
+  const SsStoredObject *stored = ss_config_object (c, object->key);
+
+  if (stored)
+    c->hash ^= hash_object (stored->key, stored->version, stored->deleted);
+  c->hash ^= hash_object (object->key, object->version, object->deleted);
+
+  o->key = g_strdup (object->key);
+  o->version = object->version;
+  o->value = g_bytes_new (object->value, object->value_bytes);
+  o->deleted = object->deleted;
+  o->sequence = object->sequence;
+  o->seen_version = object->version;
+  o->seen_deleted = object->deleted;
+  if (stored && stored->seen_version > object->version)
+    {
+      o->seen_version = stored->seen_version;
+      o->seen_deleted = stored->seen_deleted;
+    }
+  o->adopted_ms = now_ms;
+  c->sequence = MAX (c->sequence, o->sequence);
+  g_tree_replace (c->objects, o->key, o);
+  update_lost (c, o, now_ms);
+}
+
+void
+ss_config_record_seen (SsConfig *c, const SsObject *object, int64_t now_ms)
+{
+  SsStoredObject *o = g_tree_lookup (c->objects, object->key);
+
+  if (object->version < o->seen_version
+      || (object->version == o->seen_version && !object->deleted))
+    return;
+  o->seen_version = object->version;
+  o->seen_deleted = object->deleted;
+  update_lost (c, o, now_ms);
+}
+
+int64_t
+ss_config_expected_version (const SsConfig *config, const char *key)
+{
+  const SsStoredObject *o = ss_config_object (config, key);
+
+  return o && !o->seen_deleted ? o->seen_version : 0;
+}
+
+void
+ss_config_record_absent (SsConfig *config, const char *key, int64_t now_ms)
+{
+  SsStoredObject *o = g_tree_lookup (config->objects, key);
+
+  if (!o)
+    return;
+  o->seen_deleted = true;
+  update_lost (config, o, now_ms);
+}
--- /dev/null
+++ b/src/core/config_store.h
@@ -0,0 +1,33 @@
+/* config_store: the platform's objects as this VM has adopted them, and what it
+ * knows of them at the platform, which may hold older content after a restore.
+ */
+#ifndef SS_CONFIG_STORE_H
+#define SS_CONFIG_STORE_H
+
+#include "core/config.h"
+
+/* ss_stored_object_is_equal: whether OBJECT has the content of STORED, which
+ * may be NULL; their versions may differ.
+ */
+bool ss_stored_object_is_equal (const SsStoredObject *stored,
+                                const SsObject *object);
+/* ss_stored_object_view: returns STORED as an object that borrows its strings.
+ */
+SsObject ss_stored_object_view (const SsStoredObject *stored);
+/* ss_config_store_object: stores OBJECT, which is adopted. */
+void ss_config_store_object (SsConfig *config, const SsObject *object,
+                             int64_t now_ms);
+/* ss_config_record_seen: records that the platform holds OBJECT, which is not
+ * adopted.
+ */
+void ss_config_record_seen (SsConfig *config, const SsObject *object,
+                            int64_t now_ms);
+/* ss_config_expected_version: returns the version that a write of KEY has to
+ * expect at the platform; 0: there is no such object.
+ */
+int64_t ss_config_expected_version (const SsConfig *config, const char *key);
+/* ss_config_record_absent: records that the platform has no object KEY. */
+void ss_config_record_absent (SsConfig *config, const char *key,
+                              int64_t now_ms);
+
+#endif
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/config_store.h"
 #include "core/owned.h"
 #include "core/peers.h"
 #include "core/version.h"
@@ -95,11 +96,8 @@
 log_not_newer (SsNode *node, const SsObject *object)
 {
   const SsStoredObject *stored = ss_config_object (&node->config, object->key);
-  gsize bytes;
-  const char *value = g_bytes_get_data (stored->value, &bytes);
 
-  if (stored->deleted == object->deleted && bytes == object->value_bytes
-      && (bytes == 0 || memcmp (value, object->value, bytes) == 0))
+  if (ss_stored_object_is_equal (stored, object))
     return;
   ss_node_count (node, SS_COUNTER_CONFIG_NOT_NEWER);
   ss_node_log (node, SS_EVENT_LOG_CONFIG_NOT_NEWER, object->key,
@@ -172,23 +170,29 @@
   uint32_t count;
 } PushContext;
 
+/* OUT borrows the strings of OBJECT. */
+static void
+pack_object (Ss__Peer__ConfigObject *out, const SsObject *object)
+{
+  ss__peer__config_object__init (out);
+  out->key = (char *) object->key;
+  out->version = object->version;
+  out->value.data = (uint8_t *) object->value;
+  out->value.len = object->value_bytes;
+  out->deleted = object->deleted;
+  out->sequence = object->sequence;
+}
+
 static gboolean
 add_to_push (gpointer key, gpointer value, gpointer data)
 {
   PushContext *p = data;
-  const SsStoredObject *o = value;
+  SsObject o = ss_stored_object_view (value);
   Ss__Peer__ConfigObject *out = &p->objects[p->count];
-  gsize bytes;
 
-  if (o->version <= p->since || !g_str_has_prefix (key, p->prefix))
+  if (o.version <= p->since || !g_str_has_prefix (key, p->prefix))
     return FALSE;
-  ss__peer__config_object__init (out);
-  out->key = key;
-  out->version = o->version;
-  out->value.data = (uint8_t *) g_bytes_get_data (o->value, &bytes);
-  out->value.len = bytes;
-  out->deleted = o->deleted;
-  out->sequence = o->sequence;
+  pack_object (out, &o);
   p->list[p->count++] = out;
   return FALSE;
 }
@@ -331,13 +335,7 @@
 
   for (uint32_t i = 0; i < count; i++)
     {
-      ss__peer__config_object__init (&copies[i]);
-      copies[i].key = (char *) objects[i].key;
-      copies[i].version = objects[i].version;
-      copies[i].value.data = (uint8_t *) objects[i].value;
-      copies[i].value.len = objects[i].value_bytes;
-      copies[i].deleted = objects[i].deleted;
-      copies[i].sequence = objects[i].sequence;
+      pack_object (&copies[i], &objects[i]);
       list[i] = &copies[i];
     }
   push.since = WITHOUT_REVISION;
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/config_store.h"
 #include "core/membership.h"
 #include "core/peers.h"
 #include "core/version.h"
@@ -67,13 +68,9 @@
 static bool
 is_up_to_date (const SsStoredObject *o, const char *value)
 {
-  gsize bytes;
-  const char *stored;
+  SsObject own = { .value = value, .value_bytes = (uint32_t) strlen (value) };
 
-  if (!o || o->deleted)
-    return false;
-  stored = g_bytes_get_data (o->value, &bytes);
-  return bytes == strlen (value) && memcmp (stored, value, bytes) == 0;
+  return ss_stored_object_is_equal (o, &own);
 }
 
 /* Updates node->leases from this VM's object; none if it is deleted.  Groups
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/config_store.h"
 #include "core/internal.h"
 
 /* VMs with a rank below this start promotions of the group. */
@@ -14,7 +15,6 @@
 #define READ_RETRY_MS 200
 /* Delay of the next promotion after one has ended. */
 #define RETRY_MS 300
-#define GROUP_PREFIX "group/"
 
 SsPromotion *
 ss_promote_get (SsNode *node, const char *group)
@@ -110,13 +110,19 @@
 
 /* --- the group's object at the platform --- */
 
+static char *
+group_key (const char *group)
+{
+  return g_strconcat ("group/", group, NULL);
+}
+
 void
 ss_promote_write_group (SsNode *node, SsPromotion *p, const char *primary)
 {
   json_t *json = json_pack ("{s:I, s:s, s:s}", "term", (json_int_t) p->term,
                             "primary", primary, "operation", p->operation);
   char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
-  char *key = g_strdup_printf (GROUP_PREFIX "%s", p->group);
+  char *key = group_key (p->group);
 
   p->call = ++node->next_call;
   ss_platform_put (node, p->call, key, text, p->version);
@@ -128,7 +134,7 @@
 static void
 get_group (SsNode *node, SsPromotion *p)
 {
-  char *key = g_strdup_printf (GROUP_PREFIX "%s", p->group);
+  char *key = group_key (p->group);
 
   p->call = ++node->next_call;
   p->asked_ms = node->now_ms;
@@ -150,7 +156,7 @@
 ss_promote_begin (SsNode *node, SsPromotion *p, const SsGroup *group,
                   uint64_t term, const char *kind)
 {
-  char *key = g_strconcat (GROUP_PREFIX, group->name, NULL);
+  char *key = group_key (group->name);
 
   p->term = term;
   p->version = ss_config_expected_version (&node->config, key);
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -3,6 +3,7 @@
  */
 #include <string.h>
 
+#include "core/config_store.h"
 #include "core/version.h"
 #include "tests/line_sim.h"
 #include "tests/unit.h"
@@ -360,8 +361,9 @@
   line_sim_deliver_peer_message (sim, &e);
 }
 
-/* Guards against a name that is lost for good: VM "b" coordinates promotions,
- * but it started after the restore and knows only what the platform holds.
+/* Guards against a name that is lost for good: VM COORDINATOR_VM
+ * coordinates promotions, but it started after the restore and knows only what
+ * the platform holds.
  */
 static void
 name_known_to_no_coordinator_is_written_again (void)
