--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CFLAGS ?= -O2 -g
 SAN ?=
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Werror
-CPPFLAGS += -I. -Isrc $(shell pkg-config --cflags $(PKGS))
+CPPFLAGS += -I. -Isrc -I$B $(shell pkg-config --cflags $(PKGS))
 CSTD = -std=gnu11
 LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
 
@@ -69,10 +69,14 @@
 $B/ss-load: $(LOAD_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 
-$B/proto/%.o: proto/%.c
-	@mkdir -p $(dir $@)
+# The codec of the peer protocol is generated.
+CODEC_H = $B/proto/peer.pb-c.h
+$B/proto/peer.pb-c.c $(CODEC_H) &: proto/peer.proto
+	@mkdir -p $B/proto
+	protoc-c --proto_path=proto --c_out=$B/proto peer.proto
+$B/proto/%.o: $B/proto/%.c
 	$(CC) $(CSTD) $(CPPFLAGS) $(CFLAGS) $(SAN) -MMD -c -o $@ $<
-$B/%.o: %.c
+$B/%.o: %.c | $(CODEC_H)
 	@mkdir -p $(dir $@)
 	$(CC) $(CSTD) $(CPPFLAGS) $(WARN) $(CFLAGS) $(SAN) -MMD -c -o $@ $<
 $B/%.o: %.cc
@@ -88,7 +92,7 @@
 format:
 	clang-format -i $(SOURCES)
 
-lint:
+lint: $(CODEC_H)
 	clang-format --dry-run --Werror $(SOURCES)
 	printf '%s\n' $(filter %.c,$(SOURCES)) | xargs -P8 -n4 sh -c \
 	  'clang-tidy --quiet "$$@" -- $(CSTD) $(CPPFLAGS) 2>/dev/null' _
@@ -101,11 +105,8 @@
 demo: all
 	$B/ss-scenario bench/demo.scn
 
-proto:
-	cd proto && protoc-c --c_out=. peer.proto
-
 clean:
 	rm -rf $B
 
 -include $(shell find $B -name '*.d' 2>/dev/null)
-.PHONY: all bench packages check clean demo format lint proto sanitize
+.PHONY: all bench packages check clean demo format lint sanitize
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs the packages of the build and the tests if any is missing.
 set -eu
 all_installed() {
-  command -v g++ && command -v pkg-config && command -v curl \
+  command -v g++ && command -v protoc-c && command -v pkg-config && command -v curl \
     && pkg-config --exists glib-2.0 jansson libcurl libmicrohttpd libpq \
       libprotobuf-c libxxhash \
     && [ -e /usr/include/ev.h ] && [ -e /usr/include/toml.hpp ] \
@@ -17,4 +17,4 @@
 apt-get install -y -qq gcc g++ make pkg-config curl clang-format clang-tidy \
   libev-dev libprotobuf-c-dev libpq-dev libcurl4-openssl-dev libjansson-dev \
   libmicrohttpd-dev libglib2.0-dev libcunit1-dev libtoml11-dev \
-  libxxhash-dev >/dev/null
+  libxxhash-dev protobuf-c-compiler >/dev/null
