Calls on the platform are counted by purpose and kind of objects

Now /metrics has them by purpose (list that begins a watch, watch, lease, claim, read, write, delete, promotion) and by objects.

--- a/src/plugins/metrics.c
+++ b/src/plugins/metrics.c
@@ -4,6 +4,7 @@
 #include "core/version.h"
 
 #define TRAFFIC_METRIC "sapphirestair_peer_message_bytes_total"
+#define CALLS_METRIC "sapphirestair_platform_calls_by_purpose_total"
 #define ROUTES_METRIC "sapphirestair_routes_version"
 #define SEQUENCE_METRIC "sapphirestair_routes_sequence"
 #define ROUTES_AGE_METRIC "sapphirestair_routes_age_ms"
@@ -25,6 +26,23 @@
           ss_traffic_link_name ((SsTrafficLink) j), traffic->bytes[i][j]);
 }
 
+static void
+add_platform_calls (GString *out, const SsPlatformCalls *calls)
+{
+  g_string_append (out, "# HELP " CALLS_METRIC
+                        " calls on the platform, by purpose and kind of "
+                        "objects\n# TYPE " CALLS_METRIC " counter\n");
+  for (uint32_t i = 0; i < SS_PLATFORM_PURPOSE_COUNT; i++)
+    for (uint32_t j = 0; j < SS_WATCH_COUNT; j++)
+      if (calls->calls[i][j])
+        g_string_append_printf (
+            out,
+            CALLS_METRIC "{purpose=\"%s\",objects=\"%s\"} %" G_GUINT64_FORMAT
+                         "\n",
+            ss_platform_purpose_name ((SsPlatformPurpose) i),
+            ss_platform_objects_name ((SsWatch) j), calls->calls[i][j]);
+}
+
 static void
 add_counters (GString *out, const SsCounters *counters)
 {
@@ -156,6 +174,7 @@
 
   add_counters (out, &node->counters);
   add_traffic (out, &node->traffic);
+  add_platform_calls (out, &node->platform_calls);
   add_config (out, node);
   return g_string_free (out, FALSE);
 }
