State reports pass through one VM a failure domain; their age is proved

Two causes, one mechanism.

Each VM that uses a database subscribed to all of its servers at their owners: VMs times targets. A position that came with a report counted as 250 ms older than it said, for its way. A VM that was frozen, or whose link lost packets for longer, took an old position for a young one, and a read with bounded staleness could be served from it (STALE).

Change: one VM of each failure domain, by rank for each target, subscribes at the owner and passes on what arrives, in one message for all targets each 100 ms (subscription.c, fanout.c). The VMs that a promotion depends on and those of the owner's failure domain subscribe at the owner. Where nothing arrives through the other VM for 1.5 s (it failed, is cut off, or is of an earlier version) the VM asks the owner for 10 s: event REPORTS_MISSING. Up to 12 VMs nothing changes.

A subscription carries its time by the subscriber's clock. What a report says of the past is told in that clock, less the way of the subscription, so that it is never too young however long the report takes (subscribers.h). Positions without that time, from earlier versions, are not used. Ruled out: reports on answers only (a VM that is quiet for a moment would know no replica), a longer interval (lag would be seen late).

peers.c no longer includes upper layers: VMs found dead are handed on by node.c.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -9,7 +9,7 @@
   config_order config_store era config_sync directory parse"
 PROMOTION="promote suspicion coordinator term_raise lease placement predict"
 UPWARD="config_sync.c:owned.h isolation.c:owned.h isolation.c:promotion.h
-  peers.c:owned.h peers.c:promotion.h watch.c:owned.h watch.c:promotion.h
+  watch.c:owned.h watch.c:promotion.h
   coordinator.c:owned.h lease.c:owned.h promote.c:internal.h"
 bad=0
 found=""
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -71,7 +71,11 @@
   SsServerState state;
   int64_t state_ms;     /* the state was requested at this time or earlier */
   int64_t reachable_ms; /* when it last answered */
-  uint32_t outstanding; /* requests of this VM outstanding there */
+  int64_t reported_ms;  /* when the last unsolicited report arrived */
+  int64_t indirect_since_ms; /* since when a VM that does not own it passes its
+                                reports on; 0: its owner reports */
+  int64_t direct_until_ms;   /* subscribe at the owner until then */
+  uint32_t outstanding;      /* requests of this VM outstanding there */
   /* cached owner */
   uint64_t owner_generation;
   const char *owner;
--- a/src/core/confirmed.c
+++ b/src/core/confirmed.c
@@ -9,10 +9,6 @@
 
 #define RING_SPACING_MS 250
 #define CONFIRM_RETRY_MS 100
-/* An unsolicited position counts as this much older, for the time that it may
- * have been in transit.
- */
-#define UNSOLICITED_DELAY_MS 250
 
 SsConfirmedPositions *
 ss_confirmed_get (SsNode *node, const char *group)
@@ -119,13 +115,13 @@
 
 void
 ss_confirmed_handle_unsolicited (SsNode *node, const char *group,
-                                 SsPosition position, uint32_t age_ms)
+                                 SsPosition position, int64_t requested_ms)
 {
   SsConfirmedPositions *confirmed
       = g_tree_lookup (node->confirmed_positions, group);
-  int64_t requested_ms = node->now_ms - age_ms - UNSOLICITED_DELAY_MS;
 
-  if (!confirmed || requested_ms <= confirmed->latest.requested_ms)
+  if (!confirmed || requested_ms > node->now_ms
+      || requested_ms <= confirmed->latest.requested_ms)
     return;
   /* It answers no request, so only its age counts. */
   confirmed->latest.requested_ms = requested_ms;
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -53,8 +53,12 @@
  */
 void ss_isolation_tick (SsNode *node);
 
-/* --- peers.c: heartbeats and subscriptions --- */
+/* --- peers.c: heartbeats --- */
 
+/* ss_peers_update_members: re-evaluates which VMs are live; adds those that are
+ * found dead to node->lost_vms.
+ */
+void ss_peers_update_members (SsNode *node);
 void ss_peers_tick (SsNode *node);
 void ss_peers_handle_heartbeat (SsNode *node,
                                 const Ss__Peer__Heartbeat *heartbeat);
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -188,6 +188,37 @@
         = ss_position_unpack (in->history[i]);
 }
 
+void
+ss_state_pack (SsPackedState *out, const SsServerState *s, int64_t age_ms)
+{
+  Ss__Peer__ServerState *m = &out->message;
+
+  ss__peer__server_state__init (m);
+  ss_position_pack (&out->held, s->held);
+  ss_position_pack (&out->applied, s->applied);
+  for (uint32_t i = 0; i < s->history.count; i++)
+    {
+      ss_position_pack (&out->history[i], s->history.starts[i]);
+      out->history_list[i] = &out->history[i];
+    }
+  m->reachable = s->reachable;
+  m->refused = s->refused;
+  m->role = s->role;
+  m->shown_term = s->shown_term;
+  m->held = &out->held;
+  m->applied = &out->applied;
+  m->silence_ms = s->silence_ms;
+  m->follow_term = s->follow_term;
+  m->history = out->history_list;
+  m->n_history = s->history.count;
+  m->age_ms = (uint32_t) MIN (age_ms, G_MAXINT32);
+  m->lag_ms = s->lag_ms;
+  m->barred_term = s->barred_term;
+  m->wait_ms = s->wait_ms;
+  m->mean_wait_ms = s->mean_wait_ms;
+  m->stalled_ms = s->stalled_ms;
+}
+
 const char *
 ss_node_owner (SsNode *node, SsTarget *target)
 {
--- a/src/core/message.h
+++ b/src/core/message.h
@@ -37,6 +37,22 @@
 void ss_position_pack (Ss__Peer__Position *out, SsPosition position);
 void ss_state_unpack (const Ss__Peer__ServerState *in, SsServerState *out);
 
+/* A message and the memory that it points to; not to be copied. */
+typedef struct
+{
+  Ss__Peer__ServerState message;
+  Ss__Peer__Position held;
+  Ss__Peer__Position applied;
+  Ss__Peer__Position history[SS_HISTORY_MAX];
+  Ss__Peer__Position *history_list[SS_HISTORY_MAX];
+} SsPackedState;
+
+/* ss_state_pack: sets OUT to STATE, which was requested AGE_MS milliseconds
+ * ago.
+ */
+void ss_state_pack (SsPackedState *out, const SsServerState *state,
+                    int64_t age_ms);
+
 /* ss_node_owner: returns the VM that owns TARGET, or NULL. */
 const char *ss_node_owner (SsNode *node, SsTarget *target);
 bool ss_node_is_owner (SsNode *node, SsTarget *target);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/internal.h"
+#include "core/subscription.h"
 #include "kernel/compare.h"
 
 /* If no event was processed for this long, the process was paused. */
@@ -44,6 +45,7 @@
   node->next_status_request = (uint64_t) g_rand_int (node->rand) << 32;
   g_queue_init (&node->actions);
   g_queue_init (&node->local);
+  g_queue_init (&node->lost_vms);
   ss_config_init (&node->config);
   ss_members_init (&node->members, params->vm, params->failure_domain,
                    params->ip, params->peer_port, now_ms);
@@ -54,6 +56,7 @@
   node->leases
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_relay_init (node);
+  ss_fanout_init (&node->fanout);
   ss_startup_init (node);
   ss_entry_init (node);
   ss_owner_init (node);
@@ -74,11 +77,13 @@
   ss_owner_finish (node);
   ss_admin_finish (node);
   ss_relay_finish (node);
+  ss_fanout_finish (&node->fanout);
   ss_startup_finish (node);
   while (ss_node_take_action (node, &action))
     ss_action_clear (&action);
   while ((bytes = g_queue_pop_head (&node->local)))
     g_bytes_unref (bytes);
+  g_queue_clear_full (&node->lost_vms, g_free);
   g_tree_destroy (node->confirmed_positions);
   g_hash_table_destroy (node->pending_deletions);
   g_hash_table_destroy (node->leases);
@@ -105,34 +110,17 @@
     return false;
   *action = *a;
   g_free (a);
+  ss_platform_calls_count (&node->platform_calls, action);
   return true;
 }
 
 /* --- messages --- */
 
 static void
-handle_status_report (SsNode *node, const Ss__Peer__StatusReport *report)
+handle_status_reports (SsNode *node, const Ss__Peer__StatusReports *m)
 {
-  SsTarget *t = ss_config_target (&node->config, report->target);
-  SsServerState state;
-  SsGroup *group;
-
-  if (!t || !report->state)
-    return;
-  ss_state_unpack (report->state, &state);
-  if (!ss_node_is_owner (node, t))
-    ss_node_update_state (node, t, &state, report->state->age_ms);
-  if (report->mark)
-    ss_confirmed_handle_unsolicited (
-        node, t->group, ss_position_unpack (report->mark), report->mark_age_ms);
-  if (report->ask)
-    ss_quorum_handle_status (node, t, report->ask, &state);
-  group = ss_config_group (&node->config, t->group);
-  if (!group)
-    return;
-  ss_quorum_check (node, group);
-  if (node->status_waiters)
-    ss_pending_wake (node, group->name, SS_WAIT_STATUS);
+  for (size_t i = 0; i < m->n_reports; i++)
+    ss_subscription_handle_report (node, m->reports[i]);
 }
 
 static void
@@ -159,10 +147,13 @@
       ss_target_monitor_handle_status_ask (node, e->from, e->status_ask);
       break;
     case SS__PEER__ENVELOPE__BODY_STATUS_REPORT:
-      handle_status_report (node, e->status_report);
+      ss_subscription_handle_report (node, e->status_report);
+      break;
+    case SS__PEER__ENVELOPE__BODY_STATUS_REPORTS:
+      handle_status_reports (node, e->status_reports);
       break;
     case SS__PEER__ENVELOPE__BODY_SUBSCRIBE:
-      ss_target_monitor_handle_subscribe (node, e->from, e->subscribe);
+      ss_subscription_handle (node, e->from, e->subscribe);
       break;
     case SS__PEER__ENVELOPE__BODY_MARK_ASK:
       ss_quorum_handle_mark_ask (node, e->from, e->mark_ask);
@@ -352,13 +343,44 @@
   return found;
 }
 
+/* Ends the requests that were sent to lost VMs, and the sessions that these had
+ * here.
+ */
+static void
+handle_lost_vms (SsNode *node)
+{
+  char *vm;
+
+  while ((vm = g_queue_pop_head (&node->lost_vms)))
+    {
+      ss_pending_vm_lost (node, vm);
+      ss_owner_vm_lost (node, vm);
+      g_free (vm);
+    }
+}
+
+static void
+tick_members (SsNode *node)
+{
+  uint64_t generation = node->members.generation;
+
+  ss_peers_update_members (node);
+  handle_lost_vms (node);
+  if (generation != node->members.generation
+      || node->subscribed_generation != node->members.generation)
+    ss_owner_update (node);
+  ss_subscription_tick (node);
+}
+
 static void
 tick (SsNode *node)
 {
   if (node->now_ms - node->ticked_ms < tick_interval_ms (node))
     return;
   node->ticked_ms = node->now_ms;
+  tick_members (node);
   ss_peers_tick (node);
+  ss_subscription_pass_on (node);
   ss_startup_tick (node);
   ss_owner_tick (node);
   ss_promote_tick (node);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -18,7 +18,9 @@
 #include "core/config.h"
 #include "core/dialect.h"
 #include "core/event.h"
+#include "core/fanout.h"
 #include "core/members.h"
+#include "core/platform_calls.h"
 #include "core/timing.h"
 #include "core/traffic.h"
 #include "core/predict.h"
@@ -90,6 +92,7 @@
   GRand *rand;
   SsCounters counters;
   SsTraffic traffic;
+  SsPlatformCalls platform_calls;
   SsConfig config;
   SsMembers members;
   SsRetryBudget retry_budget;
@@ -121,7 +124,9 @@
   uint64_t next_call;
   uint64_t next_operation;
   int64_t rewrite_due_ms; /* when the next lost group object may be written */
-  int64_t duty_version;   /* last seen version of the duty object */
+  bool coordinates;       /* this VM starts promotions (coordinator.c) */
+  int64_t all_groups_since_ms; /* since when it watches all primaries; 0: not */
+  int64_t duty_version;        /* last seen version of the duty object */
 
   int64_t era;          /* the latest era of the platform's store (era.c) */
   bool era_known;       /* the store of that era has responded */
@@ -130,6 +135,8 @@
   int64_t heartbeat_due_ms;
   int64_t subscribe_due_ms;
   uint64_t subscribed_generation;
+  SsFanout fanout;
+  GQueue lost_vms; /* names of VMs found dead whose requests have yet to end */
   int64_t pull_due_ms;
   int64_t behind_sequence; /* config.sequence when a peer was last seen ahead */
   int64_t behind_due_ms;   /* when a peer that is ahead is asked; 0: never */
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -9,6 +9,7 @@
 #include "core/queue.h"
 #include "core/replay.h"
 #include "core/requests.h"
+#include "core/subscribers.h"
 #include "core/writers.h"
 
 /* --- owner.c: connections and statements at the targets owned here --- */
@@ -151,7 +152,7 @@
   uint64_t raise_term; /* 0: no raise is requested */
   GPtrArray *raise_requesters;
   GPtrArray *status_requests;
-  GHashTable *subscribers; /* VM -> expiry in ms */
+  GHashTable *subscribers; /* subscribers.h */
   SsServerState reported;
   int64_t reported_ms;
 
@@ -251,8 +252,11 @@
                                const SsTargetResult *result);
 void ss_target_monitor_handle_status_ask (SsNode *node, const char *from,
                                           const Ss__Peer__StatusAsk *request);
-void ss_target_monitor_handle_subscribe (SsNode *node, const char *from,
-                                         const Ss__Peer__Subscribe *subscribe);
+/* ss_target_monitor_subscribe: starts or renews the subscription of VM, which
+ * sent it at SENT_MS by its own clock.
+ */
+void ss_target_monitor_subscribe (SsNode *node, SsOwnedTarget *owned,
+                                  const char *vm, int64_t sent_ms);
 /* ss_target_monitor_answer_requests: answers the status requests that the
  * target's state satisfies or that have expired.
  */
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -284,8 +284,7 @@
   o->raise_requesters = g_ptr_array_new_with_free_func (g_free);
   o->round.requesters = g_ptr_array_new_with_free_func (free_status_request);
   o->round.next = g_ptr_array_new_with_free_func (free_status_request);
-  o->subscribers
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  o->subscribers = ss_subscribers_new ();
   g_tree_insert (node->owned, g_strdup (target->name), o);
   return o;
 }
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -1,24 +1,16 @@
 #include <string.h>
 
-#include "core/owned.h"
 #include "core/peers.h"
-#include "core/promotion.h"
 #include "core/version.h"
-#include "kernel/compare.h"
 
 /* A heartbeat lists the VMs that were heard within this time. */
 #define HEARD_WITHIN_MS 600
-#define SUBSCRIBE_INTERVAL_MS 1000
 /* Uptime from which this VM may be ready. */
 #define READY_AFTER_MS 500
 /* As READY_AFTER_MS, once all platform objects are listed: only the peers'
  * first heartbeats are missing then.
  */
 #define READY_AFTER_LISTING_MS 150
-/* A VM whose rank as a group's coordinator is below this subscribes to the
- * group even if it neither uses it nor owns a server of it.
- */
-#define COORDINATOR_RANKS 3
 /* A change reaches all VMs within less than this, unless a VM's watch is
  * silent.
  */
@@ -232,98 +224,18 @@
     ss_config_sync_pull_newer (node, heartbeat->vm);
 }
 
-/* --- subscriptions --- */
-
-typedef struct
-{
-  SsNode *node;
-  GTree *by_owner; /* vm -> GPtrArray of target names */
-} Subscriptions;
-
-static bool
-needs_group (SsNode *node, const SsGroup *group)
-{
-  if (ss_entry_uses_group (node, group->name))
-    return true;
-  for (uint32_t i = 0; i < group->server_count; i++)
-    if (ss_node_is_owner (node, group->servers[i]))
-      return true;
-  return ss_promote_rank (node, ss_promote_get (node, group->name))
-         < COORDINATOR_RANKS;
-}
-
-static gboolean
-collect_group (gpointer key, gpointer value, gpointer data)
-{
-  Subscriptions *s = data;
-  SsGroup *group = value;
-
-  (void) key;
-  if (!needs_group (s->node, group))
-    return FALSE;
-  for (uint32_t i = 0; i < group->server_count; i++)
-    {
-      SsTarget *t = group->servers[i];
-      const char *owner = ss_node_owner (s->node, t);
-      GPtrArray *names;
-
-      if (!owner || ss_peers_is_self (s->node, owner))
-        continue;
-      names = g_tree_lookup (s->by_owner, owner);
-      if (!names)
-        {
-          names = g_ptr_array_new ();
-          g_tree_insert (s->by_owner, (gpointer) owner, names);
-        }
-      g_ptr_array_add (names, t->name);
-    }
-  return FALSE;
-}
-
-static gboolean
-send_subscription (gpointer key, gpointer value, gpointer data)
-{
-  GPtrArray *names = value;
-  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
-  Ss__Peer__Subscribe m = SS__PEER__SUBSCRIBE__INIT;
-
-  m.targets = (char **) names->pdata;
-  m.n_targets = names->len;
-  e.body_case = SS__PEER__ENVELOPE__BODY_SUBSCRIBE;
-  e.subscribe = &m;
-  ss_node_send (data, key, &e);
-  return FALSE;
-}
-
-static void
-subscribe (SsNode *node)
-{
-  Subscriptions s
-      = { node, g_tree_new_full (ss_compare_strings, NULL, NULL,
-                                 (GDestroyNotify) g_ptr_array_unref) };
-
-  node->subscribe_due_ms = node->now_ms + SUBSCRIBE_INTERVAL_MS;
-  node->subscribed_generation = node->members.generation;
-  g_tree_foreach (node->config.groups, collect_group, &s);
-  g_tree_foreach (s.by_owner, send_subscription, node);
-  g_tree_destroy (s.by_owner);
-}
-
 /* --- ticks --- */
 
-/* Ends the requests that were sent to a failed VM, and the sessions that it had
- * here.
- */
 static void
 on_member_changed (void *data, const SsMember *member)
 {
-  ss_node_log (data,
+  SsNode *node = data;
+
+  ss_node_log (node,
                member->live ? SS_EVENT_LOG_VM_FOUND : SS_EVENT_LOG_VM_LOST,
                member->vm, "failure_domain=%s", member->failure_domain);
-  if (member->live)
-    return;
-  ss_pending_vm_lost (data, member->vm);
-  ss_owner_vm_lost (data, member->vm);
+  if (!member->live)
+    g_queue_push_tail (&node->lost_vms, g_strdup (member->vm));
 }
 
 static void
@@ -344,24 +256,20 @@
 }
 
 void
-ss_peers_tick (SsNode *node)
+ss_peers_update_members (SsNode *node)
 {
-  uint64_t generation = node->members.generation;
   SsMember *self = ss_members_find (&node->members, node->params.vm);
 
   self->platform_up = ss_watch_is_active (node) && !node->platform_down;
   node->members.relayed = is_relayed (node);
   ss_members_update (&node->members, node->now_ms, on_member_changed, node);
-  if (generation != node->members.generation
-      || node->subscribed_generation != node->members.generation)
-    {
-      ss_owner_update (node);
-      subscribe (node);
-    }
+}
+
+void
+ss_peers_tick (SsNode *node)
+{
   if (node->now_ms >= node->heartbeat_due_ms)
     ss_peers_send_heartbeat (node);
-  if (node->now_ms >= node->subscribe_due_ms)
-    subscribe (node);
   if (!ss_watch_is_single (node) || ss_watch_is_active (node))
     ss_watch_tick (node);
   if (g_hash_table_size (node->pending_deletions))
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -229,11 +229,12 @@
 /* ss_confirmed_request: requests a new confirmed position from the primary's
  * owner. */
 void ss_confirmed_request (SsNode *node, SsConfirmedPositions *confirmed);
-/* ss_confirmed_handle_unsolicited: takes an unsolicited POSITION from the
- * primary's owner, which asked the primary AGE_MS ago.
+/* ss_confirmed_handle_unsolicited: takes an unsolicited POSITION from a state
+ * report.  The primary was asked for it at REQUESTED_MS or later.
  */
 void ss_confirmed_handle_unsolicited (SsNode *node, const char *group,
-                                      SsPosition position, uint32_t age_ms);
+                                      SsPosition position,
+                                      int64_t requested_ms);
 void ss_confirmed_handle_reply (SsNode *node, const Ss__Peer__MarkReply *reply);
 /* ss_confirmed_since: sets *FOUND to the oldest confirmed position requested at
  * SINCE_MS or later; returns false where there is none.
--- a/src/core/target_monitor.c
+++ b/src/core/target_monitor.c
@@ -16,75 +16,45 @@
  * dialect does not multiplex sessions.
  */
 #define POSITION_TIMEOUT_MS 80
-/* A subscription expires after this unless it is renewed. */
-#define SUBSCRIPTION_MS 3500
 
 /* --- reports --- */
 
-typedef struct
-{
-  Ss__Peer__ServerState state;
-  Ss__Peer__Position held;
-  Ss__Peer__Position applied;
-  Ss__Peer__Position history[SS_HISTORY_MAX];
-  Ss__Peer__Position *history_list[SS_HISTORY_MAX];
-} PackedState;
-
+/* The queue is known here only. */
 static void
-pack_state (SsNode *node, const SsOwnedTarget *owned, PackedState *out)
+pack_state (SsNode *node, const SsOwnedTarget *owned, SsPackedState *out)
 {
-  const SsServerState *s = &owned->target->state;
+  const SsTarget *t = owned->target;
 
-  ss__peer__server_state__init (&out->state);
-  ss_position_pack (&out->held, s->held);
-  ss_position_pack (&out->applied, s->applied);
-  for (uint32_t i = 0; i < s->history.count; i++)
-    {
-      ss_position_pack (&out->history[i], s->history.starts[i]);
-      out->history_list[i] = &out->history[i];
-    }
-  out->state.reachable = s->reachable;
-  out->state.refused = s->refused;
-  out->state.role = s->role;
-  out->state.shown_term = s->shown_term;
-  out->state.held = &out->held;
-  out->state.applied = &out->applied;
-  out->state.silence_ms = s->silence_ms;
-  out->state.follow_term = s->follow_term;
-  out->state.history = out->history_list;
-  out->state.n_history = s->history.count;
-  out->state.age_ms
-      = (uint32_t) MIN (node->now_ms - owned->target->state_ms, G_MAXINT32);
-  out->state.lag_ms = s->lag_ms;
-  out->state.barred_term = s->barred_term;
-  out->state.wait_ms = ss_queue_wait_ms (&owned->queue, SS_QUEUE_READ,
-                                         ss_pool_capacity (node, owned));
-  out->state.mean_wait_ms = (uint32_t) owned->queue.mean_wait_ms;
-  out->state.stalled_ms = ss_quorum_stalled_ms (node, owned);
+  ss_state_pack (out, &t->state, node->now_ms - t->state_ms);
+  out->message.wait_ms = ss_queue_wait_ms (&owned->queue, SS_QUEUE_READ,
+                                           ss_pool_capacity (node, owned));
+  out->message.mean_wait_ms = (uint32_t) owned->queue.mean_wait_ms;
+  out->message.stalled_ms = ss_quorum_stalled_ms (node, owned);
 }
 
 /* Sends the target's state to VM, as the reply to its status request
- * REQUEST_ID (0: unsolicited, to a subscriber).
+ * REQUEST_ID (0: unsolicited).  SUBSCRIBER: the subscription of VM, or NULL.
  */
 static void
-send_report (SsNode *node, const SsOwnedTarget *owned, const char *vm,
-             uint64_t request_id)
+send_report (SsNode *node, SsOwnedTarget *owned, const char *vm,
+             uint64_t request_id, const SsSubscriber *subscriber)
 {
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__StatusReport m = SS__PEER__STATUS_REPORT__INIT;
   Ss__Peer__Position confirmed;
   SsPosition position;
-  PackedState packed;
+  SsPackedState packed;
 
   pack_state (node, owned, &packed);
   m.target = owned->target->name;
   m.ask = request_id;
-  m.state = &packed.state;
-  if (ss_quorum_position (node, (SsOwnedTarget *) owned, &position,
-                          &m.mark_age_ms))
+  m.state = &packed.message;
+  if (subscriber && ss_quorum_position (node, owned, &position, &m.mark_age_ms))
     {
       ss_position_pack (&confirmed, position);
       m.mark = &confirmed;
+      m.mark_at_ms
+          = ss_subscriber_time_ms (subscriber, node->now_ms - m.mark_age_ms);
     }
   e.body_case = SS__PEER__ENVELOPE__BODY_STATUS_REPORT;
   e.status_report = &m;
@@ -112,20 +82,16 @@
   const SsTiming *timing = &node->params.timing;
   GHashTableIter iter;
   gpointer vm;
-  gpointer expiry;
+  gpointer subscriber;
 
   if (age_ms < (changed ? timing->report_min_ms : timing->report_idle_ms))
     return;
   owned->reported = owned->target->state;
   owned->reported_ms = node->now_ms;
+  ss_subscribers_expire (owned->subscribers, node->now_ms);
   g_hash_table_iter_init (&iter, owned->subscribers);
-  while (g_hash_table_iter_next (&iter, &vm, &expiry))
-    {
-      if (*(int64_t *) expiry < node->now_ms)
-        g_hash_table_iter_remove (&iter);
-      else
-        send_report (node, owned, vm, 0);
-    }
+  while (g_hash_table_iter_next (&iter, &vm, &subscriber))
+    send_report (node, owned, vm, 0, subscriber);
 }
 
 /* As POSITION_TIMEOUT_MS, where the dialect multiplexes sessions. */
@@ -149,7 +115,7 @@
         continue;
       if (r->held.offset && !settled && node->now_ms < r->expires_ms)
         continue;
-      send_report (node, owned, r->vm, r->request_id);
+      send_report (node, owned, r->vm, r->request_id, NULL);
       g_ptr_array_remove_index (owned->status_requests, i - 1);
     }
   /* No poll is needed once no request is left. */
@@ -221,13 +187,13 @@
 {
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__RaiseReply m = SS__PEER__RAISE_REPLY__INIT;
-  PackedState packed;
+  SsPackedState packed;
 
   pack_state (node, owned, &packed);
   m.target = owned->target->name;
   m.term = owned->raise_term;
   m.accepted = accepted;
-  m.state = &packed.state;
+  m.state = &packed.message;
   e.body_case = SS__PEER__ENVELOPE__BODY_RAISE_REPLY;
   e.raise_reply = &m;
   for (guint i = 0; i < owned->raise_requesters->len; i++)
@@ -430,8 +396,12 @@
   SsTarget *t = owned->target;
 
   check_connection (node, owned);
+  /* What the previous owner last saw may be older than its loss took to show:
+   * that is no silence of the target.
+   */
   if (t->state.reachable
-      && node->now_ms - t->reachable_ms >= node->params.timing.unreachable_ms)
+      && node->now_ms - MAX (t->reachable_ms, owned->owner_since_ms)
+             >= node->params.timing.unreachable_ms)
     mark_unreachable (node, owned, false);
   if (!t->state.reachable
       || node->now_ms - owned->reported_ms
@@ -484,22 +454,12 @@
 }
 
 void
-ss_target_monitor_handle_subscribe (SsNode *node, const char *from,
-                                    const Ss__Peer__Subscribe *subscribe)
+ss_target_monitor_subscribe (SsNode *node, SsOwnedTarget *owned, const char *vm,
+                             int64_t sent_ms)
 {
-  for (size_t i = 0; i < subscribe->n_targets; i++)
-    {
-      SsOwnedTarget *owned = ss_owner_find (node, subscribe->targets[i]);
-      int64_t *expiry;
-
-      if (!owned || !owned->active)
-        continue;
-      if (!g_hash_table_contains (owned->subscribers, from))
-        send_report (node, owned, from, 0);
-      expiry = g_new (int64_t, 1);
-      *expiry = node->now_ms + SUBSCRIPTION_MS;
-      g_hash_table_replace (owned->subscribers, g_strdup (from), expiry);
-    }
+  if (ss_subscribers_renew (owned->subscribers, vm, sent_ms, node->now_ms))
+    send_report (node, owned, vm, 0,
+                 g_hash_table_lookup (owned->subscribers, vm));
 }
 
 void
--- a/src/core/traffic.h
+++ b/src/core/traffic.h
@@ -17,6 +17,7 @@
   X (SESSION_END, "session_end")                                               \
   X (STATUS_ASK, "status_ask")                                                 \
   X (STATUS_REPORT, "status_report")                                           \
+  X (STATUS_REPORTS, "status_reports")                                         \
   X (SUBSCRIBE, "subscribe")                                                   \
   X (MARK_ASK, "mark_ask")                                                     \
   X (MARK_REPLY, "mark_reply")                                                 \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -55,6 +55,8 @@
   X (REJOINED, 305, INFO, "no longer isolated")                                \
   X (PEER_CLOSED, 302, INFO, "peer connection closed")                         \
   X (PEER_INVALID, 303, ERROR, "peer sent an invalid message")                 \
+  X (REPORTS_MISSING, 306, WARNING,                                            \
+     "no state reports through another vm; asking the owner")                  \
   X (TARGET_UP, 400, INFO, "target answers")                                   \
   X (TARGET_DOWN, 401, WARNING, "target does not answer")                      \
   X (TARGET_TERM, 402, INFO, "target changed role or term")                    \
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -548,12 +548,50 @@
 
   line_sim_init (&sim, 5, 2, 8);
   confirmed = ss_confirmed_get (&sim.node, "other");
-  ss_confirmed_handle_unsolicited (&sim.node, "other", (SsPosition){ 1, 5 }, 0);
+  ss_confirmed_handle_unsolicited (&sim.node, "other", (SsPosition){ 1, 5 },
+                                   sim.now_ms);
   CU_ASSERT (confirmed->latest.known);
   CU_ASSERT (confirmed->latest.seq == 0);
   line_sim_finish (&sim);
 }
 
+/* A VM that was frozen, or whose link lost packets, gets a state report long
+ * after it was sent.  The position in it must not look younger by that time.
+ */
+static void
+delayed_report_makes_no_position_younger (void)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__StatusReport report = SS__PEER__STATUS_REPORT__INIT;
+  Ss__Peer__ServerState state = SS__PEER__SERVER_STATE__INIT;
+  Ss__Peer__Position mark = SS__PEER__POSITION__INIT;
+  SsConfirmedPositions *confirmed;
+  SsConfirmedPosition found;
+  int64_t sent_ms;
+  LineSim sim;
+
+  line_sim_init (&sim, 5, 2, 8);
+  confirmed = ss_confirmed_get (&sim.node, "g");
+  sent_ms = sim.now_ms;
+  line_sim_advance (&sim, 3000);
+  mark.term = 1;
+  mark.offset = 1;
+  report.target = "t1";
+  report.state = &state;
+  report.mark = &mark;
+  report.mark_age_ms = 5;
+  report.mark_at_ms = sent_ms - 5;
+  e.body_case = SS__PEER__ENVELOPE__BODY_STATUS_REPORT;
+  e.status_report = &report;
+  line_sim_deliver_peer_message (&sim, &e);
+  CU_ASSERT (!ss_confirmed_since (confirmed, sim.now_ms - 1500, &found));
+  /* A VM of an earlier version does not know the receiver's clock. */
+  report.mark_at_ms = 0;
+  line_sim_deliver_peer_message (&sim, &e);
+  CU_ASSERT (!ss_confirmed_since (confirmed, sim.now_ms - 1500, &found));
+  line_sim_finish (&sim);
+}
+
 /* Fills the queues of all servers, as far as admission control can tell. */
 static void
 overload_servers (LineSim *sim)
@@ -643,6 +681,8 @@
     lost_transaction_ends_with_next_statement },
   { "target error may have run", target_error_may_have_run },
   { "unprepared write is retried", unprepared_write_is_retried },
+  { "delayed report makes no position younger",
+    delayed_report_makes_no_position_younger },
   { "unsolicited position answers no request",
     unsolicited_position_answers_no_request },
   { "overloaded primary gets no immediate retry",
