The coordinator knows all groups, and no take-over looks like a failure

All hold on large deployments only: in small ones every VM uses every group and beats to all others.

- One VM coordinates the promotions of all groups.
It subscribed only to those that its own callers use, or that it ranks for.
Groups were named as sessions came to that VM, one 16 s after the start; a failed primary of another group was noticed after 5 s.
Now the coordinator and the next two by rank subscribe to all.
- A VM that became coordinator judged primaries by reports that it had not subscribed to: healthy ones were replaced (superseded=8).
The time counts from when it watches all groups.
- A VM that took a target over, its owner lost, marked it unreachable at once: the last report was older than the 0.9 s that an owner waits, as the loss itself takes longer to show through relays.
The coordinator then replaced a healthy primary.
The wait counts from the take-over.
- Two relays of a failure domain told each other for ever that a VM is answered by the platform after it was not: their digests overwrote what the VM itself told.
Views differed, full lists went to and fro.
A VM's own heartbeat goes first.

Ruled out: late configuration (all VMs had the targets), ownership (it was right), the store (it answered).

Tests: tests/fleet_sim.c is a simulation of up to 120 cores with a clock each, a store and servers, without a network; suite fleet. Each of its five tests failed before its fix, but for "failed primary is replaced" and "coordinator names" sharing one.

--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -53,6 +53,41 @@
 /* Another VM's promotion is not taken over for this long. */
 #define CLAIM_TIMEOUT_MS 2500
 #define COORDINATOR_SUBJECT "promotions"
+/* The VMs that rank next after the coordinator watch all groups as it does, so
+ * that they know the primaries when they take over.
+ */
+#define STANDBYS 2
+
+static bool
+watches_all_groups (const SsNode *node)
+{
+  const SsMember *self = ss_members_find (&node->members, node->params.vm);
+
+  return node->dialect->platform_promotes && self->platform_up
+         && ss_members_coordinator_rank (&node->members, COORDINATOR_SUBJECT)
+                <= STANDBYS;
+}
+
+void
+ss_coordinator_update_role (SsNode *node)
+{
+  node->coordinates = ss_coordinator_is_self (node);
+  if (!watches_all_groups (node))
+    {
+      node->all_groups_since_ms = 0;
+      return;
+    }
+  if (node->all_groups_since_ms)
+    return;
+  node->all_groups_since_ms = node->now_ms;
+  node->subscribe_due_ms = node->now_ms;
+}
+
+int64_t
+ss_coordinator_down_ms (const SsNode *node, const SsPromotion *p)
+{
+  return node->now_ms - MAX (p->primary_seen_ms, node->all_groups_since_ms);
+}
 
 bool
 ss_coordinator_is_self (SsNode *node)
@@ -163,7 +198,7 @@
   SsPosition highest = p->replica_position;
   bool ask = primary && !primary->state.reachable
              && node->now_ms - p->replicas_polled_ms >= REPLICA_POLL_MS
-             && ss_coordinator_is_self (node);
+             && node->coordinates;
 
   for (uint32_t i = 0; i < group->server_count; i++)
     {
@@ -188,7 +223,7 @@
                                    const SsGroup *group)
 {
   const SsTarget *primary = ss_group_primary (group);
-  int64_t down_ms = node->now_ms - p->primary_seen_ms;
+  int64_t down_ms = ss_coordinator_down_ms (node, p);
 
   /* The group has never had a primary: not all of its servers may be listed
    * yet.
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -62,6 +62,7 @@
       m = g_new0 (SsMember, 1);
       m->vm = g_strdup (vm);
       m->heard_ms = INT64_MIN / 2;
+      m->heartbeat_ms = INT64_MIN / 2;
       m->reported_ms = INT64_MIN / 2;
       m->remote_report_ms = INT64_MIN / 2;
       m->domain_report_ms = INT64_MIN / 2;
@@ -83,6 +84,7 @@
                              char **heard, size_t count, int64_t now_ms)
 {
   member->heard_ms = now_ms;
+  member->heartbeat_ms = now_ms;
   if (member->leaving != leaving)
     members->generation++;
   member->leaving = leaving;
@@ -302,6 +304,17 @@
   return r.best ? r.best->vm : NULL;
 }
 
+uint32_t
+ss_members_coordinator_rank (const SsMembers *members, const char *subject)
+{
+  Ranking r = { .platform_up = true,
+                .subject = subject,
+                .own_score = ss_rank_score (members->self, subject) };
+
+  g_tree_foreach (members->by_name, rank_one, &r);
+  return r.better;
+}
+
 uint32_t
 ss_members_rank (const SsMembers *members, const char *failure_domain,
                  const char *subject)
@@ -387,6 +400,9 @@
                           bool platform_up, int64_t now_ms)
 {
   member->reported_ms = now_ms;
+  /* What it tells itself is newer than what passed through others. */
+  if (now_ms - member->heartbeat_ms < SS_MEMBER_HEARTBEAT_TIMEOUT_MS)
+    return;
   member->platform_up = platform_up;
   if (member->leaving != leaving)
     members->generation++;
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -51,6 +51,7 @@
   bool platform_up;         /* the platform answers it */
   bool live;                /* as of the last ss_members_update */
   int64_t heard_ms;         /* when its last message arrived */
+  int64_t heartbeat_ms;     /* when its last heartbeat arrived */
   int64_t reported_ms;      /* when another VM last reported it live */
   int64_t remote_report_ms; /* when its failure domain's relay last did */
   int64_t domain_report_ms; /* when it last sent its failure domain's report */
@@ -118,7 +119,9 @@
  */
 uint32_t ss_members_rank (const SsMembers *members, const char *failure_domain,
                           const char *subject);
-/* ss_members_record_report: records a relay's report that MEMBER is live. */
+/* ss_members_record_report: records a relay's report that MEMBER is live.  Its
+ * own heartbeats, where they arrive here, decide LEAVING and PLATFORM_UP.
+ */
 void ss_members_record_report (SsMembers *members, SsMember *member,
                                bool leaving, bool platform_up, int64_t now_ms);
 /* ss_members_record_relay_reply: records that a relay answered this VM, or
@@ -152,6 +155,11 @@
  */
 const char *ss_members_coordinator (const SsMembers *members,
                                     const char *subject);
+/* ss_members_coordinator_rank: returns how many live VMs that the platform
+ * answers rank before this VM for SUBJECT.
+ */
+uint32_t ss_members_coordinator_rank (const SsMembers *members,
+                                      const char *subject);
 /* ss_members_set_listed: sets whether the platform lists MEMBER as live. */
 void ss_members_set_listed (SsMembers *members, SsMember *member, bool listed);
 /* ss_members_is_converged: whether every VM of this failure domain that the
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -233,8 +233,7 @@
 tick_idle_platform (SsNode *node, SsPromotion *p, SsGroup *group)
 {
   if (node->now_ms < p->retry_ms || node->stopping
-      || ss_coordinator_rewrite (node, p, group)
-      || !ss_coordinator_is_self (node)
+      || ss_coordinator_rewrite (node, p, group) || !node->coordinates
       || ss_coordinator_adopt_primary (node, p, group))
     return;
   if (is_primary_draining (group))
@@ -246,7 +245,7 @@
   if (!p->requested)
     ss_node_log (node, SS_EVENT_LOG_SUSPECT, p->group,
                  "primary=%s down_ms=%" G_GINT64_FORMAT, group->primary,
-                 node->now_ms - p->primary_seen_ms);
+                 ss_coordinator_down_ms (node, p));
   start_promotion (node, p, group);
 }
 
@@ -444,6 +443,7 @@
   GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
   GPtrArray *keys = g_ptr_array_new ();
 
+  ss_coordinator_update_role (node);
   g_tree_foreach (node->config.groups, collect_key, keys);
   for (guint i = 0; i < keys->len; i++)
     g_ptr_array_add (names, g_strdup (g_ptr_array_index (keys, i)));
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -228,6 +228,16 @@
  * grace period after the loss of its relays (ss_members_in_relay_grace).
  */
 bool ss_coordinator_is_self (SsNode *node);
+/* ss_coordinator_update_role: updates node->coordinates and since when this VM
+ * watches the primaries of all groups, as coordinator or as one of the next by
+ * rank.
+ */
+void ss_coordinator_update_role (SsNode *node);
+/* ss_coordinator_down_ms: returns for how long the primary has not been seen to
+ * serve by this VM while it watched all groups.
+ */
+int64_t ss_coordinator_down_ms (const SsNode *node,
+                                const SsPromotion *promotion);
 /* ss_coordinator_next_term: returns the term that a new primary of GROUP will
  * lead. */
 uint64_t ss_coordinator_next_term (const SsGroup *group);
--- /dev/null
+++ b/tests/fleet_sim.c
@@ -0,0 +1,842 @@
+#include "tests/fleet_sim.h"
+
+#include <string.h>
+
+#include "platform/dialect.h"
+#include "platform/line.h"
+
+#define START_MS 100000
+#define SLOTS 4096 /* of the schedule: longer than any delay */
+#define SAME_DOMAIN_MS 1
+#define OTHER_DOMAIN_MS 8
+#define STORE_MS 4
+#define STORE_TIMEOUT_MS 800
+#define HANDSHAKE_MS 12
+#define STATEMENT_MS 10
+#define PROMOTION_MS 300
+/* How long a server keeps a connection whose VM has lost power. */
+#define LINGER_MS 3000
+#define STATUS_CELLS 8
+
+typedef struct
+{
+  char *value; /* NULL: deleted */
+  int64_t version;
+} Stored;
+
+typedef struct
+{
+  uint64_t id; /* VM, its incarnation and connection */
+  FleetServer *server;
+  int64_t closes_ms; /* its VM has lost power; 0: it is open */
+} Connection;
+
+/* An event for one VM, with the memory that it points to. */
+typedef struct
+{
+  FleetVm *vm;
+  uint32_t incarnation;
+  SsEvent event;
+  SsTargetResult result;
+  GBytes *bytes;
+  GStringChunk *texts;
+  SsObject *objects;
+  const char *cells[STATUS_CELLS];
+  SsWatch watch; /* of SS_EVENT_PLATFORM_OBJECTS */
+} Scheduled;
+
+/* --- schedule --- */
+
+static Scheduled *
+schedule (FleetSim *sim, FleetVm *vm, int64_t after_ms, SsEventKind kind)
+{
+  Scheduled *s = g_new0 (Scheduled, 1);
+
+  s->vm = vm;
+  s->incarnation = vm->incarnation;
+  s->event.kind = kind;
+  s->texts = g_string_chunk_new (64);
+  g_queue_push_tail (&sim->schedule[(sim->now_ms + after_ms) % SLOTS], s);
+  return s;
+}
+
+static void
+scheduled_free (gpointer data)
+{
+  Scheduled *s = data;
+
+  g_string_chunk_free (s->texts);
+  g_clear_pointer (&s->bytes, g_bytes_unref);
+  g_free (s->objects);
+  g_free (s);
+}
+
+/* --- the store --- */
+
+static void
+stored_free (gpointer data)
+{
+  Stored *s = data;
+
+  g_free (s->value);
+  g_free (s);
+}
+
+static void
+fill_object (Scheduled *s, SsObject *o, const char *key, const Stored *stored)
+{
+  o->key = g_string_chunk_insert (s->texts, key);
+  o->version = stored->version;
+  o->deleted = !stored->value;
+  if (o->deleted)
+    return;
+  o->value = g_string_chunk_insert (s->texts, stored->value);
+  o->value_bytes = (uint32_t) strlen (o->value);
+}
+
+/* Responds with the objects of WATCH that changed after SINCE (0: all). */
+static void
+send_objects (FleetSim *sim, FleetVm *vm, SsWatch watch, int64_t since,
+              bool listed)
+{
+  Scheduled *s = schedule (sim, vm, STORE_MS, SS_EVENT_PLATFORM_OBJECTS);
+  uint32_t count = 0;
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  s->objects = g_new0 (SsObject, g_hash_table_size (sim->objects) + 1);
+  g_hash_table_iter_init (&iter, sim->objects);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const Stored *stored = value;
+
+      if (g_str_has_prefix (key, ss_watch_prefix (watch))
+          && stored->version > since && (since || stored->value))
+        fill_object (s, &s->objects[count++], key, stored);
+    }
+  s->event.platform_objects.watch = watch;
+  s->event.platform_objects.outcome = SS_PLATFORM_DONE;
+  s->event.platform_objects.complete = !since;
+  s->event.platform_objects.listed = listed;
+  s->event.platform_objects.since = since;
+  s->event.platform_objects.revision = sim->version;
+  s->event.platform_objects.objects = s->objects;
+  s->event.platform_objects.object_count = count;
+}
+
+static void
+answer_watches (FleetSim *sim, const char *key)
+{
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    for (uint32_t j = SS_WATCH_ALL + 1; j < SS_WATCH_COUNT; j++)
+      {
+        FleetVm *vm = &sim->vms[i];
+
+        if (!vm->up || !vm->watch_since[j]
+            || !g_str_has_prefix (key, ss_watch_prefix ((SsWatch) j)))
+          continue;
+        send_objects (sim, vm, (SsWatch) j, vm->watch_since[j], false);
+        vm->watch_since[j] = 0;
+      }
+}
+
+/* Whether an object of WATCH has changed after SINCE. */
+static bool
+has_changes (FleetSim *sim, SsWatch watch, int64_t since)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sim->objects);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (g_str_has_prefix (key, ss_watch_prefix (watch))
+        && ((const Stored *) value)->version > since)
+      return true;
+  return false;
+}
+
+static void
+expire_watches (FleetSim *sim, FleetVm *vm)
+{
+  for (uint32_t j = 0; j < SS_WATCH_COUNT; j++)
+    if (vm->watch_since[j] && sim->now_ms >= vm->watch_until_ms[j])
+      {
+        send_objects (sim, vm, (SsWatch) j, vm->watch_since[j], false);
+        vm->watch_since[j] = 0;
+      }
+}
+
+static void
+store_put (FleetSim *sim, const char *key, const char *value)
+{
+  Stored *s = g_new (Stored, 1);
+
+  s->version = ++sim->version;
+  s->value = g_strdup (value);
+  g_hash_table_replace (sim->objects, g_strdup (key), s);
+  answer_watches (sim, key);
+}
+
+static int64_t
+stored_version (FleetSim *sim, const char *key)
+{
+  const Stored *s = g_hash_table_lookup (sim->objects, key);
+
+  return s && s->value ? s->version : 0;
+}
+
+static void
+answer_object (FleetSim *sim, FleetVm *vm, const SsAction *a,
+               SsPlatformOutcome outcome)
+{
+  Scheduled *s = schedule (sim, vm, STORE_MS, SS_EVENT_PLATFORM_OBJECT);
+  const Stored *stored = g_hash_table_lookup (sim->objects, a->name);
+
+  s->event.platform_object.call = a->id;
+  s->event.platform_object.outcome = outcome;
+  s->event.platform_object.object.key
+      = g_string_chunk_insert (s->texts, a->name);
+  s->event.platform_object.object.value = "";
+  if (stored && stored->value)
+    fill_object (s, &s->event.platform_object.object, a->name, stored);
+  else if (outcome == SS_PLATFORM_DONE)
+    s->event.platform_object.outcome = SS_PLATFORM_ABSENT;
+}
+
+static void
+put (FleetSim *sim, FleetVm *vm, const SsAction *a)
+{
+  bool matches = a->number == stored_version (sim, a->name);
+
+  if (matches)
+    store_put (sim, a->name, a->text);
+  answer_object (sim, vm, a, matches ? SS_PLATFORM_DONE : SS_PLATFORM_CONFLICT);
+}
+
+static void
+delete_object (FleetSim *sim, FleetVm *vm, const SsAction *a)
+{
+  if (!a->number || a->number == stored_version (sim, a->name))
+    store_put (sim, a->name, NULL);
+  answer_object (sim, vm, a, SS_PLATFORM_ABSENT);
+}
+
+static FleetServer *
+find_server (FleetSim *sim, const char *name)
+{
+  for (uint32_t i = 0; i < sim->group_count * FLEET_SERVERS; i++)
+    if (strcmp (sim->servers[i].name, name) == 0)
+      return &sim->servers[i];
+  return NULL;
+}
+
+static void
+promote (FleetSim *sim, FleetVm *vm, const SsAction *a)
+{
+  Scheduled *s = schedule (sim, vm, PROMOTION_MS, SS_EVENT_PLATFORM_PROMOTED);
+  FleetServer *chosen = find_server (sim, a->text);
+
+  sim->promotions++;
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    {
+      FleetServer *other = &sim->servers[chosen->group * FLEET_SERVERS + i];
+
+      chosen->term = MAX (chosen->term, other->term);
+    }
+  chosen->term++;
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    {
+      FleetServer *other = &sim->servers[chosen->group * FLEET_SERVERS + i];
+
+      other->role = other == chosen ? SS_SERVER_PRIMARY : SS_SERVER_REPLICA;
+      other->term = chosen->term;
+      other->barred_term = 0;
+      other->position = chosen->position;
+    }
+  s->event.platform_object.call = a->id;
+  s->event.platform_object.outcome = SS_PLATFORM_DONE;
+}
+
+/* Fails a call on the platform. */
+static void
+fail_call (FleetSim *sim, FleetVm *vm, const SsAction *a)
+{
+  bool refuses = vm->store == FLEET_STORE_REFUSES;
+  SsPlatformOutcome outcome
+      = refuses ? SS_PLATFORM_REFUSED : SS_PLATFORM_UNKNOWN;
+  int64_t after_ms = refuses ? STORE_MS : STORE_TIMEOUT_MS;
+  Scheduled *s;
+
+  if (a->kind == SS_ACTION_PLATFORM_WATCH || a->kind == SS_ACTION_PLATFORM_LIST)
+    {
+      s = schedule (sim, vm, after_ms, SS_EVENT_PLATFORM_OBJECTS);
+      s->event.platform_objects.watch = (SsWatch) a->id;
+      s->event.platform_objects.outcome = outcome;
+      s->event.platform_objects.since
+          = a->kind == SS_ACTION_PLATFORM_WATCH ? a->number : 0;
+      s->event.platform_objects.listed = a->kind == SS_ACTION_PLATFORM_LIST;
+      return;
+    }
+  s = schedule (sim, vm, after_ms,
+                a->kind == SS_ACTION_PLATFORM_PROMOTE
+                    ? SS_EVENT_PLATFORM_PROMOTED
+                    : SS_EVENT_PLATFORM_OBJECT);
+  s->event.platform_object.call = a->id;
+  s->event.platform_object.outcome = outcome;
+  s->event.platform_object.object.key
+      = g_string_chunk_insert (s->texts, a->name);
+  s->event.platform_object.object.value = "";
+}
+
+static void
+call_store (FleetSim *sim, FleetVm *vm, const SsAction *a)
+{
+  sim->store_calls++;
+  if (vm->store != FLEET_STORE_SERVES)
+    {
+      fail_call (sim, vm, a);
+      return;
+    }
+  switch (a->kind)
+    {
+    case SS_ACTION_PLATFORM_WATCH:
+      if (!a->number || has_changes (sim, (SsWatch) a->id, a->number))
+        {
+          send_objects (sim, vm, (SsWatch) a->id, a->number, false);
+          break;
+        }
+      vm->watch_since[a->id] = a->number;
+      vm->watch_until_ms[a->id] = sim->now_ms + a->wait_ms;
+      break;
+    case SS_ACTION_PLATFORM_LIST:
+      send_objects (sim, vm, (SsWatch) a->id, 0, true);
+      break;
+    case SS_ACTION_PLATFORM_PUT:
+      put (sim, vm, a);
+      break;
+    case SS_ACTION_PLATFORM_GET:
+      answer_object (sim, vm, a, SS_PLATFORM_DONE);
+      break;
+    case SS_ACTION_PLATFORM_DELETE:
+      delete_object (sim, vm, a);
+      break;
+    default:
+      promote (sim, vm, a);
+      break;
+    }
+}
+
+/* --- servers --- */
+
+static uint64_t
+connection_key (const FleetSim *sim, const FleetVm *vm, uint64_t id)
+{
+  return (uint64_t) (vm - sim->vms) << 48 | (uint64_t) vm->incarnation << 32
+         | id;
+}
+
+static void
+open_connection (FleetSim *sim, FleetVm *vm, const SsAction *a)
+{
+  FleetServer *server = find_server (sim, a->name);
+  Scheduled *s;
+  Connection *c;
+
+  server->connects++;
+  if (server->down || server->connections >= sim->max_connections)
+    {
+      s = schedule (sim, vm, 2, SS_EVENT_TARGET_CLOSED);
+      s->event.target.connection = a->id;
+      s->event.target.refused = server->down;
+      s->event.target.sqlstate = server->down ? NULL : "53300";
+      server->over_cap += server->down ? 0 : 1;
+      return;
+    }
+  server->connections++;
+  c = g_new0 (Connection, 1);
+  c->id = connection_key (sim, vm, a->id);
+  c->server = server;
+  g_hash_table_insert (sim->connections, &c->id, c);
+  schedule (sim, vm, HANDSHAKE_MS, SS_EVENT_TARGET_READY)
+      ->event.target.connection
+      = a->id;
+}
+
+static void
+close_connection (FleetSim *sim, FleetVm *vm, uint64_t id)
+{
+  uint64_t key = connection_key (sim, vm, id);
+  Connection *c = g_hash_table_lookup (sim->connections, &key);
+
+  if (!c)
+    return;
+  c->server->connections--;
+  g_hash_table_remove (sim->connections, &key);
+}
+
+static const char *
+position_text (Scheduled *s, SsPosition p)
+{
+  char text[48];
+
+  g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
+              p.term, p.offset);
+  return g_string_chunk_insert (s->texts, text);
+}
+
+static void
+fill_status (Scheduled *s, const FleetServer *server)
+{
+  char number[24];
+
+  s->cells[0] = server->role == SS_SERVER_PRIMARY ? "primary" : "replica";
+  g_snprintf (number, sizeof number, "%" G_GUINT64_FORMAT, server->term);
+  s->cells[1] = g_string_chunk_insert (s->texts, number);
+  s->cells[2] = position_text (s, server->position);
+  g_snprintf (number, sizeof number, "%" G_GUINT64_FORMAT, server->barred_term);
+  s->cells[3] = g_string_chunk_insert (s->texts, number);
+  s->cells[4] = "0";
+  s->cells[5] = "0";
+  s->cells[6] = "0";
+  s->cells[7] = s->cells[2];
+  s->result.row = s->cells;
+  s->result.row_cells = STATUS_CELLS;
+}
+
+/* Commits at SERVER, which its replicas receive at once. */
+static void
+commit (FleetSim *sim, FleetServer *server)
+{
+  server->position.term = server->term;
+  server->position.offset++;
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    {
+      FleetServer *other = &sim->servers[server->group * FLEET_SERVERS + i];
+
+      if (!other->down && !other->barred_term && other->term == server->term)
+        other->position = server->position;
+    }
+}
+
+static SsTargetFault
+run_text (FleetSim *sim, FleetServer *server, const char *text, Scheduled *s)
+{
+  if (strcmp (text, "STATUS") == 0)
+    fill_status (s, server);
+  else if (strcmp (text, "RESUME") == 0)
+    server->barred_term = 0;
+  else if (g_str_has_prefix (text, "PAUSE "))
+    server->barred_term = g_ascii_strtoull (text + strlen ("PAUSE "), NULL, 10);
+  else if (g_str_has_prefix (text, "WRITE "))
+    {
+      if (server->role != SS_SERVER_PRIMARY)
+        return SS_TARGET_FAULT_NOT_PRIMARY;
+      commit (sim, server);
+    }
+  return SS_TARGET_FAULT_NONE;
+}
+
+static void
+run_query (FleetSim *sim, FleetVm *vm, const SsAction *a)
+{
+  uint64_t key = connection_key (sim, vm, a->id);
+  Connection *c = g_hash_table_lookup (sim->connections, &key);
+  Scheduled *s;
+
+  if (!c || c->server->down)
+    return;
+  s = schedule (sim, vm, STATEMENT_MS, SS_EVENT_TARGET_RESULT);
+  s->result.fault = run_text (sim, c->server, a->text, s);
+  s->result.ok = s->result.fault == SS_TARGET_FAULT_NONE;
+  s->result.transaction_status = 'I';
+  s->result.applied = c->server->position;
+  s->result.sqlstate = "";
+  s->result.tag = "";
+  s->bytes = g_bytes_new_static ("x", 1);
+  s->result.wire = s->bytes;
+  s->event.target_result.connection = a->id;
+  s->event.target_result.result = &s->result;
+}
+
+/* --- messages --- */
+
+FleetVm *
+fleet_find (FleetSim *sim, const char *name)
+{
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    if (strcmp (sim->vms[i].name, name) == 0)
+      return &sim->vms[i];
+  return NULL;
+}
+
+static void
+send_message (FleetSim *sim, FleetVm *from, const SsAction *a)
+{
+  FleetVm *to = fleet_find (sim, a->name);
+  Scheduled *s;
+  gsize bytes;
+
+  if (!to || !to->up || to->partition != from->partition)
+    return;
+  s = schedule (sim, to,
+                strcmp (to->domain, from->domain) == 0 ? SAME_DOMAIN_MS
+                                                       : OTHER_DOMAIN_MS,
+                SS_EVENT_PEER_MESSAGE);
+  s->bytes = g_bytes_ref (a->bytes);
+  s->event.peer_message.data = g_bytes_get_data (s->bytes, &bytes);
+  s->event.peer_message.data_bytes = (uint32_t) bytes;
+}
+
+static void
+count_reply (FleetVm *vm, const SsAction *a)
+{
+  vm->ran += a->verdict == SS_VERDICT_RAN ? 1 : 0;
+  vm->refused += a->verdict == SS_VERDICT_NOT_RUN ? 1 : 0;
+}
+
+static void
+carry_out (FleetSim *sim, FleetVm *vm, const SsAction *a)
+{
+  switch (a->kind)
+    {
+    case SS_ACTION_PEER_SEND:
+      send_message (sim, vm, a);
+      break;
+    case SS_ACTION_TARGET_CONNECT:
+      open_connection (sim, vm, a);
+      break;
+    case SS_ACTION_TARGET_QUERY:
+      run_query (sim, vm, a);
+      break;
+    case SS_ACTION_TARGET_CLOSE:
+      close_connection (sim, vm, a->id);
+      break;
+    case SS_ACTION_CALLER_REPLY:
+      count_reply (vm, a);
+      break;
+    case SS_ACTION_PLATFORM_WATCH:
+    case SS_ACTION_PLATFORM_LIST:
+    case SS_ACTION_PLATFORM_GET:
+    case SS_ACTION_PLATFORM_PUT:
+    case SS_ACTION_PLATFORM_DELETE:
+    case SS_ACTION_PLATFORM_PROMOTE:
+      call_store (sim, vm, a);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+feed (FleetSim *sim, FleetVm *vm, const SsEvent *e)
+{
+  SsAction a;
+
+  ss_node_on_event (&vm->node, e, sim->now_ms + vm->clock_offset_ms);
+  while (ss_node_take_action (&vm->node, &a))
+    {
+      carry_out (sim, vm, &a);
+      ss_action_clear (&a);
+    }
+}
+
+static void
+deliver (FleetSim *sim, Scheduled *s)
+{
+  FleetVm *vm = s->vm;
+
+  if (vm->up && s->incarnation == vm->incarnation
+      && vm->paused_until_ms > sim->now_ms)
+    {
+      int64_t after_ms = MIN (vm->paused_until_ms - sim->now_ms, SLOTS - 1);
+
+      g_queue_push_tail (&sim->schedule[(sim->now_ms + after_ms) % SLOTS], s);
+      return;
+    }
+  if (vm->up && s->incarnation == vm->incarnation)
+    feed (sim, vm, &s->event);
+  scheduled_free (s);
+}
+
+static void
+tick_vm (FleetSim *sim, FleetVm *vm)
+{
+  SsEvent tick = { .kind = SS_EVENT_TICK };
+
+  if (!vm->up || vm->paused_until_ms > sim->now_ms)
+    return;
+  expire_watches (sim, vm);
+  if (ss_node_next_deadline (&vm->node) <= sim->now_ms + vm->clock_offset_ms)
+    feed (sim, vm, &tick);
+}
+
+static gboolean
+is_closed (gpointer key, gpointer value, gpointer data)
+{
+  Connection *c = value;
+  const FleetSim *sim = data;
+
+  (void) key;
+  if (!c->closes_ms || sim->now_ms < c->closes_ms)
+    return FALSE;
+  c->server->connections--;
+  return TRUE;
+}
+
+void
+fleet_advance (FleetSim *sim, int64_t ms)
+{
+  for (int64_t i = 0; i < ms; i++)
+    {
+      GQueue due;
+      Scheduled *s;
+
+      sim->now_ms++;
+      due = sim->schedule[sim->now_ms % SLOTS];
+      g_queue_init (&sim->schedule[sim->now_ms % SLOTS]);
+      while ((s = g_queue_pop_head (&due)))
+        deliver (sim, s);
+      for (uint32_t j = 0; j < sim->vm_count; j++)
+        tick_vm (sim, &sim->vms[j]);
+      g_hash_table_foreach_remove (sim->connections, is_closed, sim);
+    }
+}
+
+/* --- start and stop --- */
+
+void
+fleet_start (FleetSim *sim, uint32_t index)
+{
+  FleetVm *vm = &sim->vms[index];
+  SsNodeParams params = { .vm = vm->name,
+                          .failure_domain = vm->domain,
+                          .ip = "10.0.0.1",
+                          .peer_port = 1,
+                          .seeds = "",
+                          .seed = sim->seed * FLEET_VMS_MAX + index,
+                          .deadline_ms = 1000,
+                          .transaction_idle_ms = 2000,
+                          .stop_bound_ms = 1000,
+                          .apply_ms = 3000,
+                          .drain_ms = 7000,
+                          .cross_domain_owners = true,
+                          .dialect = ss_dialect_line () };
+
+  params.watches = 1U << SS_WATCH_ROUTES | 1U << SS_WATCH_TARGETS
+                   | 1U << SS_WATCH_GROUPS | 1U << SS_WATCH_VMS;
+  params.timing = (SsTiming){ .tick_asked_ms = 5,
+                              .tick_busy_ms = 10,
+                              .tick_idle_ms = 25,
+                              .heartbeat_ms = 250,
+                              .poll_idle_ms = 4000,
+                              .poll_lagging_ms = 4000,
+                              .poll_asked_ms = 10,
+                              .silence_ms = 450,
+                              .unreachable_ms = 900,
+                              .report_idle_ms = 500,
+                              .report_min_ms = 300 };
+  vm->up = true;
+  vm->incarnation++;
+  vm->sessions = 0;
+  memset (vm->watch_since, 0, sizeof vm->watch_since);
+  ss_node_init (&vm->node, &params, sim->now_ms + vm->clock_offset_ms);
+}
+
+void
+fleet_stop (FleetSim *sim, uint32_t index)
+{
+  FleetVm *vm = &sim->vms[index];
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, sim->connections);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      Connection *c = value;
+
+      if (c->id >> 48 == index && !c->closes_ms)
+        c->closes_ms = sim->now_ms + LINGER_MS;
+    }
+  vm->up = false;
+  ss_node_finish (&vm->node);
+}
+
+static void
+store_routes (FleetSim *sim)
+{
+  GString *text = g_string_new ("{\"services\":{");
+
+  for (uint32_t i = 0; i < sim->group_count; i++)
+    g_string_append_printf (
+        text,
+        "%s\"s%u\":{\"group\":\"g%u\",\"default_kind\":\"b\","
+        "\"timeout_ms\":1000,\"kinds\":{\"b\":{\"staleness_ms\":1500}}}",
+        i ? "," : "", i, i);
+  g_string_append (text, "},\"groups\":{");
+  for (uint32_t i = 0; i < sim->group_count; i++)
+    g_string_append_printf (text, "%s\"g%u\":{\"max_connections\":%u}",
+                            i ? "," : "", i, sim->max_connections);
+  g_string_append (text, "}}");
+  store_put (sim, "routes/main", text->str);
+  g_string_free (text, TRUE);
+}
+
+static void
+store_target (FleetSim *sim, uint32_t index)
+{
+  FleetServer *s = &sim->servers[index];
+  char key[32];
+  char *value;
+
+  s->group = index / FLEET_SERVERS;
+  s->role = index % FLEET_SERVERS ? SS_SERVER_REPLICA : SS_SERVER_PRIMARY;
+  s->term = 1;
+  s->position = (SsPosition){ 1, 0 };
+  g_snprintf (s->name, sizeof s->name, "t%u", index);
+  g_snprintf (s->domain, sizeof s->domain, "d%u", index % FLEET_SERVERS);
+  g_snprintf (key, sizeof key, "target/%s", s->name);
+  value = g_strdup_printf ("{\"group\":\"g%u\",\"ip\":\"10.1.0.%u\","
+                           "\"port\":1,\"failure_domain\":\"%s\",\"slots\":4}",
+                           s->group, index + 1, s->domain);
+  store_put (sim, key, value);
+  g_free (value);
+}
+
+void
+fleet_add_group (FleetSim *sim)
+{
+  uint32_t first = sim->group_count++ * FLEET_SERVERS;
+
+  store_routes (sim);
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    store_target (sim, first + i);
+}
+
+void
+fleet_init (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups)
+{
+  memset (sim, 0, sizeof *sim);
+  sim->seed = seed;
+  sim->now_ms = START_MS;
+  sim->vm_count = vms;
+  sim->group_count = groups;
+  sim->max_connections = 57;
+  sim->objects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, stored_free);
+  sim->connections
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  sim->schedule = g_new0 (GQueue, SLOTS);
+  store_routes (sim);
+  for (uint32_t i = 0; i < groups * FLEET_SERVERS; i++)
+    store_target (sim, i);
+  for (uint32_t i = 0; i < vms; i++)
+    {
+      FleetVm *vm = &sim->vms[i];
+
+      g_snprintf (vm->name, sizeof vm->name, "vm%03u", i);
+      g_snprintf (vm->domain, sizeof vm->domain, "d%u", i % FLEET_DOMAINS);
+      vm->clock_offset_ms = (int64_t) i * 1000;
+      fleet_start (sim, i);
+    }
+  fleet_advance (sim, FLEET_SETTLE_MS);
+}
+
+void
+fleet_finish (FleetSim *sim)
+{
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    if (sim->vms[i].up)
+      ss_node_finish (&sim->vms[i].node);
+  for (uint32_t i = 0; i < SLOTS; i++)
+    g_queue_clear_full (&sim->schedule[i], scheduled_free);
+  g_free (sim->schedule);
+  g_hash_table_destroy (sim->connections);
+  g_hash_table_destroy (sim->objects);
+}
+
+/* --- callers --- */
+
+void
+fleet_open (FleetSim *sim)
+{
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    for (uint32_t g = 0; sim->vms[i].up && g < sim->group_count; g++)
+      {
+        SsEvent e = { .kind = SS_EVENT_CALLER_OPEN };
+        char service[16];
+
+        g_snprintf (service, sizeof service, "s%u", g);
+        e.caller_open.caller = ++sim->vms[i].sessions;
+        e.caller_open.service = service;
+        e.caller_open.user = "";
+        feed (sim, &sim->vms[i], &e);
+      }
+}
+
+void
+fleet_send (FleetSim *sim, uint32_t vm, uint32_t session, const char *text)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_STATEMENT };
+
+  e.caller_statement.caller = session;
+  e.caller_statement.label = "c";
+  e.caller_statement.sql = text;
+  feed (sim, &sim->vms[vm], &e);
+}
+
+/* --- views --- */
+
+SsGroup *
+fleet_group (FleetSim *sim, uint32_t vm, uint32_t group)
+{
+  char name[16];
+
+  g_snprintf (name, sizeof name, "g%u", group);
+  return ss_config_group (&sim->vms[vm].node.config, name);
+}
+
+const char *
+fleet_primary (FleetSim *sim, uint32_t group)
+{
+  char key[32];
+  const Stored *s;
+
+  g_snprintf (key, sizeof key, "group/g%u", group);
+  s = g_hash_table_lookup (sim->objects, key);
+  if (!s || !s->value)
+    return "";
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    {
+      const char *name = sim->servers[group * FLEET_SERVERS + i].name;
+      char quoted[24];
+
+      g_snprintf (quoted, sizeof quoted, "\"%s\"", name);
+      if (strstr (s->value, quoted))
+        return name;
+    }
+  return "";
+}
+
+uint64_t
+fleet_calls (const FleetSim *sim, SsPlatformPurpose purpose)
+{
+  uint64_t calls = 0;
+
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    for (uint32_t j = 0; sim->vms[i].up && j < SS_WATCH_COUNT; j++)
+      calls += sim->vms[i].node.platform_calls.calls[purpose][j];
+  return calls;
+}
+
+uint64_t
+fleet_bytes (const FleetSim *sim, SsTrafficKind kind)
+{
+  uint64_t bytes = 0;
+
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    if (sim->vms[i].up)
+      bytes += sim->vms[i].node.traffic.bytes[kind][SS_TRAFFIC_OTHER_DOMAIN];
+  return bytes;
+}
--- /dev/null
+++ b/tests/fleet_sim.h
@@ -0,0 +1,113 @@
+/* fleet_sim: a deterministic simulation of many VMs with the line dialect.
+ *
+ * The cores of all VMs, the platform's store and the servers of several groups
+ * run on one simulated clock, without a network.  Each VM has a clock of its
+ * own.  Faults are injected by setting the fields of FleetVm and FleetServer.
+ */
+#ifndef SS_TESTS_FLEET_SIM_H
+#define SS_TESTS_FLEET_SIM_H
+
+#include "core/internal.h"
+
+#define FLEET_VMS_MAX 120
+#define FLEET_DOMAINS 6
+#define FLEET_SERVERS 3 /* of a group, in the first failure domains */
+#define FLEET_GROUPS_MAX 24
+/* Time from the start until every group has its primary. */
+#define FLEET_SETTLE_MS 5000
+
+typedef struct FleetSim FleetSim;
+
+typedef enum
+{
+  FLEET_STORE_SERVES,
+  FLEET_STORE_REFUSES, /* at once */
+  FLEET_STORE_SILENT   /* calls time out */
+} FleetStoreMode;
+
+typedef struct
+{
+  char name[16];
+  char domain[8];
+  SsNode node;
+  bool up;
+  uint32_t incarnation;
+  int64_t clock_offset_ms; /* of its clock to the simulation's */
+  int64_t paused_until_ms; /* events wait until then */
+  uint32_t partition;      /* reaches VMs of the same partition only */
+  FleetStoreMode store;
+  int64_t watch_since[SS_WATCH_COUNT]; /* outstanding watches; 0: none */
+  int64_t watch_until_ms[SS_WATCH_COUNT];
+  uint32_t sessions;
+  uint32_t ran;     /* statements that ran */
+  uint32_t refused; /* statements refused as not run */
+} FleetVm;
+
+typedef struct
+{
+  char name[16];
+  char domain[8];
+  uint32_t group;
+  SsServerRole role;
+  uint64_t term;
+  uint64_t barred_term;
+  SsPosition position;
+  bool down;
+  uint32_t connections; /* open, with those of VMs that lost power */
+  uint32_t connects;    /* attempts */
+  uint32_t over_cap;    /* of them, refused as too many were open */
+} FleetServer;
+
+struct FleetSim
+{
+  FleetVm vms[FLEET_VMS_MAX];
+  uint32_t vm_count;
+  FleetServer servers[FLEET_GROUPS_MAX * FLEET_SERVERS];
+  uint32_t group_count;
+  uint32_t max_connections; /* of a server */
+  uint32_t seed;
+  int64_t now_ms;
+  int64_t version; /* of the last object written */
+  GHashTable *objects;
+  GHashTable *connections;
+  GQueue *schedule; /* of events, by the millisecond that they are due in */
+  uint32_t promotions;
+  uint32_t store_calls;
+};
+
+/* fleet_init: starts VMS VMs, spread over the failure domains, and GROUPS
+ * groups.  The caller owns the memory, which is large.
+ */
+void fleet_init (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups);
+void fleet_finish (FleetSim *sim);
+/* fleet_add_group: adds a group, its servers and its service. */
+void fleet_add_group (FleetSim *sim);
+void fleet_advance (FleetSim *sim, int64_t ms);
+/* fleet_open: opens one session a service at every VM. */
+void fleet_open (FleetSim *sim);
+/* fleet_send: sends TEXT in SESSION (from 1, the session of group SESSION - 1)
+ * of VM.
+ */
+void fleet_send (FleetSim *sim, uint32_t vm, uint32_t session,
+                 const char *text);
+/* fleet_stop: VM loses power; its connections stay open at the servers for some
+ * seconds.  fleet_start: starts it again.
+ */
+void fleet_stop (FleetSim *sim, uint32_t vm);
+void fleet_start (FleetSim *sim, uint32_t vm);
+/* fleet_find: returns the VM NAME, or NULL. */
+FleetVm *fleet_find (FleetSim *sim, const char *name);
+/* fleet_primary: returns the primary that the store names for GROUP, or "". */
+const char *fleet_primary (FleetSim *sim, uint32_t group);
+/* fleet_group: returns GROUP as VM knows it, or NULL. */
+SsGroup *fleet_group (FleetSim *sim, uint32_t vm, uint32_t group);
+/* fleet_calls: returns how many calls on the platform for PURPOSE all VMs that
+ * are up have made since their start.
+ */
+uint64_t fleet_calls (const FleetSim *sim, SsPlatformPurpose purpose);
+/* fleet_bytes: returns how many bytes of messages of KIND all VMs that are up
+ * have sent to other failure domains since their start.
+ */
+uint64_t fleet_bytes (const FleetSim *sim, SsTrafficKind kind);
+
+#endif
--- /dev/null
+++ b/tests/test_fleet.c
@@ -0,0 +1,131 @@
+/* Many VMs in six failure domains: who coordinates, who reports to whom, and
+ * what the store is asked.
+ */
+#include <string.h>
+
+#include "tests/fleet_sim.h"
+#include "tests/unit.h"
+
+#define VMS 48
+#define GROUPS 8
+
+static FleetSim sim;
+
+static uint32_t
+find_coordinator (void)
+{
+  for (uint32_t i = 0; i < VMS; i++)
+    if (sim.vms[i].up && ss_coordinator_is_self (&sim.vms[i].node))
+      return i;
+  return VMS;
+}
+
+/* One VM of the fleet coordinates all groups.  It may have callers of none. */
+static void
+coordinator_names_primary_of_unused_group (void)
+{
+  fleet_init (&sim, 1, VMS, GROUPS);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      fleet_add_group (&sim);
+      fleet_advance (&sim, 3000);
+      CU_ASSERT (*fleet_primary (&sim, GROUPS + i));
+    }
+  CU_ASSERT (sim.promotions == 0);
+  fleet_finish (&sim);
+}
+
+static uint32_t
+count_coordinators (void)
+{
+  uint32_t found = 0;
+
+  for (uint32_t i = 0; i < VMS; i++)
+    found += sim.vms[i].up && ss_coordinator_is_self (&sim.vms[i].node) ? 1 : 0;
+  return found;
+}
+
+/* Roles that need the platform are given to VMs that it answers: relays must
+ * not keep each other's outdated word of that in circulation.
+ */
+static void
+vms_agree_which_vms_the_platform_answers (void)
+{
+  fleet_init (&sim, 4, VMS, GROUPS);
+  fleet_advance (&sim, 6000);
+  for (uint32_t i = 0; i < VMS; i++)
+    for (uint32_t j = 0; j < VMS; j++)
+      {
+        const SsMember *m
+            = ss_members_find (&sim.vms[i].node.members, sim.vms[j].name);
+
+        CU_ASSERT (m
+                   && m->platform_up == ss_watch_is_active (&sim.vms[j].node));
+      }
+  CU_ASSERT (count_coordinators () == 1);
+  fleet_finish (&sim);
+}
+
+/* A VM that becomes the coordinator has not heard of the primaries before: that
+ * is no sign of their failure.
+ */
+static void
+new_coordinator_replaces_no_healthy_primary (void)
+{
+  fleet_init (&sim, 2, VMS, GROUPS);
+  fleet_open (&sim);
+  fleet_advance (&sim, 10000);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      uint32_t coordinator = find_coordinator ();
+
+      CU_ASSERT_FATAL (coordinator < VMS);
+      fleet_stop (&sim, coordinator);
+      fleet_advance (&sim, 4000);
+    }
+  CU_ASSERT (find_coordinator () < VMS);
+  CU_ASSERT (sim.promotions == 0);
+  fleet_finish (&sim);
+}
+
+/* A third of the VMs is cut off from the others, each alone.  Each of them
+ * takes itself for the coordinator.
+ */
+static void
+vms_cut_off_replace_no_healthy_primary (void)
+{
+  fleet_init (&sim, 3, VMS, GROUPS);
+  fleet_open (&sim);
+  fleet_advance (&sim, 10000);
+  for (uint32_t i = 0; i < VMS / 3; i++)
+    sim.vms[i * 3].partition = i + 1;
+  fleet_advance (&sim, 12000);
+  CU_ASSERT (sim.promotions == 0);
+  fleet_finish (&sim);
+}
+
+/* A primary that fails is replaced, whoever coordinates. */
+static void
+failed_primary_is_replaced (void)
+{
+  fleet_init (&sim, 4, VMS, GROUPS);
+  fleet_advance (&sim, 3000);
+  sim.servers[0].down = true;
+  fleet_advance (&sim, 6000);
+  CU_ASSERT (sim.promotions == 1);
+  CU_ASSERT (strcmp (fleet_primary (&sim, 0), "t0") != 0);
+  fleet_finish (&sim);
+}
+
+CU_TestInfo test_fleet[] = {
+  { "coordinator names primary of unused group",
+    coordinator_names_primary_of_unused_group },
+  { "vms agree which vms the platform answers",
+    vms_agree_which_vms_the_platform_answers },
+  { "new coordinator replaces no healthy primary",
+    new_coordinator_replaces_no_healthy_primary },
+  { "vms cut off replace no healthy primary",
+    vms_cut_off_replace_no_healthy_primary },
+  { "failed primary is replaced", failed_primary_is_replaced },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -12,6 +12,7 @@
   X (session)                                                                  \
   X (line)                                                                     \
   X (relay)                                                                    \
+  X (fleet)                                                                    \
   X (failover)                                                                 \
   X (restore)                                                                  \
   X (restore_lease)                                                            \
