A VM that starts takes no role before it knows its peers

The simulation of 100 VMs and 20 groups shows a cause: each VM that starts takes itself for the only one until it hears the others, and so for the owner of all targets. In the first 1.25 s 209,000 connections were tried over the limits of the servers, since a control connection that its target closes is opened again after 10 ms.

Change: settling.c, a module that answers one question: does this VM know its peers? Until half of the listed VMs are live, or 1 s after the first was listed (2 s where none is), it owns nothing, coordinates nothing and is not ready; callers wait in the startup queue as before. A new peer is told at once. backoff.c: pauses that double, half of each random, between attempts that a target closes.

Ruled out: fewer connections per owner (each VM is right by what it knows), a random delay of each start (a restart of one VM would pay for it).

--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -63,7 +63,7 @@
 {
   const SsMember *self = ss_members_find (&node->members, node->params.vm);
 
-  return node->dialect->platform_promotes && self->platform_up
+  return node->dialect->platform_promotes && node->settled && self->platform_up
          && ss_members_coordinator_rank (&node->members, COORDINATOR_SUBJECT)
                 <= STANDBYS;
 }
@@ -94,7 +94,8 @@
 {
   const char *vm;
 
-  if (ss_members_in_relay_grace (&node->members, node->now_ms))
+  if (!node->settled
+      || ss_members_in_relay_grace (&node->members, node->now_ms))
     return false;
   vm = ss_members_coordinator (&node->members, COORDINATOR_SUBJECT);
   return vm && strcmp (vm, node->params.vm) == 0;
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -233,6 +233,9 @@
        */
       if (!target->owner && node->params.cross_domain_owners)
         target->owner = ss_members_owner (&node->members, NULL, target->name);
+      if (target->owner && !node->settled
+          && strcmp (target->owner, node->params.vm) == 0)
+        target->owner = NULL;
       target->owner_generation = node->members.generation;
     }
   return target->owner;
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -33,11 +33,14 @@
   ss_timing_fill_defaults (&node->params.timing);
   if (!node->params.watches)
     node->params.watches = 1U << SS_WATCH_ALL;
+  /* With a single watch the platform lists the VMs before any target. */
+  node->settled = (node->params.watches & (1U << SS_WATCH_ALL)) != 0;
   node->now_ms = now_ms;
   node->started_ms = now_ms;
   node->ticked_ms = now_ms;
   node->rand = g_rand_new_with_seed (params->seed);
   node->dialect = params->dialect ? params->dialect : ss_dialect_sql ();
+
   /* Random start, so that ids of different incarnations of this VM do not
    * collide.
    */
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -98,9 +98,11 @@
   SsRetryBudget retry_budget;
   const SsDialect *dialect;
   SsLogQuota log_quotas[SS_EVENT_LOG_COUNT];
-  GQueue actions; /* of SsAction */
-  GQueue local;   /* of GBytes: messages from this VM to itself */
-  bool ready;     /* a configuration is in force */
+  GQueue actions;          /* of SsAction */
+  GQueue local;            /* of GBytes: messages from this VM to itself */
+  int64_t others_since_ms; /* since when others are listed; 0: none were */
+  bool settled;            /* may take roles (settling.h) */
+  bool ready;              /* a configuration is in force */
   bool stopping;
   bool stopped;
   int64_t stop_due_ms;
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -5,6 +5,7 @@
 #ifndef SS_OWNED_H
 #define SS_OWNED_H
 
+#include "core/backoff.h"
 #include "core/message.h"
 #include "core/queue.h"
 #include "core/replay.h"
@@ -139,12 +140,14 @@
   SsQueue queue;
   GPtrArray *connections; /* not the control connection */
   int64_t connect_after_ms;
+  SsBackoff connect_backoff;
   int64_t owner_since_ms;
   uint64_t group_term; /* last seen term of the group */
 
   SsConnection *control;
   SsControlStep control_step;
   int64_t control_after_ms;
+  SsBackoff control_backoff; /* of its connection attempts */
   int64_t control_started_ms;
   uint64_t poll; /* sequence number of the last poll */
   int64_t poll_due_ms;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -5,6 +5,8 @@
 
 #define CONNECT_TIMEOUT_MS 1000
 #define CONNECT_BACKOFF_MS 50
+/* Longest pause while the target has too many connections. */
+#define CONNECT_BACKOFF_MAX_MS 1600
 #define IDLE_CONNECTION_MS 30000
 /* A target that does not answer ROLLBACK within this time is assumed to have
  * lost the transaction; the connection is closed.
@@ -60,6 +62,7 @@
     return;
   c->state = SS_CONNECTION_IDLE;
   c->since_ms = node->now_ms;
+  ss_backoff_reset (&c->owned->connect_backoff);
   if (c->is_control)
     ss_target_monitor_ready (node, c->owned);
   else
@@ -89,7 +92,10 @@
   if (c->state == SS_CONNECTION_CONNECTING)
     owned->connect_after_ms = node->now_ms + CONNECT_BACKOFF_MS;
   if (sqlstate && strcmp (sqlstate, TOO_MANY_CONNECTIONS) == 0)
-    owned->connect_after_ms = node->now_ms + CONNECT_BACKOFF_MS * 4;
+    owned->connect_after_ms
+        = node->now_ms
+          + ss_backoff_next (&owned->connect_backoff, node->rand,
+                             CONNECT_BACKOFF_MS * 4, CONNECT_BACKOFF_MAX_MS);
   job = g_steal_pointer (&c->job);
   ss_pool_forget (node, c);
   if (job)
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/peers.h"
+#include "core/settling.h"
 #include "core/version.h"
 
 /* A heartbeat lists the VMs that were heard within this time. */
@@ -75,6 +76,9 @@
   m = ss_members_add (&node->members, vm, failure_domain, ip, port);
   if (is_new)
     m->added_ms = node->now_ms;
+  /* Peers answer sooner if they are told at once that this VM has started. */
+  if (is_new && !node->settled)
+    node->heartbeat_due_ms = node->now_ms;
   if (moved && !ss_peers_is_self (node, vm))
     push_address (node, vm, ip, port);
   return m;
@@ -238,6 +242,39 @@
     g_queue_push_tail (&node->lost_vms, g_strdup (member->vm));
 }
 
+static void
+count_other (SsNode *node, SsMember *member, void *data)
+{
+  SsSettlingView *view = data;
+
+  (void) node;
+  if (!member->listed)
+    return;
+  view->others++;
+  view->others_live += member->live ? 1 : 0;
+}
+
+static void
+check_settled (SsNode *node)
+{
+  SsSettlingView view = { node->now_ms - node->started_ms, 0, 0, 0 };
+
+  if (node->settled)
+    return;
+  ss_peers_visit (node, count_other, &view);
+  if (view.others && !node->others_since_ms)
+    node->others_since_ms = node->now_ms;
+  if (view.others)
+    view.known_ms = node->now_ms - node->others_since_ms;
+  if (!ss_settling_is_over (&view))
+    return;
+  node->settled = true;
+  node->members.generation++;
+  ss_node_log (node, SS_EVENT_LOG_SETTLED, node->params.vm,
+               "ms=%" G_GINT64_FORMAT " others=%u live=%u", view.uptime_ms,
+               view.others, view.others_live);
+}
+
 static void
 check_ready (SsNode *node)
 {
@@ -245,7 +282,8 @@
                          ? READY_AFTER_LISTING_MS
                          : READY_AFTER_MS;
 
-  if (node->ready || node->now_ms - node->started_ms < after_ms
+  if (node->ready || !node->settled
+      || node->now_ms - node->started_ms < after_ms
       || g_tree_nnodes (node->config.services) == 0
       || g_tree_nnodes (node->config.targets) == 0)
     return;
@@ -263,6 +301,7 @@
   self->platform_up = ss_watch_is_active (node) && !node->platform_down;
   node->members.relayed = is_relayed (node);
   ss_members_update (&node->members, node->now_ms, on_member_changed, node);
+  check_settled (node);
 }
 
 void
--- a/src/core/target_monitor.c
+++ b/src/core/target_monitor.c
@@ -9,6 +9,8 @@
  * server's role.
  */
 #define CONTROL_RETRY_MS 100
+/* Longest interval between attempts to connect that the target closes. */
+#define CONTROL_RETRY_MAX_MS 800
 /* Timeout of a statement on the control connection. */
 #define CONTROL_TIMEOUT_MS 3000
 #define CONNECT_TIMEOUT_MS 1000
@@ -349,6 +351,7 @@
 void
 ss_target_monitor_ready (SsNode *node, SsOwnedTarget *owned)
 {
+  ss_backoff_reset (&owned->control_backoff);
   owned->poll_due_ms = node->now_ms;
   start_next_statement (node, owned);
 }
@@ -357,9 +360,15 @@
 ss_target_monitor_closed (SsNode *node, SsOwnedTarget *owned, bool refused)
 {
   owned->control_step = SS_CONTROL_NONE;
-  /* A connection that broke is replaced sooner than a refused one. */
+  /* A connection that broke is replaced sooner than a refused one.  A target
+   * that has too many connections closes each new one.
+   */
   owned->control_after_ms
-      = node->now_ms + (refused ? CONTROL_RETRY_MS : CONTROL_RETRY_MS / 10);
+      = node->now_ms
+        + (refused
+               ? CONTROL_RETRY_MS
+               : ss_backoff_next (&owned->control_backoff, node->rand,
+                                  CONTROL_RETRY_MS / 10, CONTROL_RETRY_MAX_MS));
   if (refused)
     mark_unreachable (node, owned, true);
 }
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -55,6 +55,7 @@
   X (REJOINED, 305, INFO, "no longer isolated")                                \
   X (PEER_CLOSED, 302, INFO, "peer connection closed")                         \
   X (PEER_INVALID, 303, ERROR, "peer sent an invalid message")                 \
+  X (SETTLED, 307, INFO, "this vm knows its peers and takes roles")            \
   X (REPORTS_MISSING, 306, WARNING,                                            \
      "no state reports through another vm; asking the owner")                  \
   X (TARGET_UP, 400, INFO, "target answers")                                   \
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -715,7 +715,7 @@
 }
 
 void
-fleet_init (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups)
+fleet_init_start (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups)
 {
   memset (sim, 0, sizeof *sim);
   sim->seed = seed;
@@ -740,6 +740,12 @@
       vm->clock_offset_ms = (int64_t) i * 1000;
       fleet_start (sim, i);
     }
+}
+
+void
+fleet_init (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups)
+{
+  fleet_init_start (sim, seed, vms, groups);
   fleet_advance (sim, FLEET_SETTLE_MS);
 }
 
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -9,7 +9,7 @@
 
 #include "core/internal.h"
 
-#define FLEET_VMS_MAX 120
+#define FLEET_VMS_MAX 300
 #define FLEET_DOMAINS 6
 #define FLEET_SERVERS 3 /* of a group, in the first failure domains */
 #define FLEET_GROUPS_MAX 24
@@ -75,9 +75,12 @@
   uint32_t store_calls;
 };
 
-/* fleet_init: starts VMS VMs, spread over the failure domains, and GROUPS
- * groups.  The caller owns the memory, which is large.
+/* fleet_init_start: starts VMS VMs, spread over the failure domains, and GROUPS
+ * groups.  The caller owns the memory, which is large.  fleet_init also waits
+ * until they have settled.
  */
+void fleet_init_start (FleetSim *sim, uint32_t seed, uint32_t vms,
+                       uint32_t groups);
 void fleet_init (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups);
 void fleet_finish (FleetSim *sim);
 /* fleet_add_group: adds a group, its servers and its service. */
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -8,9 +8,73 @@
 
 #define VMS 48
 #define GROUPS 8
+#define LARGE_VMS 100
+#define LARGE_GROUPS 20
 
 static FleetSim sim;
 
+static uint32_t
+count_connects (void)
+{
+  uint32_t connects = 0;
+
+  for (uint32_t i = 0; i < sim.group_count * FLEET_SERVERS; i++)
+    connects += sim.servers[i].connects;
+  return connects;
+}
+
+static uint32_t
+count_over_cap (void)
+{
+  uint32_t over_cap = 0;
+
+  for (uint32_t i = 0; i < sim.group_count * FLEET_SERVERS; i++)
+    over_cap += sim.servers[i].over_cap;
+  return over_cap;
+}
+
+/* All VMs of a new deployment start at once.  None knows any other yet, and
+ * none may take itself for the owner of all targets.
+ */
+static void
+first_start_opens_few_connections (void)
+{
+  fleet_init (&sim, 5, LARGE_VMS, LARGE_GROUPS);
+  CU_ASSERT (count_over_cap () == 0);
+  CU_ASSERT (count_connects () < 4 * LARGE_GROUPS * FLEET_SERVERS);
+  fleet_finish (&sim);
+}
+
+/* All VMs lose power and start again, while the servers still have the
+ * connections of before.
+ */
+static void
+restart_of_all_vms_opens_few_connections (void)
+{
+  uint32_t connects;
+
+  fleet_init (&sim, 6, LARGE_VMS, LARGE_GROUPS);
+  fleet_open (&sim);
+  fleet_advance (&sim, 2000);
+  connects = count_connects ();
+  for (uint32_t i = 0; i < LARGE_VMS; i++)
+    fleet_stop (&sim, i);
+  fleet_advance (&sim, 700);
+  for (uint32_t i = 0; i < LARGE_VMS; i++)
+    {
+      fleet_start (&sim, i);
+      fleet_advance (&sim, 3);
+    }
+  fleet_advance (&sim, 500);
+  for (uint32_t i = 0; i < LARGE_VMS; i++)
+    CU_ASSERT (ss_node_takes_callers (&sim.vms[i].node));
+  fleet_advance (&sim, 4000);
+  CU_ASSERT (count_over_cap () == 0);
+  CU_ASSERT (count_connects () - connects < 4 * LARGE_GROUPS * FLEET_SERVERS);
+  CU_ASSERT (sim.promotions == 0);
+  fleet_finish (&sim);
+}
+
 static uint32_t
 find_coordinator (void)
 {
@@ -126,6 +190,9 @@
     new_coordinator_replaces_no_healthy_primary },
   { "vms cut off replace no healthy primary",
     vms_cut_off_replace_no_healthy_primary },
+  { "first start opens few connections", first_start_opens_few_connections },
+  { "restart of all vms opens few connections",
+    restart_of_all_vms_opens_few_connections },
   { "failed primary is replaced", failed_primary_is_replaced },
   CU_TEST_INFO_NULL,
 };
