One list of the groups confirms the leases of all VMs

One VM that the platform answers, by rank, is the keeper. Owners ask it, naming their groups; it lists at most every 300 ms for all asks that came before the list was requested. An owner that gets no answer within 450 ms lists by itself as before, with pauses that grow to 800 ms where the platform does not answer. VMs that are answered together ask again together, so few lists serve all.

The argument is that of the renewal through a peer, which existed: a lease counts from when its holder sent the ask, by the holder's own clock, and the list was requested after the ask arrived. No two clocks are compared, and the release of leases before a promotion is as before. Weighed: one time of asking passed on for all leases (two clocks, and a pause of the keeper would have to be proved harmless), longer leases (a failover whose owner died waits for them).

--- a/src/core/isolation.c
+++ b/src/core/isolation.c
@@ -59,7 +59,8 @@
 void
 ss_isolation_tick (SsNode *node)
 {
-  if (!node->dialect->platform_promotes)
+  /* Before it is settled, a VM has not heard the others yet. */
+  if (!node->dialect->platform_promotes || !node->settled)
     return;
   if (!ss_isolation_lost_majority (node))
     {
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -7,8 +7,9 @@
  * may hold leases on.  A promotion starts with a write to the group's object,
  * the claim.  It proceeds once every holder has adopted the claim, as its reply
  * or its own object shows, or once all leases have expired
- * (ss_lease_is_released).  A VM that the platform does not answer renews its
- * leases through another VM.  If the platform answers none of the VMs that it
+ * (ss_lease_is_released).  VMs renew their leases through one of them, the
+ * keeper (lease_keeper.h), or list the groups themselves if it does not answer.
+ * If the platform answers none of the VMs that it
  * hears, it asks a majority of the servers instead (quorum.c).
  */
 #include <string.h>
@@ -18,13 +19,7 @@
 #include "core/promotion.h"
 #include "core/version.h"
 
-/* Renewal interval: well below SS_LEASE_MS, so that a single lost response does
- * not let the lease expire.
- */
-#define RENEW_MS 800
-/* Retry interval after a failed renewal. */
-#define RENEW_RETRY_MS 200
-#define LIST_TIMEOUT_MS 1500
+#define KEEPER_SUBJECT "leases"
 /* Bound on the clock drift between two VMs during a lease. */
 #define CLOCK_DRIFT_MS 50
 
@@ -98,30 +93,21 @@
 
 /* --- renewing leases --- */
 
-/* Sets the SsNode pointer at DATA to NULL if that node owns the primary of the
- * group.
- */
-static gboolean
-find_owned_primary (gpointer key, gpointer value, gpointer data)
+typedef struct
 {
-  const SsGroup *group = value;
-  SsTarget *primary = ss_group_primary (group);
-  SsNode **node = data;
-
-  (void) key;
-  if (!primary || !ss_node_is_owner (*node, primary))
-    return FALSE;
-  *node = NULL;
-  return TRUE;
-}
+  SsNode *node;
+  GPtrArray *groups; /* names */
+} OwnedPrimaries;
 
-static bool
-owns_primary (SsNode *node)
+static gboolean
+collect_owned_primary (gpointer key, gpointer value, gpointer data)
 {
-  SsNode *found = node;
+  OwnedPrimaries *o = data;
+  SsTarget *primary = ss_group_primary (value);
 
-  g_tree_foreach (node->config.groups, find_owned_primary, &found);
-  return !found;
+  if (primary && ss_node_is_owner (o->node, primary))
+    g_ptr_array_add (o->groups, key);
+  return FALSE;
 }
 
 typedef struct
@@ -159,27 +145,43 @@
   return !s.found;
 }
 
-/* Renews through a random live VM that the platform answers, as the platform
- * does not answer this VM.
- */
+const char *
+ss_lease_keeper (const SsNode *node)
+{
+  return ss_members_coordinator (&node->members, KEEPER_SUBJECT);
+}
+
+/* Asks VM to confirm the leases on GROUPS. */
 static void
-renew_through_peer (SsNode *node)
+ask_keeper (SsNode *node, const char *vm, const GPtrArray *groups)
 {
-  PeerSearch s = { node, g_ptr_array_new (), false };
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__LeaseAsk ask = SS__PEER__LEASE_ASK__INIT;
 
+  node->lease_asked_ms = node->now_ms;
+  ask.nonce = ++node->lease_nonce;
+  ask.groups = (char **) groups->pdata;
+  ask.n_groups = groups->len;
+  e.body_case = SS__PEER__ENVELOPE__BODY_LEASE_ASK;
+  e.lease_ask = &ask;
+  ss_node_send (node, vm, &e);
+}
+
+/* Asks a random live VM that the platform answers, as it does not answer this
+ * VM.
+ */
+static void
+ask_any (SsNode *node, const GPtrArray *groups)
+{
+  PeerSearch s = { node, g_ptr_array_new (), false };
+
   g_tree_foreach (node->members.by_name, find_platform_up, &s);
   if (s.found)
     {
       guint choice
           = (guint) g_rand_int_range (node->rand, 0, (gint32) s.up->len);
 
-      node->lease_peer_requested_ms = node->now_ms;
-      ask.nonce = ++node->lease_nonce;
-      e.body_case = SS__PEER__ENVELOPE__BODY_LEASE_ASK;
-      e.lease_ask = &ask;
-      ss_node_send (node, g_ptr_array_index (s.up, choice), &e);
+      ask_keeper (node, g_ptr_array_index (s.up, choice), groups);
     }
   g_ptr_array_free (s.up, TRUE);
 }
@@ -187,8 +189,10 @@
 static void
 request_group_list (SsNode *node)
 {
-  node->lease_due_ms = node->now_ms + LIST_TIMEOUT_MS;
-  node->lease_requested_ms = node->now_ms;
+  if (node->lease_listed_ms)
+    return;
+  node->lease_listed_ms = node->now_ms;
+  node->lease_keeper.listed_ms = node->now_ms;
   ss_node_push (node, SS_ACTION_PLATFORM_LIST)->id = SS_WATCH_GROUPS;
 }
 
@@ -196,27 +200,12 @@
 ss_lease_handle_ask (SsNode *node, const char *from,
                      const Ss__Peer__LeaseAsk *ask)
 {
-  SsLeaseRequest *request = g_new0 (SsLeaseRequest, 1);
-
-  request->vm = g_strdup (from);
-  request->nonce = ask->nonce;
-  request->received_ms = node->now_ms;
-  g_queue_push_tail (&node->lease_requests, request);
-  if (!node->lease_requested_ms)
-    request_group_list (node);
-}
-
-void
-ss_lease_request_free (gpointer data)
-{
-  SsLeaseRequest *request = data;
-
-  g_free (request->vm);
-  g_free (request);
+  ss_lease_keeper_add (&node->lease_keeper, from, ask->nonce, ask->groups,
+                       ask->n_groups, node->now_ms);
 }
 
 static void
-send_reply (SsNode *node, const SsLeaseRequest *request, const SsEvent *list)
+send_reply (SsNode *node, const SsLeaseAsk *ask, const SsEvent *list)
 {
   uint32_t count = list->platform_objects.object_count;
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
@@ -228,53 +217,85 @@
   for (uint32_t i = 0; i < count; i++)
     {
       const SsObject *o = &list->platform_objects.objects[i];
+      const char *group = strchr (o->key, '/') + 1;
 
+      if (*ask->groups
+          && !g_strv_contains ((const char *const *) ask->groups, group))
+        continue;
       ss__peer__group_version__init (&versions[i]);
-      versions[i].group = strchr (o->key, '/') + 1;
+      versions[i].group = (char *) group;
       versions[i].version = o->version;
-      entries[i] = &versions[i];
+      entries[reply.n_groups++] = &versions[i];
     }
-  reply.nonce = request->nonce;
+  reply.nonce = ask->nonce;
   reply.groups = entries;
-  reply.n_groups = count;
   e.body_case = SS__PEER__ENVELOPE__BODY_LEASE_REPLY;
   e.lease_reply = &reply;
-  ss_node_send (node, request->vm, &e);
+  ss_node_send (node, ask->vm, &e);
   g_free (entries);
   g_free (versions);
 }
 
-/* Answers the lease requests that arrived before LIST was requested.  Later
- * ones need a new list.
+/* Answers the asks that arrived before LIST was requested.  Without a list they
+ * get no answer: their senders list by themselves.
  */
 static void
-answer_requests (SsNode *node, const SsEvent *list, int64_t requested_ms)
+answer_asks (SsNode *node, const SsEvent *list, int64_t listed_ms)
 {
-  SsLeaseRequest *request;
+  SsLeaseAsk *ask;
 
-  while ((request = g_queue_peek_head (&node->lease_requests))
-         && request->received_ms <= requested_ms)
+  while ((ask = ss_lease_keeper_take (&node->lease_keeper, listed_ms)))
     {
       if (list->platform_objects.outcome == SS_PLATFORM_DONE)
-        send_reply (node, request, list);
-      ss_lease_request_free (g_queue_pop_head (&node->lease_requests));
+        send_reply (node, ask, list);
+      ss_lease_ask_free (ask);
     }
-  if (request)
-    request_group_list (node);
+}
+
+static void
+renew (SsNode *node, const GPtrArray *groups)
+{
+  const char *keeper = ss_lease_keeper (node);
+
+  switch (ss_renewal_step (&node->renewal, keeper != NULL, node->now_ms))
+    {
+    case SS_RENEWAL_ASK:
+      ask_keeper (node, keeper, groups);
+      break;
+    case SS_RENEWAL_LIST:
+      if (node->platform_down)
+        ask_any (node, groups);
+      request_group_list (node);
+      break;
+    case SS_RENEWAL_WAIT:
+    default:
+      break;
+    }
+}
+
+void
+ss_lease_hurry (SsNode *node)
+{
+  if (!node->renewal.asked && !node->lease_listed_ms)
+    node->renewal.due_ms = MIN (node->renewal.due_ms, node->now_ms);
 }
 
 void
 ss_lease_tick (SsNode *node)
 {
-  if (!node->dialect->platform_promotes || node->now_ms < node->lease_due_ms
-      || !owns_primary (node))
+  OwnedPrimaries owned = { node, NULL };
+
+  if (!node->dialect->platform_promotes)
     return;
-  if (node->platform_down)
-    renew_through_peer (node);
-  if (!node->lease_requested_ms)
+  if (ss_lease_keeper_is_due (&node->lease_keeper, node->now_ms))
     request_group_list (node);
-  else
-    node->lease_due_ms = node->now_ms + RENEW_RETRY_MS;
+  if (node->now_ms < node->renewal.due_ms)
+    return;
+  owned.groups = g_ptr_array_new ();
+  g_tree_foreach (node->config.groups, collect_owned_primary, &owned);
+  if (owned.groups->len)
+    renew (node, owned.groups);
+  g_ptr_array_free (owned.groups, TRUE);
 }
 
 /* Extends the lease on group NAME.  A lease is valid only if this VM's object
@@ -305,33 +326,33 @@
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
       return;
     }
-  node->lease_due_ms = node->lease_peer_requested_ms + RENEW_MS;
+  ss_renewal_done (&node->renewal, node->now_ms);
   for (size_t i = 0; i < reply->n_groups; i++)
     confirm_lease (node, reply->groups[i]->group, reply->groups[i]->version,
-                   node->lease_peer_requested_ms);
+                   node->lease_asked_ms);
 }
 
 void
 ss_lease_handle_list (SsNode *node, const SsEvent *e)
 {
-  int64_t requested_ms = node->lease_requested_ms;
+  int64_t listed_ms = node->lease_listed_ms;
 
   if (e->platform_objects.watch == SS_WATCH_VMS)
     handle_vm_list (node, e->platform_objects.outcome);
-  if (e->platform_objects.watch != SS_WATCH_GROUPS || !node->lease_requested_ms)
+  if (e->platform_objects.watch != SS_WATCH_GROUPS || !listed_ms)
     return;
-  node->lease_requested_ms = 0;
+  node->lease_listed_ms = 0;
   if (e->platform_objects.outcome == SS_PLATFORM_DONE)
     {
-      node->lease_due_ms = requested_ms + RENEW_MS;
+      ss_renewal_done (&node->renewal, node->now_ms);
       for (uint32_t i = 0; i < e->platform_objects.object_count; i++)
         confirm_lease (node,
                        strchr (e->platform_objects.objects[i].key, '/') + 1,
-                       e->platform_objects.objects[i].version, requested_ms);
+                       e->platform_objects.objects[i].version, listed_ms);
     }
   else
-    node->lease_due_ms = node->now_ms + RENEW_RETRY_MS;
-  answer_requests (node, e, requested_ms);
+    ss_renewal_failed (&node->renewal, node->rand, node->now_ms);
+  answer_asks (node, e, listed_ms);
 }
 
 /* --- releasing leases before a promotion --- */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -55,7 +55,7 @@
   ss_retry_budget_init (&node->retry_budget);
   node->pending_deletions
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  g_queue_init (&node->lease_requests);
+  ss_lease_keeper_init (&node->lease_keeper);
   node->leases
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_relay_init (node);
@@ -90,7 +90,7 @@
   g_tree_destroy (node->confirmed_positions);
   g_hash_table_destroy (node->pending_deletions);
   g_hash_table_destroy (node->leases);
-  g_queue_clear_full (&node->lease_requests, ss_lease_request_free);
+  ss_lease_keeper_finish (&node->lease_keeper);
   g_tree_destroy (node->promotions);
   ss_config_finish (&node->config);
   ss_members_finish (&node->members);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -19,6 +19,7 @@
 #include "core/dialect.h"
 #include "core/event.h"
 #include "core/fanout.h"
+#include "core/lease_keeper.h"
 #include "core/members.h"
 #include "core/platform_calls.h"
 #include "core/timing.h"
@@ -64,14 +65,6 @@
   uint32_t left_out; /* suppressed since the last line written */
 } SsLogQuota;
 
-/* A lease request of a VM that gets no response from the platform. */
-typedef struct
-{
-  char *vm;
-  uint64_t nonce;
-  int64_t received_ms;
-} SsLeaseRequest;
-
 /* State of one watch on the platform. */
 typedef struct
 {
@@ -157,12 +150,13 @@
   bool isolated;             /* partitioned from most VMs and the platform */
   int64_t minority_since_ms; /* since when less than half of the other listed
                                 VMs are live; 0: at least half are */
-  int64_t lease_due_ms;
-  int64_t lease_requested_ms;      /* 0: no lease request is outstanding */
-  uint64_t lease_nonce;            /* of the last lease request to another VM */
-  int64_t lease_peer_requested_ms; /* when it was sent */
-  GQueue lease_requests;           /* of SsLeaseRequest, oldest first */
-  bool vms_requested;              /* a request for vms_json is outstanding */
+  SsRenewal renewal;         /* of this VM's leases */
+  SsLeaseKeeper lease_keeper;
+  int64_t lease_listed_ms; /* when the list of groups that is under way was
+                              requested; 0: none is */
+  uint64_t lease_nonce;    /* of the last ask */
+  int64_t lease_asked_ms;  /* when it was sent */
+  bool vms_requested;      /* a request for vms_json is outstanding */
   int64_t vms_due_ms;
   GBytes *vms_json; /* the platform's last list of VMs, as JSON */
   bool platform_down;
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -184,10 +184,16 @@
 
 /* ss_lease_holds: whether this VM holds a valid lease on GROUP's primary. */
 bool ss_lease_holds (const SsNode *node, const SsGroup *group);
+/* ss_lease_keeper: returns the VM that lists the groups for all
+ * (lease_keeper.h), or NULL.
+ */
+const char *ss_lease_keeper (const SsNode *node);
 /* ss_lease_tick: renews this VM's leases when that is due, if it owns the
  * primary of a group.
  */
 void ss_lease_tick (SsNode *node);
+/* ss_lease_hurry: renews this VM's leases now, unless that is under way. */
+void ss_lease_hurry (SsNode *node);
 /* ss_lease_may_ask_servers: whether a majority of the servers may confirm the
  * primary in place of a lease.  With promotions by the platform, this requires
  * that the platform answers neither this VM nor any VM that it hears: none of
@@ -196,7 +202,6 @@
 bool ss_lease_may_ask_servers (const SsNode *node);
 void ss_lease_handle_ask (SsNode *node, const char *from,
                           const Ss__Peer__LeaseAsk *ask);
-void ss_lease_request_free (gpointer data);
 void ss_lease_handle_reply (SsNode *node, const Ss__Peer__LeaseReply *reply);
 /* ss_lease_handle_list: handles the result of a list request, whose objects are
  * already adopted.
--- a/src/core/quorum.c
+++ b/src/core/quorum.c
@@ -245,7 +245,7 @@
   ss_node_count (node, SS_COUNTER_MARK_ROUNDS);
   polls_all = !ss_lease_holds (node, group) && ss_lease_may_ask_servers (node);
   if (!ss_lease_holds (node, group) && !polls_all)
-    node->lease_due_ms = MIN (node->lease_due_ms, node->now_ms);
+    ss_lease_hurry (node);
   for (uint32_t i = 0; i < group->server_count; i++)
     if (group->servers[i] == owned->target || polls_all)
       send_status_request (node, group->servers[i], r->request_id,
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -9,6 +9,8 @@
 #define VMS 48
 #define GROUPS 8
 #define LARGE_VMS 100
+/* A new owner has its first lease after this. */
+#define NEW_OWNER_MS 1500
 #define LARGE_GROUPS 20
 
 static FleetSim sim;
@@ -168,6 +170,120 @@
   fleet_finish (&sim);
 }
 
+/* Returns how many primaries' owners hold a lease. */
+static uint32_t
+count_leases (void)
+{
+  uint32_t leases = 0;
+
+  for (uint32_t g = 0; g < sim.group_count; g++)
+    for (uint32_t i = 0; i < sim.vm_count; i++)
+      {
+        SsNode *node = &sim.vms[i].node;
+        SsGroup *group = sim.vms[i].up ? fleet_group (&sim, i, g) : NULL;
+        SsTarget *primary = group ? ss_group_primary (group) : NULL;
+
+        leases += primary && ss_node_is_owner (node, primary)
+                          && ss_lease_holds (node, group)
+                      ? 1
+                      : 0;
+      }
+  return leases;
+}
+
+/* Checks for MS that every primary's owner holds its lease. */
+static void
+expect_leases (int64_t ms)
+{
+  for (int64_t i = 0; i < ms; i += 20)
+    {
+      fleet_advance (&sim, 20);
+      CU_ASSERT (count_leases () == sim.group_count);
+    }
+}
+
+/* Every owner of a primary needs its lease confirmed all the time.  One list of
+ * the groups answers for all of them.
+ */
+static void
+leases_share_one_list (void)
+{
+  uint64_t before;
+
+  fleet_init (&sim, 7, LARGE_VMS, LARGE_GROUPS);
+  fleet_advance (&sim, 3000);
+  before = fleet_calls (&sim, SS_PLATFORM_PURPOSE_LEASE);
+  expect_leases (10000);
+  CU_ASSERT (fleet_calls (&sim, SS_PLATFORM_PURPOSE_LEASE) - before <= 30);
+  fleet_finish (&sim);
+}
+
+/* Whether a VM other than EXCEPT owns the primary of GROUP without a lease. */
+static bool
+owner_lost_lease (uint32_t g, uint32_t except)
+{
+  for (uint32_t i = 0; i < sim.vm_count; i++)
+    {
+      SsGroup *group = sim.vms[i].up ? fleet_group (&sim, i, g) : NULL;
+      SsTarget *primary = group ? ss_group_primary (group) : NULL;
+      SsOwnedTarget *owned
+          = primary ? ss_owner_find (&sim.vms[i].node, primary->name) : NULL;
+
+      if (i != except && owned && owned->active
+          && !ss_lease_holds (&sim.vms[i].node, group)
+          && sim.vms[i].node.now_ms - owned->owner_since_ms >= NEW_OWNER_MS)
+        return true;
+    }
+  return false;
+}
+
+static uint32_t
+find_keeper (void)
+{
+  const char *keeper = ss_lease_keeper (&sim.vms[0].node);
+  FleetVm *vm = keeper ? fleet_find (&sim, keeper) : NULL;
+
+  return vm ? (uint32_t) (vm - sim.vms) : VMS;
+}
+
+/* The VM that lists for the others is cut off, loses power, pauses, or is
+ * turned away by the store: the owners list for themselves in time.
+ */
+static void
+leases_outlast_their_keeper (void)
+{
+  for (uint32_t fault = 0; fault < 5; fault++)
+    {
+      uint32_t keeper;
+
+      fleet_init (&sim, 8 + fault, VMS, GROUPS);
+      fleet_advance (&sim, 3000);
+      keeper = find_keeper ();
+      CU_ASSERT_FATAL (keeper < VMS);
+      /* A VM that owns a primary has more to lose than its keeper's role. */
+      if (fault == 0)
+        sim.vms[keeper].partition = 1;
+      else if (fault == 1)
+        fleet_stop (&sim, keeper);
+      else if (fault == 2)
+        sim.vms[keeper].paused_until_ms = sim.now_ms + 3000;
+      else
+        sim.vms[keeper].store
+            = fault == 3 ? FLEET_STORE_REFUSES : FLEET_STORE_SILENT;
+      for (uint32_t i = 0; i < 250; i++)
+        {
+          uint32_t lost = 0;
+
+          fleet_advance (&sim, 20);
+          for (uint32_t g = 0; g < GROUPS; g++)
+            lost += owner_lost_lease (g, keeper) ? 1 : 0;
+          CU_ASSERT (lost == 0);
+        }
+      CU_ASSERT (sim.promotions == 0);
+      fleet_finish (&sim);
+    }
+}
+
 /* A primary that fails is replaced, whoever coordinates. */
 static void
 failed_primary_is_replaced (void)
@@ -193,6 +309,8 @@
   { "first start opens few connections", first_start_opens_few_connections },
   { "restart of all vms opens few connections",
     restart_of_all_vms_opens_few_connections },
+  { "leases share one list", leases_share_one_list },
+  { "leases outlast their keeper", leases_outlast_their_keeper },
   { "failed primary is replaced", failed_primary_is_replaced },
   CU_TEST_INFO_NULL,
 };
