--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -74,7 +74,9 @@
   node->coordinates = ss_coordinator_is_self (node);
   if (!watches_all_groups (node))
     {
-      node->all_groups_since_ms = 0;
+      /* While the platform answers nobody, nobody replaces this VM. */
+      if (ss_members_coordinator (&node->members, COORDINATOR_SUBJECT))
+        node->all_groups_since_ms = 0;
       return;
     }
   if (node->all_groups_since_ms)
@@ -86,7 +88,12 @@
 int64_t
 ss_coordinator_down_ms (const SsNode *node, const SsPromotion *p)
 {
-  return node->now_ms - MAX (p->primary_seen_ms, node->all_groups_since_ms);
+  int64_t since_ms = p->primary_seen_ms;
+
+  /* Few VMs use all groups and watch them anyway. */
+  if (node->members.relayed)
+    since_ms = MAX (since_ms, node->all_groups_since_ms);
+  return node->now_ms - since_ms;
 }
 
 bool
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -97,6 +97,7 @@
 {
   SsNode *node;
   GPtrArray *groups; /* names */
+  bool holds_all;    /* a lease on each */
 } OwnedPrimaries;
 
 static gboolean
@@ -105,8 +106,10 @@
   OwnedPrimaries *o = data;
   SsTarget *primary = ss_group_primary (value);
 
-  if (primary && ss_node_is_owner (o->node, primary))
-    g_ptr_array_add (o->groups, key);
+  if (!primary || !ss_node_is_owner (o->node, primary))
+    return FALSE;
+  g_ptr_array_add (o->groups, key);
+  o->holds_all = o->holds_all && ss_lease_holds (o->node, value);
   return FALSE;
 }
 
@@ -253,18 +256,19 @@
 }
 
 static void
-renew (SsNode *node, const GPtrArray *groups)
+renew (SsNode *node, const OwnedPrimaries *owned)
 {
   const char *keeper = ss_lease_keeper (node);
 
-  switch (ss_renewal_step (&node->renewal, keeper != NULL, node->now_ms))
+  switch (ss_renewal_step (&node->renewal, keeper != NULL, owned->holds_all,
+                           node->now_ms))
     {
     case SS_RENEWAL_ASK:
-      ask_keeper (node, keeper, groups);
+      ask_keeper (node, keeper, owned->groups);
       break;
     case SS_RENEWAL_LIST:
       if (node->platform_down)
-        ask_any (node, groups);
+        ask_any (node, owned->groups);
       request_group_list (node);
       break;
     case SS_RENEWAL_WAIT:
@@ -283,7 +287,7 @@
 void
 ss_lease_tick (SsNode *node)
 {
-  OwnedPrimaries owned = { node, NULL };
+  OwnedPrimaries owned = { node, NULL, true };
 
   if (!node->dialect->platform_promotes)
     return;
@@ -294,7 +298,7 @@
   owned.groups = g_ptr_array_new ();
   g_tree_foreach (node->config.groups, collect_owned_primary, &owned);
   if (owned.groups->len)
-    renew (node, owned.groups);
+    renew (node, &owned);
   g_ptr_array_free (owned.groups, TRUE);
 }
 
--- a/src/core/lease_keeper.c
+++ b/src/core/lease_keeper.c
@@ -11,11 +11,9 @@
  * gets no answer then still has time to list before its lease ends.
  */
 #define ANSWER_MS 450
-/* A list that is under way is not repeated before this. */
-#define LIST_PENDING_MS 1500
-/* Pauses between lists that the platform does not answer. */
+/* Pauses between attempts without an answer of the platform. */
 #define RETRY_MS 200
-#define RETRY_MAX_MS 800
+#define RETRY_MAX_MS 400
 
 void
 ss_lease_ask_free (SsLeaseAsk *ask)
@@ -79,18 +77,19 @@
 }
 
 SsRenewalStep
-ss_renewal_step (SsRenewal *renewal, bool has_keeper, int64_t now_ms)
+ss_renewal_step (SsRenewal *renewal, bool has_keeper, bool holds_all,
+                 int64_t now_ms)
 {
   if (now_ms < renewal->due_ms)
     return SS_RENEWAL_WAIT;
-  if (has_keeper && !renewal->asked)
+  if (has_keeper && holds_all && !renewal->asked)
     {
       renewal->asked = true;
       renewal->due_ms = now_ms + ANSWER_MS;
       return SS_RENEWAL_ASK;
     }
   renewal->asked = false;
-  renewal->due_ms = now_ms + LIST_PENDING_MS;
+  renewal->due_ms = now_ms + RETRY_MS;
   return SS_RENEWAL_LIST;
 }
 
--- a/src/core/lease_keeper.h
+++ b/src/core/lease_keeper.h
@@ -64,10 +64,10 @@
 } SsRenewal;
 
 /* ss_renewal_step: returns what to do now to renew the leases.  The step counts
- * as taken.
+ * as taken.  HOLDS_ALL: none has ended; one that has does not wait for a batch.
  */
 SsRenewalStep ss_renewal_step (SsRenewal *renewal, bool has_keeper,
-                               int64_t now_ms);
+                               bool holds_all, int64_t now_ms);
 /* ss_renewal_done: the leases were renewed. */
 void ss_renewal_done (SsRenewal *renewal, int64_t now_ms);
 /* ss_renewal_failed: the platform did not answer this VM's own list. */
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -257,7 +257,8 @@
 static void
 check_settled (SsNode *node)
 {
-  SsSettlingView view = { node->now_ms - node->started_ms, 0, 0, 0 };
+  SsSettlingView view = { .uptime_ms = node->now_ms - node->started_ms,
+                          .listed = node->watches[SS_WATCH_VMS].complete };
 
   if (node->settled)
     return;
--- a/src/core/settling.h
+++ b/src/core/settling.h
@@ -15,6 +15,7 @@
 {
   int64_t uptime_ms;
   int64_t known_ms;     /* for how long the platform has listed any */
+  bool listed;          /* the platform has listed the VMs */
   uint32_t others;      /* other VMs that it lists */
   uint32_t others_live; /* of them, those that are live */
 } SsSettlingView;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -15,6 +15,26 @@
 
 static FleetSim sim;
 
+/* A primary fails while the store answers nobody.  The coordinator has watched
+ * it all the time and acts as soon as the store is back.
+ */
+static void
+primary_that_failed_with_the_store_is_replaced_at_once (void)
+{
+  fleet_init (&sim, 9, VMS, GROUPS);
+  fleet_advance (&sim, 3000);
+  for (uint32_t i = 0; i < VMS; i++)
+    sim.vms[i].store = FLEET_STORE_REFUSES;
+  fleet_advance (&sim, 3000);
+  sim.servers[0].down = true;
+  fleet_advance (&sim, 2000);
+  for (uint32_t i = 0; i < VMS; i++)
+    sim.vms[i].store = FLEET_STORE_SERVES;
+  fleet_advance (&sim, 2000);
+  CU_ASSERT (sim.promotions == 1);
+  fleet_finish (&sim);
+}
+
 static uint32_t
 count_connects (void)
 {
@@ -306,6 +326,8 @@
     new_coordinator_replaces_no_healthy_primary },
   { "vms cut off replace no healthy primary",
     vms_cut_off_replace_no_healthy_primary },
+  { "primary that failed with the store is replaced at once",
+    primary_that_failed_with_the_store_is_replaced_at_once },
   { "first start opens few connections", first_start_opens_few_connections },
   { "restart of all vms opens few connections",
     restart_of_all_vms_opens_few_connections },
