--- a/src/core/fanout_send.c
+++ b/src/core/fanout_send.c
@@ -1,9 +1,8 @@
-/* fanout_send: the messages that pass reports on. */
+#include "core/fanout_send.h"
+
 #include <string.h>
 
-#include "core/fanout.h"
 #include "core/owned.h"
-#include "core/subscription.h"
 
 /* A report with the memory that it points to. */
 typedef struct
@@ -81,7 +80,7 @@
 }
 
 void
-ss_subscription_pass_on (SsNode *node)
+ss_fanout_send (SsNode *node)
 {
   GPtrArray *targets = g_ptr_array_new ();
   GHashTable *by_vm;
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/fanout_send.h"
 #include "core/internal.h"
 #include "core/subscription.h"
 #include "kernel/compare.h"
@@ -383,7 +384,7 @@
   node->ticked_ms = node->now_ms;
   tick_members (node);
   ss_peers_tick (node);
-  ss_subscription_pass_on (node);
+  ss_fanout_send (node);
   ss_startup_tick (node);
   ss_owner_tick (node);
   ss_promote_tick (node);
--- a/src/core/subscription.h
+++ b/src/core/subscription.h
@@ -19,8 +19,6 @@
  */
 void ss_subscription_handle (SsNode *node, const char *from,
                              const Ss__Peer__Subscribe *subscribe);
-/* ss_subscription_pass_on: passes on the reports that are due. */
-void ss_subscription_pass_on (SsNode *node);
 void ss_subscription_handle_report (SsNode *node,
                                     const Ss__Peer__StatusReport *report);
 
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -13,6 +13,8 @@
   X (line)                                                                     \
   X (relay)                                                                    \
   X (fleet)                                                                    \
+  X (fanout)                                                                   \
+  X (lease_keeper)                                                             \
   X (failover)                                                                 \
   X (restore)                                                                  \
   X (restore_lease)                                                            \
