--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -9,8 +9,8 @@
  * or its own object shows, or once all leases have expired
  * (ss_lease_is_released).  VMs renew their leases through one of them, the
  * keeper (lease_keeper.h), or list the groups themselves if it does not answer.
- * If the platform answers none of the VMs that it
- * hears, it asks a majority of the servers instead (quorum.c).
+ * If the platform answers none of the VMs that a VM hears, that VM asks a
+ * majority of the servers instead (quorum.c).
  */
 #include <string.h>
 
--- a/tests/test_lease_keeper.c
+++ b/tests/test_lease_keeper.c
@@ -18,10 +18,13 @@
   ss_lease_keeper_add (&keeper, "a", 1, groups, 2, 1000);
   ss_lease_keeper_add (&keeper, "b", 2, groups, 1, 1050);
   ask = ss_lease_keeper_take (&keeper, 1040);
-  CU_ASSERT_FATAL (ask != NULL);
-  CU_ASSERT (strcmp (ask->vm, "a") == 0 && ask->nonce == 1);
-  CU_ASSERT (g_strv_length (ask->groups) == 2);
-  ss_lease_ask_free (ask);
+  CU_ASSERT (ask != NULL);
+  if (ask)
+    {
+      CU_ASSERT (strcmp (ask->vm, "a") == 0 && ask->nonce == 1);
+      CU_ASSERT (g_strv_length (ask->groups) == 2);
+      ss_lease_ask_free (ask);
+    }
   CU_ASSERT (ss_lease_keeper_take (&keeper, 1040) == NULL);
   ss_lease_keeper_finish (&keeper);
 }
