One check of a VM's failure domain, one head of a metric, one lease list time

- Whether a VM is in this one's failure domain stood in relay.c, message.c, peers.c, config_sync.c and, new, in subscription.c: ss_members_is_in_domain.
- The HELP and TYPE lines of a metric were written twice beside add_help, which now takes the type.
- When the groups were listed was kept twice: the keeper's time stays, a flag tells that the list is outstanding. ask_keeper asked any VM: ask_vm.
- A VM that the platform does not answer walked all VMs on each tick to find that it does not coordinate.
- The parameters of a simulated VM stood in line_sim.c and fleet_sim.c: line_params.c. fleet_sim.c loses what only trials used (statements, their counts, a second way to start).
Lookups of test_fleet.c that stood twice are one; its assertions and bounds are as they were.

--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -248,7 +248,7 @@
 static void
 push_to_domain_peer (SsNode *node, SsMember *member, void *data)
 {
-  if (strcmp (member->failure_domain, node->params.failure_domain) == 0)
+  if (ss_members_is_in_domain (&node->members, member))
     send_push (node, member->vm, data);
 }
 
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -75,7 +75,8 @@
   if (!watches_all_groups (node))
     {
       /* While the platform answers nobody, nobody replaces this VM. */
-      if (ss_members_coordinator (&node->members, COORDINATOR_SUBJECT))
+      if (node->all_groups_since_ms
+          && ss_members_coordinator (&node->members, COORDINATOR_SUBJECT))
         node->all_groups_since_ms = 0;
       return;
     }
@@ -99,9 +100,10 @@
 bool
 ss_coordinator_is_self (SsNode *node)
 {
+  const SsMember *self = ss_members_find (&node->members, node->params.vm);
   const char *vm;
 
-  if (!node->settled
+  if (!node->settled || !self->platform_up
       || ss_members_in_relay_grace (&node->members, node->now_ms))
     return false;
   vm = ss_members_coordinator (&node->members, COORDINATOR_SUBJECT);
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -156,7 +156,7 @@
 
 /* Asks VM to confirm the leases on GROUPS. */
 static void
-ask_keeper (SsNode *node, const char *vm, const GPtrArray *groups)
+ask_vm (SsNode *node, const char *vm, const GPtrArray *groups)
 {
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__LeaseAsk ask = SS__PEER__LEASE_ASK__INIT;
@@ -184,7 +184,7 @@
       guint choice
           = (guint) g_rand_int_range (node->rand, 0, (gint32) s.up->len);
 
-      ask_keeper (node, g_ptr_array_index (s.up, choice), groups);
+      ask_vm (node, g_ptr_array_index (s.up, choice), groups);
     }
   g_ptr_array_free (s.up, TRUE);
 }
@@ -192,9 +192,9 @@
 static void
 request_group_list (SsNode *node)
 {
-  if (node->lease_listed_ms)
+  if (node->lease_list_outstanding)
     return;
-  node->lease_listed_ms = node->now_ms;
+  node->lease_list_outstanding = true;
   node->lease_keeper.listed_ms = node->now_ms;
   ss_node_push (node, SS_ACTION_PLATFORM_LIST)->id = SS_WATCH_GROUPS;
 }
@@ -264,7 +264,7 @@
                            node->now_ms))
     {
     case SS_RENEWAL_ASK:
-      ask_keeper (node, keeper, owned->groups);
+      ask_vm (node, keeper, owned->groups);
       break;
     case SS_RENEWAL_LIST:
       if (node->platform_down)
@@ -280,7 +280,7 @@
 void
 ss_lease_hurry (SsNode *node)
 {
-  if (!node->renewal.asked && !node->lease_listed_ms)
+  if (!node->renewal.asked && !node->lease_list_outstanding)
     node->renewal.due_ms = MIN (node->renewal.due_ms, node->now_ms);
 }
 
@@ -339,13 +339,14 @@
 void
 ss_lease_handle_list (SsNode *node, const SsEvent *e)
 {
-  int64_t listed_ms = node->lease_listed_ms;
+  int64_t listed_ms = node->lease_keeper.listed_ms;
 
   if (e->platform_objects.watch == SS_WATCH_VMS)
     handle_vm_list (node, e->platform_objects.outcome);
-  if (e->platform_objects.watch != SS_WATCH_GROUPS || !listed_ms)
+  if (e->platform_objects.watch != SS_WATCH_GROUPS
+      || !node->lease_list_outstanding)
     return;
-  node->lease_listed_ms = 0;
+  node->lease_list_outstanding = false;
   if (e->platform_objects.outcome == SS_PLATFORM_DONE)
     {
       ss_renewal_done (&node->renewal, node->now_ms);
--- a/src/core/lease_keeper.h
+++ b/src/core/lease_keeper.h
@@ -29,8 +29,8 @@
 
 typedef struct
 {
-  GQueue asks; /* of SsLeaseAsk, oldest first */
-  int64_t listed_ms;
+  GQueue asks;       /* of SsLeaseAsk, oldest first */
+  int64_t listed_ms; /* when the last list was requested */
 } SsLeaseKeeper;
 
 void ss_lease_keeper_init (SsLeaseKeeper *keeper);
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -51,6 +51,13 @@
   return g_tree_lookup (members->by_name, vm);
 }
 
+bool
+ss_members_is_in_domain (const SsMembers *members, const SsMember *member)
+{
+  return member
+         && strcmp (member->failure_domain, members->failure_domain) == 0;
+}
+
 SsMember *
 ss_members_add (SsMembers *members, const char *vm, const char *failure_domain,
                 const char *ip, uint16_t peer_port)
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -83,6 +83,11 @@
 /* ss_members_find: returns the member named VM (borrowed), or NULL. */
 SsMember *ss_members_find (const SsMembers *members, const char *vm);
 
+/* ss_members_is_in_domain: whether MEMBER, which may be NULL, is in this VM's
+ * failure domain.
+ */
+bool ss_members_is_in_domain (const SsMembers *members, const SsMember *member);
+
 /* ss_members_add: finds or adds VM and sets its failure domain and address. */
 SsMember *ss_members_add (SsMembers *members, const char *vm,
                           const char *failure_domain, const char *ip,
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -107,8 +107,8 @@
 count_traffic (SsNode *node, const char *vm, const SsEnvelope *envelope,
                size_t bytes)
 {
-  const SsMember *m = ss_members_find (&node->members, vm);
-  bool same = m && strcmp (m->failure_domain, node->params.failure_domain) == 0;
+  bool same = ss_members_is_in_domain (&node->members,
+                                       ss_members_find (&node->members, vm));
   SsTrafficKind kind = ss_traffic_kind ((int) envelope->body_case);
 
   node->traffic
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -152,11 +152,11 @@
                                 VMs are live; 0: at least half are */
   SsRenewal renewal;         /* of this VM's leases */
   SsLeaseKeeper lease_keeper;
-  int64_t lease_listed_ms; /* when the list of groups that is under way was
-                              requested; 0: none is */
-  uint64_t lease_nonce;    /* of the last ask */
-  int64_t lease_asked_ms;  /* when it was sent */
-  bool vms_requested;      /* a request for vms_json is outstanding */
+  bool
+      lease_list_outstanding; /* a list request for the groups is outstanding */
+  uint64_t lease_nonce;       /* of the last ask */
+  int64_t lease_asked_ms;     /* when it was sent */
+  bool vms_requested;         /* a request for vms_json is outstanding */
   int64_t vms_due_ms;
   GBytes *vms_json; /* the platform's last list of VMs, as JSON */
   bool platform_down;
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -219,8 +219,7 @@
                                heartbeat->heard, heartbeat->n_heard,
                                node->now_ms);
   m->platform_up = heartbeat->platform_up;
-  if (node->members.relayed
-      && strcmp (m->failure_domain, node->params.failure_domain) == 0)
+  if (node->members.relayed && ss_members_is_in_domain (&node->members, m))
     ss_relay_send_digest (node, heartbeat->vm, heartbeat->digest);
   ss_era_observe (node, ss_version_era (heartbeat->revision), heartbeat->vm);
   check_behind (node, heartbeat->vm, heartbeat->sequence);
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -58,12 +58,6 @@
   GPtrArray *found; /* of SsMember */
 } Collect;
 
-static bool
-is_own_domain (const SsNode *node, const SsMember *m)
-{
-  return strcmp (m->failure_domain, node->params.failure_domain) == 0;
-}
-
 /* Whether a digest or report lists M: this VM itself, a VM of its failure
  * domain that it hears directly, or one of another that its relays report.
  */
@@ -72,7 +66,7 @@
 {
   if (strcmp (m->vm, node->params.vm) == 0)
     return true;
-  if (is_own_domain (node, m))
+  if (ss_members_is_in_domain (&node->members, m))
     return node->now_ms - m->heard_ms < SS_MEMBER_HEARTBEAT_TIMEOUT_MS;
   return node->now_ms - m->remote_report_ms < SS_MEMBER_REPORT_TIMEOUT_MS;
 }
@@ -84,7 +78,7 @@
   SsMember *m = value;
 
   (void) key;
-  if ((!c->own_only || is_own_domain (c->node, m))
+  if ((!c->own_only || ss_members_is_in_domain (&c->node->members, m))
       && is_known_live (c->node, m))
     g_ptr_array_add (c->found, m);
   return FALSE;
@@ -203,7 +197,7 @@
   const SsMember *m = value;
 
   if (r->node->now_ms - m->domain_report_ms < SS_MEMBER_HEARTBEAT_TIMEOUT_MS
-      && !is_own_domain (r->node, m)
+      && !ss_members_is_in_domain (&r->node->members, m)
       && !g_ptr_array_find_with_equal_func (r->relays, key, g_str_equal, NULL))
     g_ptr_array_add (r->relays, key);
   return FALSE;
@@ -354,7 +348,7 @@
   RelayList *r = data;
   const SsMember *m = value;
 
-  if (m->live && is_own_domain (r->node, m)
+  if (m->live && ss_members_is_in_domain (&r->node->members, m)
       && strcmp (key, r->node->params.vm) != 0
       && !g_ptr_array_find_with_equal_func (r->relays, key, g_str_equal, NULL))
     g_ptr_array_add (r->relays, key);
--- a/src/core/subscription.c
+++ b/src/core/subscription.c
@@ -52,9 +52,8 @@
 static bool
 is_in_domain (const SsNode *node, const char *vm)
 {
-  const SsMember *m = ss_members_find (&node->members, vm);
-
-  return m && strcmp (m->failure_domain, node->params.failure_domain) == 0;
+  return ss_members_is_in_domain (&node->members,
+                                  ss_members_find (&node->members, vm));
 }
 
 /* Returns the VM that passes on the reports of T, which OWNER sends, in this
--- a/src/plugins/metrics.c
+++ b/src/plugins/metrics.c
@@ -11,12 +11,18 @@
 #define WATCH_METRIC "sapphirestair_watch_revision"
 #define WATCH_AGE_METRIC "sapphirestair_watch_age_ms"
 
+static void
+add_help (GString *out, const char *name, const char *type, const char *help)
+{
+  g_string_append_printf (out, "# HELP %s %s\n# TYPE %s %s\n", name, help, name,
+                          type);
+}
+
 static void
 add_traffic (GString *out, const SsTraffic *traffic)
 {
-  g_string_append (out, "# HELP " TRAFFIC_METRIC
-                        " bytes sent to peers, by kind of message and link\n"
-                        "# TYPE " TRAFFIC_METRIC " counter\n");
+  add_help (out, TRAFFIC_METRIC, "counter",
+            "bytes sent to peers, by kind of message and link");
   for (uint32_t i = 0; i < SS_TRAFFIC_KIND_COUNT; i++)
     for (uint32_t j = 0; j < SS_TRAFFIC_LINK_COUNT; j++)
       g_string_append_printf (
@@ -29,9 +35,8 @@
 static void
 add_platform_calls (GString *out, const SsPlatformCalls *calls)
 {
-  g_string_append (out, "# HELP " CALLS_METRIC
-                        " calls on the platform, by purpose and kind of "
-                        "objects\n# TYPE " CALLS_METRIC " counter\n");
+  add_help (out, CALLS_METRIC, "counter",
+            "calls on the platform, by purpose and kind of objects");
   for (uint32_t i = 0; i < SS_PLATFORM_PURPOSE_COUNT; i++)
     for (uint32_t j = 0; j < SS_WATCH_COUNT; j++)
       if (calls->calls[i][j])
@@ -59,17 +64,10 @@
     }
 }
 
-static void
-add_help (GString *out, const char *name, const char *help)
-{
-  g_string_append_printf (out, "# HELP %s %s\n# TYPE %s gauge\n", name, help,
-                          name);
-}
-
 static void
 add_gauge (GString *out, const char *name, const char *help, int64_t value)
 {
-  add_help (out, name, help);
+  add_help (out, name, "gauge", help);
   g_string_append_printf (out, "%s %" G_GINT64_FORMAT "\n", name, value);
 }
 
@@ -123,7 +121,7 @@
 {
   RouteGauge g = { out, node, name, value };
 
-  add_help (out, name, help);
+  add_help (out, name, "gauge", help);
   g_tree_foreach (node->config.objects, add_route, &g);
 }
 
@@ -155,9 +153,10 @@
   add_gauge (out, "sapphirestair_platform_up",
              "1 while the platform answers this VM's watches",
              !node->platform_down);
-  add_help (out, WATCH_METRIC, "revision that a watch continues from");
+  add_help (out, WATCH_METRIC, "gauge", "revision that a watch continues from");
   add_watches (out, node, WATCH_METRIC, false);
-  add_help (out, WATCH_AGE_METRIC, "time since a watch was last answered");
+  add_help (out, WATCH_AGE_METRIC, "gauge",
+            "time since a watch was last answered");
   add_watches (out, node, WATCH_AGE_METRIC, true);
   add_routes (out, node, ROUTES_METRIC, "revision of the routes in force",
               route_revision);
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -2,8 +2,7 @@
 
 #include <string.h>
 
-#include "platform/dialect.h"
-#include "platform/line.h"
+#include "tests/line_params.h"
 
 #define START_MS 100000
 #define SLOTS 4096 /* of the schedule: longer than any delay */
@@ -293,7 +292,6 @@
 static void
 call_store (FleetSim *sim, FleetVm *vm, const SsAction *a)
 {
-  sim->store_calls++;
   if (vm->store != FLEET_STORE_SERVES)
     {
       fail_call (sim, vm, a);
@@ -405,23 +403,8 @@
   s->result.row_cells = STATUS_CELLS;
 }
 
-/* Commits at SERVER, which its replicas receive at once. */
 static void
-commit (FleetSim *sim, FleetServer *server)
-{
-  server->position.term = server->term;
-  server->position.offset++;
-  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
-    {
-      FleetServer *other = &sim->servers[server->group * FLEET_SERVERS + i];
-
-      if (!other->down && !other->barred_term && other->term == server->term)
-        other->position = server->position;
-    }
-}
-
-static SsTargetFault
-run_text (FleetSim *sim, FleetServer *server, const char *text, Scheduled *s)
+run_text (FleetServer *server, const char *text, Scheduled *s)
 {
   if (strcmp (text, "STATUS") == 0)
     fill_status (s, server);
@@ -429,13 +412,6 @@
     server->barred_term = 0;
   else if (g_str_has_prefix (text, "PAUSE "))
     server->barred_term = g_ascii_strtoull (text + strlen ("PAUSE "), NULL, 10);
-  else if (g_str_has_prefix (text, "WRITE "))
-    {
-      if (server->role != SS_SERVER_PRIMARY)
-        return SS_TARGET_FAULT_NOT_PRIMARY;
-      commit (sim, server);
-    }
-  return SS_TARGET_FAULT_NONE;
 }
 
 static void
@@ -448,8 +424,8 @@
   if (!c || c->server->down)
     return;
   s = schedule (sim, vm, STATEMENT_MS, SS_EVENT_TARGET_RESULT);
-  s->result.fault = run_text (sim, c->server, a->text, s);
-  s->result.ok = s->result.fault == SS_TARGET_FAULT_NONE;
+  run_text (c->server, a->text, s);
+  s->result.ok = true;
   s->result.transaction_status = 'I';
   s->result.applied = c->server->position;
   s->result.sqlstate = "";
@@ -489,13 +465,6 @@
   s->event.peer_message.data_bytes = (uint32_t) bytes;
 }
 
-static void
-count_reply (FleetVm *vm, const SsAction *a)
-{
-  vm->ran += a->verdict == SS_VERDICT_RAN ? 1 : 0;
-  vm->refused += a->verdict == SS_VERDICT_NOT_RUN ? 1 : 0;
-}
-
 static void
 carry_out (FleetSim *sim, FleetVm *vm, const SsAction *a)
 {
@@ -513,9 +482,6 @@
     case SS_ACTION_TARGET_CLOSE:
       close_connection (sim, vm, a->id);
       break;
-    case SS_ACTION_CALLER_REPLY:
-      count_reply (vm, a);
-      break;
     case SS_ACTION_PLATFORM_WATCH:
     case SS_ACTION_PLATFORM_LIST:
     case SS_ACTION_PLATFORM_GET:
@@ -610,33 +576,15 @@
 fleet_start (FleetSim *sim, uint32_t index)
 {
   FleetVm *vm = &sim->vms[index];
-  SsNodeParams params = { .vm = vm->name,
-                          .failure_domain = vm->domain,
-                          .ip = "10.0.0.1",
-                          .peer_port = 1,
-                          .seeds = "",
-                          .seed = sim->seed * FLEET_VMS_MAX + index,
-                          .deadline_ms = 1000,
-                          .transaction_idle_ms = 2000,
-                          .stop_bound_ms = 1000,
-                          .apply_ms = 3000,
-                          .drain_ms = 7000,
-                          .cross_domain_owners = true,
-                          .dialect = ss_dialect_line () };
-
-  params.watches = 1U << SS_WATCH_ROUTES | 1U << SS_WATCH_TARGETS
-                   | 1U << SS_WATCH_GROUPS | 1U << SS_WATCH_VMS;
-  params.timing = (SsTiming){ .tick_asked_ms = 5,
-                              .tick_busy_ms = 10,
-                              .tick_idle_ms = 25,
-                              .heartbeat_ms = 250,
-                              .poll_idle_ms = 4000,
-                              .poll_lagging_ms = 4000,
-                              .poll_asked_ms = 10,
-                              .silence_ms = 450,
-                              .unreachable_ms = 900,
-                              .report_idle_ms = 500,
-                              .report_min_ms = 300 };
+  SsNodeParams params;
+
+  line_params_init (&params, vm->name, vm->domain,
+                    sim->seed * FLEET_VMS_MAX + index);
+  params.timing.tick_busy_ms = 10;
+  params.timing.tick_idle_ms = 25;
+  params.timing.heartbeat_ms = 250;
+  params.timing.report_idle_ms = 500;
+  params.timing.report_min_ms = 300;
   vm->up = true;
   vm->incarnation++;
   vm->sessions = 0;
@@ -715,7 +663,7 @@
 }
 
 void
-fleet_init_start (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups)
+fleet_init (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups)
 {
   memset (sim, 0, sizeof *sim);
   sim->seed = seed;
@@ -740,12 +688,6 @@
       vm->clock_offset_ms = (int64_t) i * 1000;
       fleet_start (sim, i);
     }
-}
-
-void
-fleet_init (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups)
-{
-  fleet_init_start (sim, seed, vms, groups);
   fleet_advance (sim, FLEET_SETTLE_MS);
 }
 
@@ -781,17 +723,6 @@
       }
 }
 
-void
-fleet_send (FleetSim *sim, uint32_t vm, uint32_t session, const char *text)
-{
-  SsEvent e = { .kind = SS_EVENT_CALLER_STATEMENT };
-
-  e.caller_statement.caller = session;
-  e.caller_statement.label = "c";
-  e.caller_statement.sql = text;
-  feed (sim, &sim->vms[vm], &e);
-}
-
 /* --- views --- */
 
 SsGroup *
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -9,7 +9,7 @@
 
 #include "core/internal.h"
 
-#define FLEET_VMS_MAX 300
+#define FLEET_VMS_MAX 120
 #define FLEET_DOMAINS 6
 #define FLEET_SERVERS 3 /* of a group, in the first failure domains */
 #define FLEET_GROUPS_MAX 24
@@ -39,8 +39,6 @@
   int64_t watch_since[SS_WATCH_COUNT]; /* outstanding watches; 0: none */
   int64_t watch_until_ms[SS_WATCH_COUNT];
   uint32_t sessions;
-  uint32_t ran;     /* statements that ran */
-  uint32_t refused; /* statements refused as not run */
 } FleetVm;
 
 typedef struct
@@ -72,15 +70,12 @@
   GHashTable *connections;
   GQueue *schedule; /* of events, by the millisecond that they are due in */
   uint32_t promotions;
-  uint32_t store_calls;
 };
 
-/* fleet_init_start: starts VMS VMs, spread over the failure domains, and GROUPS
- * groups.  The caller owns the memory, which is large.  fleet_init also waits
- * until they have settled.
+/* fleet_init: starts VMS VMs, spread over the failure domains, and GROUPS
+ * groups, and waits until they have settled.  The caller owns the memory, which
+ * is large.
  */
-void fleet_init_start (FleetSim *sim, uint32_t seed, uint32_t vms,
-                       uint32_t groups);
 void fleet_init (FleetSim *sim, uint32_t seed, uint32_t vms, uint32_t groups);
 void fleet_finish (FleetSim *sim);
 /* fleet_add_group: adds a group, its servers and its service. */
@@ -88,11 +83,6 @@
 void fleet_advance (FleetSim *sim, int64_t ms);
 /* fleet_open: opens one session a service at every VM. */
 void fleet_open (FleetSim *sim);
-/* fleet_send: sends TEXT in SESSION (from 1, the session of group SESSION - 1)
- * of VM.
- */
-void fleet_send (FleetSim *sim, uint32_t vm, uint32_t session,
-                 const char *text);
 /* fleet_stop: VM loses power; its connections stay open at the servers for some
  * seconds.  fleet_start: starts it again.
  */
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -5,6 +5,7 @@
 #include "core/version.h"
 #include "platform/dialect.h"
 #include "platform/line.h"
+#include "tests/line_params.h"
 
 #define START_MS 100000
 #define HANDSHAKE_MS 12
@@ -755,28 +756,9 @@
 static void
 start_core (LineSim *sim, uint32_t seed)
 {
-  SsNodeParams params = { .vm = "a",
-                          .failure_domain = "d",
-                          .ip = "10.0.0.1",
-                          .peer_port = 1,
-                          .seeds = "",
-                          .seed = seed,
-                          .deadline_ms = 1000,
-                          .transaction_idle_ms = 2000,
-                          .stop_bound_ms = 1000,
-                          .apply_ms = 3000,
-                          .drain_ms = 7000,
-                          .cross_domain_owners = true,
-                          .dialect = ss_dialect_line () };
-
-  params.watches = 1U << SS_WATCH_ROUTES | 1U << SS_WATCH_TARGETS
-                   | 1U << SS_WATCH_GROUPS | 1U << SS_WATCH_VMS;
-  params.timing.tick_asked_ms = 5;
-  params.timing.poll_idle_ms = 4000;
-  params.timing.poll_lagging_ms = 4000;
-  params.timing.poll_asked_ms = 10;
-  params.timing.silence_ms = 450;
-  params.timing.unreachable_ms = 900;
+  SsNodeParams params;
+
+  line_params_init (&params, "a", "d", seed);
   ss_node_init (&sim->node, &params, sim->now_ms);
 }
 
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -35,24 +35,24 @@
   fleet_finish (&sim);
 }
 
-static uint32_t
-count_connects (void)
+typedef struct
 {
-  uint32_t connects = 0;
-
-  for (uint32_t i = 0; i < sim.group_count * FLEET_SERVERS; i++)
-    connects += sim.servers[i].connects;
-  return connects;
-}
+  uint32_t tried;
+  uint32_t over_cap;
+} Connects;
 
-static uint32_t
-count_over_cap (void)
+/* Returns the connection attempts at all servers so far. */
+static Connects
+count_connects (void)
 {
-  uint32_t over_cap = 0;
+  Connects c = { 0, 0 };
 
   for (uint32_t i = 0; i < sim.group_count * FLEET_SERVERS; i++)
-    over_cap += sim.servers[i].over_cap;
-  return over_cap;
+    {
+      c.tried += sim.servers[i].connects;
+      c.over_cap += sim.servers[i].over_cap;
+    }
+  return c;
 }
 
 /* All VMs of a new deployment start at once.  None knows any other yet, and
@@ -62,8 +62,8 @@
 first_start_opens_few_connections (void)
 {
   fleet_init (&sim, 5, LARGE_VMS, LARGE_GROUPS);
-  CU_ASSERT (count_over_cap () == 0);
-  CU_ASSERT (count_connects () < 4 * LARGE_GROUPS * FLEET_SERVERS);
+  CU_ASSERT (count_connects ().over_cap == 0);
+  CU_ASSERT (count_connects ().tried < 4 * LARGE_GROUPS * FLEET_SERVERS);
   fleet_finish (&sim);
 }
 
@@ -78,7 +78,7 @@
   fleet_init (&sim, 6, LARGE_VMS, LARGE_GROUPS);
   fleet_open (&sim);
   fleet_advance (&sim, 2000);
-  connects = count_connects ();
+  connects = count_connects ().tried;
   for (uint32_t i = 0; i < LARGE_VMS; i++)
     fleet_stop (&sim, i);
   fleet_advance (&sim, 700);
@@ -91,17 +91,24 @@
   for (uint32_t i = 0; i < LARGE_VMS; i++)
     CU_ASSERT (ss_node_takes_callers (&sim.vms[i].node));
   fleet_advance (&sim, 4000);
-  CU_ASSERT (count_over_cap () == 0);
-  CU_ASSERT (count_connects () - connects < 4 * LARGE_GROUPS * FLEET_SERVERS);
+  CU_ASSERT (count_connects ().over_cap == 0);
+  CU_ASSERT (count_connects ().tried - connects
+             < 4 * LARGE_GROUPS * FLEET_SERVERS);
   CU_ASSERT (sim.promotions == 0);
   fleet_finish (&sim);
 }
 
+static bool
+is_coordinator (uint32_t vm)
+{
+  return sim.vms[vm].up && ss_coordinator_is_self (&sim.vms[vm].node);
+}
+
 static uint32_t
 find_coordinator (void)
 {
   for (uint32_t i = 0; i < VMS; i++)
-    if (sim.vms[i].up && ss_coordinator_is_self (&sim.vms[i].node))
+    if (is_coordinator (i))
       return i;
   return VMS;
 }
@@ -127,7 +134,7 @@
   uint32_t found = 0;
 
   for (uint32_t i = 0; i < VMS; i++)
-    found += sim.vms[i].up && ss_coordinator_is_self (&sim.vms[i].node) ? 1 : 0;
+    found += is_coordinator (i) ? 1 : 0;
   return found;
 }
 
@@ -190,6 +197,17 @@
   fleet_finish (&sim);
 }
 
+/* Returns GROUP as VM knows it if VM is up and owns its primary, else NULL. */
+static SsGroup *
+owned_group (uint32_t vm, uint32_t group)
+{
+  SsGroup *found = sim.vms[vm].up ? fleet_group (&sim, vm, group) : NULL;
+  SsTarget *primary = found ? ss_group_primary (found) : NULL;
+
+  return primary && ss_node_is_owner (&sim.vms[vm].node, primary) ? found
+                                                                  : NULL;
+}
+
 /* Returns how many primaries' owners hold a lease. */
 static uint32_t
 count_leases (void)
@@ -199,14 +217,9 @@
   for (uint32_t g = 0; g < sim.group_count; g++)
     for (uint32_t i = 0; i < sim.vm_count; i++)
       {
-        SsNode *node = &sim.vms[i].node;
-        SsGroup *group = sim.vms[i].up ? fleet_group (&sim, i, g) : NULL;
-        SsTarget *primary = group ? ss_group_primary (group) : NULL;
-
-        leases += primary && ss_node_is_owner (node, primary)
-                          && ss_lease_holds (node, group)
-                      ? 1
-                      : 0;
+        SsGroup *group = owned_group (i, g);
+
+        leases += group && ss_lease_holds (&sim.vms[i].node, group) ? 1 : 0;
       }
   return leases;
 }
@@ -244,14 +257,13 @@
 {
   for (uint32_t i = 0; i < sim.vm_count; i++)
     {
-      SsGroup *group = sim.vms[i].up ? fleet_group (&sim, i, g) : NULL;
-      SsTarget *primary = group ? ss_group_primary (group) : NULL;
+      SsNode *node = &sim.vms[i].node;
+      SsGroup *group = owned_group (i, g);
       SsOwnedTarget *owned
-          = primary ? ss_owner_find (&sim.vms[i].node, primary->name) : NULL;
+          = group ? ss_owner_find (node, group->primary) : NULL;
 
-      if (i != except && owned && owned->active
-          && !ss_lease_holds (&sim.vms[i].node, group)
-          && sim.vms[i].node.now_ms - owned->owner_since_ms >= NEW_OWNER_MS)
+      if (i != except && owned && owned->active && !ss_lease_holds (node, group)
+          && node->now_ms - owned->owner_since_ms >= NEW_OWNER_MS)
         return true;
     }
   return false;
