Callers are identified by their organisation's key; connections belong to one organisation

A caller's key is resolved when it connects and again for each transaction (core/identity.c); an unknown one is refused at once with the reason unknown_key. Run and the owner's jobs carry the organisation, and a statement runs on a connection that was opened for its organisation. At the limit the least recently used idle connection of another one is closed. Without organisations in the configuration nothing changes.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -63,6 +63,22 @@
   g_free (t);
 }
 
+static void
+organisation_free (gpointer data)
+{
+  SsOrganisation *o = data;
+
+  g_free (o->name);
+  g_free (o);
+}
+
+static void
+clear_organisations (SsConfig *c)
+{
+  g_clear_pointer (&c->keys, g_hash_table_destroy);
+  g_clear_pointer (&c->organisations, g_tree_destroy);
+}
+
 void
 ss_group_free (gpointer group)
 {
@@ -87,6 +103,8 @@
       = g_tree_new_full (ss_compare_strings, NULL, NULL, ss_group_free);
   config->max_connections
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  config->organisations = NULL;
+  config->keys = NULL;
   config->transaction_idle_ms = 0;
   config->hash = 0;
   config->revision = 0;
@@ -101,6 +119,7 @@
   g_tree_destroy (config->targets);
   g_tree_destroy (config->groups);
   g_hash_table_destroy (config->max_connections);
+  clear_organisations (config);
 }
 
 typedef struct
@@ -304,6 +323,85 @@
   return NULL;
 }
 
+/* A key belongs to one organisation: a second one that lists it is invalid. */
+static char *
+adopt_key (SsConfig *c, SsOrganisation *o, json_t *digest)
+{
+  const char *text = json_string_value (digest);
+  const SsOrganisation *holder;
+
+  if (!text || strlen (text) != SS_KEY_DIGEST_BYTES - 1)
+    return g_strdup_printf (
+        "\"key_digests\" of \"%s\" must be strings of %d characters", o->name,
+        SS_KEY_DIGEST_BYTES - 1);
+  holder = ss_config_key (c, text);
+  if (holder && holder != o)
+    return g_strdup_printf ("\"%s\" and \"%s\" have a key in common",
+                            holder->name, o->name);
+  g_hash_table_replace (c->keys, g_strdup (text), o);
+  return NULL;
+}
+
+static char *
+adopt_organisation (SsConfig *c, const char *name, json_t *json)
+{
+  SsOrganisation *o = g_new0 (SsOrganisation, 1);
+  char *error = ss_parse_organisation (o, json);
+  json_t *digest;
+  size_t i;
+
+  o->name = g_strdup (name);
+  g_tree_insert (c->organisations, o->name, o);
+  json_array_foreach (json_object_get (json, "key_digests"), i, digest)
+  {
+    if (!error)
+      error = adopt_key (c, o, digest);
+  }
+  return error;
+}
+
+/* Replaces all organisations; JSON is NULL where callers need no key.  Keeps
+ * the previous ones if any is invalid.
+ */
+static char *
+adopt_organisations (SsConfig *c, json_t *json)
+{
+  GTree *organisations = c->organisations;
+  GHashTable *keys = c->keys;
+  const char *name;
+  json_t *organisation;
+  char *error = NULL;
+
+  c->organisations = NULL;
+  c->keys = NULL;
+  if (json)
+    {
+      c->organisations
+          = g_tree_new_full (ss_compare_strings, NULL, NULL, organisation_free);
+      c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+    }
+  if (json && !json_is_object (json))
+    error = g_strdup ("\"organisations\" must be an object");
+  json_object_foreach (json, name, organisation)
+  {
+    if (!error)
+      error = adopt_organisation (c, name, organisation);
+  }
+  if (error)
+    {
+      clear_organisations (c);
+      c->organisations = organisations;
+      c->keys = keys;
+      return error;
+    }
+  if (organisations)
+    {
+      g_hash_table_destroy (keys);
+      g_tree_destroy (organisations);
+    }
+  return NULL;
+}
+
 /* Replaces all services: those that JSON does not list are removed.  Keeps the
  * previous services if any part is invalid.  The services of one object are one
  * flow: they are kinds of requests of one customer.
@@ -312,8 +410,8 @@
 adopt_routes (SsConfig *c, const char *key, int64_t version, json_t *json)
 {
   GTree *before = c->services;
-  char *error
-      = ss_parse_check_keys (json, " services groups transaction_idle_ms ");
+  char *error = ss_parse_check_keys (
+      json, " services groups transaction_idle_ms organisations ");
   int64_t idle_ms = 0;
   const char *name;
   json_t *service;
@@ -329,6 +427,8 @@
                              SS_TIMEOUT_MAX_MS, &idle_ms);
   if (!error)
     error = adopt_group_limits (c, json_object_get (json, "groups"));
+  if (!error)
+    error = adopt_organisations (c, json_object_get (json, "organisations"));
   if (error)
     {
       g_tree_destroy (c->services);
@@ -454,6 +554,19 @@
   return g_tree_lookup (config->groups, name);
 }
 
+SsOrganisation *
+ss_config_organisation (const SsConfig *config, const char *name)
+{
+  return config->organisations ? g_tree_lookup (config->organisations, name)
+                               : NULL;
+}
+
+SsOrganisation *
+ss_config_key (const SsConfig *config, const char *digest)
+{
+  return config->keys ? g_hash_table_lookup (config->keys, digest) : NULL;
+}
+
 const SsStoredObject *
 ss_config_object (const SsConfig *config, const char *key)
 {
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -17,6 +17,8 @@
 
 #define SS_CONFIG_KINDS_MAX 16
 #define SS_CONFIG_SERVERS_MAX 9
+/* Of a key's digest (identity.h), with its terminating 0. */
+#define SS_KEY_DIGEST_BYTES 33
 
 #define SS_ROLES(X)                                                            \
   X (UNKNOWN, "unknown")                                                       \
@@ -99,10 +101,20 @@
   uint32_t weight;
   int64_t timeout_ms; /* of a statement; 0: the VM's setting */
   uint32_t urgency;   /* 0 is the most urgent */
+  bool is_public;     /* its callers need no key */
   SsReadKind kinds[SS_CONFIG_KINDS_MAX];
   uint32_t kind_count;
 } SsService;
 
+/* An organisation whose callers identify themselves by keys. */
+typedef struct
+{
+  char *name;
+  bool is_limited;     /* the two limits below apply */
+  uint32_t rate_per_s; /* operations */
+  uint32_t burst;      /* operations */
+} SsOrganisation;
+
 typedef struct
 {
   char *name;
@@ -128,6 +140,9 @@
   GTree *targets;
   GTree *groups;
   GHashTable *max_connections; /* group -> limit for each of its servers */
+  GTree *organisations; /* name -> SsOrganisation; NULL: callers need no key */
+  GHashTable *keys;     /* digest of a key -> SsOrganisation (borrowed); NULL if
+                           organisations is */
   int64_t transaction_idle_ms; /* 0: the VM's setting */
   uint64_t hash;               /* of all objects; equal on VMs in sync */
   int64_t revision; /* version of the platform that objects is complete to */
@@ -173,6 +188,12 @@
 SsService *ss_config_service (const SsConfig *config, const char *name);
 SsTarget *ss_config_target (const SsConfig *config, const char *name);
 SsGroup *ss_config_group (const SsConfig *config, const char *name);
+/* ss_config_organisation, ss_config_key: return the organisation of this name,
+ * or of the key with this digest; NULL if there is none.
+ */
+SsOrganisation *ss_config_organisation (const SsConfig *config,
+                                        const char *name);
+SsOrganisation *ss_config_key (const SsConfig *config, const char *digest);
 const SsStoredObject *ss_config_object (const SsConfig *config,
                                         const char *key);
 
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/entry.h"
+#include "core/identity.h"
 
 static void
 clear_session (gpointer data)
@@ -90,10 +91,54 @@
   return r;
 }
 
+/* Logs at which configuration a key was unknown.  The first characters of its
+ * digest tell callers apart and give no key away.
+ */
+static void
+note_unknown (SsNode *node, const SsSession *s, const char *service)
+{
+  ss_node_count (node, SS_COUNTER_UNKNOWN_KEYS);
+  ss_node_log (node, SS_EVENT_LOG_KEY_UNKNOWN, service,
+               "session=%" G_GUINT64_FORMAT " digest=%.8s"
+               " sequence=%" G_GINT64_FORMAT " platform_down=%d",
+               s->id, *s->key_digest ? s->key_digest : "none",
+               node->config.sequence, node->platform_down);
+}
+
+/* Sets the organisation of R by the configuration in force.  Returns false if
+ * the caller's key is not valid any more.
+ */
+static bool
+resolve_organisation (SsNode *node, SsRequest *r)
+{
+  const SsService *service
+      = ss_config_service (&node->config, r->session->service);
+  const char *organisation = "";
+
+  if (service
+      && !ss_identity_resolve (&node->config, service, r->session->key_digest,
+                               &organisation))
+    return false;
+  r->organisation = g_strdup (organisation);
+  return true;
+}
+
 void
 ss_entry_dispatch (SsNode *node, SsRequest *r)
 {
-  if (!r->session->pinned_vm && !ss_route_classify (node, r))
+  SsSession *s = r->session;
+
+  if (s->pinned_vm)
+    {
+      ss_route (node, r);
+      return;
+    }
+  if (!resolve_organisation (node, r))
+    {
+      note_unknown (node, s, s->service);
+      ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_UNKNOWN_KEY, 0);
+    }
+  else if (!ss_route_classify (node, r))
     ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_BAD_SETTING, 0);
   else
     ss_route (node, r);
@@ -113,18 +158,35 @@
   ss_node_push (node, SS_ACTION_CALLER_CLOSE)->id = caller;
 }
 
+static bool
+is_known (SsNode *node, const SsService *service, const SsSession *s)
+{
+  const char *organisation;
+
+  return ss_identity_resolve (&node->config, service, s->key_digest,
+                              &organisation);
+}
+
+static void
+refuse_unknown (SsNode *node, const SsSession *s, const char *service)
+{
+  note_unknown (node, s, service);
+  ss_entry_refuse_open (node, s->id, SS_REASON_UNKNOWN_KEY, NULL);
+}
+
 void
 ss_entry_open (SsNode *node, uint64_t caller, const char *service,
-               const char *user, const char *const *settings)
+               const char *user, const char *key, const char *const *settings)
 {
   SsSession *s;
   SsGroup *group;
+  const SsService *found;
   const char *error = NULL;
 
   if (!node->ready && !node->stopping
       && ss_dialect_multiplexes_sessions (node->dialect))
     {
-      ss_startup_add (node, caller, service, user);
+      ss_startup_add (node, caller, service, user, key);
       return;
     }
   if (node->stopping || !node->ready)
@@ -134,13 +196,22 @@
           node->stopping ? SS_REASON_STOPPING : SS_REASON_NO_CONFIG, NULL);
       return;
     }
-  if (!ss_config_service (&node->config, service))
+  found = ss_config_service (&node->config, service);
+  if (!found)
     {
       ss_entry_refuse_open (node, caller, SS_REASON_NO_SERVICE, NULL);
       return;
     }
   s = g_new0 (SsSession, 1);
   s->id = caller;
+  if (key)
+    ss_identity_digest (key, s->key_digest);
+  if (!is_known (node, found, s))
+    {
+      refuse_unknown (node, s, service);
+      clear_session (s);
+      return;
+    }
   s->service = g_strdup (service);
   s->user = g_strdup (user ? user : "");
   s->deadline_ms = node->params.deadline_ms;
@@ -393,7 +464,7 @@
 
   if (!r || !r->vm || strcmp (r->vm, from) != 0
       || strcmp (r->target, reply->target) != 0
-      || reply->verdict > SS_VERDICT_RAN || reply->reason > SS_REASON_TOO_LARGE)
+      || reply->verdict > SS_VERDICT_RAN || reply->reason >= SS_REASON_COUNT)
     {
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
       return;
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -130,6 +130,7 @@
       uint64_t caller;
       const char *service;
       const char *user;            /* "" if unknown */
+      const char *key;             /* of its organisation; NULL: none */
       const char *const *settings; /* name, value, ..., NULL; may be NULL */
     } caller_open;
     struct
@@ -224,12 +225,14 @@
 typedef struct
 {
   SsActionKind kind;
-  uint64_t id;   /* caller, connection or call */
-  char *name;    /* VM, target, object key or parameter */
-  char *text;    /* SQL, address or value */
-  char *label;   /* TARGET_QUERY: the caller's statement id, or NULL;
-                    TARGET_CONNECT: the target's group */
-  GBytes *bytes; /* wire or peer message */
+  uint64_t id;        /* caller, connection or call */
+  char *name;         /* VM, target, object key or parameter */
+  char *text;         /* SQL, address or value */
+  char *label;        /* TARGET_QUERY: the caller's statement id, or NULL;
+                         TARGET_CONNECT: the target's group */
+  char *organisation; /* TARGET_CONNECT: that the connection is opened for;
+                         NULL: this proxy itself */
+  GBytes *bytes;      /* wire or peer message */
   uint32_t port;
   int64_t number; /* version */
   SsVerdict verdict;
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -7,6 +7,7 @@
 {
   g_free (job->vm);
   g_free (job->service);
+  g_free (job->organisation);
   g_free (job->sql);
   g_free (job->key);
   g_free (job->trace);
@@ -153,11 +154,17 @@
 }
 
 static void
-start_job (SsNode *node, SsConnection *c, SsJob *job)
+attach_job (SsNode *node, SsConnection *c, SsJob *job)
 {
   c->job = job;
   job->connection = c;
   job->started_ms = node->now_ms;
+}
+
+static void
+start_job (SsNode *node, SsConnection *c, SsJob *job)
+{
+  attach_job (node, c, job);
   if (ss_dialect_multiplexes_sessions (node->dialect))
     ss_multiplex_start (node, c);
   else if (!job->key)
@@ -166,8 +173,9 @@
     ss_job_start_step (node, c, c->vm ? SS_STEP_COMMIT : SS_STEP_CLAIM);
 }
 
-void
-ss_job_dispatch (SsNode *node, SsOwnedTarget *owned)
+/* Runs queued statements on idle connections, which serve all callers. */
+static void
+dispatch_shared (SsNode *node, SsOwnedTarget *owned)
 {
   while (ss_pool_find_idle (owned))
     {
@@ -185,6 +193,46 @@
   ss_pool_open_more (node, owned);
 }
 
+/* Runs queued statements on connections of their organisations.  A statement
+ * for which one is opened holds its slot meanwhile: at the target, the new
+ * connection occupies a slot, too.
+ */
+static void
+dispatch_by_organisation (SsNode *node, SsOwnedTarget *owned)
+{
+  while (ss_pool_has_room (node, owned))
+    {
+      SsQueueItem *item = ss_queue_pop (
+          &owned->queue, ss_pool_capacity (node, owned), node->now_ms);
+      SsConnection *c;
+
+      if (!item)
+        return;
+      c = ss_pool_acquire (node, owned, (SsJob *) item);
+      c->holds_slot = true;
+      c->queue_class = item->queue_class;
+      if (c->state == SS_CONNECTION_CONNECTING)
+        attach_job (node, c, (SsJob *) item);
+      else
+        start_job (node, c, (SsJob *) item);
+    }
+}
+
+void
+ss_job_dispatch (SsNode *node, SsOwnedTarget *owned)
+{
+  if (node->config.organisations)
+    dispatch_by_organisation (node, owned);
+  else
+    dispatch_shared (node, owned);
+}
+
+void
+ss_job_start_attached (SsNode *node, SsConnection *c)
+{
+  start_job (node, c, c->job);
+}
+
 bool
 ss_owned_covers_floor (const SsOwnedTarget *owned, SsPosition applied,
                        SsPosition floor)
@@ -265,6 +313,7 @@
   job->vm = g_strdup (from);
   job->session = run->session;
   job->service = g_strdup (run->service);
+  job->organisation = g_strdup (run->organisation);
   job->sql = g_strndup ((const char *) run->sql.data, run->sql.len);
   job->key = *run->request_key ? g_strdup (run->request_key) : NULL;
   job->trace = g_strdup (run->trace);
--- a/src/core/job_result.c
+++ b/src/core/job_result.c
@@ -289,9 +289,11 @@
 ss_job_give_up (SsNode *node, SsConnection *c, SsReason reason)
 {
   SsJob *job = g_steal_pointer (&c->job);
+  SsVerdict verdict = c->state == SS_CONNECTION_CONNECTING
+                          ? SS_VERDICT_NOT_RUN
+                          : ss_job_lost_verdict (job);
 
   job->transaction_status = 'I';
   ss_pool_close (node, c);
-  ss_job_answer (node, job, ss_job_lost_verdict (job), reason,
-                 SS_RETRY_SOON_MS);
+  ss_job_answer (node, job, verdict, reason, SS_RETRY_SOON_MS);
 }
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -21,6 +21,7 @@
   g_free (action->name);
   g_free (action->text);
   g_free (action->label);
+  g_free (action->organisation);
   g_clear_pointer (&action->bytes, g_bytes_unref);
 }
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -444,7 +444,8 @@
     {
     case SS_EVENT_CALLER_OPEN:
       ss_entry_open (node, e->caller_open.caller, e->caller_open.service,
-                     e->caller_open.user, e->caller_open.settings);
+                     e->caller_open.user, e->caller_open.key,
+                     e->caller_open.settings);
       break;
     case SS_EVENT_CALLER_STATEMENT:
       ss_entry_statement (node, e->caller_statement.caller,
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -32,7 +32,8 @@
   SsOwnedTarget *owned;
   SsConnectionState state;
   bool is_control;
-  bool holds_slot; /* counts as running in the queue */
+  char *organisation; /* that it was opened for; "": none */
+  bool holds_slot;    /* counts as running in the queue */
   SsQueueClass queue_class;
   SsJob *job;
   char *vm; /* of the session that it is pinned to */
@@ -69,6 +70,7 @@
   char *vm;
   uint64_t session;
   char *service;
+  char *organisation; /* of the caller; "": none */
   char *sql;
   char *key; /* idempotency key, or NULL */
   char *trace;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -65,6 +65,8 @@
   ss_backoff_reset (&c->owned->connect_backoff);
   if (c->is_control)
     ss_target_monitor_ready (node, c->owned);
+  else if (c->job)
+    ss_job_start_attached (node, c);
   else
     ss_job_dispatch (node, c->owned);
 }
@@ -77,6 +79,7 @@
       = g_hash_table_lookup (node->connections, &event->target.connection);
   SsOwnedTarget *owned;
   SsJob *job;
+  bool was_connecting;
 
   if (!c)
     return;
@@ -96,9 +99,13 @@
         = node->now_ms
           + ss_backoff_next (&owned->connect_backoff, node->rand,
                              CONNECT_BACKOFF_MS * 4, CONNECT_BACKOFF_MAX_MS);
+  was_connecting = c->state == SS_CONNECTION_CONNECTING;
   job = g_steal_pointer (&c->job);
   ss_pool_forget (node, c);
-  if (job)
+  if (job && was_connecting)
+    ss_job_answer (node, job, SS_VERDICT_NOT_RUN, SS_REASON_CONNECT,
+                   SS_RETRY_SOON_MS);
+  else if (job)
     {
       job->transaction_status = 'I';
       ss_job_answer (node, job, ss_job_lost_verdict (job),
@@ -295,6 +302,18 @@
   return o;
 }
 
+/* Closes C, which is idle or connects, and refuses the job that it was opened
+ * for, if any.
+ */
+static void
+end_unused (SsNode *node, SsConnection *c, SsReason reason)
+{
+  if (c->job)
+    ss_job_give_up (node, c, reason);
+  else
+    ss_pool_close (node, c);
+}
+
 /* Another VM owns the target now.  Running statements and open transactions
  * continue; queued statements and unused connections are dropped.
  */
@@ -308,7 +327,7 @@
 
       if (c->state == SS_CONNECTION_IDLE
           || c->state == SS_CONNECTION_CONNECTING)
-        ss_pool_close (node, c);
+        end_unused (node, c, SS_REASON_NOT_OWNER);
     }
   if (owned->control)
     ss_pool_close (node, g_steal_pointer (&owned->control));
@@ -329,7 +348,9 @@
     {
       SsConnection *c = g_ptr_array_index (owned->connections, i - 1);
 
-      if (c->job && c->job->is_read)
+      if (c->job && c->state == SS_CONNECTION_CONNECTING)
+        ss_job_give_up (node, c, SS_REASON_CONNECT);
+      else if (c->job && c->job->is_read)
         ss_job_give_up (node, c, SS_REASON_CONNECTION_LOST);
     }
 }
@@ -430,8 +451,10 @@
       if (age_ms >= CONNECT_TIMEOUT_MS)
         {
           c->owned->connect_after_ms = node->now_ms + CONNECT_BACKOFF_MS;
-          ss_pool_close (node, c);
+          end_unused (node, c, SS_REASON_CONNECT);
         }
+      else if (c->job && node->now_ms >= c->job->item.deadline_ms)
+        end_unused (node, c, SS_REASON_DEADLINE);
       break;
     case SS_CONNECTION_IDLE:
       if (age_ms >= IDLE_CONNECTION_MS)
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -16,8 +16,19 @@
  * for statements now.
  */
 uint32_t ss_pool_max_connections (SsNode *node, const SsOwnedTarget *owned);
+/* ss_pool_connect: opens a connection for ORGANISATION; "": for none. */
 SsConnection *ss_pool_connect (SsNode *node, SsOwnedTarget *owned,
-                               bool is_control);
+                               const char *organisation, bool is_control);
+/* ss_pool_has_room: whether ss_pool_acquire finds a connection for any
+ * statement.
+ */
+bool ss_pool_has_room (SsNode *node, const SsOwnedTarget *owned);
+/* ss_pool_acquire: returns a connection of JOB's organisation: an idle one, or
+ * a new one, for which an idle one of another organisation may be closed.  To
+ * be called only if ss_pool_has_room.
+ */
+SsConnection *ss_pool_acquire (SsNode *node, SsOwnedTarget *owned,
+                               const SsJob *job);
 /* ss_pool_close: closes CONNECTION and frees it together with its job. */
 void ss_pool_close (SsNode *node, SsConnection *connection);
 /* ss_pool_forget: frees a connection that is already closed. */
@@ -60,6 +71,8 @@
                     SsReason reason, uint32_t retry_after_ms);
 /* ss_job_dispatch: runs queued statements on idle connections. */
 void ss_job_dispatch (SsNode *node, SsOwnedTarget *owned);
+/* ss_job_start_attached: starts the job for which C was opened. */
+void ss_job_start_attached (SsNode *node, SsConnection *c);
 /* ss_job_start_step: sends the statement for STEP of C's job to the target. */
 void ss_job_start_step (SsNode *node, SsConnection *c, SsStep step);
 /* ss_job_queue: queues JOB, or refuses it by admission control. */
--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -7,6 +7,8 @@
 #define WEIGHT_MAX 1000
 #define SLOTS_MAX 100000
 #define URGENCY_MAX 1000
+/* Operations a second, and in a burst. */
+#define RATE_MAX 1000000000
 
 char *
 ss_parse_text (json_t *json, const char *name, const char *fallback, char **out)
@@ -44,6 +46,17 @@
   return NULL;
 }
 
+char *
+ss_parse_flag (json_t *json, const char *name, bool *out)
+{
+  json_t *value = json_object_get (json, name);
+
+  *out = json_is_true (value);
+  if (value && !json_is_boolean (value))
+    return g_strdup_printf ("\"%s\" must be true or false", name);
+  return NULL;
+}
+
 char *
 ss_parse_check_keys (json_t *json, const char *allowed)
 {
@@ -99,7 +112,7 @@
   int64_t urgency = 0;
   char *error = ss_parse_check_keys (
       json, " group default_kind acknowledge weight kinds identity "
-            "timeout_ms urgency operation ");
+            "timeout_ms urgency public operation ");
 
   if (!error)
     error = ss_parse_text (json, "group", NULL, &s->group);
@@ -119,6 +132,8 @@
                              &s->timeout_ms);
   if (!error)
     error = ss_parse_number (json, "urgency", 0, 0, URGENCY_MAX, &urgency);
+  if (!error)
+    error = ss_parse_flag (json, "public", &s->is_public);
   if (!error)
     error = parse_kinds (s, json_object_get (json, "kinds"));
   if (!error && g_strcmp0 (acknowledge, "majority") != 0
@@ -142,7 +157,6 @@
 char *
 ss_parse_target (SsTarget *t, json_t *json)
 {
-  json_t *draining = json_object_get (json, "draining");
   bool has_slots = json_object_get (json, "slots") != NULL;
   int64_t port = 0;
   int64_t max_connections = 0;
@@ -169,12 +183,11 @@
     error = ss_parse_number (json, "slots", 0, 0, SLOTS_MAX, &slots);
   if (!error)
     error = ss_parse_number (json, "born_ms", 0, 0, G_MAXINT64, &t->born_ms);
-  if (!error && draining && !json_is_boolean (draining))
-    error = g_strdup ("\"draining\" must be true or false");
+  if (!error)
+    error = ss_parse_flag (json, "draining", &t->draining);
   t->port = (uint16_t) port;
   t->max_connections = (uint32_t) max_connections;
   t->slots = (uint32_t) slots;
-  t->draining = json_is_true (draining);
   return error;
 }
 
@@ -193,3 +206,28 @@
   g->term = (uint64_t) term;
   return error;
 }
+
+char *
+ss_parse_organisation (SsOrganisation *o, json_t *json)
+{
+  bool has_rate = json_object_get (json, "rate_per_s") != NULL;
+  int64_t rate_per_s = 0;
+  int64_t burst = 0;
+  char *error = ss_parse_check_keys (json, " key_digests rate_per_s burst ");
+
+  if (!error && !json_is_array (json_object_get (json, "key_digests")))
+    error = g_strdup ("\"key_digests\" must be an array");
+  if (!error)
+    error = ss_parse_number (json, "rate_per_s", 0, 0, RATE_MAX, &rate_per_s);
+  /* Without a burst of its own, an organisation may send what it may send in
+   * one second.
+   */
+  if (!error)
+    error = ss_parse_number (json, "burst", rate_per_s, 0, RATE_MAX, &burst);
+  if (!error && !has_rate && json_object_get (json, "burst"))
+    error = g_strdup ("\"burst\" needs \"rate_per_s\"");
+  o->is_limited = has_rate;
+  o->rate_per_s = (uint32_t) rate_per_s;
+  o->burst = (uint32_t) burst;
+  return error;
+}
--- a/src/core/parse.h
+++ b/src/core/parse.h
@@ -28,6 +28,10 @@
  */
 char *ss_parse_number (json_t *json, const char *name, int64_t fallback,
                        int64_t lowest, int64_t highest, int64_t *out);
+/* ss_parse_flag: sets *OUT to the boolean member NAME, or to false if it is
+ * missing.
+ */
+char *ss_parse_flag (json_t *json, const char *name, bool *out);
 /* ss_parse_check_keys: rejects JSON if it has members that are not in ALLOWED,
  * a list of names with a space before and after each.
  */
@@ -36,5 +40,9 @@
 char *ss_parse_service (SsService *s, json_t *json);
 char *ss_parse_target (SsTarget *t, json_t *json);
 char *ss_parse_group (SsGroup *g, json_t *json);
+/* ss_parse_organisation: parses the limits, and checks that the digests of the
+ * keys are an array.
+ */
+char *ss_parse_organisation (SsOrganisation *o, json_t *json);
 
 #endif
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -17,6 +17,7 @@
   g_queue_clear_full (&c->setup_queue, g_free);
   g_free (c->last_setup);
   g_free (c->vm);
+  g_free (c->organisation);
   g_free (c);
 }
 
@@ -49,13 +50,15 @@
 }
 
 SsConnection *
-ss_pool_connect (SsNode *node, SsOwnedTarget *owned, bool is_control)
+ss_pool_connect (SsNode *node, SsOwnedTarget *owned, const char *organisation,
+                 bool is_control)
 {
   SsConnection *c = g_new0 (SsConnection, 1);
   SsAction *a = ss_node_push (node, SS_ACTION_TARGET_CONNECT);
 
   c->id = ++node->next_connection;
   c->owned = owned;
+  c->organisation = g_strdup (organisation);
   c->is_control = is_control;
   c->since_ms = node->now_ms;
   g_queue_init (&c->setup_queue);
@@ -64,6 +67,7 @@
   a->id = c->id;
   a->name = g_strdup (owned->target->name);
   a->label = g_strdup (owned->target->group);
+  a->organisation = *organisation ? g_strdup (organisation) : NULL;
   a->text = g_strdup (owned->target->ip);
   a->port = owned->target->port;
   ss_node_count (node, SS_COUNTER_TARGET_CONNECTS);
@@ -133,7 +137,8 @@
       SsConnection *c = g_ptr_array_index (owned->connections, i - 1);
       uint32_t distance;
 
-      if (c->state != SS_CONNECTION_IDLE)
+      if (c->state != SS_CONNECTION_IDLE
+          || strcmp (c->organisation, job->organisation) != 0)
         continue;
       distance
           = ss_replay_distance (&c->held, (const char *const *) job->values);
@@ -171,7 +176,55 @@
   while (connecting < wanted && owned->connections->len < limit)
     {
       g_ptr_array_add (owned->connections,
-                       ss_pool_connect (node, owned, false));
+                       ss_pool_connect (node, owned, "", false));
       connecting++;
     }
 }
+
+/* --- connections that belong to one organisation each --- */
+
+static bool
+may_connect (SsNode *node, const SsOwnedTarget *owned)
+{
+  return node->now_ms >= owned->connect_after_ms;
+}
+
+/* Returns the idle connection that was not used for the longest time, or NULL.
+ */
+static SsConnection *
+find_least_recently_used (const SsOwnedTarget *owned)
+{
+  SsConnection *oldest = NULL;
+
+  for (guint i = 0; i < owned->connections->len; i++)
+    {
+      SsConnection *c = g_ptr_array_index (owned->connections, i);
+
+      if (c->state == SS_CONNECTION_IDLE
+          && (!oldest || c->since_ms < oldest->since_ms))
+        oldest = c;
+    }
+  return oldest;
+}
+
+bool
+ss_pool_has_room (SsNode *node, const SsOwnedTarget *owned)
+{
+  return may_connect (node, owned)
+         && (owned->connections->len < ss_pool_max_connections (node, owned)
+             || find_least_recently_used (owned) != NULL);
+}
+
+SsConnection *
+ss_pool_acquire (SsNode *node, SsOwnedTarget *owned, const SsJob *job)
+{
+  SsConnection *c = ss_pool_find_nearest (owned, job);
+
+  if (c)
+    return c;
+  if (owned->connections->len >= ss_pool_max_connections (node, owned))
+    ss_pool_close (node, find_least_recently_used (owned));
+  c = ss_pool_connect (node, owned, job->organisation, false);
+  g_ptr_array_add (owned->connections, c);
+  return c;
+}
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -6,6 +6,7 @@
 void
 ss_request_free (SsRequest *r)
 {
+  g_free (r->organisation);
   g_free (r->label);
   g_free (r->sql);
   g_free (r->shape);
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -25,6 +25,7 @@
   uint64_t id;
   char *service;
   char *user;
+  char key_digest[SS_KEY_DIGEST_BYTES]; /* of its caller's key; "": none */
   char *kind; /* write, session, strict or one of the service's kinds of read;
                  NULL: the service's default */
   char *request_key; /* idempotency key; NULL: none */
@@ -60,7 +61,8 @@
 {
   uint64_t id; /* of the current attempt; each attempt has its own */
   SsSession *session;
-  char *label; /* the caller's id of the statement; NULL: none */
+  char *organisation; /* of the caller; NULL: none, or not resolved yet */
+  char *label;        /* the caller's id of the statement; NULL: none */
   char *sql;
   char *shape; /* SsPrepared.shape of the prepared statement that it executes;
                   NULL: none */
@@ -93,8 +95,10 @@
 
 void ss_entry_init (SsNode *node);
 void ss_entry_finish (SsNode *node);
+/* ss_entry_open: KEY may be NULL. */
 void ss_entry_open (SsNode *node, uint64_t caller, const char *service,
-                    const char *user, const char *const *settings);
+                    const char *user, const char *key,
+                    const char *const *settings);
 /* ss_entry_statement: LABEL is the caller's id of the statement, or NULL. */
 void ss_entry_statement (SsNode *node, uint64_t caller, const char *label,
                          const char *sql);
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -93,6 +93,8 @@
     run.request_key = s->request_key;
   run.trace = r->trace;
   run.identity = (char *) ss_session_identity (node, s);
+  if (r->organisation)
+    run.organisation = r->organisation;
   add_session_state (&run, s, r);
   e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
   e.run = &run;
--- a/src/core/target_monitor.c
+++ b/src/core/target_monitor.c
@@ -383,7 +383,7 @@
   if (!c)
     {
       if (node->now_ms >= owned->control_after_ms)
-        owned->control = ss_pool_connect (node, owned, true);
+        owned->control = ss_pool_connect (node, owned, "", true);
       return;
     }
   if (c->state == SS_CONNECTION_IDLE)
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -42,7 +42,8 @@
   X (PEER_BYTES, "peer_bytes", "bytes sent to peers")                          \
   X (CONTROL_MESSAGES, "control_messages", "control messages sent")            \
   X (CONTROL_BYTES, "control_bytes", "bytes of control messages sent")         \
-  X (TARGET_CONNECTS, "target_connects", "connections opened to targets")
+  X (TARGET_CONNECTS, "target_connects", "connections opened to targets")      \
+  X (UNKNOWN_KEYS, "unknown_keys", "callers and statements refused by key")
 
 typedef enum
 {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -82,6 +82,7 @@
   X (REQUEST_IN_DOUBT, 603, WARNING, "request may have run")                   \
   X (REQUEST_RETRIED, 604, INFO, "request retried internally")                 \
   X (REQUEST_WAITS, 605, INFO, "request waits for a primary")                  \
+  X (KEY_UNKNOWN, 606, WARNING, "no organisation has the caller's key")        \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/src/kernel/verdict.h
+++ b/src/kernel/verdict.h
@@ -53,13 +53,17 @@
   X (UNPREPARED, "unprepared", "26000", "no such prepared statement")          \
   X (STOPPING, "stopping", "57P01", "this vm is stopping")                     \
   X (BAD_SETTING, "bad_setting", "22023", "invalid session setting")           \
-  X (TOO_LARGE, "too_large", "54000", "the message is too large")
+  X (TOO_LARGE, "too_large", "54000", "the message is too large")              \
+  X (UNKNOWN_KEY, "unknown_key", "28000", "no organisation has this key")      \
+  X (RATE_LIMIT, "rate_limit", "53400",                                        \
+     "the organisation's rate limit is reached")
 
 typedef enum
 {
 #define SS_REASON_ENUM(id, name, sqlstate, message) SS_REASON_##id,
   SS_REASONS (SS_REASON_ENUM)
 #undef SS_REASON_ENUM
+      SS_REASON_COUNT
 } SsReason;
 
 /* ss_verdict_name: returns the name used in logs, error details and reports. */
