Roles go to VMs in proportion to their capacity; a large configuration is sent once and compressed

A VM whose objects differed from its relay's fetched all of them anew each second.

Ruled out: processor time (11 to 20 % of the share on average).

Change: values from 1 KB on are compressed (zlib) once for all receivers; the first watcher forwards large objects, the others only to VMs whose heartbeats show that they still lack them after 500 ms; a pull lists the hashes of what the VM has. Setting vm.cores: VMs tell their capacity in heartbeats and in their objects; relays and watchers are the largest VMs, owners and coordinators are ranked by rendezvous hashing weighted by it. VMs of equal capacity rank as before.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # sapphirestair: builds, tests and checks all programs.
 B = build
-PKGS = glib-2.0 jansson libcurl libmicrohttpd libpq libprotobuf-c libxxhash
+PKGS = glib-2.0 jansson libcurl libmicrohttpd libpq libprotobuf-c libxxhash zlib
 CFLAGS ?= -O2 -g
 SAN ?=
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Werror
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -28,6 +28,7 @@
 
   g_free (o->key);
   g_bytes_unref (o->value);
+  g_clear_pointer (&o->compressed, g_bytes_unref);
   g_free (o);
 }
 
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -154,6 +154,7 @@
   char *key;
   int64_t version;
   GBytes *value;
+  GBytes *compressed; /* of value, for other VMs; NULL: not compressed yet */
   bool deleted;
   int64_t sequence;     /* as in SsObject */
   int64_t adopted_ms;   /* when this VM adopted this version */
--- a/src/core/config_store.c
+++ b/src/core/config_store.c
@@ -2,9 +2,15 @@
 
 #include <string.h>
 #include <xxhash.h>
+#include <zlib.h>
 
 #include "core/version.h"
 
+/* Smaller values gain nothing from compression. */
+#define COMPRESS_MIN_BYTES 1024
+/* Bound on what an invalid message makes this VM allocate. */
+#define UNCOMPRESSED_MAX_BYTES (64 * 1024 * 1024)
+
 bool
 ss_stored_object_is_equal (const SsStoredObject *stored, const SsObject *object)
 {
@@ -39,6 +45,50 @@
                                (XXH64_hash_t) version * 2 + (deleted ? 1 : 0));
 }
 
+uint64_t
+ss_stored_object_hash (const SsStoredObject *stored)
+{
+  return hash_object (stored->key, stored->version, stored->deleted);
+}
+
+GBytes *
+ss_stored_object_compress (SsStoredObject *stored)
+{
+  gsize bytes;
+  const Bytef *value = g_bytes_get_data (stored->value, &bytes);
+  uLongf compressed_bytes = compressBound (bytes);
+  Bytef *compressed;
+
+  if (stored->compressed || bytes < COMPRESS_MIN_BYTES)
+    return stored->compressed;
+  compressed = g_malloc (compressed_bytes);
+  if (compress2 (compressed, &compressed_bytes, value, bytes, Z_BEST_SPEED)
+      != Z_OK)
+    {
+      g_free (compressed);
+      return NULL;
+    }
+  stored->compressed = g_bytes_new_take (compressed, compressed_bytes);
+  return stored->compressed;
+}
+
+char *
+ss_config_uncompress (const uint8_t *value, size_t compressed_bytes,
+                      uint32_t value_bytes)
+{
+  uLongf bytes = value_bytes;
+  char *text;
+
+  if (value_bytes > UNCOMPRESSED_MAX_BYTES)
+    return NULL;
+  text = g_malloc (value_bytes);
+  if (uncompress ((Bytef *) text, &bytes, value, compressed_bytes) == Z_OK
+      && bytes == value_bytes)
+    return text;
+  g_free (text);
+  return NULL;
+}
+
 /* Updates since when the platform has lost the content of O, a group's object.
  */
 static void
--- a/src/core/config_store.h
+++ b/src/core/config_store.h
@@ -14,6 +14,19 @@
 /* ss_stored_object_view: returns STORED as an object that borrows its strings.
  */
 SsObject ss_stored_object_view (const SsStoredObject *stored);
+/* ss_stored_object_hash: returns a hash of the object's key and version, which
+ * is equal on VMs that store the same version.
+ */
+uint64_t ss_stored_object_hash (const SsStoredObject *stored);
+/* ss_stored_object_compress: returns the compressed value of STORED, which owns
+ * it, or NULL where the value is too small to be worth it.
+ */
+GBytes *ss_stored_object_compress (SsStoredObject *stored);
+/* ss_config_uncompress: uncompresses VALUE to VALUE_BYTES bytes, to be freed
+ * with g_free.  Returns NULL where it is not valid.
+ */
+char *ss_config_uncompress (const uint8_t *value, size_t compressed_bytes,
+                            uint32_t value_bytes);
 /* ss_config_store_object: stores OBJECT, which is adopted. */
 void ss_config_store_object (SsConfig *config, const SsObject *object,
                              int64_t now_ms);
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -9,6 +9,13 @@
 #define PULL_INTERVAL_MS 300
 /* ConfigPush.since of single objects, which do not advance the revision. */
 #define WITHOUT_REVISION (-1)
+/* Objects from this size on are forwarded by one watcher only. */
+#define LARGE_OBJECT_BYTES 4096
+/* A VM that still lacks the operator's configuration this long after it was
+ * adopted here has not got it from another VM.
+ */
+#define LATE_PUSH_MS 500
+#define LATE_PUSH_INTERVAL_MS 1000
 
 /* Grace period before a deleted target is removed.  A target object that
  * expired during a platform outage reappears within 2 s of the end of the
@@ -16,6 +23,19 @@
  */
 #define DELETION_GRACE_MS 2500
 
+static gboolean
+add_hash (gpointer key, gpointer value, gpointer data)
+{
+  Ss__Peer__ConfigPull *pull = data;
+
+  if (g_str_has_prefix (key, pull->prefix))
+    pull->known[pull->n_known++] = ss_stored_object_hash (value);
+  return FALSE;
+}
+
+/* Requests the objects above SINCE from VM.  If SINCE is 0, VM leaves out those
+ * that this VM stores.
+ */
 static void
 send_pull (SsNode *node, const char *vm, int64_t since, const char *prefix)
 {
@@ -24,9 +44,15 @@
 
   pull.since = since;
   pull.prefix = (char *) prefix;
+  if (since == 0)
+    {
+      pull.known = g_new (uint64_t, g_tree_nnodes (node->config.objects) + 1);
+      g_tree_foreach (node->config.objects, add_hash, &pull);
+    }
   e.body_case = SS__PEER__ENVELOPE__BODY_CONFIG_PULL;
   e.config_pull = &pull;
   ss_node_send (node, vm, &e);
+  g_free (pull.known);
 }
 
 void
@@ -161,39 +187,55 @@
   return !defer_deletion (node, object) && adopt_now (node, object);
 }
 
+/* --- pushes --- */
+
 typedef struct
 {
   int64_t since;
   const char *prefix;
+  GHashTable *known; /* hashes of objects to leave out */
   Ss__Peer__ConfigObject *objects;
   Ss__Peer__ConfigObject **list;
   uint32_t count;
+  GArray *unchanged; /* of uint64_t */
 } PushContext;
 
-/* OUT borrows the strings of OBJECT. */
+/* OUT borrows the strings of STORED. */
 static void
-pack_object (Ss__Peer__ConfigObject *out, const SsObject *object)
+pack_object (Ss__Peer__ConfigObject *out, SsStoredObject *stored)
 {
+  GBytes *value = ss_stored_object_compress (stored);
+  gsize bytes;
+
   ss__peer__config_object__init (out);
-  out->key = (char *) object->key;
-  out->version = object->version;
-  out->value.data = (uint8_t *) object->value;
-  out->value.len = object->value_bytes;
-  out->deleted = object->deleted;
-  out->sequence = object->sequence;
+  out->key = stored->key;
+  out->version = stored->version;
+  out->deleted = stored->deleted;
+  out->sequence = stored->sequence;
+  out->value.data
+      = (uint8_t *) g_bytes_get_data (value ? value : stored->value, &bytes);
+  out->value.len = bytes;
+  if (value)
+    out->value_bytes = (uint32_t) g_bytes_get_size (stored->value);
 }
 
 static gboolean
 add_to_push (gpointer key, gpointer value, gpointer data)
 {
   PushContext *p = data;
-  SsObject o = ss_stored_object_view (value);
-  Ss__Peer__ConfigObject *out = &p->objects[p->count];
+  SsStoredObject *o = value;
+  uint64_t hash = ss_stored_object_hash (o);
 
-  if (o.version <= p->since || !g_str_has_prefix (key, p->prefix))
+  if (o->version <= p->since || !g_str_has_prefix (key, p->prefix))
     return FALSE;
-  pack_object (out, &o);
-  p->list[p->count++] = out;
+  if (g_hash_table_contains (p->known, &hash))
+    {
+      g_array_append_val (p->unchanged, hash);
+      return FALSE;
+    }
+  pack_object (&p->objects[p->count], o);
+  p->list[p->count] = &p->objects[p->count];
+  p->count++;
   return FALSE;
 }
 
@@ -208,18 +250,23 @@
 }
 
 /* Calls SEND with VM and a push of all objects with versions above SINCE and
- * keys that begin with PREFIX.
+ * keys that begin with PREFIX, without those whose hashes are in KNOWN.
  */
 static void
-push_since (SsNode *node, int64_t since, const char *prefix,
+push_since (SsNode *node, int64_t since, const char *prefix, GHashTable *known,
             void (*send) (SsNode *node, Ss__Peer__ConfigPush *push,
                           const char *vm),
             const char *vm)
 {
   uint32_t all = (uint32_t) g_tree_nnodes (node->config.objects);
   Ss__Peer__ConfigPush push = SS__PEER__CONFIG_PUSH__INIT;
-  PushContext p = { since, prefix, g_new (Ss__Peer__ConfigObject, all + 1),
-                    g_new (Ss__Peer__ConfigObject *, all + 1), 0 };
+  PushContext p = { since,
+                    prefix,
+                    known,
+                    g_new (Ss__Peer__ConfigObject, all + 1),
+                    g_new (Ss__Peer__ConfigObject *, all + 1),
+                    0,
+                    g_array_new (FALSE, FALSE, sizeof (uint64_t)) };
   gsize bytes = 0;
 
   g_tree_foreach (node->config.objects, add_to_push, &p);
@@ -229,6 +276,8 @@
                   && ss_watch_is_active (node) && ss_watch_is_complete (node);
   push.objects = p.list;
   push.n_objects = p.count;
+  push.unchanged = (uint64_t *) (void *) p.unchanged->data;
+  push.n_unchanged = p.unchanged->len;
   if (node->vms_json)
     {
       push.vms.data = (uint8_t *) g_bytes_get_data (node->vms_json, &bytes);
@@ -237,6 +286,7 @@
   send (node, &push, vm);
   g_free (p.objects);
   g_free (p.list);
+  g_array_free (p.unchanged, TRUE);
 }
 
 static void
@@ -262,26 +312,91 @@
 void
 ss_config_sync_push_domain (SsNode *node, int64_t since)
 {
-  push_since (node, since, "", send_to_domain, NULL);
+  GHashTable *known = g_hash_table_new (g_int64_hash, g_int64_equal);
+
+  push_since (node, since, "", known, send_to_domain, NULL);
+  g_hash_table_destroy (known);
+}
+
+/* Returns a set of COUNT hashes, which it borrows. */
+static GHashTable *
+hash_set (uint64_t *hashes, size_t count)
+{
+  GHashTable *set = g_hash_table_new (g_int64_hash, g_int64_equal);
+
+  for (size_t i = 0; i < count; i++)
+    g_hash_table_add (set, &hashes[i]);
+  return set;
 }
 
 void
 ss_config_sync_handle_pull (SsNode *node, const char *from,
                             const Ss__Peer__ConfigPull *pull)
 {
-  push_since (node, pull->since, pull->prefix, send_to_one, from);
+  GHashTable *known = hash_set (pull->known, pull->n_known);
+
+  push_since (node, pull->since, pull->prefix, known, send_to_one, from);
+  g_hash_table_destroy (known);
+}
+
+typedef struct
+{
+  GHashTable *hashes;
+  GHashTable *present; /* keys */
+} Unchanged;
+
+static gboolean
+add_unchanged (gpointer key, gpointer value, gpointer data)
+{
+  Unchanged *u = data;
+  uint64_t hash = ss_stored_object_hash (value);
+
+  if (g_hash_table_contains (u->hashes, &hash))
+    g_hash_table_add (u->present, key);
+  return FALSE;
 }
 
 /* Deletes the objects that are missing from a complete push. */
 static void
 delete_unsent (SsNode *node, const Ss__Peer__ConfigPush *push)
 {
-  GHashTable *present = g_hash_table_new (g_str_hash, g_str_equal);
+  Unchanged u = { hash_set (push->unchanged, push->n_unchanged),
+                  g_hash_table_new (g_str_hash, g_str_equal) };
 
   for (size_t i = 0; i < push->n_objects; i++)
-    g_hash_table_add (present, push->objects[i]->key);
-  ss_config_sync_delete_missing (node, "", push->revision, present);
-  g_hash_table_destroy (present);
+    g_hash_table_add (u.present, push->objects[i]->key);
+  g_tree_foreach (node->config.objects, add_unchanged, &u);
+  ss_config_sync_delete_missing (node, "", push->revision, u.present);
+  g_hash_table_destroy (u.present);
+  g_hash_table_destroy (u.hashes);
+}
+
+static void
+adopt_received (SsNode *node, const char *from,
+                const Ss__Peer__ConfigObject *in)
+{
+  SsObject o = { .key = in->key,
+                 .version = in->version,
+                 .value = (const char *) in->value.data,
+                 .value_bytes = (uint32_t) in->value.len,
+                 .deleted = in->deleted,
+                 .sequence = in->sequence };
+  char *text = NULL;
+
+  if (in->value_bytes)
+    {
+      text = ss_config_uncompress (in->value.data, in->value.len,
+                                   in->value_bytes);
+      o.value = text;
+      o.value_bytes = in->value_bytes;
+    }
+  /* The sender has already waited out the grace period of deletions. */
+  if (text || !in->value_bytes)
+    adopt_now (node, &o);
+  else
+    ss_node_log (node, SS_EVENT_LOG_PEER_INVALID, from,
+                 "%s can't be uncompressed", in->key);
+  g_free (text);
 }
 
 void
@@ -290,18 +405,7 @@
 {
   ss_era_observe (node, ss_version_era (push->revision), from);
   for (size_t i = 0; i < push->n_objects; i++)
-    {
-      const Ss__Peer__ConfigObject *in = push->objects[i];
-      SsObject o = { in->key,
-                     in->version,
-                     (const char *) in->value.data,
-                     (uint32_t) in->value.len,
-                     in->deleted,
-                     in->sequence };
-
-      /* The sender has already waited out the grace period of deletions. */
-      adopt_now (node, &o);
-    }
+    adopt_received (node, from, push->objects[i]);
   if (push->complete)
     delete_unsent (node, push);
   if (push->vms.len)
@@ -322,7 +426,8 @@
   send_push (node, member->vm, data);
 }
 
-/* Forwards OBJECTS at once, independent of revisions.  DOMAIN_ONLY: only to VMs
+/* Forwards OBJECTS, which are stored, at once and independent of revisions.
+ * DOMAIN_ONLY: only to VMs
  * of this failure domain.
  */
 static void
@@ -335,7 +440,10 @@
 
   for (uint32_t i = 0; i < count; i++)
     {
-      pack_object (&copies[i], &objects[i]);
+      SsStoredObject *stored
+          = g_tree_lookup (node->config.objects, objects[i].key);
+
+      pack_object (&copies[i], stored);
       list[i] = &copies[i];
     }
   push.since = WITHOUT_REVISION;
@@ -347,11 +455,62 @@
   g_free (copies);
 }
 
+/* Whether this VM is the one of its watchers that forwards large objects. */
+static bool
+forwards_large (SsNode *node)
+{
+  return ss_members_watcher_rank (&node->members) == 0;
+}
+
+/* Of a large object each VM gets one copy: the other watchers forward it only
+ * to the VMs that still lack it after LATE_PUSH_MS.
+ */
 void
 ss_config_sync_forward (SsNode *node, const SsObject *objects, uint32_t count)
 {
-  if (count && node->members.relayed && ss_watch_is_active (node))
-    forward_objects (node, objects, count, true);
+  bool all = forwards_large (node);
+  SsObject *chosen;
+  uint32_t chosen_count = 0;
+
+  if (!count || !node->members.relayed || !ss_watch_is_active (node))
+    return;
+  chosen = g_new (SsObject, count);
+  for (uint32_t i = 0; i < count; i++)
+    if (all || objects[i].value_bytes < LARGE_OBJECT_BYTES)
+      chosen[chosen_count++] = objects[i];
+  if (chosen_count)
+    forward_objects (node, chosen, chosen_count, true);
+  g_free (chosen);
+}
+
+static gboolean
+find_adopted (gpointer key, gpointer value, gpointer data)
+{
+  const SsStoredObject *o = value;
+  int64_t *adopted_ms = data;
+
+  if (g_str_has_prefix (key, ss_watch_prefix (SS_WATCH_ROUTES)))
+    *adopted_ms = MAX (*adopted_ms, o->adopted_ms);
+  return FALSE;
+}
+
+void
+ss_config_sync_push_late (SsNode *node, SsMember *member, int64_t sequence)
+{
+  int64_t adopted_ms = 0;
+  GHashTable *none;
+
+  if (!sequence || sequence >= node->config.sequence
+      || node->now_ms - member->config_pushed_ms < LATE_PUSH_INTERVAL_MS)
+    return;
+  g_tree_foreach (node->config.objects, find_adopted, &adopted_ms);
+  if (node->now_ms - adopted_ms < LATE_PUSH_MS)
+    return;
+  member->config_pushed_ms = node->now_ms;
+  none = g_hash_table_new (g_int64_hash, g_int64_equal);
+  push_since (node, 0, ss_watch_prefix (SS_WATCH_ROUTES), none, send_to_one,
+              member->vm);
+  g_hash_table_destroy (none);
 }
 
 void
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -50,6 +50,9 @@
                     node->params.failure_domain, "ip", node->params.ip,
                     "peer_port", (int) node->params.peer_port, "leases",
                     l.leases);
+  if (node->params.capacity_millicores)
+    json_object_set_new (json, "capacity_millicores",
+                         json_integer (node->params.capacity_millicores));
   text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
   json_decref (json);
   return text;
@@ -208,6 +211,7 @@
   const char *domain;
   const char *ip;
   json_int_t port;
+  json_int_t capacity;
 
   if (strcmp (vm, node->params.vm) == 0)
     {
@@ -224,10 +228,13 @@
   domain = json_string_value (json_object_get (json, "failure_domain"));
   ip = json_string_value (json_object_get (json, "ip"));
   port = json_integer_value (json_object_get (json, "peer_port"));
+  capacity = json_integer_value (json_object_get (json, "capacity_millicores"));
+  capacity = CLAMP (capacity, 0, G_MAXUINT32);
   if (domain && ip && port > 0 && port <= 65535)
     {
       m = ss_peers_add_member (node, vm, domain, ip, (uint16_t) port);
       ss_members_set_listed (&node->members, m, true);
+      ss_members_set_capacity (&node->members, m, (uint32_t) capacity);
     }
   else
     ss_node_log (node, SS_EVENT_LOG_CONFIG_INVALID, object->key,
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -5,6 +5,9 @@
 #include "core/rank.h"
 #include "kernel/compare.h"
 
+/* Subject of the rank of relays and watchers. */
+#define RELAY_SUBJECT "relay"
+
 static void
 member_free (gpointer data)
 {
@@ -68,6 +71,7 @@
     {
       m = g_new0 (SsMember, 1);
       m->vm = g_strdup (vm);
+      m->capacity_millicores = SS_MEMBER_CAPACITY_MILLICORES;
       m->heard_ms = INT64_MIN / 2;
       m->heartbeat_ms = INT64_MIN / 2;
       m->reported_ms = INT64_MIN / 2;
@@ -86,6 +90,17 @@
   return m;
 }
 
+void
+ss_members_set_capacity (SsMembers *members, SsMember *member,
+                         uint32_t capacity_millicores)
+{
+  if (!capacity_millicores)
+    capacity_millicores = SS_MEMBER_CAPACITY_MILLICORES;
+  if (member->capacity_millicores != capacity_millicores)
+    members->generation++;
+  member->capacity_millicores = capacity_millicores;
+}
+
 void
 ss_members_record_heartbeat (SsMembers *members, SsMember *member, bool leaving,
                              char **heard, size_t count, int64_t now_ms)
@@ -258,8 +273,8 @@
   bool platform_up; /* only VMs that the platform answers */
   const char *subject;
   const SsMember *best;
-  uint64_t best_score;
-  uint64_t own_score;
+  double best_score;
+  double own_score;
   uint32_t better; /* VMs that rank before this one */
 } Ranking;
 
@@ -277,12 +292,12 @@
 {
   Ranking *r = data;
   const SsMember *m = value;
-  uint64_t score;
+  double score;
 
   (void) key;
   if (!may_hold_role (m, r))
     return FALSE;
-  score = ss_rank_score (m->vm, r->subject);
+  score = ss_rank_weighted (m->vm, r->subject, m->capacity_millicores);
   if (score > r->own_score)
     r->better++;
   if (r->best && score <= r->best_score)
@@ -292,6 +307,14 @@
   return FALSE;
 }
 
+static double
+own_score (const SsMembers *members, const char *subject)
+{
+  const SsMember *self = ss_members_find (members, members->self);
+
+  return ss_rank_weighted (self->vm, subject, self->capacity_millicores);
+}
+
 const char *
 ss_members_owner (const SsMembers *members, const char *failure_domain,
                   const char *subject)
@@ -316,7 +339,7 @@
 {
   Ranking r = { .platform_up = true,
                 .subject = subject,
-                .own_score = ss_rank_score (members->self, subject) };
+                .own_score = own_score (members, subject) };
 
   g_tree_foreach (members->by_name, rank_one, &r);
   return r.better;
@@ -328,7 +351,7 @@
 {
   Ranking r = { .failure_domain = failure_domain,
                 .subject = subject,
-                .own_score = ss_rank_score (members->self, subject) };
+                .own_score = own_score (members, subject) };
 
   g_tree_foreach (members->by_name, rank_one, &r);
   return r.better;
@@ -416,6 +439,16 @@
   member->leaving = leaving;
 }
 
+/* Whether A ranks before B as a relay. */
+static bool
+relays_before (const SsMember *a, const SsMember *b)
+{
+  if (a->capacity_millicores != b->capacity_millicores)
+    return a->capacity_millicores > b->capacity_millicores;
+  return ss_rank_score (a->vm, RELAY_SUBJECT)
+         > ss_rank_score (b->vm, RELAY_SUBJECT);
+}
+
 typedef struct
 {
   const SsMembers *members;
@@ -423,7 +456,6 @@
   int64_t now_ms;
   bool live; /* live VMs; else those that are listed but not live */
   const SsMember *best[SS_MEMBERS_RELAYS];
-  uint64_t scores[SS_MEMBERS_RELAYS];
   uint32_t relay_count;
 } Relays;
 
@@ -448,15 +480,11 @@
 }
 
 static void
-insert_relay (Relays *r, uint32_t position, const SsMember *m, uint64_t score)
+insert_relay (Relays *r, uint32_t position, const SsMember *m)
 {
   for (uint32_t i = r->relay_count - 1; i > position; i--)
-    {
-      r->best[i] = r->best[i - 1];
-      r->scores[i] = r->scores[i - 1];
-    }
+    r->best[i] = r->best[i - 1];
   r->best[position] = m;
-  r->scores[position] = score;
 }
 
 static gboolean
@@ -464,16 +492,15 @@
 {
   Relays *r = data;
   const SsMember *m = value;
-  uint64_t score;
 
+  (void) key;
   if (!may_relay (r, m))
     return FALSE;
-  score = ss_rank_score (key, "relay");
   for (uint32_t i = 0; i < r->relay_count; i++)
     {
-      if (r->best[i] && score <= r->scores[i])
+      if (r->best[i] && !relays_before (m, r->best[i]))
         continue;
-      insert_relay (r, i, m, score);
+      insert_relay (r, i, m);
       break;
     }
   return FALSE;
@@ -514,7 +541,7 @@
 typedef struct
 {
   const SsMembers *members;
-  uint64_t own_score;
+  const SsMember *self;
   uint32_t watchers;
 } Watchers;
 
@@ -524,19 +551,26 @@
   Watchers *w = data;
   const SsMember *m = value;
 
+  (void) key;
   if (!m->live || m->leaving || !m->platform_up
       || strcmp (m->failure_domain, w->members->failure_domain) != 0)
     return FALSE;
-  if (ss_rank_score (key, "relay") > w->own_score)
+  if (relays_before (m, w->self))
     w->watchers++;
   return FALSE;
 }
 
-bool
-ss_members_is_watcher (const SsMembers *members)
+uint32_t
+ss_members_watcher_rank (const SsMembers *members)
 {
-  Watchers w = { members, ss_rank_score (members->self, "relay"), 0 };
+  Watchers w = { members, ss_members_find (members, members->self), 0 };
 
   g_tree_foreach (members->by_name, count_watcher, &w);
-  return w.watchers < SS_MEMBERS_RELAYS;
+  return w.watchers;
+}
+
+bool
+ss_members_is_watcher (const SsMembers *members)
+{
+  return ss_members_watcher_rank (members) < SS_MEMBERS_RELAYS;
 }
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -39,6 +39,8 @@
  */
 #define SS_MEMBER_RELAY_TIMEOUT_MS 1000
 #define SS_MEMBER_RELAY_BACKOFF_MS 3000
+/* Capacity of a VM that does not tell its own: one core. */
+#define SS_MEMBER_CAPACITY_MILLICORES 1000
 
 typedef struct
 {
@@ -46,16 +48,19 @@
   char *failure_domain;
   char *ip;
   uint16_t peer_port;
-  bool listed;              /* the platform lists it as live */
-  bool leaving;             /* it is in its graceful shutdown */
-  bool platform_up;         /* the platform answers it */
-  bool live;                /* as of the last ss_members_update */
-  int64_t heard_ms;         /* when its last message arrived */
-  int64_t heartbeat_ms;     /* when its last heartbeat arrived */
-  int64_t reported_ms;      /* when another VM last reported it live */
-  int64_t remote_report_ms; /* when its failure domain's relay last did */
+  uint32_t capacity_millicores; /* processor time that it may use */
+  bool listed;                  /* the platform lists it as live */
+  bool leaving;                 /* it is in its graceful shutdown */
+  bool platform_up;             /* the platform answers it */
+  bool live;                    /* as of the last ss_members_update */
+  int64_t heard_ms;             /* when its last message arrived */
+  int64_t heartbeat_ms;         /* when its last heartbeat arrived */
+  int64_t reported_ms;          /* when another VM last reported it live */
+  int64_t remote_report_ms;     /* when its failure domain's relay last did */
   int64_t domain_report_ms; /* when it last sent its failure domain's report */
   int64_t added_ms;
+  int64_t config_pushed_ms; /* when it last got the operator's configuration
+                               because its heartbeats show an earlier one */
   int64_t relay_tried_ms; /* since when it is tried as a relay; 0: it is not */
   int64_t relay_retry_ms; /* not tried as a relay before this */
   GHashTable *heard;      /* names of the VMs whose heartbeats it receives */
@@ -93,6 +98,9 @@
                           const char *failure_domain, const char *ip,
                           uint16_t peer_port);
 
+/* ss_members_set_capacity: sets the capacity of MEMBER; 0: it tells none. */
+void ss_members_set_capacity (SsMembers *members, SsMember *member,
+                              uint32_t capacity_millicores);
 /* ss_members_record_heartbeat: records a heartbeat of MEMBER, which receives
  * the heartbeats of the COUNT VMs in HEARD.
  */
@@ -114,8 +122,8 @@
                         void *data);
 
 /* ss_members_owner: returns the live VM of FAILURE_DOMAIN (NULL: any) that
- * ranks first for SUBJECT by rendezvous hashing, or NULL.  A VM in its
- * graceful shutdown takes no role and counts in no rank.
+ * ranks first for SUBJECT by rendezvous hashing weighted by capacity, or NULL.
+ * A VM in its graceful shutdown takes no role and counts in no rank.
  */
 const char *ss_members_owner (const SsMembers *members,
                               const char *failure_domain, const char *subject);
@@ -140,7 +148,8 @@
  */
 bool ss_members_in_relay_grace (const SsMembers *members, int64_t now_ms);
 /* ss_members_relays: adds to OUT the names (borrowed) of the VMs that relay
- * for FAILURE_DOMAIN.
+ * for FAILURE_DOMAIN: those of most capacity, as a relay sends to all VMs of
+ * its failure domain, and among equal ones by rank.
  */
 void ss_members_relays (const SsMembers *members, const char *failure_domain,
                         int64_t now_ms, GPtrArray *out);
@@ -149,6 +158,10 @@
  * rank before it.
  */
 bool ss_members_is_watcher (const SsMembers *members);
+/* ss_members_watcher_rank: returns how many live VMs of this failure domain
+ * that the platform answers rank before this VM as watchers.
+ */
+uint32_t ss_members_watcher_rank (const SsMembers *members);
 /* ss_members_collect_silent: adds to OUT the dead VMs (borrowed) that have been
  * known since before SINCE_MS and have been neither heard nor reported after
  * it; never this VM.
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -53,6 +53,9 @@
   ss_config_init (&node->config);
   ss_members_init (&node->members, params->vm, params->failure_domain,
                    params->ip, params->peer_port, now_ms);
+  ss_members_set_capacity (&node->members,
+                           ss_members_find (&node->members, params->vm),
+                           params->capacity_millicores);
   ss_retry_budget_init (&node->retry_budget);
   node->pending_deletions
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -34,6 +34,8 @@
   const char *failure_domain;
   const char *ip;
   uint16_t peer_port;
+  uint32_t capacity_millicores; /* processor time that this VM may use; 0: a
+                                   core */
   const char *seeds;           /* "IP:PORT ..." of bootstrap peers; may be "" */
   uint32_t seed;               /* of the random number generator */
   int64_t deadline_ms;         /* default statement deadline */
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -164,6 +164,7 @@
   heartbeat.heard = (char **) heard->pdata;
   heartbeat.n_heard = heard->len;
   heartbeat.ready = node->ready;
+  heartbeat.capacity_millicores = node->params.capacity_millicores;
   heartbeat.platform_up = ss_watch_is_active (node) && !node->platform_down;
   e.body_case = SS__PEER__ENVELOPE__BODY_HEARTBEAT;
   e.heartbeat = &heartbeat;
@@ -218,9 +219,13 @@
   ss_members_record_heartbeat (&node->members, m, heartbeat->leaving,
                                heartbeat->heard, heartbeat->n_heard,
                                node->now_ms);
+  ss_members_set_capacity (&node->members, m, heartbeat->capacity_millicores);
   m->platform_up = heartbeat->platform_up;
   if (node->members.relayed && ss_members_is_in_domain (&node->members, m))
-    ss_relay_send_digest (node, heartbeat->vm, heartbeat->digest);
+    {
+      ss_relay_send_digest (node, heartbeat->vm, heartbeat->digest);
+      ss_config_sync_push_late (node, m, heartbeat->sequence);
+    }
   ss_era_observe (node, ss_version_era (heartbeat->revision), heartbeat->vm);
   check_behind (node, heartbeat->vm, heartbeat->sequence);
   if (heartbeat->revision > node->config.revision && pulls_from_peers (node))
--- a/src/core/peers.h
+++ b/src/core/peers.h
@@ -34,6 +34,12 @@
  * returns whether it did.  The deletion of a target is deferred.
  */
 bool ss_config_sync_adopt (SsNode *node, const SsObject *object);
+/* ss_config_sync_push_late: as a watcher, sends the operator's configuration to
+ * MEMBER, which has the one with number SEQUENCE, if this VM adopted a later
+ * one a while ago.
+ */
+void ss_config_sync_push_late (SsNode *node, SsMember *member,
+                               int64_t sequence);
 /* ss_config_sync_forward: as a relay, forwards OBJECTS to the failure domain,
  * whose other VMs do not watch the platform.
  */
--- a/src/core/rank.h
+++ b/src/core/rank.h
@@ -8,5 +8,10 @@
  * score gets the role.
  */
 uint64_t ss_rank_score (const char *vm, const char *subject);
+/* ss_rank_weighted: like ss_rank_score, but a VM gets a share of all roles that
+ * is proportional to its WEIGHT, which is above 0.  VMs of equal weight rank as
+ * by ss_rank_score.
+ */
+double ss_rank_weighted (const char *vm, const char *subject, uint32_t weight);
 
 #endif
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -101,7 +101,8 @@
   for (guint i = 0; i < vms->len; i++)
     {
       const SsMember *m = g_ptr_array_index (vms, i);
-      uint64_t flags = (m->leaving ? 1U : 0) | (m->platform_up ? 2U : 0);
+      uint64_t flags = (m->leaving ? 1U : 0) | (m->platform_up ? 2U : 0)
+                       | (uint64_t) m->capacity_millicores << 2;
 
       hash = XXH3_64bits_withSeed (m->vm, strlen (m->vm), hash + flags);
     }
@@ -131,6 +132,7 @@
       s->peer_port = m->peer_port;
       s->leaving = m->leaving;
       s->platform_up = m->platform_up;
+      s->capacity_millicores = m->capacity_millicores;
       p->list[i] = s;
     }
 }
@@ -414,6 +416,7 @@
         continue;
       m = ss_peers_add_member (node, s->vm, s->failure_domain, s->ip,
                                (uint16_t) s->peer_port);
+      ss_members_set_capacity (&node->members, m, s->capacity_millicores);
       ss_members_record_report (&node->members, m, s->leaving, s->platform_up,
                                 node->now_ms);
     }
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -132,6 +132,7 @@
         = MIN (params->stop_bound_ms,
                (int64_t) (settings->grace_s * SHUTDOWN_GRACE_SHARE * 1000));
   params->spans = settings->log_spans != 0;
+  params->capacity_millicores = (uint32_t) (settings->cores * 1000.0);
   params->apply_ms = settings->apply_ms;
   params->drain_ms = settings->drain_ms;
   params->seed_port = (uint32_t) settings->seed_port;
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -49,7 +49,9 @@
   X (log_spans, "log.spans", 0, 0, 1)
 
 /* X (field, key, default, lowest, highest): floating-point numbers */
-#define SS_SETTINGS_REALS(X) X (grace_s, "vm.grace_s", 0.0, 0.0, 3600.0)
+#define SS_SETTINGS_REALS(X)                                                   \
+  X (grace_s, "vm.grace_s", 0.0, 0.0, 3600.0)                                  \
+  X (cores, "vm.cores", 1.0, 0.001, 1024.0)
 
 typedef struct
 {
