A target that is adopted re-attaches the servers of its own group only

Cause: each adopted target recomputed the server lists of all groups, which is groups x targets string comparisons; at a start of a VM every target is adopted.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -142,16 +142,16 @@
   return FALSE;
 }
 
-static gboolean
-attach_servers (gpointer key, gpointer value, gpointer data)
+/* Sets the servers of GROUP, which may be NULL, to the targets that name it. */
+static void
+attach_servers (const SsConfig *c, SsGroup *group)
 {
-  const SsConfig *c = data;
-  AttachContext a = { c, value };
+  AttachContext a = { c, group };
 
-  (void) key;
-  a.group->server_count = 0;
+  if (!group)
+    return;
+  group->server_count = 0;
   g_tree_foreach (c->targets, attach_server, &a);
-  return FALSE;
 }
 
 static char *
@@ -177,6 +177,7 @@
 {
   SsTarget parsed = { 0 };
   bool draining_before;
+  SsGroup *group_before = NULL;
   char *error = ss_parse_target (&parsed, json);
   SsTarget *t;
 
@@ -193,7 +194,10 @@
       g_tree_insert (c->targets, t->name, t);
     }
   else
-    target_clear_settings (t);
+    {
+      group_before = ss_config_group (c, t->group);
+      target_clear_settings (t);
+    }
   draining_before = t->draining && t->born_ms && t->born_ms == parsed.born_ms
                     && ss_version_era (t->version) != ss_version_era (version);
   t->version = version;
@@ -213,7 +217,9 @@
     memset (&t->state, 0, sizeof t->state);
   t->born_ms = parsed.born_ms;
   t->owner_generation = 0;
-  g_tree_foreach (c->groups, attach_servers, c);
+  if (group_before != ss_config_group (c, t->group))
+    attach_servers (c, group_before);
+  attach_servers (c, ss_config_group (c, t->group));
   return NULL;
 }
 
@@ -266,7 +272,7 @@
   g->no_primary_since_ms = no_primary_since (before, g, now_ms);
   keep_lease (before, g);
   g_tree_replace (c->groups, g->name, g);
-  attach_servers (g->name, g, c);
+  attach_servers (c, g);
   return NULL;
 }
 
@@ -282,7 +288,7 @@
   g->primary = g_strdup ("");
   g->operation = g_strdup ("");
   g_tree_insert (c->groups, g->name, g);
-  attach_servers (g->name, g, c);
+  attach_servers (c, g);
 }
 
 static char *
@@ -499,7 +505,7 @@
     return;
   t->removed = true;
   memset (&t->state, 0, sizeof t->state);
-  g_tree_foreach (c->groups, attach_servers, c);
+  attach_servers (c, ss_config_group (c, t->group));
 }
 
 SsAdoption
