A VM that the platform turns away has another VM write its directory object

A lease needs the VM's own object to name the group, which it could not write, so no position of that primary was confirmed (715 refusals with no_mark until the platform answered again).

Ruled out: asking the servers, which is not safe while the platform answers others (a claim would not know of the holder).

Change: DirectoryAsk. After a write that failed, the object is written by the VM that coordinates the directory, conditional on the version that the value is based on, so that a delayed write replaces nothing; the result comes back as a configuration push.

--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -513,6 +513,23 @@
   g_hash_table_destroy (none);
 }
 
+void
+ss_config_sync_send (SsNode *node, const char *vm, const char *key)
+{
+  Ss__Peer__ConfigPush push = SS__PEER__CONFIG_PUSH__INIT;
+  Ss__Peer__ConfigObject object;
+  Ss__Peer__ConfigObject *list = &object;
+  SsStoredObject *stored = g_tree_lookup (node->config.objects, key);
+
+  if (!stored)
+    return;
+  pack_object (&object, stored);
+  push.since = WITHOUT_REVISION;
+  push.objects = &list;
+  push.n_objects = 1;
+  send_push (node, vm, &push);
+}
+
 void
 ss_config_sync_publish (SsNode *node, const SsObject *object)
 {
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -161,20 +161,72 @@
   return h.found_holder;
 }
 
+/* Has VM, which the platform answers, write this VM's object.  The version that
+ * VALUE is based on goes with it: a request that is delayed then can't replace
+ * a later value.
+ */
+static void
+ask_to_write (SsNode *node, const char *vm, const char *value, int64_t version)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__DirectoryAsk ask = SS__PEER__DIRECTORY_ASK__INIT;
+
+  ask.value.data = (uint8_t *) value;
+  ask.value.len = strlen (value);
+  ask.version = version;
+  e.body_case = SS__PEER__ENVELOPE__BODY_DIRECTORY_ASK;
+  e.directory_ask = &ask;
+  ss_node_send (node, vm, &e);
+}
+
+/* Returns another VM that the platform answers, or NULL. */
+static const char *
+find_other (const SsNode *node)
+{
+  const char *vm = ss_members_coordinator (&node->members, COORDINATOR_SUBJECT);
+
+  return vm && strcmp (vm, node->params.vm) != 0 ? vm : NULL;
+}
+
 static void
 write_own (SsNode *node)
 {
   const SsStoredObject *o = stored_vm (node, node->params.vm);
+  const char *other = find_other (node);
   char *value = own_value (node);
   char *key = g_strconcat (PREFIX, node->params.vm, NULL);
+  int64_t version = ss_config_expected_version (&node->config, key);
 
-  if (!is_up_to_date (o, value))
-    ss_platform_put (node, ++node->next_call, key, value,
-                     ss_config_expected_version (&node->config, key));
+  if (is_up_to_date (o, value))
+    goto done;
+  if (node->directory_refused && other)
+    ask_to_write (node, other, value, version);
+  else
+    ss_platform_put (node, ++node->next_call, key, value, version);
+  /* If the other VM does not succeed, the next write is this VM's own. */
+  node->directory_refused = false;
+done:
   g_free (key);
   free (value);
 }
 
+void
+ss_directory_handle_ask (SsNode *node, const char *vm,
+                         const Ss__Peer__DirectoryAsk *ask)
+{
+  char *key = g_strconcat (PREFIX, vm, NULL);
+  char *value = g_strndup ((const char *) ask->value.data, ask->value.len);
+  json_t *json = json_loads (value, 0, NULL);
+
+  if (json_is_object (json))
+    ss_platform_put (node, ++node->next_call, key, value, ask->version);
+  else
+    ss_node_log (node, SS_EVENT_LOG_PEER_INVALID, vm, "%s is no JSON", key);
+  json_decref (json);
+  g_free (value);
+  g_free (key);
+}
+
 static void
 delete_vm_object (SsNode *node, const char *vm, int64_t version)
 {
@@ -243,17 +295,32 @@
 }
 
 /* Adopts the object that the platform returned.  After a conflict, schedules
- * another write of this VM's object on top of it.
+ * another write of this VM's object on top of it.  A VM whose object was
+ * written for it is told the outcome.
  */
 void
 ss_directory_handle_object (SsNode *node, SsPlatformOutcome outcome,
                             const SsObject *object)
 {
+  const char *vm;
+  bool is_own;
+
   if (!object->key || !g_str_has_prefix (object->key, PREFIX))
     return;
+  vm = object->key + strlen (PREFIX);
+  is_own = strcmp (vm, node->params.vm) == 0;
   if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
-    ss_config_sync_adopt (node, object);
-  if (outcome == SS_PLATFORM_CONFLICT)
+    {
+      ss_config_sync_adopt (node, object);
+      if (!is_own)
+        ss_config_sync_send (node, vm, object->key);
+    }
+  if (!is_own)
+    return;
+  node->directory_refused
+      = outcome == SS_PLATFORM_REFUSED || outcome == SS_PLATFORM_UNKNOWN;
+  if (outcome == SS_PLATFORM_CONFLICT
+      || (node->directory_refused && find_other (node)))
     node->directory_due_ms = node->now_ms;
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -117,6 +117,8 @@
                                  const Ss__Peer__ConfigPull *pull);
 void ss_config_sync_handle_push (SsNode *node, const char *from,
                                  const Ss__Peer__ConfigPush *push);
+/* ss_config_sync_send: sends VM the object KEY as it is stored here. */
+void ss_config_sync_send (SsNode *node, const char *vm, const char *key);
 /* ss_config_sync_publish: adopts OBJECT if it is newer, and then forwards it to
  * all peers.
  */
@@ -133,6 +135,11 @@
  */
 void ss_directory_handle_object (SsNode *node, SsPlatformOutcome outcome,
                                  const SsObject *object);
+/* ss_directory_handle_ask: writes the object of VM, which the platform turns
+ * away.
+ */
+void ss_directory_handle_ask (SsNode *node, const char *vm,
+                              const Ss__Peer__DirectoryAsk *ask);
 /* ss_directory_has_holder: whether the object of another VM that is not in
  * RELEASED lists a lease on GROUP.
  */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -186,6 +186,9 @@
     case SS__PEER__ENVELOPE__BODY_LEASE_ASK:
       ss_lease_handle_ask (node, e->from, e->lease_ask);
       break;
+    case SS__PEER__ENVELOPE__BODY_DIRECTORY_ASK:
+      ss_directory_handle_ask (node, e->from, e->directory_ask);
+      break;
     case SS__PEER__ENVELOPE__BODY_LEASE_REPLY:
       ss_lease_handle_reply (node, e->lease_reply);
       break;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -144,6 +144,8 @@
   int64_t config_synced_ms; /* when the configuration last agreed with a relay's
                                or was requested from one */
   int64_t directory_due_ms;
+  bool directory_refused; /* the platform did not answer the last write of this
+                             VM's object */
   GHashTable *leases; /* group -> since when this VM's object lists a lease on
                          its primary, in ms */
   int64_t leases_version;    /* of the object that leases is read from */
