--- a/src/core/config.c
+++ b/src/core/config.c
@@ -136,9 +136,12 @@
   SsTarget *t = value;
 
   (void) key;
-  if (!t->removed && strcmp (t->group, a->group->name) == 0
-      && a->group->server_count < SS_CONFIG_SERVERS_MAX)
-    a->group->servers[a->group->server_count++] = t;
+  if (t->removed || strcmp (t->group, a->group->name) != 0
+      || a->group->server_count == SS_CONFIG_SERVERS_MAX)
+    return FALSE;
+  a->group->servers[a->group->server_count++] = t;
+  if (strcmp (t->name, a->group->primary) == 0)
+    a->group->primary_server = t;
   return FALSE;
 }
 
@@ -151,6 +154,7 @@
   if (!group)
     return;
   group->server_count = 0;
+  group->primary_server = NULL;
   g_tree_foreach (c->targets, attach_server, &a);
 }
 
@@ -637,8 +641,5 @@
 SsTarget *
 ss_group_primary (const SsGroup *group)
 {
-  for (uint32_t i = 0; i < group->server_count; i++)
-    if (strcmp (group->servers[i]->name, group->primary) == 0)
-      return group->servers[i];
-  return NULL;
+  return group->primary_server;
 }
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -131,6 +131,7 @@
                            confirmed this version as current; 0: never */
   SsTarget *servers[SS_CONFIG_SERVERS_MAX];
   uint32_t server_count;
+  SsTarget *primary_server; /* of servers, the one that primary names; or NULL */
 } SsGroup;
 
 typedef struct
