Rate limits of organisations: bucket, account and limiter, with tests of many VMs

Cause: an organisation's limit counts the operations of all VMs together. Change: each VM delegates its share of a limit to a coordinator, which grants tokens that expire. The modules do no I/O; a simulation drives many of them over lossy links, with pauses, drift, restarts, partitions and planned stops.

--- a/tests/unit.h
+++ b/tests/unit.h
@@ -23,6 +23,7 @@
   X (command)                                                                  \
   X (settings)                                                                 \
   X (pgwire)                                                                   \
+  X (rate_limit)                                                               \
   X (catalogue)                                                                \
   X (histories)
 
