Rate limits in the node: operations take tokens before they are routed

Cause: the limits have to hold for single statements and transactions. Change: messages RateAsk and RateGrant; a request waits for a token, is refused with the reason rate_limit, or returns its token if it was not run; a retry after an attempt that may have run needs a second token. Settings, counters, events.

--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -2,6 +2,7 @@
 
 #include "core/entry.h"
 #include "core/identity.h"
+#include "core/rate_limit.h"
 
 static void
 clear_session (gpointer data)
@@ -364,7 +365,11 @@
       || node->now_ms >= r->deadline_ms)
     return false;
   if (ss_retry_budget_withdraw (&node->retry_budget))
-    return true;
+    {
+      if (sent || verdict == SS_VERDICT_MAY_HAVE_RUN)
+        ss_rate_limit_spend (r);
+      return true;
+    }
   ss_node_count (node, SS_COUNTER_RETRIES_REFUSED);
   return false;
 }
@@ -440,6 +445,8 @@
       ss_session_note_loss_reported (s, r->sql);
     }
   ss_session_clear_request_key (s);
+  if (verdict == SS_VERDICT_NOT_RUN && !reply->sent)
+    ss_rate_limit_refund (node, r);
   ss_request_log_end (node, r, verdict, (SsReason) reply->reason);
   ss_request_drop (node, r);
   if (commit.offset)
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -4,6 +4,7 @@
 
 #include "core/fanout_send.h"
 #include "core/internal.h"
+#include "core/rate_limit.h"
 #include "core/subscription.h"
 #include "kernel/compare.h"
 
@@ -61,6 +62,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_relay_init (node);
   ss_fanout_init (&node->fanout);
+  ss_rate_limit_init (node);
   ss_startup_init (node);
   ss_entry_init (node);
   ss_owner_init (node);
@@ -82,6 +84,7 @@
   ss_admin_finish (node);
   ss_relay_finish (node);
   ss_fanout_finish (&node->fanout);
+  ss_rate_limit_finish (node);
   ss_startup_finish (node);
   while (ss_node_take_action (node, &action))
     ss_action_clear (&action);
@@ -186,6 +189,12 @@
     case SS__PEER__ENVELOPE__BODY_LEASE_REPLY:
       ss_lease_handle_reply (node, e->lease_reply);
       break;
+    case SS__PEER__ENVELOPE__BODY_RATE_ASK:
+      ss_rate_limit_handle_ask (node, e->from, e->rate_ask);
+      break;
+    case SS__PEER__ENVELOPE__BODY_RATE_GRANT:
+      ss_rate_limit_handle_grant (node, e->from, e->rate_grant);
+      break;
     case SS__PEER__ENVELOPE__BODY_RAISE_REPLY:
       ss_term_raise_handle_reply (node, e->raise_reply);
       break;
@@ -268,6 +277,7 @@
   ss_owner_update (node);
   ss_directory_deregister (node);
   ss_peers_send_heartbeat (node);
+  ss_rate_limit_stop (node);
 }
 
 static void
@@ -393,6 +403,7 @@
   ss_lease_tick (node);
   ss_isolation_tick (node);
   g_tree_foreach (node->confirmed_positions, retry_confirmed, node);
+  ss_rate_limit_tick (node);
   ss_pending_tick (node);
   if (node->stopping)
     tick_stop (node);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -25,6 +25,7 @@
 #include "core/timing.h"
 #include "core/traffic.h"
 #include "core/predict.h"
+#include "core/rate_limiter.h"
 #include "kernel/counters.h"
 
 /* Parameters.  Strings are borrowed and must outlive the node. */
@@ -45,9 +46,13 @@
   uint32_t watches; /* bit set of the SsWatch to use; 0: only SS_WATCH_ALL */
   bool cross_domain_owners; /* if a failure domain has no live VM, VMs of others
                            own its targets */
-  int64_t apply_ms;   /* limit for a configuration change to take effect */
-  int64_t drain_ms;   /* limit for draining a removed target */
-  uint32_t seed_port; /* peer port at the seeds; 0: as in seeds */
+  int64_t apply_ms;       /* limit for a configuration change to take effect */
+  int64_t drain_ms;       /* limit for draining a removed target */
+  uint32_t seed_port;     /* peer port at the seeds; 0: as in seeds */
+  int64_t rate_window_ms; /* of the bound on operations; 0: defaults of all
+                             three */
+  double rate_overage;    /* above the limits in a window, as a fraction */
+  uint32_t rate_slack;    /* operations above that */
 } SsNodeParams;
 
 /* The deferred removal of a target whose object was deleted at the platform. */
@@ -108,6 +113,12 @@
   uint32_t status_waiters;    /* requests waiting for a first state report */
   GTree *confirmed_positions; /* group -> SsConfirmedPositions */
 
+  SsRateLimiter rate_limiter;
+  uint64_t rate_hash;       /* config.hash that its limits are from */
+  uint64_t rate_generation; /* members.generation that its ranks are from */
+  uint32_t token_waiters;   /* requests waiting for a token */
+  bool rate_alone[SS_RATE_SLOTS]; /* no coordinator answers */
+
   GTree *owned;            /* target -> SsOwnedTarget */
   GHashTable *connections; /* id -> SsConnection */
   uint64_t next_connection;
--- a/src/core/pending.c
+++ b/src/core/pending.c
@@ -192,7 +192,7 @@
 {
   static const SsReason reasons[]
       = { SS_REASON_DEADLINE, SS_REASON_NO_MARK, SS_REASON_NO_PRIMARY,
-          SS_REASON_NO_PRIMARY };
+          SS_REASON_NO_PRIMARY, SS_REASON_RATE_LIMIT };
   GPtrArray *overdue = find_requests (node, is_overdue, NULL);
 
   for (guint i = 0; i < overdue->len; i++)
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/entry.h"
+#include "core/rate_limit.h"
 #include "core/version.h"
 
 void
@@ -133,6 +134,8 @@
 {
   if (r->wait == SS_WAIT_STATUS)
     node->status_waiters--;
+  if (r->wait == SS_WAIT_TOKEN)
+    ss_rate_limit_end_wait (node, r);
   r->wait = SS_WAIT_NONE;
 }
 
@@ -140,6 +143,8 @@
 ss_request_drop (SsNode *node, SsRequest *r)
 {
   g_hash_table_remove (node->requests, &r->id);
+  if (!r->vm)
+    ss_rate_limit_refund (node, r);
   ss_request_end_attempt (node, r);
   ss_request_end_wait (node, r);
   r->session->request = NULL;
@@ -217,8 +222,9 @@
 ss_request_abandon (SsNode *node, SsRequest *r, SsReason reason)
 {
   SsSession *s = r->session;
-  SsVerdict verdict
-      = r->vm && r->keeps ? SS_VERDICT_MAY_HAVE_RUN : SS_VERDICT_NOT_RUN;
+  SsVerdict verdict = (r->vm || r->may_have_run) && r->keeps
+                          ? SS_VERDICT_MAY_HAVE_RUN
+                          : SS_VERDICT_NOT_RUN;
 
   if (r->vm && !s->pinned_vm)
     ss_session_send_end (node, s, r->vm, false);
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -17,7 +17,8 @@
   SS_WAIT_NONE,
   SS_WAIT_CONFIRMED, /* a confirmed position of the primary */
   SS_WAIT_STATUS,    /* the first state report of the group's servers */
-  SS_WAIT_PRIMARY    /* a usable primary, during a failover */
+  SS_WAIT_PRIMARY,   /* a usable primary, during a failover */
+  SS_WAIT_TOKEN      /* a token of its organisation's rate limit */
 } SsWait;
 
 typedef struct
@@ -84,7 +85,12 @@
   int64_t wait_due_ms;
   int64_t started_ms;
   int64_t deadline_ms;
-  char *vm; /* owner that it was sent to; NULL: not sent */
+  bool counted; /* it is part of the demand of its organisation */
+  bool waited_for_token;
+  bool has_token; /* for the next attempt, or the one under way */
+  int64_t token_expires_ms;
+  bool may_have_run; /* in an earlier attempt, for which it had a token */
+  char *vm;          /* owner that it was sent to; NULL: not sent */
   char *target;
   uint32_t tries;          /* failed attempts, on the targets in tried */
   SsReason refusal;        /* of the last failed attempt */
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/entry.h"
+#include "core/rate_limit.h"
 
 #define CONFIRM_WAIT_MS 500
 #define STATUS_WAIT_MS 500
@@ -259,6 +260,8 @@
     send_run (node, r, s->pinned_vm, s->pinned_target, true);
   else if (!group)
     ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_NO_SERVICE, 0);
+  else if (!ss_rate_limit_admit (node, r))
+    return;
   else if (ss_route_needs_primary (node, r))
     route_write (node, r, group);
   else
--- a/src/core/traffic.h
+++ b/src/core/traffic.h
@@ -26,7 +26,9 @@
   X (DIGEST, "digest")                                                         \
   X (DOMAIN_REPORT, "domain_report")                                           \
   X (LEASE_ASK, "lease_ask")                                                   \
-  X (LEASE_REPLY, "lease_reply")
+  X (LEASE_REPLY, "lease_reply")                                               \
+  X (RATE_ASK, "rate_ask")                                                     \
+  X (RATE_GRANT, "rate_grant")
 
 typedef enum
 {
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -43,7 +43,12 @@
   X (CONTROL_MESSAGES, "control_messages", "control messages sent")            \
   X (CONTROL_BYTES, "control_bytes", "bytes of control messages sent")         \
   X (TARGET_CONNECTS, "target_connects", "connections opened to targets")      \
-  X (UNKNOWN_KEYS, "unknown_keys", "callers and statements refused by key")
+  X (UNKNOWN_KEYS, "unknown_keys", "callers and statements refused by key")    \
+  X (RATE_REFUSED, "rate_refused", "operations refused by a rate limit")       \
+  X (RATE_WAITS, "rate_waits", "operations that waited for a token")           \
+  X (RATE_REFUNDS, "rate_refunds", "tokens returned by operations not run")    \
+  X (RATE_ASKS, "rate_asks", "asks for tokens sent to coordinators")           \
+  X (RATE_TOKENS, "rate_tokens", "tokens granted to other vms")
 
 typedef enum
 {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -83,6 +83,11 @@
   X (REQUEST_RETRIED, 604, INFO, "request retried internally")                 \
   X (REQUEST_WAITS, 605, INFO, "request waits for a primary")                  \
   X (KEY_UNKNOWN, 606, WARNING, "no organisation has the caller's key")        \
+  X (RATE_LIMITED, 610, INFO, "organisation's rate limit is reached")          \
+  X (RATE_COORDINATOR, 611, INFO, "another vm grants tokens of rate limits")   \
+  X (RATE_ALONE, 612, WARNING,                                                 \
+     "no vm grants tokens; using this vm's share of the rate limits")          \
+  X (RATE_REJOINED, 613, INFO, "a vm grants tokens of rate limits again")      \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -134,6 +134,9 @@
   params->spans = settings->log_spans != 0;
   params->apply_ms = settings->apply_ms;
   params->drain_ms = settings->drain_ms;
+  params->rate_window_ms = (int64_t) (settings->rate_window_s * 1000);
+  params->rate_overage = settings->rate_overage;
+  params->rate_slack = (uint32_t) settings->rate_slack;
   params->seed_port = (uint32_t) settings->seed_port;
   fill_timing (params, settings);
 }
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -46,10 +46,14 @@
   X (transaction_idle_ms, "callers.transaction_idle_ms", 10000, 100, 600000)   \
   X (deadline_ms, "callers.deadline_ms", 5000, 50, 600000)                     \
   X (stop_bound_ms, "vm.stop_bound_ms", 10000, 100, 600000)                    \
+  X (rate_slack, "rate_limit.slack", 20, 0, 1000000)                           \
   X (log_spans, "log.spans", 0, 0, 1)
 
 /* X (field, key, default, lowest, highest): floating-point numbers */
-#define SS_SETTINGS_REALS(X) X (grace_s, "vm.grace_s", 0.0, 0.0, 3600.0)
+#define SS_SETTINGS_REALS(X)                                                   \
+  X (grace_s, "vm.grace_s", 0.0, 0.0, 3600.0)                                  \
+  X (rate_window_s, "rate_limit.window_s", 5.0, 0.1, 3600.0)                   \
+  X (rate_overage, "rate_limit.overage", 0.1, 0.0, 10.0)
 
 typedef struct
 {
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -465,6 +465,21 @@
   s->event.peer_message.data_bytes = (uint32_t) bytes;
 }
 
+static void
+count_reply (FleetSim *sim, const SsAction *a)
+{
+  sim->replied_ms = sim->now_ms;
+  if (a->verdict == SS_VERDICT_RAN)
+    sim->served++;
+  else if (a->reason == SS_REASON_RATE_LIMIT)
+    {
+      sim->rate_limited++;
+      sim->retry_after_ms = a->retry_after_ms;
+    }
+  else
+    sim->failed++;
+}
+
 static void
 carry_out (FleetSim *sim, FleetVm *vm, const SsAction *a)
 {
@@ -482,6 +497,9 @@
     case SS_ACTION_TARGET_CLOSE:
       close_connection (sim, vm, a->id);
       break;
+    case SS_ACTION_CALLER_REPLY:
+      count_reply (sim, a);
+      break;
     case SS_ACTION_PLATFORM_WATCH:
     case SS_ACTION_PLATFORM_LIST:
     case SS_ACTION_PLATFORM_GET:
@@ -626,7 +644,10 @@
   for (uint32_t i = 0; i < sim->group_count; i++)
     g_string_append_printf (text, "%s\"g%u\":{\"max_connections\":%u}",
                             i ? "," : "", i, sim->max_connections);
-  g_string_append (text, "}}");
+  g_string_append (text, "}");
+  if (sim->organisations)
+    g_string_append_printf (text, ",\"organisations\":%s", sim->organisations);
+  g_string_append (text, "}");
   store_put (sim, "routes/main", text->str);
   g_string_free (text, TRUE);
 }
@@ -702,6 +723,7 @@
   g_free (sim->schedule);
   g_hash_table_destroy (sim->connections);
   g_hash_table_destroy (sim->objects);
+  g_free (sim->organisations);
 }
 
 /* --- callers --- */
@@ -719,10 +741,30 @@
         e.caller_open.caller = ++sim->vms[i].sessions;
         e.caller_open.service = service;
         e.caller_open.user = "";
+        e.caller_open.key = sim->key;
         feed (sim, &sim->vms[i], &e);
       }
 }
 
+void
+fleet_send (FleetSim *sim, uint32_t vm, uint32_t session, const char *text)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_STATEMENT };
+
+  e.caller_statement.caller = session;
+  e.caller_statement.label = "s";
+  e.caller_statement.sql = text;
+  feed (sim, &sim->vms[vm], &e);
+}
+
+void
+fleet_set_organisations (FleetSim *sim, const char *json)
+{
+  g_free (sim->organisations);
+  sim->organisations = g_strdup (json);
+  store_routes (sim);
+}
+
 /* --- views --- */
 
 SsGroup *
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -70,6 +70,14 @@
   GHashTable *connections;
   GQueue *schedule; /* of events, by the millisecond that they are due in */
   uint32_t promotions;
+  char *organisations; /* member of the routes, JSON; NULL: none */
+  const char *key;     /* of callers opened from now on; NULL: none */
+  /* Replies to callers. */
+  uint32_t served;
+  uint32_t rate_limited;
+  uint32_t failed;         /* any other */
+  uint32_t retry_after_ms; /* of the last that was limited */
+  int64_t replied_ms;      /* when the last one was sent */
 };
 
 /* fleet_init: starts VMS VMs, spread over the failure domains, and GROUPS
@@ -83,6 +91,11 @@
 void fleet_advance (FleetSim *sim, int64_t ms);
 /* fleet_open: opens one session a service at every VM. */
 void fleet_open (FleetSim *sim);
+/* fleet_set_organisations: sets the member "organisations" of the routes. */
+void fleet_set_organisations (FleetSim *sim, const char *json);
+/* fleet_send: sends TEXT from SESSION (from 1) at VM. */
+void fleet_send (FleetSim *sim, uint32_t vm, uint32_t session,
+                 const char *text);
 /* fleet_stop: VM loses power; its connections stay open at the servers for some
  * seconds.  fleet_start: starts it again.
  */
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -463,6 +463,7 @@
   s->awaiting_reply = false;
   s->verdict = a->verdict;
   s->reason = a->reason;
+  s->retry_after_ms = a->retry_after_ms;
   s->next_statement_ms
       = sim->now_ms + g_rand_int_range (sim->rand, 0, THINK_TIME_MAX_MS);
   if (ran && s->statement.kind == SS_STATEMENT_SET)
@@ -483,6 +484,16 @@
   sim->in_doubt += a->verdict == SS_VERDICT_MAY_HAVE_RUN ? 1 : 0;
 }
 
+static void
+record_rate_ask (LineSim *sim, const Ss__Peer__RateAsk *ask)
+{
+  sim->rate_asks++;
+  sim->rate_slot = ask->slot;
+  sim->rate_sent_ms = ask->sent_ms;
+  sim->rate_echo_ms = ask->echo_ms;
+  sim->rate_needed = ask->n_wants ? ask->wants[0]->needed : 0;
+}
+
 static void
 record_peer_message (LineSim *sim, const SsAction *a)
 {
@@ -494,6 +505,8 @@
     sim->lease_nonce = e->lease_ask->nonce;
   if (e->body_case == SS__PEER__ENVELOPE__BODY_CONFIG_PULL)
     sim->config_pulls++;
+  if (e->body_case == SS__PEER__ENVELOPE__BODY_RATE_ASK)
+    record_rate_ask (sim, e->rate_ask);
   ss__peer__envelope__free_unpacked (e, NULL);
 }
 
@@ -814,6 +827,22 @@
   sim->served = 0;
 }
 
+void
+line_sim_open (LineSim *sim, uint32_t session, const char *key)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_CLOSE };
+
+  e.caller.caller = session;
+  ss_node_on_event (&sim->node, &e, sim->now_ms);
+  e = (SsEvent){ .kind = SS_EVENT_CALLER_OPEN };
+  e.caller_open.caller = session;
+  e.caller_open.service = session % 2 ? "strict" : "bounded";
+  e.caller_open.user = "";
+  e.caller_open.key = key;
+  ss_node_on_event (&sim->node, &e, sim->now_ms);
+  execute_actions (sim);
+}
+
 void
 line_sim_init (LineSim *sim, uint32_t seed, uint32_t sessions,
                uint32_t max_connections)
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -56,6 +56,7 @@
   SsPosition committed;      /* its last acknowledged commit */
   SsVerdict verdict;         /* of the last reply */
   SsReason reason;
+  uint32_t retry_after_ms;
 } LineSession;
 
 struct LineSim
@@ -84,6 +85,11 @@
       promotion_due_ms; /* when a promotion takes effect; 0: none in progress */
   LineServer *promoted; /* of the last promotion, or NULL */
   uint32_t config_pulls; /* requests for configuration to VM "b" */
+  uint32_t rate_asks;    /* requests for tokens to VM "b" */
+  uint32_t rate_slot;    /* of the last one */
+  int64_t rate_sent_ms;  /* its time by the core's clock */
+  int64_t rate_echo_ms;  /* and its echo */
+  uint32_t rate_needed;  /* tokens that it asks for */
   uint64_t lease_nonce;  /* of the core's last lease request; 0: none */
   /* Probability of injected faults, per mille. */
   uint32_t busy_permille; /* a server answers BUSY */
@@ -116,6 +122,8 @@
  * for at most 5 s.  Returns false if none came.
  */
 bool line_sim_execute (LineSim *sim, uint32_t session, const char *text);
+/* line_sim_open: closes SESSION and opens it again, by a caller with KEY. */
+void line_sim_open (LineSim *sim, uint32_t session, const char *key);
 /* line_sim_send: sends TEXT from SESSION without waiting for the reply. */
 void line_sim_send (LineSim *sim, uint32_t session, const char *text);
 /* line_sim_deliver_peer_message: delivers ENVELOPE to the core as a message
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -24,6 +24,7 @@
   X (settings)                                                                 \
   X (pgwire)                                                                   \
   X (rate_limit)                                                               \
+  X (rate_node)                                                                \
   X (catalogue)                                                                \
   X (histories)
 
