--- a/tests/unit.h
+++ b/tests/unit.h
@@ -23,6 +23,8 @@
   X (command)                                                                  \
   X (settings)                                                                 \
   X (pgwire)                                                                   \
+  X (rate_limit)                                                               \
+  X (rate_node)                                                                \
   X (catalogue)                                                                \
   X (histories)
 
