Idle connections of organisations are a cache of their own module

A server accepts fewer connections than there are organisations. The first version closed the least recently used connection, closed and opened in one step, counted nothing on the former owner's side and refused a statement whose connection could not be opened.

src/core/connection_cache.[ch] decides without I/O: reuse, open, replace the connection with the lowest rate of use, or wait for a busy one of the same organisation for at most the learned time that opening takes. It bounds open transactions and the connections of this VM. Statements that wait for a connection are passed over in the queue. A statement whose connection fails to open returns to the queue. Deployments without organisations keep their path.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -193,29 +193,69 @@
   ss_pool_open_more (node, owned);
 }
 
-/* Runs queued statements on connections of their organisations.  A statement
- * for which one is opened holds its slot meanwhile: at the target, the new
+typedef struct
+{
+  SsNode *node;
+  uint64_t victim; /* connection that a waiting statement has closed; 0: none */
+} DispatchPass;
+
+static bool
+may_run (SsQueueItem *item, void *data)
+{
+  DispatchPass *pass = data;
+  SsJob *job = (SsJob *) item;
+  const SsConnection *victim;
+
+  if (ss_pool_may_run (pass->node, job))
+    return true;
+  if (job->decision.victim >= 0)
+    {
+      victim
+          = g_ptr_array_index (job->owned->connections, job->decision.victim);
+      pass->victim = victim->id;
+    }
+  return false;
+}
+
+static SsJob *
+pop_runnable (SsNode *node, SsOwnedTarget *owned, DispatchPass *pass)
+{
+  pass->victim = 0;
+  ss_pool_load (node, owned);
+  return (SsJob *) ss_queue_pop_where (&owned->queue,
+                                       ss_pool_capacity (node, owned),
+                                       node->now_ms, may_run, pass);
+}
+
+/* Runs queued statements on connections of their organisations.  Statements
+ * that have to wait for a connection don't delay the others.  A statement for
+ * which one is opened holds its slot meanwhile: at the target, the new
  * connection occupies a slot, too.
  */
 static void
 dispatch_by_organisation (SsNode *node, SsOwnedTarget *owned)
 {
-  while (ss_pool_has_room (node, owned))
+  DispatchPass pass = { node, 0 };
+  SsConnection *victim;
+  SsJob *job;
+
+  while (ss_queue_length (&owned->queue)
+         && (job = pop_runnable (node, owned, &pass)))
     {
-      SsQueueItem *item = ss_queue_pop (
-          &owned->queue, ss_pool_capacity (node, owned), node->now_ms);
-      SsConnection *c;
+      SsConnection *c = ss_pool_acquire (node, owned, job);
 
-      if (!item)
-        return;
-      c = ss_pool_acquire (node, owned, (SsJob *) item);
       c->holds_slot = true;
-      c->queue_class = item->queue_class;
+      c->queue_class = job->item.queue_class;
       if (c->state == SS_CONNECTION_CONNECTING)
-        attach_job (node, c, (SsJob *) item);
+        attach_job (node, c, job);
       else
-        start_job (node, c, (SsJob *) item);
+        start_job (node, c, job);
     }
+  victim = g_hash_table_lookup (node->connections, &pass.victim);
+  if (!victim)
+    return;
+  ss_node_count (node, SS_COUNTER_CONNECTIONS_REPLACED);
+  ss_pool_close (node, victim);
 }
 
 void
@@ -233,6 +273,39 @@
   start_job (node, c, c->job);
 }
 
+/* Whether JOB can still run in time after the pause that follows a failed
+ * attempt to connect.
+ */
+static bool
+may_try_again (SsNode *node, const SsJob *job)
+{
+  const SsOwnedTarget *owned = job->owned;
+  int64_t pause_ms = MAX (owned->connect_after_ms - node->now_ms, 0);
+  int64_t needed_ms
+      = pause_ms
+        + (int64_t) (owned->cache.connect_ms + owned->queue.mean_run_ms);
+
+  return node->config.organisations && owned->active && !node->stopping
+         && !owned->target->draining
+         && node->now_ms + needed_ms < job->item.deadline_ms;
+}
+
+void
+ss_job_connect_failed (SsNode *node, SsJob *job)
+{
+  if (!may_try_again (node, job))
+    {
+      ss_job_answer (node, job, SS_VERDICT_NOT_RUN, SS_REASON_CONNECT,
+                     SS_RETRY_SOON_MS);
+      return;
+    }
+  job->connection = NULL;
+  job->started_ms = 0;
+  ss_node_count (node, SS_COUNTER_CONNECT_RETURNS);
+  /* It keeps its rank, which is by its arrival. */
+  ss_queue_push (&job->owned->queue, &job->item, job->received_ms);
+}
+
 bool
 ss_owned_covers_floor (const SsOwnedTarget *owned, SsPosition applied,
                        SsPosition floor)
@@ -388,6 +461,11 @@
       return;
     }
   ss_queue_push (&owned->queue, &job->item, node->now_ms);
+  if (node->config.organisations)
+    {
+      ss_pool_load (node, owned);
+      ss_connection_cache_note_arrival (&owned->cache, job->organisation);
+    }
   ss_job_dispatch (node, owned);
 }
 
--- a/src/core/job_result.c
+++ b/src/core/job_result.c
@@ -41,6 +41,7 @@
     }
   g_clear_pointer (&c->vm, g_free);
   ss_pool_release_slot (c, node->now_ms - job->started_ms);
+  ss_pool_note_held (node, owned, job);
   c->state = SS_CONNECTION_IDLE;
   if (!owned->active)
     ss_pool_close (node, c);
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -6,6 +6,7 @@
 #define SS_OWNED_H
 
 #include "core/backoff.h"
+#include "core/connection_cache.h"
 #include "core/message.h"
 #include "core/queue.h"
 #include "core/replay.h"
@@ -85,6 +86,9 @@
   bool pinned;  /* belongs to an open transaction */
   bool confirm; /* run only under a lease or after a new confirmation */
   bool sent;    /* the target may have run the statement */
+  int64_t connection_wait_ms; /* since when it waits for a connection, though a
+                                 slot is free; 0: it has not waited */
+  SsCacheDecision decision;   /* the last one of the connection cache */
   bool is_read;
   SsPosition floor;
   SsStep step;
@@ -140,7 +144,10 @@
   SsTarget *target;
   bool active; /* this VM owns it now */
   SsQueue queue;
-  GPtrArray *connections; /* not the control connection */
+  GPtrArray *connections;  /* not the control connection */
+  SsConnectionCache cache; /* where connections belong to organisations */
+  GArray *cache_view;      /* of SsCacheConnection, in connections' order */
+  bool is_contested;       /* another VM may own it, too */
   int64_t connect_after_ms;
   SsBackoff connect_backoff;
   int64_t owner_since_ms;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -8,6 +8,10 @@
 /* Longest pause while the target has too many connections. */
 #define CONNECT_BACKOFF_MAX_MS 1600
 #define IDLE_CONNECTION_MS 30000
+/* A connection of an organisation is closed when another one needs its place,
+ * or after this time.
+ */
+#define CACHED_CONNECTION_MS 300000
 /* A target that does not answer ROLLBACK within this time is assumed to have
  * lost the transaction; the connection is closed.
  */
@@ -32,6 +36,8 @@
   ss_queue_finish (&o->queue);
   ss_writers_finish (&o->writers);
   g_ptr_array_free (o->connections, TRUE);
+  ss_connection_cache_finish (&o->cache);
+  g_array_free (o->cache_view, TRUE);
   g_ptr_array_free (o->status_requests, TRUE);
   g_ptr_array_free (o->raise_requesters, TRUE);
   g_ptr_array_free (o->round.requesters, TRUE);
@@ -60,9 +66,13 @@
 
   if (!c)
     return;
+  if (!c->is_control)
+    ss_connection_cache_note_opened (&c->owned->cache,
+                                     node->now_ms - c->since_ms);
   c->state = SS_CONNECTION_IDLE;
   c->since_ms = node->now_ms;
-  ss_backoff_reset (&c->owned->connect_backoff);
+  if (!c->owned->cache.is_shrunk)
+    ss_backoff_reset (&c->owned->connect_backoff);
   if (c->is_control)
     ss_target_monitor_ready (node, c->owned);
   else if (c->job)
@@ -80,6 +90,8 @@
   SsOwnedTarget *owned;
   SsJob *job;
   bool was_connecting;
+  bool is_full;
+  int64_t pause_ms = 0;
 
   if (!c)
     return;
@@ -94,17 +106,20 @@
     }
   if (c->state == SS_CONNECTION_CONNECTING)
     owned->connect_after_ms = node->now_ms + CONNECT_BACKOFF_MS;
-  if (sqlstate && strcmp (sqlstate, TOO_MANY_CONNECTIONS) == 0)
-    owned->connect_after_ms
-        = node->now_ms
-          + ss_backoff_next (&owned->connect_backoff, node->rand,
-                             CONNECT_BACKOFF_MS * 4, CONNECT_BACKOFF_MAX_MS);
+  is_full = sqlstate && strcmp (sqlstate, TOO_MANY_CONNECTIONS) == 0;
+  if (is_full)
+    pause_ms = ss_backoff_next (&owned->connect_backoff, node->rand,
+                                CONNECT_BACKOFF_MS * 4, CONNECT_BACKOFF_MAX_MS);
+  /* With a limit that has just been lowered, another attempt may succeed. */
+  if (is_full && !(node->config.organisations && owned->connections->len > 1))
+    owned->connect_after_ms = node->now_ms + pause_ms;
   was_connecting = c->state == SS_CONNECTION_CONNECTING;
   job = g_steal_pointer (&c->job);
   ss_pool_forget (node, c);
+  if (is_full && node->config.organisations)
+    ss_pool_refused (node, owned, pause_ms);
   if (job && was_connecting)
-    ss_job_answer (node, job, SS_VERDICT_NOT_RUN, SS_REASON_CONNECT,
-                   SS_RETRY_SOON_MS);
+    ss_job_connect_failed (node, job);
   else if (job)
     {
       job->transaction_status = 'I';
@@ -293,6 +308,8 @@
   ss_queue_init (&o->queue);
   ss_writers_init (&o->writers);
   o->connections = g_ptr_array_new ();
+  ss_connection_cache_init (&o->cache);
+  o->cache_view = g_array_new (FALSE, FALSE, sizeof (SsCacheConnection));
   o->status_requests = g_ptr_array_new_with_free_func (free_status_request);
   o->raise_requesters = g_ptr_array_new_with_free_func (g_free);
   o->round.requesters = g_ptr_array_new_with_free_func (free_status_request);
@@ -405,6 +422,7 @@
     return FALSE;
   o->active = is_owner;
   o->owner_since_ms = node->now_ms;
+  ss_connection_cache_restart (&o->cache);
   if (!is_owner)
     release_target (node, o);
   return FALSE;
@@ -440,6 +458,30 @@
                                           : node->params.transaction_idle_ms;
 }
 
+/* Closes C, whose target has not answered, and returns its job to the queue if
+ * there is time for another attempt.
+ */
+static void
+end_connect_attempt (SsNode *node, SsConnection *c)
+{
+  SsJob *job = g_steal_pointer (&c->job);
+
+  ss_pool_close (node, c);
+  if (job)
+    ss_job_connect_failed (node, job);
+}
+
+/* The cache keeps idle connections, but none to a target that is leaving. */
+static int64_t
+idle_limit_ms (const SsNode *node, const SsOwnedTarget *owned)
+{
+  if (!node->config.organisations)
+    return IDLE_CONNECTION_MS;
+  return owned->target->draining && !ss_queue_length (&owned->queue)
+             ? 0
+             : CACHED_CONNECTION_MS;
+}
+
 static void
 tick_connection (SsNode *node, SsConnection *c)
 {
@@ -451,13 +493,13 @@
       if (age_ms >= CONNECT_TIMEOUT_MS)
         {
           c->owned->connect_after_ms = node->now_ms + CONNECT_BACKOFF_MS;
-          end_unused (node, c, SS_REASON_CONNECT);
+          end_connect_attempt (node, c);
         }
       else if (c->job && node->now_ms >= c->job->item.deadline_ms)
         end_unused (node, c, SS_REASON_DEADLINE);
       break;
     case SS_CONNECTION_IDLE:
-      if (age_ms >= IDLE_CONNECTION_MS)
+      if (age_ms >= idle_limit_ms (node, c->owned))
         ss_pool_close (node, c);
       break;
     case SS_CONNECTION_PINNED:
@@ -488,6 +530,8 @@
       refuse_expired (node, o);
       for (guint j = o->connections->len; j > 0; j--)
         tick_connection (node, g_ptr_array_index (o->connections, j - 1));
+      if (node->config.organisations && o->active)
+        ss_pool_tick (node, o);
       if (ss_queue_length (&o->queue))
         ss_job_dispatch (node, o);
       ss_quorum_tick (node, o);
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -19,16 +19,29 @@
 /* ss_pool_connect: opens a connection for ORGANISATION; "": for none. */
 SsConnection *ss_pool_connect (SsNode *node, SsOwnedTarget *owned,
                                const char *organisation, bool is_control);
-/* ss_pool_has_room: whether ss_pool_acquire finds a connection for any
- * statement.
+/* ss_pool_load: gives the connection cache of OWNED its connections as they are
+ * now.
  */
-bool ss_pool_has_room (SsNode *node, const SsOwnedTarget *owned);
+void ss_pool_load (SsNode *node, SsOwnedTarget *owned);
+/* ss_pool_may_run: has the connection cache decide for JOB, and returns whether
+ * ss_pool_acquire finds a connection for it.  To be called after ss_pool_load.
+ */
+bool ss_pool_may_run (SsNode *node, SsJob *job);
 /* ss_pool_acquire: returns a connection of JOB's organisation: an idle one, or
  * a new one, for which an idle one of another organisation may be closed.  To
- * be called only if ss_pool_has_room.
+ * be called for a job that ss_pool_may_run has accepted, before anything else
+ * happens.
  */
 SsConnection *ss_pool_acquire (SsNode *node, SsOwnedTarget *owned,
                                const SsJob *job);
+/* ss_pool_tick: updates the limit in use of OWNED and closes the idle
+ * connections beyond it.
+ */
+void ss_pool_tick (SsNode *node, SsOwnedTarget *owned);
+/* ss_pool_refused: the target refused a connection, as it has too many. */
+void ss_pool_refused (SsNode *node, SsOwnedTarget *owned, int64_t pause_ms);
+/* ss_pool_note_held: JOB, which has ended, held its connection until now. */
+void ss_pool_note_held (SsNode *node, SsOwnedTarget *owned, const SsJob *job);
 /* ss_pool_close: closes CONNECTION and frees it together with its job. */
 void ss_pool_close (SsNode *node, SsConnection *connection);
 /* ss_pool_forget: frees a connection that is already closed. */
@@ -71,6 +84,10 @@
                     SsReason reason, uint32_t retry_after_ms);
 /* ss_job_dispatch: runs queued statements on idle connections. */
 void ss_job_dispatch (SsNode *node, SsOwnedTarget *owned);
+/* ss_job_connect_failed: queues JOB, whose connection could not be opened,
+ * again, or refuses it if its deadline is too close; takes ownership of JOB.
+ */
+void ss_job_connect_failed (SsNode *node, SsJob *job);
 /* ss_job_start_attached: starts the job for which C was opened. */
 void ss_job_start_attached (SsNode *node, SsConnection *c);
 /* ss_job_start_step: sends the statement for STEP of C's job to the target. */
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -30,6 +30,8 @@
   uint32_t connections
       = ss_config_max_connections (&node->config, owned->target);
 
+  if (node->config.organisations)
+    return MAX (owned->cache.limit, 1);
   if (node->now_ms - owned->owner_since_ms < OWNER_SETTLE_MS
       || !ss_members_is_converged (&node->members))
     connections /= 2;
@@ -97,6 +99,8 @@
 ss_pool_close (SsNode *node, SsConnection *connection)
 {
   ss_node_push (node, SS_ACTION_TARGET_CLOSE)->id = connection->id;
+  if (node->config.organisations && !connection->is_control)
+    ss_connection_cache_note_closed (&connection->owned->cache, node->now_ms);
   ss_pool_forget (node, connection);
 }
 
@@ -184,47 +188,175 @@
 /* --- connections that belong to one organisation each --- */
 
 static bool
-may_connect (SsNode *node, const SsOwnedTarget *owned)
+is_contested (SsNode *node)
 {
-  return node->now_ms >= owned->connect_after_ms;
+  return !ss_members_is_converged (&node->members);
 }
 
-/* Returns the idle connection that was not used for the longest time, or NULL.
+/* Records the limit in use and logs what it follows from, where that has
+ * changed.
  */
-static SsConnection *
-find_least_recently_used (const SsOwnedTarget *owned)
+static void
+update_limit (SsNode *node, SsOwnedTarget *owned)
 {
-  SsConnection *oldest = NULL;
+  SsConnectionCache *cache = &owned->cache;
+  SsCacheBounds bounds
+      = { ss_config_max_connections (&node->config, owned->target),
+          owned->owner_since_ms, is_contested (node) };
+  uint32_t limit
+      = ss_connection_cache_update_limit (cache, &bounds, node->now_ms);
+
+  if (bounds.is_contested != owned->is_contested)
+    ss_node_log (node,
+                 bounds.is_contested ? SS_EVENT_LOG_TARGET_CONTESTED
+                                     : SS_EVENT_LOG_TARGET_UNCONTESTED,
+                 owned->target->name, "limit=%u bound=%u open=%u", limit,
+                 cache->bound, owned->connections->len);
+  owned->is_contested = bounds.is_contested;
+  if (!cache->is_shrunk || limit < cache->bound)
+    return;
+  cache->is_shrunk = false;
+  ss_node_log (node, SS_EVENT_LOG_CONNECTIONS_REGROWN, owned->target->name,
+               "limit=%u", limit);
+}
+
+static bool
+opens_transaction (const SsJob *job)
+{
+  return job->begins || ss_session_sql_begins_with (job->sql, "begin")
+         || ss_session_sql_begins_with (job->sql, "start");
+}
+
+static SsCacheState
+cache_state (const SsConnection *c)
+{
+  switch (c->state)
+    {
+    case SS_CONNECTION_CONNECTING:
+      return SS_CACHE_CONNECTING;
+    case SS_CONNECTION_IDLE:
+      return SS_CACHE_IDLE;
+    case SS_CONNECTION_PINNED:
+      return SS_CACHE_IN_TRANSACTION;
+    case SS_CONNECTION_BUSY:
+    default:
+      return c->vm || (c->job && opens_transaction (c->job))
+                 ? SS_CACHE_IN_TRANSACTION
+                 : SS_CACHE_RUNNING;
+    }
+}
 
+void
+ss_pool_load (SsNode *node, SsOwnedTarget *owned)
+{
+  update_limit (node, owned);
+  g_array_set_size (owned->cache_view, 0);
   for (guint i = 0; i < owned->connections->len; i++)
     {
-      SsConnection *c = g_ptr_array_index (owned->connections, i);
+      const SsConnection *c = g_ptr_array_index (owned->connections, i);
+      SsCacheConnection v
+          = { c->organisation, cache_state (c),
+              c->job && opens_transaction (c->job), c->since_ms };
 
-      if (c->state == SS_CONNECTION_IDLE
-          && (!oldest || c->since_ms < oldest->since_ms))
-        oldest = c;
+      g_array_append_val (owned->cache_view, v);
     }
-  return oldest;
+  ss_connection_cache_load (
+      &owned->cache, (const SsCacheConnection *) owned->cache_view->data,
+      owned->cache_view->len, node->now_ms >= owned->connect_after_ms,
+      node->now_ms);
+}
+
+static void
+log_share (SsNode *node, const SsJob *job)
+{
+  const SsConnectionCache *cache = &job->owned->cache;
+
+  ss_node_log (node, SS_EVENT_LOG_TRANSACTIONS_WAIT, job->owned->target->name,
+               "organisation=%s open=%u share=%u all_share=%u",
+               job->organisation, cache->transactions,
+               ss_connection_cache_organisation_share (cache),
+               ss_connection_cache_total_share (cache));
 }
 
 bool
-ss_pool_has_room (SsNode *node, const SsOwnedTarget *owned)
+ss_pool_may_run (SsNode *node, SsJob *job)
+{
+  SsCacheStatement s
+      = { job->organisation, opens_transaction (job),
+          job->connection_wait_ms ? node->now_ms - job->connection_wait_ms
+                                  : 0 };
+
+  job->decision = ss_connection_cache_decide (&job->owned->cache, &s);
+  if (job->decision.reaches_share)
+    log_share (node, job);
+  if (job->decision.action != SS_CACHE_WAIT)
+    return true;
+  if (!job->connection_wait_ms)
+    {
+      job->connection_wait_ms = node->now_ms;
+      ss_node_count (node, SS_COUNTER_CONNECTION_WAITS);
+    }
+  return false;
+}
+
+static void
+close_victim (SsNode *node, SsOwnedTarget *owned, int32_t victim)
 {
-  return may_connect (node, owned)
-         && (owned->connections->len < ss_pool_max_connections (node, owned)
-             || find_least_recently_used (owned) != NULL);
+  ss_node_count (node, SS_COUNTER_CONNECTIONS_REPLACED);
+  ss_pool_close (node, g_ptr_array_index (owned->connections, victim));
 }
 
 SsConnection *
 ss_pool_acquire (SsNode *node, SsOwnedTarget *owned, const SsJob *job)
 {
-  SsConnection *c = ss_pool_find_nearest (owned, job);
+  SsConnection *c;
 
-  if (c)
-    return c;
-  if (owned->connections->len >= ss_pool_max_connections (node, owned))
-    ss_pool_close (node, find_least_recently_used (owned));
+  if (job->decision.action == SS_CACHE_REUSE)
+    {
+      ss_node_count (node, SS_COUNTER_CONNECTION_HITS);
+      return ss_pool_find_nearest (owned, job);
+    }
+  if (job->decision.victim >= 0)
+    close_victim (node, owned, job->decision.victim);
+  ss_node_count (node, SS_COUNTER_CONNECTION_OPENS);
   c = ss_pool_connect (node, owned, job->organisation, false);
   g_ptr_array_add (owned->connections, c);
   return c;
 }
+
+void
+ss_pool_tick (SsNode *node, SsOwnedTarget *owned)
+{
+  int32_t excess;
+
+  update_limit (node, owned);
+  if (owned->connections->len <= owned->cache.limit)
+    return;
+  ss_pool_load (node, owned);
+  while ((excess = ss_connection_cache_excess (&owned->cache)) >= 0)
+    {
+      ss_pool_close (node, g_ptr_array_index (owned->connections, excess));
+      ss_pool_load (node, owned);
+    }
+}
+
+void
+ss_pool_refused (SsNode *node, SsOwnedTarget *owned, int64_t pause_ms)
+{
+  SsConnectionCache *cache = &owned->cache;
+  uint32_t before = cache->limit;
+
+  ss_connection_cache_refused (cache, owned->connections->len, pause_ms,
+                               node->now_ms);
+  ss_node_log (node, SS_EVENT_LOG_CONNECTIONS_REFUSED, owned->target->name,
+               "limit=%u before=%u pause_ms=%" G_GINT64_FORMAT, cache->limit,
+               before, pause_ms);
+}
+
+void
+ss_pool_note_held (SsNode *node, SsOwnedTarget *owned, const SsJob *job)
+{
+  if (!job->pinned && !opens_transaction (job))
+    ss_connection_cache_note_held (&owned->cache,
+                                   node->now_ms - job->started_ms);
+}
--- a/src/core/queue.c
+++ b/src/core/queue.c
@@ -284,26 +284,38 @@
                 < class_connections (queue_class, connections);
 }
 
+/* Returns the first item that ACCEPTS, which may be NULL, lets pass. */
 static SsQueueItem *
-first_item (const SsQueueFlow *flow, SsQueueClass queue_class)
+first_item (const SsQueueFlow *flow, SsQueueClass queue_class,
+            SsQueueFilter accepts, void *data)
 {
   GSequenceIter *iter = g_sequence_get_begin_iter (flow->waiting[queue_class]);
 
-  return g_sequence_iter_is_end (iter) ? NULL : g_sequence_get (iter);
+  for (; !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
+    {
+      SsQueueItem *item = g_sequence_get (iter);
+
+      if (!accepts || accepts (item, data))
+        return item;
+    }
+  return NULL;
 }
 
 /* Returns the first item of FLOW that may run, or NULL. */
 static SsQueueItem *
 first_runnable (const SsQueue *queue, const SsQueueFlow *flow,
-                uint32_t connections)
+                uint32_t connections, SsQueueFilter accepts, void *data)
 {
   SsQueueItem *best = NULL;
 
   for (uint32_t i = 0; i < SS_QUEUE_CLASSES; i++)
     {
-      SsQueueItem *item = first_item (flow, (SsQueueClass) i);
+      SsQueueItem *item;
 
-      if (!item || !may_run (queue, (SsQueueClass) i, connections))
+      if (!may_run (queue, (SsQueueClass) i, connections))
+        continue;
+      item = first_item (flow, (SsQueueClass) i, accepts, data);
+      if (!item)
         continue;
       if (!best || compare_items (item, best, NULL) < 0)
         best = item;
@@ -320,7 +332,8 @@
 }
 
 SsQueueItem *
-ss_queue_pop (SsQueue *queue, uint32_t connections, int64_t now_ms)
+ss_queue_pop_where (SsQueue *queue, uint32_t connections, int64_t now_ms,
+                    SsQueueFilter accepts, void *data)
 {
   SsQueueItem *best = NULL;
   GHashTableIter iter;
@@ -329,7 +342,8 @@
   g_hash_table_iter_init (&iter, queue->flows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      SsQueueItem *item = first_runnable (queue, value, connections);
+      SsQueueItem *item
+          = first_runnable (queue, value, connections, accepts, data);
 
       if (item && (!best || precedes (item, best)))
         best = item;
@@ -346,6 +360,12 @@
   return best;
 }
 
+SsQueueItem *
+ss_queue_pop (SsQueue *queue, uint32_t connections, int64_t now_ms)
+{
+  return ss_queue_pop_where (queue, connections, now_ms, NULL, NULL);
+}
+
 /* --- samples --- */
 
 /* A run time of 0 ms is one below the clock's resolution. */
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -74,6 +74,9 @@
   uint32_t running[SS_QUEUE_CLASSES]; /* items popped and not done */
 } SsQueue;
 
+/* Whether ITEM may run now.  It must not change the queue. */
+typedef bool (*SsQueueFilter) (SsQueueItem *item, void *data);
+
 void ss_queue_init (SsQueue *queue);
 void ss_queue_finish (SsQueue *queue);
 
@@ -101,6 +104,12 @@
  */
 SsQueueItem *ss_queue_pop (SsQueue *queue, uint32_t connections,
                            int64_t now_ms);
+/* ss_queue_pop_where: like ss_queue_pop, but passes over the items for which
+ * ACCEPTS returns false.
+ */
+SsQueueItem *ss_queue_pop_where (SsQueue *queue, uint32_t connections,
+                                 int64_t now_ms, SsQueueFilter accepts,
+                                 void *data);
 /* ss_queue_done: records that an item of QUEUE_CLASS ended after RAN_MS
  * milliseconds.  A negative RAN_MS is not sampled.
  */
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -43,7 +43,17 @@
   X (CONTROL_MESSAGES, "control_messages", "control messages sent")            \
   X (CONTROL_BYTES, "control_bytes", "bytes of control messages sent")         \
   X (TARGET_CONNECTS, "target_connects", "connections opened to targets")      \
-  X (UNKNOWN_KEYS, "unknown_keys", "callers and statements refused by key")
+  X (UNKNOWN_KEYS, "unknown_keys", "callers and statements refused by key")    \
+  X (CONNECTION_HITS, "connection_hits",                                       \
+     "statements run on an idle connection of their organisation")             \
+  X (CONNECTION_OPENS, "connection_opens",                                     \
+     "connections opened for a statement's organisation")                      \
+  X (CONNECTIONS_REPLACED, "connections_replaced",                             \
+     "idle connections closed for another organisation")                       \
+  X (CONNECTION_WAITS, "connection_waits",                                     \
+     "statements that waited for a connection of their organisation")          \
+  X (CONNECT_RETURNS, "connect_returns",                                       \
+     "statements queued again, as their connection failed to open")
 
 typedef enum
 {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -83,6 +83,16 @@
   X (REQUEST_RETRIED, 604, INFO, "request retried internally")                 \
   X (REQUEST_WAITS, 605, INFO, "request waits for a primary")                  \
   X (KEY_UNKNOWN, 606, WARNING, "no organisation has the caller's key")        \
+  X (CONNECTIONS_REFUSED, 620, WARNING,                                        \
+     "target has too many connections; fewer are used")                        \
+  X (CONNECTIONS_REGROWN, 621, INFO,                                           \
+     "as many connections are used as before the target refused one")          \
+  X (TARGET_CONTESTED, 622, WARNING,                                           \
+     "another vm may own the target, too; fewer connections are used")         \
+  X (TARGET_UNCONTESTED, 623, INFO,                                            \
+     "no other vm owns the target; more connections are used step by step")    \
+  X (TRANSACTIONS_WAIT, 624, WARNING,                                          \
+     "an organisation's open transactions hold their share of connections")    \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/identity.h"
 #include "tests/line_params.h"
 
 #define START_MS 100000
@@ -27,7 +28,9 @@
 {
   uint64_t id; /* VM, its incarnation and connection */
   FleetServer *server;
-  int64_t closes_ms; /* its VM has lost power; 0: it is open */
+  int64_t closes_ms;  /* its VM has lost power; 0: it is open */
+  char *organisation; /* that it was opened for, or NULL */
+  char status;        /* of its transaction: I or T */
 } Connection;
 
 /* An event for one VM, with the memory that it points to. */
@@ -343,6 +346,12 @@
   Connection *c;
 
   server->connects++;
+  if (g_rand_int_range (sim->rand, 0, 1000) < (gint32) sim->fail_permille)
+    {
+      s = schedule (sim, vm, 2, SS_EVENT_TARGET_CLOSED);
+      s->event.target.connection = a->id;
+      return;
+    }
   if (server->down || server->connections >= sim->max_connections)
     {
       s = schedule (sim, vm, 2, SS_EVENT_TARGET_CLOSED);
@@ -353,8 +362,11 @@
       return;
     }
   server->connections++;
+  server->peak = MAX (server->peak, server->connections);
   c = g_new0 (Connection, 1);
   c->id = connection_key (sim, vm, a->id);
+  c->organisation = g_strdup (a->organisation);
+  c->status = 'I';
   c->server = server;
   g_hash_table_insert (sim->connections, &c->id, c);
   schedule (sim, vm, HANDSHAKE_MS, SS_EVENT_TARGET_READY)
@@ -370,10 +382,24 @@
 
   if (!c)
     return;
+  if (sim->close_ms)
+    {
+      c->closes_ms = sim->now_ms + sim->close_ms;
+      return;
+    }
   c->server->connections--;
   g_hash_table_remove (sim->connections, &key);
 }
 
+static void
+connection_free (gpointer data)
+{
+  Connection *c = data;
+
+  g_free (c->organisation);
+  g_free (c);
+}
+
 static const char *
 position_text (Scheduled *s, SsPosition p)
 {
@@ -414,6 +440,18 @@
     server->barred_term = g_ascii_strtoull (text + strlen ("PAUSE "), NULL, 10);
 }
 
+/* Whether C was opened for the organisation whose name starts LABEL. */
+static bool
+is_own (const char *label, const Connection *c)
+{
+  const char *end = strchr (label, '-');
+  size_t length = end ? (size_t) (end - label) : 0;
+
+  return !length
+         || (c->organisation && strlen (c->organisation) == length
+             && strncmp (c->organisation, label, length) == 0);
+}
+
 static void
 run_query (FleetSim *sim, FleetVm *vm, const SsAction *a)
 {
@@ -421,12 +459,19 @@
   Connection *c = g_hash_table_lookup (sim->connections, &key);
   Scheduled *s;
 
-  if (!c || c->server->down)
+  if (!c || c->server->down || c->closes_ms)
     return;
+  if (a->label && !is_own (a->label, c))
+    sim->foreign++;
+  if (g_str_has_prefix (a->text, "BEGIN"))
+    c->status = 'T';
+  else if (g_str_has_prefix (a->text, "COMMIT")
+           || g_str_has_prefix (a->text, "ROLLBACK"))
+    c->status = 'I';
   s = schedule (sim, vm, STATEMENT_MS, SS_EVENT_TARGET_RESULT);
   run_text (c->server, a->text, s);
   s->result.ok = true;
-  s->result.transaction_status = 'I';
+  s->result.transaction_status = c->status;
   s->result.applied = c->server->position;
   s->result.sqlstate = "";
   s->result.tag = "";
@@ -482,6 +527,10 @@
     case SS_ACTION_TARGET_CLOSE:
       close_connection (sim, vm, a->id);
       break;
+    case SS_ACTION_CALLER_REPLY:
+      sim->ran += a->verdict == SS_VERDICT_RAN ? 1 : 0;
+      sim->not_run += a->verdict == SS_VERDICT_RAN ? 0 : 1;
+      break;
     case SS_ACTION_PLATFORM_WATCH:
     case SS_ACTION_PLATFORM_LIST:
     case SS_ACTION_PLATFORM_GET:
@@ -611,6 +660,31 @@
   ss_node_finish (&vm->node);
 }
 
+static void
+format_key (char *out, size_t bytes, uint32_t organisation)
+{
+  g_snprintf (out, bytes, "key-%u", organisation);
+}
+
+static void
+append_organisations (FleetSim *sim, GString *text)
+{
+  if (!sim->organisation_count)
+    return;
+  g_string_append (text, ",\"organisations\":{");
+  for (uint32_t i = 0; i < sim->organisation_count; i++)
+    {
+      char digest[SS_KEY_DIGEST_BYTES];
+      char key[24];
+
+      format_key (key, sizeof key, i);
+      ss_identity_digest (key, digest);
+      g_string_append_printf (text, "%s\"o%u\":{\"key_digests\":[\"%s\"]}",
+                              i ? "," : "", i, digest);
+    }
+  g_string_append (text, "}");
+}
+
 static void
 store_routes (FleetSim *sim)
 {
@@ -626,30 +700,47 @@
   for (uint32_t i = 0; i < sim->group_count; i++)
     g_string_append_printf (text, "%s\"g%u\":{\"max_connections\":%u}",
                             i ? "," : "", i, sim->max_connections);
-  g_string_append (text, "}}");
+  g_string_append (text, "}");
+  append_organisations (sim, text);
+  g_string_append (text, "}");
   store_put (sim, "routes/main", text->str);
   g_string_free (text, TRUE);
 }
 
 static void
-store_target (FleetSim *sim, uint32_t index)
+put_target (FleetSim *sim, uint32_t index, bool draining)
 {
   FleetServer *s = &sim->servers[index];
   char key[32];
   char *value;
 
+  g_snprintf (key, sizeof key, "target/%s", s->name);
+  value = g_strdup_printf (
+      "{\"group\":\"g%u\",\"ip\":\"10.1.0.%u\","
+      "\"port\":1,\"failure_domain\":\"%s\",\"slots\":4%s}",
+      s->group, index + 1, s->domain, draining ? ",\"draining\":true" : "");
+  store_put (sim, key, value);
+  g_free (value);
+}
+
+void
+fleet_drain (FleetSim *sim, uint32_t index, bool draining)
+{
+  put_target (sim, index, draining);
+}
+
+static void
+store_target (FleetSim *sim, uint32_t index)
+{
+  FleetServer *s = &sim->servers[index];
+
   s->group = index / FLEET_SERVERS;
   s->role = index % FLEET_SERVERS ? SS_SERVER_REPLICA : SS_SERVER_PRIMARY;
   s->term = 1;
   s->position = (SsPosition){ 1, 0 };
   g_snprintf (s->name, sizeof s->name, "t%u", index);
   g_snprintf (s->domain, sizeof s->domain, "d%u", index % FLEET_SERVERS);
-  g_snprintf (key, sizeof key, "target/%s", s->name);
-  value = g_strdup_printf ("{\"group\":\"g%u\",\"ip\":\"10.1.0.%u\","
-                           "\"port\":1,\"failure_domain\":\"%s\",\"slots\":4}",
-                           s->group, index + 1, s->domain);
-  store_put (sim, key, value);
-  g_free (value);
+  put_target (sim, index, false);
 }
 
 void
@@ -673,8 +764,9 @@
   sim->max_connections = 57;
   sim->objects
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, stored_free);
-  sim->connections
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  sim->connections = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                            connection_free);
+  sim->rand = g_rand_new_with_seed (seed);
   sim->schedule = g_new0 (GQueue, SLOTS);
   store_routes (sim);
   for (uint32_t i = 0; i < groups * FLEET_SERVERS; i++)
@@ -702,6 +794,7 @@
   g_free (sim->schedule);
   g_hash_table_destroy (sim->connections);
   g_hash_table_destroy (sim->objects);
+  g_rand_free (sim->rand);
 }
 
 /* --- callers --- */
@@ -723,8 +816,66 @@
       }
 }
 
+void
+fleet_add_organisations (FleetSim *sim, uint32_t count)
+{
+  sim->organisation_count = count;
+  store_routes (sim);
+}
+
+uint64_t
+fleet_connect (FleetSim *sim, uint32_t vm, uint32_t group,
+               uint32_t organisation)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_OPEN };
+  char service[16];
+  char key[24];
+
+  g_snprintf (service, sizeof service, "s%u", group);
+  format_key (key, sizeof key, organisation);
+  e.caller_open.caller = ++sim->vms[vm].sessions;
+  e.caller_open.service = service;
+  e.caller_open.user = "";
+  e.caller_open.key = key;
+  feed (sim, &sim->vms[vm], &e);
+  return e.caller_open.caller;
+}
+
+void
+fleet_send (FleetSim *sim, uint32_t vm, uint64_t caller, uint32_t organisation,
+            const char *text)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_STATEMENT };
+  char label[40];
+
+  g_snprintf (label, sizeof label, "o%u-%s-%u", organisation, sim->vms[vm].name,
+              ++sim->vms[vm].statements);
+  e.caller_statement.caller = caller;
+  e.caller_statement.label = label;
+  e.caller_statement.sql = text;
+  feed (sim, &sim->vms[vm], &e);
+}
+
 /* --- views --- */
 
+uint32_t
+fleet_owned (FleetSim *sim, uint32_t index)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    {
+      const SsOwnedTarget *o
+          = sim->vms[i].up
+                ? ss_owner_find (&sim->vms[i].node, sim->servers[index].name)
+                : NULL;
+
+      if (o)
+        count += o->connections->len + (o->control ? 1 : 0);
+    }
+  return count;
+}
+
 SsGroup *
 fleet_group (FleetSim *sim, uint32_t vm, uint32_t group)
 {
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -39,6 +39,7 @@
   int64_t watch_since[SS_WATCH_COUNT]; /* outstanding watches; 0: none */
   int64_t watch_until_ms[SS_WATCH_COUNT];
   uint32_t sessions;
+  uint32_t statements; /* sent by its callers */
 } FleetVm;
 
 typedef struct
@@ -54,6 +55,7 @@
   uint32_t connections; /* open, with those of VMs that lost power */
   uint32_t connects;    /* attempts */
   uint32_t over_cap;    /* of them, refused as too many were open */
+  uint32_t peak;        /* most connections open at once */
 } FleetServer;
 
 struct FleetSim
@@ -63,6 +65,13 @@
   FleetServer servers[FLEET_GROUPS_MAX * FLEET_SERVERS];
   uint32_t group_count;
   uint32_t max_connections; /* of a server */
+  uint32_t organisation_count;
+  /* How long a server counts a connection that was closed; fewer than the time
+   * of a handshake.
+   */
+  int64_t close_ms;
+  uint32_t fail_permille; /* connect attempts that break */
+  GRand *rand;
   uint32_t seed;
   int64_t now_ms;
   int64_t version; /* of the last object written */
@@ -70,6 +79,10 @@
   GHashTable *connections;
   GQueue *schedule; /* of events, by the millisecond that they are due in */
   uint32_t promotions;
+  uint32_t ran;     /* replies with the verdict RAN */
+  uint32_t not_run; /* and all others */
+  uint32_t foreign; /* statements that got a connection of another organisation
+                       than their caller's */
 };
 
 /* fleet_init: starts VMS VMs, spread over the failure domains, and GROUPS
@@ -83,6 +96,23 @@
 void fleet_advance (FleetSim *sim, int64_t ms);
 /* fleet_open: opens one session a service at every VM. */
 void fleet_open (FleetSim *sim);
+/* fleet_add_organisations: adds COUNT organisations; callers need a key then.
+ */
+void fleet_add_organisations (FleetSim *sim, uint32_t count);
+/* fleet_connect: opens a session of GROUP's service at VM for ORGANISATION and
+ * returns its caller's id.
+ */
+uint64_t fleet_connect (FleetSim *sim, uint32_t vm, uint32_t group,
+                        uint32_t organisation);
+/* fleet_send: sends TEXT from CALLER, of ORGANISATION. */
+void fleet_send (FleetSim *sim, uint32_t vm, uint64_t caller,
+                 uint32_t organisation, const char *text);
+/* fleet_drain: sets whether the server INDEX is to be released. */
+void fleet_drain (FleetSim *sim, uint32_t index, bool draining);
+/* fleet_owned: returns how many connections to the server INDEX the VMs that
+ * are up have, with control connections.
+ */
+uint32_t fleet_owned (FleetSim *sim, uint32_t index);
 /* fleet_stop: VM loses power; its connections stay open at the servers for some
  * seconds.  fleet_start: starts it again.
  */
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -9,6 +9,7 @@
   X (members)                                                                  \
   X (config)                                                                   \
   X (queue)                                                                    \
+  X (connection_cache)                                                         \
   X (session)                                                                  \
   X (line)                                                                     \
   X (relay)                                                                    \
