--- a/src/core/connection_cache.c
+++ b/src/core/connection_cache.c
@@ -143,7 +143,8 @@
 
 /* A new owner uses at most a quarter, and an owner all but that quarter: the
  * sum stays below the limit while the server counts the connections of both.
- * After SS_CACHE_SETTLE_MS each of two owners uses less than half.
+ * After SS_CACHE_SETTLE_MS each of two owners that miss each other uses less
+ * than half.
  */
 static uint32_t
 bound (SsConnectionCache *cache, const SsCacheBounds *b, int64_t now_ms)
@@ -154,7 +155,7 @@
 
   if (b->is_contested)
     cache->contested_ms = now_ms;
-  if (now_ms - b->owner_since_ms < SS_CACHE_SETTLE_MS)
+  if (now_ms - b->owner_since_ms < SS_CACHE_SETTLE_MS || b->is_substitute)
     return quarter > 1 ? quarter - 1 : 1;
   if (cache->contested_ms && now_ms - cache->contested_ms < SS_CACHE_SETTLE_MS)
     return half > RESERVE ? half - RESERVE : 1;
--- a/src/core/connection_cache.h
+++ b/src/core/connection_cache.h
@@ -86,6 +86,8 @@
   uint32_t server_limit;  /* connections that the server accepts from all VMs */
   int64_t owner_since_ms; /* when this VM became the owner or started */
   bool is_contested;      /* another VM may own the target, too */
+  bool is_substitute; /* it may also be owned by a VM that does not miss this
+                         one, and so uses the limit of a single owner */
 } SsCacheBounds;
 
 typedef struct
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -361,6 +361,15 @@
   member->listed = listed;
 }
 
+bool
+ss_members_has_silent (const SsMembers *members, const char *failure_domain)
+{
+  Convergence s = { failure_domain, true };
+
+  g_tree_foreach (members->by_name, check_converged, &s);
+  return !s.converged;
+}
+
 bool
 ss_members_is_converged (SsMembers *members)
 {
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -167,6 +167,11 @@
                                       const char *subject);
 /* ss_members_set_listed: sets whether the platform lists MEMBER as live. */
 void ss_members_set_listed (SsMembers *members, SsMember *member, bool listed);
+/* ss_members_has_silent: whether the platform lists a VM of FAILURE_DOMAIN that
+ * is not live.  Looks at all VMs.
+ */
+bool ss_members_has_silent (const SsMembers *members,
+                            const char *failure_domain);
 /* ss_members_is_converged: whether every VM of this failure domain that the
  * platform lists is live.  The result is cached until membership changes, since
  * it is needed for each statement.
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -148,6 +148,8 @@
   SsConnectionCache cache; /* where connections belong to organisations */
   GArray *cache_view;      /* of SsCacheConnection, in connections' order */
   bool is_contested;       /* another VM may own it, too */
+  bool is_substitute;      /* for VMs of its failure domain that may live */
+  int64_t substitute_ms;   /* when is_substitute was determined */
   int64_t connect_after_ms;
   SsBackoff connect_backoff;
   int64_t owner_since_ms;
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -7,6 +7,7 @@
  */
 #define CONTROL_RESERVE 2
 #define OWNER_SETTLE_MS 3000
+#define SUBSTITUTE_CHECK_MS 100
 
 void
 ss_pool_free (SsConnection *c)
@@ -187,10 +188,21 @@
 
 /* --- connections that belong to one organisation each --- */
 
+/* Where no VM of the target's failure domain is live, a VM of another one owns
+ * it.  Those that the platform still lists may only be cut off, and don't miss
+ * this VM.
+ */
 static bool
-is_contested (SsNode *node)
+is_substitute (SsNode *node, SsOwnedTarget *owned)
 {
-  return !ss_members_is_converged (&node->members);
+  const char *domain = owned->target->failure_domain;
+
+  if (node->now_ms - owned->substitute_ms < SUBSTITUTE_CHECK_MS)
+    return owned->is_substitute;
+  owned->substitute_ms = node->now_ms;
+  owned->is_substitute = strcmp (domain, node->members.failure_domain) != 0
+                         && ss_members_has_silent (&node->members, domain);
+  return owned->is_substitute;
 }
 
 /* Records the limit in use and logs what it follows from, where that has
@@ -200,19 +212,24 @@
 update_limit (SsNode *node, SsOwnedTarget *owned)
 {
   SsConnectionCache *cache = &owned->cache;
-  SsCacheBounds bounds
-      = { ss_config_max_connections (&node->config, owned->target),
-          owned->owner_since_ms, is_contested (node) };
-  uint32_t limit
-      = ss_connection_cache_update_limit (cache, &bounds, node->now_ms);
+  SsCacheBounds bounds;
+  bool contested;
+  uint32_t limit;
 
-  if (bounds.is_contested != owned->is_contested)
+  bounds.server_limit
+      = ss_config_max_connections (&node->config, owned->target);
+  bounds.owner_since_ms = owned->owner_since_ms;
+  bounds.is_contested = !ss_members_is_converged (&node->members);
+  bounds.is_substitute = is_substitute (node, owned);
+  limit = ss_connection_cache_update_limit (cache, &bounds, node->now_ms);
+  contested = bounds.is_contested || bounds.is_substitute;
+  if (contested != owned->is_contested)
     ss_node_log (node,
-                 bounds.is_contested ? SS_EVENT_LOG_TARGET_CONTESTED
-                                     : SS_EVENT_LOG_TARGET_UNCONTESTED,
+                 contested ? SS_EVENT_LOG_TARGET_CONTESTED
+                           : SS_EVENT_LOG_TARGET_UNCONTESTED,
                  owned->target->name, "limit=%u bound=%u open=%u", limit,
                  cache->bound, owned->connections->len);
-  owned->is_contested = bounds.is_contested;
+  owned->is_contested = contested;
   if (!cache->is_shrunk || limit < cache->bound)
     return;
   cache->is_shrunk = false;
