--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -66,9 +66,7 @@
   uint32_t group_count;
   uint32_t max_connections; /* of a server */
   uint32_t organisation_count;
-  /* How long a server counts a connection that was closed; fewer than the time
-   * of a handshake.
-   */
+  /* How long a server counts a connection that was closed. */
   int64_t close_ms;
   uint32_t fail_permille; /* connect attempts that break */
   GRand *rand;
--- a/tests/test_connection_cache.c
+++ b/tests/test_connection_cache.c
@@ -618,6 +618,7 @@
         connect_callers (vm, rand);
     }
   CU_ASSERT (sim.foreign == 0);
+  CU_ASSERT (total_refused () == 0);
   CU_ASSERT (sim.ran > 10000);
   CU_ASSERT (sim.ran > 10 * sim.not_run);
   if (g_getenv ("SS_CACHE_FIGURES"))
