--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -48,7 +48,17 @@
   X (RATE_WAITS, "rate_waits", "operations that waited for a token")           \
   X (RATE_REFUNDS, "rate_refunds", "tokens returned by operations not run")    \
   X (RATE_ASKS, "rate_asks", "asks for tokens sent to coordinators")           \
-  X (RATE_TOKENS, "rate_tokens", "tokens granted to other vms")
+  X (RATE_TOKENS, "rate_tokens", "tokens granted to other vms")                \
+  X (CONNECTION_HITS, "connection_hits",                                       \
+     "statements run on an idle connection of their organisation")             \
+  X (CONNECTION_OPENS, "connection_opens",                                     \
+     "connections opened for a statement's organisation")                      \
+  X (CONNECTIONS_REPLACED, "connections_replaced",                             \
+     "idle connections closed for another organisation")                       \
+  X (CONNECTION_WAITS, "connection_waits",                                     \
+     "statements that waited for a connection of their organisation")          \
+  X (CONNECT_RETURNS, "connect_returns",                                       \
+     "statements queued again, as their connection failed to open")
 
 typedef enum
 {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -88,6 +88,16 @@
   X (RATE_ALONE, 612, WARNING,                                                 \
      "no vm grants tokens; using this vm's share of the rate limits")          \
   X (RATE_REJOINED, 613, INFO, "a vm grants tokens of rate limits again")      \
+  X (CONNECTIONS_REFUSED, 620, WARNING,                                        \
+     "target has too many connections; fewer are used")                        \
+  X (CONNECTIONS_REGROWN, 621, INFO,                                           \
+     "as many connections are used as before the target refused one")          \
+  X (TARGET_CONTESTED, 622, WARNING,                                           \
+     "another vm may own the target, too; fewer connections are used")         \
+  X (TARGET_UNCONTESTED, 623, INFO,                                            \
+     "no other vm owns the target; more connections are used step by step")    \
+  X (TRANSACTIONS_WAIT, 624, WARNING,                                          \
+     "an organisation's open transactions hold their share of connections")    \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -39,6 +39,7 @@
   int64_t watch_since[SS_WATCH_COUNT]; /* outstanding watches; 0: none */
   int64_t watch_until_ms[SS_WATCH_COUNT];
   uint32_t sessions;
+  uint32_t statements; /* sent by its callers */
 } FleetVm;
 
 typedef struct
@@ -54,6 +55,7 @@
   uint32_t connections; /* open, with those of VMs that lost power */
   uint32_t connects;    /* attempts */
   uint32_t over_cap;    /* of them, refused as too many were open */
+  uint32_t peak;        /* most connections open at once */
 } FleetServer;
 
 struct FleetSim
@@ -63,6 +65,11 @@
   FleetServer servers[FLEET_GROUPS_MAX * FLEET_SERVERS];
   uint32_t group_count;
   uint32_t max_connections; /* of a server */
+  uint32_t organisation_count;
+  /* How long a server counts a connection that was closed. */
+  int64_t close_ms;
+  uint32_t fail_permille; /* connect attempts that break */
+  GRand *rand;
   uint32_t seed;
   int64_t now_ms;
   int64_t version; /* of the last object written */
@@ -73,11 +80,14 @@
   char *organisations; /* member of the routes, JSON; NULL: none */
   const char *key;     /* of callers opened from now on; NULL: none */
   /* Replies to callers. */
-  uint32_t served;
   uint32_t rate_limited;
   uint32_t failed;         /* any other */
   uint32_t retry_after_ms; /* of the last that was limited */
   int64_t replied_ms;      /* when the last one was sent */
+  uint32_t ran;            /* replies with the verdict RAN */
+  uint32_t not_run;        /* and all others */
+  uint32_t foreign; /* statements that got a connection of another organisation
+                       than their caller's */
 };
 
 /* fleet_init: starts VMS VMs, spread over the failure domains, and GROUPS
@@ -93,9 +103,23 @@
 void fleet_open (FleetSim *sim);
 /* fleet_set_organisations: sets the member "organisations" of the routes. */
 void fleet_set_organisations (FleetSim *sim, const char *json);
-/* fleet_send: sends TEXT from SESSION (from 1) at VM. */
-void fleet_send (FleetSim *sim, uint32_t vm, uint32_t session,
-                 const char *text);
+/* fleet_add_organisations: adds COUNT organisations; callers need a key then.
+ */
+void fleet_add_organisations (FleetSim *sim, uint32_t count);
+/* fleet_connect: opens a session of GROUP's service at VM for ORGANISATION and
+ * returns its caller's id.
+ */
+uint64_t fleet_connect (FleetSim *sim, uint32_t vm, uint32_t group,
+                        uint32_t organisation);
+/* fleet_send: sends TEXT from CALLER, of ORGANISATION. */
+void fleet_send (FleetSim *sim, uint32_t vm, uint64_t caller,
+                 uint32_t organisation, const char *text);
+/* fleet_drain: sets whether the server INDEX is to be released. */
+void fleet_drain (FleetSim *sim, uint32_t index, bool draining);
+/* fleet_owned: returns how many connections to the server INDEX its owners
+ * have, with control connections.
+ */
+uint32_t fleet_owned (FleetSim *sim, uint32_t index);
 /* fleet_stop: VM loses power; its connections stay open at the servers for some
  * seconds.  fleet_start: starts it again.
  */
--- a/tests/test_rate_node.c
+++ b/tests/test_rate_node.c
@@ -375,7 +375,7 @@
 static void
 clear_replies (void)
 {
-  fleet.served = 0;
+  fleet.ran = 0;
   fleet.rate_limited = 0;
   fleet.failed = 0;
 }
@@ -390,7 +390,7 @@
 
       if (fleet.vms[vm].up)
         fleet_send (&fleet, vm,
-                    1 + *next / fleet.vm_count % (SESSIONS * GROUPS),
+                    1 + *next / fleet.vm_count % (SESSIONS * GROUPS), 0,
                     "READ 1a");
       (*next)++;
       fleet_advance (&fleet, every_ms);
@@ -407,15 +407,15 @@
   clear_replies ();
   send_operations (&next, 25, 5000);
   fleet_advance (&fleet, 100);
-  CU_ASSERT (fleet.served == 200);
+  CU_ASSERT (fleet.ran == 200);
   CU_ASSERT (fleet.rate_limited == 0);
   clear_replies ();
   send_operations (&next, 5, 5000);
   fleet_advance (&fleet, 100);
-  CU_ASSERT (fleet.served <= (50 * 5 + 50) * 1.1 + 20);
-  CU_ASSERT (fleet.served >= 250);
+  CU_ASSERT (fleet.ran <= (50 * 5 + 50) * 1.1 + 20);
+  CU_ASSERT (fleet.ran >= 250);
   CU_ASSERT (fleet.failed == 0);
-  CU_ASSERT (fleet.served + fleet.rate_limited == 1000);
+  CU_ASSERT (fleet.ran + fleet.rate_limited == 1000);
   CU_ASSERT (fleet.retry_after_ms > 0);
   fleet_finish (&fleet);
 }
@@ -445,7 +445,7 @@
   send_operations (&next, 50, 3000);
   fleet_advance (&fleet, 1000);
   CU_ASSERT (fleet.rate_limited == 0);
-  CU_ASSERT (fleet.served >= 50);
+  CU_ASSERT (fleet.ran >= 50);
   for (uint32_t i = 0; i < VMS; i++)
     if (fleet.vms[i].up)
       fleet_stop (&fleet, i);
@@ -459,7 +459,7 @@
   clear_replies ();
   send_operations (&next, 50, 4000);
   fleet_advance (&fleet, 1000);
-  CU_ASSERT (fleet.served >= 75);
+  CU_ASSERT (fleet.ran >= 75);
   CU_ASSERT (fleet.rate_limited == 0);
   fleet_finish (&fleet);
 }
@@ -481,7 +481,7 @@
   fleet_advance (&fleet, 500);
   CU_ASSERT (coordinator_of_fleet () == vm);
   CU_ASSERT (fleet.rate_limited == 0);
-  CU_ASSERT (fleet.served >= 80);
+  CU_ASSERT (fleet.ran >= 80);
   fleet_finish (&fleet);
 }
 
@@ -495,10 +495,10 @@
   for (uint32_t i = 0; i < LARGE_VMS; i++)
     CU_ASSERT (fleet.vms[i].node.rate_limiter.known.current == LARGE_VMS);
   clear_replies ();
-  fleet_send (&fleet, 5, 1, "READ 1a");
-  fleet_send (&fleet, 60, 1, "READ 1a");
+  fleet_send (&fleet, 5, 1, 0, "READ 1a");
+  fleet_send (&fleet, 60, 1, 0, "READ 1a");
   fleet_advance (&fleet, 100);
-  CU_ASSERT (fleet.served == 2);
+  CU_ASSERT (fleet.ran == 2);
   fleet_finish (&fleet);
 }
 
