Rate limit tests: no share is used twice, and tokens count from the ask

Cause: a delegation that ended too early at the VM, a token that lived too long and a bucket filled for an ended share passed all tests. Change: the simulation counts the users of every share; unit tests for the rest.

--- a/tests/rate_sim.c
+++ b/tests/rate_sim.c
@@ -532,6 +532,39 @@
   return worst;
 }
 
+/* Returns how many VMs fill buckets for the share of OWNER in SLOT. */
+static uint32_t
+count_users (RateSim *sim, uint32_t owner, uint32_t slot)
+{
+  uint32_t users = 0;
+
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    {
+      const RateSimVm *vm = &sim->vms[i];
+      const SsRateDelegation *d
+          = vm->up ? g_hash_table_lookup (vm->limiter.slots[slot].delegations,
+                                          sim->vms[owner].name)
+                   : NULL;
+      bool is_own = vm->up && i == owner
+                    && ss_rate_limiter_uses_own_share (&vm->limiter, slot,
+                                                       local_ms (sim, vm));
+
+      users += is_own || (d && local_ms (sim, vm) < d->until_ms) ? 1 : 0;
+    }
+  return users;
+}
+
+uint32_t
+rate_sim_doubled (RateSim *sim)
+{
+  uint32_t doubled = 0;
+
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    for (uint32_t j = 0; j < SS_RATE_SLOTS; j++)
+      doubled += count_users (sim, i, j) > 1 ? 1 : 0;
+  return doubled;
+}
+
 double
 rate_sim_bound (uint32_t rate_per_s, uint32_t burst)
 {
--- a/tests/rate_sim.h
+++ b/tests/rate_sim.h
@@ -94,6 +94,9 @@
 void rate_sim_advance (RateSim *sim, int64_t ms);
 /* rate_sim_send: sends one operation to VM. */
 void rate_sim_send (RateSim *sim, uint32_t vm, uint32_t organisation);
+/* rate_sim_doubled: returns how many shares are used by more than one VM now.
+ */
+uint32_t rate_sim_doubled (RateSim *sim);
 /* rate_sim_worst: returns the highest number of operations of an organisation
  * that were sent in one window and ran.
  */
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -42,6 +42,11 @@
   /* A delegation that has ended fills nothing for the time before. */
   ss_rate_bucket_set_share (&b, 0, 61000);
   CU_ASSERT (ss_rate_bucket_take (&b, 100, 0, 61000) == 0);
+  ss_rate_bucket_set_limit (&b, 10, 100, 61000);
+  ss_rate_bucket_set_share (&b, 1, 61000);
+  CU_ASSERT (ss_rate_bucket_take (&b, 2, 0, 61000) == 2);
+  ss_rate_bucket_set_share (&b, 0.5, 62000);
+  CU_ASSERT (ss_rate_bucket_take (&b, 100, 0, 62000) == 5);
 }
 
 /* A limit of 2 a second over 87 VMs without coordinators: each share of the
@@ -132,6 +137,61 @@
   CU_ASSERT (ss_rate_account_expected (&a, 1000, 31000) < 0.1);
 }
 
+static void
+drop_ask (void *data, const char *vm, const SsRateAsk *ask)
+{
+  (void) data;
+  (void) vm;
+  (void) ask;
+}
+
+static void
+drop_reply (void *data, const char *vm, const SsRateReply *reply)
+{
+  (void) data;
+  (void) vm;
+  (void) reply;
+}
+
+static void
+drop_change (void *data, uint32_t slot, const char *vm)
+{
+  (void) data;
+  (void) slot;
+  (void) vm;
+}
+
+/* The bound counts tokens from when they were granted.  A reply that is late is
+ * no reason for a token to live longer.
+ */
+static void
+tokens_count_from_the_ask (void)
+{
+  SsRateOutput output = { drop_ask, drop_reply, drop_change, NULL };
+  SsRateReply reply = { .token_count = 1 };
+  SsRateLimiter l;
+
+  ss_rate_limiter_init (&l, "a", &output, 5000, 0.1, 20, 1000);
+  ss_rate_limiter_set_limit (&l, "o", 10, 10, 1000);
+  reply.tokens[0] = (SsRateTokens){ "o", 3, 0 };
+  reply.sent_ms = 10000;
+  ss_rate_limiter_handle_reply (&l, "b", &reply, 10300);
+  CU_ASSERT (l.validity_ms > 400 && l.validity_ms < 450);
+  CU_ASSERT (ss_rate_limiter_take (&l, "o", false, 10400).outcome
+             == SS_RATE_TAKEN);
+  CU_ASSERT (ss_rate_limiter_take (&l, "o", false, 10450).outcome
+             == SS_RATE_WAIT);
+  ss_rate_limiter_handle_reply (&l, "b", &reply, 10460);
+  CU_ASSERT (ss_rate_limiter_take (&l, "o", false, 10460).outcome
+             == SS_RATE_WAIT);
+  /* A token that is returned does not live longer either. */
+  CU_ASSERT (ss_rate_limiter_refund (&l, "o", 10500, 10460));
+  CU_ASSERT (!ss_rate_limiter_refund (&l, "o", 10500, 10500));
+  CU_ASSERT (ss_rate_limiter_take (&l, "o", false, 10500).outcome
+             == SS_RATE_WAIT);
+  ss_rate_limiter_finish (&l);
+}
+
 /* --- the bound, under faults --- */
 
 static void
@@ -238,6 +298,22 @@
                   rates[i] * g_rand_double_range (rand, 0.5, 8));
 }
 
+/* Advances by MS.  No share is used by two VMs at any time. */
+static void
+advance_checked (int64_t ms, uint32_t seed)
+{
+  uint32_t doubled = 0;
+
+  for (int64_t i = 0; i < ms; i += 5)
+    {
+      rate_sim_advance (&sim, 5);
+      doubled += rate_sim_doubled (&sim);
+    }
+  if (doubled)
+    printf ("\nseed %u: a share was used twice\n", seed);
+  CU_ASSERT (doubled == 0);
+}
+
 /* The number of operations in every window is within the bound, whatever
  * happens to VMs and links.
  */
@@ -256,7 +332,7 @@
       for (uint32_t i = 0; i < 20; i++)
         {
           inject (rand);
-          rate_sim_advance (&sim, g_rand_int_range (rand, 10, 1500));
+          advance_checked (g_rand_int_range (rand, 10, 1500), seed);
         }
       for (uint32_t i = 0; i < sim.organisation_count; i++)
         check_bound (i, sim.organisations[i].rate_per_s,
@@ -653,6 +729,7 @@
   { "tokens ahead leave a reserve", tokens_ahead_leave_a_reserve },
   { "tokens expire", tokens_expire },
   { "demand is averaged", demand_is_averaged },
+  { "tokens count from the ask", tokens_count_from_the_ask },
   { "bound holds under faults", bound_holds_under_faults },
   { "bound holds when all vms restart", bound_holds_when_all_vms_restart },
   { "bound holds with two coordinators", bound_holds_with_two_coordinators },
--- a/tests/test_rate_node.c
+++ b/tests/test_rate_node.c
@@ -397,6 +397,25 @@
     }
 }
 
+/* Returns the mean size of the asks that the nodes have sent. */
+static double
+mean_ask_bytes (void)
+{
+  uint64_t bytes = 0;
+  uint64_t asks = 0;
+
+  for (uint32_t i = 0; i < fleet.vm_count; i++)
+    {
+      const SsNode *node = &fleet.vms[i].node;
+
+      bytes += node->traffic.bytes[SS_TRAFFIC_RATE_ASK][SS_TRAFFIC_SAME_DOMAIN]
+               + node->traffic
+                     .bytes[SS_TRAFFIC_RATE_ASK][SS_TRAFFIC_OTHER_DOMAIN];
+      asks += node->counters.values[SS_COUNTER_RATE_ASKS];
+    }
+  return (double) bytes / (double) MAX (asks, 1);
+}
+
 /* Real nodes share one limit: all of it is served, and no more. */
 static void
 nodes_share_one_limit (void)
@@ -417,6 +436,7 @@
   CU_ASSERT (fleet.failed == 0);
   CU_ASSERT (fleet.served + fleet.rate_limited == 1000);
   CU_ASSERT (fleet.retry_after_ms > 0);
+  CU_ASSERT (mean_ask_bytes () > 0 && mean_ask_bytes () < 60);
   fleet_finish (&fleet);
 }
 
