--- a/src/core/rate_limiter.c
+++ b/src/core/rate_limiter.c
@@ -392,7 +392,8 @@
     }
   ask->echo_ms = s->reading_ms;
   s->echoed_ms = s->reading_ms;
-  s->delegated_until_ms = now_ms + SS_RATE_HOLD_MS;
+  /* The reading was taken before it arrived. */
+  s->delegated_until_ms = s->read_ms + SS_RATE_HOLD_MS;
   update_share (l, ask->slot, now_ms);
 }
 
@@ -552,11 +553,14 @@
              int64_t now_ms)
 {
   SsRateSlot *s = &l->slots[ask->slot];
-  int64_t until_ms = ask->echo_ms + SS_RATE_DELEGATION_MS;
   SsRateDelegation *d;
+  int64_t until_ms;
 
   if (ask->echo_ms > now_ms || ask->echo_ms <= l->started_ms
-      || ask->echo_ms <= s->floor_ms || until_ms <= now_ms)
+      || ask->echo_ms <= s->floor_ms)
+    return;
+  until_ms = ask->echo_ms + SS_RATE_DELEGATION_MS;
+  if (until_ms <= now_ms)
     return;
   /* The buckets are filled up to now for the shares of before. */
   update_share (l, ask->slot, now_ms);
@@ -709,6 +713,15 @@
     a->asked_ms = 0;
 }
 
+static void
+note_reading (SsRateSlot *s, int64_t reading_ms, int64_t now_ms)
+{
+  if (reading_ms <= s->reading_ms)
+    return;
+  s->reading_ms = reading_ms;
+  s->read_ms = now_ms;
+}
+
 void
 ss_rate_limiter_handle_reply (SsRateLimiter *l, const char *from,
                               const SsRateReply *reply, int64_t now_ms)
@@ -728,8 +741,7 @@
   if (g_strcmp0 (s->vm, from) == 0)
     {
       s->silent_since_ms = 0;
-      s->reading_ms = MAX (s->reading_ms, reply->clock_ms);
-      s->read_ms = now_ms;
+      note_reading (s, reply->clock_ms, now_ms);
     }
   for (uint32_t i = 0; i < reply->token_count; i++)
     handle_tokens (l, &reply->tokens[i], reply->sent_ms, now_ms);
--- a/src/core/rate_limiter.h
+++ b/src/core/rate_limiter.h
@@ -10,7 +10,7 @@
  * A delegation ends by itself.  The coordinator sends its clock reading, and
  * the VM returns the last one that it received, its echo.  The coordinator
  * counts the delegation for a fixed time after that reading, and the VM for as
- * long, and the drift of two clocks, after it sent the echo.  The VM's time
+ * long, and the drift of two clocks, after the reading arrived.  The VM's time
  * ends last, so a share is never used twice.
  *
  * The module performs no I/O.  Times are milliseconds of the VM's clock.
--- a/tests/rate_sim.h
+++ b/tests/rate_sim.h
@@ -26,6 +26,7 @@
   bool up;
   bool leaving;
   uint32_t incarnation;
+  int64_t started_ms;
   double drift; /* of its clock: 0.01 is 1 % fast */
   int64_t clock_offset_ms;
   uint32_t partition; /* reaches VMs of the same partition only */
