--- a/tests/rate_sim.c
+++ b/tests/rate_sim.c
@@ -8,6 +8,8 @@
 #define HEARTBEAT_MS 200
 #define DEAD_MS 800
 #define DELAY_MS 8
+/* Until others hear of a VM that has started, through relays. */
+#define JOIN_MS 700
 #define PATIENCE_MS 700
 /* Approximate size of the fixed part of a message, and of one organisation. */
 #define MESSAGE_BYTES 40
@@ -269,6 +271,8 @@
 {
   uint32_t index = (uint32_t) (vm - sim->vms);
 
+  if (sim->now_ms - vm->started_ms < JOIN_MS)
+    return;
   for (uint32_t i = 0; i < sim->vm_count; i++)
     if (sim->vms[i].up && sim->vms[i].partition == vm->partition)
       sim->vms[i].heard_ms[index] = sim->now_ms;
@@ -342,6 +346,7 @@
   vm->up = true;
   vm->leaving = false;
   vm->incarnation++;
+  vm->started_ms = sim->now_ms;
   vm->paused_until_ms = 0;
   sim->vm_count = MAX (sim->vm_count, index + 1);
   /* The directory lists the VMs. */
@@ -354,7 +359,6 @@
     rate_sim_set_limit (sim, index, i, sim->organisations[i].rate_per_s,
                         sim->organisations[i].burst);
   ss_rate_limiter_set_active (&vm->limiter, true);
-  heartbeat (sim, vm);
   update_members (sim, vm);
 }
 
@@ -532,6 +536,39 @@
   return worst;
 }
 
+/* Returns how many VMs fill buckets for the share of OWNER in SLOT. */
+static uint32_t
+count_users (RateSim *sim, uint32_t owner, uint32_t slot)
+{
+  uint32_t users = 0;
+
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    {
+      const RateSimVm *vm = &sim->vms[i];
+      const SsRateDelegation *d
+          = vm->up ? g_hash_table_lookup (vm->limiter.slots[slot].delegations,
+                                          sim->vms[owner].name)
+                   : NULL;
+      bool is_own = vm->up && i == owner
+                    && ss_rate_limiter_uses_own_share (&vm->limiter, slot,
+                                                       local_ms (sim, vm));
+
+      users += is_own || (d && local_ms (sim, vm) < d->until_ms) ? 1 : 0;
+    }
+  return users;
+}
+
+uint32_t
+rate_sim_doubled (RateSim *sim)
+{
+  uint32_t doubled = 0;
+
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    for (uint32_t j = 0; j < SS_RATE_SLOTS; j++)
+      doubled += count_users (sim, i, j) > 1 ? 1 : 0;
+  return doubled;
+}
+
 double
 rate_sim_bound (uint32_t rate_per_s, uint32_t burst)
 {
--- a/tests/rate_sim.h
+++ b/tests/rate_sim.h
@@ -26,6 +26,7 @@
   bool up;
   bool leaving;
   uint32_t incarnation;
+  int64_t started_ms;
   double drift; /* of its clock: 0.01 is 1 % fast */
   int64_t clock_offset_ms;
   uint32_t partition; /* reaches VMs of the same partition only */
@@ -94,6 +95,9 @@
 void rate_sim_advance (RateSim *sim, int64_t ms);
 /* rate_sim_send: sends one operation to VM. */
 void rate_sim_send (RateSim *sim, uint32_t vm, uint32_t organisation);
+/* rate_sim_doubled: returns how many shares are used by more than one VM now.
+ */
+uint32_t rate_sim_doubled (RateSim *sim);
 /* rate_sim_worst: returns the highest number of operations of an organisation
  * that were sent in one window and ran.
  */
