--- a/src/core/config.c
+++ b/src/core/config.c
@@ -464,13 +464,15 @@
 adopt_parsed (SsConfig *c, const char *key, int64_t version, const char *value,
               uint32_t value_bytes, int64_t now_ms)
 {
-  json_error_t where;
+  /* The parser's message may quote a key or a verifier, so it is not shown. */
+  json_error_t where = { .line = 1, .column = 1 };
   json_t *json
       = json_loadb (value, value_bytes, JSON_REJECT_DUPLICATES, &where);
   char *error = NULL;
 
   if (!json_is_object (json))
-    error = g_strdup_printf ("not a JSON object: %s", where.text);
+    error = g_strdup_printf ("not a JSON object: line %d, column %d",
+                             where.line, where.column);
   else if (g_str_has_prefix (key, "routes/"))
     error = adopt_routes (c, key, version, json);
   else if (g_str_has_prefix (key, "service/"))
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -123,6 +123,20 @@
   return true;
 }
 
+/* Refuses R, as the key of its session is not valid any more.  A transaction
+ * whose first statement is refused has failed.
+ */
+static void
+refuse_key (SsNode *node, SsRequest *r)
+{
+  SsSession *s = r->session;
+
+  note_unknown (node, s, s->service);
+  ss_session_lose_transaction (node, s);
+  ss_session_note_loss_reported (s, r->sql);
+  ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_UNKNOWN_KEY, 0);
+}
+
 void
 ss_entry_dispatch (SsNode *node, SsRequest *r)
 {
@@ -134,10 +148,7 @@
       return;
     }
   if (!resolve_organisation (node, r))
-    {
-      note_unknown (node, s, s->service);
-      ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_UNKNOWN_KEY, 0);
-    }
+    refuse_key (node, r);
   else if (!ss_route_classify (node, r))
     ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_BAD_SETTING, 0);
   else
@@ -176,7 +187,8 @@
 
 void
 ss_entry_open (SsNode *node, uint64_t caller, const char *service,
-               const char *user, const char *key, const char *const *settings)
+               const char *user, const char *key_digest,
+               const char *const *settings)
 {
   SsSession *s;
   SsGroup *group;
@@ -186,7 +198,7 @@
   if (!node->ready && !node->stopping
       && ss_dialect_multiplexes_sessions (node->dialect))
     {
-      ss_startup_add (node, caller, service, user, key);
+      ss_startup_add (node, caller, service, user, key_digest);
       return;
     }
   if (node->stopping || !node->ready)
@@ -204,8 +216,7 @@
     }
   s = g_new0 (SsSession, 1);
   s->id = caller;
-  if (key)
-    ss_identity_digest (key, s->key_digest);
+  g_strlcpy (s->key_digest, key_digest, sizeof s->key_digest);
   if (!is_known (node, found, s))
     {
       refuse_unknown (node, s, service);
@@ -264,6 +275,25 @@
                       0);
 }
 
+/* Refuses a statement outside of a transaction in a session whose key is not
+ * valid any more, also one that would be answered here.  Returns whether it was
+ * refused.
+ */
+static bool
+refuse_removed_key (SsNode *node, SsSession *s, const char *label,
+                    const char *sql)
+{
+  const SsService *service = ss_config_service (&node->config, s->service);
+  SsRequest *r;
+
+  if (s->status != 'I' || !service || is_known (node, service, s))
+    return false;
+  r = ss_entry_create_request (node, s, sql);
+  r->label = g_strdup (label);
+  refuse_key (node, r);
+  return true;
+}
+
 void
 ss_entry_statement (SsNode *node, uint64_t caller, const char *label,
                     const char *sql)
@@ -274,6 +304,8 @@
   if (!s || s->request)
     return;
   ss_node_count (node, SS_COUNTER_STATEMENTS);
+  if (refuse_removed_key (node, s, label, sql))
+    return;
   if (ss_dialect_multiplexes_sessions (node->dialect))
     {
       ss_session_statement (node, s, label, sql);
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -35,7 +35,7 @@
 
 /* ss_startup_add: queues CALLER until this VM is ready. */
 void ss_startup_add (SsNode *node, uint64_t caller, const char *service,
-                     const char *user, const char *key);
+                     const char *user, const char *key_digest);
 void ss_startup_remove (SsNode *node, uint64_t caller);
 
 /* --- statement.c --- */
--- a/src/core/identity.c
+++ b/src/core/identity.c
@@ -5,8 +5,12 @@
 void
 ss_identity_digest (const char *key, char out[SS_KEY_DIGEST_BYTES])
 {
-  char *whole = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
+  char *whole;
 
+  out[0] = '\0';
+  if (!key || !*key)
+    return;
+  whole = g_compute_checksum_for_string (G_CHECKSUM_SHA256, key, -1);
   g_strlcpy (out, whole, SS_KEY_DIGEST_BYTES);
   g_free (whole);
 }
--- a/src/core/identity.h
+++ b/src/core/identity.h
@@ -10,7 +10,7 @@
 #include "core/config.h"
 
 /* ss_identity_digest: sets OUT to the digest of KEY: the first 128 bits of its
- * SHA-256, in hexadecimal.
+ * SHA-256, in hexadecimal.  The digest of an empty KEY, or of NULL, is "".
  */
 void ss_identity_digest (const char *key, char out[SS_KEY_DIGEST_BYTES]);
 
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -218,10 +218,38 @@
     }
 }
 
+static bool
+has_named_connections (const SsOwnedTarget *owned)
+{
+  for (guint i = 0; i < owned->connections->len; i++)
+    {
+      const SsConnection *c = g_ptr_array_index (owned->connections, i);
+
+      if (*c->organisation)
+        return true;
+    }
+  return false;
+}
+
+/* Whether statements run on connections of their organisations.  That remains
+ * so for a time after the configuration has lost its organisations: idle
+ * connections, queued statements and those of VMs that still have the former
+ * configuration belong to one.
+ */
+static bool
+uses_organisations (const SsNode *node, SsOwnedTarget *owned)
+{
+  if (node->config.organisations)
+    owned->by_organisation = true;
+  else if (owned->by_organisation && !ss_queue_length (&owned->queue))
+    owned->by_organisation = has_named_connections (owned);
+  return owned->by_organisation;
+}
+
 void
 ss_job_dispatch (SsNode *node, SsOwnedTarget *owned)
 {
-  if (node->config.organisations)
+  if (uses_organisations (node, owned))
     dispatch_by_organisation (node, owned);
   else
     dispatch_shared (node, owned);
@@ -314,6 +342,8 @@
   job->session = run->session;
   job->service = g_strdup (run->service);
   job->organisation = g_strdup (run->organisation);
+  if (*job->organisation)
+    owned->by_organisation = true;
   job->sql = g_strndup ((const char *) run->sql.data, run->sql.len);
   job->key = *run->request_key ? g_strdup (run->request_key) : NULL;
   job->trace = g_strdup (run->trace);
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -62,6 +62,10 @@
 void ss_peers_tick (SsNode *node);
 void ss_peers_handle_heartbeat (SsNode *node,
                                 const Ss__Peer__Heartbeat *heartbeat);
+/* ss_peers_check_behind: asks VM for its configuration if that of the operator
+ * has SEQUENCE there and peers have been ahead of this VM for some time.
+ */
+void ss_peers_check_behind (SsNode *node, const char *vm, int64_t sequence);
 /* ss_peers_send_heartbeat: sends a heartbeat at once. */
 void ss_peers_send_heartbeat (SsNode *node);
 /* ss_peers_add_member: adds VM or updates its address. */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/fanout_send.h"
+#include "core/identity.h"
 #include "core/internal.h"
 #include "core/subscription.h"
 #include "kernel/compare.h"
@@ -436,6 +437,17 @@
     ss_era_confirm (node);
 }
 
+/* The core keeps only the digest of the key that a caller presents. */
+static void
+open_session (SsNode *node, const SsEvent *e)
+{
+  char digest[SS_KEY_DIGEST_BYTES];
+
+  ss_identity_digest (e->caller_open.key, digest);
+  ss_entry_open (node, e->caller_open.caller, e->caller_open.service,
+                 e->caller_open.user, digest, e->caller_open.settings);
+}
+
 static void
 dispatch_event (SsNode *node, const SsEvent *e)
 {
@@ -443,9 +455,7 @@
   switch (e->kind)
     {
     case SS_EVENT_CALLER_OPEN:
-      ss_entry_open (node, e->caller_open.caller, e->caller_open.service,
-                     e->caller_open.user, e->caller_open.key,
-                     e->caller_open.settings);
+      open_session (node, e);
       break;
     case SS_EVENT_CALLER_STATEMENT:
       ss_entry_statement (node, e->caller_statement.caller,
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -141,6 +141,7 @@
   bool active; /* this VM owns it now */
   SsQueue queue;
   GPtrArray *connections; /* not the control connection */
+  bool by_organisation; /* statements or connections of organisations remain */
   int64_t connect_after_ms;
   SsBackoff connect_backoff;
   int64_t owner_since_ms;
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -176,12 +176,11 @@
   g_ptr_array_free (heard, TRUE);
 }
 
-/* Asks VM, which has a later configuration of the operator in force than this
- * VM, if peers have been ahead for BEHIND_MS.  This does not depend on the
- * watches: the one of the routes may be silent while others are answered.
+/* This does not depend on the watches: the one of the routes may be silent
+ * while others are answered.
  */
-static void
-check_behind (SsNode *node, const char *vm, int64_t sequence)
+void
+ss_peers_check_behind (SsNode *node, const char *vm, int64_t sequence)
 {
   if (sequence <= node->config.sequence)
     return;
@@ -222,7 +221,7 @@
   if (node->members.relayed && ss_members_is_in_domain (&node->members, m))
     ss_relay_send_digest (node, heartbeat->vm, heartbeat->digest);
   ss_era_observe (node, ss_version_era (heartbeat->revision), heartbeat->vm);
-  check_behind (node, heartbeat->vm, heartbeat->sequence);
+  ss_peers_check_behind (node, heartbeat->vm, heartbeat->sequence);
   if (heartbeat->revision > node->config.revision && pulls_from_peers (node))
     ss_config_sync_pull_newer (node, heartbeat->vm);
 }
--- a/src/core/relay.c
+++ b/src/core/relay.c
@@ -154,6 +154,7 @@
   digest.hash = hash_view (vms);
   digest.full = digest.hash != known_hash;
   digest.config_hash = node->config.hash;
+  digest.sequence = node->config.sequence;
   if (digest.full)
     {
       digest.vms = p.list;
@@ -324,6 +325,7 @@
   packed_states_init (&p, vms);
   report.failure_domain = (char *) node->params.failure_domain;
   report.hash = hash_view (vms);
+  report.sequence = node->config.sequence;
   e.body_case = SS__PEER__ENVELOPE__BODY_DOMAIN_REPORT;
   e.domain_report = &report;
   for (guint i = 0; i < relays->len; i++)
@@ -437,6 +439,8 @@
     }
   if (digest->hash == ss_relay_views_hash (node, from))
     ss_relay_views_refresh (node, from, false);
+  /* A VM that watches the platform may be turned away by it. */
+  ss_peers_check_behind (node, from, digest->sequence);
   if (digest->config_hash == node->config.hash)
     node->config_synced_ms = node->now_ms;
   else if (node->now_ms - node->config_synced_ms >= PULL_INTERVAL_MS
@@ -455,6 +459,8 @@
 
   if (strcmp (report->failure_domain, node->params.failure_domain) == 0)
     return;
+  /* The platform may turn away all VMs of this failure domain. */
+  ss_peers_check_behind (node, from, report->sequence);
   if (m)
     m->domain_report_ms = node->now_ms;
   if (report->full)
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -95,9 +95,11 @@
 
 void ss_entry_init (SsNode *node);
 void ss_entry_finish (SsNode *node);
-/* ss_entry_open: KEY may be NULL. */
+/* ss_entry_open: KEY_DIGEST is that of the caller's key (identity.h), "" if it
+ * presented none.
+ */
 void ss_entry_open (SsNode *node, uint64_t caller, const char *service,
-                    const char *user, const char *key,
+                    const char *user, const char *key_digest,
                     const char *const *settings);
 /* ss_entry_statement: LABEL is the caller's id of the statement, or NULL. */
 void ss_entry_statement (SsNode *node, uint64_t caller, const char *label,
--- a/src/core/startup.c
+++ b/src/core/startup.c
@@ -16,7 +16,7 @@
   uint64_t caller;
   char *service;
   char *user;
-  char *key; /* NULL: none */
+  char key_digest[SS_KEY_DIGEST_BYTES]; /* "": it presented no key */
   int64_t since_ms;
 } WaitingCaller;
 
@@ -27,7 +27,6 @@
 
   g_free (w->service);
   g_free (w->user);
-  g_free (w->key);
   g_free (w);
 }
 
@@ -45,14 +44,14 @@
 
 void
 ss_startup_add (SsNode *node, uint64_t caller, const char *service,
-                const char *user, const char *key)
+                const char *user, const char *key_digest)
 {
   WaitingCaller *w = g_new0 (WaitingCaller, 1);
 
   w->caller = caller;
   w->service = g_strdup (service);
   w->user = g_strdup (user);
-  w->key = g_strdup (key);
+  g_strlcpy (w->key_digest, key_digest, sizeof w->key_digest);
   w->since_ms = node->now_ms;
   g_queue_push_tail (&node->startup_callers, w);
 }
@@ -88,7 +87,8 @@
         return;
       g_queue_pop_head (&node->startup_callers);
       if (node->ready || node->stopping)
-        ss_entry_open (node, w->caller, w->service, w->user, w->key, NULL);
+        ss_entry_open (node, w->caller, w->service, w->user, w->key_digest,
+                       NULL);
       else
         ss_entry_refuse_open (node, w->caller, SS_REASON_NO_CONFIG, NULL);
       free_waiting (w);
--- a/src/core/tables.c
+++ b/src/core/tables.c
@@ -1,5 +1,6 @@
 #include "core/tables.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/owner.h"
@@ -170,19 +171,60 @@
     }
 }
 
+/* Replaces the lists of keys of ORGANISATION by their lengths: a digest lets
+ * its reader test guesses of the key.
+ */
+static void
+hide_keys (json_t *organisation)
+{
+  static const char *const lists[] = { "key_digests", "key_verifiers" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lists); i++)
+    {
+      json_t *list = json_object_get (organisation, lists[i]);
+
+      if (list)
+        json_object_set_new (
+            organisation, lists[i],
+            json_integer ((json_int_t) json_array_size (list)));
+    }
+}
+
+/* Returns the value of O without keys, to be freed with free. */
+static char *
+shown_value (const SsStoredObject *o)
+{
+  gsize bytes;
+  const char *text = g_bytes_get_data (o->value, &bytes);
+  json_t *json = json_loadb (text, bytes, 0, NULL);
+  json_t *organisation;
+  const char *name;
+  char *shown;
+
+  hide_keys (json);
+  json_object_foreach (json_object_get (json, "organisations"), name,
+                       organisation)
+  {
+    hide_keys (organisation);
+  }
+  shown = json_dumps (json, JSON_COMPACT);
+  json_decref (json);
+  return shown;
+}
+
 static gboolean
 add_object (gpointer key, gpointer value, gpointer data)
 {
   const SsStoredObject *o = value;
-  gsize bytes;
-  const char *text = g_bytes_get_data (o->value, &bytes);
+  char *text = shown_value (o);
 
   add_row (data,
-           json_pack ("{s:s, s:I, s:I, s:I, s:s%}", "key", (const char *) key,
+           json_pack ("{s:s, s:I, s:I, s:I, s:s}", "key", (const char *) key,
                       "version", (json_int_t) ss_version_revision (o->version),
                       "era", (json_int_t) ss_version_era (o->version),
-                      "sequence", (json_int_t) o->sequence, "value", text,
-                      bytes));
+                      "sequence", (json_int_t) o->sequence, "value",
+                      text ? text : ""));
+  free (text);
   return FALSE;
 }
 
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -21,6 +21,7 @@
 {
   char *value; /* NULL: deleted */
   int64_t version;
+  int64_t sequence; /* of a configuration; 0: none */
 } Stored;
 
 typedef struct
@@ -86,6 +87,7 @@
 {
   o->key = g_string_chunk_insert (s->texts, key);
   o->version = stored->version;
+  o->sequence = stored->sequence;
   o->deleted = !stored->value;
   if (o->deleted)
     return;
@@ -170,14 +172,23 @@
 static void
 store_put (FleetSim *sim, const char *key, const char *value)
 {
-  Stored *s = g_new (Stored, 1);
+  Stored *s = g_new0 (Stored, 1);
 
   s->version = ++sim->version;
+  if (g_str_has_prefix (key, ss_watch_prefix (SS_WATCH_ROUTES)))
+    s->sequence = sim->sequence;
   s->value = g_strdup (value);
   g_hash_table_replace (sim->objects, g_strdup (key), s);
   answer_watches (sim, key);
 }
 
+void
+fleet_put_routes (FleetSim *sim, const char *value, int64_t sequence)
+{
+  sim->sequence = sequence;
+  store_put (sim, "routes/main", value);
+}
+
 static int64_t
 stored_version (FleetSim *sim, const char *key)
 {
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -65,7 +65,8 @@
   uint32_t max_connections; /* of a server */
   uint32_t seed;
   int64_t now_ms;
-  int64_t version; /* of the last object written */
+  int64_t version;  /* of the last object written */
+  int64_t sequence; /* the operator's number of the routes; 0: none */
   GHashTable *objects;
   GHashTable *connections;
   GQueue *schedule; /* of events, by the millisecond that they are due in */
@@ -80,6 +81,10 @@
 void fleet_finish (FleetSim *sim);
 /* fleet_add_group: adds a group, its servers and its service. */
 void fleet_add_group (FleetSim *sim);
+/* fleet_put_routes: writes VALUE, the operator's configuration with the number
+ * SEQUENCE, to the store.
+ */
+void fleet_put_routes (FleetSim *sim, const char *value, int64_t sequence);
 void fleet_advance (FleetSim *sim, int64_t ms);
 /* fleet_open: opens one session a service at every VM. */
 void fleet_open (FleetSim *sim);
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -208,6 +208,11 @@
   if (c->session && c->session != s->id)
     line_sim_violation (sim, "connection is in another session's transaction",
                         label, c->server->name);
+  if (g_strcmp0 (c->organisation ? c->organisation : "",
+                 s->organisation ? s->organisation : "")
+      != 0)
+    line_sim_violation (sim, "connection of another organisation", label,
+                        c->organisation ? c->organisation : "(none)");
   if (s->status != 'T'
       && !ss_position_covers (c->server->applied, s->committed))
     line_sim_violation (sim, "server lacks own commit of session", label,
@@ -428,6 +433,7 @@
   LineConnection *c = data;
 
   ss_session_state_finish (&c->state);
+  g_free (c->organisation);
   g_free (c);
 }
 
@@ -446,6 +452,7 @@
       scheduled->event.target.refused = true;
     }
   c->status = 'I';
+  c->organisation = g_strdup (a->organisation);
   g_hash_table_insert (sim->connections, &c->id, c);
   scheduled->event.target.connection = c->id;
 }
@@ -497,6 +504,23 @@
   ss__peer__envelope__free_unpacked (e, NULL);
 }
 
+static void
+record_emitted (LineSim *sim, const SsAction *a)
+{
+  const char *const texts[] = { a->name, a->text, a->label, a->organisation };
+  gsize bytes;
+  const char *data;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    if (texts[i])
+      g_string_append_printf (sim->emitted, "%s\n", texts[i]);
+  if (!a->bytes)
+    return;
+  data = g_bytes_get_data (a->bytes, &bytes);
+  for (gsize i = 0; i < bytes; i++)
+    g_string_append_c (sim->emitted, data[i] ? data[i] : '\n');
+}
+
 static void
 execute_actions (LineSim *sim)
 {
@@ -504,6 +528,8 @@
 
   while (ss_node_take_action (&sim->node, &a))
     {
+      if (sim->emitted)
+        record_emitted (sim, &a);
       switch (a.kind)
         {
         case SS_ACTION_TARGET_CONNECT:
@@ -795,22 +821,52 @@
   g_free (routes);
 }
 
+void
+line_sim_open (LineSim *sim, uint32_t session, const char *service,
+               const char *key)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_OPEN };
+  LineSession *s = &sim->sessions[session - 1];
+
+  sim->session_count = MAX (sim->session_count, session);
+  s->id = session;
+  s->status = 'I';
+  s->awaiting_reply = true;
+  e.caller_open.caller = session;
+  e.caller_open.service = service;
+  e.caller_open.user = "";
+  e.caller_open.key = key;
+  ss_node_on_event (&sim->node, &e, sim->now_ms);
+  execute_actions (sim);
+}
+
+void
+line_sim_close (LineSim *sim, uint32_t session)
+{
+  SsEvent e = { .kind = SS_EVENT_CALLER_CLOSE };
+
+  e.caller.caller = session;
+  ss_node_on_event (&sim->node, &e, sim->now_ms);
+  execute_actions (sim);
+}
+
+void
+line_sim_operator (LineSim *sim, const char *text)
+{
+  SsEvent e = { .kind = SS_EVENT_OPERATOR };
+
+  e.operator_command.id = 1;
+  e.operator_command.text = text;
+  e.operator_command.may_change = true;
+  ss_node_on_event (&sim->node, &e, sim->now_ms);
+  execute_actions (sim);
+}
+
 static void
 open_sessions (LineSim *sim, uint32_t count)
 {
-  sim->session_count = count;
   for (uint32_t i = 0; i < count; i++)
-    {
-      SsEvent e = { .kind = SS_EVENT_CALLER_OPEN };
-
-      sim->sessions[i].id = i + 1;
-      sim->sessions[i].status = 'I';
-      e.caller_open.caller = i + 1;
-      e.caller_open.service = i % 2 ? "bounded" : "strict";
-      e.caller_open.user = "";
-      ss_node_on_event (&sim->node, &e, sim->now_ms);
-      execute_actions (sim);
-    }
+    line_sim_open (sim, i + 1, i % 2 ? "bounded" : "strict", NULL);
   sim->served = 0;
 }
 
@@ -865,4 +921,6 @@
   g_clear_pointer (&sim->copied_objects, g_tree_destroy);
   g_clear_pointer (&sim->copied_versions, g_hash_table_destroy);
   g_rand_free (sim->rand);
+  if (sim->emitted)
+    g_string_free (sim->emitted, TRUE);
 }
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -39,6 +39,7 @@
   char status;          /* transaction status: I, T or E */
   uint32_t session;     /* of the open transaction; 0: none */
   bool wrote;           /* the open transaction has written */
+  char *organisation;   /* that it was opened for; NULL: none */
 } LineConnection;
 
 typedef struct
@@ -56,6 +57,7 @@
   SsPosition committed;      /* its last acknowledged commit */
   SsVerdict verdict;         /* of the last reply */
   SsReason reason;
+  const char *organisation; /* that its statements must run for; "": none */
 } LineSession;
 
 struct LineSim
@@ -91,6 +93,8 @@
   /* Faults for the next caller statement that a server gets. */
   SsTargetFault fault_next;
   bool lose_next;
+  GString *emitted; /* all that the core writes and sends, with NUL bytes as
+                       newlines; NULL: not kept */
   /* Results. */
   GHashTable *runs;         /* label -> how often a server ran the statement */
   uint32_t status_requests; /* to all servers */
@@ -110,6 +114,16 @@
 void line_sim_init (LineSim *sim, uint32_t seed, uint32_t sessions,
                     uint32_t max_connections);
 void line_sim_finish (LineSim *sim);
+/* line_sim_open: opens SESSION (from 1) for SERVICE with KEY, which may be
+ * NULL; a session of this number must not be open.  The session's verdict tells
+ * whether it was accepted.
+ */
+void line_sim_open (LineSim *sim, uint32_t session, const char *service,
+                    const char *key);
+/* line_sim_close: closes SESSION. */
+void line_sim_close (LineSim *sim, uint32_t session);
+/* line_sim_operator: runs the operator command TEXT. */
+void line_sim_operator (LineSim *sim, const char *text);
 /* line_sim_advance: advances the clock by MS milliseconds. */
 void line_sim_advance (LineSim *sim, int64_t ms);
 /* line_sim_execute: sends TEXT from SESSION (from 1) and runs until the reply,
