Invalid organisations have a defined meaning each

Cause: from the users' platform, a list of organisations of another type counted as none, so that any caller was served without a key; a limit beyond made the core refuse all routes; a missing burst became 0; a second organisation of a name took the place of the first; a list of keys of another type was no key, without a line. A name with a space or a line break changed the message by which servers are told it, and an empty one meant no organisation.

Digests must be hexadecimal.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -330,10 +330,11 @@
   const char *text = json_string_value (digest);
   const SsOrganisation *holder;
 
-  if (!text || strlen (text) != SS_KEY_DIGEST_BYTES - 1)
+  if (!text || strlen (text) != SS_KEY_DIGEST_BYTES - 1
+      || strspn (text, "0123456789abcdef") != SS_KEY_DIGEST_BYTES - 1)
     return g_strdup_printf (
-        "\"key_digests\" of \"%s\" must be strings of %d characters", o->name,
-        SS_KEY_DIGEST_BYTES - 1);
+        "\"key_digests\" of \"%s\" must be strings of %d hexadecimal digits",
+        o->name, SS_KEY_DIGEST_BYTES - 1);
   holder = ss_config_key (c, text);
   if (holder && holder != o)
     return g_strdup_printf ("\"%s\" and \"%s\" have a key in common",
@@ -346,10 +347,13 @@
 adopt_organisation (SsConfig *c, const char *name, json_t *json)
 {
   SsOrganisation *o = g_new0 (SsOrganisation, 1);
-  char *error = ss_parse_organisation (o, json);
+  char *error = ss_parse_organisation_name (name);
   json_t *digest;
   size_t i;
 
+  if (!error)
+    error = ss_parse_organisation (o, json);
+
   o->name = g_strdup (name);
   g_tree_insert (c->organisations, o->name, o);
   json_array_foreach (json_object_get (json, "key_digests"), i, digest)
--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -7,8 +7,6 @@
 #define WEIGHT_MAX 1000
 #define SLOTS_MAX 100000
 #define URGENCY_MAX 1000
-/* Operations a second, and in a burst. */
-#define RATE_MAX 1000000000
 
 char *
 ss_parse_text (json_t *json, const char *name, const char *fallback, char **out)
@@ -207,6 +205,22 @@
   return error;
 }
 
+char *
+ss_parse_organisation_name (const char *name)
+{
+  size_t bytes = strlen (name);
+
+  for (size_t i = 0; i < bytes; i++)
+    if ((unsigned char) name[i] <= ' ' || name[i] == 0x7f)
+      return g_strdup ("the name of an organisation must not contain spaces or "
+                       "control characters");
+  if (bytes == 0 || bytes > SS_ORGANISATION_NAME_MAX_BYTES)
+    return g_strdup_printf (
+        "the name of an organisation must have 1 to %d bytes",
+        SS_ORGANISATION_NAME_MAX_BYTES);
+  return NULL;
+}
+
 char *
 ss_parse_organisation (SsOrganisation *o, json_t *json)
 {
@@ -218,12 +232,13 @@
   if (!error && !json_is_array (json_object_get (json, "key_digests")))
     error = g_strdup ("\"key_digests\" must be an array");
   if (!error)
-    error = ss_parse_number (json, "rate_per_s", 0, 0, RATE_MAX, &rate_per_s);
+    error
+        = ss_parse_number (json, "rate_per_s", 0, 0, SS_RATE_MAX, &rate_per_s);
   /* Without a burst of its own, an organisation may send what it may send in
    * one second.
    */
   if (!error)
-    error = ss_parse_number (json, "burst", rate_per_s, 0, RATE_MAX, &burst);
+    error = ss_parse_number (json, "burst", rate_per_s, 0, SS_RATE_MAX, &burst);
   if (!error && !has_rate && json_object_get (json, "burst"))
     error = g_strdup ("\"burst\" needs \"rate_per_s\"");
   o->is_limited = has_rate;
--- a/src/core/parse.h
+++ b/src/core/parse.h
@@ -15,6 +15,10 @@
 #define SS_CONNECTIONS_MAX 10000
 /* Upper limit of time-outs in objects: 10 minutes. */
 #define SS_TIMEOUT_MAX_MS 600000
+/* Upper limit of an organisation's rate, in operations a second, and burst. */
+#define SS_RATE_MAX 1000000000
+/* Longest name of an organisation. */
+#define SS_ORGANISATION_NAME_MAX_BYTES 128
 
 /* ss_parse_text: sets *OUT to a copy of the string member NAME, or of FALLBACK
  * if NAME is missing.  NAME is required if FALLBACK is NULL.  The caller frees
@@ -40,6 +44,10 @@
 char *ss_parse_service (SsService *s, json_t *json);
 char *ss_parse_target (SsTarget *t, json_t *json);
 char *ss_parse_group (SsGroup *g, json_t *json);
+/* ss_parse_organisation_name: checks NAME, which servers are told in messages
+ * whose fields are separated by spaces.
+ */
+char *ss_parse_organisation_name (const char *name);
 /* ss_parse_organisation: parses the limits, and checks that the digests of the
  * keys are an array.
  */
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -113,11 +113,160 @@
   ss_config_finish (&c);
 }
 
+#define DIGEST_1 "00000000000000000000000000000001"
+#define DIGEST_2 "00000000000000000000000000000002"
+#define ROUTES(organisations)                                                  \
+  "{\"services\":{},\"organisations\":" organisations "}"
+#define ONE(members) ROUTES ("{\"a\":{" members "}}")
+#define ONE_LIMITED(limits) ONE ("\"key_digests\":[]," limits)
+
+typedef struct
+{
+  const char *json;
+  const char *message; /* a part of the error; NULL: valid */
+  bool is_limited;
+  uint32_t rate_per_s;
+  uint32_t burst;
+} OrganisationRow;
+
+static const OrganisationRow organisation_rows[] = {
+  { ONE ("\"key_digests\":[]"), NULL, false, 0, 0 },
+  { ONE ("\"key_digests\":[\"" DIGEST_1 "\",\"" DIGEST_1 "\"]"), NULL, false, 0,
+    0 },
+  { ONE_LIMITED ("\"rate_per_s\":5"), NULL, true, 5, 5 },
+  { ONE_LIMITED ("\"rate_per_s\":5,\"burst\":0"), NULL, true, 5, 0 },
+  { ONE_LIMITED ("\"rate_per_s\":0"), NULL, true, 0, 0 },
+  { ONE_LIMITED ("\"rate_per_s\":0,\"burst\":7"), NULL, true, 0, 7 },
+  { ONE_LIMITED ("\"rate_per_s\":1000000000"), NULL, true, 1000000000,
+    1000000000 },
+  { ONE_LIMITED ("\"rate_per_s\":1000000001"), "rate_per_s", false, 0, 0 },
+  { ONE_LIMITED ("\"rate_per_s\":-1"), "rate_per_s", false, 0, 0 },
+  { ONE_LIMITED ("\"rate_per_s\":1.5"), "rate_per_s", false, 0, 0 },
+  { ONE_LIMITED ("\"rate_per_s\":\"5\""), "rate_per_s", false, 0, 0 },
+  { ONE_LIMITED ("\"rate_per_s\":null"), "rate_per_s", false, 0, 0 },
+  { ONE_LIMITED ("\"rate_per_s\":5,\"burst\":-1"), "burst", false, 0, 0 },
+  { ONE_LIMITED ("\"burst\":5"), "burst", false, 0, 0 },
+  { ONE (""), "key_digests", false, 0, 0 },
+  { ONE ("\"key_digests\":\"" DIGEST_1 "\""), "key_digests", false, 0, 0 },
+  { ONE ("\"key_digests\":[\"\"]"), "key_digests", false, 0, 0 },
+  { ONE ("\"key_digests\":[7]"), "key_digests", false, 0, 0 },
+  { ONE ("\"key_digests\":[\"0000000000000000000000000000000G\"]"),
+    "key_digests", false, 0, 0 },
+  { ONE ("\"key_digests\":[],\"keys\":[\"k\"]"), "unknown member", false, 0,
+    0 },
+  { ROUTES ("[]"), "organisations", false, 0, 0 },
+  { ROUTES ("null"), "organisations", false, 0, 0 },
+  { ROUTES ("{\"a\":7}"), "key_digests", false, 0, 0 },
+  { ROUTES ("{\"\":{\"key_digests\":[]}}"), "name", false, 0, 0 },
+  { ROUTES ("{\"a b\":{\"key_digests\":[]}}"), "spaces", false, 0, 0 },
+  { ROUTES ("{\"a\\nCONNECT\":{\"key_digests\":[]}}"), "spaces", false, 0, 0 },
+  { ROUTES ("{\"a\":{\"key_digests\":[\"" DIGEST_1
+            "\"]},\"b\":{\"key_digests\":[\"" DIGEST_1 "\"]}}"),
+    "in common", false, 0, 0 },
+};
+
+/* Guards against an invalid organisation that changes what is in force: a part
+ * of the others, or whether callers need keys at all.
+ */
+static void
+organisations_are_checked (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (organisation_rows); i++)
+    {
+      const OrganisationRow *row = &organisation_rows[i];
+      SsObject o = { "routes/main", 2, row->json, (uint32_t) strlen (row->json),
+                     false,         0 };
+      const SsOrganisation *a;
+      SsConfig c;
+      char *error;
+
+      ss_config_init (&c);
+      adopt (&c, "routes/main", 1,
+             ROUTES ("{\"a\":{\"key_digests\":[\"" DIGEST_2
+                     "\"],\"rate_per_s\":3}}"));
+      ss_config_adopt (&c, &o, 0, &error);
+      a = ss_config_organisation (&c, "a");
+      if (row->message)
+        {
+          CU_ASSERT (error && strstr (error, row->message));
+          CU_ASSERT (a && a->rate_per_s == 3);
+          CU_ASSERT_PTR_EQUAL (ss_config_key (&c, DIGEST_2), a);
+          CU_ASSERT_PTR_NULL (ss_config_key (&c, DIGEST_1));
+        }
+      else
+        {
+          CU_ASSERT_PTR_NULL (error);
+          CU_ASSERT (a && a->is_limited == row->is_limited
+                     && a->rate_per_s == row->rate_per_s
+                     && a->burst == row->burst);
+          CU_ASSERT_PTR_NULL (ss_config_key (&c, DIGEST_2));
+        }
+      g_free (error);
+      ss_config_finish (&c);
+    }
+}
+
+#define MANY_KEYS 10000
+/* Adopting stops the VM's event loop: much less than a heartbeat's interval of
+ * 200 ms, also under a sanitizer on a busy machine.
+ */
+#define MANY_KEYS_MAX_MS 100
+
+/* Guards against a configuration with many keys that stops a VM. */
+static void
+many_keys_are_adopted_fast (void)
+{
+  GString *text = g_string_new ("{\"services\":{},\"organisations\":{");
+  gint64 started_us;
+  SsConfig c;
+
+  for (uint32_t i = 0; i < MANY_KEYS; i++)
+    {
+      if (i % 100 == 0)
+        g_string_append_printf (text, "%s\"o%u\":{\"key_digests\":[",
+                                i ? "]}," : "", i / 100);
+      g_string_append_printf (text, "%s\"%032x\"", i % 100 ? "," : "", i);
+    }
+  g_string_append (text, "]}}}");
+  ss_config_init (&c);
+  started_us = g_get_monotonic_time ();
+  CU_ASSERT (adopt (&c, "routes/main", 1, text->str) == SS_ADOPT_DONE);
+  CU_ASSERT (g_get_monotonic_time () - started_us < MANY_KEYS_MAX_MS * 1000);
+  CU_ASSERT (g_hash_table_size (c.keys) == MANY_KEYS);
+  CU_ASSERT_STRING_EQUAL (
+      ss_config_key (&c, "0000000000000000000000000000270f")->name, "o99");
+  ss_config_finish (&c);
+  g_string_free (text, TRUE);
+}
+
+/* Guards against a service that is left out, or stops the VM, as its group is
+ * not known yet.
+ */
+static void
+service_of_unknown_group_waits_for_it (void)
+{
+  SsConfig c;
+
+  ss_config_init (&c);
+  CU_ASSERT (adopt (&c, "routes/main", 1,
+                    "{\"services\":{\"s\":{\"group\":\"later\"}}}")
+             == SS_ADOPT_DONE);
+  CU_ASSERT_PTR_NOT_NULL (ss_config_service (&c, "s"));
+  CU_ASSERT_PTR_NULL (ss_config_group (&c, "later"));
+  adopt (&c, "group/later", 2, "{\"term\":1,\"primary\":\"t\"}");
+  CU_ASSERT_PTR_NOT_NULL (ss_config_group (&c, "later"));
+  ss_config_finish (&c);
+}
+
 CU_TestInfo test_config[] = {
   { "only newer versions are adopted", only_newer_versions_are_adopted },
   { "invalid object changes nothing", invalid_object_changes_nothing },
   { "groups find servers and primary", groups_find_servers_and_primary },
   { "read kinds of services are parsed", read_kinds_of_services_are_parsed },
   { "invalid routes change no limits", invalid_routes_change_no_limits },
+  { "organisations are checked", organisations_are_checked },
+  { "many keys are adopted fast", many_keys_are_adopted_fast },
+  { "service of unknown group waits for it",
+    service_of_unknown_group_waits_for_it },
   CU_TEST_INFO_NULL,
 };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -2,8 +2,10 @@
  * records.
  */
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "core/config.h"
 #include "platform/dialect.h"
 #include "platform/errors.h"
 #include "platform/line.h"
@@ -273,6 +275,147 @@
     }
 }
 
+#define CONFIG(members)                                                        \
+  META ",\"spec\":{\"version\":4,\"routes\":[{\"host\":\"h\",\"service\":"     \
+       "\"s\","                                                                \
+       "\"kind\":\"primary\"}]," members "}}"
+#define TENANTS(list) CONFIG ("\"tenants\":[" list "]")
+#define TENANT(members) "{\"name\":\"a\"" members "}"
+
+typedef struct
+{
+  const char *tenants;
+  const char *omitted; /* a part of what is noted; NULL: nothing is left out */
+  const char *adopted; /* the organisations; NULL: the whole is refused */
+} TenantRow;
+
+/* The digests of "k" and of "l". */
+#define DIGEST_K "8254c329a92850f6d539dd376f4816ee"
+#define DIGEST_L "acac86c0e609ca906f632b0e2dacccb2"
+#define ORGANISATION(keys, limits) "{\"key_digests\":[" keys "]" limits "}"
+
+static const TenantRow tenant_rows[] = {
+  { "", NULL, "{}" },
+  { TENANT (""), NULL, "{\"a\":" ORGANISATION ("", "") "}" },
+  { TENANT (",\"api_keys\":[]"), NULL, "{\"a\":" ORGANISATION ("", "") "}" },
+  { TENANT (",\"api_keys\":[\"k\",\"k\"]"), "listed before",
+    "{\"a\":" ORGANISATION ("\"" DIGEST_K "\"", "") "}" },
+  { TENANT (",\"api_keys\":[\"\",7,null,\"k\"]"), "3 keys",
+    "{\"a\":" ORGANISATION ("\"" DIGEST_K "\"", "") "}" },
+  { TENANT (",\"api_keys\":\"k\""), "api_keys",
+    "{\"a\":" ORGANISATION ("", "") "}" },
+  { TENANT (",\"api_keys\":[\"k\"]") ",{\"name\":\"b\",\"api_keys\":[\"k\","
+                                     "\"l\"]}",
+    "listed before",
+    "{\"a\":" ORGANISATION ("\"" DIGEST_K "\"", "") ",\"b\":" ORGANISATION (
+        "\"" DIGEST_L "\"", "") "}" },
+  { TENANT (",\"api_keys\":[\"k\"]") "," TENANT (",\"api_keys\":[\"l\"]"),
+    "has its name", "{\"a\":" ORGANISATION ("\"" DIGEST_K "\"", "") "}" },
+  { TENANT (",\"rate_per_s\":2.1"), NULL,
+    "{\"a\":" ORGANISATION ("", ",\"rate_per_s\":3") "}" },
+  { TENANT (",\"rate_per_s\":0,\"burst\":0"), NULL,
+    "{\"a\":{\"burst\":0,\"key_digests\":[],\"rate_per_s\":0}}" },
+  { TENANT (",\"rate_per_s\":null,\"burst\":5"), NULL,
+    "{\"a\":" ORGANISATION ("", "") "}" },
+  { TENANT (",\"rate_per_s\":1e300"), NULL,
+    "{\"a\":" ORGANISATION ("", ",\"rate_per_s\":1000000000") "}" },
+  { TENANT (",\"rate_per_s\":9000000000000000000"), NULL,
+    "{\"a\":" ORGANISATION ("", ",\"rate_per_s\":1000000000") "}" },
+  { TENANT (",\"rate_per_s\":-0.5"), "rate_per_s", "{}" },
+  { TENANT (",\"rate_per_s\":\"many\""), "rate_per_s", "{}" },
+  { TENANT (",\"rate_per_s\":1,\"burst\":-1"), "burst", "{}" },
+  { TENANT (",\"rate_per_s\":1,\"burst\":[]"), "burst", "{}" },
+  { "7,{\"name\":7},{\"name\":\"\"},{\"name\":\"a b\"},{\"name\":\"c\"}",
+    "tenant 3", "{\"c\":" ORGANISATION ("", "") "}" },
+};
+
+static char *
+organisations_text (const char *value)
+{
+  json_t *json = json_loads (value ? value : "{}", 0, NULL);
+  char *text = json_dumps (json_object_get (json, "organisations"),
+                           JSON_COMPACT | JSON_SORT_KEYS);
+
+  json_decref (json);
+  return text;
+}
+
+/* Guards against an organisation that can't be read and keeps out the others,
+ * against one that the core refuses together with all routes, and against notes
+ * that quote a key.
+ */
+static void
+organisations_are_converted (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (tenant_rows); i++)
+    {
+      const TenantRow *row = &tenant_rows[i];
+      char *text = g_strdup_printf (TENANTS ("%s"), row->tenants);
+      SsRecord r;
+      char *error = read_object (&r, "config", text);
+      char *adopted = organisations_text (r.value);
+
+      CU_ASSERT_PTR_NULL (error);
+      CU_ASSERT (g_strcmp0 (adopted, row->adopted) == 0);
+      if (g_strcmp0 (adopted, row->adopted) != 0)
+        g_printerr ("%s: %s\n", row->tenants, adopted);
+      CU_ASSERT (row->omitted ? r.omitted && strstr (r.omitted, row->omitted)
+                              : !r.omitted);
+      if (r.value)
+        {
+          char *refusal = ss_config_check ("routes/main", r.value,
+                                           (uint32_t) strlen (r.value));
+
+          CU_ASSERT_PTR_NULL (refusal);
+          g_free (refusal);
+        }
+      free (adopted);
+      g_free (error);
+      ss_record_finish (&r);
+      g_free (text);
+    }
+}
+
+/* Guards against a deployment that serves any caller, as the list of its
+ * organisations can't be read.
+ */
+static void
+unreadable_organisations_open_nothing (void)
+{
+  static const char *const bad[] = { "{}", "7", "\"\"", "true" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      char *text = g_strdup_printf (CONFIG ("\"tenants\":%s"), bad[i]);
+      SsRecord r;
+      char *error = read_object (&r, "config", text);
+
+      CU_ASSERT (error && strstr (error, "tenants"));
+      CU_ASSERT_PTR_NULL (r.value);
+      g_free (error);
+      ss_record_finish (&r);
+      g_free (text);
+    }
+}
+
+/* Guards against a service that is open to all, as its flag can't be read. */
+static void
+unreadable_flag_makes_no_service_public (void)
+{
+  SsRecord r;
+  char *error = read_object (
+      &r, "config",
+      META ",\"spec\":{\"tenants\":[],\"routes\":[{\"host\":\"h\","
+           "\"service\":\"s\",\"kind\":\"primary\",\"public\":\"yes\"}]}}");
+
+  CU_ASSERT_PTR_NULL (error);
+  CU_ASSERT (r.omitted && strstr (r.omitted, "public"));
+  CU_ASSERT (r.value && strstr (r.value, "\"h\"")
+             && !strstr (r.value, "public"));
+  g_free (error);
+  ss_record_finish (&r);
+}
+
 /* Arbitrary input is parsed without memory errors, and a line ends within it.
  */
 static void
@@ -316,6 +459,11 @@
   { "malformed records are refused", malformed_records_are_refused },
   { "unreadable route leaves others in force",
     unreadable_route_leaves_others_in_force },
+  { "organisations are converted", organisations_are_converted },
+  { "unreadable organisations open nothing",
+    unreadable_organisations_open_nothing },
+  { "unreadable flag makes no service public",
+    unreadable_flag_makes_no_service_public },
   { "random bytes are parsed safely", random_bytes_are_parsed_safely },
   CU_TEST_INFO_NULL,
 };
