A server that restarts under its id is a new one

Cause: a target's later born_ms voided the last known state, but connections to the former process stayed in use until they broke, their late answers advanced the position of the new one, late reports of other VMs restored the former state, and commits went on counting the restarted primary as a holder. A change of the address alone changed nothing.

Change: a target has an incarnation, which changes with born_ms and the address. Its owner then closes all connections, refuses what is queued as not run, and answers waiting commits as in doubt (event 650). Reports that were asked for before are void.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -170,12 +170,35 @@
   return error;
 }
 
+static bool
+is_same_server (const SsTarget *before, const SsTarget *parsed)
+{
+  return before->born_ms == parsed->born_ms && before->port == parsed->port
+         && g_strcmp0 (before->ip, parsed->ip) == 0;
+}
+
+/* Another server process has the name of T: what was known of the former one is
+ * void, and so are reports that were asked for before NOW_MS.
+ */
+static void
+forget_server (SsTarget *t, int64_t now_ms)
+{
+  bool is_known = t->state_ms != 0;
+
+  t->incarnation++;
+  memset (&t->state, 0, sizeof t->state);
+  if (is_known)
+    t->state_ms = now_ms;
+}
+
 /* Updates a known target in place: pointers to it and its state stay valid. */
 static char *
-adopt_target (SsConfig *c, const char *name, int64_t version, json_t *json)
+adopt_target (SsConfig *c, const char *name, int64_t version, json_t *json,
+              int64_t now_ms)
 {
   SsTarget parsed = { 0 };
   bool draining_before;
+  bool is_same;
   char *error = ss_parse_target (&parsed, json);
   SsTarget *t;
 
@@ -191,8 +214,8 @@
       t->name = g_strdup (name);
       g_tree_insert (c->targets, t->name, t);
     }
-  else
-    target_clear_settings (t);
+  is_same = is_same_server (t, &parsed);
+  target_clear_settings (t);
   draining_before = t->draining && t->born_ms && t->born_ms == parsed.born_ms
                     && ss_version_era (t->version) != ss_version_era (version);
   t->version = version;
@@ -207,9 +230,8 @@
    */
   t->draining = parsed.draining || draining_before;
   t->removed = false;
-  /* A new incarnation of the server: its last known state is void. */
-  if (t->born_ms != parsed.born_ms)
-    memset (&t->state, 0, sizeof t->state);
+  if (!is_same)
+    forget_server (t, now_ms);
   t->born_ms = parsed.born_ms;
   t->owner_generation = 0;
   g_tree_foreach (c->groups, attach_servers, c);
@@ -482,7 +504,7 @@
   else if (g_str_has_prefix (key, "service/"))
     error = adopt_service (c, strchr (key, '/') + 1, key, version, json);
   else if (g_str_has_prefix (key, "target/"))
-    error = adopt_target (c, strchr (key, '/') + 1, version, json);
+    error = adopt_target (c, strchr (key, '/') + 1, version, json, now_ms);
   else if (g_str_has_prefix (key, "group/"))
     error = adopt_group (c, strchr (key, '/') + 1, version, json, now_ms);
   json_decref (json);
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -68,7 +68,9 @@
   int64_t born_ms;          /* Unix time of its start; 0: unknown.  Identifies
                                the incarnation. */
   bool draining;
-  bool removed; /* deleted; kept because pointers to it remain */
+  bool removed;         /* deleted; kept because pointers to it remain */
+  uint32_t incarnation; /* changes with born_ms and the address: another server
+                           process has the name */
   /* last known state */
   SsServerState state;
   int64_t state_ms;     /* the state was requested at this time or earlier */
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -138,7 +138,8 @@
 struct SsOwnedTarget
 {
   SsTarget *target;
-  bool active; /* this VM owns it now */
+  bool active;          /* this VM owns it now */
+  uint32_t incarnation; /* of the target that the connections lead to */
   SsQueue queue;
   GPtrArray *connections; /* not the control connection */
   bool by_organisation; /* statements or connections of organisations remain */
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -290,6 +290,7 @@
   SsOwnedTarget *o = g_new0 (SsOwnedTarget, 1);
 
   o->target = target;
+  o->incarnation = target->incarnation;
   ss_queue_init (&o->queue);
   ss_writers_init (&o->writers);
   o->connections = g_ptr_array_new ();
@@ -302,9 +303,7 @@
   return o;
 }
 
-/* Closes C, which is idle or connects, and refuses the job that it was opened
- * for, if any.
- */
+/* Closes C and answers its job, if any. */
 static void
 end_unused (SsNode *node, SsConnection *c, SsReason reason)
 {
@@ -388,6 +387,46 @@
     ss_target_monitor_poll_soon (node, owned);
 }
 
+/* Answers the commits that wait for a majority: the server that has lost them
+ * counts for none.
+ */
+static void
+end_waiters (SsNode *node, SsOwnedTarget *owned)
+{
+  SsJob *job;
+
+  owned->unreplicated = (SsPosition){ 0, 0 };
+  while ((job = g_queue_pop_head (&owned->waiters)))
+    ss_job_answer (node, job, SS_VERDICT_MAY_HAVE_RUN, SS_REASON_NOT_HELD,
+                   SS_RETRY_PROMOTION_MS);
+}
+
+/* The target has restarted, or its name has passed to another server.  A
+ * connection to the former one may not have broken yet, and what it still
+ * answers is void.
+ */
+static void
+end_incarnation (SsNode *node, SsOwnedTarget *owned)
+{
+  owned->incarnation = owned->target->incarnation;
+  ss_node_log (node, SS_EVENT_LOG_TARGET_RESTARTED, owned->target->name,
+               "born_ms=%" G_GINT64_FORMAT " connections=%u",
+               owned->target->born_ms, owned->connections->len);
+  refuse_queued (node, owned, NULL, SS_REASON_CONNECT);
+  for (guint i = owned->connections->len; i > 0; i--)
+    end_unused (node, g_ptr_array_index (owned->connections, i - 1),
+                SS_REASON_CONNECTION_LOST);
+  if (owned->control)
+    ss_pool_close (node, g_steal_pointer (&owned->control));
+  owned->control_step = SS_CONTROL_NONE;
+  owned->control_after_ms = node->now_ms;
+  owned->connect_after_ms = node->now_ms;
+  owned->poll_due_ms = node->now_ms;
+  owned->last_position = (SsConfirmedPosition){ 0 };
+  owned->last_position.requested_ms = node->now_ms;
+  end_waiters (node, owned);
+}
+
 static gboolean
 update_target (gpointer key, gpointer value, gpointer data)
 {
@@ -399,6 +438,8 @@
   (void) key;
   if (!o && is_owner)
     o = add_owned (node, t);
+  if (o && o->incarnation != t->incarnation)
+    end_incarnation (node, o);
   if (o)
     check_term (node, o);
   if (!o || o->active == is_owner)
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -83,6 +83,9 @@
   X (REQUEST_RETRIED, 604, INFO, "request retried internally")                 \
   X (REQUEST_WAITS, 605, INFO, "request waits for a primary")                  \
   X (KEY_UNKNOWN, 606, WARNING, "no organisation has the caller's key")        \
+  X (TARGET_RESTARTED, 650, WARNING,                                           \
+     "another server process has the target's name; nothing known of the "     \
+     "former one counts")                                                      \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -223,6 +223,16 @@
        "\"state\":\"ready\"}}",
   META ",\"spec\":{" LOCATION_FIELDS "\"state\":\"asleep\"}}",
   META ",\"spec\":{" LOCATION_FIELDS "\"state\":\"ready\",\"slots\":\"many\"}}",
+  META ",\"spec\":{" LOCATION_FIELDS "\"state\":\"ready\",\"born\":\"now\"}}",
+  META ",\"spec\":{" LOCATION_FIELDS "\"state\":\"ready\",\"born\":-1}}",
+  META ",\"spec\":{" LOCATION_FIELDS "\"state\":\"ready\",\"born\":1.5}}",
+  META ",\"spec\":{" LOCATION_FIELDS "\"state\":7}}",
+  META ",\"spec\":{" LOCATION_FIELDS "\"slots\":1}}",
+  META
+  ",\"spec\":{\"address\":\"10.0.0.1:1\",\"zone\":\"z\",\"state\":\"ready\"}}",
+  META ",\"spec\":{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\"}}",
+  META ",\"spec\":{\"service\":\"s\",\"address\":\"10.0.0.1:1\",\"state\":"
+       "\"ready\"}}",
 };
 
 static void
