--- a/src/core/admin.c
+++ b/src/core/admin.c
@@ -10,6 +10,7 @@
 
 #include "core/config_store.h"
 #include "core/operation.h"
+#include "core/tables.h"
 #include "core/version.h"
 
 #define STOP_TIMEOUT_MS 1000
@@ -264,6 +265,7 @@
 end_update (SsNode *node, SsOperation *o, const SsObject *object)
 {
   char *message;
+  char *shown;
 
   ss_config_sync_publish (node, object);
   if (is_own_write (o, object))
@@ -278,9 +280,11 @@
                         "the platform does not show the change", o->version);
       return;
     }
-  message = g_strdup_printf ("conflict: version %" G_GINT64_FORMAT " won: %.*s",
+  shown = ss_tables_shown_value (object->value, object->value_bytes);
+  message = g_strdup_printf ("conflict: version %" G_GINT64_FORMAT " won: %s",
                              ss_version_revision (object->version),
-                             (int) object->value_bytes, object->value);
+                             shown ? shown : "");
+  free (shown);
   ss_operation_end (node, o, SS_VERDICT_NOT_RUN, message, object->version);
   g_free (message);
 }
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -5,6 +5,7 @@
 
 #include "core/config_order.h"
 #include "core/config_store.h"
+#include "core/identity.h"
 #include "core/parse.h"
 #include "core/version.h"
 #include "kernel/compare.h"
@@ -68,6 +69,7 @@
 {
   SsOrganisation *o = data;
 
+  g_clear_pointer (&o->verifiers, g_hash_table_destroy);
   g_free (o->name);
   g_free (o);
 }
@@ -105,6 +107,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   config->organisations = NULL;
   config->keys = NULL;
+  config->has_organisation_objects = false;
   config->transaction_idle_ms = 0;
   config->hash = 0;
   config->revision = 0;
@@ -386,6 +389,14 @@
   return error;
 }
 
+static void
+new_organisations (SsConfig *c)
+{
+  c->organisations
+      = g_tree_new_full (ss_compare_strings, NULL, NULL, organisation_free);
+  c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
 /* Replaces all organisations; JSON is NULL where callers need no key.  Keeps
  * the previous ones if any is invalid.
  */
@@ -398,14 +409,12 @@
   json_t *organisation;
   char *error = NULL;
 
+  if (c->has_organisation_objects)
+    return json ? g_strdup ("there are organisation objects already") : NULL;
   c->organisations = NULL;
   c->keys = NULL;
   if (json)
-    {
-      c->organisations
-          = g_tree_new_full (ss_compare_strings, NULL, NULL, organisation_free);
-      c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-    }
+    new_organisations (c);
   if (json && !json_is_object (json))
     error = g_strdup ("\"organisations\" must be an object");
   json_object_foreach (json, name, organisation)
@@ -428,6 +437,113 @@
   return NULL;
 }
 
+/* --- organisation/NAME --- */
+
+static char *
+adopt_verifier (SsOrganisation *o, const char *key, json_t *verifier)
+{
+  const char *text = json_string_value (verifier);
+  char *error = ss_parse_key_name (key);
+
+  if (!error)
+    error = ss_parse_verifier (text ? text : "");
+  if (!error)
+    g_hash_table_insert (o->verifiers, g_strdup (key), g_strdup (text));
+  return error;
+}
+
+static char *
+parse_organisation_object (SsOrganisation *o, json_t *json)
+{
+  json_t *verifiers = json_object_get (json, "key_verifiers");
+  const char *key;
+  json_t *verifier;
+  char *error = ss_parse_check_keys (
+      json, " key_verifiers rate_per_s burst operation ");
+
+  if (!error)
+    error = ss_parse_organisation_name (o->name);
+  if (!error && strchr (o->name, '.'))
+    error = g_strdup ("the name of an organisation must not contain a dot");
+  if (!error && !json_is_object (verifiers))
+    error = g_strdup ("\"key_verifiers\" must be an object");
+  if (!error)
+    error = ss_parse_limits (o, json);
+  json_object_foreach (verifiers, key, verifier)
+  {
+    if (!error)
+      error = adopt_verifier (o, key, verifier);
+  }
+  return error;
+}
+
+static gboolean
+belongs_to (gpointer key, gpointer value, gpointer data)
+{
+  (void) key;
+  return value == data;
+}
+
+static void
+remove_organisation (SsConfig *c, const char *name)
+{
+  SsOrganisation *o = ss_config_organisation (c, name);
+
+  if (!o)
+    return;
+  g_hash_table_foreach_remove (c->keys, belongs_to, o);
+  g_tree_remove (c->organisations, name);
+}
+
+static char *
+adopt_organisation_object (SsConfig *c, const char *name, json_t *json)
+{
+  SsOrganisation *o = g_new0 (SsOrganisation, 1);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer verifier;
+  char *error;
+
+  o->name = g_strdup (name);
+  o->verifiers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  error = parse_organisation_object (o, json);
+  if (!error && c->organisations && !c->has_organisation_objects)
+    error = g_strdup ("the routes list organisations already");
+  if (error)
+    {
+      organisation_free (o);
+      return error;
+    }
+  if (!c->organisations)
+    new_organisations (c);
+  c->has_organisation_objects = true;
+  remove_organisation (c, name);
+  g_tree_insert (c->organisations, o->name, o);
+  g_hash_table_iter_init (&iter, o->verifiers);
+  while (g_hash_table_iter_next (&iter, &key, &verifier))
+    {
+      char digest[SS_KEY_DIGEST_BYTES];
+      char *credential = ss_identity_credential (name, key, verifier);
+
+      ss_identity_digest (credential, digest);
+      g_hash_table_replace (c->keys, g_strdup (digest), o);
+      g_free (credential);
+    }
+  return NULL;
+}
+
+/* Without any organisation object, callers need no key. */
+static void
+remove_organisation_object (SsConfig *c, const char *name)
+{
+  remove_organisation (c, name);
+  if (!c->has_organisation_objects || g_tree_nnodes (c->organisations))
+    return;
+  clear_organisations (c);
+  c->has_organisation_objects = false;
+}
+
 /* Replaces all services: those that JSON does not list are removed.  Keeps the
  * previous services if any part is invalid.  The services of one object are one
  * flow: they are kinds of requests of one customer.
@@ -507,18 +623,23 @@
     error = adopt_target (c, strchr (key, '/') + 1, version, json, now_ms);
   else if (g_str_has_prefix (key, "group/"))
     error = adopt_group (c, strchr (key, '/') + 1, version, json, now_ms);
+  else if (g_str_has_prefix (key, "organisation/"))
+    error = adopt_organisation_object (c, strchr (key, '/') + 1, json);
   json_decref (json);
   return error;
 }
 
-/* Only the deletion of a target takes effect.  Other objects that are deleted
- * at the platform stay in force until another object replaces them.
+/* Only the deletion of a target or an organisation takes effect.  Other objects
+ * that are deleted at the platform stay in force until another object replaces
+ * them.
  */
 static void
 remove_object (SsConfig *c, const char *key)
 {
   SsTarget *t;
 
+  if (g_str_has_prefix (key, "organisation/"))
+    remove_organisation_object (c, strchr (key, '/') + 1);
   if (!g_str_has_prefix (key, "target/"))
     return;
   t = ss_config_target (c, strchr (key, '/') + 1);
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -1,7 +1,8 @@
 /* config: the configuration in force, built from platform objects.
  *
  * An object is adopted only if it is newer than the stored one
- * (config_order.h).  Keys are service/NAME, target/NAME and group/NAME.
+ * (config_order.h).  Keys are service/NAME, target/NAME, group/NAME and
+ * organisation/NAME.
  * routes/NAME replaces all services at once and declares the groups.  Objects
  * under other keys are stored and forwarded uninterpreted.
  */
@@ -112,9 +113,11 @@
 typedef struct
 {
   char *name;
-  bool is_limited;     /* the two limits below apply */
-  uint32_t rate_per_s; /* operations */
-  uint32_t burst;      /* operations */
+  bool is_limited;       /* the two limits below apply */
+  uint32_t rate_per_s;   /* operations */
+  uint32_t burst;        /* operations */
+  GHashTable *verifiers; /* name of a key -> its verifier; NULL: the keys are
+                            known by their digests only */
 } SsOrganisation;
 
 typedef struct
@@ -145,8 +148,10 @@
   GTree *organisations; /* name -> SsOrganisation; NULL: callers need no key */
   GHashTable *keys;     /* digest of a key -> SsOrganisation (borrowed); NULL if
                            organisations is */
-  int64_t transaction_idle_ms; /* 0: the VM's setting */
-  uint64_t hash;               /* of all objects; equal on VMs in sync */
+  bool has_organisation_objects; /* organisations has those of objects of their
+                                    own, and none of routes */
+  int64_t transaction_idle_ms;   /* 0: the VM's setting */
+  uint64_t hash;                 /* of all objects; equal on VMs in sync */
   int64_t revision; /* version of the platform that objects is complete to */
   int64_t sequence; /* the highest of all objects */
 } SsConfig;
--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -222,18 +222,36 @@
 }
 
 char *
-ss_parse_organisation (SsOrganisation *o, json_t *json)
+ss_parse_verifier (const char *text)
+{
+  static const char format[]
+      = "^SCRAM-SHA-256\\$[1-9][0-9]{0,6}:[A-Za-z0-9+/]{4,86}={0,2}"
+        "\\$[A-Za-z0-9+/]{43}=:[A-Za-z0-9+/]{43}=$";
+
+  if (g_regex_match_simple (format, text, G_REGEX_DOLLAR_ENDONLY, 0))
+    return NULL;
+  return g_strdup ("a verifier must be "
+                   "SCRAM-SHA-256$ITERATIONS:SALT$STORED_KEY:SERVER_KEY");
+}
+
+char *
+ss_parse_key_name (const char *name)
+{
+  if (g_regex_match_simple ("^[A-Za-z0-9_-]{1,64}$", name,
+                            G_REGEX_DOLLAR_ENDONLY, 0))
+    return NULL;
+  return g_strdup ("the name of a key must be 1 to 64 letters, digits, _ or -");
+}
+
+char *
+ss_parse_limits (SsOrganisation *o, json_t *json)
 {
   bool has_rate = json_object_get (json, "rate_per_s") != NULL;
   int64_t rate_per_s = 0;
   int64_t burst = 0;
-  char *error = ss_parse_check_keys (json, " key_digests rate_per_s burst ");
+  char *error
+      = ss_parse_number (json, "rate_per_s", 0, 0, SS_RATE_MAX, &rate_per_s);
 
-  if (!error && !json_is_array (json_object_get (json, "key_digests")))
-    error = g_strdup ("\"key_digests\" must be an array");
-  if (!error)
-    error
-        = ss_parse_number (json, "rate_per_s", 0, 0, SS_RATE_MAX, &rate_per_s);
   /* Without a burst of its own, an organisation may send what it may send in
    * one second.
    */
@@ -246,3 +264,15 @@
   o->burst = (uint32_t) burst;
   return error;
 }
+
+char *
+ss_parse_organisation (SsOrganisation *o, json_t *json)
+{
+  char *error = ss_parse_check_keys (json, " key_digests rate_per_s burst ");
+
+  if (!error && !json_is_array (json_object_get (json, "key_digests")))
+    error = g_strdup ("\"key_digests\" must be an array");
+  if (!error)
+    error = ss_parse_limits (o, json);
+  return error;
+}
--- a/src/core/parse.h
+++ b/src/core/parse.h
@@ -48,6 +48,14 @@
  * whose fields are separated by spaces.
  */
 char *ss_parse_organisation_name (const char *name);
+/* ss_parse_verifier: checks that TEXT has the format of PostgreSQL's verifiers
+ * for SCRAM-SHA-256.  The message does not quote it.
+ */
+char *ss_parse_verifier (const char *text);
+/* ss_parse_key_name: checks the name of a key of an organisation. */
+char *ss_parse_key_name (const char *name);
+/* ss_parse_limits: parses the rate limit of an organisation. */
+char *ss_parse_limits (SsOrganisation *o, json_t *json);
 /* ss_parse_organisation: parses the limits, and checks that the digests of the
  * keys are an array.
  */
--- a/src/core/tables.c
+++ b/src/core/tables.c
@@ -186,17 +186,15 @@
       if (list)
         json_object_set_new (
             organisation, lists[i],
-            json_integer ((json_int_t) json_array_size (list)));
+            json_integer ((json_int_t) (json_array_size (list)
+                                        + json_object_size (list))));
     }
 }
 
-/* Returns the value of O without keys, to be freed with free. */
-static char *
-shown_value (const SsStoredObject *o)
+char *
+ss_tables_shown_value (const char *value, gsize bytes)
 {
-  gsize bytes;
-  const char *text = g_bytes_get_data (o->value, &bytes);
-  json_t *json = json_loadb (text, bytes, 0, NULL);
+  json_t *json = json_loadb (value, bytes, 0, NULL);
   json_t *organisation;
   const char *name;
   char *shown;
@@ -216,7 +214,9 @@
 add_object (gpointer key, gpointer value, gpointer data)
 {
   const SsStoredObject *o = value;
-  char *text = shown_value (o);
+  gsize bytes;
+  const char *stored = g_bytes_get_data (o->value, &bytes);
+  char *text = ss_tables_shown_value (stored, bytes);
 
   add_row (data,
            json_pack ("{s:s, s:I, s:I, s:I, s:s}", "key", (const char *) key,
--- a/src/kernel/callers.c
+++ b/src/kernel/callers.c
@@ -69,12 +69,20 @@
     notify_core_closed (callers, id);
 }
 
+static void
+free_struct (SsCaller *c)
+{
+  if (c->callers->klass->on_free)
+    c->callers->klass->on_free (c);
+  g_free (c);
+}
+
 void
 ss_caller_free (SsCaller *c)
 {
   ss_stream_finish (&c->stream);
   g_hash_table_remove (c->callers->by_id, &c->id);
-  g_free (c);
+  free_struct (c);
 }
 
 void
@@ -229,7 +237,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       ss_stream_finish (&((SsCaller *) value)->stream);
-      g_free (value);
+      free_struct (value);
     }
   g_clear_pointer (&callers->by_id, g_hash_table_destroy);
 }
--- a/src/kernel/callers.h
+++ b/src/kernel/callers.h
@@ -42,6 +42,8 @@
   uint32_t (*take_message) (SsCaller *caller);
   /* Optional: called for a new caller before its first message. */
   void (*on_accept) (SsCaller *caller);
+  /* Optional: frees what the plug-in's struct owns. */
+  void (*on_free) (SsCaller *caller);
   /* Ends a caller that exceeded the start-up or idle timeout. */
   void (*on_timeout) (SsCaller *caller);
 } SsCallersClass;
--- a/src/plugins/pgserver.c
+++ b/src/plugins/pgserver.c
@@ -1,21 +1,37 @@
 /* pgserver: serves callers that use the PostgreSQL protocol. */
 #include <string.h>
+#include <sys/random.h>
 
+#include "core/identity.h"
 #include "kernel/callers.h"
 #include "plugins/pgwire.h"
+#include "plugins/scram.h"
 
 #define SETTING_PREFIX "sapphirestair."
 #define SETTINGS_MAX 16
+#define NONCE_BYTES 18
 #define SERVER_VERSION "15.0 (sapphirestair)"
 
+/* A caller that has to prove who it is. */
+typedef struct
+{
+  SsScram scram;
+  char *credential; /* what the proof stands for; NULL: an unknown user */
+  uint8_t *startup; /* its start-up message */
+  uint32_t startup_bytes;
+  bool has_first; /* the client's first message was accepted */
+} Authentication;
+
 typedef struct
 {
   SsCaller base;      /* first: callbacks cast to this struct */
   uint32_t secret;    /* of cancel requests */
   bool skips_to_sync; /* after an error: ignores queries until Sync */
+  Authentication *authentication; /* under way; NULL: none */
 } Caller;
 
 static SsCallers callers;
+static uint8_t mock_secret[SS_SCRAM_KEY_BYTES]; /* of this process */
 
 static GByteArray *
 out (Caller *c)
@@ -96,30 +112,162 @@
     }
 }
 
-static void
-handle_startup (Caller *c, const SsPgwireMessage *m)
+static const char *
+user_of (const SsPgwireMessage *m)
 {
-  const char *database = ss_pgwire_startup_value (m, "database");
   const char *user = ss_pgwire_startup_value (m, "user");
+
+  return user ? user : "";
+}
+
+static const char *
+service_of (const SsPgwireMessage *m)
+{
+  const char *database = ss_pgwire_startup_value (m, "database");
+
+  return database ? database : user_of (m);
+}
+
+/* CREDENTIAL is what the caller has proved; NULL: nothing. */
+static void
+open_session (Caller *c, const SsPgwireMessage *m, const char *credential)
+{
   SsEvent e = { .kind = SS_EVENT_CALLER_OPEN };
   Settings settings;
 
-  if (ss_callers_is_over_limit (&callers))
-    {
-      refuse (c, "53300", "too many callers on this vm");
-      return;
-    }
   collect_settings (&settings, m);
   c->base.state = SS_CALLER_OPENING;
   e.caller_open.caller = c->base.id;
-  e.caller_open.service = database ? database : (user ? user : "");
-  e.caller_open.user = user ? user : "";
+  e.caller_open.service = service_of (m);
+  e.caller_open.user = user_of (m);
+  e.caller_open.key = credential;
   e.caller_open.settings = settings.pairs;
   ss_runtime_event (callers.runtime, &e);
   for (uint32_t i = 0; i < settings.count; i++)
     g_free (settings.copies[i]);
 }
 
+/* --- authentication --- */
+
+static void
+free_authentication (Authentication *a)
+{
+  if (!a)
+    return;
+  ss_scram_finish (&a->scram);
+  g_free (a->credential);
+  g_free (a->startup);
+  g_free (a);
+}
+
+/* The reply does not tell whether the user or the password is wrong. */
+static void
+refuse_authentication (Caller *c)
+{
+  free_authentication (g_steal_pointer (&c->authentication));
+  callers.runtime->node.counters.values[SS_COUNTER_UNKNOWN_KEYS]++;
+  refuse (c, "28P01", "authentication failed");
+}
+
+static void
+begin_authentication (Caller *c, const SsPgwireMessage *m)
+{
+  Authentication *a = g_new0 (Authentication, 1);
+  SsScramVerifier verifier;
+  const char *text = ss_identity_verifier (&callers.runtime->node.config,
+                                           user_of (m), &a->credential);
+
+  if (!text || !ss_scram_verifier_parse (&verifier, text))
+    {
+      g_clear_pointer (&a->credential, g_free);
+      ss_scram_verifier_mock (&verifier, user_of (m), mock_secret);
+    }
+  ss_scram_init (&a->scram, &verifier);
+  a->startup = g_memdup2 (m->text, m->text_bytes);
+  a->startup_bytes = m->text_bytes;
+  c->authentication = a;
+  ss_pgwire_auth_sasl (out (c), SS_SCRAM_MECHANISM);
+}
+
+/* Returns a new nonce, to be freed with g_free, or NULL. */
+static char *
+new_nonce (void)
+{
+  uint8_t bytes[NONCE_BYTES];
+
+  if (getrandom (bytes, sizeof bytes, 0) != (ssize_t) sizeof bytes)
+    return NULL;
+  return g_base64_encode (bytes, sizeof bytes);
+}
+
+static void
+handle_first (Caller *c, const SsPgwireMessage *m)
+{
+  Authentication *a = c->authentication;
+  char *nonce = new_nonce ();
+  char *message = ss_pgwire_sasl_initial (m, SS_SCRAM_MECHANISM);
+  char *answer
+      = nonce && message ? ss_scram_first (&a->scram, message, nonce) : NULL;
+
+  g_free (nonce);
+  g_free (message);
+  if (!answer)
+    {
+      refuse_authentication (c);
+      return;
+    }
+  a->has_first = true;
+  ss_pgwire_auth_sasl_continue (out (c), answer);
+  g_free (answer);
+}
+
+static void
+handle_final (Caller *c, const SsPgwireMessage *m)
+{
+  Authentication *a = c->authentication;
+  char *message = g_strndup (m->text, m->text_bytes);
+  char *answer = ss_scram_final (&a->scram, message);
+  SsPgwireMessage startup = { .kind = SS_PGWIRE_STARTUP };
+
+  g_free (message);
+  if (!answer || !a->credential)
+    {
+      g_free (answer);
+      refuse_authentication (c);
+      return;
+    }
+  ss_pgwire_auth_sasl_final (out (c), answer);
+  g_free (answer);
+  c->authentication = NULL;
+  startup.text = (const char *) a->startup;
+  startup.text_bytes = a->startup_bytes;
+  open_session (c, &startup, a->credential);
+  free_authentication (a);
+}
+
+static void
+handle_password (Caller *c, const SsPgwireMessage *m)
+{
+  if (!c->authentication)
+    refuse (c, "08P01", ss_pgwire_message_name (SS_PGWIRE_MALFORMED));
+  else if (c->authentication->has_first)
+    handle_final (c, m);
+  else
+    handle_first (c, m);
+}
+
+static void
+handle_startup (Caller *c, const SsPgwireMessage *m)
+{
+  if (ss_callers_is_over_limit (&callers))
+    refuse (c, "53300", "too many callers on this vm");
+  else if (ss_identity_needs_password (&callers.runtime->node.config,
+                                       service_of (m)))
+    begin_authentication (c, m);
+  else
+    open_session (c, m, NULL);
+}
+
 static void
 handle_cancel (const SsPgwireMessage *m)
 {
@@ -209,6 +357,9 @@
       handle_cancel (m);
       ss_caller_close (&c->base);
       break;
+    case SS_PGWIRE_PASSWORD:
+      handle_password (c, m);
+      break;
     case SS_PGWIRE_BAD_VERSION:
     case SS_PGWIRE_MALFORMED:
       refuse (c, "08P01", ss_pgwire_message_name (m->kind));
@@ -225,14 +376,19 @@
 static uint32_t
 take_message (SsCaller *caller)
 {
+  Caller *c = (Caller *) caller;
+  bool authenticates = c->authentication != NULL;
   SsPgwireMessage m
       = ss_pgwire_read (caller->stream.input->data, caller->stream.input->len,
-                        caller->state == SS_CALLER_STARTING);
+                        caller->state == SS_CALLER_STARTING && !authenticates);
   uint32_t used_bytes = m.used_bytes;
 
   if (m.kind == SS_PGWIRE_NONE)
     return 0;
-  dispatch_message ((Caller *) caller, &m);
+  if (authenticates && m.kind != SS_PGWIRE_PASSWORD)
+    refuse_authentication (c);
+  else
+    dispatch_message (c, &m);
   return used_bytes;
 }
 
@@ -242,6 +398,12 @@
   ((Caller *) caller)->secret = g_random_int ();
 }
 
+static void
+on_free (SsCaller *caller)
+{
+  free_authentication (((Caller *) caller)->authentication);
+}
+
 static void
 on_timeout (SsCaller *caller)
 {
@@ -364,11 +526,15 @@
         .pending_input_max_bytes = 2 * SS_PGWIRE_MESSAGE_MAX_BYTES,
         .take_message = take_message,
         .on_accept = on_accept,
+        .on_free = on_free,
         .on_timeout = on_timeout };
 
 static char *
 init (SsRuntime *runtime)
 {
+  if (getrandom (mock_secret, sizeof mock_secret, 0)
+      != (ssize_t) sizeof mock_secret)
+    return g_strdup ("no random numbers");
   return ss_callers_init (&callers, &callers_class, runtime);
 }
 
--- a/src/plugins/pgwire.c
+++ b/src/plugins/pgwire.c
@@ -107,6 +107,8 @@
     case 'E':
     case 'C':
       return SS_PGWIRE_EXTENDED;
+    case 'p':
+      return SS_PGWIRE_PASSWORD;
     case 'F':
       return SS_PGWIRE_FUNCTION_CALL;
     default:
@@ -145,6 +147,22 @@
   return m;
 }
 
+char *
+ss_pgwire_sasl_initial (const SsPgwireMessage *message, const char *mechanism)
+{
+  uint32_t name_bytes = (uint32_t) strlen (mechanism) + 1;
+  const char *response = message->text + name_bytes + 4;
+  uint32_t bytes;
+
+  if (message->text_bytes < name_bytes + 4
+      || memcmp (message->text, mechanism, name_bytes) != 0)
+    return NULL;
+  bytes = read_u32 ((const uint8_t *) message->text + name_bytes);
+  if (bytes != message->text_bytes - name_bytes - 4)
+    return NULL;
+  return g_strndup (response, bytes);
+}
+
 const char *
 ss_pgwire_message_name (SsPgwireKind kind)
 {
@@ -256,6 +274,43 @@
   end_message (out, at);
 }
 
+#define AUTH_SASL 10
+#define AUTH_SASL_CONTINUE 11
+#define AUTH_SASL_FINAL 12
+
+void
+ss_pgwire_auth_sasl (GByteArray *out, const char *mechanism)
+{
+  uint32_t at = begin_message (out, 'R');
+
+  put_u32 (out, AUTH_SASL);
+  put_string (out, mechanism);
+  put_u8 (out, 0);
+  end_message (out, at);
+}
+
+static void
+put_sasl (GByteArray *out, uint32_t code, const char *text)
+{
+  uint32_t at = begin_message (out, 'R');
+
+  put_u32 (out, code);
+  g_byte_array_append (out, (const uint8_t *) text, (guint) strlen (text));
+  end_message (out, at);
+}
+
+void
+ss_pgwire_auth_sasl_continue (GByteArray *out, const char *text)
+{
+  put_sasl (out, AUTH_SASL_CONTINUE, text);
+}
+
+void
+ss_pgwire_auth_sasl_final (GByteArray *out, const char *text)
+{
+  put_sasl (out, AUTH_SASL_FINAL, text);
+}
+
 void
 ss_pgwire_parameter (GByteArray *out, const char *name, const char *value)
 {
--- a/src/plugins/pgwire.h
+++ b/src/plugins/pgwire.h
@@ -25,6 +25,7 @@
   X (EXTENDED, "extended protocol")                                            \
   X (FUNCTION_CALL, "function call")                                           \
   X (SYNC, "sync")                                                             \
+  X (PASSWORD, "password or SASL response")                                    \
   X (IGNORED, "ignored")                                                       \
   X (BAD_VERSION, "unsupported protocol version")                              \
   X (TOO_LARGE, "message too large")                                           \
@@ -40,7 +41,8 @@
 typedef struct
 {
   SsPgwireKind kind;
-  const char *text;        /* QUERY: the query; STARTUP: name and value pairs */
+  const char *text;        /* QUERY: the query; STARTUP: name and value pairs;
+                              PASSWORD: the response, not NUL-terminated */
   uint32_t text_bytes;     /* with the terminating NUL */
   uint32_t cancel_process; /* CANCEL: process id and secret key */
   uint32_t cancel_secret;
@@ -59,6 +61,13 @@
 /* ss_pgwire_message_name: returns a static string. */
 const char *ss_pgwire_message_name (SsPgwireKind kind);
 
+/* ss_pgwire_sasl_initial: returns the client's first message in MESSAGE, a
+ * PASSWORD, to be freed with g_free; NULL if it is malformed, has none or is of
+ * another mechanism than MECHANISM.
+ */
+char *ss_pgwire_sasl_initial (const SsPgwireMessage *message,
+                              const char *mechanism);
+
 /* ss_pgwire_startup_value: returns the value of NAME in a start-up packet, or
  * NULL if it is absent.
  */
@@ -75,6 +84,12 @@
 
 /* The following append one message to OUT. */
 void ss_pgwire_auth_ok (GByteArray *out);
+/* ss_pgwire_auth_sasl, _continue, _final: request SASL authentication by
+ * MECHANISM, and send the server's messages.
+ */
+void ss_pgwire_auth_sasl (GByteArray *out, const char *mechanism);
+void ss_pgwire_auth_sasl_continue (GByteArray *out, const char *text);
+void ss_pgwire_auth_sasl_final (GByteArray *out, const char *text);
 void ss_pgwire_parameter (GByteArray *out, const char *name, const char *value);
 void ss_pgwire_key_data (GByteArray *out, uint32_t process, uint32_t secret);
 void ss_pgwire_ready (GByteArray *out, char transaction_status);
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/config.h"
+#include "core/identity.h"
 #include "tests/unit.h"
 
 #define TARGET_JSON                                                            \
@@ -258,6 +259,125 @@
   ss_config_finish (&c);
 }
 
+#define B64_32 "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+#define VERIFIER(salt) "SCRAM-SHA-256$4096:" salt "$" B64_32 ":" B64_32
+#define SALT_1 "W22ZaJ0SNY7soEsUEjb6gQ=="
+#define SALT_2 "X22ZaJ0SNY7soEsUEjb6gQ=="
+#define OBJECT(verifiers, limits)                                              \
+  "{\"key_verifiers\":{" verifiers "}" limits "}"
+
+typedef struct
+{
+  const char *name;
+  const char *json;
+  const char *message; /* a part of the error; NULL: valid */
+} ObjectRow;
+
+static const ObjectRow object_rows[] = {
+  { "a", OBJECT ("", ""), NULL },
+  { "a", OBJECT ("\"default\":\"" VERIFIER (SALT_1) "\"", ""), NULL },
+  { "a", OBJECT ("", ",\"rate_per_s\":0,\"operation\":\"x\""), NULL },
+  { "a", "{}", "key_verifiers" },
+  { "a", "{\"key_verifiers\":[]}", "key_verifiers" },
+  { "a", OBJECT ("\"default\":7", ""), "verifier" },
+  { "a", OBJECT ("\"default\":\"\"", ""), "verifier" },
+  { "a", OBJECT ("\"default\":\"secret\"", ""), "verifier" },
+  { "a", OBJECT ("\"default\":\"" VERIFIER (SALT_1) "\\n\"", ""), "verifier" },
+  { "a", OBJECT ("\"\":\"" VERIFIER (SALT_1) "\"", ""), "name of a key" },
+  { "a", OBJECT ("\"a b\":\"" VERIFIER (SALT_1) "\"", ""), "name of a key" },
+  { "a", OBJECT ("", ",\"rate_per_s\":-1"), "rate_per_s" },
+  { "a", OBJECT ("", ",\"burst\":1"), "burst" },
+  { "a", OBJECT ("", ",\"key_digests\":[]"), "unknown member" },
+  { "", OBJECT ("", ""), "name" },
+  { "a.b", OBJECT ("", ""), "dot" },
+  { "a b", OBJECT ("", ""), "spaces" },
+};
+
+static void
+organisation_objects_are_checked (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (object_rows); i++)
+    {
+      const ObjectRow *row = &object_rows[i];
+      char *key = g_strdup_printf ("organisation/%s", row->name);
+      char *error
+          = ss_config_check (key, row->json, (uint32_t) strlen (row->json));
+
+      if (row->message)
+        CU_ASSERT (error && strstr (error, row->message))
+      else
+        CU_ASSERT_PTR_NULL (error);
+      CU_ASSERT (!error || !strstr (error, "secret"));
+      g_free (error);
+      g_free (key);
+    }
+}
+
+static bool
+accepts (const SsConfig *c, const char *credential)
+{
+  SsService service = { 0 };
+  char digest[SS_KEY_DIGEST_BYTES];
+  const char *name;
+
+  ss_identity_digest (credential, digest);
+  return ss_identity_resolve (c, &service, digest, &name)
+         && strcmp (name, "a") == 0;
+}
+
+/* Guards against callers that keep an organisation after their key was removed
+ * or replaced, and against keys of other objects that go with it.
+ */
+static void
+organisation_objects_hold_keys_by_name (void)
+{
+  SsConfig c;
+  SsObject deletion = { "organisation/a", 9, NULL, 0, true, 0 };
+  char *error;
+  char *first;
+  char *second;
+  char *none;
+
+  ss_config_init (&c);
+  CU_ASSERT (!ss_identity_needs_password (&c, "s"));
+  adopt (&c, "organisation/a", 1,
+         OBJECT ("\"default\":\"" VERIFIER (SALT_1) "\",\"new\":\"" VERIFIER (
+                     SALT_2) "\"",
+                 ",\"rate_per_s\":4"));
+  adopt (&c, "organisation/b", 2, OBJECT ("", ""));
+  CU_ASSERT (ss_identity_needs_password (&c, "s"));
+  CU_ASSERT (ss_config_organisation (&c, "a")->rate_per_s == 4);
+  CU_ASSERT_STRING_EQUAL (ss_identity_verifier (&c, "a", &first),
+                          VERIFIER (SALT_1));
+  CU_ASSERT_STRING_EQUAL (ss_identity_verifier (&c, "a.new", &second),
+                          VERIFIER (SALT_2));
+  CU_ASSERT_STRING_EQUAL (ss_identity_verifier (&c, "a.clerk.7", &none),
+                          VERIFIER (SALT_1));
+  g_free (none);
+  CU_ASSERT_PTR_NULL (ss_identity_verifier (&c, "b", &none));
+  CU_ASSERT_PTR_NULL (none);
+  CU_ASSERT_PTR_NULL (ss_identity_verifier (&c, "", &none));
+  CU_ASSERT_PTR_NULL (ss_identity_verifier (&c, "nobody", &none));
+  CU_ASSERT (accepts (&c, first) && accepts (&c, second));
+  adopt (&c, "organisation/a", 3,
+         OBJECT ("\"new\":\"" VERIFIER (SALT_2) "\"", ""));
+  CU_ASSERT (!accepts (&c, first) && accepts (&c, second));
+  /* Routes neither remove nor replace them. */
+  CU_ASSERT (adopt (&c, "routes/main", 4, "{\"services\":{}}")
+             == SS_ADOPT_DONE);
+  CU_ASSERT (adopt (&c, "routes/main", 5, ROUTES ("{}")) == SS_ADOPT_INVALID);
+  CU_ASSERT (accepts (&c, second));
+  CU_ASSERT (ss_config_adopt (&c, &deletion, 0, &error) == SS_ADOPT_DONE);
+  CU_ASSERT (!accepts (&c, second));
+  CU_ASSERT (ss_identity_needs_password (&c, "s"));
+  deletion.key = "organisation/b";
+  CU_ASSERT (ss_config_adopt (&c, &deletion, 0, &error) == SS_ADOPT_DONE);
+  CU_ASSERT (!ss_identity_needs_password (&c, "s"));
+  g_free (first);
+  g_free (second);
+  ss_config_finish (&c);
+}
+
 CU_TestInfo test_config[] = {
   { "only newer versions are adopted", only_newer_versions_are_adopted },
   { "invalid object changes nothing", invalid_object_changes_nothing },
@@ -266,6 +386,9 @@
   { "invalid routes change no limits", invalid_routes_change_no_limits },
   { "organisations are checked", organisations_are_checked },
   { "many keys are adopted fast", many_keys_are_adopted_fast },
+  { "organisation objects are checked", organisation_objects_are_checked },
+  { "organisation objects hold keys by name",
+    organisation_objects_hold_keys_by_name },
   { "service of unknown group waits for it",
     service_of_unknown_group_waits_for_it },
   CU_TEST_INFO_NULL,
--- a/tests/test_pgwire.c
+++ b/tests/test_pgwire.c
@@ -115,6 +115,41 @@
   g_string_free (found, TRUE);
 }
 
+/* Guards against reading beyond a SASL response whose length is wrong. */
+static void
+sasl_responses_are_checked (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    uint32_t count;
+    const char *first; /* NULL: malformed */
+  } cases[] = {
+    { "SCRAM-SHA-256\0\0\0\0\4n,,a", 22, "n,,a" },
+    { "SCRAM-SHA-256\0\0\0\0\5n,,a", 22, NULL },
+    { "SCRAM-SHA-256\0\0\0\0\3n,,a", 22, NULL },
+    { "SCRAM-SHA-256\0\377\377\377\377", 18, NULL },
+    { "SCRAM-SHA-256\0\0\0\0", 17, NULL },
+    { "SCRAM-SHA-256", 13, NULL },
+    { "SCRAM-SHA-256-PLUS\0\0\0\0\4n,,a", 27, NULL },
+    { "", 0, NULL },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      /* A copy of the exact size, so that a sanitizer sees what is read. */
+      char *copy = g_memdup2 (cases[i].bytes, cases[i].count + 1);
+      SsPgwireMessage m = { .kind = SS_PGWIRE_PASSWORD,
+                            .text = copy,
+                            .text_bytes = cases[i].count };
+      char *first = ss_pgwire_sasl_initial (&m, "SCRAM-SHA-256");
+
+      CU_ASSERT (g_strcmp0 (first, cases[i].first) == 0);
+      g_free (first);
+      g_free (copy);
+    }
+}
+
 CU_TestInfo test_pgwire[] = {
   { "query is incomplete up to its last byte",
     query_is_incomplete_up_to_its_last_byte },
@@ -122,5 +157,6 @@
   { "random bytes are parsed safely (seed 20261203)",
     random_bytes_are_parsed_safely },
   { "options are parsed", options_are_parsed },
+  { "sasl responses are checked", sasl_responses_are_checked },
   CU_TEST_INFO_NULL,
 };
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -10,6 +10,7 @@
   X (config)                                                                   \
   X (queue)                                                                    \
   X (session)                                                                  \
+  X (scram)                                                                    \
   X (discovery)                                                                \
   X (identity)                                                                 \
   X (line)                                                                     \
