--- a/src/core/config.c
+++ b/src/core/config.c
@@ -5,6 +5,7 @@
 
 #include "core/config_order.h"
 #include "core/config_store.h"
+#include "core/identity.h"
 #include "core/parse.h"
 #include "core/version.h"
 #include "kernel/compare.h"
@@ -69,6 +70,7 @@
 {
   SsOrganisation *o = data;
 
+  g_clear_pointer (&o->verifiers, g_hash_table_destroy);
   g_free (o->name);
   g_free (o);
 }
@@ -106,6 +108,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   config->organisations = NULL;
   config->keys = NULL;
+  config->has_organisation_objects = false;
   config->transaction_idle_ms = 0;
   config->hash = 0;
   config->revision = 0;
@@ -175,13 +178,36 @@
   return error;
 }
 
+static bool
+is_same_server (const SsTarget *before, const SsTarget *parsed)
+{
+  return before->born_ms == parsed->born_ms && before->port == parsed->port
+         && g_strcmp0 (before->ip, parsed->ip) == 0;
+}
+
+/* Another server process has the name of T: what was known of the former one is
+ * void, and so are reports that were asked for before NOW_MS.
+ */
+static void
+forget_server (SsTarget *t, int64_t now_ms)
+{
+  bool is_known = t->state_ms != 0;
+
+  t->incarnation++;
+  memset (&t->state, 0, sizeof t->state);
+  if (is_known)
+    t->state_ms = now_ms;
+}
+
 /* Updates a known target in place: pointers to it and its state stay valid. */
 static char *
-adopt_target (SsConfig *c, const char *name, int64_t version, json_t *json)
+adopt_target (SsConfig *c, const char *name, int64_t version, json_t *json,
+              int64_t now_ms)
 {
   SsTarget parsed = { 0 };
   bool draining_before;
   SsGroup *group_before = NULL;
+  bool is_same;
   char *error = ss_parse_target (&parsed, json);
   SsTarget *t;
 
@@ -197,11 +223,9 @@
       t->name = g_strdup (name);
       g_tree_insert (c->targets, t->name, t);
     }
-  else
-    {
-      group_before = ss_config_group (c, t->group);
-      target_clear_settings (t);
-    }
+  group_before = t->group ? ss_config_group (c, t->group) : NULL;
+  is_same = is_same_server (t, &parsed);
+  target_clear_settings (t);
   draining_before = t->draining && t->born_ms && t->born_ms == parsed.born_ms
                     && ss_version_era (t->version) != ss_version_era (version);
   t->version = version;
@@ -216,9 +240,8 @@
    */
   t->draining = parsed.draining || draining_before;
   t->removed = false;
-  /* A new incarnation of the server: its last known state is void. */
-  if (t->born_ms != parsed.born_ms)
-    memset (&t->state, 0, sizeof t->state);
+  if (!is_same)
+    forget_server (t, now_ms);
   t->born_ms = parsed.born_ms;
   t->owner_generation = 0;
   if (group_before != ss_config_group (c, t->group))
@@ -341,10 +364,11 @@
   const char *text = json_string_value (digest);
   const SsOrganisation *holder;
 
-  if (!text || strlen (text) != SS_KEY_DIGEST_BYTES - 1)
+  if (!text || strlen (text) != SS_KEY_DIGEST_BYTES - 1
+      || strspn (text, "0123456789abcdef") != SS_KEY_DIGEST_BYTES - 1)
     return g_strdup_printf (
-        "\"key_digests\" of \"%s\" must be strings of %d characters", o->name,
-        SS_KEY_DIGEST_BYTES - 1);
+        "\"key_digests\" of \"%s\" must be strings of %d hexadecimal digits",
+        o->name, SS_KEY_DIGEST_BYTES - 1);
   holder = ss_config_key (c, text);
   if (holder && holder != o)
     return g_strdup_printf ("\"%s\" and \"%s\" have a key in common",
@@ -357,10 +381,13 @@
 adopt_organisation (SsConfig *c, const char *name, json_t *json)
 {
   SsOrganisation *o = g_new0 (SsOrganisation, 1);
-  char *error = ss_parse_organisation (o, json);
+  char *error = ss_parse_organisation_name (name);
   json_t *digest;
   size_t i;
 
+  if (!error)
+    error = ss_parse_organisation (o, json);
+
   o->name = g_strdup (name);
   g_tree_insert (c->organisations, o->name, o);
   json_array_foreach (json_object_get (json, "key_digests"), i, digest)
@@ -371,6 +398,14 @@
   return error;
 }
 
+static void
+new_organisations (SsConfig *c)
+{
+  c->organisations
+      = g_tree_new_full (ss_compare_strings, NULL, NULL, organisation_free);
+  c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
 /* Replaces all organisations; JSON is NULL where callers need no key.  Keeps
  * the previous ones if any is invalid.
  */
@@ -383,14 +418,12 @@
   json_t *organisation;
   char *error = NULL;
 
+  if (c->has_organisation_objects)
+    return json ? g_strdup ("there are organisation objects already") : NULL;
   c->organisations = NULL;
   c->keys = NULL;
   if (json)
-    {
-      c->organisations
-          = g_tree_new_full (ss_compare_strings, NULL, NULL, organisation_free);
-      c->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-    }
+    new_organisations (c);
   if (json && !json_is_object (json))
     error = g_strdup ("\"organisations\" must be an object");
   json_object_foreach (json, name, organisation)
@@ -413,6 +446,113 @@
   return NULL;
 }
 
+/* --- organisation/NAME --- */
+
+static char *
+adopt_verifier (SsOrganisation *o, const char *key, json_t *verifier)
+{
+  const char *text = json_string_value (verifier);
+  char *error = ss_parse_key_name (key);
+
+  if (!error)
+    error = ss_parse_verifier (text ? text : "");
+  if (!error)
+    g_hash_table_insert (o->verifiers, g_strdup (key), g_strdup (text));
+  return error;
+}
+
+static char *
+parse_organisation_object (SsOrganisation *o, json_t *json)
+{
+  json_t *verifiers = json_object_get (json, "key_verifiers");
+  const char *key;
+  json_t *verifier;
+  char *error = ss_parse_check_keys (
+      json, " key_verifiers rate_per_s burst operation ");
+
+  if (!error)
+    error = ss_parse_organisation_name (o->name);
+  if (!error && strchr (o->name, '.'))
+    error = g_strdup ("the name of an organisation must not contain a dot");
+  if (!error && !json_is_object (verifiers))
+    error = g_strdup ("\"key_verifiers\" must be an object");
+  if (!error)
+    error = ss_parse_limits (o, json);
+  json_object_foreach (verifiers, key, verifier)
+  {
+    if (!error)
+      error = adopt_verifier (o, key, verifier);
+  }
+  return error;
+}
+
+static gboolean
+belongs_to (gpointer key, gpointer value, gpointer data)
+{
+  (void) key;
+  return value == data;
+}
+
+static void
+remove_organisation (SsConfig *c, const char *name)
+{
+  SsOrganisation *o = ss_config_organisation (c, name);
+
+  if (!o)
+    return;
+  g_hash_table_foreach_remove (c->keys, belongs_to, o);
+  g_tree_remove (c->organisations, name);
+}
+
+static char *
+adopt_organisation_object (SsConfig *c, const char *name, json_t *json)
+{
+  SsOrganisation *o = g_new0 (SsOrganisation, 1);
+  GHashTableIter iter;
+  gpointer key;
+  gpointer verifier;
+  char *error;
+
+  o->name = g_strdup (name);
+  o->verifiers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  error = parse_organisation_object (o, json);
+  if (!error && c->organisations && !c->has_organisation_objects)
+    error = g_strdup ("the routes list organisations already");
+  if (error)
+    {
+      organisation_free (o);
+      return error;
+    }
+  if (!c->organisations)
+    new_organisations (c);
+  c->has_organisation_objects = true;
+  remove_organisation (c, name);
+  g_tree_insert (c->organisations, o->name, o);
+  g_hash_table_iter_init (&iter, o->verifiers);
+  while (g_hash_table_iter_next (&iter, &key, &verifier))
+    {
+      char digest[SS_KEY_DIGEST_BYTES];
+      char *credential = ss_identity_credential (name, key, verifier);
+
+      ss_identity_digest (credential, digest);
+      g_hash_table_replace (c->keys, g_strdup (digest), o);
+      g_free (credential);
+    }
+  return NULL;
+}
+
+/* Without any organisation object, callers need no key. */
+static void
+remove_organisation_object (SsConfig *c, const char *name)
+{
+  remove_organisation (c, name);
+  if (!c->has_organisation_objects || g_tree_nnodes (c->organisations))
+    return;
+  clear_organisations (c);
+  c->has_organisation_objects = false;
+}
+
 /* Replaces all services: those that JSON does not list are removed.  Keeps the
  * previous services if any part is invalid.  The services of one object are one
  * flow: they are kinds of requests of one customer.
@@ -475,33 +615,40 @@
 adopt_parsed (SsConfig *c, const char *key, int64_t version, const char *value,
               uint32_t value_bytes, int64_t now_ms)
 {
-  json_error_t where;
+  /* The parser's message may quote a key or a verifier, so it is not shown. */
+  json_error_t where = { .line = 1, .column = 1 };
   json_t *json
       = json_loadb (value, value_bytes, JSON_REJECT_DUPLICATES, &where);
   char *error = NULL;
 
   if (!json_is_object (json))
-    error = g_strdup_printf ("not a JSON object: %s", where.text);
+    error = g_strdup_printf ("not a JSON object: line %d, column %d",
+                             where.line, where.column);
   else if (g_str_has_prefix (key, "routes/"))
     error = adopt_routes (c, key, version, json);
   else if (g_str_has_prefix (key, "service/"))
     error = adopt_service (c, strchr (key, '/') + 1, key, version, json);
   else if (g_str_has_prefix (key, "target/"))
-    error = adopt_target (c, strchr (key, '/') + 1, version, json);
+    error = adopt_target (c, strchr (key, '/') + 1, version, json, now_ms);
   else if (g_str_has_prefix (key, "group/"))
     error = adopt_group (c, strchr (key, '/') + 1, version, json, now_ms);
+  else if (g_str_has_prefix (key, "organisation/"))
+    error = adopt_organisation_object (c, strchr (key, '/') + 1, json);
   json_decref (json);
   return error;
 }
 
-/* Only the deletion of a target takes effect.  Other objects that are deleted
- * at the platform stay in force until another object replaces them.
+/* Only the deletion of a target or an organisation takes effect.  Other objects
+ * that are deleted at the platform stay in force until another object replaces
+ * them.
  */
 static void
 remove_object (SsConfig *c, const char *key)
 {
   SsTarget *t;
 
+  if (g_str_has_prefix (key, "organisation/"))
+    remove_organisation_object (c, strchr (key, '/') + 1);
   if (!g_str_has_prefix (key, "target/"))
     return;
   t = ss_config_target (c, strchr (key, '/') + 1);
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -142,7 +142,8 @@
 struct SsOwnedTarget
 {
   SsTarget *target;
-  bool active; /* this VM owns it now */
+  bool active;          /* this VM owns it now */
+  uint32_t incarnation; /* of the target that the connections lead to */
   SsQueue queue;
   GPtrArray *connections;  /* not the control connection */
   SsConnectionCache cache; /* where connections belong to organisations */
@@ -150,6 +151,7 @@
   bool is_contested;       /* another VM may own it, too */
   bool is_substitute;      /* for VMs of its failure domain that may live */
   int64_t substitute_ms;   /* when is_substitute was determined */
+  bool by_organisation; /* statements or connections of organisations remain */
   int64_t connect_after_ms;
   SsBackoff connect_backoff;
   int64_t owner_since_ms;
--- a/src/core/parse.h
+++ b/src/core/parse.h
@@ -15,6 +15,10 @@
 #define SS_CONNECTIONS_MAX 10000
 /* Upper limit of time-outs in objects: 10 minutes. */
 #define SS_TIMEOUT_MAX_MS 600000
+/* Upper limit of an organisation's rate, in operations a second, and burst. */
+#define SS_RATE_MAX 1000000000
+/* Longest name of an organisation. */
+#define SS_ORGANISATION_NAME_MAX_BYTES 128
 
 /* ss_parse_text: sets *OUT to a copy of the string member NAME, or of FALLBACK
  * if NAME is missing.  NAME is required if FALLBACK is NULL.  The caller frees
@@ -40,6 +44,18 @@
 char *ss_parse_service (SsService *s, json_t *json);
 char *ss_parse_target (SsTarget *t, json_t *json);
 char *ss_parse_group (SsGroup *g, json_t *json);
+/* ss_parse_organisation_name: checks NAME, which servers are told in messages
+ * whose fields are separated by spaces.
+ */
+char *ss_parse_organisation_name (const char *name);
+/* ss_parse_verifier: checks that TEXT has the format of PostgreSQL's verifiers
+ * for SCRAM-SHA-256.  The message does not quote it.
+ */
+char *ss_parse_verifier (const char *text);
+/* ss_parse_key_name: checks the name of a key of an organisation. */
+char *ss_parse_key_name (const char *name);
+/* ss_parse_limits: parses the rate limit of an organisation. */
+char *ss_parse_limits (SsOrganisation *o, json_t *json);
 /* ss_parse_organisation: parses the limits, and checks that the digests of the
  * keys are an array.
  */
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -98,6 +98,9 @@
      "no other vm owns the target; more connections are used step by step")    \
   X (TRANSACTIONS_WAIT, 624, WARNING,                                          \
      "an organisation's open transactions hold their share of connections")    \
+  X (TARGET_RESTARTED, 650, WARNING,                                           \
+     "another server process has the target's name; nothing known of the "     \
+     "former one counts")                                                      \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/tests/test_rate_node.c
+++ b/tests/test_rate_node.c
@@ -53,7 +53,7 @@
   g_free (organisations);
   line_sim_advance (&line, 3000);
   for (uint32_t i = 1; i <= line.session_count; i++)
-    line_sim_open (&line, i, "k");
+    line_sim_reopen (&line, i, "k");
 }
 
 static uint64_t
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -11,6 +11,9 @@
   X (queue)                                                                    \
   X (connection_cache)                                                         \
   X (session)                                                                  \
+  X (scram)                                                                    \
+  X (discovery)                                                                \
+  X (identity)                                                                 \
   X (line)                                                                     \
   X (relay)                                                                    \
   X (fleet)                                                                    \
