--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -377,6 +377,23 @@
                                       NULL, 10);
 }
 
+/* A VM that restarts does not know that it has delegated its share. */
+static void
+restarted_vm_waits_for_its_share (void)
+{
+  rate_sim_init (&sim, 11, 10);
+  rate_sim_add (&sim, 100, 100, 50);
+  rate_sim_advance (&sim, 5000);
+  for (uint32_t i = 0; i < 10; i++)
+    {
+      rate_sim_kill (&sim, i);
+      rate_sim_start (&sim, i);
+      advance_checked (200, 11);
+    }
+  advance_checked (3000, 11);
+  rate_sim_finish (&sim);
+}
+
 /* Two parts, each with a coordinator, take full buckets apart; they meet again.
  */
 static void
@@ -760,6 +777,7 @@
   { "tokens count from the ask", tokens_count_from_the_ask },
   { "bound holds under faults", bound_holds_under_faults },
   { "bound holds when all vms restart", bound_holds_when_all_vms_restart },
+  { "restarted vm waits for its share", restarted_vm_waits_for_its_share },
   { "bound holds with two coordinators", bound_holds_with_two_coordinators },
   { "bound holds when many vms join", bound_holds_when_many_vms_join },
   { "lowered limit is kept", lowered_limit_is_kept },
