Operators show organisations, and add and remove keys

Change: "show organisations" lists limits and the number of keys. "add key" and "remove key" change objects organisation/NAME by the conditional update that "set service" uses; an answer quotes no verifier.

--- a/src/core/admin.c
+++ b/src/core/admin.c
@@ -249,6 +249,45 @@
   g_free (key);
 }
 
+/* Adds or removes a key in JSON, the object of an organisation.  Returns NULL
+ * or a static error message.
+ */
+static const char *
+change_key (json_t *json, const SsCommand *command)
+{
+  json_t *verifiers = json_object_get (json, "key_verifiers");
+  bool is_known = json_object_get (verifiers, command->key) != NULL;
+
+  if (command->kind == SS_COMMAND_REMOVE_KEY)
+    {
+      json_object_del (verifiers, command->key);
+      return is_known ? NULL : "the organisation has no such key";
+    }
+  if (is_known)
+    return "the organisation has a key of this name; add one of another name";
+  json_object_set (verifiers, command->key, command->value);
+  return NULL;
+}
+
+static void
+update_key (SsNode *node, uint64_t id, SsCommand *command)
+{
+  char *key = g_strdup_printf ("organisation/%s", command->name);
+  int64_t version = 0;
+  json_t *json = load_object (node, key, &version);
+  const char *error
+      = json ? change_key (json, command) : "no such organisation object";
+
+  if (error)
+    {
+      reply_message (node, id, SS_VERDICT_NOT_RUN, error, 0);
+      json_decref (json);
+    }
+  else
+    update (node, id, command, key, version, json);
+  g_free (key);
+}
+
 static bool
 is_own_write (const SsOperation *o, const SsObject *object)
 {
@@ -427,6 +466,10 @@
     case SS_COMMAND_SET:
       set_service (node, id, command);
       break;
+    case SS_COMMAND_ADD_KEY:
+    case SS_COMMAND_REMOVE_KEY:
+      update_key (node, id, command);
+      break;
     case SS_COMMAND_HELP:
     default:
       reply_message (node, id, SS_VERDICT_RAN, ss_command_help, 0);
--- a/src/core/command.c
+++ b/src/core/command.c
@@ -7,7 +7,8 @@
 #include "core/scanner.h"
 
 const char ss_command_help[]
-    = "show services|targets|groups|vms|sessions|config|counters\n"
+    = "show services|targets|groups|vms|sessions|organisations|config|counters"
+      "\n"
       "  [where FIELD =|!=|<|<=|>|>= VALUE [and ...]]"
       " [order by FIELD [desc]]\n"
       "drain target NAME\n"
@@ -18,6 +19,8 @@
       "set service NAME default_kind = 'KIND'\n"
       "set service NAME acknowledge = 'majority'|'primary'\n"
       "set service NAME weight = NUMBER\n"
+      "add key ORGANISATION KEY = 'VERIFIER'\n"
+      "remove key ORGANISATION KEY\n"
       "help";
 
 static const char *const table_names[] = {
@@ -178,8 +181,8 @@
     name = p->scanner->next_value.v_identifier;
   found = name && ss_table_find (name, &c->table);
   if (!found)
-    return set_error (p, "services, targets, groups, vms, sessions, config "
-                         "or counters");
+    return set_error (p, "services, targets, groups, vms, sessions, "
+                         "organisations, config or counters");
   g_scanner_get_next_token (p->scanner);
   if (accept_word (p, "where"))
     do
@@ -226,6 +229,20 @@
          || (expect_word (p, "term") && expect_term (p, &c->if_term));
 }
 
+/* "key ORGANISATION KEY", and "= 'VERIFIER'" to add one.  No error quotes the
+ * verifier.
+ */
+static bool
+parse_key (Parser *p, SsCommand *c, SsCommandKind kind)
+{
+  if (!parse_named (p, c, kind, "key")
+      || !expect_name (p, "the name of a key", &c->key))
+    return false;
+  return kind == SS_COMMAND_REMOVE_KEY
+         || ((accept_char (p, '=') || set_error (p, "="))
+             && expect_value (p, &c->value));
+}
+
 static bool
 parse_command (Parser *p, SsCommand *c)
 {
@@ -244,9 +261,15 @@
            && expect_name (p, "a key", &c->key)
            && (accept_char (p, '=') || set_error (p, "="))
            && expect_value (p, &c->value);
+  if (accept_word (p, "add"))
+    return parse_key (p, c, SS_COMMAND_ADD_KEY);
+  if (accept_word (p, "remove"))
+    return parse_key (p, c, SS_COMMAND_REMOVE_KEY);
   c->kind = SS_COMMAND_HELP;
   return accept_word (p, "help")
-         || set_error (p, "show, drain, undrain, stop, promote, set or help");
+         || set_error (p,
+                       "show, drain, undrain, stop, promote, set, add, remove "
+                       "or help");
 }
 
 char *
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -4,6 +4,8 @@
  *   drain target NAME        undrain target NAME       stop vm NAME
  *   promote group NAME [to SERVER] [if term NUMBER]
  *   set service NAME KEY = VALUE
+ *   add key ORGANISATION KEY = 'VERIFIER'
+ *   remove key ORGANISATION KEY
  *   help
  */
 #ifndef SS_COMMAND_H
@@ -21,6 +23,7 @@
   X (GROUPS, "groups")                                                         \
   X (VMS, "vms")                                                               \
   X (SESSIONS, "sessions")                                                     \
+  X (ORGANISATIONS, "organisations")                                           \
   X (CONFIG, "config")                                                         \
   X (COUNTERS, "counters")
 
@@ -40,6 +43,8 @@
   SS_COMMAND_STOP,
   SS_COMMAND_PROMOTE,
   SS_COMMAND_SET,
+  SS_COMMAND_ADD_KEY,
+  SS_COMMAND_REMOVE_KEY,
   SS_COMMAND_HELP
 } SsCommandKind;
 
@@ -73,8 +78,8 @@
   char *name;
   char *to;         /* of promote; NULL: any server */
   uint64_t if_term; /* of promote: required current term; 0: any */
-  char *key;        /* of set */
-  json_t *value;    /* of set */
+  char *key;        /* of set; of add and remove: name of the key */
+  json_t *value;    /* of set; of add: the verifier */
 } SsCommand;
 
 /* ss_command_init: parses TEXT.  Returns NULL, or an error message that names
--- a/src/core/tables.c
+++ b/src/core/tables.c
@@ -171,6 +171,33 @@
     }
 }
 
+static json_int_t
+count_keys (const SsConfig *c, const SsOrganisation *o)
+{
+  GHashTableIter iter;
+  gpointer holder;
+  json_int_t count = 0;
+
+  g_hash_table_iter_init (&iter, c->keys);
+  while (g_hash_table_iter_next (&iter, NULL, &holder))
+    count += holder == o ? 1 : 0;
+  return count;
+}
+
+static gboolean
+add_organisation (gpointer key, gpointer value, gpointer data)
+{
+  RowsContext *r = data;
+  const SsOrganisation *o = value;
+
+  (void) key;
+  add_row (r, json_pack ("{s:s, s:I, s:I, s:I}", "name", o->name, "rate_per_s",
+                         o->is_limited ? (json_int_t) o->rate_per_s : -1,
+                         "burst", o->is_limited ? (json_int_t) o->burst : -1,
+                         "keys", count_keys (&r->node->config, o)));
+  return FALSE;
+}
+
 /* Replaces the lists of keys of ORGANISATION by their lengths: a digest lets
  * its reader test guesses of the key.
  */
@@ -182,12 +209,11 @@
   for (size_t i = 0; i < G_N_ELEMENTS (lists); i++)
     {
       json_t *list = json_object_get (organisation, lists[i]);
+      size_t count = json_array_size (list) + json_object_size (list);
 
       if (list)
-        json_object_set_new (
-            organisation, lists[i],
-            json_integer ((json_int_t) (json_array_size (list)
-                                        + json_object_size (list))));
+        json_object_set_new (organisation, lists[i],
+                             json_integer ((json_int_t) count));
     }
 }
 
@@ -259,6 +285,10 @@
     case SS_TABLE_SESSIONS:
       add_sessions (&r);
       break;
+    case SS_TABLE_ORGANISATIONS:
+      if (node->config.organisations)
+        g_tree_foreach (node->config.organisations, add_organisation, &r);
+      break;
     case SS_TABLE_CONFIG:
       g_tree_foreach (node->config.objects, add_object, &r);
       break;
--- a/tests/test_command.c
+++ b/tests/test_command.c
@@ -36,10 +36,10 @@
                 "column 33: expected a term, from 1");
   expect_error ("set service claims kind.report.staleness_ms = 30000", NULL);
   expect_error ("", "column 1: expected show, drain, undrain, stop, promote, "
-                    "set or help");
+                    "set, add, remove or help");
   expect_error ("show tables",
                 "column 6: expected services, targets, groups, vms, "
-                "sessions, config or counters");
+                "sessions, organisations, config or counters");
   expect_error ("show vms where", "column 15: expected a field");
   expect_error ("show vms where vm ~ 3",
                 "column 19: expected one of = != < <= > >=");
@@ -266,6 +266,53 @@
   ss_node_finish (&node);
 }
 
+#define SECRET "SCRAM-SHA-256$4096:c2FsdA==$verifier:secret"
+
+static void
+key_commands_are_parsed (void)
+{
+  SsCommand c;
+
+  CU_ASSERT_PTR_NULL (ss_command_init (&c, "add key acme new = '" SECRET "'"));
+  CU_ASSERT (c.kind == SS_COMMAND_ADD_KEY);
+  CU_ASSERT_STRING_EQUAL (c.name, "acme");
+  CU_ASSERT_STRING_EQUAL (c.key, "new");
+  CU_ASSERT_STRING_EQUAL (json_string_value (c.value), SECRET);
+  ss_command_finish (&c);
+  CU_ASSERT_PTR_NULL (ss_command_init (&c, "remove key acme \"default\";"));
+  CU_ASSERT (c.kind == SS_COMMAND_REMOVE_KEY);
+  CU_ASSERT_STRING_EQUAL (c.key, "default");
+  ss_command_finish (&c);
+}
+
+/* Guards against error messages that quote a verifier. */
+static void
+errors_of_key_commands_quote_nothing (void)
+{
+  static const char *const bad[] = {
+    "add key acme '" SECRET "'",
+    "add key acme = '" SECRET "'",
+    "add key acme new '" SECRET "'",
+    "add key acme new = '" SECRET "' more",
+    "add '" SECRET "'",
+    "add key",
+    "remove key acme",
+    "remove key acme default '" SECRET "'",
+    "add key acme new = '" SECRET,
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      SsCommand c;
+      char *error = ss_command_init (&c, bad[i]);
+
+      CU_ASSERT_PTR_NOT_NULL (error);
+      CU_ASSERT (error && !strstr (error, "secret"));
+      g_free (error);
+      ss_command_finish (&c);
+    }
+}
+
 CU_TestInfo test_command[] = {
   { "syntax errors name column and expected word",
     syntax_errors_name_column_and_expected_word },
@@ -279,5 +326,8 @@
   { "unconfirmed write may have run", unconfirmed_write_may_have_run },
   { "promotion for a past term is refused",
     promotion_for_a_past_term_is_refused },
+  { "key commands are parsed", key_commands_are_parsed },
+  { "errors of key commands quote nothing",
+    errors_of_key_commands_quote_nothing },
   CU_TEST_INFO_NULL,
 };
--- a/tests/test_identity.c
+++ b/tests/test_identity.c
@@ -537,6 +537,71 @@
   line_sim_finish (&sim);
 }
 
+#define B64_32 "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="
+#define VERIFIER(salt) "SCRAM-SHA-256$4096:" salt "$" B64_32 ":" B64_32
+#define VERIFIER_1 VERIFIER ("W22ZaJ0SNY7soEsUEjb6gQ==")
+#define VERIFIER_2 VERIFIER ("X22ZaJ0SNY7soEsUEjb6gQ==")
+
+static void
+order (LineSim *sim, const char *text, bool accepted)
+{
+  g_string_truncate (sim->emitted, 0);
+  line_sim_operator (sim, text);
+  line_sim_advance (sim, 100);
+  CU_ASSERT (emitted (sim, accepted ? "\"verdict\":\"ran\""
+                                    : "\"verdict\":\"not_run\""));
+  CU_ASSERT (!emitted (sim, "SCRAM-SHA-256$4") || accepted);
+}
+
+static bool
+is_valid (const LineSim *sim, const char *key, const char *verifier)
+{
+  char *credential = ss_identity_credential ("acme", key, verifier);
+  char digest[SS_KEY_DIGEST_BYTES];
+  bool valid;
+
+  ss_identity_digest (credential, digest);
+  valid = ss_config_key (&sim->node.config, digest) != NULL;
+  g_free (credential);
+  return valid;
+}
+
+/* Guards against keys that an operator adds or removes without effect, and
+ * against answers that quote a verifier.
+ */
+static void
+operators_change_keys (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 0, 12);
+  sim.emitted = g_string_new (NULL);
+  order (&sim, "add key acme default = '" VERIFIER_1 "'", false);
+  line_sim_put (&sim, "organisation/acme",
+                "{\"key_verifiers\":{\"default\":\"" VERIFIER_1
+                "\"},\"rate_per_s\":5}");
+  CU_ASSERT (is_valid (&sim, "default", VERIFIER_1));
+  order (&sim, "add key acme default = '" VERIFIER_2 "'", false);
+  order (&sim, "add key acme new = 'secret'", false);
+  order (&sim, "add key acme new = 7", false);
+  order (&sim, "remove key acme new", false);
+  order (&sim, "add key acme new = '" VERIFIER_2 "'", true);
+  CU_ASSERT (is_valid (&sim, "default", VERIFIER_1));
+  CU_ASSERT (is_valid (&sim, "new", VERIFIER_2));
+  g_string_truncate (sim.emitted, 0);
+  line_sim_operator (&sim, "show organisations where keys = 2");
+  line_sim_advance (&sim, 700);
+  CU_ASSERT (emitted (&sim, "\"acme\""));
+  line_sim_operator (&sim, "show config");
+  line_sim_advance (&sim, 700);
+  CU_ASSERT (emitted (&sim, "organisation/acme"));
+  CU_ASSERT (!emitted (&sim, "SCRAM"));
+  order (&sim, "remove key acme default", true);
+  CU_ASSERT (!is_valid (&sim, "default", VERIFIER_1));
+  CU_ASSERT (is_valid (&sim, "new", VERIFIER_2));
+  line_sim_finish (&sim);
+}
+
 /* --- revocation in a fleet --- */
 
 #define FLEET_VMS 60
@@ -684,6 +749,7 @@
   { "older configuration brings no key back",
     older_configuration_brings_no_key_back },
   { "cut-off vm serves on", cut_off_vm_serves_on },
+  { "operators change keys", operators_change_keys },
   { "keys are written nowhere", keys_are_written_nowhere },
   { "removed key reaches vms that the platform turns away",
     removed_key_reaches_vms_that_the_platform_turns_away },
