Organisations get max-min fair shares of a target; statistics by organisation

Cause: all services of one configuration object were one flow, ordered by rank alone. An organisation that sent 7 times its usual rate took the slots of all others, and a fixed limit of the wait (350 ms) fitted no goal.

Change, where the configuration has organisations: - One order over all statements of a target: the rank, half of the time to the latency goal, and the time by which the organisation is ahead of its max-min fair share (start-time fair queueing over run time, by level of urgency). - Admission predicts the wait in this order and bounds it by half of the time to the goal. The last statement in the order is refused as not run where the queue leaves no time for it (event 630, counter displaced). Statements that miss their goals go behind those that meet them. - Routes have latency_goal_ms. RunReply tells the time in the queue. - Entry VMs count operations, ends, refusals and waits by organisation; metrics for the largest 20, the rest and the worst-served tenth. Without organisations the order and the admission are as before.

--- a/src/core/config.h
+++ b/src/core/config.h
@@ -99,9 +99,10 @@
   bool acknowledge_majority;
   bool identifies_callers; /* a user name identifies one caller */
   uint32_t weight;
-  int64_t timeout_ms; /* of a statement; 0: the VM's setting */
-  uint32_t urgency;   /* 0 is the most urgent */
-  bool is_public;     /* its callers need no key */
+  int64_t timeout_ms;      /* of a statement; 0: the VM's setting */
+  uint32_t urgency;        /* 0 is the most urgent */
+  int64_t latency_goal_ms; /* of a statement, from its arrival; 0: none */
+  bool is_public;          /* its callers need no key */
   SsReadKind kinds[SS_CONFIG_KINDS_MAX];
   uint32_t kind_count;
 } SsService;
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -10,6 +10,7 @@
 
   g_free (s->service);
   g_free (s->user);
+  g_free (s->organisation);
   g_free (s->kind);
   g_free (s->request_key);
   g_free (s->trace);
@@ -120,6 +121,9 @@
                                &organisation))
     return false;
   r->organisation = g_strdup (organisation);
+  ss_session_replace_text (&r->session->organisation, organisation);
+  if (node->config.organisations)
+    ss_organisation_stats_operation (&node->organisation_stats, organisation);
   return true;
 }
 
@@ -130,6 +134,7 @@
 
   if (s->pinned_vm)
     {
+      r->organisation = g_strdup (s->organisation);
       ss_route (node, r);
       return;
     }
@@ -469,6 +474,7 @@
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
       return;
     }
+  r->waited_ms += reply->waited_ms;
   if (ss_request_may_retry (node, r, (SsVerdict) reply->verdict,
                             (SsReason) reply->reason, reply->sent))
     ss_request_retry (node, r, (SsReason) reply->reason, reply->retry_after_ms);
--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -94,7 +94,7 @@
 /* ss_request_log_span: logs the tracing span of R, if log.spans is set. */
 void ss_request_log_span (SsNode *node, const SsRequest *r, SsVerdict verdict);
 /* ss_request_log_end: logs how and why R ended, and its tracing span if
- * log.spans is set.
+ * log.spans is set; counts it for its organisation.
  */
 void ss_request_log_end (SsNode *node, const SsRequest *r, SsVerdict verdict,
                          SsReason reason);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -75,6 +75,9 @@
   reply.verdict = verdict;
   reply.reason = reason;
   reply.retry_after_ms = retry_after_ms;
+  reply.waited_ms
+      = (uint32_t) ((job->started_ms ? job->started_ms : node->now_ms)
+                    - job->received_ms);
   reply.transaction_status = (uint8_t) job->transaction_status;
   ss_position_pack (&commit, job->commit);
   ss_position_pack (&applied, job->applied);
@@ -306,6 +309,7 @@
 new_job (SsNode *node, SsOwnedTarget *owned, const char *from,
          const Ss__Peer__Run *run)
 {
+  const SsService *service = ss_config_service (&node->config, run->service);
   SsJob *job = g_new0 (SsJob, 1);
 
   job->owned = owned;
@@ -334,6 +338,7 @@
   job->item.deadline_ms = node->now_ms + run->left_ms;
   job->item.queue_class = run->is_read ? SS_QUEUE_READ : SS_QUEUE_WRITE;
   job->item.bytes = (uint32_t) run->sql.len;
+  job->item.urgency = service ? service->urgency : 0;
   return job;
 }
 
@@ -367,17 +372,73 @@
     }
 }
 
+/* Returns until when JOB meets the latency goal of SERVICE, which counts from
+ * the arrival at the entry VM as its deadline does; 0: there is none.
+ */
+static int64_t
+goal_ms (const SsJob *job, const SsService *service)
+{
+  int64_t arrived_ms = job->received_ms;
+
+  if (!service || !service->latency_goal_ms)
+    return 0;
+  if (service->timeout_ms)
+    arrived_ms = job->item.deadline_ms - service->timeout_ms;
+  return MIN (arrived_ms + service->latency_goal_ms, job->item.deadline_ms);
+}
+
+static void
+assign_job (SsNode *node, SsOwnedTarget *owned, SsJob *job)
+{
+  SsService *service = ss_config_service (&node->config, job->service);
+
+  job->item.after_run_ms = job->keeps ? (int64_t) owned->mean_hold_ms : 0;
+  if (!node->config.organisations)
+    {
+      ss_queue_assign (&owned->queue, &job->item, job->service,
+                       service ? service->flow : job->service,
+                       service ? service->weight : 1);
+      return;
+    }
+  job->item.goal_ms = goal_ms (job, service);
+  ss_queue_assign_organisation (&owned->queue, &job->item, job->service,
+                                job->organisation);
+}
+
+/* Refuses the last-ranked statements for which the queue leaves no time. */
+static void
+refuse_overflow (SsNode *node, SsOwnedTarget *owned)
+{
+  SsQueueItem *item;
+  uint32_t retry_after_ms;
+
+  while ((item = ss_queue_overflow (
+              &owned->queue, ss_pool_capacity (node, owned), node->now_ms,
+              g_rand_double (node->rand), &retry_after_ms)))
+    {
+      SsJob *job = (SsJob *) item;
+
+      ss_queue_remove (&owned->queue, item);
+      ss_node_count (node, SS_COUNTER_OVERLOAD);
+      ss_node_count (node, SS_COUNTER_DISPLACED);
+      ss_node_log (node, SS_EVENT_LOG_STATEMENT_DISPLACED,
+                   job->label ? job->label : job->trace,
+                   "target=%s organisation=%s service=%s late=%d"
+                   " waited_ms=%" G_GINT64_FORMAT " retry_after_ms=%u",
+                   owned->target->name, job->organisation, job->service,
+                   item->is_late, node->now_ms - item->queued_ms,
+                   retry_after_ms);
+      ss_job_answer (node, job, SS_VERDICT_NOT_RUN, SS_REASON_OVERLOAD,
+                     retry_after_ms);
+    }
+}
+
 void
 ss_job_queue (SsNode *node, SsOwnedTarget *owned, SsJob *job)
 {
-  SsService *service = ss_config_service (&node->config, job->service);
   uint32_t retry_after_ms;
 
-  job->item.urgency = service ? service->urgency : 0;
-  job->item.after_run_ms = job->keeps ? (int64_t) owned->mean_hold_ms : 0;
-  ss_queue_assign (&owned->queue, &job->item, job->service,
-                   service ? service->flow : job->service,
-                   service ? service->weight : 1);
+  assign_job (node, owned, job);
   if (!ss_queue_admit (&owned->queue, &job->item,
                        ss_pool_capacity (node, owned), node->now_ms,
                        g_rand_double (node->rand), &retry_after_ms))
@@ -389,6 +450,8 @@
     }
   ss_queue_push (&owned->queue, &job->item, node->now_ms);
   ss_job_dispatch (node, owned);
+  if (node->config.organisations)
+    refuse_overflow (node, owned);
 }
 
 void
--- a/src/core/job_result.c
+++ b/src/core/job_result.c
@@ -23,6 +23,9 @@
   c->since_ms = node->now_ms;
   ss_queue_sample_run (&owned->queue, job->service,
                        node->now_ms - job->started_ms);
+  if (node->config.organisations)
+    ss_queue_charge (&owned->queue, &job->item, c->organisation,
+                     node->now_ms - job->started_ms);
   if (job->transaction_status != 'I')
     {
       c->state = SS_CONNECTION_PINNED;
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -51,6 +51,7 @@
   g_queue_init (&node->local);
   g_queue_init (&node->lost_vms);
   ss_config_init (&node->config);
+  ss_organisation_stats_init (&node->organisation_stats, now_ms);
   ss_members_init (&node->members, params->vm, params->failure_domain,
                    params->ip, params->peer_port, now_ms);
   ss_retry_budget_init (&node->retry_budget);
@@ -93,6 +94,7 @@
   g_hash_table_destroy (node->leases);
   ss_lease_keeper_finish (&node->lease_keeper);
   g_tree_destroy (node->promotions);
+  ss_organisation_stats_finish (&node->organisation_stats);
   ss_config_finish (&node->config);
   ss_members_finish (&node->members);
   g_clear_pointer (&node->vms_json, g_bytes_unref);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -21,6 +21,7 @@
 #include "core/fanout.h"
 #include "core/lease_keeper.h"
 #include "core/members.h"
+#include "core/organisation_stats.h"
 #include "core/platform_calls.h"
 #include "core/timing.h"
 #include "core/traffic.h"
@@ -86,6 +87,7 @@
   SsCounters counters;
   SsTraffic traffic;
   SsPlatformCalls platform_calls;
+  SsOrganisationStats organisation_stats;
   SsConfig config;
   SsMembers members;
   SsRetryBudget retry_budget;
--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -112,7 +112,7 @@
   int64_t urgency = 0;
   char *error = ss_parse_check_keys (
       json, " group default_kind acknowledge weight kinds identity "
-            "timeout_ms urgency public operation ");
+            "timeout_ms urgency latency_goal_ms public operation ");
 
   if (!error)
     error = ss_parse_text (json, "group", NULL, &s->group);
@@ -132,6 +132,9 @@
                              &s->timeout_ms);
   if (!error)
     error = ss_parse_number (json, "urgency", 0, 0, URGENCY_MAX, &urgency);
+  if (!error)
+    error = ss_parse_number (json, "latency_goal_ms", 0, 0, SS_TIMEOUT_MAX_MS,
+                             &s->latency_goal_ms);
   if (!error)
     error = ss_parse_flag (json, "public", &s->is_public);
   if (!error)
--- a/src/core/queue.h
+++ b/src/core/queue.h
@@ -10,6 +10,13 @@
  * statements are served in time, and none starves.  A share of the connections
  * is reserved for writes.
  *
+ * In a deployment with organisations, each organisation is a flow, and one
+ * order holds over all of them: the rank plus the time by which the
+ * organisation is ahead of its max-min fair share (fair_share.h).  Statements
+ * that can't meet their latency goal any more yield to those that can.  A
+ * queued statement that the order leaves no time for is refused as not run, in
+ * place of a new one that goes before it.
+ *
  * Admission control refuses a statement at once if its predicted wait exceeds
  * SS_QUEUE_WAIT_MAX_MS or would miss its deadline, or if the queue would exceed
  * SS_QUEUE_BYTES_MAX.  A queued statement that can't end by its deadline any
@@ -22,11 +29,18 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "core/fair_share.h"
+
 #define SS_QUEUE_WAIT_MAX_MS 350
 /* Rank delay for each level of urgency, and for each ms of expected run time.
  */
 #define SS_QUEUE_URGENCY_MS 500
 #define SS_QUEUE_RUN_FACTOR 8.0
+/* In a deployment with organisations: a statement is queued if its predicted
+ * wait is at most this part of the time that it may wait; others that go before
+ * it are still to come.
+ */
+#define SS_QUEUE_GOAL_WAIT_PERCENT 50
 /* Initial value of mean_run_ms, and the weight of a new sample in it. */
 #define SS_QUEUE_INITIAL_RUN_MS 1.0
 #define SS_QUEUE_RUN_GAIN 0.05
@@ -54,17 +68,23 @@
   int64_t deadline_ms;
   int64_t queued_ms;
   int64_t after_run_ms; /* needed between its run and its deadline */
+  int64_t goal_ms;      /* it should end by then; 0: by its deadline */
   SsQueueFlow *flow;
   SsQueueService *service;
   double rank_ms;
-  uint64_t sequence;         /* breaks ties in order of arrival */
+  double cost_ms;    /* expected run time when it was queued */
+  double charged_ms; /* run time charged to its organisation when it started */
+  bool is_late;      /* can't meet its goal any more */
+  uint64_t sequence; /* breaks ties in order of arrival */
   GSequenceIter *queue_iter; /* NULL: not queued */
 } SsQueueItem;
 
 typedef struct
 {
-  GHashTable *flows;    /* name -> SsQueueFlow */
-  GHashTable *services; /* name -> SsQueueService */
+  GHashTable *flows;         /* name -> SsQueueFlow */
+  GHashTable *organisations; /* name -> SsQueueFlow */
+  SsFairShare fair_share;    /* among the organisations */
+  GHashTable *services;      /* name -> SsQueueService */
   double virtual_time;
   double mean_run_ms;  /* moving average of a statement's run time */
   double mean_wait_ms; /* moving average of the time in the queue */
@@ -82,6 +102,12 @@
  */
 void ss_queue_assign (SsQueue *queue, SsQueueItem *item, const char *service,
                       const char *flow, uint32_t weight);
+/* ss_queue_assign_organisation: like ss_queue_assign, in a deployment with
+ * organisations.  All callers without one count as the organisation "".
+ */
+void ss_queue_assign_organisation (SsQueue *queue, SsQueueItem *item,
+                                   const char *service,
+                                   const char *organisation);
 /* ss_queue_wait_ms: returns the predicted wait in milliseconds of one more
  * statement of QUEUE_CLASS behind all others.  CONNECTIONS is the number of all
  * usable connections here and below.
@@ -101,6 +127,19 @@
  */
 SsQueueItem *ss_queue_pop (SsQueue *queue, uint32_t connections,
                            int64_t now_ms);
+/* ss_queue_overflow: returns the last-ranked item of an organisation if the
+ * queue leaves no time for it, or NULL.  It is to be removed and refused.  To
+ * be called after ss_queue_push until it returns NULL.  Sets *RETRY_AFTER_MS as
+ * ss_queue_admit does.
+ */
+SsQueueItem *ss_queue_overflow (const SsQueue *queue, uint32_t connections,
+                                int64_t now_ms, double jitter,
+                                uint32_t *retry_after_ms);
+/* ss_queue_charge: records that ITEM of ORGANISATION, popped from the queue or
+ * never in it, ran for RAN_MS milliseconds.
+ */
+void ss_queue_charge (SsQueue *queue, const SsQueueItem *item,
+                      const char *organisation, int64_t ran_ms);
 /* ss_queue_done: records that an item of QUEUE_CLASS ended after RAN_MS
  * milliseconds.  A negative RAN_MS is not sampled.
  */
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -89,13 +89,30 @@
       " owner=%s group_version=" SS_VERSION_FORMAT " term=%" G_GUINT64_FORMAT
       " primary=%s floor=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT
       " read=%d begins=%d keeps=%d waited_for=%u tries=%u"
-      " ms=%" G_GINT64_FORMAT,
+      " ms=%" G_GINT64_FORMAT " organisation=%s",
       r->session->service, r->session->id, ss_verdict_name (verdict),
       ss_reason_name (reason), r->target ? r->target : "-",
       t ? node->now_ms - t->state_ms : -1, r->vm ? r->vm : "-",
       SS_VERSION_ARGS (group ? group->version : 0), group ? group->term : 0,
       group ? group->primary : "-", r->floor.term, r->floor.offset, r->is_read,
-      r->begins, r->keeps, r->wait, r->tries, node->now_ms - r->started_ms);
+      r->begins, r->keeps, r->wait, r->tries, node->now_ms - r->started_ms,
+      r->organisation ? r->organisation : "-");
+}
+
+static void
+count_end (SsNode *node, const SsRequest *r, SsVerdict verdict, SsReason reason)
+{
+  const SsService *service
+      = ss_config_service (&node->config, r->session->service);
+  int64_t goal_ms = service ? service->latency_goal_ms : 0;
+  SsStatementEnd end
+      = { .verdict = verdict, .reason = reason, .waited_ms = r->waited_ms };
+
+  if (!node->config.organisations || !r->organisation)
+    return;
+  end.in_time = !goal_ms || node->now_ms - r->started_ms <= goal_ms;
+  ss_organisation_stats_end (&node->organisation_stats, r->organisation, &end,
+                             node->now_ms);
 }
 
 void
@@ -104,6 +121,7 @@
 {
   ss_request_log_span (node, r, verdict);
   log_end (node, r, verdict, reason);
+  count_end (node, r, verdict, reason);
 }
 
 void
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -26,6 +26,7 @@
   char *service;
   char *user;
   char key_digest[SS_KEY_DIGEST_BYTES]; /* of its caller's key; "": none */
+  char *organisation; /* of its last operation; NULL: there was none */
   char *kind; /* write, session, strict or one of the service's kinds of read;
                  NULL: the service's default */
   char *request_key; /* idempotency key; NULL: none */
@@ -82,6 +83,7 @@
   SsPosition floor;   /* minimum position that it must see, if it is a read */
   SsWait wait;
   int64_t wait_due_ms;
+  uint32_t waited_ms; /* in the queues of targets, over all attempts */
   int64_t started_ms;
   int64_t deadline_ms;
   char *vm; /* owner that it was sent to; NULL: not sent */
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -43,7 +43,9 @@
   X (CONTROL_MESSAGES, "control_messages", "control messages sent")            \
   X (CONTROL_BYTES, "control_bytes", "bytes of control messages sent")         \
   X (TARGET_CONNECTS, "target_connects", "connections opened to targets")      \
-  X (UNKNOWN_KEYS, "unknown_keys", "callers and statements refused by key")
+  X (UNKNOWN_KEYS, "unknown_keys", "callers and statements refused by key")    \
+  X (DISPLACED, "displaced",                                                   \
+     "queued statements refused in place of others that go before them")
 
 typedef enum
 {
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -83,6 +83,8 @@
   X (REQUEST_RETRIED, 604, INFO, "request retried internally")                 \
   X (REQUEST_WAITS, 605, INFO, "request waits for a primary")                  \
   X (KEY_UNKNOWN, 606, WARNING, "no organisation has the caller's key")        \
+  X (STATEMENT_DISPLACED, 630, INFO,                                           \
+     "queued statement refused, as others go before it")                       \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/src/plugins/metrics.c
+++ b/src/plugins/metrics.c
@@ -64,6 +64,127 @@
     }
 }
 
+/* --- by organisation --- */
+
+#define LARGEST_ORGANISATIONS 20
+#define OPERATIONS_METRIC "sapphirestair_organisation_operations_total"
+#define ENDS_METRIC "sapphirestair_organisation_statements_total"
+#define REFUSALS_METRIC "sapphirestair_organisation_refusals_total"
+#define WAITED_METRIC "sapphirestair_organisation_waited_ms_total"
+#define WORST_METRIC "sapphirestair_organisation_worst_tenth_served"
+
+/* Appends the labels of S, without braces: its name, escaped, or that it is the
+ * rest.
+ */
+static void
+add_organisation (GString *out, const SsOrganisationStat *s)
+{
+  if (!s->name)
+    {
+      g_string_append (out, "rest=\"true\"");
+      return;
+    }
+  g_string_append (out, "organisation=\"");
+  for (const char *c = s->name; *c; c++)
+    {
+      if (*c == '\\' || *c == '"')
+        g_string_append_c (out, '\\');
+      if (*c == '\n')
+        g_string_append (out, "\\n");
+      else
+        g_string_append_c (out, *c);
+    }
+  g_string_append_c (out, '"');
+}
+
+/* Adds one line of the metric NAME; LABEL may be NULL. */
+static void
+add_stat (GString *out, const char *name, const SsOrganisationStat *s,
+          const char *label, const char *text, uint64_t value)
+{
+  g_string_append_printf (out, "%s{", name);
+  add_organisation (out, s);
+  if (label)
+    g_string_append_printf (out, ",%s=\"%s\"", label, text);
+  g_string_append_printf (out, "} %" G_GUINT64_FORMAT "\n", value);
+}
+
+static void
+add_operations (GString *out, const SsOrganisationStat *s)
+{
+  add_stat (out, OPERATIONS_METRIC, s, NULL, NULL, s->operations);
+}
+
+static void
+add_ends (GString *out, const SsOrganisationStat *s)
+{
+  add_stat (out, ENDS_METRIC, s, "outcome", "in_time", s->in_time);
+  add_stat (out, ENDS_METRIC, s, "outcome", "late", s->late);
+  add_stat (out, ENDS_METRIC, s, "outcome", "in_doubt", s->in_doubt);
+}
+
+static void
+add_refusals (GString *out, const SsOrganisationStat *s)
+{
+  for (uint32_t i = 0; i < SS_REASON_COUNT; i++)
+    if (s->refusals[i])
+      add_stat (out, REFUSALS_METRIC, s, "reason",
+                ss_reason_name ((SsReason) i), s->refusals[i]);
+}
+
+static void
+add_waits (GString *out, const SsOrganisationStat *s)
+{
+  add_stat (out, WAITED_METRIC, s, NULL, NULL, s->waited_ms);
+}
+
+/* A metric that has lines for each organisation. */
+typedef struct
+{
+  const char *name;
+  const char *help;
+  void (*add) (GString *out, const SsOrganisationStat *s);
+} OrganisationMetric;
+
+static const OrganisationMetric organisation_metrics[] = {
+  { OPERATIONS_METRIC, "single statements and transactions of callers here",
+    add_operations },
+  { ENDS_METRIC,
+    "statements served within or after their latency goal, or in doubt",
+    add_ends },
+  { REFUSALS_METRIC, "statements refused as not run, by reason", add_refusals },
+  { WAITED_METRIC, "time in the queues of targets", add_waits },
+};
+
+/* Adds nothing in a deployment without organisations. */
+static void
+add_organisations (GString *out, const SsOrganisationStats *stats)
+{
+  SsOrganisationStat rest;
+  GPtrArray *largest
+      = ss_organisation_stats_largest (stats, LARGEST_ORGANISATIONS, &rest);
+
+  for (size_t i = 0; largest->len && i < G_N_ELEMENTS (organisation_metrics);
+       i++)
+    {
+      const OrganisationMetric *m = &organisation_metrics[i];
+
+      add_help (out, m->name, "counter", m->help);
+      for (guint j = 0; j < largest->len; j++)
+        m->add (out, g_ptr_array_index (largest, j));
+      m->add (out, &rest);
+    }
+  if (largest->len)
+    {
+      add_help (out, WORST_METRIC, "gauge",
+                "share served in time, of the worst-served tenth of the "
+                "organisations");
+      g_string_append_printf (out, WORST_METRIC " %.4f\n",
+                              ss_organisation_stats_worst_tenth (stats));
+    }
+  g_ptr_array_free (largest, TRUE);
+}
+
 static void
 add_gauge (GString *out, const char *name, const char *help, int64_t value)
 {
@@ -175,5 +296,6 @@
   add_traffic (out, &node->traffic);
   add_platform_calls (out, &node->platform_calls);
   add_config (out, node);
+  add_organisations (out, &node->organisation_stats);
   return g_string_free (out, FALSE);
 }
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -2,6 +2,7 @@
  */
 #include <string.h>
 
+#include "core/identity.h"
 #include "tests/line_sim.h"
 #include "tests/unit.h"
 
@@ -658,6 +659,152 @@
   line_sim_finish (&sim);
 }
 
+/* --- a deployment with organisations --- */
+
+/* Configures the organisations NAMES, each with its name as key. */
+static void
+put_organisations (LineSim *sim, const char *const *names)
+{
+  GString *json = g_string_new (NULL);
+
+  g_string_append (
+      json,
+      "{\"services\":{\"strict\":{\"group\":\"g\",\"default_kind\":"
+      "\"strict\",\"timeout_ms\":1000,\"latency_goal_ms\":250},"
+      "\"bounded\":{\"group\":\"g\",\"default_kind\":\"b\",\"timeout_ms\":"
+      "1000,\"kinds\":{\"b\":{\"staleness_ms\":2000}}}},"
+      "\"groups\":{\"g\":{\"max_connections\":8}},\"organisations\":{");
+  for (uint32_t i = 0; names[i]; i++)
+    {
+      char digest[SS_KEY_DIGEST_BYTES];
+
+      ss_identity_digest (names[i], digest);
+      g_string_append_printf (json, "%s\"%s\":{\"key_digests\":[\"%s\"]}",
+                              i ? "," : "", names[i], digest);
+    }
+  g_string_append (json, "}}");
+  line_sim_put (sim, "routes/main", json->str);
+  line_sim_advance (sim, 100);
+  g_string_free (json, TRUE);
+}
+
+static void
+set_key (LineSim *sim, uint64_t session, const char *key)
+{
+  SsSession *s = g_hash_table_lookup (sim->node.sessions, &session);
+
+  ss_identity_digest (key, s->key_digest);
+}
+
+static const SsOrganisationStat *
+stat_of (const LineSim *sim, const char *organisation)
+{
+  return g_hash_table_lookup (sim->node.organisation_stats.table, organisation);
+}
+
+/* A transaction is one operation however many statements it has, and a
+ * statement served after its goal is late.
+ */
+static void
+operations_are_counted_by_organisation (void)
+{
+  static const char *const names[] = { "a", "b", NULL };
+  LineSim sim;
+  const SsOrganisationStat *s;
+
+  line_sim_init (&sim, 3, 4, 8);
+  CU_ASSERT (g_hash_table_size (sim.node.organisation_stats.table) == 0);
+  put_organisations (&sim, names);
+  set_key (&sim, 1, "a");
+  set_key (&sim, 3, "b");
+  CU_ASSERT (line_sim_execute (&sim, 1, "BEGIN"));
+  CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1a x"));
+  CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1b x"));
+  CU_ASSERT (line_sim_execute (&sim, 1, "COMMIT"));
+  CU_ASSERT (line_sim_execute (&sim, 3, "WRITE 3a x"));
+  s = stat_of (&sim, "a");
+  CU_ASSERT (s && s->operations == 1 && s->in_time == 3 && s->late == 0);
+  s = stat_of (&sim, "b");
+  CU_ASSERT (s && s->operations == 1 && s->in_time == 1);
+  CU_ASSERT (ss_organisation_stats_worst_tenth (&sim.node.organisation_stats)
+             == 1);
+  line_sim_finish (&sim);
+}
+
+/* Failure: an organisation disappears from the configuration while a statement
+ * of it is queued.  That one was accepted with a valid key and is served; the
+ * next one is refused.
+ */
+static void
+queued_statement_of_removed_organisation_is_served (void)
+{
+  static const char *const before[] = { "a", "b", NULL };
+  static const char *const after[] = { "b", NULL };
+  LineSim sim;
+  const SsOrganisationStat *s;
+  SsOwnedTarget *owned;
+
+  line_sim_init (&sim, 3, 4, 8);
+  put_organisations (&sim, before);
+  set_key (&sim, 1, "a");
+  CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1a x"));
+  owned = ss_owner_find (&sim.node, sim.servers[0].name);
+  owned->queue.running[SS_QUEUE_WRITE] += 3;
+  line_sim_send (&sim, 1, "WRITE 1b x");
+  line_sim_advance (&sim, 20);
+  CU_ASSERT (ss_queue_length (&owned->queue) == 1);
+  put_organisations (&sim, after);
+  CU_ASSERT (ss_queue_length (&owned->queue) == 1);
+  owned->queue.running[SS_QUEUE_WRITE] -= 3;
+  line_sim_advance (&sim, 200);
+  CU_ASSERT (ss_queue_length (&owned->queue) == 0);
+  CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_RAN);
+  s = stat_of (&sim, "a");
+  CU_ASSERT (s && s->waited_ms >= 100);
+  CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1c x"));
+  CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (sim.sessions[0].reason == SS_REASON_UNKNOWN_KEY);
+  CU_ASSERT (ss_fair_share_active (&owned->queue.fair_share) == 0);
+  line_sim_finish (&sim);
+}
+
+/* Load pattern: one organisation has filled the queue of the primary.  Guards
+ * against the refusal of another one's statement because of that queue.
+ */
+static void
+organisation_that_is_ahead_is_refused_first (void)
+{
+  static const char *const names[] = { "a", "b", NULL };
+  LineSim sim;
+  SsOwnedTarget *owned;
+  const SsOrganisationStat *s;
+
+  line_sim_init (&sim, 3, 16, 8);
+  put_organisations (&sim, names);
+  for (uint32_t i = 1; i <= 16; i += 2)
+    set_key (&sim, i, i == 15 ? "b" : "a");
+  CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1a x"));
+  owned = ss_owner_find (&sim.node, sim.servers[0].name);
+  owned->queue.running[SS_QUEUE_WRITE] += 3;
+  ss_queue_sample_run (&owned->queue, "strict", 600);
+  for (uint32_t i = 1; i <= 13; i += 2)
+    line_sim_send (&sim, i, "WRITE 1b x");
+  line_sim_advance (&sim, 100);
+  CU_ASSERT (sim.sessions[10].awaiting_reply || sim.sessions[8].awaiting_reply);
+  line_sim_send (&sim, 15, "WRITE 1c x");
+  line_sim_advance (&sim, 10);
+  CU_ASSERT (sim.sessions[14].awaiting_reply);
+  CU_ASSERT (sim.sessions[12].verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (sim.sessions[12].reason == SS_REASON_OVERLOAD);
+  s = stat_of (&sim, "a");
+  CU_ASSERT (s && s->refusals[SS_REASON_OVERLOAD] > 0);
+  CU_ASSERT (sim.node.counters.values[SS_COUNTER_DISPLACED] > 0);
+  owned->queue.running[SS_QUEUE_WRITE] -= 3;
+  line_sim_advance (&sim, 1000);
+  CU_ASSERT (sim.sessions[14].verdict == SS_VERDICT_RAN);
+  line_sim_finish (&sim);
+}
+
 CU_TestInfo test_line[] = {
   { "interleaved sessions stay isolated", interleaved_sessions_stay_isolated },
   { "first statement is not repeated", first_statement_is_not_repeated },
@@ -691,5 +838,11 @@
     read_of_overloaded_group_is_told_so },
   { "raised replicas are asked with pauses",
     raised_replicas_are_asked_with_pauses },
+  { "operations are counted by organisation",
+    operations_are_counted_by_organisation },
+  { "queued statement of removed organisation is served",
+    queued_statement_of_removed_organisation_is_served },
+  { "organisation that is ahead is refused first",
+    organisation_that_is_ahead_is_refused_first },
   CU_TEST_INFO_NULL,
 };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -199,11 +199,13 @@
       "config",
       "{\"meta\":{\"name\":\"main\",\"revision\":9},\"spec\":{"
       "\"routes\":[{\"host\":\"h\",\"service\":\"s\",\"kind\":"
-      "\"primary\",\"timeout_ms\":1000,\"priority\":2}],\"services\":[{"
+      "\"primary\",\"timeout_ms\":1000,\"priority\":2,"
+      "\"latency_goal_ms\":250}],\"services\":[{"
       "\"name\":\"s\","
       "\"max_conns\":21}],\"limits\":{\"tx_idle_ms\":3000}}}",
       "{\"groups\":{\"s\":{\"max_connections\":21}},\"services\":{\"h\":"
       "{\"default_kind\":\"strict\",\"group\":\"s\","
+      "\"latency_goal_ms\":250,"
       "\"timeout_ms\":1000,\"urgency\":2}},"
       "\"transaction_idle_ms\":3000}");
 }
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -312,6 +312,128 @@
   ss_queue_finish (&q);
 }
 
+/* --- deployments with organisations --- */
+
+static void
+assign_organisation (SsQueue *queue, SsQueueItem *item,
+                     const char *organisation, int64_t goal_ms)
+{
+  item->goal_ms = goal_ms;
+  ss_queue_assign_organisation (queue, item, "s", organisation);
+}
+
+/* Load pattern: one organisation has filled the queue and another one sends its
+ * first statement.  Guards against its refusal: the last-ranked statement of
+ * the organisation that is ahead is refused in its place.
+ */
+static void
+statement_within_its_share_displaces_the_last (void)
+{
+  SsQueue q;
+  SsQueueItem flood[ITEMS];
+  SsQueueItem more = make_item (SS_QUEUE_WRITE, 1000);
+  SsQueueItem other = make_item (SS_QUEUE_WRITE, 1000);
+  uint32_t retry_after_ms = 0;
+
+  ss_queue_init (&q);
+  q.mean_run_ms = 50;
+  q.running[SS_QUEUE_WRITE] = 2;
+  /* 38 * 50 ms / 2 = 950 ms: no time is left for one more. */
+  for (uint32_t i = 0; i < 38; i++)
+    {
+      flood[i] = make_item (SS_QUEUE_WRITE, 1000);
+      assign_organisation (&q, &flood[i], "flood", 0);
+      ss_queue_push (&q, &flood[i], 0);
+    }
+  CU_ASSERT_PTR_NULL (ss_queue_overflow (&q, 2, 0, 0.5, &retry_after_ms));
+  assign_organisation (&q, &more, "flood", 0);
+  CU_ASSERT (!ss_queue_admit (&q, &more, 2, 0, 0.5, &retry_after_ms));
+  CU_ASSERT (retry_after_ms >= 950);
+  assign_organisation (&q, &other, "other", 0);
+  CU_ASSERT (ss_queue_admit (&q, &other, 2, 0, 0.5, &retry_after_ms));
+  ss_queue_push (&q, &other, 0);
+  retry_after_ms = 0;
+  CU_ASSERT_PTR_EQUAL (ss_queue_overflow (&q, 2, 0, 0, &retry_after_ms),
+                       &flood[37]);
+  CU_ASSERT (retry_after_ms >= 950);
+  ss_queue_remove (&q, &flood[37]);
+  CU_ASSERT_PTR_NULL (ss_queue_overflow (&q, 2, 0, 0, &retry_after_ms));
+  ss_queue_finish (&q);
+}
+
+/* Guards against a refusal while a slot is free: what waits then does so for a
+ * connection.
+ */
+static void
+free_capacity_refuses_nothing_in_time (void)
+{
+  SsQueue q;
+  SsQueueItem waiting[ITEMS];
+  SsQueueItem item = make_item (SS_QUEUE_WRITE, 1000);
+  uint32_t retry_after_ms = 0;
+
+  ss_queue_init (&q);
+  q.mean_run_ms = 40;
+  assign_organisation (&q, &item, "a", 100);
+  for (uint32_t i = 0; i < ITEMS; i++)
+    {
+      waiting[i] = make_item (SS_QUEUE_WRITE, 1000);
+      assign_organisation (&q, &waiting[i], "a", 100);
+      ss_queue_push (&q, &waiting[i], 0);
+    }
+  CU_ASSERT (ss_queue_admit (&q, &item, 2, 0, 0.5, &retry_after_ms));
+  CU_ASSERT_PTR_NULL (ss_queue_overflow (&q, 2, 0, 0.5, &retry_after_ms));
+  q.running[SS_QUEUE_WRITE] = 2;
+  CU_ASSERT (!ss_queue_admit (&q, &item, 2, 0, 0.5, &retry_after_ms));
+  ss_queue_finish (&q);
+}
+
+/* Guards against slots spent on statements that miss their goals while others
+ * could still meet theirs; they are still served where nothing else waits.
+ */
+static void
+statements_that_meet_their_goals_go_first (void)
+{
+  SsQueue q;
+  SsQueueItem late = make_item (SS_QUEUE_WRITE, 2000);
+  SsQueueItem good = make_item (SS_QUEUE_WRITE, 2000);
+
+  ss_queue_init (&q);
+  q.mean_run_ms = 20;
+  assign_organisation (&q, &late, "a", 250);
+  ss_queue_push (&q, &late, 0);
+  assign_organisation (&q, &good, "a", 500);
+  ss_queue_push (&q, &good, 200);
+  CU_ASSERT_PTR_EQUAL (ss_queue_pop (&q, 9, 240), &good);
+  CU_ASSERT_PTR_EQUAL (ss_queue_pop (&q, 9, 240), &late);
+  ss_queue_finish (&q);
+}
+
+/* Without pressure on the target, the order is that of the ranks, whatever the
+ * organisations.
+ */
+static void
+organisations_within_their_shares_keep_the_order (void)
+{
+  SsQueue q;
+  SsQueueItem items[4];
+  static const char *const names[] = { "a", "b", "a", "c" };
+
+  ss_queue_init (&q);
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      items[i] = make_item (SS_QUEUE_WRITE, 10000);
+      items[i].urgency = i == 1 ? 1 : 0;
+      assign_organisation (&q, &items[i], names[i], 0);
+      ss_queue_push (&q, &items[i], 100 * i);
+    }
+  CU_ASSERT_PTR_EQUAL (ss_queue_pop (&q, 9, 400), &items[0]);
+  CU_ASSERT_PTR_EQUAL (ss_queue_pop (&q, 9, 400), &items[2]);
+  CU_ASSERT_PTR_EQUAL (ss_queue_pop (&q, 9, 400), &items[3]);
+  CU_ASSERT_PTR_EQUAL (ss_queue_pop (&q, 9, 400), &items[1]);
+  ss_queue_finish (&q);
+}
+
 static void
 retries_are_a_tenth_of_first_tries (void)
 {
@@ -343,6 +465,14 @@
     write_without_time_for_replication_expires },
   { "flood of one flow leaves the other admitted",
     flood_of_one_flow_leaves_the_other_admitted },
+  { "statement within its share displaces the last",
+    statement_within_its_share_displaces_the_last },
+  { "free capacity refuses nothing in time",
+    free_capacity_refuses_nothing_in_time },
+  { "statements that meet their goals go first",
+    statements_that_meet_their_goals_go_first },
+  { "organisations within their shares keep the order",
+    organisations_within_their_shares_keep_the_order },
   { "retries are a tenth of first tries", retries_are_a_tenth_of_first_tries },
   CU_TEST_INFO_NULL,
 };
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -9,6 +9,7 @@
   X (members)                                                                  \
   X (config)                                                                   \
   X (queue)                                                                    \
+  X (fair_share)                                                               \
   X (session)                                                                  \
   X (line)                                                                     \
   X (relay)                                                                    \
