--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -27,6 +27,7 @@
   char *service;
   char *user;
   char key_digest[SS_KEY_DIGEST_BYTES]; /* of its caller's key; "": none */
+  char *organisation; /* of its last operation; NULL: there was none */
   char *kind; /* write, session, strict or one of the service's kinds of read;
                  NULL: the service's default */
   char *request_key; /* idempotency key; NULL: none */
@@ -83,6 +84,7 @@
   SsPosition floor;   /* minimum position that it must see, if it is a read */
   SsWait wait;
   int64_t wait_due_ms;
+  uint32_t waited_ms; /* in the queues of targets, over all attempts */
   int64_t started_ms;
   int64_t deadline_ms;
   bool counted; /* it is part of the demand of its organisation */
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -101,6 +101,8 @@
   X (TARGET_RESTARTED, 650, WARNING,                                           \
      "another server process has the target's name; nothing known of the "     \
      "former one counts")                                                      \
+  X (STATEMENT_DISPLACED, 630, INFO,                                           \
+     "queued statement refused, as others go before it")                       \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -10,6 +10,7 @@
   X (config)                                                                   \
   X (queue)                                                                    \
   X (connection_cache)                                                         \
+  X (fair_share)                                                               \
   X (session)                                                                  \
   X (scram)                                                                    \
   X (discovery)                                                                \
