A write in a read transaction raises the session's floor

Cause: a transaction begun as BEGIN READ may run at the primary, where the server takes writes. Its COMMIT was not regarded as a commit: it was acknowledged without a majority, and the session's floor did not rise, so the next read could miss the session's own write.

Change: the COMMIT of every transaction that may have written counts as one.

The new test fails without the change.

--- a/src/core/statement.c
+++ b/src/core/statement.c
@@ -114,7 +114,8 @@
   r->begins = s->begin_due;
   r->start_seq = s->begin_seq;
   s->begin_wrote = s->begin_wrote || writes;
-  r->keeps = commits && s->begin_wrote && !s->begin_is_read;
+  /* At the primary, a read transaction may write, too. */
+  r->keeps = commits && s->begin_wrote;
 }
 
 /* Runs a statement at a target. */
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -113,6 +113,37 @@
   line_sim_finish (&sim);
 }
 
+/* A read transaction that runs at the primary may write.  Its COMMIT raises the
+ * session's floor like any other, so the next read sees the write.
+ */
+static void
+write_in_read_transaction_is_seen (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 10, 2, 8);
+  sim.servers[1].lag_ms = 100000;
+  sim.servers[2].lag_ms = 100000;
+  CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1a x"));
+  CU_ASSERT (line_sim_execute (&sim, 2, "WRITE 1a x"));
+  /* Its floor leaves only the primary. */
+  CU_ASSERT (line_sim_execute (&sim, 2, "BEGIN READ"));
+  CU_ASSERT (line_sim_execute (&sim, 2, "WRITE 1a x"));
+  CU_ASSERT (sim.sessions[1].verdict == SS_VERDICT_RAN);
+  CU_ASSERT (line_sim_execute (&sim, 2, "COMMIT"));
+  CU_ASSERT (sim.sessions[1].verdict == SS_VERDICT_RAN);
+  for (uint32_t i = 1; i < LINE_SERVERS; i++)
+    {
+      sim.servers[i].applied = sim.servers[i].received;
+      sim.servers[i].applied.offset--;
+    }
+  line_sim_advance (&sim, 1000);
+  for (uint32_t i = 0; i < 8; i++)
+    CU_ASSERT (line_sim_execute (&sim, 2, "READ 1a"));
+  expect_no_violations (&sim, 10);
+  line_sim_finish (&sim);
+}
+
 /* A statement in a transaction that the target refuses as busy is retried on
  * the same connection.  No other connection stays pinned to the session.
  */
@@ -664,6 +695,7 @@
   { "read with lost answer is retried", read_with_lost_answer_is_retried },
   { "write with lost answer is in doubt", write_with_lost_answer_is_in_doubt },
   { "read-only commit is never in doubt", read_only_commit_is_never_in_doubt },
+  { "write in a read transaction is seen", write_in_read_transaction_is_seen },
   { "busy statement is retried on its connection",
     busy_statement_is_retried_on_its_connection },
   { "refused transaction is rolled back", refused_transaction_is_rolled_back },
