Servers of unequal and changing speed are learned

Cause: the servers of a group differ in speed and slow down for seconds or before their slots are busy, but reads were chosen by fixed figures, and every server got its slots + 1 statements at once.

Change: with targets.learn_speed (off by default) the owner of a target learns how much slower than usual it runs, kind by kind against the usual run times that entries send along, and a limit of statements at once, from the gradient of run time against concurrency and by trials of lower and higher limits. State reports carry both while they differ from the default. Entries learn usual run times, round trips by failure domain and waits for the floor from replies, and draw the server of a read with weights by expected response time.

--- a/src/core/config.h
+++ b/src/core/config.h
@@ -52,6 +52,10 @@
   uint32_t stalled_ms;   /* for how long its commits reach no majority */
   uint32_t lag_ms;       /* replication lag of the applied position */
   uint64_t barred_term;  /* replicates no term below this one; 0: no bar */
+  /* Learned by the owner (owner_speed.c). */
+  uint32_t concurrency_limit; /* 0: as configured */
+  uint32_t slowness_percent;  /* of the usual run time; 0: as usual */
+  bool speed_unknown;         /* no run time has been seen yet */
 } SsServerState;
 
 typedef struct
@@ -78,6 +82,7 @@
                                 reports on; 0: its owner reports */
   int64_t direct_until_ms;   /* subscribe at the owner until then */
   uint32_t outstanding;      /* requests of this VM outstanding there */
+  double behind_ms; /* mean wait of reads for their floor; 0: not known */
   /* cached owner */
   uint64_t owner_generation;
   const char *owner;
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/entry.h"
+#include "core/entry_speed.h"
 #include "core/identity.h"
 
 static void
@@ -469,6 +470,7 @@
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
       return;
     }
+  ss_entry_speed_reply (node, r, reply);
   if (ss_request_may_retry (node, r, (SsVerdict) reply->verdict,
                             (SsReason) reply->reason, reply->sent))
     ss_request_retry (node, r, (SsReason) reply->reason, reply->retry_after_ms);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -55,6 +55,7 @@
   reply.reason = reason;
   reply.retry_after_ms = retry_after_ms;
   reply.transaction_status = 'I';
+  reply.owner_ms = node->params.learn_speed ? 1 : 0;
   if (reason == SS_REASON_BEHIND)
     ss_node_count (node, SS_COUNTER_BEHIND);
   send_reply (node, vm, &reply);
@@ -90,6 +91,14 @@
   if (job->tag)
     reply.tag = job->tag;
   reply.sent = job->sent;
+  if (node->params.learn_speed)
+    {
+      reply.owner_ms = (uint32_t) (node->now_ms - job->received_ms) + 1;
+      reply.run_us = (uint32_t) (job->run_ms * 1000);
+      reply.behind_ms = job->behind_since_ms
+                            ? (uint32_t) (node->now_ms - job->behind_since_ms)
+                            : 0;
+    }
   send_reply (node, job->vm, &reply);
   ss_job_free (job);
 }
@@ -146,6 +155,7 @@
 
   c->job->step = step;
   c->state = SS_CONNECTION_BUSY;
+  ss_owner_speed_started (node, c);
   a = ss_node_push (node, SS_ACTION_TARGET_QUERY);
   a->id = c->id;
   a->text = step_sql (node, c->job, &skip_results);
@@ -329,6 +339,7 @@
   job->pinned = run->pinned;
   job->confirm = run->confirm;
   job->floor = ss_position_unpack (run->floor);
+  job->usual_run_ms = run->usual_run_us / 1000.0;
   job->received_ms = node->now_ms;
   job->transaction_status = 'I';
   job->item.deadline_ms = node->now_ms + run->left_ms;
--- a/src/core/job_result.c
+++ b/src/core/job_result.c
@@ -230,6 +230,7 @@
       ss_multiplex_rolled_back (node, c, result);
       return;
     }
+  ss_owner_speed_result (node, c, result);
   record_result (c->job, result);
   if (ss_dialect_multiplexes_sessions (node->dialect))
     {
@@ -294,6 +295,8 @@
                           : ss_job_lost_verdict (job);
 
   job->transaction_status = 'I';
+  if (reason == SS_REASON_DEADLINE || reason == SS_REASON_CONNECTION_LOST)
+    ss_owner_speed_lost (node, job);
   ss_pool_close (node, c);
   ss_job_answer (node, job, verdict, reason, SS_RETRY_SOON_MS);
 }
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -184,6 +184,9 @@
   out->stalled_ms = in->stalled_ms;
   out->lag_ms = in->lag_ms;
   out->barred_term = in->barred_term;
+  out->concurrency_limit = in->concurrency_limit;
+  out->slowness_percent = in->slowness_percent;
+  out->speed_unknown = in->speed_unknown;
   for (size_t i = 0; i < in->n_history && i < SS_HISTORY_MAX; i++)
     out->history.starts[out->history.count++]
         = ss_position_unpack (in->history[i]);
@@ -218,6 +221,9 @@
   m->wait_ms = s->wait_ms;
   m->mean_wait_ms = s->mean_wait_ms;
   m->stalled_ms = s->stalled_ms;
+  m->concurrency_limit = s->concurrency_limit;
+  m->slowness_percent = s->slowness_percent;
+  m->speed_unknown = s->speed_unknown;
 }
 
 const char *
--- a/src/core/multiplex.c
+++ b/src/core/multiplex.c
@@ -79,6 +79,7 @@
   if (!job->pinned && !job->begins)
     text = with_floor (node, job, text);
   send_query (node, c, SS_STEP_PLAIN, job->label, text);
+  ss_owner_speed_started (node, c);
 }
 
 void
@@ -175,6 +176,8 @@
       retry_later (node, c, SS_REASON_OVERLOAD, BUSY_RETRY_MS, BUSY_WAIT_MS);
       break;
     case SS_TARGET_FAULT_BEHIND:
+      if (!c->job->behind_since_ms)
+        c->job->behind_since_ms = c->sent_ms;
       retry_later (node, c, SS_REASON_BEHIND, BEHIND_RETRY_MS, BEHIND_WAIT_MS);
       break;
     case SS_TARGET_FAULT_NOT_PRIMARY:
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/entry_speed.h"
 #include "core/fanout_send.h"
 #include "core/internal.h"
 #include "core/subscription.h"
@@ -63,6 +64,7 @@
   ss_fanout_init (&node->fanout);
   ss_startup_init (node);
   ss_entry_init (node);
+  ss_entry_speed_init (node);
   ss_owner_init (node);
   ss_admin_init (node);
   node->confirmed_positions
@@ -78,6 +80,7 @@
   GBytes *bytes;
 
   ss_entry_finish (node);
+  ss_entry_speed_finish (node);
   ss_owner_finish (node);
   ss_admin_finish (node);
   ss_relay_finish (node);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -48,6 +48,7 @@
   int64_t apply_ms;   /* limit for a configuration change to take effect */
   int64_t drain_ms;   /* limit for draining a removed target */
   uint32_t seed_port; /* peer port at the seeds; 0: as in seeds */
+  bool learn_speed;   /* learn the speed of targets (entry_speed.h) */
 } SsNodeParams;
 
 /* The deferred removal of a target whose object was deleted at the platform. */
@@ -108,6 +109,9 @@
   uint32_t status_waiters;    /* requests waiting for a first state report */
   GTree *confirmed_positions; /* group -> SsConfirmedPositions */
 
+  GHashTable *usual_runs;  /* service -> SsRunTime[2] (entry_speed.h) */
+  GHashTable *round_trips; /* failure domain -> SsRoundTrip */
+
   GTree *owned;            /* target -> SsOwnedTarget */
   GHashTable *connections; /* id -> SsConnection */
   uint64_t next_connection;
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -6,10 +6,12 @@
 #define SS_OWNED_H
 
 #include "core/backoff.h"
+#include "core/concurrency_limit.h"
 #include "core/message.h"
 #include "core/queue.h"
 #include "core/replay.h"
 #include "core/requests.h"
+#include "core/server_speed.h"
 #include "core/subscribers.h"
 #include "core/writers.h"
 
@@ -87,6 +89,11 @@
   bool sent;    /* the target may have run the statement */
   bool is_read;
   SsPosition floor;
+  double usual_run_ms;     /* of its kind in the group; 0: unknown */
+  int64_t run_started_ms;  /* when its own statement was sent; 0: not yet */
+  uint32_t running;        /* statements at the target then, with it */
+  double run_ms;           /* of its own statement; 0: unknown */
+  int64_t behind_since_ms; /* since when it waits for its floor; 0: not */
   SsStep step;
   GBytes *wire; /* result to return, from this or an earlier step */
   char *tag;
@@ -161,6 +168,13 @@
   SsServerState reported;
   int64_t reported_ms;
 
+  SsServerSpeed speed;
+  SsConcurrencyLimit limit;
+  uint32_t slowness_percent; /* that was last logged or reported; 0: usual */
+  bool is_slow;              /* the log says so */
+  bool is_limited;           /* below the ceiling, the log says so */
+  bool speed_changed;        /* since the last report */
+
   SsWriters writers;
   GQueue waiters;           /* jobs whose commit waits for a majority */
   SsPosition unreplicated;  /* highest commit not known to have a majority */
@@ -203,6 +217,31 @@
 void ss_job_result (SsNode *node, uint64_t connection,
                     const SsTargetResult *result);
 
+/* --- owner_speed.c: speed of the targets owned here --- */
+
+void ss_owner_speed_init (SsOwnedTarget *owned);
+void ss_owner_speed_finish (SsOwnedTarget *owned);
+/* ss_owner_speed_resume: starts from the figures that the previous owner last
+ * reported.
+ */
+void ss_owner_speed_resume (SsNode *node, SsOwnedTarget *owned);
+/* ss_owner_speed_started: the statement of C's job itself is sent. */
+void ss_owner_speed_started (SsNode *node, SsConnection *c);
+/* ss_owner_speed_result: RESULT for the last statement sent on C. */
+void ss_owner_speed_result (SsNode *node, SsConnection *c,
+                            const SsTargetResult *result);
+/* ss_owner_speed_lost: no answer came to the statement of JOB. */
+void ss_owner_speed_lost (SsNode *node, const SsJob *job);
+/* ss_owner_speed_limit: returns how many statements at once OWNED takes well,
+ * at most CEILING.
+ */
+uint32_t ss_owner_speed_limit (SsNode *node, const SsOwnedTarget *owned,
+                               uint32_t ceiling);
+/* ss_owner_speed_fill: sets the learned figures of STATE. */
+void ss_owner_speed_fill (SsNode *node, const SsOwnedTarget *owned,
+                          SsServerState *state);
+void ss_owner_speed_tick (SsNode *node, SsOwnedTarget *owned);
+
 /* --- quorum.c: commits replicated to a majority, confirmed positions --- */
 
 /* ss_quorum_request_status: requests T's state from its owner, from a poll that
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -30,6 +30,7 @@
   SsOwnedTarget *o = data;
 
   ss_queue_finish (&o->queue);
+  ss_owner_speed_finish (o);
   ss_writers_finish (&o->writers);
   g_ptr_array_free (o->connections, TRUE);
   g_ptr_array_free (o->status_requests, TRUE);
@@ -101,6 +102,8 @@
                              CONNECT_BACKOFF_MS * 4, CONNECT_BACKOFF_MAX_MS);
   was_connecting = c->state == SS_CONNECTION_CONNECTING;
   job = g_steal_pointer (&c->job);
+  if (job)
+    ss_owner_speed_lost (node, job);
   ss_pool_forget (node, c);
   if (job && was_connecting)
     ss_job_answer (node, job, SS_VERDICT_NOT_RUN, SS_REASON_CONNECT,
@@ -291,6 +294,7 @@
 
   o->target = target;
   ss_queue_init (&o->queue);
+  ss_owner_speed_init (o);
   ss_writers_init (&o->writers);
   o->connections = g_ptr_array_new ();
   o->status_requests = g_ptr_array_new_with_free_func (free_status_request);
@@ -405,7 +409,9 @@
     return FALSE;
   o->active = is_owner;
   o->owner_since_ms = node->now_ms;
-  if (!is_owner)
+  if (is_owner)
+    ss_owner_speed_resume (node, o);
+  else
     release_target (node, o);
   return FALSE;
 }
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -44,9 +44,9 @@
 {
   uint32_t limit = ss_pool_max_connections (node, owned);
 
-  if (!owned->target->slots)
-    return limit;
-  return MIN (owned->target->slots + 1, limit);
+  if (owned->target->slots)
+    limit = MIN (owned->target->slots + 1, limit);
+  return ss_owner_speed_limit (node, owned, limit);
 }
 
 SsConnection *
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -86,6 +86,8 @@
   int64_t deadline_ms;
   char *vm; /* owner that it was sent to; NULL: not sent */
   char *target;
+  int64_t sent_ms;         /* when it was sent to vm */
+  bool is_behind;          /* the target had not applied the floor then */
   uint32_t tries;          /* failed attempts, on the targets in tried */
   SsReason refusal;        /* of the last failed attempt */
   uint32_t retry_after_ms; /* that came with it */
@@ -171,12 +173,11 @@
 
 /* --- choice.c: selects the server for a read or a write --- */
 
-/* ss_choice_read: returns a server of GROUP that is not among TRIED and has
- * applied FLOOR, or NULL.  Prefers replicas; returns the primary only where no
- * replica qualifies.
+/* ss_choice_read: returns a server of GROUP for R that was not tried and has
+ * applied R's floor, or NULL.  Prefers replicas; returns the primary only where
+ * no replica qualifies.
  */
-SsTarget *ss_choice_read (SsNode *node, SsGroup *group, SsPosition floor,
-                          char *const *tried, uint32_t tried_count);
+SsTarget *ss_choice_read (SsNode *node, const SsRequest *r, SsGroup *group);
 /* ss_choice_checked_read: returns the server of GROUP with the lowest expected
  * response time for R, or NULL.  Its target checks the floor itself, so a
  * replica that is slightly behind qualifies too.
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/entry.h"
+#include "core/entry_speed.h"
 
 #define CONFIRM_WAIT_MS 500
 #define STATUS_WAIT_MS 500
@@ -95,6 +96,7 @@
   run.identity = (char *) ss_session_identity (node, s);
   if (r->organisation)
     run.organisation = r->organisation;
+  run.usual_run_us = ss_entry_speed_sent (node, r, t);
   add_session_state (&run, s, r);
   e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
   e.run = &run;
@@ -220,7 +222,7 @@
     }
   t = ss_dialect_multiplexes_sessions (node->dialect)
           ? ss_choice_checked_read (node, r, group)
-          : ss_choice_read (node, group, r->floor, r->tried, r->tries);
+          : ss_choice_read (node, r, group);
   if (t)
     send_run (node, r, ss_node_owner (node, t), t->name, false);
   else if (!begin_status_wait (node, r, find_unreported (group)))
--- a/src/core/target_monitor.c
+++ b/src/core/target_monitor.c
@@ -26,8 +26,10 @@
 pack_state (SsNode *node, const SsOwnedTarget *owned, SsPackedState *out)
 {
   const SsTarget *t = owned->target;
+  SsServerState state = t->state;
 
-  ss_state_pack (out, &t->state, node->now_ms - t->state_ms);
+  ss_owner_speed_fill (node, owned, &state);
+  ss_state_pack (out, &state, node->now_ms - t->state_ms);
   out->message.wait_ms = ss_queue_wait_ms (&owned->queue, SS_QUEUE_READ,
                                            ss_pool_capacity (node, owned));
   out->message.mean_wait_ms = (uint32_t) owned->queue.mean_wait_ms;
@@ -80,7 +82,8 @@
 send_reports (SsNode *node, SsOwnedTarget *owned)
 {
   int64_t age_ms = node->now_ms - owned->reported_ms;
-  bool changed = has_changed (&owned->reported, &owned->target->state);
+  bool changed = has_changed (&owned->reported, &owned->target->state)
+                 || owned->speed_changed;
   const SsTiming *timing = &node->params.timing;
   GHashTableIter iter;
   gpointer vm;
@@ -89,6 +92,7 @@
   if (age_ms < (changed ? timing->report_min_ms : timing->report_idle_ms))
     return;
   owned->reported = owned->target->state;
+  owned->speed_changed = false;
   owned->reported_ms = node->now_ms;
   ss_subscribers_expire (owned->subscribers, node->now_ms);
   g_hash_table_iter_init (&iter, owned->subscribers);
@@ -412,7 +416,8 @@
       && node->now_ms - MAX (t->reachable_ms, owned->owner_since_ms)
              >= node->params.timing.unreachable_ms)
     mark_unreachable (node, owned, false);
-  if (!t->state.reachable
+  ss_owner_speed_tick (node, owned);
+  if (!t->state.reachable || owned->speed_changed
       || node->now_ms - owned->reported_ms
              >= node->params.timing.report_idle_ms)
     send_reports (node, owned);
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -83,6 +83,12 @@
   X (REQUEST_RETRIED, 604, INFO, "request retried internally")                 \
   X (REQUEST_WAITS, 605, INFO, "request waits for a primary")                  \
   X (KEY_UNKNOWN, 606, WARNING, "no organisation has the caller's key")        \
+  X (SERVER_SLOW, 640, WARNING, "target is slower than usual")                 \
+  X (SERVER_USUAL, 641, INFO, "target is as fast as usual again")              \
+  X (LIMIT_LOWERED, 642, WARNING,                                              \
+     "target gets fewer statements at once than it has slots")                 \
+  X (LIMIT_RAISED, 643, INFO,                                                  \
+     "target gets as many statements at once as configured again")             \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -135,6 +135,7 @@
   params->apply_ms = settings->apply_ms;
   params->drain_ms = settings->drain_ms;
   params->seed_port = (uint32_t) settings->seed_port;
+  params->learn_speed = settings->learn_speed != 0;
   fill_timing (params, settings);
 }
 
--- a/src/kernel/settings.h
+++ b/src/kernel/settings.h
@@ -46,6 +46,7 @@
   X (transaction_idle_ms, "callers.transaction_idle_ms", 10000, 100, 600000)   \
   X (deadline_ms, "callers.deadline_ms", 5000, 50, 600000)                     \
   X (stop_bound_ms, "vm.stop_bound_ms", 10000, 100, 600000)                    \
+  X (learn_speed, "targets.learn_speed", 0, 0, 1)                              \
   X (log_spans, "log.spans", 0, 0, 1)
 
 /* X (field, key, default, lowest, highest): floating-point numbers */
--- a/src/plugins/metrics.c
+++ b/src/plugins/metrics.c
@@ -1,5 +1,6 @@
 #include "plugins/metrics.h"
 
+#include "core/owner.h"
 #include "core/traffic.h"
 #include "core/version.h"
 
@@ -10,6 +11,8 @@
 #define ROUTES_AGE_METRIC "sapphirestair_routes_age_ms"
 #define WATCH_METRIC "sapphirestair_watch_revision"
 #define WATCH_AGE_METRIC "sapphirestair_watch_age_ms"
+/* Targets owned here that the metrics list: a VM rarely owns more. */
+#define TARGETS_MAX 64
 
 static void
 add_help (GString *out, const char *name, const char *type, const char *help)
@@ -166,6 +169,75 @@
               "time since that version was adopted", route_age_ms);
 }
 
+/* Returns what a gauge of an owned target reports. */
+typedef double (*TargetValue) (const SsNode *node, const SsOwnedTarget *owned);
+
+static double
+target_limit (const SsNode *node, const SsOwnedTarget *owned)
+{
+  return ss_pool_capacity ((SsNode *) node, owned);
+}
+
+static double
+target_slowness (const SsNode *node, const SsOwnedTarget *owned)
+{
+  return ss_server_speed_factor (&owned->speed, node->now_ms);
+}
+
+static double
+target_run_ms (const SsNode *node, const SsOwnedTarget *owned)
+{
+  (void) node;
+  return owned->queue.mean_run_ms;
+}
+
+typedef struct
+{
+  GString *out;
+  const SsNode *node;
+  const char *name;
+  TargetValue value;
+  uint32_t left;
+} TargetGauge;
+
+static gboolean
+add_target (gpointer key, gpointer value, gpointer data)
+{
+  const SsOwnedTarget *owned = value;
+  TargetGauge *g = data;
+
+  if (!owned->active)
+    return FALSE;
+  g_string_append_printf (g->out, "%s{target=\"%s\"} %.3f\n", g->name,
+                          (const char *) key, g->value (g->node, owned));
+  return --g->left == 0;
+}
+
+/* Adds one line for each target that this VM owns. */
+static void
+add_targets (GString *out, const SsNode *node, const char *name,
+             const char *help, TargetValue value)
+{
+  TargetGauge g = { out, node, name, value, TARGETS_MAX };
+
+  add_help (out, name, "gauge", help);
+  g_tree_foreach (node->owned, add_target, &g);
+}
+
+static void
+add_speed (GString *out, const SsNode *node)
+{
+  if (!node->params.learn_speed)
+    return;
+  add_targets (out, node, "sapphirestair_target_concurrency_limit",
+               "statements sent to a target at once", target_limit);
+  add_targets (out, node, "sapphirestair_target_slowness",
+               "run times at a target as a multiple of the usual ones",
+               target_slowness);
+  add_targets (out, node, "sapphirestair_target_run_ms",
+               "mean run time of statements at a target", target_run_ms);
+}
+
 char *
 ss_metrics_text (const SsNode *node)
 {
@@ -175,5 +247,6 @@
   add_traffic (out, &node->traffic);
   add_platform_calls (out, &node->platform_calls);
   add_config (out, node);
+  add_speed (out, node);
   return g_string_free (out, FALSE);
 }
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -266,6 +266,7 @@
     {
       check_execution (sim, c, label, &st);
       count_run (sim, label);
+      s->ran++;
     }
   switch (st.kind)
     {
@@ -393,15 +394,54 @@
          && g_rand_int_range (sim->rand, 0, 1000) < (gint32) sim->lost_permille;
 }
 
+static uint32_t
+busy_slots (const LineSim *sim, const LineServer *s)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < s->slots; i++)
+    count += s->slot_free_ms[i] > sim->now_ms ? 1 : 0;
+  return count;
+}
+
+/* Returns the time until S has run one more statement in the first slot that
+ * is free.  Run times are uniform, from half to one and a half of the mean.
+ */
+static int64_t
+occupy_slot (LineSim *sim, LineServer *s)
+{
+  double run_ms
+      = (double) s->run_ms * g_rand_double_range (sim->rand, 0.5, 1.5);
+  double running = MIN (busy_slots (sim, s) + 1, s->slots);
+  int64_t *slot = &s->slot_free_ms[0];
+
+  if (s->knee && running > s->knee)
+    run_ms *= (running / s->knee) * (running / s->knee);
+  for (uint32_t i = 1; i < s->slots; i++)
+    if (s->slot_free_ms[i] < *slot)
+      slot = &s->slot_free_ms[i];
+  *slot = MAX (*slot, sim->now_ms) + MAX ((int64_t) run_ms, 1);
+  return *slot - sim->now_ms;
+}
+
+static int64_t
+answer_ms (LineSim *sim, LineServer *s, const char *label)
+{
+  if (!s->run_ms)
+    return 1 + g_rand_int_range (sim->rand, 0, ANSWER_MAX_MS);
+  return label ? occupy_slot (sim, s) : 1;
+}
+
 static void
 handle_query (LineSim *sim, const SsAction *a)
 {
   LineConnection *c = g_hash_table_lookup (sim->connections, &a->id);
-  int64_t after_ms = 1 + g_rand_int_range (sim->rand, 0, ANSWER_MAX_MS);
+  int64_t after_ms;
   ScheduledEvent *scheduled;
 
   if (!c)
     return;
+  after_ms = answer_ms (sim, c->server, a->label);
   replicate (sim);
   scheduled = line_sim_schedule (sim, after_ms, SS_EVENT_TARGET_RESULT);
   scheduled->result.fault = run_text (sim, c, a->label, a->text, scheduled);
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -13,6 +13,7 @@
 
 #define LINE_SERVERS 3
 #define LINE_SESSIONS_MAX 16
+#define LINE_SLOTS_MAX 8
 
 typedef struct LineSim LineSim;
 
@@ -28,6 +29,12 @@
   uint32_t reported_lag_ms; /* that its status tells */
   bool replication_stopped; /* receives no replication */
   bool down;                /* refuses connections and does not replicate */
+  int64_t run_ms; /* mean run time of a caller's statement; 0: as answers */
+  uint32_t slots; /* statements at once, if run_ms is set */
+  uint32_t knee;  /* beyond so many at once, run times grow with the square of
+                     their number; 0: they do not */
+  int64_t slot_free_ms[LINE_SLOTS_MAX];
+  uint32_t ran;       /* callers' statements */
   int64_t in_sync_ms; /* when a replica last had applied all it received */
 } LineServer;
 
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -69,6 +69,8 @@
                 ":12: callers.max must be an integer");
   expect_error (VALID_SETTINGS "[log]\nspans = 1\n",
                 "log.spans must be true or false");
+  expect_error (VALID_SETTINGS "[targets]\nlearn_speed = 1\n",
+                "targets.learn_speed must be true or false");
   expect_error ("[vm]\nname = \"a\"\n", "is missing");
   expect_error ("[vm]\nname = \"\"\n", ":2: vm.name must not be empty");
   expect_error (VALID_SETTINGS "[platform]\n", "platform");
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -9,6 +9,7 @@
   X (members)                                                                  \
   X (config)                                                                   \
   X (queue)                                                                    \
+  X (server_speed)                                                             \
   X (session)                                                                  \
   X (line)                                                                     \
   X (relay)                                                                    \
