Event 642 says what limits are: fewer than configured

Cause: a limit of exactly the slots is below the ceiling of slots + 1, and the text spoke of fewer than the slots.

--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -86,7 +86,7 @@
   X (SERVER_SLOW, 640, WARNING, "target is slower than usual")                 \
   X (SERVER_USUAL, 641, INFO, "target is as fast as usual again")              \
   X (LIMIT_LOWERED, 642, WARNING,                                              \
-     "target gets fewer statements at once than it has slots")                 \
+     "target gets fewer statements at once than configured")                   \
   X (LIMIT_RAISED, 643, INFO,                                                  \
      "target gets as many statements at once as configured again")             \
   X (SPAN, 700, DEBUG, "span")
