--- a/src/core/node.h
+++ b/src/core/node.h
@@ -56,6 +56,7 @@
                              three */
   double rate_overage;    /* above the limits in a window, as a fraction */
   uint32_t rate_slack;    /* operations above that */
+  bool learn_speed;       /* learn the speed of targets (entry_speed.h) */
 } SsNodeParams;
 
 /* The deferred removal of a target whose object was deleted at the platform. */
@@ -122,6 +123,8 @@
   uint64_t rate_generation; /* members.generation that its ranks are from */
   uint32_t token_waiters;   /* requests waiting for a token */
   bool rate_alone[SS_RATE_SLOTS]; /* no coordinator answers */
+  GHashTable *usual_runs;         /* service -> SsRunTime[2] (entry_speed.h) */
+  GHashTable *round_trips;        /* failure domain -> SsRoundTrip */
 
   GTree *owned;            /* target -> SsOwnedTarget */
   GHashTable *connections; /* id -> SsConnection */
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -34,6 +34,7 @@
   SsOwnedTarget *o = data;
 
   ss_queue_finish (&o->queue);
+  ss_owner_speed_finish (o);
   ss_writers_finish (&o->writers);
   g_ptr_array_free (o->connections, TRUE);
   ss_connection_cache_finish (&o->cache);
@@ -115,6 +116,8 @@
     owned->connect_after_ms = node->now_ms + pause_ms;
   was_connecting = c->state == SS_CONNECTION_CONNECTING;
   job = g_steal_pointer (&c->job);
+  if (job)
+    ss_owner_speed_lost (node, job);
   ss_pool_forget (node, c);
   if (is_full && node->config.organisations)
     ss_pool_refused (node, owned, pause_ms);
@@ -307,6 +310,7 @@
   o->target = target;
   o->incarnation = target->incarnation;
   ss_queue_init (&o->queue);
+  ss_owner_speed_init (o);
   ss_writers_init (&o->writers);
   o->connections = g_ptr_array_new ();
   ss_connection_cache_init (&o->cache);
@@ -464,7 +468,9 @@
   o->active = is_owner;
   o->owner_since_ms = node->now_ms;
   ss_connection_cache_restart (&o->cache);
-  if (!is_owner)
+  if (is_owner)
+    ss_owner_speed_resume (node, o);
+  else
     release_target (node, o);
   return FALSE;
 }
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -58,7 +58,7 @@
   X (CONNECTION_WAITS, "connection_waits",                                     \
      "statements that waited for a connection of their organisation")          \
   X (CONNECT_RETURNS, "connect_returns",                                       \
-     "statements queued again, as their connection failed to open") \
+     "statements queued again, as their connection failed to open")            \
   X (DISPLACED, "displaced",                                                   \
      "queued statements refused in place of others that go before them")
 
--- a/src/kernel/plugin.c
+++ b/src/kernel/plugin.c
@@ -139,6 +139,7 @@
   params->rate_overage = settings->rate_overage;
   params->rate_slack = (uint32_t) settings->rate_slack;
   params->seed_port = (uint32_t) settings->seed_port;
+  params->learn_speed = settings->learn_speed != 0;
   fill_timing (params, settings);
 }
 
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -11,6 +11,7 @@
   X (queue)                                                                    \
   X (connection_cache)                                                         \
   X (fair_share)                                                               \
+  X (server_speed)                                                             \
   X (session)                                                                  \
   X (scram)                                                                    \
   X (discovery)                                                                \
