Rate limits: shares are back sooner after restarts

Change: an ask says that its sender has restarted. A coordinator that holds the delegation of the earlier incarnation takes the new one at once, and one that knows that all VMs have restarted takes those of all.

--- a/src/core/rate_limit.c
+++ b/src/core/rate_limit.c
@@ -38,6 +38,7 @@
   m.echo_ms = ask->echo_ms;
   m.vms = ask->vms;
   m.release = ask->release;
+  m.restarted = ask->restarted;
   m.wants = list;
   m.n_wants = ask->want_count;
   e.body_case = SS__PEER__ENVELOPE__BODY_RATE_ASK;
@@ -324,6 +325,7 @@
   a.echo_ms = ask->echo_ms;
   a.vms = ask->vms;
   a.release = ask->release;
+  a.restarted = ask->restarted;
   for (size_t i = 0; i < ask->n_wants && i < SS_RATE_WANTS_MAX; i++)
     a.wants[a.want_count++]
         = (SsRateWant){ ask->wants[i]->organisation, ask->wants[i]->needed,
--- a/src/core/rate_limiter.c
+++ b/src/core/rate_limiter.c
@@ -18,7 +18,9 @@
 /* A VM asks its coordinator at this interval to keep its delegation.  One ask
  * may be lost.
  */
-#define RENEW_MS 500
+#define RENEW_MS 400
+/* The same until its share is certainly its own again after a restart. */
+#define RENEW_RESTARTED_MS 100
 /* An ask without a reply is repeated after this; a reply takes 16 ms. */
 #define RETRY_MS 150
 /* Silence after which a coordinator is replaced by the one that ranks first. */
@@ -77,6 +79,8 @@
       l->slots[i].organisations = g_ptr_array_new ();
       l->slots[i].delegations
           = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      l->slots[i].restarted
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
     }
   l->known = (SsRateVmCount){ 1, 1, now_ms };
   l->reported = (SsRateVmCount){ 1, 1, now_ms };
@@ -89,6 +93,7 @@
     {
       g_ptr_array_free (l->slots[i].organisations, TRUE);
       g_hash_table_destroy (l->slots[i].delegations);
+      g_hash_table_destroy (l->slots[i].restarted);
       g_free (l->slots[i].ranked);
       g_free (l->slots[i].vm);
       g_free (l->slots[i].delegate);
@@ -351,7 +356,17 @@
   ask->wants[ask->want_count++] = want;
 }
 
-/* Whether this VM's share of slot INDEX may go to the coordinator in use. */
+/* Whether an earlier incarnation of this VM may have delegated its share. */
+static bool
+has_restarted (const SsRateLimiter *l, int64_t now_ms)
+{
+  return now_ms - l->started_ms < SS_RATE_HOLD_MS;
+}
+
+/* Whether this VM's share of slot INDEX may go to the coordinator in use.  While
+ * an earlier incarnation of this VM may have delegated it, the coordinator
+ * decides.
+ */
 static bool
 may_delegate (const SsRateLimiter *l, uint32_t index, int64_t now_ms)
 {
@@ -360,8 +375,8 @@
   if (!s->reading_ms || now_ms - s->read_ms >= SS_RATE_DELEGATION_MS)
     return false;
   return g_strcmp0 (s->delegate, s->vm) == 0
-             ? now_ms - l->started_ms >= SS_RATE_HOLD_MS
-             : ss_rate_limiter_uses_own_share (l, index, now_ms);
+         || ss_rate_limiter_uses_own_share (l, index, now_ms)
+         || (!s->delegate && has_restarted (l, now_ms));
 }
 
 static bool
@@ -370,7 +385,8 @@
   const SsRateSlot *s = &l->slots[index];
   int64_t since_ms = now_ms - s->asked_ms;
 
-  if (!s->asked_ms || since_ms >= RENEW_MS)
+  if (!s->asked_ms || since_ms >= RENEW_MS
+      || (has_restarted (l, now_ms) && since_ms >= RENEW_RESTARTED_MS))
     return true;
   if (s->silent_since_ms)
     return since_ms >= RETRY_MS;
@@ -404,6 +420,7 @@
   ask->slot = slot;
   ask->sent_ms = now_ms;
   ask->vms = highest (&l->known);
+  ask->restarted = has_restarted (l, now_ms);
 }
 
 /* Asks the coordinator of slot INDEX, if anything is due. */
@@ -545,6 +562,38 @@
   return d;
 }
 
+static gboolean
+is_outdated (gpointer key, gpointer value, gpointer data)
+{
+  (void) key;
+  return *(int64_t *) data - *(int64_t *) value >= SS_RATE_HOLD_MS;
+}
+
+/* Whether all VMs have restarted, so that no earlier delegation is left. */
+static bool
+have_all_restarted (const SsRateLimiter *l, SsRateSlot *s, int64_t now_ms)
+{
+  uint32_t vms = MAX (highest (&l->known), highest (&l->reported));
+
+  if (!has_restarted (l, now_ms))
+    return false;
+  g_hash_table_foreach_remove (s->restarted, is_outdated, &now_ms);
+  return g_hash_table_size (s->restarted) + 1 >= vms;
+}
+
+/* Whether the share of FROM, which has restarted, is not delegated elsewhere. */
+static bool
+has_share_back (const SsRateLimiter *l, SsRateSlot *s, const char *from,
+                int64_t now_ms)
+{
+  const SsRateDelegation *d = g_hash_table_lookup (s->delegations, from);
+  int64_t *asked_ms = g_new (int64_t, 1);
+
+  *asked_ms = now_ms;
+  g_hash_table_replace (s->restarted, g_strdup (from), asked_ms);
+  return (d && now_ms < d->until_ms) || have_all_restarted (l, s, now_ms);
+}
+
 /* Counts the delegation of FROM, if its echo is valid.  Readings of an earlier
  * incarnation of this VM, or from before a release, are not.
  */
@@ -557,7 +606,8 @@
   int64_t until_ms;
 
   if (ask->echo_ms > now_ms || ask->echo_ms <= l->started_ms
-      || ask->echo_ms <= s->floor_ms)
+      || ask->echo_ms <= s->floor_ms
+      || (ask->restarted && !has_share_back (l, s, from, now_ms)))
     return;
   until_ms = ask->echo_ms + SS_RATE_DELEGATION_MS;
   if (until_ms <= now_ms)
--- a/src/core/rate_limiter.h
+++ b/src/core/rate_limiter.h
@@ -26,12 +26,12 @@
 /* One coordinator would have to answer every VM several times a second. */
 #define SS_RATE_SLOTS 4
 /* How long a coordinator counts a delegation after the echoed reading. */
-#define SS_RATE_DELEGATION_MS 1200
+#define SS_RATE_DELEGATION_MS 900
 /* The same at the VM, with the drift of two clocks of 1 % each.  A VM that has
  * started does not use its share before either, since an earlier incarnation
  * may have delegated it.
  */
-#define SS_RATE_HOLD_MS 1240
+#define SS_RATE_HOLD_MS 930
 /* The highest number of VMs of the last one to two of these periods counts: a
  * VM that is cut off goes on using its share.
  */
@@ -54,6 +54,8 @@
   int64_t echo_ms; /* last clock reading of the receiver; 0: no delegation */
   uint32_t vms;    /* that the sender knows */
   bool release;    /* asks the receiver to end the sender's delegation */
+  bool restarted;  /* an earlier incarnation of the sender may have delegated its
+                      share a moment ago */
   SsRateWant wants[SS_RATE_WANTS_MAX];
   uint32_t want_count;
 } SsRateAsk;
@@ -99,6 +101,7 @@
 {
   GPtrArray *organisations;   /* of SsRateOrganisation (borrowed) */
   GHashTable *delegations;    /* VM -> SsRateDelegation */
+  GHashTable *restarted;      /* VMs that asked and have restarted -> time */
   uint32_t valid;             /* delegations that are valid */
   int64_t check_ms;           /* when the next one may end */
   int64_t floor_ms;           /* as in SsRateDelegation, for all VMs */
