--- a/src/core/config.c
+++ b/src/core/config.c
@@ -330,9 +330,8 @@
   return error;
 }
 
-/* Checks all limits before it adopts the first. */
 static char *
-adopt_group_limits (SsConfig *c, json_t *groups)
+check_group_limits (json_t *groups)
 {
   const char *name;
   json_t *group;
@@ -343,8 +342,16 @@
     if (!error)
       error = check_group_limit (group);
   }
-  if (error)
-    return error;
+  return error;
+}
+
+/* Adopts limits that are checked. */
+static void
+adopt_group_limits (SsConfig *c, json_t *groups)
+{
+  const char *name;
+  json_t *group;
+
   json_object_foreach (groups, name, group)
   {
     json_int_t connections
@@ -354,7 +361,6 @@
                           GINT_TO_POINTER ((gint) connections));
     ensure_group (c, name);
   }
-  return NULL;
 }
 
 /* A key belongs to one organisation: a second one that lists it is invalid. */
@@ -577,7 +583,7 @@
     error = ss_parse_number (json, "transaction_idle_ms", 0, 0,
                              SS_TIMEOUT_MAX_MS, &idle_ms);
   if (!error)
-    error = adopt_group_limits (c, json_object_get (json, "groups"));
+    error = check_group_limits (json_object_get (json, "groups"));
   if (!error)
     error = adopt_organisations (c, json_object_get (json, "organisations"));
   if (error)
@@ -586,6 +592,7 @@
       c->services = before;
       return error;
     }
+  adopt_group_limits (c, json_object_get (json, "groups"));
   g_tree_destroy (before);
   c->transaction_idle_ms = idle_ms;
   return NULL;
--- a/src/core/config_store.c
+++ b/src/core/config_store.c
@@ -9,7 +9,7 @@
 /* Smaller values gain nothing from compression. */
 #define COMPRESS_MIN_BYTES 1024
 /* Bound on what an invalid message makes this VM allocate. */
-#define UNCOMPRESSED_MAX_BYTES (64 * 1024 * 1024)
+#define DECOMPRESSED_MAX_BYTES (64 * 1024 * 1024)
 
 bool
 ss_stored_object_is_equal (const SsStoredObject *stored, const SsObject *object)
@@ -73,13 +73,13 @@
 }
 
 char *
-ss_config_uncompress (const uint8_t *value, size_t compressed_bytes,
+ss_config_decompress (const uint8_t *value, size_t compressed_bytes,
                       uint32_t value_bytes)
 {
   uLongf bytes = value_bytes;
   char *text;
 
-  if (value_bytes > UNCOMPRESSED_MAX_BYTES)
+  if (value_bytes > DECOMPRESSED_MAX_BYTES)
     return NULL;
   text = g_malloc (value_bytes);
   if (uncompress ((Bytef *) text, &bytes, value, compressed_bytes) == Z_OK
--- a/src/core/config_store.h
+++ b/src/core/config_store.h
@@ -22,10 +22,10 @@
  * it, or NULL where the value is too small to be worth it.
  */
 GBytes *ss_stored_object_compress (SsStoredObject *stored);
-/* ss_config_uncompress: uncompresses VALUE to VALUE_BYTES bytes, to be freed
+/* ss_config_decompress: decompresses VALUE to VALUE_BYTES bytes, to be freed
  * with g_free.  Returns NULL where it is not valid.
  */
-char *ss_config_uncompress (const uint8_t *value, size_t compressed_bytes,
+char *ss_config_decompress (const uint8_t *value, size_t compressed_bytes,
                             uint32_t value_bytes);
 /* ss_config_store_object: stores OBJECT, which is adopted. */
 void ss_config_store_object (SsConfig *config, const SsObject *object,
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -385,7 +385,7 @@
 
   if (in->value_bytes)
     {
-      text = ss_config_uncompress (in->value.data, in->value.len,
+      text = ss_config_decompress (in->value.data, in->value.len,
                                    in->value_bytes);
       o.value = text;
       o.value_bytes = in->value_bytes;
@@ -395,7 +395,7 @@
     adopt_now (node, &o);
   else
     ss_node_log (node, SS_EVENT_LOG_PEER_INVALID, from,
-                 "%s can't be uncompressed", in->key);
+                 "%s can't be decompressed", in->key);
   g_free (text);
 }
 
--- a/src/core/connection_cache.c
+++ b/src/core/connection_cache.c
@@ -195,8 +195,9 @@
                              int64_t pause_ms, int64_t now_ms)
 {
   uint32_t step = MAX (open / SS_CACHE_SHRINK_DIVISOR, 1);
+  uint32_t reduced = open > step ? open - step : 1;
 
-  cache->limit = MIN (cache->limit, open > step ? open - step : 1);
+  cache->limit = cache->limit ? MIN (cache->limit, reduced) : reduced;
   cache->grow_ms = now_ms + pause_ms;
   cache->is_shrunk = true;
 }
--- a/src/core/fair_share.c
+++ b/src/core/fair_share.c
@@ -124,7 +124,7 @@
 }
 
 static gboolean
-is_unqueued (gpointer key, gpointer value, gpointer data)
+reset_account (gpointer key, gpointer value, gpointer data)
 {
   Account *a = value;
   const SsFairLevel *level = data;
@@ -187,7 +187,7 @@
       SsFairLevel *level = &share->levels[i];
 
       level->credit_ms = 0;
-      g_hash_table_foreach_remove (level->accounts, is_unqueued, level);
+      g_hash_table_foreach_remove (level->accounts, reset_account, level);
     }
 }
 
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -332,6 +332,39 @@
          && node->now_ms + needed_ms < job->item.deadline_ms;
 }
 
+/* Returns until when JOB meets the latency goal of SERVICE, which counts from
+ * the arrival at the entry VM as its deadline does; 0: there is none.
+ */
+static int64_t
+goal_ms (const SsJob *job, const SsService *service)
+{
+  int64_t arrived_ms = job->received_ms;
+
+  if (!service || !service->latency_goal_ms)
+    return 0;
+  if (service->timeout_ms)
+    arrived_ms = job->item.deadline_ms - service->timeout_ms;
+  return MIN (arrived_ms + service->latency_goal_ms, job->item.deadline_ms);
+}
+
+static void
+assign_job (SsNode *node, SsOwnedTarget *owned, SsJob *job)
+{
+  SsService *service = ss_config_service (&node->config, job->service);
+
+  job->item.after_run_ms = job->keeps ? (int64_t) owned->mean_hold_ms : 0;
+  if (!node->config.organisations)
+    {
+      ss_queue_assign (&owned->queue, &job->item, job->service,
+                       service ? service->flow : job->service,
+                       service ? service->weight : 1);
+      return;
+    }
+  job->item.goal_ms = goal_ms (job, service);
+  ss_queue_assign_organisation (&owned->queue, &job->item, job->service,
+                                job->organisation);
+}
+
 void
 ss_job_connect_failed (SsNode *node, SsJob *job)
 {
@@ -344,7 +377,10 @@
   job->connection = NULL;
   job->started_ms = 0;
   ss_node_count (node, SS_COUNTER_CONNECT_RETURNS);
-  /* It keeps its rank, which is by its arrival, and has not run. */
+  /* It keeps its rank, which is by its arrival, and has not run.  The queue may
+   * have freed its flow meanwhile.
+   */
+  assign_job (node, job->owned, job);
   ss_queue_charge (&job->owned->queue, &job->item, job->organisation, 0);
   ss_queue_push (&job->owned->queue, &job->item, job->received_ms);
 }
@@ -488,39 +524,6 @@
     }
 }
 
-/* Returns until when JOB meets the latency goal of SERVICE, which counts from
- * the arrival at the entry VM as its deadline does; 0: there is none.
- */
-static int64_t
-goal_ms (const SsJob *job, const SsService *service)
-{
-  int64_t arrived_ms = job->received_ms;
-
-  if (!service || !service->latency_goal_ms)
-    return 0;
-  if (service->timeout_ms)
-    arrived_ms = job->item.deadline_ms - service->timeout_ms;
-  return MIN (arrived_ms + service->latency_goal_ms, job->item.deadline_ms);
-}
-
-static void
-assign_job (SsNode *node, SsOwnedTarget *owned, SsJob *job)
-{
-  SsService *service = ss_config_service (&node->config, job->service);
-
-  job->item.after_run_ms = job->keeps ? (int64_t) owned->mean_hold_ms : 0;
-  if (!node->config.organisations)
-    {
-      ss_queue_assign (&owned->queue, &job->item, job->service,
-                       service ? service->flow : job->service,
-                       service ? service->weight : 1);
-      return;
-    }
-  job->item.goal_ms = goal_ms (job, service);
-  ss_queue_assign_organisation (&owned->queue, &job->item, job->service,
-                                job->organisation);
-}
-
 /* Refuses the last-ranked statements for which the queue leaves no time. */
 static void
 refuse_overflow (SsNode *node, SsOwnedTarget *owned)
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -326,7 +326,7 @@
 
 /* Closes C and answers its job, if any. */
 static void
-end_unused (SsNode *node, SsConnection *c, SsReason reason)
+end_connection (SsNode *node, SsConnection *c, SsReason reason)
 {
   if (c->job)
     ss_job_give_up (node, c, reason);
@@ -347,7 +347,7 @@
 
       if (c->state == SS_CONNECTION_IDLE
           || c->state == SS_CONNECTION_CONNECTING)
-        end_unused (node, c, SS_REASON_NOT_OWNER);
+        end_connection (node, c, SS_REASON_NOT_OWNER);
     }
   if (owned->control)
     ss_pool_close (node, g_steal_pointer (&owned->control));
@@ -435,8 +435,8 @@
                owned->target->born_ms, owned->connections->len);
   refuse_queued (node, owned, NULL, SS_REASON_CONNECT);
   for (guint i = owned->connections->len; i > 0; i--)
-    end_unused (node, g_ptr_array_index (owned->connections, i - 1),
-                SS_REASON_CONNECTION_LOST);
+    end_connection (node, g_ptr_array_index (owned->connections, i - 1),
+                    SS_REASON_CONNECTION_LOST);
   if (owned->control)
     ss_pool_close (node, g_steal_pointer (&owned->control));
   owned->control_step = SS_CONTROL_NONE;
@@ -543,7 +543,7 @@
           end_connect_attempt (node, c);
         }
       else if (c->job && node->now_ms >= c->job->item.deadline_ms)
-        end_unused (node, c, SS_REASON_DEADLINE);
+        end_connection (node, c, SS_REASON_DEADLINE);
       break;
     case SS_CONNECTION_IDLE:
       if (age_ms >= idle_limit_ms (node, c->owned))
--- a/src/core/rate_limit.c
+++ b/src/core/rate_limit.c
@@ -190,16 +190,13 @@
 static void
 refuse (SsNode *node, SsRequest *r, int64_t retry_ms)
 {
-  bool in_doubt = r->may_have_run && r->keeps;
-
   ss_node_count (node, SS_COUNTER_RATE_REFUSED);
   ss_node_log (
       node, SS_EVENT_LOG_RATE_LIMITED, r->organisation,
       "statement=%s retry_ms=%" G_GINT64_FORMAT " waited_ms=%" G_GINT64_FORMAT,
       r->label ? r->label : r->trace, retry_ms, node->now_ms - r->started_ms);
-  ss_request_finish (node, r,
-                     in_doubt ? SS_VERDICT_MAY_HAVE_RUN : SS_VERDICT_NOT_RUN,
-                     SS_REASON_RATE_LIMIT, (uint32_t) retry_ms);
+  ss_request_finish (node, r, SS_VERDICT_NOT_RUN, SS_REASON_RATE_LIMIT,
+                     (uint32_t) retry_ms);
 }
 
 /* Has R wait for a reply of the coordinator. */
@@ -271,7 +268,6 @@
 void
 ss_rate_limit_spend (SsRequest *r)
 {
-  r->may_have_run = r->may_have_run || r->has_token;
   r->has_token = false;
 }
 
--- a/src/core/rate_limiter.c
+++ b/src/core/rate_limiter.c
@@ -363,7 +363,7 @@
   return now_ms - l->started_ms < SS_RATE_HOLD_MS;
 }
 
-/* Whether this VM's share of slot INDEX may go to the coordinator in use.  While
+/* Whether this VM's share of slot INDEX may go to the coordinator in use. While
  * an earlier incarnation of this VM may have delegated it, the coordinator
  * decides.
  */
@@ -581,7 +581,8 @@
   return g_hash_table_size (s->restarted) + 1 >= vms;
 }
 
-/* Whether the share of FROM, which has restarted, is not delegated elsewhere. */
+/* Whether the share of FROM, which has restarted, is not delegated elsewhere.
+ */
 static bool
 has_share_back (const SsRateLimiter *l, SsRateSlot *s, const char *from,
                 int64_t now_ms)
--- a/src/core/rate_limiter.h
+++ b/src/core/rate_limiter.h
@@ -54,8 +54,8 @@
   int64_t echo_ms; /* last clock reading of the receiver; 0: no delegation */
   uint32_t vms;    /* that the sender knows */
   bool release;    /* asks the receiver to end the sender's delegation */
-  bool restarted;  /* an earlier incarnation of the sender may have delegated its
-                      share a moment ago */
+  bool restarted; /* an earlier incarnation of the sender may have delegated its
+                     share a moment ago */
   SsRateWant wants[SS_RATE_WANTS_MAX];
   uint32_t want_count;
 } SsRateAsk;
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -240,9 +240,8 @@
 ss_request_abandon (SsNode *node, SsRequest *r, SsReason reason)
 {
   SsSession *s = r->session;
-  SsVerdict verdict = (r->vm || r->may_have_run) && r->keeps
-                          ? SS_VERDICT_MAY_HAVE_RUN
-                          : SS_VERDICT_NOT_RUN;
+  SsVerdict verdict
+      = r->vm && r->keeps ? SS_VERDICT_MAY_HAVE_RUN : SS_VERDICT_NOT_RUN;
 
   if (r->vm && !s->pinned_vm)
     ss_session_send_end (node, s, r->vm, false);
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -91,8 +91,7 @@
   bool waited_for_token;
   bool has_token; /* for the next attempt, or the one under way */
   int64_t token_expires_ms;
-  bool may_have_run; /* in an earlier attempt, for which it had a token */
-  char *vm;          /* owner that it was sent to; NULL: not sent */
+  char *vm; /* owner that it was sent to; NULL: not sent */
   char *target;
   int64_t sent_ms;         /* when it was sent to vm */
   bool is_behind;          /* the target had not applied the floor then */
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/config.h"
+#include "core/config_store.h"
 #include "core/identity.h"
 #include "tests/unit.h"
 
@@ -378,7 +379,41 @@
   ss_config_finish (&c);
 }
 
+/* Guards against a value that another VM sent damaged or with a wrong size. */
+static void
+compressed_value_is_checked (void)
+{
+  SsConfig config;
+  char *value = g_strnfill (5000, ' ');
+  SsObject object = { .key = "routes/main", .version = 1, .value_bytes = 5000 };
+  SsStoredObject *stored;
+  GBytes *compressed;
+  const uint8_t *data;
+  gsize bytes;
+  char *text;
+
+  memcpy (value, "{\"services\":{}}", 15);
+  object.value = value;
+  ss_config_init (&config);
+  ss_config_store_object (&config, &object, 0);
+  stored = g_tree_lookup (config.objects, "routes/main");
+  compressed = ss_stored_object_compress (stored);
+  data = g_bytes_get_data (compressed, &bytes);
+  CU_ASSERT (bytes < 500);
+  CU_ASSERT (ss_stored_object_compress (stored) == compressed);
+  text = ss_config_decompress (data, bytes, 5000);
+  CU_ASSERT (text && memcmp (text, value, 5000) == 0);
+  g_free (text);
+  CU_ASSERT (ss_config_decompress (data, bytes, 4999) == NULL);
+  CU_ASSERT (ss_config_decompress (data, bytes, 5001) == NULL);
+  CU_ASSERT (ss_config_decompress (data, bytes - 1, 5000) == NULL);
+  CU_ASSERT (ss_config_decompress (data, bytes, G_MAXUINT32) == NULL);
+  ss_config_finish (&config);
+  g_free (value);
+}
+
 CU_TestInfo test_config[] = {
+  { "compressed value is checked", compressed_value_is_checked },
   { "only newer versions are adopted", only_newer_versions_are_adopted },
   { "invalid object changes nothing", invalid_object_changes_nothing },
   { "groups find servers and primary", groups_find_servers_and_primary },
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -329,7 +329,33 @@
   fleet_finish (&sim);
 }
 
+/* The platform turns all VMs away but the first of each failure domain, and the
+ * owners of the primaries die.  Guards against new owners that get no lease, as
+ * the platform does not take their objects.
+ */
+static void
+owners_turned_away_get_leases (void)
+{
+  fleet_init (&sim, 12, VMS, GROUPS);
+  fleet_advance (&sim, 3000);
+  CU_ASSERT (count_leases () == GROUPS);
+  for (uint32_t i = 0; i < VMS; i++)
+    if (i >= 6)
+      sim.vms[i].store = FLEET_STORE_REFUSES;
+  fleet_advance (&sim, 1000);
+  for (uint32_t g = 0; g < GROUPS; g++)
+    for (uint32_t i = 6; i < VMS; i++)
+      {
+        if (sim.vms[i].up && owned_group (i, g))
+          fleet_stop (&sim, i);
+      }
+  fleet_advance (&sim, 6000);
+  CU_ASSERT (count_leases () == GROUPS);
+  fleet_finish (&sim);
+}
+
 CU_TestInfo test_fleet[] = {
+  { "owners turned away get leases", owners_turned_away_get_leases },
   { "coordinator names primary of unused group",
     coordinator_names_primary_of_unused_group },
   { "vms agree which vms the platform answers",
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -225,7 +225,59 @@
   ss_members_finish (&members);
 }
 
+/* Unequal VMs: those of 0.12 of a core and links of 10 Mbit/s had as many roles
+ * as others with four times of it, and passed configurations on to all others.
+ */
+static void
+larger_vms_have_more_roles (void)
+{
+  GPtrArray *relays = g_ptr_array_new ();
+  uint32_t large = 0;
+  char name[16];
+
+  set_up ();
+  record_heartbeat ("b", START_MS, NULL);
+  update (START_MS);
+  ss_members_set_capacity (&members, ss_members_find (&members, "a"), 500);
+  ss_members_set_capacity (&members, ss_members_find (&members, "b"), 125);
+  for (uint32_t i = 0; i < 1000; i++)
+    {
+      g_snprintf (name, sizeof name, "t%u", i);
+      large += strcmp (ss_members_owner (&members, "d1", name), "a") == 0;
+    }
+  CU_ASSERT (large > 750 && large < 850);
+  record_heartbeat ("c", START_MS, NULL);
+  update (START_MS);
+  ss_members_set_capacity (&members, ss_members_find (&members, "c"), 300);
+  ss_members_relays (&members, "d1", START_MS, relays);
+  CU_ASSERT (relays->len == 2);
+  CU_ASSERT_STRING_EQUAL (g_ptr_array_index (relays, 0), "a");
+  CU_ASSERT_STRING_EQUAL (g_ptr_array_index (relays, 1), "c");
+  CU_ASSERT (ss_members_watcher_rank (&members) == 0);
+  g_ptr_array_free (relays, TRUE);
+  ss_members_finish (&members);
+}
+
+/* VMs of equal capacity keep the roles that they had before capacities were
+ * known: else all targets would change their owners at an upgrade.
+ */
+static void
+equal_vms_rank_by_hash_alone (void)
+{
+  char name[16];
+
+  for (uint32_t i = 0; i < 1000; i++)
+    {
+      g_snprintf (name, sizeof name, "t%u", i);
+      CU_ASSERT ((ss_rank_score ("a", name) > ss_rank_score ("b", name))
+                 == (ss_rank_weighted ("a", name, 120)
+                     > ss_rank_weighted ("b", name, 120)));
+    }
+}
+
 CU_TestInfo test_members[] = {
+  { "larger vms have more roles", larger_vms_have_more_roles },
+  { "equal vms rank by hash alone", equal_vms_rank_by_hash_alone },
   { "vm has no role before its first heartbeat",
     vm_has_no_role_before_its_first_heartbeat },
   { "vm is dead only if peers stop hearing it too",
