One copy of what this change wrote twice; no work before the early returns

The capacity of a target was computed in pool.c and again in owner_speed.c; the eligibility of a server for a read stood in the learned and in the fixed choice; BEGIN or START was tested in four places; the connection that another organisation replaces was counted and closed in two. ss_config_sync_forward walked all VMs before it looked whether there was anything to forward, and pushes to all built an empty set of known objects.

Change: ss_pool_capacity_max, may_run_checked and is_fresh_replica, ss_session_sql_begins_transaction, ss_pool_close_replaced; the walk comes after the checks; no set is NULL. Behaviour, tests and bounds are as before.

--- a/src/core/choice.c
+++ b/src/core/choice.c
@@ -52,6 +52,26 @@
   return ss_position_covers (t->state.applied, translated);
 }
 
+/* Whether T, which COVERS the floor of R or not yet, may run R.  Its target
+ * checks the floor itself.
+ */
+static bool
+may_run_checked (SsNode *node, const SsRequest *r, SsTarget *t, bool covers)
+{
+  return !was_tried (t, r->tried, r->tries) && is_usable (node, t)
+         && (covers || (!r->strict && t->state.lag_ms <= LAG_MAX_MS));
+}
+
+/* Whether T is a replica, and not PRIMARY, that has applied the floor of R. */
+static bool
+is_fresh_replica (SsNode *node, const SsRequest *r, SsTarget *t,
+                  const SsTarget *primary)
+{
+  return t != primary && t->state.role == SS_SERVER_REPLICA
+         && !was_tried (t, r->tried, r->tries) && is_usable (node, t)
+         && has_applied (t, r->floor);
+}
+
 /* Returns the load of T in requests, as far as it is known here. */
 static uint32_t
 load_of (SsNode *node, const SsTarget *t)
@@ -147,8 +167,7 @@
       SsTarget *t = group->servers[i];
       bool covers = t == primary || has_applied (t, r->floor);
 
-      if (was_tried (t, r->tried, r->tries) || !is_usable (node, t)
-          || (!covers && (r->strict || t->state.lag_ms > LAG_MAX_MS)))
+      if (!may_run_checked (node, r, t, covers))
         continue;
       learned_cost (node, r, group, t, covers, &costs[count]);
       found[count++] = t;
@@ -169,9 +188,7 @@
     {
       SsTarget *t = group->servers[i];
 
-      if (t == primary || t->state.role != SS_SERVER_REPLICA
-          || was_tried (t, r->tried, r->tries) || !is_usable (node, t)
-          || !has_applied (t, r->floor))
+      if (!is_fresh_replica (node, r, t, primary))
         continue;
       learned_cost (node, r, group, t, true, &costs[count]);
       found[count++] = t;
@@ -201,8 +218,7 @@
       bool covers = is_primary || has_applied (t, r->floor);
       uint32_t cost;
 
-      if (was_tried (t, r->tried, r->tries) || !is_usable (node, t)
-          || (!covers && (r->strict || t->state.lag_ms > LAG_MAX_MS)))
+      if (!may_run_checked (node, r, t, covers))
         continue;
       cost = cost_ms (node, t, is_primary, covers);
       ties = best && cost == best_ms ? ties + 1 : 1;
@@ -231,9 +247,7 @@
       SsTarget *t = group->servers[i];
       uint32_t load;
 
-      if (t == primary || t->state.role != SS_SERVER_REPLICA
-          || was_tried (t, r->tried, r->tries) || !is_usable (node, t)
-          || !has_applied (t, r->floor))
+      if (!is_fresh_replica (node, r, t, primary))
         continue;
       load = load_of (node, t);
       ties = best && load == best_load ? ties + 1 : 1;
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -193,7 +193,7 @@
 {
   int64_t since;
   const char *prefix;
-  GHashTable *known; /* hashes of objects to leave out */
+  GHashTable *known; /* hashes of objects to leave out; NULL: none */
   Ss__Peer__ConfigObject *objects;
   Ss__Peer__ConfigObject **list;
   uint32_t count;
@@ -228,7 +228,7 @@
 
   if (o->version <= p->since || !g_str_has_prefix (key, p->prefix))
     return FALSE;
-  if (g_hash_table_contains (p->known, &hash))
+  if (p->known && g_hash_table_contains (p->known, &hash))
     {
       g_array_append_val (p->unchanged, hash);
       return FALSE;
@@ -250,7 +250,8 @@
 }
 
 /* Calls SEND with VM and a push of all objects with versions above SINCE and
- * keys that begin with PREFIX, without those whose hashes are in KNOWN.
+ * keys that begin with PREFIX, without those whose hashes are in KNOWN, which
+ * may be NULL.
  */
 static void
 push_since (SsNode *node, int64_t since, const char *prefix, GHashTable *known,
@@ -312,10 +313,7 @@
 void
 ss_config_sync_push_domain (SsNode *node, int64_t since)
 {
-  GHashTable *known = g_hash_table_new (g_int64_hash, g_int64_equal);
-
-  push_since (node, since, "", known, send_to_domain, NULL);
-  g_hash_table_destroy (known);
+  push_since (node, since, "", NULL, send_to_domain, NULL);
 }
 
 /* Returns a set of COUNT hashes, which it borrows. */
@@ -427,8 +425,7 @@
 }
 
 /* Forwards OBJECTS, which are stored, at once and independent of revisions.
- * DOMAIN_ONLY: only to VMs
- * of this failure domain.
+ * DOMAIN_ONLY: only to VMs of this failure domain.
  */
 static void
 forward_objects (SsNode *node, const SsObject *objects, uint32_t count,
@@ -468,12 +465,13 @@
 void
 ss_config_sync_forward (SsNode *node, const SsObject *objects, uint32_t count)
 {
-  bool all = forwards_large (node);
+  bool all;
   SsObject *chosen;
   uint32_t chosen_count = 0;
 
   if (!count || !node->members.relayed || !ss_watch_is_active (node))
     return;
+  all = forwards_large (node);
   chosen = g_new (SsObject, count);
   for (uint32_t i = 0; i < count; i++)
     if (all || objects[i].value_bytes < LARGE_OBJECT_BYTES)
@@ -498,7 +496,6 @@
 ss_config_sync_push_late (SsNode *node, SsMember *member, int64_t sequence)
 {
   int64_t adopted_ms = 0;
-  GHashTable *none;
 
   if (!sequence || sequence >= node->config.sequence
       || node->now_ms - member->config_pushed_ms < LATE_PUSH_INTERVAL_MS)
@@ -507,10 +504,8 @@
   if (node->now_ms - adopted_ms < LATE_PUSH_MS)
     return;
   member->config_pushed_ms = node->now_ms;
-  none = g_hash_table_new (g_int64_hash, g_int64_equal);
-  push_since (node, 0, ss_watch_prefix (SS_WATCH_ROUTES), none, send_to_one,
+  push_since (node, 0, ss_watch_prefix (SS_WATCH_ROUTES), NULL, send_to_one,
               member->vm);
-  g_hash_table_destroy (none);
 }
 
 void
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -266,10 +266,8 @@
         start_job (node, c, job);
     }
   victim = g_hash_table_lookup (node->connections, &pass.victim);
-  if (!victim)
-    return;
-  ss_node_count (node, SS_COUNTER_CONNECTIONS_REPLACED);
-  ss_pool_close (node, victim);
+  if (victim)
+    ss_pool_close_replaced (node, victim);
 }
 
 static bool
--- a/src/core/organisation_stats.c
+++ b/src/core/organisation_stats.c
@@ -105,7 +105,7 @@
     }
 }
 
-/* Whether a refusal for REASON is owed to the caller's own doing. */
+/* Whether a refusal for REASON is due to the caller. */
 static bool
 is_callers_reason (SsReason reason)
 {
--- a/src/core/owner.h
+++ b/src/core/owner.h
@@ -44,6 +44,10 @@
 void ss_pool_note_held (SsNode *node, SsOwnedTarget *owned, const SsJob *job);
 /* ss_pool_close: closes CONNECTION and frees it together with its job. */
 void ss_pool_close (SsNode *node, SsConnection *connection);
+/* ss_pool_close_replaced: closes the idle CONNECTION, whose place another
+ * organisation gets.
+ */
+void ss_pool_close_replaced (SsNode *node, SsConnection *connection);
 /* ss_pool_forget: frees a connection that is already closed. */
 void ss_pool_forget (SsNode *node, SsConnection *c);
 void ss_pool_free (SsConnection *c);
@@ -63,6 +67,8 @@
  * statements to replay JOB's session settings, or NULL.
  */
 SsConnection *ss_pool_find_nearest (SsOwnedTarget *owned, const SsJob *job);
+/* ss_pool_capacity_max: returns the capacity of a target of usual speed. */
+uint32_t ss_pool_capacity_max (SsNode *node, const SsOwnedTarget *owned);
 /* ss_pool_capacity: returns how many statements may be sent to the target
  * concurrently.
  */
--- a/src/core/owner_speed.c
+++ b/src/core/owner_speed.c
@@ -44,17 +44,6 @@
                                node->now_ms);
 }
 
-/* Returns the highest limit, as without learning. */
-static uint32_t
-ceiling_of (SsNode *node, const SsOwnedTarget *owned)
-{
-  uint32_t connections = ss_pool_max_connections (node, owned);
-
-  if (!owned->target->slots)
-    return connections;
-  return MIN (owned->target->slots + 1, connections);
-}
-
 uint32_t
 ss_owner_speed_limit (SsNode *node, const SsOwnedTarget *owned,
                       uint32_t ceiling)
@@ -86,7 +75,7 @@
 
   if (!node->params.learn_speed)
     return;
-  ceiling = ceiling_of (node, owned);
+  ceiling = ss_pool_capacity_max (node, owned);
   limit = ss_concurrency_limit_settled (&owned->limit, ceiling);
   state->concurrency_limit = limit < ceiling ? limit : 0;
   state->slowness_percent = owned->slowness_percent;
@@ -116,7 +105,7 @@
 static void
 log_limit (SsNode *node, SsOwnedTarget *owned)
 {
-  uint32_t ceiling = ceiling_of (node, owned);
+  uint32_t ceiling = ss_pool_capacity_max (node, owned);
   uint32_t limit = ss_concurrency_limit_settled (&owned->limit, ceiling);
   bool is_limited = limit < ceiling;
 
@@ -181,8 +170,8 @@
   sample.ratio
       = ss_server_speed_sample (&owned->speed, job->service, job->is_read,
                                 job->run_ms, job->usual_run_ms, node->now_ms);
-  ss_concurrency_limit_sample (&owned->limit, &sample, ceiling_of (node, owned),
-                               node->now_ms);
+  ss_concurrency_limit_sample (
+      &owned->limit, &sample, ss_pool_capacity_max (node, owned), node->now_ms);
 }
 
 static void
--- a/src/core/pool.c
+++ b/src/core/pool.c
@@ -43,13 +43,19 @@
  * it is never idle between two statements.
  */
 uint32_t
-ss_pool_capacity (SsNode *node, const SsOwnedTarget *owned)
+ss_pool_capacity_max (SsNode *node, const SsOwnedTarget *owned)
 {
-  uint32_t limit = ss_pool_max_connections (node, owned);
+  uint32_t connections = ss_pool_max_connections (node, owned);
 
-  if (owned->target->slots)
-    limit = MIN (owned->target->slots + 1, limit);
-  return ss_owner_speed_limit (node, owned, limit);
+  if (!owned->target->slots)
+    return connections;
+  return MIN (owned->target->slots + 1, connections);
+}
+
+uint32_t
+ss_pool_capacity (SsNode *node, const SsOwnedTarget *owned)
+{
+  return ss_owner_speed_limit (node, owned, ss_pool_capacity_max (node, owned));
 }
 
 SsConnection *
@@ -240,8 +246,7 @@
 static bool
 opens_transaction (const SsJob *job)
 {
-  return job->begins || ss_session_sql_begins_with (job->sql, "begin")
-         || ss_session_sql_begins_with (job->sql, "start");
+  return job->begins || ss_session_sql_begins_transaction (job->sql);
 }
 
 static SsCacheState
@@ -316,11 +321,11 @@
   return false;
 }
 
-static void
-close_victim (SsNode *node, SsOwnedTarget *owned, int32_t victim)
+void
+ss_pool_close_replaced (SsNode *node, SsConnection *connection)
 {
   ss_node_count (node, SS_COUNTER_CONNECTIONS_REPLACED);
-  ss_pool_close (node, g_ptr_array_index (owned->connections, victim));
+  ss_pool_close (node, connection);
 }
 
 SsConnection *
@@ -334,7 +339,8 @@
       return ss_pool_find_nearest (owned, job);
     }
   if (job->decision.victim >= 0)
-    close_victim (node, owned, job->decision.victim);
+    ss_pool_close_replaced (
+        node, g_ptr_array_index (owned->connections, job->decision.victim));
   ss_node_count (node, SS_COUNTER_CONNECTION_OPENS);
   c = ss_pool_connect (node, owned, job->organisation, false);
   g_ptr_array_add (owned->connections, c);
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -172,6 +172,8 @@
 void ss_session_sql_setting_finish (SsSettingStatement *setting);
 /* ss_session_sql_begins_with: whether SQL begins with WORD, in any case. */
 bool ss_session_sql_begins_with (const char *sql, const char *word);
+/* ss_session_sql_begins_transaction: whether SQL is BEGIN or START. */
+bool ss_session_sql_begins_transaction (const char *sql);
 /* ss_session_sql_is_read_only_begin: whether SQL is BEGIN READ ONLY or START
  * TRANSACTION READ ONLY.
  */
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -29,8 +29,7 @@
   if (s->pinned_vm)
     return ss_session_sql_begins_with (r->sql, "commit")
            || ss_session_sql_begins_with (r->sql, "end");
-  return !ss_session_sql_begins_with (r->sql, "begin")
-         && !ss_session_sql_begins_with (r->sql, "start");
+  return !ss_session_sql_begins_transaction (r->sql);
 }
 
 static gboolean
@@ -305,8 +304,7 @@
       kind = *kind && strcmp (kind, "write") != 0 ? kind : "session";
     }
   else if (strcmp (kind, "write") != 0 && *kind)
-    r->is_read = !ss_session_sql_begins_with (r->sql, "begin")
-                 && !ss_session_sql_begins_with (r->sql, "start");
+    r->is_read = !ss_session_sql_begins_transaction (r->sql);
   if (!r->is_read)
     return true;
   r->strict = strcmp (kind, "strict") == 0;
--- a/src/core/session_sql.c
+++ b/src/core/session_sql.c
@@ -110,14 +110,20 @@
          && !g_ascii_isalnum (sql[bytes]) && sql[bytes] != '_';
 }
 
+bool
+ss_session_sql_begins_transaction (const char *sql)
+{
+  return ss_session_sql_begins_with (sql, "begin")
+         || ss_session_sql_begins_with (sql, "start");
+}
+
 bool
 ss_session_sql_is_read_only_begin (const char *sql)
 {
   GScanner *s;
   bool read_only;
 
-  if (!ss_session_sql_begins_with (sql, "begin")
-      && !ss_session_sql_begins_with (sql, "start"))
+  if (!ss_session_sql_begins_transaction (sql))
     return false;
   s = ss_scanner_new (sql, "_.");
   g_scanner_get_next_token (s);
