Ranks of VMs are kept until members change

Cause: with 200 VMs and 200 groups in the fleet simulation, 17 % of the time of a start went to tick_members and 4 % to ss_members_is_watcher: on each tick every VM walked all VMs several times for the coordinator, the watchers and the count of others, and the owner of each target was ranked over the VMs of all failure domains.

Change: the ranking of roles is a module of its own, roles.c. It keeps the live candidates by failure domain, the coordinators and the rank as watcher until members.generation or the new members.platform_generation rises; the number of other VMs is counted where it changes.

--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -5,7 +5,7 @@
 # UPWARD still include a higher layer; the list may only get shorter.
 set -eu
 cd "$(dirname "$0")/.."
-MEMBERSHIP="members rank relay relay_views isolation peers watch config
+MEMBERSHIP="members roles rank relay relay_views isolation peers watch config
   config_order config_store era config_sync directory parse settling backoff
   subscribers fanout platform_calls"
 PROMOTION="promote suspicion coordinator term_raise lease lease_keeper placement
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -456,7 +456,7 @@
 static bool
 forwards_large (SsNode *node)
 {
-  return ss_members_watcher_rank (&node->members) == 0;
+  return ss_roles_watcher_rank (&node->members) == 0;
 }
 
 /* Of a large object each VM gets one copy: the other watchers forward it only
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -64,7 +64,7 @@
   const SsMember *self = ss_members_find (&node->members, node->params.vm);
 
   return node->dialect->platform_promotes && node->settled && self->platform_up
-         && ss_members_coordinator_rank (&node->members, COORDINATOR_SUBJECT)
+         && ss_roles_coordinator_rank (&node->members, COORDINATOR_SUBJECT)
                 <= STANDBYS;
 }
 
@@ -76,7 +76,7 @@
     {
       /* While the platform answers nobody, nobody replaces this VM. */
       if (node->all_groups_since_ms
-          && ss_members_coordinator (&node->members, COORDINATOR_SUBJECT))
+          && ss_roles_coordinator (&node->members, COORDINATOR_SUBJECT))
         node->all_groups_since_ms = 0;
       return;
     }
@@ -106,7 +106,7 @@
   if (!node->settled || !self->platform_up
       || ss_members_in_relay_grace (&node->members, node->now_ms))
     return false;
-  vm = ss_members_coordinator (&node->members, COORDINATOR_SUBJECT);
+  vm = ss_roles_coordinator (&node->members, COORDINATOR_SUBJECT);
   return vm && strcmp (vm, node->params.vm) == 0;
 }
 
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -183,7 +183,7 @@
 static const char *
 find_other (const SsNode *node)
 {
-  const char *vm = ss_members_coordinator (&node->members, COORDINATOR_SUBJECT);
+  const char *vm = ss_roles_coordinator (&node->members, COORDINATOR_SUBJECT);
 
   return vm && strcmp (vm, node->params.vm) != 0 ? vm : NULL;
 }
@@ -341,7 +341,7 @@
     return;
   node->directory_due_ms = node->now_ms + WRITE_INTERVAL_MS;
   write_own (node);
-  coordinator = ss_members_coordinator (&node->members, COORDINATOR_SUBJECT);
+  coordinator = ss_roles_coordinator (&node->members, COORDINATOR_SUBJECT);
   if (coordinator && strcmp (coordinator, node->params.vm) == 0)
     delete_dead_vms (node);
 }
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -151,7 +151,7 @@
 const char *
 ss_lease_keeper (const SsNode *node)
 {
-  return ss_members_coordinator (&node->members, KEEPER_SUBJECT);
+  return ss_roles_coordinator (&node->members, KEEPER_SUBJECT);
 }
 
 /* Asks VM to confirm the leases on GROUPS. */
--- a/src/core/members.c
+++ b/src/core/members.c
@@ -2,12 +2,9 @@
 
 #include <string.h>
 
-#include "core/rank.h"
+#include "core/roles.h"
 #include "kernel/compare.h"
 
-/* Subject of the rank of relays and watchers. */
-#define RELAY_SUBJECT "relay"
-
 static void
 member_free (gpointer data)
 {
@@ -31,18 +28,23 @@
   members->self = g_strdup (vm);
   members->failure_domain = g_strdup (failure_domain);
   members->generation = 1;
+  members->platform_generation = 1;
+  members->known_others = 0;
   members->converged_known = false;
   members->relayed = false;
   members->relay_reply_ms = 0;
   members->relay_grace_until_ms = 0;
+  members->roles = ss_roles_new ();
   self = ss_members_add (members, vm, failure_domain, ip, peer_port);
   self->live = true;
   self->heard_ms = now_ms;
+  members->self_member = self;
 }
 
 void
 ss_members_finish (SsMembers *members)
 {
+  ss_roles_free (members->roles);
   g_tree_destroy (members->by_name);
   g_free (members->self);
   g_free (members->failure_domain);
@@ -81,7 +83,10 @@
       g_tree_insert (members->by_name, m->vm, m);
     }
   if (g_strcmp0 (m->failure_domain, failure_domain) != 0)
-    members->converged_known = false;
+    {
+      members->converged_known = false;
+      members->generation++;
+    }
   g_free (m->failure_domain);
   g_free (m->ip);
   m->failure_domain = g_strdup (failure_domain);
@@ -201,7 +206,7 @@
 {
   Vote v = { members, m, now_ms, 0, 0 };
 
-  if (strcmp (m->vm, members->self) == 0)
+  if (m == members->self_member)
     return true;
   if (!has_timed_out (m, now_ms)
       || now_ms - m->reported_ms < SS_MEMBER_REPORT_TIMEOUT_MS)
@@ -215,6 +220,25 @@
   return v.missing * 2 < v.witnesses;
 }
 
+/* Sets whether the platform lists M and whether it is live, and keeps the count
+ * of the other VMs that are either.
+ */
+static void
+set_presence (SsMembers *members, SsMember *m, bool listed, bool live)
+{
+  bool before = m->listed || m->live;
+  bool after = listed || live;
+
+  m->listed = listed;
+  m->live = live;
+  if (before == after || m == members->self_member)
+    return;
+  if (after)
+    members->known_others++;
+  else
+    members->known_others--;
+}
+
 typedef struct
 {
   SsMembers *members;
@@ -252,7 +276,7 @@
     {
       SsMember *m = g_ptr_array_index (u.changed, i);
 
-      m->live = !m->live;
+      set_presence (members, m, m->listed, !m->live);
       members->generation++;
       members->converged_known = false;
       changed (data, m);
@@ -267,96 +291,6 @@
   g_ptr_array_free (u.removed, TRUE);
 }
 
-typedef struct
-{
-  const char *failure_domain;
-  bool platform_up; /* only VMs that the platform answers */
-  const char *subject;
-  const SsMember *best;
-  double best_score;
-  double own_score;
-  uint32_t better; /* VMs that rank before this one */
-} Ranking;
-
-static bool
-may_hold_role (const SsMember *m, const Ranking *r)
-{
-  if (!m->live || m->leaving || (r->platform_up && !m->platform_up))
-    return false;
-  return !r->failure_domain
-         || strcmp (m->failure_domain, r->failure_domain) == 0;
-}
-
-static gboolean
-rank_one (gpointer key, gpointer value, gpointer data)
-{
-  Ranking *r = data;
-  const SsMember *m = value;
-  double score;
-
-  (void) key;
-  if (!may_hold_role (m, r))
-    return FALSE;
-  score = ss_rank_weighted (m->vm, r->subject, m->capacity_millicores);
-  if (score > r->own_score)
-    r->better++;
-  if (r->best && score <= r->best_score)
-    return FALSE;
-  r->best = m;
-  r->best_score = score;
-  return FALSE;
-}
-
-static double
-own_score (const SsMembers *members, const char *subject)
-{
-  const SsMember *self = ss_members_find (members, members->self);
-
-  return ss_rank_weighted (self->vm, subject, self->capacity_millicores);
-}
-
-const char *
-ss_members_owner (const SsMembers *members, const char *failure_domain,
-                  const char *subject)
-{
-  Ranking r = { .failure_domain = failure_domain, .subject = subject };
-
-  g_tree_foreach (members->by_name, rank_one, &r);
-  return r.best ? r.best->vm : NULL;
-}
-
-const char *
-ss_members_coordinator (const SsMembers *members, const char *subject)
-{
-  Ranking r = { .platform_up = true, .subject = subject };
-
-  g_tree_foreach (members->by_name, rank_one, &r);
-  return r.best ? r.best->vm : NULL;
-}
-
-uint32_t
-ss_members_coordinator_rank (const SsMembers *members, const char *subject)
-{
-  Ranking r = { .platform_up = true,
-                .subject = subject,
-                .own_score = own_score (members, subject) };
-
-  g_tree_foreach (members->by_name, rank_one, &r);
-  return r.better;
-}
-
-uint32_t
-ss_members_rank (const SsMembers *members, const char *failure_domain,
-                 const char *subject)
-{
-  Ranking r = { .failure_domain = failure_domain,
-                .subject = subject,
-                .own_score = own_score (members, subject) };
-
-  g_tree_foreach (members->by_name, rank_one, &r);
-  return r.better;
-}
-
 typedef struct
 {
   const char *failure_domain;
@@ -381,7 +315,16 @@
 {
   if (member->listed != listed)
     members->converged_known = false;
-  member->listed = listed;
+  set_presence (members, member, listed, member->live);
+}
+
+void
+ss_members_set_platform_up (SsMembers *members, SsMember *member,
+                            bool platform_up)
+{
+  if (member->platform_up != platform_up)
+    members->platform_generation++;
+  member->platform_up = platform_up;
 }
 
 bool
@@ -442,22 +385,12 @@
   /* What it tells itself is newer than what passed through others. */
   if (now_ms - member->heartbeat_ms < SS_MEMBER_HEARTBEAT_TIMEOUT_MS)
     return;
-  member->platform_up = platform_up;
+  ss_members_set_platform_up (members, member, platform_up);
   if (member->leaving != leaving)
     members->generation++;
   member->leaving = leaving;
 }
 
-/* Whether A ranks before B as a relay. */
-static bool
-relays_before (const SsMember *a, const SsMember *b)
-{
-  if (a->capacity_millicores != b->capacity_millicores)
-    return a->capacity_millicores > b->capacity_millicores;
-  return ss_rank_score (a->vm, RELAY_SUBJECT)
-         > ss_rank_score (b->vm, RELAY_SUBJECT);
-}
-
 typedef struct
 {
   const SsMembers *members;
@@ -507,7 +440,7 @@
     return FALSE;
   for (uint32_t i = 0; i < r->relay_count; i++)
     {
-      if (r->best[i] && !relays_before (m, r->best[i]))
+      if (r->best[i] && !ss_roles_relays_before (m, r->best[i]))
         continue;
       insert_relay (r, i, m);
       break;
@@ -546,40 +479,3 @@
   if (listed.relay_count)
     add_relays (members, &listed, out);
 }
-
-typedef struct
-{
-  const SsMembers *members;
-  const SsMember *self;
-  uint32_t watchers;
-} Watchers;
-
-static gboolean
-count_watcher (gpointer key, gpointer value, gpointer data)
-{
-  Watchers *w = data;
-  const SsMember *m = value;
-
-  (void) key;
-  if (!m->live || m->leaving || !m->platform_up
-      || strcmp (m->failure_domain, w->members->failure_domain) != 0)
-    return FALSE;
-  if (relays_before (m, w->self))
-    w->watchers++;
-  return FALSE;
-}
-
-uint32_t
-ss_members_watcher_rank (const SsMembers *members)
-{
-  Watchers w = { members, ss_members_find (members, members->self), 0 };
-
-  g_tree_foreach (members->by_name, count_watcher, &w);
-  return w.watchers;
-}
-
-bool
-ss_members_is_watcher (const SsMembers *members)
-{
-  return ss_members_watcher_rank (members) < SS_MEMBERS_RELAYS;
-}
--- a/src/core/members.h
+++ b/src/core/members.h
@@ -71,9 +71,15 @@
   GTree *by_name;
   char *self;
   char *failure_domain;
-  uint64_t generation; /* incremented when a VM's liveness or leaving changes */
-  bool relayed;        /* too many VMs for a full mesh: relays report */
-  bool converged;      /* see ss_members_is_converged */
+  SsMember *self_member;
+  uint64_t generation; /* incremented when a VM's liveness, leaving, capacity or
+                          failure domain changes */
+  uint64_t platform_generation; /* incremented when the platform begins or ends
+                                   to answer a VM */
+  uint32_t known_others;        /* other VMs that are listed or live */
+  struct SsRoles *roles;        /* roles.h */
+  bool relayed;   /* too many VMs for a full mesh: relays report */
+  bool converged; /* see ss_members_is_converged */
   bool converged_known;
   int64_t relay_reply_ms;       /* when a relay last answered; 0: relays lost */
   int64_t lost_relay_reply_ms;  /* relay_reply_ms when the relays were lost */
@@ -121,17 +127,6 @@
                         void (*changed) (void *data, const SsMember *member),
                         void *data);
 
-/* ss_members_owner: returns the live VM of FAILURE_DOMAIN (NULL: any) that
- * ranks first for SUBJECT by rendezvous hashing weighted by capacity, or NULL.
- * A VM in its graceful shutdown takes no role and counts in no rank.
- */
-const char *ss_members_owner (const SsMembers *members,
-                              const char *failure_domain, const char *subject);
-/* ss_members_rank: returns this VM's rank for SUBJECT among the live VMs of
- * FAILURE_DOMAIN (NULL: any), from 0.
- */
-uint32_t ss_members_rank (const SsMembers *members, const char *failure_domain,
-                          const char *subject);
 /* ss_members_record_report: records a relay's report that MEMBER is live.  Its
  * own heartbeats, where they arrive here, decide LEAVING and PLATFORM_UP.
  */
@@ -153,31 +148,15 @@
  */
 void ss_members_relays (const SsMembers *members, const char *failure_domain,
                         int64_t now_ms, GPtrArray *out);
-/* ss_members_is_watcher: whether this VM watches the platform for its failure
- * domain: the platform answers fewer than SS_MEMBERS_RELAYS live VMs there that
- * rank before it.
- */
-bool ss_members_is_watcher (const SsMembers *members);
-/* ss_members_watcher_rank: returns how many live VMs of this failure domain
- * that the platform answers rank before this VM as watchers.
- */
-uint32_t ss_members_watcher_rank (const SsMembers *members);
 /* ss_members_collect_silent: adds to OUT the dead VMs (borrowed) that have been
  * known since before SINCE_MS and have been neither heard nor reported after
  * it; never this VM.
  */
 void ss_members_collect_silent (const SsMembers *members, int64_t since_ms,
                                 GPtrArray *out);
-/* ss_members_coordinator: returns the VM that ranks first for SUBJECT among the
- * live VMs that the platform answers, or NULL.
- */
-const char *ss_members_coordinator (const SsMembers *members,
-                                    const char *subject);
-/* ss_members_coordinator_rank: returns how many live VMs that the platform
- * answers rank before this VM for SUBJECT.
- */
-uint32_t ss_members_coordinator_rank (const SsMembers *members,
-                                      const char *subject);
+/* ss_members_set_platform_up: sets whether the platform answers MEMBER. */
+void ss_members_set_platform_up (SsMembers *members, SsMember *member,
+                                 bool platform_up);
 /* ss_members_set_listed: sets whether the platform lists MEMBER as live. */
 void ss_members_set_listed (SsMembers *members, SsMember *member, bool listed);
 /* ss_members_has_silent: whether the platform lists a VM of FAILURE_DOMAIN that
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -233,13 +233,13 @@
     return NULL;
   if (target->owner_generation != node->members.generation)
     {
-      target->owner = ss_members_owner (&node->members, target->failure_domain,
+      target->owner = ss_roles_owner (&node->members, target->failure_domain,
                                         target->name);
       /* The failure domain has no live VM: a VM of another one owns its
        * targets.
        */
       if (!target->owner && node->params.cross_domain_owners)
-        target->owner = ss_members_owner (&node->members, NULL, target->name);
+        target->owner = ss_roles_owner (&node->members, NULL, target->name);
       if (target->owner && !node->settled
           && strcmp (target->owner, node->params.vm) == 0)
         target->owner = NULL;
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -20,7 +20,7 @@
 #include "core/event.h"
 #include "core/fanout.h"
 #include "core/lease_keeper.h"
-#include "core/members.h"
+#include "core/roles.h"
 #include "core/organisation_stats.h"
 #include "core/platform_calls.h"
 #include "core/timing.h"
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -84,24 +84,12 @@
   return m;
 }
 
-static void
-count_member (SsNode *node, SsMember *member, void *data)
-{
-  (void) node;
-  if (member->listed || member->live)
-    (*(uint32_t *) data)++;
-}
-
 /* Whether there are too many VMs for a full mesh of heartbeats. */
 static bool
-is_relayed (SsNode *node)
+is_relayed (const SsNode *node)
 {
-  uint32_t others = 0;
-
-  if (ss_watch_is_single (node))
-    return false;
-  ss_peers_visit (node, count_member, &others);
-  return others >= SS_MEMBERS_MESH_MAX;
+  return !ss_watch_is_single (node)
+         && node->members.known_others >= SS_MEMBERS_MESH_MAX;
 }
 
 /* --- heartbeats --- */
@@ -219,7 +207,7 @@
                                heartbeat->heard, heartbeat->n_heard,
                                node->now_ms);
   ss_members_set_capacity (&node->members, m, heartbeat->capacity_millicores);
-  m->platform_up = heartbeat->platform_up;
+  ss_members_set_platform_up (&node->members, m, heartbeat->platform_up);
   if (node->members.relayed && ss_members_is_in_domain (&node->members, m))
     {
       ss_relay_send_digest (node, heartbeat->vm, heartbeat->digest);
@@ -300,9 +288,9 @@
 void
 ss_peers_update_members (SsNode *node)
 {
-  SsMember *self = ss_members_find (&node->members, node->params.vm);
-
-  self->platform_up = ss_watch_is_active (node) && !node->platform_down;
+  ss_members_set_platform_up (&node->members, node->members.self_member,
+                              ss_watch_is_active (node)
+                                  && !node->platform_down);
   node->members.relayed = is_relayed (node);
   ss_members_update (&node->members, node->now_ms, on_member_changed, node);
   check_settled (node);
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -38,7 +38,7 @@
   if (promotion->rank_generation != node->members.generation)
     {
       promotion->rank
-          = ss_members_rank (&node->members, NULL, promotion->group);
+          = ss_roles_rank (&node->members, NULL, promotion->group);
       promotion->rank_generation = node->members.generation;
     }
   return promotion->rank;
--- a/src/core/subscription.c
+++ b/src/core/subscription.c
@@ -74,7 +74,7 @@
     }
   if (node->now_ms < t->direct_until_ms)
     return owner;
-  vm = ss_members_owner (&node->members, node->params.failure_domain, t->name);
+  vm = ss_roles_owner (&node->members, node->params.failure_domain, t->name);
   if (!vm || strcmp (vm, node->params.vm) == 0)
     return owner;
   if (!t->indirect_since_ms)
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -251,10 +251,10 @@
     return !node->members.relayed
            || (!node->ready
                && node->now_ms - node->started_ms >= OWN_WATCH_AFTER_MS)
-           || ss_members_is_watcher (&node->members);
+           || ss_roles_is_watcher (&node->members);
   if (!node->ready)
     return true;
-  return ss_members_rank (&node->members, node->params.failure_domain, "relay")
+  return ss_roles_rank (&node->members, node->params.failure_domain, "relay")
          < SS_MEMBERS_RELAYS;
 }
 
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -1,7 +1,7 @@
 /* Cluster membership: liveness, roles, relays and watchers. */
 #include <string.h>
 
-#include "core/members.h"
+#include "core/roles.h"
 #include "core/rank.h"
 #include "tests/unit.h"
 
@@ -48,11 +48,12 @@
 vm_has_no_role_before_its_first_heartbeat (void)
 {
   set_up ();
-  ss_members_add (&members, "b", "d1", "10.0.0.2", 1)->listed = true;
+  ss_members_set_listed (
+      &members, ss_members_add (&members, "b", "d1", "10.0.0.2", 1), true);
   update (START_MS);
   CU_ASSERT (!is_live ("b"));
   CU_ASSERT (!ss_members_is_converged (&members));
-  CU_ASSERT_STRING_EQUAL (ss_members_owner (&members, "d1", "t"), "a");
+  CU_ASSERT_STRING_EQUAL (ss_roles_owner (&members, "d1", "t"), "a");
   record_heartbeat ("b", START_MS + 10, NULL);
   update (START_MS + 10);
   CU_ASSERT (is_live ("b"));
@@ -93,14 +94,13 @@
       char name[16];
 
       g_snprintf (name, sizeof name, "t%u", i);
-      if (strcmp (ss_members_owner (&members, "d1", name), "a") == 0)
+      if (strcmp (ss_roles_owner (&members, "d1", name), "a") == 0)
         owned_by_a++;
-      CU_ASSERT (
-          (ss_members_rank (&members, "d1", name) == 0)
-          == (strcmp (ss_members_owner (&members, "d1", name), "a") == 0));
+      CU_ASSERT ((ss_roles_rank (&members, "d1", name) == 0)
+                 == (strcmp (ss_roles_owner (&members, "d1", name), "a") == 0));
     }
   CU_ASSERT (owned_by_a > 60 && owned_by_a < 140);
-  CU_ASSERT_PTR_NULL (ss_members_owner (&members, "d2", "t"));
+  CU_ASSERT_PTR_NULL (ss_roles_owner (&members, "d2", "t"));
   ss_members_finish (&members);
 }
 
@@ -117,7 +117,7 @@
       char name[16];
 
       g_snprintf (name, sizeof name, "t%u", i);
-      CU_ASSERT_STRING_EQUAL (ss_members_owner (&members, "d1", name), "a");
+      CU_ASSERT_STRING_EQUAL (ss_roles_owner (&members, "d1", name), "a");
     }
   ss_members_finish (&members);
 }
@@ -184,15 +184,17 @@
   for (uint32_t i = 0; i < G_N_ELEMENTS (names); i++)
     {
       record_heartbeat (names[i], START_MS, NULL);
-      ss_members_find (&members, names[i])->platform_up = true;
+      ss_members_set_platform_up (&members,
+                                  ss_members_find (&members, names[i]), true);
       if (ss_rank_score (names[i], "relay") > ss_rank_score ("a", "relay"))
         before++;
     }
   update (START_MS);
-  CU_ASSERT (ss_members_is_watcher (&members) == (before < SS_MEMBERS_RELAYS));
+  CU_ASSERT (ss_roles_is_watcher (&members) == (before < SS_MEMBERS_RELAYS));
   for (uint32_t i = 0; i < G_N_ELEMENTS (names); i++)
-    ss_members_find (&members, names[i])->platform_up = false;
-  CU_ASSERT (ss_members_is_watcher (&members));
+    ss_members_set_platform_up (&members, ss_members_find (&members, names[i]),
+                                false);
+  CU_ASSERT (ss_roles_is_watcher (&members));
   ss_members_finish (&members);
 }
 
@@ -243,7 +245,7 @@
   for (uint32_t i = 0; i < 1000; i++)
     {
       g_snprintf (name, sizeof name, "t%u", i);
-      large += strcmp (ss_members_owner (&members, "d1", name), "a") == 0;
+      large += strcmp (ss_roles_owner (&members, "d1", name), "a") == 0;
     }
   CU_ASSERT (large > 750 && large < 850);
   record_heartbeat ("c", START_MS, NULL);
@@ -253,7 +255,7 @@
   CU_ASSERT (relays->len == 2);
   CU_ASSERT_STRING_EQUAL (g_ptr_array_index (relays, 0), "a");
   CU_ASSERT_STRING_EQUAL (g_ptr_array_index (relays, 1), "c");
-  CU_ASSERT (ss_members_watcher_rank (&members) == 0);
+  CU_ASSERT (ss_roles_watcher_rank (&members) == 0);
   g_ptr_array_free (relays, TRUE);
   ss_members_finish (&members);
 }
