A start of many VMs looks at groups and targets less often

Cause: in the simulation of a start (200 VMs, 200 groups) 28 % of the time went to the promotion tick, which looks at all groups on each tick of each VM, 11 % to attaching servers (all targets are walked for each object that is adopted), 12 % to ss_owner_update, called for each push, and subscriptions were sent again in full with each change of members.

Change: config.c keeps the targets of each group; a VM that watches no groups looks at all of them every 250 ms, and at running promotions on each tick; ownership is looked at when objects were adopted, and not before a VM has settled; while members change, only VMs whose list of targets changes get a new subscription, all once a second as before.

--- a/src/core/config.c
+++ b/src/core/config.c
@@ -93,6 +93,12 @@
   g_free (g);
 }
 
+static void
+free_targets (gpointer targets)
+{
+  g_ptr_array_free (targets, TRUE);
+}
+
 void
 ss_config_init (SsConfig *config)
 {
@@ -104,6 +110,8 @@
       = g_tree_new_full (ss_compare_strings, NULL, NULL, target_free);
   config->groups
       = g_tree_new_full (ss_compare_strings, NULL, NULL, ss_group_free);
+  config->targets_by_group
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_targets);
   config->max_connections
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   config->organisations = NULL;
@@ -120,45 +128,67 @@
 {
   g_tree_destroy (config->objects);
   g_tree_destroy (config->services);
+  g_hash_table_destroy (config->targets_by_group);
   g_tree_destroy (config->targets);
   g_tree_destroy (config->groups);
   g_hash_table_destroy (config->max_connections);
   clear_organisations (config);
 }
 
-typedef struct
-{
-  const SsConfig *config;
-  SsGroup *group;
-} AttachContext;
-
-static gboolean
-attach_server (gpointer key, gpointer value, gpointer data)
-{
-  AttachContext *a = data;
-  SsTarget *t = value;
-
-  (void) key;
-  if (t->removed || strcmp (t->group, a->group->name) != 0
-      || a->group->server_count == SS_CONFIG_SERVERS_MAX)
-    return FALSE;
-  a->group->servers[a->group->server_count++] = t;
-  if (strcmp (t->name, a->group->primary) == 0)
-    a->group->primary_server = t;
-  return FALSE;
-}
-
 /* Sets the servers of GROUP, which may be NULL, to the targets that name it. */
 static void
 attach_servers (const SsConfig *c, SsGroup *group)
 {
-  AttachContext a = { c, group };
+  const GPtrArray *targets
+      = group ? g_hash_table_lookup (c->targets_by_group, group->name) : NULL;
 
   if (!group)
     return;
   group->server_count = 0;
   group->primary_server = NULL;
-  g_tree_foreach (c->targets, attach_server, &a);
+  for (guint i = 0; targets && i < targets->len; i++)
+    {
+      SsTarget *t = g_ptr_array_index (targets, i);
+
+      if (t->removed || group->server_count == SS_CONFIG_SERVERS_MAX)
+        continue;
+      group->servers[group->server_count++] = t;
+      if (strcmp (t->name, group->primary) == 0)
+        group->primary_server = t;
+    }
+}
+
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp ((*(const SsTarget *const *) a)->name,
+                 (*(const SsTarget *const *) b)->name);
+}
+
+/* All VMs list the servers of a group in the order of their names. */
+static void
+index_target (SsConfig *c, SsTarget *t)
+{
+  GPtrArray *targets = g_hash_table_lookup (c->targets_by_group, t->group);
+
+  if (!targets)
+    {
+      targets = g_ptr_array_new ();
+      g_hash_table_insert (c->targets_by_group, g_strdup (t->group), targets);
+    }
+  g_ptr_array_add (targets, t);
+  g_ptr_array_sort (targets, compare_names);
+}
+
+/* T has a group. */
+static void
+unindex_target (SsConfig *c, SsTarget *t)
+{
+  GPtrArray *targets = g_hash_table_lookup (c->targets_by_group, t->group);
+
+  g_ptr_array_remove (targets, t);
+  if (!targets->len)
+    g_hash_table_remove (c->targets_by_group, t->group);
 }
 
 static char *
@@ -225,11 +255,14 @@
     }
   group_before = t->group ? ss_config_group (c, t->group) : NULL;
   is_same = is_same_server (t, &parsed);
+  if (t->group)
+    unindex_target (c, t);
   target_clear_settings (t);
   draining_before = t->draining && t->born_ms && t->born_ms == parsed.born_ms
                     && ss_version_era (t->version) != ss_version_era (version);
   t->version = version;
   t->group = parsed.group;
+  index_target (c, t);
   t->ip = parsed.ip;
   t->port = parsed.port;
   t->failure_domain = parsed.failure_domain;
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -151,6 +151,7 @@
   GTree *objects; /* key -> SsStoredObject */
   GTree *services;
   GTree *targets;
+  GHashTable *targets_by_group; /* group -> GPtrArray of SsTarget (borrowed) */
   GTree *groups;
   GHashTable *max_connections; /* group -> limit for each of its servers */
   GTree *organisations; /* name -> SsOrganisation; NULL: callers need no key */
--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -354,22 +354,27 @@
   return FALSE;
 }
 
-/* Deletes the objects that are missing from a complete push. */
-static void
+/* Deletes the objects that are missing from a complete push.  Returns whether
+ * any was deleted.
+ */
+static bool
 delete_unsent (SsNode *node, const Ss__Peer__ConfigPush *push)
 {
   Unchanged u = { hash_set (push->unchanged, push->n_unchanged),
                   g_hash_table_new (g_str_hash, g_str_equal) };
+  bool deleted;
 
   for (size_t i = 0; i < push->n_objects; i++)
     g_hash_table_add (u.present, push->objects[i]->key);
   g_tree_foreach (node->config.objects, add_unchanged, &u);
-  ss_config_sync_delete_missing (node, "", push->revision, u.present);
+  deleted = ss_config_sync_delete_missing (node, "", push->revision, u.present);
   g_hash_table_destroy (u.present);
   g_hash_table_destroy (u.hashes);
+  return deleted;
 }
 
-static void
+/* Returns whether IN is adopted. */
+static bool
 adopt_received (SsNode *node, const char *from,
                 const Ss__Peer__ConfigObject *in)
 {
@@ -380,6 +385,7 @@
                  .deleted = in->deleted,
                  .sequence = in->sequence };
   char *text = NULL;
+  bool adopted = false;
 
   if (in->value_bytes)
     {
@@ -390,26 +396,30 @@
     }
   /* The sender has already waited out the grace period of deletions. */
   if (text || !in->value_bytes)
-    adopt_now (node, &o);
+    adopted = adopt_now (node, &o);
   else
     ss_node_log (node, SS_EVENT_LOG_PEER_INVALID, from,
                  "%s can't be decompressed", in->key);
   g_free (text);
+  return adopted;
 }
 
 void
 ss_config_sync_handle_push (SsNode *node, const char *from,
                             const Ss__Peer__ConfigPush *push)
 {
+  bool adopted = false;
+
   ss_era_observe (node, ss_version_era (push->revision), from);
   for (size_t i = 0; i < push->n_objects; i++)
-    adopt_received (node, from, push->objects[i]);
+    adopted = adopt_received (node, from, push->objects[i]) || adopted;
   if (push->complete)
-    delete_unsent (node, push);
+    adopted = delete_unsent (node, push) || adopted;
   if (push->vms.len)
     ss_watch_handle_vms (node, (const char *) push->vms.data,
                          (uint32_t) push->vms.len);
-  ss_owner_update (node);
+  if (adopted)
+    ss_owner_update (node);
   if (push->since == WITHOUT_REVISION)
     return;
   if (push->since <= node->config.revision)
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -8,6 +8,7 @@
 #include "core/membership.h"
 #include "core/owned.h"
 #include "core/promotion.h"
+#include "core/subscription.h"
 #include "core/version.h"
 
 /* A refused connection means a crash; no response may be a short network
@@ -83,7 +84,7 @@
   if (node->all_groups_since_ms)
     return;
   node->all_groups_since_ms = node->now_ms;
-  node->subscribe_due_ms = node->now_ms;
+  ss_subscription_changed (node);
 }
 
 int64_t
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -4,6 +4,7 @@
 #include "core/entry_speed.h"
 #include "core/identity.h"
 #include "core/rate_limit.h"
+#include "core/subscription.h"
 
 static void
 clear_session (gpointer data)
@@ -240,7 +241,7 @@
   s->floor_known = ss_dialect_multiplexes_sessions (node->dialect);
   group = ss_session_group (node, s);
   if (group && !ss_entry_uses_group (node, group->name))
-    node->subscribe_due_ms = node->now_ms;
+    ss_subscription_changed (node);
   if (group)
     s->open_seq = ss_confirmed_get (node, group->name)->last_seq;
   for (size_t i = 0; settings && settings[i] && !error; i += 2)
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -234,7 +234,7 @@
   if (target->owner_generation != node->members.generation)
     {
       target->owner = ss_roles_owner (&node->members, target->failure_domain,
-                                        target->name);
+                                      target->name);
       /* The failure domain has no live VM: a VM of another one owns its
        * targets.
        */
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -68,6 +68,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_relay_init (node);
   ss_fanout_init (&node->fanout);
+  ss_subscription_init (node);
   ss_rate_limit_init (node);
   ss_startup_init (node);
   ss_entry_init (node);
@@ -92,6 +93,7 @@
   ss_admin_finish (node);
   ss_relay_finish (node);
   ss_fanout_finish (&node->fanout);
+  ss_subscription_finish (node);
   ss_rate_limit_finish (node);
   ss_startup_finish (node);
   while (ss_node_take_action (node, &action))
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -139,6 +139,8 @@
   int64_t rewrite_due_ms; /* when the next lost group object may be written */
   bool coordinates;       /* this VM starts promotions (coordinator.c) */
   int64_t all_groups_since_ms; /* since when it watches all primaries; 0: not */
+  int64_t groups_due_ms;       /* when it looks at all groups, if it does not
+                                  watch them */
   int64_t duty_version;        /* last seen version of the duty object */
 
   int64_t era;          /* the latest era of the platform's store (era.c) */
@@ -148,6 +150,8 @@
   int64_t heartbeat_due_ms;
   int64_t subscribe_due_ms;
   uint64_t subscribed_generation;
+  GHashTable *subscribed; /* VM -> hash of the targets that this VM last
+                             subscribed to there */
   SsFanout fanout;
   GQueue lost_vms; /* names of VMs found dead whose requests have yet to end */
   int64_t pull_due_ms;
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -448,23 +448,29 @@
   end_waiters (node, owned);
 }
 
+/* Adds T to the targets owned here if this VM has become its owner. */
 static gboolean
-update_target (gpointer key, gpointer value, gpointer data)
+add_new (gpointer key, gpointer value, gpointer data)
 {
   SsNode *node = data;
   SsTarget *t = value;
-  bool is_owner = ss_node_is_owner (node, t);
-  SsOwnedTarget *o = ss_owner_find (node, t->name);
 
   (void) key;
-  if (!o && is_owner)
-    o = add_owned (node, t);
-  if (o && o->incarnation != t->incarnation)
+  if (ss_node_is_owner (node, t) && !ss_owner_find (node, t->name))
+    add_owned (node, t);
+  return FALSE;
+}
+
+static void
+update_owned (SsNode *node, SsOwnedTarget *o)
+{
+  bool is_owner = ss_node_is_owner (node, o->target);
+
+  if (o->incarnation != o->target->incarnation)
     end_incarnation (node, o);
-  if (o)
-    check_term (node, o);
-  if (!o || o->active == is_owner)
-    return FALSE;
+  check_term (node, o);
+  if (o->active == is_owner)
+    return;
   o->active = is_owner;
   o->owner_since_ms = node->now_ms;
   ss_connection_cache_restart (&o->cache);
@@ -472,13 +478,21 @@
     ss_owner_speed_resume (node, o);
   else
     release_target (node, o);
-  return FALSE;
 }
 
 void
 ss_owner_update (SsNode *node)
 {
-  g_tree_foreach (node->config.targets, update_target, node);
+  GPtrArray *owned;
+
+  /* Until then this VM owns nothing. */
+  if (!node->settled)
+    return;
+  g_tree_foreach (node->config.targets, add_new, node);
+  owned = all_owned (node);
+  for (guint i = 0; i < owned->len; i++)
+    update_owned (node, g_ptr_array_index (owned, i));
+  g_ptr_array_free (owned, TRUE);
   /* A change of ownership changes the leases that this VM may hold, so its
    * directory object is written at once.
    */
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -15,6 +15,10 @@
 #define READ_RETRY_MS 200
 /* Delay of the next promotion after one has ended. */
 #define RETRY_MS 300
+/* Interval at which a VM that starts no promotions looks at all groups: it may
+ * have to write the name of a primary that the platform has lost.
+ */
+#define UNWATCHED_INTERVAL_MS 250
 
 SsPromotion *
 ss_promote_get (SsNode *node, const char *group)
@@ -37,8 +41,7 @@
 {
   if (promotion->rank_generation != node->members.generation)
     {
-      promotion->rank
-          = ss_roles_rank (&node->members, NULL, promotion->group);
+      promotion->rank = ss_roles_rank (&node->members, NULL, promotion->group);
       promotion->rank_generation = node->members.generation;
     }
   return promotion->rank;
@@ -430,23 +433,50 @@
 }
 
 static gboolean
-collect_key (gpointer key, gpointer value, gpointer data)
+collect_running (gpointer key, gpointer value, gpointer data)
+{
+  const SsPromotion *p = value;
+
+  if (p->step != SS_PROMOTE_IDLE)
+    g_ptr_array_add (data, g_strdup (key));
+  return FALSE;
+}
+
+static gboolean
+collect_group (gpointer key, gpointer value, gpointer data)
 {
   (void) value;
-  g_ptr_array_add (data, key);
+  g_ptr_array_add (data, g_strdup (key));
   return FALSE;
 }
 
+/* Whether this VM may have to start a promotion of any group at once. */
+static bool
+watches_groups (const SsNode *node)
+{
+  return !node->dialect->platform_promotes || node->all_groups_since_ms;
+}
+
+/* Adds the names of the groups to look at in this tick to OUT. */
+static void
+collect_due (SsNode *node, GPtrArray *out)
+{
+  if (!watches_groups (node) && node->now_ms < node->groups_due_ms)
+    {
+      g_tree_foreach (node->promotions, collect_running, out);
+      return;
+    }
+  node->groups_due_ms = node->now_ms + UNWATCHED_INTERVAL_MS;
+  g_tree_foreach (node->config.groups, collect_group, out);
+}
+
 void
 ss_promote_tick (SsNode *node)
 {
   GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
-  GPtrArray *keys = g_ptr_array_new ();
 
   ss_coordinator_update_role (node);
-  g_tree_foreach (node->config.groups, collect_key, keys);
-  for (guint i = 0; i < keys->len; i++)
-    g_ptr_array_add (names, g_strdup (g_ptr_array_index (keys, i)));
+  collect_due (node, names);
   for (guint i = 0; i < names->len; i++)
     {
       const char *name = g_ptr_array_index (names, i);
@@ -455,7 +485,6 @@
       if (group && group->server_count)
         tick_one (node, ss_promote_get (node, name), group);
     }
-  g_ptr_array_free (keys, TRUE);
   g_ptr_array_free (names, TRUE);
 }
 
--- a/src/core/subscription.c
+++ b/src/core/subscription.c
@@ -1,6 +1,7 @@
 #include "core/subscription.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "core/fanout.h"
 #include "core/owned.h"
@@ -25,6 +26,8 @@
 {
   SsNode *node;
   GTree *by_source; /* vm -> GPtrArray of target names */
+  GHashTable *sent; /* vm -> hash of these names */
+  bool renew;       /* also those that have not changed */
 } Subscriptions;
 
 /* Whether a promotion of GROUP may depend on what this VM knows. */
@@ -134,14 +137,45 @@
   return FALSE;
 }
 
+static uint64_t
+hash_names (const GPtrArray *names)
+{
+  XXH64_hash_t hash = names->len;
+
+  for (guint i = 0; i < names->len; i++)
+    {
+      const char *name = g_ptr_array_index (names, i);
+
+      hash = XXH3_64bits_withSeed (name, strlen (name), hash);
+    }
+  return hash;
+}
+
+/* Records that VM gets a subscription to NAMES.  Returns whether the last one
+ * was to other targets.
+ */
+static bool
+record_sent (Subscriptions *s, const char *vm, const GPtrArray *names)
+{
+  const uint64_t *before = g_hash_table_lookup (s->node->subscribed, vm);
+  uint64_t *hash = g_new (uint64_t, 1);
+
+  *hash = hash_names (names);
+  g_hash_table_insert (s->sent, g_strdup (vm), hash);
+  return !before || *before != *hash;
+}
+
 static gboolean
 send_subscription (gpointer key, gpointer value, gpointer data)
 {
-  SsNode *node = data;
+  Subscriptions *s = data;
+  SsNode *node = s->node;
   GPtrArray *names = value;
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__Subscribe m = SS__PEER__SUBSCRIBE__INIT;
 
+  if (!record_sent (s, key, names) && !s->renew)
+    return FALSE;
   m.targets = (char **) names->pdata;
   m.n_targets = names->len;
   m.sent_ms = node->now_ms;
@@ -151,22 +185,55 @@
   return FALSE;
 }
 
+static GHashTable *
+new_hashes (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+ss_subscription_init (SsNode *node)
+{
+  node->subscribed = new_hashes ();
+}
+
+void
+ss_subscription_finish (SsNode *node)
+{
+  g_hash_table_destroy (node->subscribed);
+}
+
+/* While members change many times a second, only the VMs whose list of targets
+ * changes with them get a new one.
+ */
 void
 ss_subscription_tick (SsNode *node)
 {
-  Subscriptions s = { node, NULL };
+  Subscriptions s
+      = { .node = node, .renew = node->now_ms >= node->subscribe_due_ms };
 
-  if (node->now_ms < node->subscribe_due_ms
-      && node->subscribed_generation == node->members.generation)
+  if (!s.renew && node->subscribed_generation == node->members.generation)
     return;
-  node->subscribe_due_ms = node->now_ms + SUBSCRIBE_INTERVAL_MS;
   node->subscribed_generation = node->members.generation;
+  if (!node->settled)
+    return;
+  if (s.renew)
+    node->subscribe_due_ms = node->now_ms + SUBSCRIBE_INTERVAL_MS;
   ss_fanout_expire (&node->fanout, node->now_ms);
+  s.sent = new_hashes ();
   s.by_source = g_tree_new_full (ss_compare_strings, NULL, NULL,
                                  (GDestroyNotify) g_ptr_array_unref);
   g_tree_foreach (node->config.groups, collect_group, &s);
-  g_tree_foreach (s.by_source, send_subscription, node);
+  g_tree_foreach (s.by_source, send_subscription, &s);
   g_tree_destroy (s.by_source);
+  g_hash_table_destroy (node->subscribed);
+  node->subscribed = s.sent;
+}
+
+void
+ss_subscription_changed (SsNode *node)
+{
+  node->subscribed_generation = 0;
 }
 
 /* --- messages --- */
@@ -187,7 +254,7 @@
       else if (passes_on && ss_config_target (&node->config, name)
                && ss_fanout_subscribe (&node->fanout, name, from,
                                        subscribe->sent_ms, node->now_ms))
-        node->subscribe_due_ms = node->now_ms;
+        ss_subscription_changed (node);
     }
 }
 
--- a/src/core/subscription.h
+++ b/src/core/subscription.h
@@ -13,7 +13,14 @@
 
 #include "core/message.h"
 
+void ss_subscription_init (SsNode *node);
+void ss_subscription_finish (SsNode *node);
+/* ss_subscription_tick: sends the subscriptions that are due. */
 void ss_subscription_tick (SsNode *node);
+/* ss_subscription_changed: the groups that this VM needs reports of have
+ * changed: new subscriptions are sent with the next tick.
+ */
+void ss_subscription_changed (SsNode *node);
 /* ss_subscription_handle: handles a subscription of VM FROM, to targets that
  * this VM owns or whose reports it passes on.
  */
