New owners are looked for where targets or members changed only

Change: the walk over all targets is made after a target object was adopted or the members changed; leases are collected from the targets owned here.

--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -164,6 +164,8 @@
                  object->deleted);
   if (adoption == SS_ADOPT_DONE && g_str_has_prefix (object->key, "vm/"))
     ss_directory_apply (node, object);
+  if (adoption == SS_ADOPT_DONE && g_str_has_prefix (object->key, "target/"))
+    node->targets_changed = true;
   group = group_of_object (node, object);
   if (term && group && group->term > term)
     ss_pending_superseded (node, group);
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -104,12 +104,17 @@
 collect_owned_primary (gpointer key, gpointer value, gpointer data)
 {
   OwnedPrimaries *o = data;
-  SsTarget *primary = ss_group_primary (value);
+  const SsOwnedTarget *owned = value;
+  const SsGroup *group;
 
-  if (!primary || !ss_node_is_owner (o->node, primary))
+  (void) key;
+  if (!owned->active)
+    return FALSE;
+  group = ss_config_group (&o->node->config, owned->target->group);
+  if (!group || ss_group_primary (group) != owned->target)
     return FALSE;
-  g_ptr_array_add (o->groups, key);
-  o->holds_all = o->holds_all && ss_lease_holds (o->node, value);
+  g_ptr_array_add (o->groups, group->name);
+  o->holds_all = o->holds_all && ss_lease_holds (o->node, group);
   return FALSE;
 }
 
@@ -296,7 +301,7 @@
   if (node->now_ms < node->renewal.due_ms)
     return;
   owned.groups = g_ptr_array_new ();
-  g_tree_foreach (node->config.groups, collect_owned_primary, &owned);
+  g_tree_foreach (node->owned, collect_owned_primary, &owned);
   if (owned.groups->len)
     renew (node, &owned);
   g_ptr_array_free (owned.groups, TRUE);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -126,8 +126,10 @@
   GHashTable *usual_runs;         /* service -> SsRunTime[2] (entry_speed.h) */
   GHashTable *round_trips;        /* failure domain -> SsRoundTrip */
 
-  GTree *owned;            /* target -> SsOwnedTarget */
-  GHashTable *connections; /* id -> SsConnection */
+  GTree *owned;               /* target -> SsOwnedTarget */
+  bool targets_changed;       /* since ss_owner_update last looked at all */
+  uint64_t owners_generation; /* members.generation of that time */
+  GHashTable *connections;    /* id -> SsConnection */
   uint64_t next_connection;
   uint64_t next_status_request;
 
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -488,7 +488,11 @@
   /* Until then this VM owns nothing. */
   if (!node->settled)
     return;
-  g_tree_foreach (node->config.targets, add_new, node);
+  if (node->targets_changed
+      || node->owners_generation != node->members.generation)
+    g_tree_foreach (node->config.targets, add_new, node);
+  node->targets_changed = false;
+  node->owners_generation = node->members.generation;
   owned = all_owned (node);
   for (guint i = 0; i < owned->len; i++)
     update_owned (node, g_ptr_array_index (owned, i));
