Scenarios of an upgrade run the version in production and this one side by side

Cause: the users replace VMs one after the other, and nothing in the repository ran two builds together.

--- a/bench/deploy.c
+++ b/bench/deploy.c
@@ -31,6 +31,7 @@
 
   memset (deploy, 0, sizeof *deploy);
   deploy->programs = g_strdup (programs);
+  deploy->previous = g_build_filename (programs, "previous", NULL);
   deploy->directory = g_dir_make_tmp ("sapphirestair-XXXXXX", NULL);
   g_snprintf (deploy->ip_prefix, sizeof deploy->ip_prefix, "127.%u.%u",
               20 + (pid >> 8) % 200, pid & 0xff);
@@ -139,6 +140,7 @@
     }
   g_free (deploy->directory);
   g_free (deploy->programs);
+  g_free (deploy->previous);
   g_free (deploy->load_output);
 }
 
@@ -358,7 +360,9 @@
   SsDeployProcess *v = &deploy->vms[vm];
   char *path = NULL;
   bool ok = write_settings (deploy, vm, &path);
-  char *argv[] = { ss_deploy_program (deploy, "sapphirestaird"),
+  char *argv[] = { g_build_filename (v->is_previous ? deploy->previous
+                                                    : deploy->programs,
+                                     "sapphirestaird", NULL),
                    (char *) "--config", path, NULL };
 
   ok = ok && spawn (deploy, v->name, argv, &v->pid);
--- a/bench/deploy.h
+++ b/bench/deploy.h
@@ -28,12 +28,14 @@
   char failure_domain[32];
   pid_t pid; /* 0: not running */
   bool frozen;
+  bool is_previous; /* a VM that is started with the version in production */
 } SsDeployProcess;
 
 typedef struct
 {
   char *directory;    /* temporary; settings, data and logs */
   char *programs;     /* directory of the binaries */
+  char *previous;     /* directory of the daemon of the version in production */
   char ip_prefix[12]; /* "127.x.y" */
   char domains[SS_DEPLOY_DOMAINS_MAX][32];
   uint32_t domain_count;
--- a/bench/ss_scenario.c
+++ b/bench/ss_scenario.c
@@ -142,6 +142,9 @@
   run->deploy.report_staleness_ms
       = (uint32_t) atoi (option (argv, "staleness_ms", "30000"));
   run->deploy.identity = option (argv, "identity", "none");
+  for (uint32_t i = 0; i < SS_DEPLOY_MAX; i++)
+    run->deploy.vms[i].is_previous
+        = strcmp (option (argv, "version", "current"), "previous") == 0;
   if (ss_deploy_start (
           &run->deploy,
           option (argv, "domains", "aarhus-hal,koege-hal,odense-hal"),
@@ -211,6 +214,25 @@
   return ss_deploy_start_target (&run->deploy, index);
 }
 
+/* "version previous vm N", "version current vm N": sets the version that VM N
+ * runs from its next start on.
+ */
+static bool
+do_version (Run *run, char **argv)
+{
+  bool is_previous = g_strcmp0 (argv[1], "previous") == 0;
+  uint32_t index;
+  SsDeployProcess *p;
+
+  if (!is_previous && g_strcmp0 (argv[1], "current") != 0)
+    return fail (run, "the version is \"previous\" or \"current\"");
+  p = find_process (run, argv + 1, &index);
+  if (!p || p != &run->deploy.vms[index])
+    return fail (run, "no such vm");
+  p->is_previous = is_previous;
+  return true;
+}
+
 static bool
 do_partition (Run *run, char **argv)
 {
@@ -497,6 +519,7 @@
   { "thaw", do_signal },
   { "stop", do_signal },
   { "start", do_start },
+  { "version", do_version },
   { "cut", do_partition },
   { "heal", do_partition },
   { "link", do_link },
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -58,6 +58,11 @@
 histories histories "$HISTORIES"
 histories restores "$RESTORES" --restores
 
+# The version in production, for scenarios in which both versions run.
+if ! B="$B" sh scripts/build-previous.sh; then
+  record build-previous 0 1
+fi
+
 # Scenarios against real processes, one at a time: those of the documented
 # guarantees, and regression scenarios from failures of the soak test.
 for file in tests/scenario/*.scn tests/soak/*.scn; do
