Callers that come back after a restart of all VMs wait for tokens

The callers come back and are refused again.

Tokens are granted as before, so the bound is untouched.

Tests: callers that come back are not refused (fails before), organisation beyond its limit is refused after a start.

--- a/src/core/rate_bucket.c
+++ b/src/core/rate_bucket.c
@@ -55,6 +55,8 @@
   b->tokens += (double) elapsed_ms * tokens_per_ms (b);
   b->tokens = MIN (b->tokens, capacity (b));
   b->filled_ms = now_ms;
+  if (b->tokens * 2 >= capacity (b))
+    b->was_low = false;
 }
 
 void
@@ -80,6 +82,7 @@
   if (b->started || b->share <= 0.5)
     return;
   b->started = true;
+  b->was_low = true;
   b->tokens = MIN (b->tokens + START_TOKENS, capacity (b));
 }
 
@@ -125,6 +128,13 @@
   return taken + take_up_to (b, ahead, spare);
 }
 
+bool
+ss_rate_bucket_was_low (SsRateBucket *b, int64_t now_ms)
+{
+  fill (b, now_ms);
+  return b->was_low;
+}
+
 int64_t
 ss_rate_bucket_wait_ms (SsRateBucket *b, int64_t now_ms)
 {
--- a/src/core/rate_bucket.h
+++ b/src/core/rate_bucket.h
@@ -19,6 +19,7 @@
   double tokens;
   int64_t filled_ms;
   bool started; /* it got its first tokens since its share was last 0 */
+  bool was_low; /* since then it has never had half of its capacity */
 } SsRateBucket;
 
 /* ss_rate_bucket_init: SLACK is the number of tokens by which all buckets of
@@ -38,6 +39,11 @@
  */
 uint32_t ss_rate_bucket_take (SsRateBucket *bucket, uint32_t needed,
                               uint32_t ahead, int64_t now_ms);
+/* ss_rate_bucket_was_low: whether the bucket has not had half of its capacity
+ * since it started almost empty: a lack of tokens does not show yet that
+ * callers are beyond the limit.
+ */
+bool ss_rate_bucket_was_low (SsRateBucket *bucket, int64_t now_ms);
 /* ss_rate_bucket_wait_ms: returns the time until it is worth asking again, at
  * least 1 ms.
  */
--- a/src/core/rate_limiter.c
+++ b/src/core/rate_limiter.c
@@ -35,6 +35,11 @@
 #define AHEAD_REFRESH_MS 100
 /* After a refusal of tokens ahead of need. */
 #define AHEAD_PAUSE_MS 300
+/* Time in which callers that have waited for a coordinator have come back and
+ * got tokens, if they are within their limit.  Those of an organisation beyond
+ * its limit wait in vain meanwhile.
+ */
+#define CATCH_UP_MS 4000
 /* Bound on what one message may ask for. */
 #define TOKENS_MAX 10000U
 
@@ -239,13 +244,20 @@
     }
 }
 
-/* Whether a lack of tokens in the buckets of S is due to their start: they
- * begin almost empty, and delegations are still to come.
+/* Whether a lack of tokens for O may be due to the start of its bucket, which
+ * begins almost empty: delegations are still to come, and callers have waited
+ * while no VM coordinated.  Such callers are within their limit and soon get
+ * tokens.
  */
 static bool
-is_starting (const SsRateSlot *s, int64_t now_ms)
+is_starting (const SsRateLimiter *l, SsRateOrganisation *o, int64_t now_ms)
 {
-  return s->share == 0 || now_ms - s->share_since_ms < SS_RATE_DELEGATION_MS;
+  const SsRateSlot *s = &l->slots[o->slot];
+  int64_t since_ms = now_ms - s->share_since_ms;
+
+  if (s->share == 0 || since_ms < SS_RATE_DELEGATION_MS)
+    return true;
+  return since_ms < CATCH_UP_MS && ss_rate_bucket_was_low (&o->bucket, now_ms);
 }
 
 /* --- limits --- */
@@ -653,7 +665,7 @@
   if (!o)
     return;
   out->tokens = ss_rate_bucket_take (&o->bucket, needed, ahead, now_ms);
-  if (out->tokens < needed && !is_starting (&l->slots[o->slot], now_ms))
+  if (out->tokens < needed && !is_starting (l, o, now_ms))
     out->next_ms = (uint32_t) ss_rate_bucket_wait_ms (&o->bucket, now_ms);
 }
 
@@ -833,7 +845,7 @@
     return false;
   if (ss_rate_bucket_take (&o->bucket, 1, 0, now_ms))
     return true;
-  if (is_self (l, s->vm) && !is_starting (s, now_ms))
+  if (is_self (l, s->vm) && !is_starting (l, o, now_ms))
     o->account.refused_until_ms
         = now_ms + ss_rate_bucket_wait_ms (&o->bucket, now_ms);
   return false;
--- a/tests/rate_sim.c
+++ b/tests/rate_sim.c
@@ -200,7 +200,7 @@
       RateSimOrganisation *organisation = &sim->organisations[o->organisation];
 
       ss_rate_limiter_end_wait (&vm->limiter, organisation->name);
-      if (sim->now_ms - o->sent_ms >= PATIENCE_MS)
+      if (sim->now_ms - o->sent_ms >= sim->patience_ms)
         {
           organisation->refused++;
           g_free (o);
@@ -396,6 +396,7 @@
 rate_sim_init (RateSim *sim, uint32_t seed, uint32_t vms)
 {
   memset (sim, 0, sizeof *sim);
+  sim->patience_ms = PATIENCE_MS;
   sim->rand = g_rand_new_with_seed (seed);
   sim->now_ms = START_MS;
   sim->delay_max_ms = DELAY_MS;
--- a/tests/rate_sim.h
+++ b/tests/rate_sim.h
@@ -76,6 +76,7 @@
   double
       repeated; /* probability that an attempt may have run and is repeated */
   int64_t delay_max_ms;
+  int64_t patience_ms; /* an operation that waits longer is refused */
 };
 
 /* rate_sim_init: starts VMS VMs.  The caller owns the memory, which is large.
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -6,6 +6,8 @@
 #include "tests/unit.h"
 
 #define SEEDS 40
+/* Longer than any test: the limiter alone refuses operations. */
+#define PATIENT_MS 60000
 
 static RateSim sim;
 
@@ -367,6 +369,60 @@
     }
 }
 
+/* Load pattern: all VMs restart, and the callers of the time without any VM
+ * come back together.  They are within their limits: the tokens that the
+ * buckets lack at first come soon, and nobody is refused meanwhile.
+ */
+static void
+callers_that_come_back_are_not_refused (void)
+{
+  static const uint32_t limits[] = { 16, 160 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (limits); i++)
+    {
+      double usual = limits[i] / 1.6;
+      RateSimOrganisation *o = &sim.organisations[0];
+
+      rate_sim_init (&sim, i + 1, 40);
+      rate_sim_add (&sim, limits[i], limits[i], usual);
+      rate_sim_advance (&sim, 6000);
+      sim.patience_ms = PATIENT_MS;
+      restart_all ();
+      rate_sim_advance (&sim, 500);
+      rate_sim_clear (&sim);
+      for (uint32_t j = 0; j < (uint32_t) (usual * 0.8); j++)
+        rate_sim_send (&sim, random_vm (sim.rand), 0);
+      rate_sim_advance (&sim, 5000);
+      o->demand_per_s = 0;
+      rate_sim_advance (&sim, 500);
+      CU_ASSERT (o->refused == 0);
+      CU_ASSERT (o->served >= o->sent);
+      check_bound (0, limits[i], limits[i], i + 1);
+      rate_sim_finish (&sim);
+    }
+}
+
+/* The same, but the organisation stays beyond its limit: its callers are told
+ * so again after a few seconds, at once.
+ */
+static void
+organisation_beyond_its_limit_is_refused_after_a_start (void)
+{
+  RateSimOrganisation *o = &sim.organisations[0];
+
+  rate_sim_init (&sim, 5, 40);
+  rate_sim_add (&sim, 100, 100, 400);
+  rate_sim_advance (&sim, 6000);
+  restart_all ();
+  rate_sim_advance (&sim, 5000);
+  rate_sim_clear (&sim);
+  rate_sim_advance (&sim, 3000);
+  CU_ASSERT (o->refused > 800);
+  CU_ASSERT (o->served > 270);
+  check_bound (0, 100, 100, 5);
+  rate_sim_finish (&sim);
+}
+
 static uint32_t
 coordinator_of (uint32_t vm, uint32_t organisation)
 {
@@ -777,6 +833,10 @@
   { "tokens count from the ask", tokens_count_from_the_ask },
   { "bound holds under faults", bound_holds_under_faults },
   { "bound holds when all vms restart", bound_holds_when_all_vms_restart },
+  { "callers that come back are not refused",
+    callers_that_come_back_are_not_refused },
+  { "organisation beyond its limit is refused after a start",
+    organisation_beyond_its_limit_is_refused_after_a_start },
   { "restarted vm waits for its share", restarted_vm_waits_for_its_share },
   { "bound holds with two coordinators", bound_holds_with_two_coordinators },
   { "bound holds when many vms join", bound_holds_when_many_vms_join },
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -1,11 +1,14 @@
-/* ss-unit: the unit tests, by CUnit. */
+/* ss-unit: the unit tests, by CUnit.
+ *
+ * usage: ss-unit [SUITE]
+ */
 #include <CUnit/Basic.h>
 #include <stdio.h>
 
 #include "tests/unit.h"
 
 int
-main (void)
+main (int argc, char **argv)
 {
   CU_SuiteInfo suites[] = {
 #define SUITE(name) { #name, NULL, NULL, NULL, NULL, test_##name },
@@ -22,7 +25,10 @@
       return 2;
     }
   CU_basic_set_mode (CU_BRM_NORMAL);
-  CU_basic_run_tests ();
+  if (argc > 1)
+    CU_basic_run_suite (CU_get_suite (argv[1]));
+  else
+    CU_basic_run_tests ();
   failed = CU_get_number_of_tests_failed ();
   printf ("unit: %u passed, %u failed\n",
           CU_get_number_of_tests_run () - failed, failed);
