--- a/src/core/fanout.c
+++ b/src/core/fanout.c
@@ -2,8 +2,12 @@
 
 #include "core/subscribers.h"
 
-/* Less than the interval of an owner's reports, so that each is passed on. */
-#define INTERVAL_MS 100
+/* Interval of messages with urgent reports, which may be many at once. */
+#define URGENT_INTERVAL_MS 100
+/* The same for others.  A VM gets the reports of all targets of this time in
+ * one message.
+ */
+#define INTERVAL_MS 400
 
 static void
 free_target (gpointer data)
@@ -21,6 +25,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_target);
   fanout->sent_ms = 0;
   fanout->due = false;
+  fanout->urgent = false;
 }
 
 void
@@ -44,7 +49,7 @@
     }
   /* A new subscriber gets what is known. */
   if (ss_subscribers_renew (t->subscribers, vm, sent_ms, now_ms))
-    ss_fanout_note_report (fanout, target);
+    ss_fanout_note_report (fanout, target, true);
   return is_new;
 }
 
@@ -55,7 +60,7 @@
 }
 
 void
-ss_fanout_note_report (SsFanout *fanout, const char *target)
+ss_fanout_note_report (SsFanout *fanout, const char *target, bool urgent)
 {
   SsFanoutTarget *t = g_hash_table_lookup (fanout->targets, target);
 
@@ -63,6 +68,7 @@
     return;
   t->due = true;
   fanout->due = true;
+  fanout->urgent = fanout->urgent || urgent;
 }
 
 static gboolean
@@ -87,10 +93,12 @@
   GHashTableIter iter;
   gpointer key;
   gpointer value;
+  int64_t interval_ms = fanout->urgent ? URGENT_INTERVAL_MS : INTERVAL_MS;
 
-  if (!fanout->due || now_ms - fanout->sent_ms < INTERVAL_MS)
+  if (!fanout->due || now_ms - fanout->sent_ms < interval_ms)
     return false;
   fanout->due = false;
+  fanout->urgent = false;
   fanout->sent_ms = now_ms;
   g_hash_table_iter_init (&iter, fanout->targets);
   while (g_hash_table_iter_next (&iter, &key, &value))
--- a/src/core/fanout.h
+++ b/src/core/fanout.h
@@ -14,7 +14,8 @@
 {
   GHashTable *targets; /* name -> SsFanoutTarget */
   int64_t sent_ms;
-  bool due; /* a report arrived since then */
+  bool due;    /* a report arrived since then */
+  bool urgent; /* one of them tells of a change that routes depend on */
 } SsFanout;
 
 typedef struct
@@ -33,8 +34,10 @@
                           int64_t sent_ms, int64_t now_ms);
 /* ss_fanout_serves: whether any VM has subscribed to TARGET here. */
 bool ss_fanout_serves (const SsFanout *fanout, const char *target);
-/* ss_fanout_note_report: records that a report of TARGET arrived. */
-void ss_fanout_note_report (SsFanout *fanout, const char *target);
+/* ss_fanout_note_report: records that a report of TARGET arrived.  URGENT: it
+ * tells of a change that routes depend on, and waits for no others.
+ */
+void ss_fanout_note_report (SsFanout *fanout, const char *target, bool urgent);
 /* ss_fanout_expire: drops the subscriptions that were not renewed. */
 void ss_fanout_expire (SsFanout *fanout, int64_t now_ms);
 /* ss_fanout_take_due: whether reports have to be passed on now.  If so, adds
--- a/src/core/subscription.c
+++ b/src/core/subscription.c
@@ -258,6 +258,16 @@
     }
 }
 
+/* Whether AFTER allows other statements at a target than BEFORE. */
+static bool
+is_route_changed (const SsServerState *before, const SsServerState *after)
+{
+  return before->reachable != after->reachable || before->role != after->role
+         || before->shown_term != after->shown_term
+         || before->follow_term != after->follow_term
+         || before->barred_term != after->barred_term;
+}
+
 void
 ss_subscription_handle_report (SsNode *node,
                                const Ss__Peer__StatusReport *report)
@@ -265,16 +275,18 @@
   SsTarget *t = ss_config_target (&node->config, report->target);
   SsServerState state;
   SsGroup *group;
+  bool urgent;
 
   if (!t || !report->state)
     return;
   ss_state_unpack (report->state, &state);
+  urgent = is_route_changed (&t->state, &state);
   if (!ss_node_is_owner (node, t))
     ss_node_update_state (node, t, &state, report->state->age_ms);
   if (!report->ask)
     {
       t->reported_ms = node->now_ms;
-      ss_fanout_note_report (&node->fanout, t->name);
+      ss_fanout_note_report (&node->fanout, t->name, urgent);
     }
   /* A position whose time is not known by this VM's clock may be of any age. */
   if (report->mark && report->mark_at_ms)
