The parts of a split meet again

Each part has live relays of its own in a failure domain, and VMs send heartbeats to live relays only. Ruled out: a loss of messages (the VMs answer at once when asked), the platform's list (it names all).

Change: a VM also tries VMs of its failure domain that are listed, not live, and rank before its relays, for a second every three. A relay's list is applied again with each confirmation: a VM that left an entry out of account, as it had a newer heartbeat of that VM itself, kept that for ever.

Tests: parts of a split meet again (2, 3 and 4 parts; fails before).

--- a/src/core/members.c
+++ b/src/core/members.c
@@ -396,7 +396,8 @@
   const SsMembers *members;
   const char *failure_domain;
   int64_t now_ms;
-  bool live; /* live VMs; else those that are listed but not live */
+  bool live;            /* live VMs; else those that are listed but not live */
+  const SsMember *last; /* only VMs that rank before it; NULL: any */
   const SsMember *best[SS_MEMBERS_RELAYS];
   uint32_t relay_count;
 } Relays;
@@ -414,7 +415,8 @@
 static bool
 may_relay (const Relays *r, const SsMember *m)
 {
-  if (m->leaving || strcmp (m->failure_domain, r->failure_domain) != 0)
+  if (m->leaving || strcmp (m->failure_domain, r->failure_domain) != 0
+      || (r->last && !ss_roles_relays_before (m, r->last)))
     return false;
   if (r->live)
     return may_relay_live (r, m);
@@ -459,6 +461,9 @@
 
 /* After the loss of its relays a failure domain may have no VM known as live.
  * The VMs that the platform lists are then tried in the order of their rank.
+ * Those of this VM's failure domain are also tried if they rank before its live
+ * relays: the parts of a split have relays of their own and meet again through
+ * the first of all.
  */
 void
 ss_members_relays (const SsMembers *members, const char *failure_domain,
@@ -476,6 +481,12 @@
 
   add_relays (members, &live, out);
   listed.relay_count = SS_MEMBERS_RELAYS - (out->len - before);
+  if (!listed.relay_count
+      && strcmp (failure_domain, members->failure_domain) == 0)
+    {
+      listed.last = live.best[SS_MEMBERS_RELAYS - 1];
+      listed.relay_count = SS_MEMBERS_RELAYS;
+    }
   if (listed.relay_count)
     add_relays (members, &listed, out);
 }
--- a/src/core/relay_views.c
+++ b/src/core/relay_views.c
@@ -12,9 +12,18 @@
 {
   uint64_t hash;
   int64_t confirmed_ms; /* when the relay last confirmed it */
-  GHashTable *vms;      /* names of the VMs */
+  GHashTable *vms;      /* name of a VM -> its Flags */
 } View;
 
+/* What a relay reports of a VM.  Never 0, as GLib's tables take 0 for absent.
+ */
+typedef enum
+{
+  FLAG_LISTED = 1,
+  FLAG_LEAVING = 2,
+  FLAG_PLATFORM_UP = 4
+} Flags;
+
 static void
 free_view (gpointer data)
 {
@@ -90,6 +99,13 @@
     }
 }
 
+static guint
+flags_of (const Ss__Peer__VmState *s)
+{
+  return FLAG_LISTED | (s->leaving ? FLAG_LEAVING : 0)
+         | (s->platform_up ? FLAG_PLATFORM_UP : 0);
+}
+
 void
 ss_relay_views_store (SsNode *node, const char *from,
                       const char *failure_domain, uint64_t hash,
@@ -103,7 +119,8 @@
   v->confirmed_ms = node->now_ms;
   v->vms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (size_t i = 0; i < count; i++)
-    g_hash_table_add (v->vms, g_strdup (vms[i]->vm));
+    g_hash_table_insert (v->vms, g_strdup (vms[i]->vm),
+                         GUINT_TO_POINTER (flags_of (vms[i])));
   g_hash_table_replace (node->relay_views, g_strdup (from), v);
   if (!listed)
     return;
@@ -117,18 +134,24 @@
   View *v = g_hash_table_lookup (node->relay_views, from);
   GHashTableIter iter;
   gpointer vm;
+  gpointer value;
 
   if (!v)
     return;
   v->confirmed_ms = node->now_ms;
   g_hash_table_iter_init (&iter, v->vms);
-  while (g_hash_table_iter_next (&iter, &vm, NULL))
+  while (g_hash_table_iter_next (&iter, &vm, &value))
     {
       SsMember *m = ss_members_find (&node->members, vm);
+      guint flags = GPOINTER_TO_UINT (value);
 
-      if (!m)
+      if (!m || m == node->members.self_member)
         continue;
-      m->reported_ms = node->now_ms;
+      /* It may have been left out of account when the list arrived, as a
+       * heartbeat of the VM itself was newer.
+       */
+      ss_members_record_report (&node->members, m, (flags & FLAG_LEAVING) != 0,
+                                (flags & FLAG_PLATFORM_UP) != 0, node->now_ms);
       if (remote)
         m->remote_report_ms = node->now_ms;
     }
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -12,6 +12,8 @@
 /* A new owner has its first lease after this. */
 #define NEW_OWNER_MS 1500
 #define LARGE_GROUPS 20
+/* Two backoffs of a relay that is tried, and the reports that follow. */
+#define MEET_MS 8000
 
 static FleetSim sim;
 
@@ -354,7 +356,54 @@
   fleet_finish (&sim);
 }
 
+/* Returns how many pairs of VMs there are of which one takes the other for
+ * dead.
+ */
+static uint32_t
+count_dead (void)
+{
+  uint32_t dead = 0;
+
+  for (uint32_t i = 0; i < sim.vm_count; i++)
+    for (uint32_t j = 0; j < sim.vm_count; j++)
+      {
+        const SsMember *m
+            = ss_members_find (&sim.vms[i].node.members, sim.vms[j].name);
+
+        dead += !m || !m->live ? 1 : 0;
+      }
+  return dead;
+}
+
+/* Part of the VMs of every failure domain is cut off from the rest for longer
+ * than relays take to be replaced, so that each part has relays of its own.
+ * Guards against parts that never meet again: a VM is then owner of targets
+ * that others own, too, and each part has only its shares of the rate limits.
+ */
+static void
+parts_of_a_split_meet_again (void)
+{
+  static const uint32_t parts[] = { 2, 3, 4 };
+
+  for (uint32_t k = 0; k < G_N_ELEMENTS (parts); k++)
+    {
+      fleet_init (&sim, 20 + k, VMS, GROUPS);
+      CU_ASSERT (count_dead () == 0);
+      for (uint32_t i = 0; i < VMS; i++)
+        sim.vms[i].partition = i / FLEET_DOMAINS % parts[k];
+      fleet_advance (&sim, 6000);
+      CU_ASSERT (count_dead () > 0);
+      for (uint32_t i = 0; i < VMS; i++)
+        sim.vms[i].partition = 0;
+      fleet_advance (&sim, MEET_MS);
+      CU_ASSERT (count_dead () == 0);
+      CU_ASSERT (sim.promotions == 0);
+      fleet_finish (&sim);
+    }
+}
+
 CU_TestInfo test_fleet[] = {
+  { "parts of a split meet again", parts_of_a_split_meet_again },
   { "owners turned away get leases", owners_turned_away_get_leases },
   { "coordinator names primary of unused group",
     coordinator_names_primary_of_unused_group },
