One watch at a time probes a platform that does not answer

As it answers no VM, every VM counts as a watcher of its failure domain, and each repeats four watches every 300 ms.

Change: while the platform does not answer a VM, one watch at a time asks it, with a wait of 1 ms, and pauses of 300 to 900 ms, half of them random; all watches are due at once when any call is answered.

Test: store that refuses gets few calls, and every VM has a change a second after its return (fails before).

--- a/src/core/node.h
+++ b/src/core/node.h
@@ -74,10 +74,18 @@
   uint32_t left_out; /* suppressed since the last line written */
 } SsLogQuota;
 
+/* Attempts to reach a platform that does not answer this VM. */
+typedef struct
+{
+  int64_t due_ms; /* when the next one is due */
+  SsBackoff backoff;
+} SsPlatformProbe;
+
 /* State of one watch on the platform. */
 typedef struct
 {
   bool watching;       /* a watch request is outstanding */
+  bool is_probe;       /* it is an attempt of SsPlatformProbe */
   bool complete;       /* all of its objects were received once */
   int64_t due_ms;      /* when the next watch request is due */
   int64_t revision;    /* version up to which its objects are known */
@@ -160,6 +168,7 @@
   int64_t behind_sequence; /* config.sequence when a peer was last seen ahead */
   int64_t behind_due_ms;   /* when a peer that is ahead is asked; 0: never */
   SsWatchState watches[SS_WATCH_COUNT];
+  SsPlatformProbe probe;
   GHashTable *pending_deletions; /* key -> SsPendingDeletion */
   GHashTable *relay_views;       /* VM -> the VMs in its last full report */
   GHashTable *reports;           /* relay -> the last full report sent to it */
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -7,6 +7,14 @@
 #include "core/version.h"
 
 #define WATCH_RETRY_MS 300
+/* Pauses between attempts to reach a platform that does not answer. */
+#define PROBE_RETRY_MS 300
+#define PROBE_RETRY_MAX_MS 900
+/* A probe is a watch that ends at once.  Without a response it counts as failed
+ * after the timeout.
+ */
+#define PROBE_WAIT_MS 1
+#define PROBE_TIMEOUT_MS 1500
 #define WATCH_WAIT_MS 8000
 /* Delay before the next watch of VMs or targets.  Many of these change their
  * objects at the same time, especially at start-up: the delay batches the
@@ -35,6 +43,15 @@
   return true;
 }
 
+/* All watches are due once the platform answers again. */
+static void
+end_probing (SsNode *node)
+{
+  ss_backoff_reset (&node->probe.backoff);
+  for (uint32_t i = 0; i < SS_WATCH_COUNT; i++)
+    node->watches[i].due_ms = MIN (node->watches[i].due_ms, node->now_ms);
+}
+
 static void
 update_platform_down (SsNode *node, SsPlatformOutcome outcome)
 {
@@ -46,6 +63,8 @@
   ss_node_log (node,
                down ? SS_EVENT_LOG_PLATFORM_DOWN : SS_EVENT_LOG_PLATFORM_UP,
                "platform", "watch");
+  if (!down)
+    end_probing (node);
 }
 
 /* Returns the revision up to which every watch is complete. */
@@ -136,6 +155,18 @@
   ss_lease_handle_list (node, e);
 }
 
+/* The request of WATCH has ended. */
+static void
+handle_probe (SsNode *node, SsWatchState *watch)
+{
+  if (!watch->is_probe)
+    return;
+  watch->is_probe = false;
+  node->probe.due_ms = node->now_ms
+                       + ss_backoff_next (&node->probe.backoff, node->rand,
+                                          PROBE_RETRY_MS, PROBE_RETRY_MAX_MS);
+}
+
 void
 ss_watch_handle_objects (SsNode *node, const SsEvent *e)
 {
@@ -151,6 +182,7 @@
   if (since != watch->since)
     return; /* to a request before a restore */
   watch->watching = false;
+  handle_probe (node, watch);
   update_platform_down (node, e->platform_objects.outcome);
   if (e->platform_objects.outcome == SS_PLATFORM_ABSENT
       || is_outdated (node, e))
@@ -277,6 +309,29 @@
     }
 }
 
+/* While the platform does not answer this VM, one watch at a time finds out
+ * whether it does again: the others would be refused as well, and load a
+ * platform that comes back.
+ */
+static bool
+is_probing (const SsNode *node)
+{
+  return node->platform_down && !ss_watch_is_single (node);
+}
+
+static bool
+may_watch (const SsNode *node)
+{
+  return !is_probing (node) || node->now_ms >= node->probe.due_ms;
+}
+
+static void
+begin_probe (SsNode *node, SsWatchState *watch)
+{
+  watch->is_probe = true;
+  node->probe.due_ms = node->now_ms + PROBE_TIMEOUT_MS;
+}
+
 void
 ss_watch_tick (SsNode *node)
 {
@@ -289,7 +344,8 @@
       SsWatchState *watch = &node->watches[i];
 
       if (!(node->params.watches & (1U << i)) || watch->watching
-          || node->now_ms < watch->due_ms || (watch->complete && !is_watching))
+          || node->now_ms < watch->due_ms || (watch->complete && !is_watching)
+          || !may_watch (node))
         continue;
       if (ss_watch_is_single (node))
         watch->revision = ss_era_is_current (node, node->config.revision)
@@ -300,7 +356,10 @@
       a = ss_node_push (node, SS_ACTION_PLATFORM_WATCH);
       a->id = i;
       a->number = watch->revision;
-      a->wait_ms = watch_wait_ms (node, (SsWatch) i);
+      a->wait_ms = is_probing (node) ? PROBE_WAIT_MS
+                                     : watch_wait_ms (node, (SsWatch) i);
+      if (is_probing (node))
+        begin_probe (node, watch);
     }
   if (ss_watch_is_single (node) && !node->vms_requested
       && node->now_ms >= node->vms_due_ms)
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -402,7 +402,41 @@
     }
 }
 
+/* Returns how many requests to watch the platform all VMs have sent. */
+static uint64_t
+count_watches (void)
+{
+  return fleet_calls (&sim, SS_PLATFORM_PURPOSE_WATCH);
+}
+
+/* Load pattern: the store refuses all calls for 6 s.  No VM knows one that it
+ * answers, so all of them watch; each may try once in the longest pause of 900
+ * ms, half of which is random, and after the shorter first ones.  Once the
+ * store is back, every VM has a change within a second.
+ */
+static void
+store_that_refuses_gets_few_calls (void)
+{
+  uint64_t before;
+
+  fleet_init (&sim, 13, VMS, GROUPS);
+  fleet_advance (&sim, 3000);
+  before = count_watches ();
+  for (uint32_t i = 0; i < VMS; i++)
+    sim.vms[i].store = FLEET_STORE_REFUSES;
+  fleet_advance (&sim, 6000);
+  CU_ASSERT (count_watches () - before < VMS * 20);
+  for (uint32_t i = 0; i < VMS; i++)
+    sim.vms[i].store = FLEET_STORE_SERVES;
+  fleet_add_group (&sim);
+  fleet_advance (&sim, 1000);
+  for (uint32_t i = 0; i < VMS; i++)
+    CU_ASSERT_PTR_NOT_NULL (fleet_group (&sim, i, GROUPS));
+  fleet_finish (&sim);
+}
+
 CU_TestInfo test_fleet[] = {
+  { "store that refuses gets few calls", store_that_refuses_gets_few_calls },
   { "parts of a split meet again", parts_of_a_split_meet_again },
   { "owners turned away get leases", owners_turned_away_get_leases },
   { "coordinator names primary of unused group",
