--- a/src/core/relay_views.c
+++ b/src/core/relay_views.c
@@ -21,7 +21,8 @@
 {
   FLAG_LISTED = 1,
   FLAG_LEAVING = 2,
-  FLAG_PLATFORM_UP = 4
+  FLAG_PLATFORM_UP = 4,
+  FLAG_PENDING = 8 /* not applied: the VM's own heartbeat was newer */
 } Flags;
 
 static void
@@ -99,11 +100,33 @@
     }
 }
 
+static bool
+is_heartbeat_recent (const SsNode *node, const SsMember *m)
+{
+  return node->now_ms - m->heartbeat_ms < SS_MEMBER_HEARTBEAT_TIMEOUT_MS;
+}
+
 static guint
-flags_of (const Ss__Peer__VmState *s)
+flags_of (const SsNode *node, const Ss__Peer__VmState *s)
 {
+  const SsMember *m = ss_members_find (&node->members, s->vm);
+
   return FLAG_LISTED | (s->leaving ? FLAG_LEAVING : 0)
-         | (s->platform_up ? FLAG_PLATFORM_UP : 0);
+         | (s->platform_up ? FLAG_PLATFORM_UP : 0)
+         | (m && is_heartbeat_recent (node, m) ? FLAG_PENDING : 0);
+}
+
+/* Applies what was not applied when the list arrived; once, as it gets old.
+ * Returns the flags that are left.
+ */
+static guint
+apply_pending (SsNode *node, SsMember *m, guint flags)
+{
+  if (!(flags & FLAG_PENDING) || is_heartbeat_recent (node, m))
+    return flags;
+  ss_members_record_report (&node->members, m, (flags & FLAG_LEAVING) != 0,
+                            (flags & FLAG_PLATFORM_UP) != 0, node->now_ms);
+  return flags & ~(guint) FLAG_PENDING;
 }
 
 void
@@ -120,7 +143,7 @@
   v->vms = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (size_t i = 0; i < count; i++)
     g_hash_table_insert (v->vms, g_strdup (vms[i]->vm),
-                         GUINT_TO_POINTER (flags_of (vms[i])));
+                         GUINT_TO_POINTER (flags_of (node, vms[i])));
   g_hash_table_replace (node->relay_views, g_strdup (from), v);
   if (!listed)
     return;
@@ -143,15 +166,13 @@
   while (g_hash_table_iter_next (&iter, &vm, &value))
     {
       SsMember *m = ss_members_find (&node->members, vm);
-      guint flags = GPOINTER_TO_UINT (value);
 
       if (!m || m == node->members.self_member)
         continue;
-      /* It may have been left out of account when the list arrived, as a
-       * heartbeat of the VM itself was newer.
-       */
-      ss_members_record_report (&node->members, m, (flags & FLAG_LEAVING) != 0,
-                                (flags & FLAG_PLATFORM_UP) != 0, node->now_ms);
+      g_hash_table_iter_replace (
+          &iter,
+          GUINT_TO_POINTER (apply_pending (node, m, GPOINTER_TO_UINT (value))));
+      m->reported_ms = node->now_ms;
       if (remote)
         m->remote_report_ms = node->now_ms;
     }
