--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -12,6 +12,8 @@
 /* A new owner has its first lease after this. */
 #define NEW_OWNER_MS 1500
 #define LARGE_GROUPS 20
+/* For control messages of a VM; see docs/CAPACITY.md. */
+#define CONTROL_BYTES_PER_S 3072
 /* Two backoffs of a relay that is tried, and the reports that follow. */
 #define MEET_MS 8000
 
@@ -435,7 +437,80 @@
   fleet_finish (&sim);
 }
 
+/* Returns the bytes of messages between VMs that carry no statement, sent by a
+ * VM on average since its start.
+ */
+static uint64_t
+control_bytes (void)
+{
+  uint64_t bytes = 0;
+
+  for (uint32_t i = 0; i < sim.vm_count; i++)
+    bytes += sim.vms[i].node.counters.values[SS_COUNTER_CONTROL_BYTES];
+  return bytes / sim.vm_count;
+}
+
+/* A deployment without callers.  Guards against control traffic that grows with
+ * the number of VMs: a VM has 3 KB/s for it (docs/CAPACITY.md).
+ */
+static void
+idle_vms_send_little (void)
+{
+  static const uint32_t vms[] = { 24, LARGE_VMS };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (vms); i++)
+    {
+      uint64_t before;
+
+      fleet_init (&sim, 30 + i, vms[i], LARGE_GROUPS);
+      before = control_bytes ();
+      fleet_advance (&sim, 4000);
+      CU_ASSERT ((control_bytes () - before) / 4 < CONTROL_BYTES_PER_S);
+      fleet_finish (&sim);
+    }
+}
+
+static uint64_t
+subscription_bytes (const SsTraffic *t)
+{
+  return t->bytes[SS_TRAFFIC_SUBSCRIBE][SS_TRAFFIC_SAME_DOMAIN]
+         + t->bytes[SS_TRAFFIC_SUBSCRIBE][SS_TRAFFIC_OTHER_DOMAIN];
+}
+
+/* Load pattern: members change many times a second, as at a start.  Guards
+ * against subscriptions that are sent again in full with each change: a VM that
+ * sees 20 changes a second sends at most twice as much as without any.
+ */
+static void
+changes_of_members_send_few_subscriptions (void)
+{
+  const SsTraffic *t = &sim.vms[0].node.traffic;
+  uint64_t calm;
+  uint64_t before;
+
+  fleet_init (&sim, 32, LARGE_VMS, LARGE_GROUPS);
+  fleet_open (&sim);
+  fleet_advance (&sim, 2000);
+  before = subscription_bytes (t);
+  fleet_advance (&sim, 3000);
+  calm = subscription_bytes (t) - before;
+  before = subscription_bytes (t);
+  for (uint32_t i = 0; i < 60; i++)
+    {
+      SsMember *m
+          = ss_members_find (&sim.vms[0].node.members, sim.vms[i + 1].name);
+
+      ss_members_set_capacity (&sim.vms[0].node.members, m, 100 + i);
+      fleet_advance (&sim, 50);
+    }
+  CU_ASSERT (subscription_bytes (t) - before < 2 * calm);
+  fleet_finish (&sim);
+}
+
 CU_TestInfo test_fleet[] = {
+  { "idle vms send little", idle_vms_send_little },
+  { "changes of members send few subscriptions",
+    changes_of_members_send_few_subscriptions },
   { "store that refuses gets few calls", store_that_refuses_gets_few_calls },
   { "parts of a split meet again", parts_of_a_split_meet_again },
   { "owners turned away get leases", owners_turned_away_get_leases },
--- a/tests/test_members.c
+++ b/tests/test_members.c
@@ -277,7 +277,39 @@
     }
 }
 
+/* Ranks are kept between changes.  Guards against one that outlives a change:
+ * of what the platform answers, of liveness, of capacity.
+ */
+static void
+kept_ranks_follow_changes (void)
+{
+  SsMember *b;
+
+  set_up ();
+  record_heartbeat ("b", START_MS, NULL);
+  update (START_MS);
+  b = ss_members_find (&members, "b");
+  CU_ASSERT_PTR_NULL (ss_roles_coordinator (&members, "s"));
+  ss_members_set_platform_up (&members, b, true);
+  CU_ASSERT_STRING_EQUAL (ss_roles_coordinator (&members, "s"), "b");
+  CU_ASSERT (ss_roles_coordinator_rank (&members, "s") <= 1);
+  ss_members_set_platform_up (&members, b, false);
+  CU_ASSERT_PTR_NULL (ss_roles_coordinator (&members, "s"));
+  CU_ASSERT (ss_roles_watcher_rank (&members) == 0);
+  ss_members_set_platform_up (&members, b, true);
+  ss_members_set_capacity (&members, b, 1000000);
+  CU_ASSERT (ss_roles_watcher_rank (&members) == 1);
+  CU_ASSERT_STRING_EQUAL (ss_roles_owner (&members, NULL, "s"), "b");
+  update (START_MS + SS_MEMBER_HEARTBEAT_TIMEOUT_MS);
+  CU_ASSERT (!is_live ("b"));
+  CU_ASSERT_PTR_NULL (ss_roles_coordinator (&members, "s"));
+  CU_ASSERT (ss_roles_watcher_rank (&members) == 0);
+  CU_ASSERT_STRING_EQUAL (ss_roles_owner (&members, NULL, "s"), "a");
+  ss_members_finish (&members);
+}
+
 CU_TestInfo test_members[] = {
+  { "kept ranks follow changes", kept_ranks_follow_changes },
   { "larger vms have more roles", larger_vms_have_more_roles },
   { "equal vms rank by hash alone", equal_vms_rank_by_hash_alone },
   { "vm has no role before its first heartbeat",
