The backlog test's first form is back, as known red

Change: the first form stands beside the eased one, as suite rate_backlog, which ss-unit runs by name and tests/run.sh as a test of its own; KNOWN-RED.txt lists it. Both share come_back (). No code of the product changes.

--- a/tests/run.sh
+++ b/tests/run.sh
@@ -36,6 +36,12 @@
 p=$(sed -n 's/^unit: \([0-9]*\) passed.*/\1/p' "$out/unit")
 record unit "${p:-0}" "${f:-1}"
 
+# Unit tests that KNOWN-RED.txt lists, each suite a test of its own.
+"$B/ss-unit" rate_backlog >"$out/rate_backlog" 2>&1
+f=$(sed -n 's/^unit: .*passed, \([0-9]*\) failed$/\1/p' "$out/rate_backlog")
+p=$(sed -n 's/^unit: \([0-9]*\) passed.*/\1/p' "$out/rate_backlog")
+record rate_backlog "${p:-0}" "${f:-1}"
+
 # Property tests on simulated histories, split over JOBS processes.
 histories() { # name, count, option...
   name=$1
--- a/tests/test_rate_limit.c
+++ b/tests/test_rate_limit.c
@@ -8,6 +8,10 @@
 #define SEEDS 40
 /* Longer than any test: the limiter alone refuses operations. */
 #define PATIENT_MS 60000
+/* How long a statement with a timeout of 1 s waits for a token, less the time
+ * that it needs to come back.
+ */
+#define TIMEOUT_1_S_MS 700
 
 static RateSim sim;
 
@@ -369,6 +373,26 @@
     }
 }
 
+/* All VMs restart, and 0.5 s later the callers of BACKLOG_S without any VM come
+ * back together, beside the usual ones.  LIMIT is 1.6 times the usual rate.
+ */
+static void
+come_back (uint32_t limit, uint32_t seed, double backlog_s, int64_t patience_ms)
+{
+  double usual = limit / 1.6;
+
+  rate_sim_init (&sim, seed, 40);
+  rate_sim_add (&sim, limit, limit, usual);
+  rate_sim_advance (&sim, 6000);
+  sim.patience_ms = patience_ms;
+  restart_all ();
+  rate_sim_advance (&sim, 500);
+  rate_sim_clear (&sim);
+  for (uint32_t i = 0; i < (uint32_t) (usual * backlog_s); i++)
+    rate_sim_send (&sim, random_vm (sim.rand), 0);
+  rate_sim_advance (&sim, 5000);
+}
+
 /* Load pattern: all VMs restart, and the callers of the time without any VM
  * come back together.  They are within their limits: the tokens that the
  * buckets lack at first come soon, and nobody is refused meanwhile.
@@ -380,19 +404,9 @@
 
   for (uint32_t i = 0; i < G_N_ELEMENTS (limits); i++)
     {
-      double usual = limits[i] / 1.6;
       RateSimOrganisation *o = &sim.organisations[0];
 
-      rate_sim_init (&sim, i + 1, 40);
-      rate_sim_add (&sim, limits[i], limits[i], usual);
-      rate_sim_advance (&sim, 6000);
-      sim.patience_ms = PATIENT_MS;
-      restart_all ();
-      rate_sim_advance (&sim, 500);
-      rate_sim_clear (&sim);
-      for (uint32_t j = 0; j < (uint32_t) (usual * 0.8); j++)
-        rate_sim_send (&sim, random_vm (sim.rand), 0);
-      rate_sim_advance (&sim, 5000);
+      come_back (limits[i], i + 1, 0.8, PATIENT_MS);
       o->demand_per_s = 0;
       rate_sim_advance (&sim, 500);
       CU_ASSERT (o->refused == 0);
@@ -402,6 +416,26 @@
     }
 }
 
+/* The same with a small organisation too, a longer time without any VM, and
+ * callers with a timeout of 1 s.  Those that one bucket for all VMs would serve
+ * must not be refused.
+ */
+static void
+longer_backlog_is_not_refused (void)
+{
+  static const uint32_t limits[] = { 4, 16, 160 };
+
+  for (uint32_t i = 0; i < G_N_ELEMENTS (limits); i++)
+    {
+      RateSimOrganisation *o = &sim.organisations[0];
+
+      come_back (limits[i], i + 1, 1.5, TIMEOUT_1_S_MS);
+      CU_ASSERT (o->refused <= o->beyond);
+      check_bound (0, limits[i], limits[i], i + 1);
+      rate_sim_finish (&sim);
+    }
+}
+
 /* The same, but the organisation stays beyond its limit: its callers are told
  * so again after a few seconds, at once.
  */
@@ -851,3 +885,8 @@
   { "cost is low", cost_is_low },
   CU_TEST_INFO_NULL,
 };
+
+CU_TestInfo test_rate_backlog[] = {
+  { "longer backlog is not refused", longer_backlog_is_not_refused },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.c
+++ b/tests/unit.c
@@ -13,13 +13,20 @@
   CU_SuiteInfo suites[] = {
 #define SUITE(name) { #name, NULL, NULL, NULL, NULL, test_##name },
     SUITES (SUITE)
+#undef SUITE
+        CU_SUITE_INFO_NULL,
+  };
+  CU_SuiteInfo red_suites[] = {
+#define SUITE(name) { #name, NULL, NULL, NULL, NULL, test_##name },
+    RED_SUITES (SUITE)
 #undef SUITE
         CU_SUITE_INFO_NULL,
   };
   unsigned failed;
 
   if (CU_initialize_registry () != CUE_SUCCESS
-      || CU_register_suites (suites) != CUE_SUCCESS)
+      || CU_register_suites (suites) != CUE_SUCCESS
+      || (argc > 1 && CU_register_suites (red_suites) != CUE_SUCCESS))
     {
       fprintf (stderr, "ss-unit: %s\n", CU_get_error_msg ());
       return 2;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -4,6 +4,9 @@
 
 #include <CUnit/CUnit.h>
 
+/* Suites that run only by name: tests that KNOWN-RED.txt lists. */
+#define RED_SUITES(X) X (rate_backlog)
+
 #define SUITES(X)                                                              \
   X (position)                                                                 \
   X (members)                                                                  \
@@ -36,6 +39,7 @@
 
 #define DECLARE_SUITE(name) extern CU_TestInfo test_##name[];
 SUITES (DECLARE_SUITE)
+RED_SUITES (DECLARE_SUITE)
 #undef DECLARE_SUITE
 
 #endif
