--- a/review/standin/unreadable.c
+++ b/review/standin/unreadable.c
@@ -1,6 +1,9 @@
 /* unreadable: the store holds one entry of kind "servers" by another writer
  * that can't be read, and a server announces that it leaves.  Does work still
  * reach the server later than drain_ms after the store accepted that?
+ *
+ * With FINAL=1 no server leaves.  All processes are killed instead and start
+ * again; is a quarter of the requests served from recovery_s after that?
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,11 +17,24 @@
 #define BEFORE_MS 3000
 #define DRAIN_MS 7000
 #define AFTER_MS 12000
+#define DOWN_MS 1000
+#define RECOVERY_MS 12000
 
 static volatile bool stopping;
 static int done;
 static int failed;
 
+static void
+count (bool is_done)
+{
+  pthread_mutex_lock (&world_lock);
+  if (is_done)
+    done++;
+  else
+    failed++;
+  pthread_mutex_unlock (&world_lock);
+}
+
 /* Sends single reads and writes until the end. */
 static void *
 call_again_and_again (void *data)
@@ -40,18 +56,14 @@
         is_open = caller_open (&c, (number + k) % FRONTS, db);
       if (!is_open)
         {
+          count (false);
           sleep_ms (200);
           continue;
         }
       new_id (id);
       sprintf (text, writes ? "WRITE a%d x%d" : "READ a%d", number, k);
       a = caller_query (&c, id, text, 3000);
-      pthread_mutex_lock (&world_lock);
-      if (a.kind == ANSWER_DONE)
-        done++;
-      else
-        failed++;
-      pthread_mutex_unlock (&world_lock);
+      count (a.kind == ANSWER_DONE);
       if (a.kind == ANSWER_NONE || a.state != 'I')
         {
           caller_close (&c);
@@ -86,10 +98,49 @@
           number ? "a number beyond 64 bits" : "bytes that are no UTF-8");
 }
 
+/* Kills all daemons and starts them again.  Returns whether the rule RECOVER
+ * is broken.
+ */
+static bool
+is_recovery_broken (void)
+{
+  int done_before = done;
+  int failed_before = failed;
+  int served;
+  int unserved;
+
+  for (int f = 0; f < FRONTS; f++)
+    front_kill (f);
+  sleep_ms (DOWN_MS);
+  for (int f = 0; f < FRONTS; f++)
+    front_start (f);
+  sleep_ms (RECOVERY_MS);
+  served = done;
+  unserved = failed;
+  sleep_ms (AFTER_MS);
+  served = done - served;
+  unserved = failed - unserved;
+  record ("before the final fault %d requests of %d were served, from 12 s "
+          "after the daemons were back %d of %d",
+          done_before, done_before + failed_before, served, served + unserved);
+  printf ("before the final fault %d requests of %d were served, from 12 s "
+          "after the daemons were back %d of %d\n",
+          done_before, done_before + failed_before, served, served + unserved);
+  return served * 4 < served + unserved;
+}
+
+static bool
+is_set (const char *name)
+{
+  const char *value = getenv (name);
+
+  return value && strcmp (value, "0") != 0;
+}
+
 int
 main (int argc, char **argv)
 {
-  bool trouble = !getenv ("TROUBLE") || strcmp (getenv ("TROUBLE"), "0") != 0;
+  bool trouble = !getenv ("TROUBLE") || is_set ("TROUBLE");
   pthread_t threads[CALLERS];
   int numbers[CALLERS];
   char spec[512];
@@ -114,6 +165,16 @@
   if (trouble)
     put_unreadable ();
   sleep_ms (BEFORE_MS);
+  if (is_set ("FINAL"))
+    {
+      bool broken = is_recovery_broken ();
+
+      stopping = true;
+      for (int i = 0; i < CALLERS; i++)
+        pthread_join (threads[i], NULL);
+      world_stop ();
+      return broken ? 1 : 0;
+    }
   server_spec (LEAVING, "draining", spec);
   acked_ms = store_put ("servers", server_id (LEAVING), spec);
   record ("the store has accepted that %s is draining", server_id (LEAVING));
