--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -1324,12 +1324,19 @@
   return true;
 }
 
-static void
-put_config (void)
-{
-  store_put (
-      "config", "main",
-      "{\"version\":7,\"routes\":["
+void
+put_config (int version, bool with_tight)
+{
+  static const char tight[]
+      = ",{\"name\":\"r-4\",\"host\":\"muri814\",\"path_prefix\":\"/\","
+        "\"kind\":\"bounded_staleness\",\"timeout_ms\":2000,"
+        "\"latency_goal_ms\":800,\"priority\":2,\"service\":\"" SERVICE "\","
+        "\"max_attempts\":2,\"max_staleness_ms\":200}";
+  char spec[4096];
+
+  snprintf (
+      spec, sizeof spec,
+      "{\"version\":%d,\"routes\":["
       "{\"name\":\"r-1\",\"host\":\"" DB_OWN "\",\"path_prefix\":\"/\","
       "\"kind\":\"read_your_writes\",\"timeout_ms\":1000,"
       "\"latency_goal_ms\":800,\"priority\":2,\"service\":\"" SERVICE "\","
@@ -1340,10 +1347,44 @@
       "{\"name\":\"r-3\",\"host\":\"" DB_BOUNDED "\",\"path_prefix\":\"/\","
       "\"kind\":\"bounded_staleness\",\"timeout_ms\":2000,"
       "\"latency_goal_ms\":800,\"priority\":2,\"service\":\"" SERVICE "\","
-      "\"max_attempts\":2,\"max_staleness_ms\":1500}],"
+      "\"max_attempts\":2,\"max_staleness_ms\":1500}%s],"
       "\"services\":[{\"name\":\"" SERVICE "\",\"health_path\":\"/health\","
       "\"max_conns\":21,\"protocol\":\"h1\",\"tls\":false,"
-      "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":5000}}");
+      "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":5000}}",
+      version, with_tight ? tight : "");
+  store_put ("config", "main", spec);
+}
+
+/* Returns the processor time of PID in clock ticks. */
+static long
+processor_ticks (pid_t pid)
+{
+  char path[64];
+  char text[1024] = "";
+  unsigned long user = 0;
+  unsigned long kernel = 0;
+  char *at;
+  FILE *f;
+
+  sprintf (path, "/proc/%d/stat", (int) pid);
+  f = fopen (path, "r");
+  if (!f)
+    return 0;
+  if (fgets (text, sizeof text, f) && (at = strrchr (text, ')')))
+    sscanf (at + 1, " %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu",
+            &user, &kernel);
+  fclose (f);
+  return (long) (user + kernel);
+}
+
+double
+front_processor_share (int front, int ms)
+{
+  long before = processor_ticks (front_pids[front]);
+
+  sleep_ms (ms);
+  return (double) (processor_ticks (front_pids[front]) - before) * 1000
+         / (double) sysconf (_SC_CLK_TCK) / ms;
 }
 
 bool
@@ -1381,7 +1422,7 @@
   cloud_ip (ip);
   if (!serve_at (ip, STORE_PORT, serve_http, 0))
     return false;
-  put_config ();
+  put_config (7, false);
   for (int i = 0; i < SERVERS; i++)
     store_put ("servers", ids[i], server_spec (i, "ready", spec));
   for (int i = 0; i < FRONTS; i++)
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -40,8 +40,15 @@
 void front_start (int front);
 bool front_is_ready (int front); /* asks GET /v1/readiness */
 
+/* The share of one processor that the daemon used in MS. */
+double front_processor_share (int front, int ms);
+
 /* --- the store --- */
 
+/* Writes the configuration; WITH_TIGHT: with a fourth route, "muri814", whose
+ * reads may be 200 ms old.
+ */
+void put_config (int version, bool with_tight);
 /* Creates or replaces an object; SPEC is sent as it is.  Returns when the store
  * has accepted it, in ms.
  */
