--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -e
 cd "$(dirname "$0")"
 mkdir -p bin
-for case in unreadable tight smuggle; do
+for case in unreadable tight smuggle partial; do
   gcc -D_GNU_SOURCE -O2 -Wall -Wextra -o "bin/$case" \
     "standin/$case.c" standin/world.c -ljansson -lpthread
 done
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -742,8 +742,11 @@
   pthread_mutex_lock (&world_lock);
   if (!servers[chosen].is_primary)
     {
-      int64_t term = servers[server_primary ()].term + 1;
+      int64_t term = 0;
 
+      for (int i = 0; i < SERVERS; i++)
+        if (servers[i].term >= term)
+          term = servers[i].term + 1;
       log_count = servers[chosen].received;
       for (int i = 0; i < SERVERS; i++)
         {
@@ -1027,7 +1030,16 @@
       status_row (c, out);
     }
   else if (strcmp (word, "STEPDOWN") == 0)
-    status_row (c, out);
+    {
+      int64_t term = atoll (rest);
+
+      if (s->is_primary && s->term < term)
+        {
+          s->is_primary = false;
+          s->barred = term;
+        }
+      status_row (c, out);
+    }
   else if (strcmp (word, "READ") == 0 || strcmp (word, "WRITE") == 0)
     {
       char *item = next_word (&rest);
