Log lines of requests say what their text was made from

A request's line has the lengths of the caller's text and of the one for the server, and length, words and hash of the shape; STATEMENT_PREPARED (660, debug) has them at the owner. Two counters: prepares, shapes_of_words.

--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -82,6 +82,7 @@
   r->id = ++node->next_request;
   r->session = s;
   r->sql = g_strdup (sql);
+  r->text_bytes = (uint32_t) strlen (sql);
   r->keeps = true;
   r->started_ms = node->now_ms;
   r->deadline_ms = node->now_ms + statement_timeout_ms (node, s);
--- a/src/core/multiplex.c
+++ b/src/core/multiplex.c
@@ -82,12 +82,29 @@
   ss_owner_speed_started (node, c);
 }
 
+/* Counts and logs that the shape of C's job has to be prepared. */
+static void
+note_prepare (SsNode *node, const SsConnection *c)
+{
+  const SsJob *job = c->job;
+  SsShapeSummary shape = ss_shape_summary (job->shape);
+
+  if (!job->shape || ss_replay_holds (&c->held, job->shape, job->shape_is_read))
+    return;
+  ss_node_count (node, SS_COUNTER_PREPARES);
+  ss_node_log (node, SS_EVENT_LOG_STATEMENT_PREPARED,
+               job->label ? job->label : job->trace,
+               "target=%s connection=%" G_GUINT64_FORMAT " " SS_SHAPE_FORMAT,
+               c->owned->target->name, c->id, SS_SHAPE_ARGS (shape));
+}
+
 void
 ss_multiplex_start (SsNode *node, SsConnection *c)
 {
   SsJob *job = c->job;
   char *begin;
 
+  note_prepare (node, c);
   if (!ss_replay_plan (node->dialect, &c->held,
                        (const char *const *) job->values, job->shape,
                        job->shape_is_read, job->pinned, &c->setup_queue))
--- a/src/core/replay.c
+++ b/src/core/replay.c
@@ -75,6 +75,32 @@
   return g_strdup_printf ("%s_%s", is_read ? "r" : "w", shape);
 }
 
+static uint32_t
+count_words (const char *text)
+{
+  uint32_t words = 0;
+
+  for (text += strspn (text, " "); *text; text += strspn (text, " "))
+    {
+      words++;
+      text += strcspn (text, " ");
+    }
+  return words;
+}
+
+SsShapeSummary
+ss_shape_summary (const char *shape)
+{
+  SsShapeSummary summary = { 0, 0, 0 };
+
+  if (!shape)
+    return summary;
+  summary.bytes = (uint32_t) strlen (shape);
+  summary.words = count_words (shape);
+  summary.hash = g_str_hash (shape);
+  return summary;
+}
+
 /* --- replay plans --- */
 
 typedef struct
@@ -134,6 +160,16 @@
          && g_hash_table_size (held->prepared) >= SS_REPLAY_PREPARED_MAX;
 }
 
+bool
+ss_replay_holds (const SsSessionState *held, const char *shape, bool is_read)
+{
+  char *name = ss_replay_name (shape, is_read);
+  bool holds = ss_session_state_prepared (held, name) != NULL;
+
+  g_free (name);
+  return holds;
+}
+
 static void
 plan_shape (const SsDialect *dialect, SsSessionState *held, const char *shape,
             bool is_read, GQueue *out)
--- a/src/core/replay.h
+++ b/src/core/replay.h
@@ -41,11 +41,33 @@
 /* ss_session_state_deallocate: returns false where NAME is not prepared. */
 bool ss_session_state_deallocate (SsSessionState *state, const char *name);
 
+/* What log lines say of a shape instead of its text: two shapes with the same
+ * hash are alike, and one of several words has spaces.
+ */
+typedef struct
+{
+  uint32_t bytes;
+  uint32_t words;
+  uint32_t hash;
+} SsShapeSummary;
+
+#define SS_SHAPE_FORMAT "shape_bytes=%u shape_words=%u shape_hash=%08x"
+#define SS_SHAPE_ARGS(summary) (summary).bytes, (summary).words, (summary).hash
+
+/* ss_shape_summary: summarises SHAPE; all members are 0 for NULL. */
+SsShapeSummary ss_shape_summary (const char *shape);
+
 /* ss_replay_name: returns the name of the shape's prepared statement at
  * targets, to be freed.
  */
 char *ss_replay_name (const char *shape, bool is_read);
 
+/* ss_replay_holds: whether the shape is prepared on a connection in the state
+ * HELD.
+ */
+bool ss_replay_holds (const SsSessionState *held, const char *shape,
+                      bool is_read);
+
 /* ss_replay_plan: appends to OUT the statements (to be freed) that bring a
  * connection from the state HELD to VALUES (name, value, ..., NULL) with SHAPE
  * (NULL: none) prepared, and updates HELD accordingly.  IN_TRANSACTION: a reset
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -70,8 +70,8 @@
 }
 
 /* Logs how the request ended, with the state that led to it: what it waited
- * for, its target and owner, the age of that target's reported state, and the
- * floor.
+ * for, its target and owner, the age of that target's reported state, the
+ * floor, and what its text was made from.
  */
 static void
 log_end (SsNode *node, const SsRequest *r, SsVerdict verdict, SsReason reason)
@@ -82,6 +82,7 @@
   const SsTarget *t
       = r->target ? ss_config_target (&node->config, r->target) : NULL;
   const SsGroup *group = ss_session_group (node, r->session);
+  SsShapeSummary shape = ss_shape_summary (r->shape);
 
   ss_node_log (
       node, events[verdict], r->label ? r->label : r->trace,
@@ -90,14 +91,16 @@
       " owner=%s group_version=" SS_VERSION_FORMAT " term=%" G_GUINT64_FORMAT
       " primary=%s floor=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT
       " read=%d begins=%d keeps=%d waited_for=%u tries=%u"
-      " ms=%" G_GINT64_FORMAT " organisation=%s",
+      " ms=%" G_GINT64_FORMAT " organisation=%s text_bytes=%u sent_bytes=%zu"
+      " " SS_SHAPE_FORMAT,
       r->session->service, r->session->id, ss_verdict_name (verdict),
       ss_reason_name (reason), r->target ? r->target : "-",
       t ? node->now_ms - t->state_ms : -1, r->vm ? r->vm : "-",
       SS_VERSION_ARGS (group ? group->version : 0), group ? group->term : 0,
       group ? group->primary : "-", r->floor.term, r->floor.offset, r->is_read,
       r->begins, r->keeps, r->wait, r->tries, node->now_ms - r->started_ms,
-      r->organisation ? r->organisation : "-");
+      r->organisation ? r->organisation : "-", r->text_bytes, strlen (r->sql),
+      SS_SHAPE_ARGS (shape));
 }
 
 static void
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -63,9 +63,10 @@
 {
   uint64_t id; /* of the current attempt; each attempt has its own */
   SsSession *session;
-  char *organisation; /* of the caller; NULL: none, or not resolved yet */
-  char *label;        /* the caller's id of the statement; NULL: none */
-  char *sql;
+  char *organisation;  /* of the caller; NULL: none, or not resolved yet */
+  char *label;         /* the caller's id of the statement; NULL: none */
+  char *sql;           /* for the target */
+  uint32_t text_bytes; /* of the text that the caller sent */
   char *shape; /* SsPrepared.shape of the prepared statement that it executes;
                   NULL: none */
   bool shape_is_read;
--- a/src/core/statement.c
+++ b/src/core/statement.c
@@ -85,6 +85,8 @@
 static void
 prepare (SsNode *node, SsSession *s, const SsStatement *st)
 {
+  if (ss_shape_summary (st->value).words > 1)
+    ss_node_count (node, SS_COUNTER_SHAPES_OF_WORDS);
   ss_session_state_prepare (&s->state, st->name, st->value, st->is_read);
   reply_done (node, s);
 }
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -57,6 +57,9 @@
      "idle connections closed for another organisation")                       \
   X (CONNECTION_WAITS, "connection_waits",                                     \
      "statements that waited for a connection of their organisation")          \
+  X (PREPARES, "prepares", "prepared statements created at targets")           \
+  X (SHAPES_OF_WORDS, "shapes_of_words",                                       \
+     "statements prepared by callers whose shape has several words")           \
   X (CONNECT_RETURNS, "connect_returns",                                       \
      "statements queued again, as their connection failed to open")            \
   X (DISPLACED, "displaced",                                                   \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -109,6 +109,8 @@
      "target gets fewer statements at once than configured")                   \
   X (LIMIT_RAISED, 643, INFO,                                                  \
      "target gets as many statements at once as configured again")             \
+  X (STATEMENT_PREPARED, 660, DEBUG,                                           \
+     "prepared statement is created at a target")                              \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
