--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -6,6 +6,8 @@
 #include "platform/dialect.h"
 #include "platform/line.h"
 #include "tests/line_params.h"
+#include "tests/line_texts.h"
+#include "tests/server_reader.h"
 
 #define START_MS 100000
 #define HANDSHAKE_MS 12
@@ -174,29 +176,52 @@
   return c.same;
 }
 
-/* Checks the connection and the server that run a caller's statement against
- * the state of its session.
+/* Checks that a server runs what the caller sent.  Only the name of a prepared
+ * statement may differ.
+ */
+static void
+check_text (LineSim *sim, const LineSession *s, const char *label,
+            const char *text, const SsStatement *st)
+{
+  bool same = st->kind == SS_STATEMENT_EXECUTE
+                  ? s->statement.kind == SS_STATEMENT_EXECUTE
+                        && strcmp (st->value, s->statement.value) == 0
+                  : strcmp (text, s->text) == 0;
+
+  if (!same)
+    line_sim_violation (sim, "text differs", label, text);
+}
+
+static void
+check_prepared (LineSim *sim, const LineConnection *c, const LineSession *s,
+                const char *label, const SsStatement *st)
+{
+  const SsPrepared *p = ss_session_state_prepared (&c->state, st->name);
+  const SsPrepared *wanted
+      = s->statement.name
+            ? ss_session_state_prepared (&s->state, s->statement.name)
+            : NULL;
+
+  if (!p || !wanted || strcmp (p->shape, wanted->shape) != 0
+      || p->is_read != wanted->is_read)
+    line_sim_violation (sim, "prepared statement differs", label,
+                        c->server->name);
+}
+
+/* Checks TEXT, read as ST, and the connection and the server that run it
+ * against the state of its session.
  */
 static void
 check_execution (LineSim *sim, LineConnection *c, const char *label,
-                 const SsStatement *st)
+                 const char *text, const SsStatement *st)
 {
   LineSession *s = &sim->sessions[session_of (label) - 1];
-  const SsPrepared *p;
 
+  check_text (sim, s, label, text, st);
   if (!has_same_settings (&c->state, &s->state))
     line_sim_violation (sim, "settings differ", label, c->server->name);
   if (st->kind == SS_STATEMENT_EXECUTE)
-    {
-      const SsPrepared *wanted
-          = ss_session_state_prepared (&s->state, s->statement.name);
-
-      p = ss_session_state_prepared (&c->state, st->name);
-      if (!p || !wanted || strcmp (p->shape, wanted->shape) != 0
-          || p->is_read != wanted->is_read)
-        line_sim_violation (sim, "prepared statement differs", label,
-                            c->server->name);
-    }
+    check_prepared (sim, c, s, label, st);
   if (s->status == 'T' && s->first_connection && s->first_connection != c->id)
     line_sim_violation (sim, "transaction changed connection", label,
                         c->server->name);
@@ -247,12 +272,17 @@
                const char *text)
 {
   LineServer *s = c->server;
-  const SsDialect *d = ss_dialect_line ();
   SsStatement st;
   bool writes;
   SsTargetFault fault = SS_TARGET_FAULT_NONE;
 
-  d->parse (d, text, &st);
+  server_reader_read (text, &st);
+  if (st.kind == SS_STATEMENT_INVALID)
+    {
+      line_sim_violation (sim, "malformed statement", label ? label : "-",
+                          text);
+      fault = SS_TARGET_FAULT_STATEMENT;
+    }
   writes = st.kind == SS_STATEMENT_WRITE;
   if (st.kind == SS_STATEMENT_EXECUTE)
     {
@@ -269,7 +299,7 @@
     goto done;
   if (label)
     {
-      check_execution (sim, c, label, &st);
+      check_execution (sim, c, label, text, &st);
       count_run (sim, label);
       s->ran++;
     }
@@ -374,6 +404,9 @@
       s->barred_term = g_ascii_strtoull (text + 6, NULL, 10);
       return SS_TARGET_FAULT_NONE;
     }
+  /* Servers of the simulation step down only by the promotion itself. */
+  if (g_str_has_prefix (text, "STEPDOWN "))
+    return SS_TARGET_FAULT_NONE;
   if (label && sim->fault_next != SS_TARGET_FAULT_NONE)
     {
       SsTargetFault fault = sim->fault_next;
@@ -637,11 +670,12 @@
 static void
 send_statement (LineSim *sim, LineSession *s, const char *text)
 {
-  const SsDialect *d = ss_dialect_line ();
   SsEvent e = { .kind = SS_EVENT_CALLER_STATEMENT };
 
   ss_statement_finish (&s->statement);
-  d->parse (d, text, &s->statement);
+  server_reader_read (text, &s->statement);
+  g_free (s->text);
+  s->text = g_strdup (text);
   s->statements++;
   s->awaiting_reply = true;
   e.caller_statement.caller = s->id;
@@ -781,32 +815,8 @@
 static void
 send_random_statement (LineSim *sim, LineSession *s)
 {
-  static const char *const outside[]
-      = { "READ 1a",        "READ 2b", "WRITE 1a x", "EXECUTE p 3c",
-          "EXECUTE q 4d y", "BEGIN",   "BEGIN READ" };
-  static const char *const inside[]
-      = { "READ 1a", "EXECUTE p 3c", "WRITE 1a x", "EXECUTE q 4d",
-          "COMMIT",  "COMMIT",       "ROLLBACK" };
-  gint32 choice = g_rand_int_range (sim->rand, 0, 10);
-  char *text;
-
-  if (s->status == 'E')
-    text = g_strdup ("ROLLBACK");
-  else if (choice == 0)
-    text = g_strdup_printf ("SET v%d %d", g_rand_int_range (sim->rand, 0, 3),
-                            g_rand_int_range (sim->rand, 0, 4));
-  else if (choice == 1 || !s->state.prepared)
-    text = g_strdup_printf ("PREPARE p READ shape%d",
-                            g_rand_int_range (sim->rand, 0, 4));
-  else if (choice == 2 || !ss_session_state_prepared (&s->state, "q"))
-    text = g_strdup_printf ("PREPARE q WRITE shape%d",
-                            g_rand_int_range (sim->rand, 0, 4));
-  else if (s->status == 'T')
-    text = g_strdup (
-        inside[g_rand_int_range (sim->rand, 0, G_N_ELEMENTS (inside))]);
-  else
-    text = g_strdup (
-        outside[g_rand_int_range (sim->rand, 0, G_N_ELEMENTS (outside))]);
+  char *text = line_texts_next (sim, s);
+
   s->remaining--;
   send_statement (sim, s, text);
   g_free (text);
@@ -991,6 +1001,7 @@
     {
       ss_session_state_finish (&sim->sessions[i].state);
       ss_statement_finish (&sim->sessions[i].statement);
+      g_free (sim->sessions[i].text);
     }
   g_queue_clear_full (&sim->schedule, scheduled_free);
   g_hash_table_destroy (sim->connections);
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -58,7 +58,8 @@
   uint32_t remaining;   /* random statements still to send */
   bool awaiting_reply;
   int64_t next_statement_ms;
-  SsStatement statement;     /* the last one sent */
+  SsStatement statement;     /* the last one sent, as a server reads it */
+  char *text;                /* and its text */
   uint64_t first_connection; /* of its transaction; 0: none ran yet */
   SsPosition committing;     /* its last commit at a server */
   SsPosition committed;      /* its last acknowledged commit */
@@ -109,6 +110,7 @@
   /* Faults for the next caller statement that a server gets. */
   SsTargetFault fault_next;
   bool lose_next;
+  bool odd_texts;   /* random statements have odd texts (line_texts.h) */
   GString *emitted; /* all that the core writes and sends, with NUL bytes as
                        newlines; NULL: not kept */
   /* Results. */
--- /dev/null
+++ b/tests/test_statement_text.c
@@ -0,0 +1,109 @@
+/* Statements reach servers as callers sent them, whatever bytes they hold. */
+#include <string.h>
+
+#include "tests/line_sim.h"
+#include "tests/unit.h"
+
+#define HISTORIES 300
+#define STATEMENTS 40
+
+static void
+expect_run_as_sent (LineSim *sim, uint32_t session, const char *text)
+{
+  CU_ASSERT (line_sim_execute (sim, session, text));
+  CU_ASSERT (sim->sessions[session - 1].verdict == SS_VERDICT_RAN);
+}
+
+static void
+expect_no_violations (const LineSim *sim, uint32_t seed)
+{
+  if (sim->violations)
+    g_printerr ("seed %u: %u violations, first %s\n", seed, sim->violations,
+                sim->first_violation);
+  CU_ASSERT (sim->violations == 0);
+}
+
+/* Guards against UNASKED: a server took a part of the caller's shape for the
+ * arguments of EXECUTE.
+ */
+static void
+shape_with_spaces_runs_as_sent (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 2, 8);
+  expect_run_as_sent (&sim, 1, "PREPARE s1 WRITE q5 WRITE odxc");
+  expect_run_as_sent (&sim, 1, "EXECUTE s1 1a4 jdqoivaz");
+  expect_no_violations (&sim, 1);
+  line_sim_finish (&sim);
+}
+
+/* Guards against UNASKED and PINNED: the shape of one caller replaced the
+ * prepared statement of another one at a server.
+ */
+static void
+shape_with_spaces_replaces_no_other (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 2, 1);
+  expect_run_as_sent (&sim, 1, "PREPARE s1 WRITE q5");
+  expect_run_as_sent (&sim, 1, "EXECUTE s1 1a4 first");
+  expect_run_as_sent (&sim, 2, "PREPARE s1 WRITE q5 READ odxc");
+  expect_run_as_sent (&sim, 2, "EXECUTE s1 1a4 second");
+  expect_run_as_sent (&sim, 1, "EXECUTE s1 1a4 third");
+  expect_no_violations (&sim, 1);
+  line_sim_finish (&sim);
+}
+
+/* Guards against a refusal: a shape whose second word is no mode made PREPARE
+ * malformed at the server.
+ */
+static void
+shape_of_several_words_is_served (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 2, 8);
+  expect_run_as_sent (&sim, 1, "PREPARE s1 READ by owner and date");
+  expect_run_as_sent (&sim, 1, "EXECUTE s1 1a4");
+  expect_no_violations (&sim, 1);
+  line_sim_finish (&sim);
+}
+
+/* Guards against UNASKED, PINNED and MIXED: values, shapes and arguments of any
+ * bytes, of sessions that share connections.
+ */
+static void
+odd_texts_run_as_sent (void)
+{
+  uint32_t served = 0;
+  uint32_t all = 0;
+
+  for (uint32_t seed = 1; seed <= HISTORIES; seed++)
+    {
+      LineSim sim;
+
+      line_sim_init (&sim, seed, 6, 8);
+      sim.odd_texts = true;
+      sim.busy_permille = seed % 3 == 0 ? 40 : 0;
+      sim.lost_permille = seed % 4 == 0 ? 30 : 0;
+      line_sim_run_random (&sim, STATEMENTS);
+      expect_no_violations (&sim, seed);
+      served += sim.served;
+      all += sim.served + sim.not_run + sim.in_doubt;
+      line_sim_finish (&sim);
+    }
+  CU_ASSERT (all == HISTORIES * 6 * STATEMENTS);
+  /* As in "interleaved sessions stay isolated". */
+  CU_ASSERT (served * 10 >= all * 8);
+}
+
+CU_TestInfo test_statement_text[] = {
+  { "shape with spaces runs as sent", shape_with_spaces_runs_as_sent },
+  { "shape with spaces replaces no other",
+    shape_with_spaces_replaces_no_other },
+  { "shape of several words is served", shape_of_several_words_is_served },
+  { "odd texts run as sent", odd_texts_run_as_sent },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -8,7 +8,8 @@
 #define RED_SUITES(X)                                                          \
   X (rate_backlog)                                                             \
   X (far_owner)                                                                \
-  X (duty_calls)
+  X (duty_calls)                                                               \
+  X (statement_text)
 
 #define SUITES(X)                                                              \
   X (position)                                                                 \
