Messages of the line protocol are written field by field

Format strings in the adapter are gone: a message or statement is written through SsLineWriter, which refuses a field that is not one word and a last field with a line feed, and a message over 1 MiB. What is refused is not sent at all: a line feed in a statement's text, which a space replaced before, would be a changed text. Suite platform: the test of (text with a line end stays one line) is replaced by a stricter one, by which it isn't written.

--- a/scripts/check-platform.sh
+++ b/scripts/check-platform.sh
@@ -23,4 +23,11 @@
   echo "platform/ reads the state of the core" >&2
   exit 1
 fi
+# Messages and statements are written with SsLineWriter, which checks each piece.
+# A format string would let a text become other fields or messages.
+if grep -nE 'printf|g_strconcat|g_strjoin|"(QUERY|CONNECT|EXECUTE|PREPARE|SET|WAITFOR) ' \
+    platform/dialect.c platform/targets.c; then
+  echo "platform/ formats text of the line protocol; use SsLineWriter" >&2
+  exit 1
+fi
 echo "platform: its names appear only in platform/ and deploy/"
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -60,20 +60,98 @@
   CU_ASSERT_STRING_EQUAL (line.rest, "a1 WRITE b6 a\rb");
 }
 
-/* Guards against UNASKED: text from an object of the platform, such as the name
- * of a service, must not become a message of its own at a server.
+static bool
+write_connect (GByteArray *out, const char *service, const char *server)
+{
+  SsLineWriter w;
+
+  ss_line_writer_init_message (&w, SS_LINE_CONNECT);
+  ss_line_writer_add_field (&w, service);
+  ss_line_writer_add_field (&w, "o");
+  ss_line_writer_add_field (&w, server);
+  return ss_line_writer_put (&w, out);
+}
+
+/* Guards against UNASKED and MISROUTED: text from an object of the platform,
+ * such as the name of a service, must not become another field or a message of
+ * its own at a server.
  */
 static void
-written_message_is_one_line (void)
+names_stay_within_their_field (void)
+{
+  static const char *const no_fields[]
+      = { "",      "s o i-1\r\nQUERY 1 WRITE a b",
+          "s o",   " s",
+          "s ",    "i-1\r\n",
+          "i-1\n", "i\r1",
+          "i\t1" };
+  GByteArray *out = g_byte_array_new ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (no_fields); i++)
+    {
+      CU_ASSERT (!write_connect (out, no_fields[i], "i-1"));
+      CU_ASSERT (!write_connect (out, "s", no_fields[i]));
+      CU_ASSERT (out->len == 0);
+    }
+  CU_ASSERT (write_connect (out, "s", "i-1"));
+  CU_ASSERT (out->len == strlen ("CONNECT s o i-1\r\n"));
+  CU_ASSERT (memcmp (out->data, "CONNECT s o i-1\r\n", out->len) == 0);
+  g_byte_array_unref (out);
+}
+
+static bool
+write_query (GByteArray *out, const char *text)
+{
+  SsLineWriter w;
+
+  ss_line_writer_init_message (&w, SS_LINE_QUERY);
+  ss_line_writer_add_field (&w, "a1");
+  ss_line_writer_add_last (&w, text);
+  return ss_line_writer_put (&w, out);
+}
+
+/* Guards against UNASKED: a statement is sent as it is or not at all. */
+static void
+statement_stays_within_its_message (void)
 {
   GByteArray *out = g_byte_array_new ();
+  char *longest
+      = g_strnfill (SS_LINE_MAX_BYTES - strlen ("QUERY a1 \r\n"), 'x');
+  char *too_long = g_strconcat (longest, "x", NULL);
   SsLine line;
 
-  ss_line_put (out, SS_LINE_CONNECT, "%s %s %s", "s o i-1\r\nQUERY 1 WRITE a b",
-               "o\n", "i-1\r\n");
+  CU_ASSERT (!write_query (out, "READ 1a\nQUERY a2 WRITE b"));
+  CU_ASSERT (!write_query (out, too_long));
+  CU_ASSERT (out->len == 0);
+  CU_ASSERT (write_query (out, " READ  1a\r\t\xff "));
   CU_ASSERT (ss_line_read (&line, out->data, out->len) == SS_LINE_WHOLE);
-  CU_ASSERT (line.type == SS_LINE_CONNECT);
   CU_ASSERT (line.used_bytes == out->len);
+  CU_ASSERT_STRING_EQUAL (line.rest, "a1  READ  1a\r\t\xff ");
+  g_byte_array_set_size (out, 0);
+  CU_ASSERT (write_query (out, longest));
+  CU_ASSERT (out->len == SS_LINE_MAX_BYTES);
+  g_free (longest);
+  g_free (too_long);
+  g_byte_array_unref (out);
+}
+
+/* The text of an error is for a reader: it keeps its message whatever a name in
+ * it holds.
+ */
+static void
+prose_is_one_line (void)
+{
+  GByteArray *out = g_byte_array_new ();
+  SsLineWriter w;
+
+  ss_line_writer_init_message (&w, SS_LINE_ERROR);
+  ss_line_writer_add_field (&w, "FAILED");
+  ss_line_writer_add_prose (&w, "no \r\nCOMPLETE \"x\ty\"");
+  CU_ASSERT (ss_line_writer_put (&w, out));
+  CU_ASSERT (out->len == strlen ("ERROR FAILED no   COMPLETE \"x y\"\r\n"));
+  CU_ASSERT (
+      memcmp (out->data, "ERROR FAILED no   COMPLETE \"x y\"\r\n", out->len)
+      == 0);
   g_byte_array_unref (out);
 }
 
@@ -578,7 +656,10 @@
 CU_TestInfo test_platform[] = {
   { "lines are parsed", lines_are_parsed },
   { "a line feed does not end a message", line_feed_does_not_end_a_message },
-  { "a written message is one line", written_message_is_one_line },
+  { "names stay within their field", names_stay_within_their_field },
+  { "a statement stays within its message",
+    statement_stays_within_its_message },
+  { "prose is one line", prose_is_one_line },
   { "nul bytes are refused", nul_bytes_are_refused },
   { "positions are parsed", positions_are_parsed },
   { "statements are classified", statements_are_classified },
