The owner of a target checks the text that an entry VM sends

While two versions run side by side, an entry VM of an earlier one still sends EXECUTE with a name that holds spaces, and the owner passed on whatever it got: UNASKED as before, if the first word of the shape is prepared on the connection (PINNED, if another shape is). The text of a run is now checked where it is sent from: one statement that callers may send, which executes the prepared statement of the shape that comes with it. Anything else is refused as not run, with the line TEXT_REFUSED (661) and the counter texts_refused. A value that the dialect can't express in a statement is not replayed.

--- a/src/core/dialect.h
+++ b/src/core/dialect.h
@@ -47,6 +47,7 @@
   void (*parse) (const SsDialect *dialect, const char *text,
                  SsStatement *statement);
   char *(*reset) (const SsDialect *dialect);
+  /* The next three return NULL if a text can't be a part of the statement. */
   char *(*set) (const SsDialect *dialect, const char *name, const char *value);
   char *(*prepare) (const SsDialect *dialect, const char *name, bool is_read,
                     const char *shape);
--- a/src/core/job.c
+++ b/src/core/job.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "core/owner.h"
+#include "core/run_check.h"
 
 void
 ss_job_free (SsJob *job)
@@ -576,6 +577,18 @@
     refuse_overflow (node, owned);
 }
 
+static void
+refuse_text (SsNode *node, const char *from, const Ss__Peer__Run *run)
+{
+  SsShapeSummary shape = ss_shape_summary (run->shape);
+
+  ss_node_count (node, SS_COUNTER_TEXTS_REFUSED);
+  ss_node_log (node, SS_EVENT_LOG_TEXT_REFUSED, run->label,
+               "vm=%s target=%s text_bytes=%zu " SS_SHAPE_FORMAT, from,
+               run->target, run->sql.len, SS_SHAPE_ARGS (shape));
+  refuse_run (node, from, run, SS_REASON_BAD_STATEMENT, 0);
+}
+
 void
 ss_job_run (SsNode *node, const char *from, const Ss__Peer__Run *run)
 {
@@ -588,6 +601,11 @@
       refuse_run (node, from, run, SS_REASON_NOT_OWNER, SS_RETRY_SOON_MS);
       return;
     }
+  if (!ss_run_check (node->dialect, run))
+    {
+      refuse_text (node, from, run);
+      return;
+    }
   if (run->keeps && owned->replication_stalled
       && ss_dialect_multiplexes_sessions (node->dialect))
     {
--- a/src/core/replay.c
+++ b/src/core/replay.c
@@ -194,18 +194,30 @@
   return holds;
 }
 
-static void
+/* Adds TEXT to OUT, which takes ownership.  Returns false if it is NULL. */
+static bool
+plan_text (GQueue *out, char *text)
+{
+  if (text)
+    g_queue_push_tail (out, text);
+  return text != NULL;
+}
+
+static bool
 plan_shape (const SsDialect *dialect, SsSessionState *held, const char *shape,
             bool is_read, GQueue *out)
 {
   char *name = ss_replay_name (shape, is_read);
+  bool planned = true;
 
   if (!ss_session_state_prepared (held, name))
     {
-      g_queue_push_tail (out, dialect->prepare (dialect, name, is_read, shape));
+      planned
+          = plan_text (out, dialect->prepare (dialect, name, is_read, shape));
       ss_session_state_prepare (held, name, shape, is_read);
     }
   g_free (name);
+  return planned;
 }
 
 bool
@@ -224,12 +236,11 @@
     {
       if (holds_value (held, values[i], values[i + 1]))
         continue;
-      g_queue_push_tail (out, dialect->set (dialect, values[i], values[i + 1]));
+      if (!plan_text (out, dialect->set (dialect, values[i], values[i + 1])))
+        return false;
       ss_session_state_set (held, values[i], values[i + 1]);
     }
-  if (shape)
-    plan_shape (dialect, held, shape, shape_is_read, out);
-  return true;
+  return !shape || plan_shape (dialect, held, shape, shape_is_read, out);
 }
 
 uint32_t
--- a/src/core/statement.c
+++ b/src/core/statement.c
@@ -120,12 +120,24 @@
   r->keeps = commits && s->begin_wrote;
 }
 
+/* Returns the text that has a target execute P, or NULL. */
+static char *
+execute_text (SsNode *node, const SsPrepared *p, const SsStatement *st)
+{
+  char *name = ss_replay_name (p->shape, p->is_read);
+  char *text = node->dialect->execute (node->dialect, name, st->value);
+
+  g_free (name);
+  return text;
+}
+
 /* Runs a statement at a target. */
 static void
 run_at_target (SsNode *node, SsSession *s, const char *label, const char *text,
                const SsStatement *st)
 {
   const SsPrepared *p = NULL;
+  char *sql = NULL;
   SsRequest *r;
 
   if (st->kind == SS_STATEMENT_COMMIT && s->status != 'T')
@@ -141,18 +153,21 @@
           reply_invalid (node, s, SS_REASON_UNPREPARED);
           return;
         }
+      sql = execute_text (node, p, st);
+      if (!sql)
+        {
+          reply_invalid (node, s, SS_REASON_BAD_STATEMENT);
+          return;
+        }
     }
   r = ss_entry_create_request (node, s, text);
   r->label = g_strdup (label);
   if (p)
     {
-      char *name = ss_replay_name (p->shape, p->is_read);
-
       r->shape = g_strdup (p->shape);
       r->shape_is_read = p->is_read;
       g_free (r->sql);
-      r->sql = node->dialect->execute (node->dialect, name, st->value);
-      g_free (name);
+      r->sql = sql;
     }
   set_transaction_state (s, r,
                          st->kind == SS_STATEMENT_WRITE || (p && !p->is_read),
--- a/src/kernel/counters.h
+++ b/src/kernel/counters.h
@@ -60,6 +60,8 @@
   X (PREPARES, "prepares", "prepared statements created at targets")           \
   X (SHAPES_OF_WORDS, "shapes_of_words",                                       \
      "statements prepared by callers whose shape has several words")           \
+  X (TEXTS_REFUSED, "texts_refused",                                           \
+     "statements of vms refused, as their text is none that a vm may send")    \
   X (CONNECT_RETURNS, "connect_returns",                                       \
      "statements queued again, as their connection failed to open")            \
   X (DISPLACED, "displaced",                                                   \
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -111,6 +111,8 @@
      "target gets as many statements at once as configured again")             \
   X (STATEMENT_PREPARED, 660, DEBUG,                                           \
      "prepared statement is created at a target")                              \
+  X (TEXT_REFUSED, 661, ERROR,                                                 \
+     "statement refused, as its text is none that a vm may send")              \
   X (SPAN, 700, DEBUG, "span")
 
 typedef enum
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -186,7 +186,7 @@
   bool same = st->kind == SS_STATEMENT_EXECUTE
                   ? s->statement.kind == SS_STATEMENT_EXECUTE
                         && strcmp (st->value, s->statement.value) == 0
-                  : strcmp (text, s->text) == 0;
+                  : g_strcmp0 (text, s->text) == 0;
 
   if (!same)
     line_sim_violation (sim, "text differs", label, text);
--- a/tests/test_statement_text.c
+++ b/tests/test_statement_text.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "tests/line_sim.h"
+#include "tests/server_reader.h"
 #include "tests/unit.h"
 
 #define HISTORIES 300
@@ -101,6 +102,98 @@
   CU_ASSERT (served * 10 >= all * 8);
 }
 
+/* A statement that VM "b" asks the owner of the primary to run for a caller. */
+static void
+deliver_run (LineSim *sim, const char *label, const char *sql,
+             const char *shape)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Run run = SS__PEER__RUN__INIT;
+
+  run.request = 77;
+  run.session = 1;
+  run.target = (char *) sim->servers[0].name;
+  run.service = (char *) "strict";
+  run.label = (char *) label;
+  run.sql.data = (uint8_t *) sql;
+  run.sql.len = strlen (sql);
+  run.shape = (char *) shape;
+  run.keeps = true;
+  run.left_ms = 1000;
+  e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
+  e.run = &run;
+  line_sim_deliver_peer_message (sim, &e);
+  line_sim_advance (sim, 500);
+}
+
+typedef struct
+{
+  const char *sql;
+  const char *shape;
+} RunRow;
+
+/* Guards against UNASKED in a deployment of two versions: an entry VM that
+ * makes the name from a shape with spaces, and texts that none may send.
+ */
+static void
+owner_refuses_other_texts (void)
+{
+  static const RunRow refused[]
+      = { { "EXECUTE w_q5 WRITE odxc 1a4 x", "q5 WRITE odxc" },
+          { "EXECUTE w_q5 1a4 x", "q6" },
+          { "EXECUTE w_q5 1a4 x", "" },
+          { "WRITE 1a4 x", "q5" },
+          { "WRITE 1a4 x\nQUERY a2 WRITE b y", "" },
+          { "SET v 1", "" },
+          { "STEPDOWN 9", "" },
+          { "WAITFOR 1.1 READ 1a", "" },
+          { "", "" } };
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 2, 8);
+  for (size_t i = 0; i < G_N_ELEMENTS (refused); i++)
+    {
+      char *label = g_strdup_printf ("c1-%zu", i);
+
+      deliver_run (&sim, label, refused[i].sql, refused[i].shape);
+      CU_ASSERT (line_sim_run_count (&sim, label) == 0);
+      g_free (label);
+    }
+  CU_ASSERT (sim.node.counters.values[SS_COUNTER_TEXTS_REFUSED]
+             == G_N_ELEMENTS (refused));
+  line_sim_finish (&sim);
+}
+
+/* Has the simulation take TEXT for what session 1 sent last. */
+static void
+note_sent (LineSim *sim, const char *text)
+{
+  LineSession *s = &sim->sessions[0];
+
+  g_free (s->text);
+  s->text = g_strdup (text);
+  ss_statement_finish (&s->statement);
+  server_reader_read (text, &s->statement);
+}
+
+/* The texts that entry VMs of earlier versions send for usual shapes run. */
+static void
+owner_runs_texts_of_earlier_versions (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 2, 8);
+  ss_session_state_prepare (&sim.sessions[0].state, "s1", "q5", false);
+  note_sent (&sim, "EXECUTE s1 1a4 x");
+  deliver_run (&sim, "c1-1", "EXECUTE w_q5 1a4 x", "q5");
+  CU_ASSERT (line_sim_run_count (&sim, "c1-1") == 1);
+  note_sent (&sim, "WRITE 1a4 x");
+  deliver_run (&sim, "c1-2", "WRITE 1a4 x", "");
+  CU_ASSERT (line_sim_run_count (&sim, "c1-2") == 1);
+  CU_ASSERT (sim.node.counters.values[SS_COUNTER_TEXTS_REFUSED] == 0);
+  line_sim_finish (&sim);
+}
+
 /* Guards against UNASKED: names are one word each, so that nothing of a shape
  * becomes another field, and two shapes never share one.
  */
@@ -147,6 +240,9 @@
     shape_with_spaces_replaces_no_other },
   { "shape of several words is served", shape_of_several_words_is_served },
   { "odd texts run as sent", odd_texts_run_as_sent },
+  { "owner refuses other texts", owner_refuses_other_texts },
+  { "owner runs texts of earlier versions",
+    owner_runs_texts_of_earlier_versions },
   { "names of shapes are words", names_of_shapes_are_words },
   { "names of words are as before", names_of_words_are_as_before },
   CU_TEST_INFO_NULL,
