A statement is refused if what is made from it exceeds a message

Beside the reported fault: what we send for a statement can be longer than what the caller sent (the name of the prepared statement, a position to wait for), so a message of nearly 1 MiB became longer than a message may be; and a message that arrived whole was accepted up to 2 MiB. The server closes such a connection, and the caller's write is in doubt. Evidence: 'longest texts fit in a message' (statement_text) and 'long messages are refused' (platform) failed before.

--- a/src/core/dialect.h
+++ b/src/core/dialect.h
@@ -43,6 +43,10 @@
    * sent with the first statement of its transaction.
    */
 
+  /* The longest text of a caller, its id included, for which all statements
+   * that are made from it fit in one message; 0: no limit.
+   */
+  uint32_t text_max_bytes;
   /* Parses TEXT; the kind of an invalid one is SS_STATEMENT_INVALID. */
   void (*parse) (const SsDialect *dialect, const char *text,
                  SsStatement *statement);
--- a/src/core/statement.c
+++ b/src/core/statement.c
@@ -175,6 +175,14 @@
   ss_entry_dispatch (node, r);
 }
 
+static bool
+is_too_long (const SsNode *node, const char *label, const char *text)
+{
+  size_t bytes = (label ? strlen (label) : 0) + strlen (text);
+
+  return node->dialect->text_max_bytes && bytes > node->dialect->text_max_bytes;
+}
+
 void
 ss_session_statement (SsNode *node, SsSession *s, const char *label,
                       const char *text)
@@ -188,6 +196,12 @@
       ss_statement_finish (&st);
       return;
     }
+  if (is_too_long (node, label, text))
+    {
+      reply_invalid (node, s, SS_REASON_TOO_LARGE);
+      ss_statement_finish (&st);
+      return;
+    }
   switch (st.kind)
     {
     case SS_STATEMENT_READ:
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -479,6 +479,10 @@
 
   if (!c)
     return;
+  sim->longest_message_bytes
+      = MAX (sim->longest_message_bytes,
+             strlen ("QUERY  \r\n") + strlen (a->label ? a->label : "-")
+                 + strlen (a->text));
   after_ms = answer_ms (sim, c->server, a->label);
   replicate (sim);
   scheduled = line_sim_schedule (sim, after_ms, SS_EVENT_TARGET_RESULT);
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -114,6 +114,7 @@
   GString *emitted; /* all that the core writes and sends, with NUL bytes as
                        newlines; NULL: not kept */
   /* Results. */
+  size_t longest_message_bytes; /* of those to servers */
   GHashTable *runs;         /* label -> how often a server ran the statement */
   uint32_t status_requests; /* to all servers */
   uint32_t primary_status_requests; /* to the first server */
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -155,6 +155,24 @@
   g_byte_array_unref (out);
 }
 
+/* A whole message that is too long is refused however it arrives. */
+static void
+long_messages_are_refused (void)
+{
+  char *text = g_strnfill (SS_LINE_MAX_BYTES + 1, 'x');
+  SsLine line;
+
+  memcpy (text, "QUERY a1 ", strlen ("QUERY a1 "));
+  memcpy (text + SS_LINE_MAX_BYTES - 1, "\r\n", 2);
+  CU_ASSERT (ss_line_read (&line, (uint8_t *) text, SS_LINE_MAX_BYTES + 1)
+             == SS_LINE_TOO_LONG);
+  memcpy (text + SS_LINE_MAX_BYTES - 2, "\r\n", 2);
+  CU_ASSERT (ss_line_read (&line, (uint8_t *) text, SS_LINE_MAX_BYTES + 1)
+             == SS_LINE_WHOLE);
+  CU_ASSERT (line.used_bytes == SS_LINE_MAX_BYTES);
+  g_free (text);
+}
+
 /* A NUL byte would hide the text after it from the proxy, but not from a
  * target.
  */
@@ -660,6 +678,7 @@
   { "a statement stays within its message",
     statement_stays_within_its_message },
   { "prose is one line", prose_is_one_line },
+  { "long messages are refused", long_messages_are_refused },
   { "nul bytes are refused", nul_bytes_are_refused },
   { "positions are parsed", positions_are_parsed },
   { "statements are classified", statements_are_classified },
--- a/tests/test_statement_text.c
+++ b/tests/test_statement_text.c
@@ -1,6 +1,7 @@
 /* Statements reach servers as callers sent them, whatever bytes they hold. */
 #include <string.h>
 
+#include "platform/line.h"
 #include "tests/line_sim.h"
 #include "tests/server_reader.h"
 #include "tests/unit.h"
@@ -102,6 +103,46 @@
   CU_ASSERT (served * 10 >= all * 8);
 }
 
+/* Sends BEFORE and as many bytes behind it that the whole text has BYTES. */
+static void
+send_long (LineSim *sim, const char *before, size_t bytes)
+{
+  char *rest = g_strnfill (bytes - strlen (before), 'x');
+  char *text = g_strconcat (before, rest, NULL);
+
+  CU_ASSERT (line_sim_execute (sim, 1, text));
+  g_free (text);
+  g_free (rest);
+}
+
+/* Guards against lost connections: a statement that was as long as a message
+ * may be became longer, by the position to wait for or the name of the prepared
+ * statement, and the server closed the connection.
+ */
+static void
+longest_texts_fit_in_a_message (void)
+{
+  static const char *const before[]
+      = { "READ ", "WRITE 1a ", "SET v ", "PREPARE s1 WRITE ", "EXECUTE s1 " };
+  size_t longest = SS_LINE_MAX_BYTES - strlen ("QUERY c1-99 \r\n");
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 2, 8);
+  for (size_t i = 0; i < G_N_ELEMENTS (before); i++)
+    {
+      send_long (&sim, before[i], longest / 2);
+      CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_RAN);
+      send_long (&sim, before[i], longest);
+      CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_NOT_RUN);
+      CU_ASSERT (sim.sessions[0].reason == SS_REASON_TOO_LARGE);
+      send_long (&sim, before[i], longest - 256);
+      CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_RAN);
+    }
+  CU_ASSERT (sim.longest_message_bytes <= SS_LINE_MAX_BYTES);
+  expect_no_violations (&sim, 1);
+  line_sim_finish (&sim);
+}
+
 /* A statement that VM "b" asks the owner of the primary to run for a caller. */
 static void
 deliver_run (LineSim *sim, const char *label, const char *sql,
@@ -240,6 +281,7 @@
     shape_with_spaces_replaces_no_other },
   { "shape of several words is served", shape_of_several_words_is_served },
   { "odd texts run as sent", odd_texts_run_as_sent },
+  { "longest texts fit in a message", longest_texts_fit_in_a_message },
   { "owner refuses other texts", owner_refuses_other_texts },
   { "owner runs texts of earlier versions",
     owner_runs_texts_of_earlier_versions },
