Tests: the servers of the line simulation are a module of their own

The histories that the suites line and statement_text run, and the check for violations that both had, are line_expect.c.

--- a/tests/line_sim_internal.h
+++ b/tests/line_sim_internal.h
@@ -24,6 +24,16 @@
 /* line_sim_violation: counts a violation and records the first one. */
 void line_sim_violation (LineSim *sim, const char *what, const char *label,
                          const char *text);
+/* --- line_server.c --- */
+
+/* line_server_connect, line_server_query: carry out ACTION of the core at a
+ * server.
+ */
+void line_server_connect (LineSim *sim, const SsAction *action);
+void line_server_query (LineSim *sim, const SsAction *action);
+void line_server_free_connection (gpointer connection);
+/* line_server_replicate: has replicas receive and apply what is due. */
+void line_server_replicate (LineSim *sim);
 /* line_sim_find_server: returns the server NAME, or NULL. */
 LineServer *line_sim_find_server (LineSim *sim, const char *name);
 
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -3,44 +3,20 @@
 #include <string.h>
 
 #include "core/identity.h"
+#include "tests/line_expect.h"
 #include "tests/line_sim.h"
 #include "tests/unit.h"
 
 #define INTERLEAVINGS 1000
 
-static void
-expect_no_violations (const LineSim *sim, uint32_t seed)
-{
-  if (sim->violations)
-    g_printerr ("seed %u: %u violations, first %s\n", seed, sim->violations,
-                sim->first_violation);
-  CU_ASSERT (sim->violations == 0);
-}
-
 /* Settings and prepared statements of a session are never visible to another.
  */
 static void
 interleaved_sessions_stay_isolated (void)
 {
-  uint32_t served = 0;
-  uint32_t all = 0;
+  LineHistories histories = { .histories = INTERLEAVINGS, .statements = 25 };
 
-  for (uint32_t seed = 1; seed <= INTERLEAVINGS; seed++)
-    {
-      LineSim sim;
-
-      line_sim_init (&sim, seed, 6, 8);
-      sim.busy_permille = seed % 3 == 0 ? 40 : 0;
-      sim.lost_permille = seed % 4 == 0 ? 30 : 0;
-      line_sim_run_random (&sim, 25);
-      expect_no_violations (&sim, seed);
-      served += sim.served;
-      all += sim.served + sim.not_run + sim.in_doubt;
-      line_sim_finish (&sim);
-    }
-  CU_ASSERT (all == INTERLEAVINGS * 6 * 25);
-  /* Most faults fail only one statement or the rest of a transaction. */
-  CU_ASSERT (served * 10 >= all * 8);
+  line_expect_histories (&histories);
 }
 
 /* The first statement of a transaction has run even if its answer is lost.  It
@@ -60,7 +36,7 @@
   CU_ASSERT (line_sim_run_count (&sim, line_sim_last_label (&sim, 2)) == 1);
   CU_ASSERT (line_sim_execute (&sim, 2, "ROLLBACK"));
   CU_ASSERT (sim.sessions[1].status == 'I');
-  expect_no_violations (&sim, 1);
+  line_expect_no_violations (&sim, 1);
   line_sim_finish (&sim);
 }
 
@@ -141,7 +117,7 @@
   line_sim_advance (&sim, 1000);
   for (uint32_t i = 0; i < 8; i++)
     CU_ASSERT (line_sim_execute (&sim, 2, "READ 1a"));
-  expect_no_violations (&sim, 10);
+  line_expect_no_violations (&sim, 10);
   line_sim_finish (&sim);
 }
 
@@ -163,7 +139,7 @@
       CU_ASSERT (line_sim_execute (&sim, 2, "COMMIT"));
       CU_ASSERT (sim.sessions[1].verdict == SS_VERDICT_RAN);
     }
-  expect_no_violations (&sim, 5);
+  line_expect_no_violations (&sim, 5);
   line_sim_finish (&sim);
 }
 
@@ -187,7 +163,7 @@
   CU_ASSERT (line_sim_execute (&sim, 2, "READ 2b"));
   CU_ASSERT (line_sim_execute (&sim, 2, "COMMIT"));
   CU_ASSERT (sim.sessions[1].verdict == SS_VERDICT_RAN);
-  expect_no_violations (&sim, 6);
+  line_expect_no_violations (&sim, 6);
   line_sim_finish (&sim);
 }
 
@@ -227,7 +203,7 @@
         CU_ASSERT (!sim.sessions[i - 1].awaiting_reply);
     }
   CU_ASSERT (sim.served >= 10 * LINE_SESSIONS_MAX / 2 * 9 / 10);
-  expect_no_violations (&sim, 7);
+  line_expect_no_violations (&sim, 7);
   line_sim_finish (&sim);
 }
 
@@ -565,7 +541,7 @@
   CU_ASSERT (line_sim_execute (&sim, 1, "WRITE 1a x"));
   CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_RAN);
   CU_ASSERT (line_sim_run_count (&sim, line_sim_last_label (&sim, 1)) == 1);
-  expect_no_violations (&sim, 5);
+  line_expect_no_violations (&sim, 5);
   line_sim_finish (&sim);
 }
 
--- a/tests/test_statement_text.c
+++ b/tests/test_statement_text.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "platform/line.h"
+#include "tests/line_expect.h"
 #include "tests/line_sim.h"
 #include "tests/server_reader.h"
 #include "tests/unit.h"
@@ -18,15 +19,6 @@
   CU_ASSERT (sim->sessions[session - 1].verdict == SS_VERDICT_RAN);
 }
 
-static void
-expect_no_violations (const LineSim *sim, uint32_t seed)
-{
-  if (sim->violations)
-    g_printerr ("seed %u: %u violations, first %s\n", seed, sim->violations,
-                sim->first_violation);
-  CU_ASSERT (sim->violations == 0);
-}
-
 /* Guards against UNASKED: a server took a part of the caller's shape for the
  * arguments of EXECUTE.
  */
@@ -38,7 +30,7 @@
   line_sim_init (&sim, 1, 2, 8);
   expect_run_as_sent (&sim, 1, "PREPARE s1 WRITE q5 WRITE odxc");
   expect_run_as_sent (&sim, 1, "EXECUTE s1 1a4 jdqoivaz");
-  expect_no_violations (&sim, 1);
+  line_expect_no_violations (&sim, 1);
   line_sim_finish (&sim);
 }
 
@@ -56,7 +48,7 @@
   expect_run_as_sent (&sim, 2, "PREPARE s1 WRITE q5 READ odxc");
   expect_run_as_sent (&sim, 2, "EXECUTE s1 1a4 second");
   expect_run_as_sent (&sim, 1, "EXECUTE s1 1a4 third");
-  expect_no_violations (&sim, 1);
+  line_expect_no_violations (&sim, 1);
   line_sim_finish (&sim);
 }
 
@@ -71,7 +63,7 @@
   line_sim_init (&sim, 1, 2, 8);
   expect_run_as_sent (&sim, 1, "PREPARE s1 READ by owner and date");
   expect_run_as_sent (&sim, 1, "EXECUTE s1 1a4");
-  expect_no_violations (&sim, 1);
+  line_expect_no_violations (&sim, 1);
   line_sim_finish (&sim);
 }
 
@@ -81,26 +73,10 @@
 static void
 odd_texts_run_as_sent (void)
 {
-  uint32_t served = 0;
-  uint32_t all = 0;
+  LineHistories histories
+      = { .histories = HISTORIES, .statements = STATEMENTS, .odd_texts = true };
 
-  for (uint32_t seed = 1; seed <= HISTORIES; seed++)
-    {
-      LineSim sim;
-
-      line_sim_init (&sim, seed, 6, 8);
-      sim.odd_texts = true;
-      sim.busy_permille = seed % 3 == 0 ? 40 : 0;
-      sim.lost_permille = seed % 4 == 0 ? 30 : 0;
-      line_sim_run_random (&sim, STATEMENTS);
-      expect_no_violations (&sim, seed);
-      served += sim.served;
-      all += sim.served + sim.not_run + sim.in_doubt;
-      line_sim_finish (&sim);
-    }
-  CU_ASSERT (all == HISTORIES * 6 * STATEMENTS);
-  /* As in "interleaved sessions stay isolated". */
-  CU_ASSERT (served * 10 >= all * 8);
+  line_expect_histories (&histories);
 }
 
 /* Sends BEFORE and as many bytes behind it that the whole text has BYTES. */
@@ -139,7 +115,7 @@
       CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_RAN);
     }
   CU_ASSERT (sim.longest_message_bytes <= SS_LINE_MAX_BYTES);
-  expect_no_violations (&sim, 1);
+  line_expect_no_violations (&sim, 1);
   line_sim_finish (&sim);
 }
 
