--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -172,22 +172,31 @@
   g_byte_array_unref (out);
 }
 
+static char *
+message_of_length (size_t bytes)
+{
+  char *rest = g_strnfill (bytes - strlen ("QUERY a1 \r\n"), 'x');
+  char *message = g_strconcat ("QUERY a1 ", rest, "\r\n", NULL);
+
+  g_free (rest);
+  return message;
+}
+
 /* A whole message that is too long is refused however it arrives. */
 static void
 long_messages_are_refused (void)
 {
-  char *text = g_strnfill (SS_LINE_MAX_BYTES + 1, 'x');
+  char *longest = message_of_length (SS_LINE_MAX_BYTES);
+  char *too_long = message_of_length (SS_LINE_MAX_BYTES + 1);
   SsLine line;
 
-  memcpy (text, "QUERY a1 ", strlen ("QUERY a1 "));
-  memcpy (text + SS_LINE_MAX_BYTES - 1, "\r\n", 2);
-  CU_ASSERT (ss_line_read (&line, (uint8_t *) text, SS_LINE_MAX_BYTES + 1)
+  CU_ASSERT (ss_line_read (&line, (uint8_t *) too_long, SS_LINE_MAX_BYTES + 1)
              == SS_LINE_TOO_LONG);
-  memcpy (text + SS_LINE_MAX_BYTES - 2, "\r\n", 2);
-  CU_ASSERT (ss_line_read (&line, (uint8_t *) text, SS_LINE_MAX_BYTES + 1)
+  CU_ASSERT (ss_line_read (&line, (uint8_t *) longest, SS_LINE_MAX_BYTES)
              == SS_LINE_WHOLE);
   CU_ASSERT (line.used_bytes == SS_LINE_MAX_BYTES);
-  g_free (text);
+  g_free (longest);
+  g_free (too_long);
 }
 
 /* A NUL byte would hide the text after it from the proxy, but not from a
