The state of a session is at most 4 MiB

By reading, beside the reported fault (a length that grows beyond a limit on its way): the values of a session go with each of its statements to the owner, and a message between VMs over 24 MiB closes the connection between the two VMs. One caller with some 25 values of 1 MiB could close it with every statement, and all callers' statements in flight on it were lost. Shapes were kept without a limit, too. SET and PREPARE beyond 4 MiB in all are refused as not run (too_large). Evidence: 'state of a session is bounded' fails without the bound; the closed connection itself was not reproduced.

--- a/src/core/replay.c
+++ b/src/core/replay.c
@@ -26,6 +26,27 @@
 {
   g_clear_pointer (&state->values, g_tree_destroy);
   g_clear_pointer (&state->prepared, g_hash_table_destroy);
+  state->bytes = 0;
+}
+
+static size_t
+entry_bytes (const char *name, const char *text)
+{
+  return text ? strlen (name) + strlen (text) : 0;
+}
+
+static const char *
+value_of (const SsSessionState *state, const char *name)
+{
+  return state->values ? g_tree_lookup (state->values, name) : NULL;
+}
+
+static const char *
+shape_of (const SsSessionState *state, const char *name)
+{
+  const SsPrepared *p = ss_session_state_prepared (state, name);
+
+  return p ? p->shape : NULL;
 }
 
 void
@@ -34,6 +55,8 @@
 {
   if (!state->values)
     state->values = g_tree_new_full (ss_compare_strings, NULL, g_free, g_free);
+  state->bytes -= entry_bytes (name, value_of (state, name));
+  state->bytes += entry_bytes (name, value);
   g_tree_replace (state->values, g_strdup (name), g_strdup (value));
 }
 
@@ -57,6 +80,8 @@
   if (!state->prepared)
     state->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                              free_prepared);
+  state->bytes -= entry_bytes (name, shape_of (state, name));
+  state->bytes += entry_bytes (name, shape);
   g_hash_table_replace (state->prepared, g_strdup (name), p);
 }
 
@@ -69,6 +94,7 @@
 bool
 ss_session_state_deallocate (SsSessionState *state, const char *name)
 {
+  state->bytes -= entry_bytes (name, shape_of (state, name));
   return state->prepared && g_hash_table_remove (state->prepared, name);
 }
 
@@ -168,8 +194,7 @@
 static bool
 holds_value (const SsSessionState *held, const char *name, const char *value)
 {
-  const char *current
-      = held->values ? g_tree_lookup (held->values, name) : NULL;
+  const char *current = value_of (held, name);
 
   return current && strcmp (current, value) == 0;
 }
--- a/src/core/replay.h
+++ b/src/core/replay.h
@@ -17,6 +17,11 @@
  */
 #define SS_REPLAY_PREPARED_MAX 200
 
+/* What the names, values and shapes of a session may have in all: they are sent
+ * with each of its statements, and kept for as long as it is open.
+ */
+#define SS_SESSION_STATE_MAX_BYTES (4 * 1024 * 1024)
+
 /* Longest name of a prepared statement at a target. */
 #define SS_REPLAY_NAME_MAX_BYTES 67
 
@@ -30,6 +35,7 @@
 {
   GTree *values;        /* name -> value; NULL while empty */
   GHashTable *prepared; /* name -> SsPrepared; NULL while empty */
+  size_t bytes;         /* of all names, values and shapes */
 } SsSessionState;
 
 void ss_session_state_init (SsSessionState *state);
--- a/src/core/statement.c
+++ b/src/core/statement.c
@@ -82,9 +82,34 @@
   reply_done (node, s);
 }
 
+/* Whether the state of S may grow by the name and the value of ST. */
+static bool
+has_room (const SsSession *s, const SsStatement *st)
+{
+  return s->state.bytes + strlen (st->name) + strlen (st->value)
+         <= SS_SESSION_STATE_MAX_BYTES;
+}
+
+static void
+set_value (SsNode *node, SsSession *s, const SsStatement *st)
+{
+  if (!has_room (s, st))
+    {
+      reply_invalid (node, s, SS_REASON_TOO_LARGE);
+      return;
+    }
+  ss_session_state_set (&s->state, st->name, st->value);
+  reply_done (node, s);
+}
+
 static void
 prepare (SsNode *node, SsSession *s, const SsStatement *st)
 {
+  if (!has_room (s, st))
+    {
+      reply_invalid (node, s, SS_REASON_TOO_LARGE);
+      return;
+    }
   if (ss_shape_summary (st->value).words > 1)
     ss_node_count (node, SS_COUNTER_SHAPES_OF_WORDS);
   ss_session_state_prepare (&s->state, st->name, st->value, st->is_read);
@@ -217,8 +242,7 @@
       roll_back (node, s);
       break;
     case SS_STATEMENT_SET:
-      ss_session_state_set (&s->state, st.name, st.value);
-      reply_done (node, s);
+      set_value (node, s, &st);
       break;
     case SS_STATEMENT_PREPARE:
       prepare (node, s, &st);
--- a/tests/test_statement_text.c
+++ b/tests/test_statement_text.c
@@ -119,6 +119,54 @@
   line_sim_finish (&sim);
 }
 
+/* Guards against lost connections between VMs: the values of one session made
+ * each of its statements longer than a message between VMs may be.
+ */
+static void
+state_of_a_session_is_bounded (void)
+{
+  size_t bytes = SS_SESSION_STATE_MAX_BYTES / 8;
+  uint32_t refused = 0;
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 2, 8);
+  for (uint32_t i = 0; i < 16; i++)
+    {
+      char *before = g_strdup_printf ("SET v%u ", i);
+
+      send_long (&sim, before, bytes);
+      refused += sim.sessions[0].verdict == SS_VERDICT_NOT_RUN ? 1 : 0;
+      CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_RAN
+                 || sim.sessions[0].reason == SS_REASON_TOO_LARGE);
+      g_free (before);
+    }
+  CU_ASSERT (refused > 0);
+  expect_run_as_sent (&sim, 1, "READ 1a");
+  CU_ASSERT (sim.sessions[0].state.bytes <= SS_SESSION_STATE_MAX_BYTES);
+  line_expect_no_violations (&sim, 1);
+  line_sim_finish (&sim);
+}
+
+/* The bytes of a session's state follow what it holds. */
+static void
+bytes_of_a_state_are_counted (void)
+{
+  SsSessionState state;
+
+  ss_session_state_init (&state);
+  ss_session_state_set (&state, "a", "123");
+  ss_session_state_set (&state, "a", "1");
+  ss_session_state_prepare (&state, "p", "q5", true);
+  CU_ASSERT (state.bytes == 5);
+  ss_session_state_prepare (&state, "p", "q", false);
+  CU_ASSERT (state.bytes == 4);
+  CU_ASSERT (ss_session_state_deallocate (&state, "p"));
+  CU_ASSERT (!ss_session_state_deallocate (&state, "p"));
+  CU_ASSERT (state.bytes == 2);
+  ss_session_state_finish (&state);
+  CU_ASSERT (state.bytes == 0);
+}
+
 /* A statement that VM "b" asks the owner of the primary to run for a caller. */
 static void
 deliver_run (LineSim *sim, const char *label, const char *sql,
@@ -258,6 +306,8 @@
   { "shape of several words is served", shape_of_several_words_is_served },
   { "odd texts run as sent", odd_texts_run_as_sent },
   { "longest texts fit in a message", longest_texts_fit_in_a_message },
+  { "state of a session is bounded", state_of_a_session_is_bounded },
+  { "bytes of a state are counted", bytes_of_a_state_are_counted },
   { "owner refuses other texts", owner_refuses_other_texts },
   { "owner runs texts of earlier versions",
     owner_runs_texts_of_earlier_versions },
