The rate limiter's shares and its coordinator are modules of their own

rate_limiter.c had 895 lines, now 566: the share that buckets are filled for is rate_share.c, granting tokens and accepting delegations is rate_coordinator.c. Functions moved and renamed, no behaviour; suites rate_limit (24) and rate_node (13) pass.

--- a/src/core/rate_limiter.c
+++ b/src/core/rate_limiter.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/rank.h"
+#include "core/rate_share.h"
 
 /* Highest drift of a clock that the bound covers. */
 #define DRIFT 0.01
@@ -35,13 +36,6 @@
 #define AHEAD_REFRESH_MS 100
 /* After a refusal of tokens ahead of need. */
 #define AHEAD_PAUSE_MS 300
-/* Time in which callers that have waited for a coordinator have come back and
- * got tokens, if they are within their limit.  Those of an organisation beyond
- * its limit wait in vain meanwhile.
- */
-#define CATCH_UP_MS 4000
-/* Bound on what one message may ask for. */
-#define TOKENS_MAX 10000U
 
 static void
 free_organisation (gpointer data)
@@ -113,153 +107,6 @@
   return vm && strcmp (vm, l->self) == 0;
 }
 
-/* --- ranks --- */
-
-/* Whether the coordinator of a slot before SLOT is VM. */
-static bool
-has_slot (const char *const *out, uint32_t slot, const char *vm)
-{
-  for (uint32_t i = 0; i < slot; i++)
-    if (out[i] == vm)
-      return true;
-  return false;
-}
-
-static const char *
-find_first_ranked (const GPtrArray *vms, uint32_t slot, const char *const *out)
-{
-  static const char *const subjects[SS_RATE_SLOTS]
-      = { "rate/0", "rate/1", "rate/2", "rate/3" };
-  const char *best = NULL;
-  uint64_t best_score = 0;
-
-  for (guint i = 0; i < vms->len; i++)
-    {
-      const char *vm = g_ptr_array_index (vms, i);
-      uint64_t score = ss_rank_score (vm, subjects[slot]);
-
-      if ((best && score <= best_score)
-          || (vms->len >= SS_RATE_SLOTS && has_slot (out, slot, vm)))
-        continue;
-      best = vm;
-      best_score = score;
-    }
-  return best;
-}
-
-void
-ss_rate_limiter_rank (const GPtrArray *vms, const char *out[SS_RATE_SLOTS])
-{
-  for (uint32_t i = 0; i < SS_RATE_SLOTS; i++)
-    out[i] = find_first_ranked (vms, i, out);
-}
-
-/* --- the number of VMs --- */
-
-static void
-count_vms (SsRateVmCount *c, uint32_t count, int64_t now_ms)
-{
-  if (now_ms - c->since_ms >= SS_RATE_VMS_PERIOD_MS)
-    {
-      c->previous = c->current;
-      c->current = 1;
-      c->since_ms = now_ms;
-    }
-  c->current = MAX (c->current, count);
-}
-
-static uint32_t
-highest (const SsRateVmCount *c)
-{
-  return MAX (c->current, c->previous);
-}
-
-/* --- shares --- */
-
-bool
-ss_rate_limiter_uses_own_share (const SsRateLimiter *l, uint32_t slot,
-                                int64_t now_ms)
-{
-  return l->active && now_ms - l->started_ms >= SS_RATE_HOLD_MS
-         && now_ms >= l->slots[slot].delegated_until_ms;
-}
-
-static gboolean
-is_forgotten (gpointer key, gpointer value, gpointer data)
-{
-  const SsRateDelegation *d = value;
-  int64_t now_ms = *(int64_t *) data;
-
-  (void) key;
-  return now_ms >= d->until_ms && now_ms >= d->floor_ms + SS_RATE_DELEGATION_MS;
-}
-
-/* Counts the valid delegations again, and when the next of them may end. */
-static void
-count_delegations (SsRateSlot *s, int64_t now_ms)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  s->valid = 0;
-  s->check_ms = INT64_MAX;
-  g_hash_table_foreach_remove (s->delegations, is_forgotten, &now_ms);
-  g_hash_table_iter_init (&iter, s->delegations);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const SsRateDelegation *d = value;
-
-      if (now_ms >= d->until_ms)
-        continue;
-      s->valid++;
-      s->check_ms = MIN (s->check_ms, d->until_ms);
-    }
-}
-
-/* Sets the share that the buckets of slot INDEX are filled for. */
-static void
-update_share (SsRateLimiter *l, uint32_t index, int64_t now_ms)
-{
-  SsRateSlot *s = &l->slots[index];
-  uint32_t vms = MAX (highest (&l->known), highest (&l->reported));
-  uint32_t shares;
-  double share;
-
-  if (now_ms >= s->check_ms)
-    count_delegations (s, now_ms);
-  shares = s->valid;
-  if (ss_rate_limiter_uses_own_share (l, index, now_ms))
-    shares++;
-  share = shares >= vms ? 1 : (double) shares / vms;
-  if (share == s->share)
-    return;
-  if (s->share == 0)
-    s->share_since_ms = now_ms;
-  s->share = share;
-  for (guint i = 0; i < s->organisations->len; i++)
-    {
-      SsRateOrganisation *o = g_ptr_array_index (s->organisations, i);
-
-      ss_rate_bucket_set_share (&o->bucket, share, now_ms);
-    }
-}
-
-/* Whether a lack of tokens for O may be due to the start of its bucket, which
- * begins almost empty: delegations are still to come, and callers have waited
- * while no VM coordinated.  Such callers are within their limit and soon get
- * tokens.
- */
-static bool
-is_starting (const SsRateLimiter *l, SsRateOrganisation *o, int64_t now_ms)
-{
-  const SsRateSlot *s = &l->slots[o->slot];
-  int64_t since_ms = now_ms - s->share_since_ms;
-
-  if (s->share == 0 || since_ms < SS_RATE_DELEGATION_MS)
-    return true;
-  return since_ms < CATCH_UP_MS && ss_rate_bucket_was_low (&o->bucket, now_ms);
-}
-
 /* --- limits --- */
 
 static void
@@ -343,7 +190,8 @@
 {
   double expected = ss_rate_account_expected (a, l->validity_ms, now_ms);
   uint32_t held = ss_rate_account_held (a, now_ms + AHEAD_REFRESH_MS);
-  uint32_t wanted = MAX (1, (uint32_t) (MIN (expected, TOKENS_MAX) + 0.5));
+  uint32_t wanted
+      = MAX (1, (uint32_t) (MIN (expected, SS_RATE_TOKENS_MAX) + 0.5));
 
   if (expected < AHEAD_MIN || now_ms < a->ahead_due_ms || held * 2 > wanted)
     return 0;
@@ -368,13 +216,6 @@
   ask->wants[ask->want_count++] = want;
 }
 
-/* Whether an earlier incarnation of this VM may have delegated its share. */
-static bool
-has_restarted (const SsRateLimiter *l, int64_t now_ms)
-{
-  return now_ms - l->started_ms < SS_RATE_HOLD_MS;
-}
-
 /* Whether this VM's share of slot INDEX may go to the coordinator in use. While
  * an earlier incarnation of this VM may have delegated it, the coordinator
  * decides.
@@ -388,7 +229,7 @@
     return false;
   return g_strcmp0 (s->delegate, s->vm) == 0
          || ss_rate_limiter_uses_own_share (l, index, now_ms)
-         || (!s->delegate && has_restarted (l, now_ms));
+         || (!s->delegate && ss_rate_share_has_restarted (l, now_ms));
 }
 
 static bool
@@ -398,7 +239,8 @@
   int64_t since_ms = now_ms - s->asked_ms;
 
   if (!s->asked_ms || since_ms >= RENEW_MS
-      || (has_restarted (l, now_ms) && since_ms >= RENEW_RESTARTED_MS))
+      || (ss_rate_share_has_restarted (l, now_ms)
+          && since_ms >= RENEW_RESTARTED_MS))
     return true;
   if (s->silent_since_ms)
     return since_ms >= RETRY_MS;
@@ -422,7 +264,7 @@
   s->echoed_ms = s->reading_ms;
   /* The reading was taken before it arrived. */
   s->delegated_until_ms = s->read_ms + SS_RATE_HOLD_MS;
-  update_share (l, ask->slot, now_ms);
+  ss_rate_share_update (l, ask->slot, now_ms);
 }
 
 static void
@@ -431,8 +273,8 @@
   memset (ask, 0, sizeof *ask);
   ask->slot = slot;
   ask->sent_ms = now_ms;
-  ask->vms = highest (&l->known);
-  ask->restarted = has_restarted (l, now_ms);
+  ask->vms = ss_rate_share_highest (&l->known);
+  ask->restarted = ss_rate_share_has_restarted (l, now_ms);
 }
 
 /* Asks the coordinator of slot INDEX, if anything is due. */
@@ -529,7 +371,7 @@
     {
       if (!l->slots[i].organisations->len)
         continue;
-      update_share (l, i, now_ms);
+      ss_rate_share_update (l, i, now_ms);
       choose_coordinator (l, i, now_ms);
       ask_coordinator (l, i, now_ms);
     }
@@ -538,8 +380,8 @@
 void
 ss_rate_limiter_set_vms (SsRateLimiter *l, uint32_t count, int64_t now_ms)
 {
-  count_vms (&l->known, count, now_ms);
-  count_vms (&l->reported, 1, now_ms);
+  ss_rate_share_count_vms (&l->known, count, now_ms);
+  ss_rate_share_count_vms (&l->reported, 1, now_ms);
 }
 
 void
@@ -560,176 +402,6 @@
   l->active = active;
 }
 
-/* --- the coordinator --- */
-
-static SsRateDelegation *
-find_delegation (SsRateSlot *s, const char *vm)
-{
-  SsRateDelegation *d = g_hash_table_lookup (s->delegations, vm);
-
-  if (d)
-    return d;
-  d = g_new0 (SsRateDelegation, 1);
-  g_hash_table_insert (s->delegations, g_strdup (vm), d);
-  return d;
-}
-
-static gboolean
-is_outdated (gpointer key, gpointer value, gpointer data)
-{
-  (void) key;
-  return *(int64_t *) data - *(int64_t *) value >= SS_RATE_HOLD_MS;
-}
-
-/* Whether all VMs have restarted, so that no earlier delegation is left. */
-static bool
-have_all_restarted (const SsRateLimiter *l, SsRateSlot *s, int64_t now_ms)
-{
-  uint32_t vms = MAX (highest (&l->known), highest (&l->reported));
-
-  if (!has_restarted (l, now_ms))
-    return false;
-  g_hash_table_foreach_remove (s->restarted, is_outdated, &now_ms);
-  return g_hash_table_size (s->restarted) + 1 >= vms;
-}
-
-/* Whether the share of FROM, which has restarted, is not delegated elsewhere.
- */
-static bool
-has_share_back (const SsRateLimiter *l, SsRateSlot *s, const char *from,
-                int64_t now_ms)
-{
-  const SsRateDelegation *d = g_hash_table_lookup (s->delegations, from);
-  int64_t *asked_ms = g_new (int64_t, 1);
-
-  *asked_ms = now_ms;
-  g_hash_table_replace (s->restarted, g_strdup (from), asked_ms);
-  return (d && now_ms < d->until_ms) || have_all_restarted (l, s, now_ms);
-}
-
-/* Counts the delegation of FROM, if its echo is valid.  Readings of an earlier
- * incarnation of this VM, or from before a release, are not.
- */
-static void
-accept_echo (SsRateLimiter *l, const char *from, const SsRateAsk *ask,
-             int64_t now_ms)
-{
-  SsRateSlot *s = &l->slots[ask->slot];
-  SsRateDelegation *d;
-  int64_t until_ms;
-
-  if (ask->echo_ms > now_ms || ask->echo_ms <= l->started_ms
-      || ask->echo_ms <= s->floor_ms
-      || (ask->restarted && !has_share_back (l, s, from, now_ms)))
-    return;
-  until_ms = ask->echo_ms + SS_RATE_DELEGATION_MS;
-  if (until_ms <= now_ms)
-    return;
-  /* The buckets are filled up to now for the shares of before. */
-  update_share (l, ask->slot, now_ms);
-  d = find_delegation (s, from);
-  if (ask->echo_ms <= d->floor_ms || until_ms <= d->until_ms)
-    return;
-  if (d->until_ms <= now_ms)
-    s->valid++;
-  d->until_ms = until_ms;
-  s->check_ms = MIN (s->check_ms, until_ms);
-}
-
-static void
-release_delegation (SsRateSlot *s, const char *vm, int64_t now_ms)
-{
-  SsRateDelegation *d = find_delegation (s, vm);
-
-  d->until_ms = now_ms;
-  d->floor_ms = now_ms;
-  s->check_ms = now_ms;
-}
-
-/* Grants tokens for WANT, or all of them if the configuration in force here has
- * no limit for that organisation.
- */
-static void
-grant (SsRateLimiter *l, const SsRateWant *want, SsRateReply *reply,
-       int64_t now_ms)
-{
-  SsRateOrganisation *o
-      = g_hash_table_lookup (l->organisations, want->organisation);
-  SsRateTokens *out = &reply->tokens[reply->token_count++];
-  uint32_t needed = MIN (want->needed, TOKENS_MAX);
-  uint32_t ahead = MIN (want->ahead, TOKENS_MAX);
-
-  out->organisation = want->organisation;
-  out->tokens = needed + ahead;
-  out->next_ms = 0;
-  if (!o)
-    return;
-  out->tokens = ss_rate_bucket_take (&o->bucket, needed, ahead, now_ms);
-  if (out->tokens < needed && !is_starting (l, o, now_ms))
-    out->next_ms = (uint32_t) ss_rate_bucket_wait_ms (&o->bucket, now_ms);
-}
-
-uint32_t
-ss_rate_limiter_handle_ask (SsRateLimiter *l, const char *from,
-                            const SsRateAsk *ask, bool is_member,
-                            int64_t now_ms)
-{
-  SsRateReply reply = { .slot = ask->slot };
-  uint32_t granted = 0;
-
-  if (ask->slot >= SS_RATE_SLOTS)
-    return 0;
-  reply.sent_ms = ask->sent_ms;
-  reply.clock_ms = now_ms;
-  reply.released = ask->release || !l->active || l->stopping;
-  count_vms (&l->reported, ask->vms, now_ms);
-  if (ask->release)
-    release_delegation (&l->slots[ask->slot], from, now_ms);
-  else if (!reply.released && is_member)
-    accept_echo (l, from, ask, now_ms);
-  update_share (l, ask->slot, now_ms);
-  for (uint32_t i = 0; i < ask->want_count && !reply.released; i++)
-    {
-      grant (l, &ask->wants[i], &reply, now_ms);
-      granted += reply.tokens[i].tokens;
-    }
-  l->output.reply (l->output.data, from, &reply);
-  return granted;
-}
-
-/* Releases all delegations of slot INDEX and tells their VMs. */
-static void
-release_all (SsRateLimiter *l, uint32_t index, int64_t now_ms)
-{
-  SsRateSlot *s = &l->slots[index];
-  SsRateReply reply = { .slot = index, .clock_ms = now_ms, .released = true };
-  GHashTableIter iter;
-  gpointer vm;
-  gpointer value;
-
-  s->floor_ms = now_ms;
-  g_hash_table_iter_init (&iter, s->delegations);
-  while (g_hash_table_iter_next (&iter, &vm, &value))
-    {
-      SsRateDelegation *d = value;
-
-      if (now_ms >= d->until_ms)
-        continue;
-      d->until_ms = now_ms;
-      l->output.reply (l->output.data, vm, &reply);
-    }
-  s->check_ms = now_ms;
-  update_share (l, index, now_ms);
-}
-
-void
-ss_rate_limiter_stop (SsRateLimiter *l, int64_t now_ms)
-{
-  l->stopping = true;
-  for (uint32_t i = 0; i < SS_RATE_SLOTS; i++)
-    release_all (l, i, now_ms);
-}
-
 /* --- replies --- */
 
 /* FROM does not coordinate, and has ended the delegations with readings up to
@@ -745,7 +417,7 @@
     {
       g_clear_pointer (&s->delegate, g_free);
       s->delegated_until_ms = MIN (s->delegated_until_ms, now_ms);
-      update_share (l, reply->slot, now_ms);
+      ss_rate_share_update (l, reply->slot, now_ms);
     }
   if (g_strcmp0 (s->vm, from) != 0)
     return;
@@ -765,7 +437,7 @@
   if (!o)
     return;
   a = &o->account;
-  ss_rate_account_add (a, MIN (t->tokens, 2 * TOKENS_MAX),
+  ss_rate_account_add (a, MIN (t->tokens, 2 * SS_RATE_TOKENS_MAX),
                        sent_ms + l->validity_ms, now_ms);
   if (t->next_ms)
     a->refused_until_ms = now_ms + t->next_ms;
@@ -840,12 +512,12 @@
 {
   SsRateSlot *s = &l->slots[o->slot];
 
-  update_share (l, o->slot, now_ms);
+  ss_rate_share_update (l, o->slot, now_ms);
   if (now_ms < o->account.refused_until_ms)
     return false;
   if (ss_rate_bucket_take (&o->bucket, 1, 0, now_ms))
     return true;
-  if (is_self (l, s->vm) && !is_starting (l, o, now_ms))
+  if (is_self (l, s->vm) && !ss_rate_share_is_starting (l, o, now_ms))
     o->account.refused_until_ms
         = now_ms + ss_rate_bucket_wait_ms (&o->bucket, now_ms);
   return false;
