A connection whose session state replay was refused is closed

Callers could see: a statement runs with a value that its session never set (PINNED). Cause: a server that has lost the lead answers READONLY to any statement of a plain transaction, also to a SET of the replay; the connection was kept, and counted as holding the value. BUSY and LAGGING closed it, this answer did not. Evidence: 'refused replay leaves no values' failed before ('settings differ'), passes now. The simulated servers follow the protocol's sentence: READONLY to any statement of a plain transaction at a server that has lost the lead, and a failed transaction answers nothing but its end.

--- a/src/core/multiplex.c
+++ b/src/core/multiplex.c
@@ -135,7 +135,8 @@
  * closed.
  */
 static void
-end_not_run (SsNode *node, SsConnection *c, SsReason reason)
+end_not_run (SsNode *node, SsConnection *c, SsReason reason,
+             uint32_t retry_after_ms)
 {
   const SsJob *job = c->job;
   bool is_begin = job->begins && g_queue_is_empty (&c->setup_queue);
@@ -143,7 +144,7 @@
   if (job->step == SS_STEP_SETUP && !is_begin)
     ss_job_give_up (node, c, reason);
   else
-    ss_job_end (node, c, SS_VERDICT_NOT_RUN, reason, SS_RETRY_SOON_MS);
+    ss_job_end (node, c, SS_VERDICT_NOT_RUN, reason, retry_after_ms);
 }
 
 /* The target did not run the statement.  Resends it after PAUSE_MS if the
@@ -162,7 +163,7 @@
   if (job->transaction_status != (in_transaction ? 'T' : 'I')
       || node->now_ms - job->started_ms + pause_ms > limit_ms)
     {
-      end_not_run (node, c, reason);
+      end_not_run (node, c, reason, SS_RETRY_SOON_MS);
       return;
     }
   c->resend_at_ms = node->now_ms + pause_ms;
@@ -199,8 +200,7 @@
       break;
     case SS_TARGET_FAULT_NOT_PRIMARY:
       owned->target->state.role = SS_SERVER_REPLICA;
-      ss_job_end (node, c, SS_VERDICT_NOT_RUN, SS_REASON_NO_PRIMARY,
-                  SS_RETRY_PROMOTION_MS);
+      end_not_run (node, c, SS_REASON_NO_PRIMARY, SS_RETRY_PROMOTION_MS);
       ss_target_monitor_poll_soon (node, owned);
       break;
     case SS_TARGET_FAULT_UNPREPARED:
--- a/tests/line_server.c
+++ b/tests/line_server.c
@@ -205,6 +205,40 @@
   line_server_replicate (sim);
 }
 
+/* Whether the server refuses ST, as it does not lead: a write, a plain BEGIN,
+ * and any statement of a plain transaction but the COMMIT of one that wrote
+ * nothing.
+ */
+static bool
+refuses_as_replica (const LineConnection *c, const SsStatement *st, bool writes)
+{
+  if (c->server->role == SS_SERVER_PRIMARY || st->kind == SS_STATEMENT_ROLLBACK)
+    return false;
+  if (writes || (st->kind == SS_STATEMENT_BEGIN && !st->is_read))
+    return true;
+  return c->status == 'T' && c->is_plain
+         && (st->kind != SS_STATEMENT_COMMIT || c->wrote);
+}
+
+static void
+end_transaction (LineConnection *c)
+{
+  c->status = 'I';
+  c->session = 0;
+  c->wrote = false;
+}
+
+/* Answers ST in a transaction that has failed. */
+static SsTargetFault
+run_in_failed_transaction (LineConnection *c, const SsStatement *st)
+{
+  if (st->kind != SS_STATEMENT_COMMIT && st->kind != SS_STATEMENT_ROLLBACK)
+    return SS_TARGET_FAULT_STATEMENT;
+  end_transaction (c);
+  return st->kind == SS_STATEMENT_ROLLBACK ? SS_TARGET_FAULT_NONE
+                                           : SS_TARGET_FAULT_STATEMENT;
+}
+
 /* Runs TEXT at the connection's server; returns the fault, if any.  LABEL is
  * the id of a caller's statement, or NULL for a statement of the proxy.
  */
@@ -224,6 +258,11 @@
                           text);
       fault = SS_TARGET_FAULT_STATEMENT;
     }
+  if (c->status == 'E')
+    {
+      fault = run_in_failed_transaction (c, &st);
+      goto done;
+    }
   writes = st.kind == SS_STATEMENT_WRITE;
   if (st.kind == SS_STATEMENT_EXECUTE)
     {
@@ -233,9 +272,11 @@
       if (!p)
         fault = SS_TARGET_FAULT_UNPREPARED;
     }
-  if (s->role != SS_SERVER_PRIMARY
-      && (writes || (st.kind == SS_STATEMENT_BEGIN && !st.is_read)))
-    fault = SS_TARGET_FAULT_NOT_PRIMARY;
+  if (refuses_as_replica (c, &st, writes))
+    {
+      fault = SS_TARGET_FAULT_NOT_PRIMARY;
+      c->status = c->status == 'T' ? 'E' : c->status;
+    }
   if (fault != SS_TARGET_FAULT_NONE)
     goto done;
   if (label)
@@ -254,14 +295,13 @@
       break;
     case SS_STATEMENT_BEGIN:
       c->status = 'T';
+      c->is_plain = !st.is_read;
       break;
     case SS_STATEMENT_COMMIT:
     case SS_STATEMENT_ROLLBACK:
       if (st.kind == SS_STATEMENT_COMMIT && c->wrote)
         commit (sim, s, label);
-      c->status = 'I';
-      c->session = 0;
-      c->wrote = false;
+      end_transaction (c);
       break;
     default:
       c->wrote = c->status == 'T' && (c->wrote || writes);
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -45,6 +45,7 @@
   SsSessionState state; /* settings and prepared statements in force */
   char status;          /* transaction status: I, T or E */
   uint32_t session;     /* of the open transaction; 0: none */
+  bool is_plain;        /* the open transaction is not BEGIN READ */
   bool wrote;           /* the open transaction has written */
   char *organisation;   /* that it was opened for; NULL: none */
 } LineConnection;
--- a/tests/test_statement_text.c
+++ b/tests/test_statement_text.c
@@ -9,6 +9,8 @@
 
 #define HISTORIES 300
 #define STATEMENTS 40
+/* Time in which a new primary is found. */
+#define LEAD_FOUND_MS 5000
 #define NAME_CHARACTERS                                                        \
   "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_"
 
@@ -79,6 +81,42 @@
   line_expect_histories (&histories);
 }
 
+/* The platform has promoted server TO in place of server FROM. */
+static void
+move_lead (LineSim *sim, uint32_t from, uint32_t to)
+{
+  sim->servers[from].role = SS_SERVER_REPLICA;
+  sim->servers[to].role = SS_SERVER_PRIMARY;
+  for (uint32_t i = 0; i < LINE_SERVERS; i++)
+    sim->servers[i].term++;
+}
+
+/* Guards against PINNED: a server that had lost the lead refused a part of the
+ * session state replay, and the connection went back to the pool as if it held
+ * the values that were refused.
+ */
+static void
+refused_replay_leaves_no_values (void)
+{
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 4, 8);
+  expect_run_as_sent (&sim, 1, "BEGIN");
+  expect_run_as_sent (&sim, 1, "READ 1a");
+  expect_run_as_sent (&sim, 1, "SET v 9");
+  move_lead (&sim, 0, 1);
+  CU_ASSERT (line_sim_execute (&sim, 1, "READ 1a"));
+  CU_ASSERT (sim.sessions[0].verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (line_sim_execute (&sim, 1, "ROLLBACK"));
+  move_lead (&sim, 1, 0);
+  line_sim_advance (&sim, LEAD_FOUND_MS);
+  expect_run_as_sent (&sim, 3, "SET v 9");
+  expect_run_as_sent (&sim, 3, "READ 1a");
+  CU_ASSERT (sim.servers[0].ran >= 2);
+  line_expect_no_violations (&sim, 1);
+  line_sim_finish (&sim);
+}
+
 /* Sends BEFORE and as many bytes behind it that the whole text has BYTES. */
 static void
 send_long (LineSim *sim, const char *before, size_t bytes)
@@ -305,6 +343,7 @@
     shape_with_spaces_replaces_no_other },
   { "shape of several words is served", shape_of_several_words_is_served },
   { "odd texts run as sent", odd_texts_run_as_sent },
+  { "refused replay leaves no values", refused_replay_leaves_no_values },
   { "longest texts fit in a message", longest_texts_fit_in_a_message },
   { "state of a session is bounded", state_of_a_session_is_bounded },
   { "bytes of a state are counted", bytes_of_a_state_are_counted },
