Tests: the simulated servers check the proxy's own statements

The review's mutants passed all suites: ROLLBACK sent as COMMIT (a commit that nobody asked for), BEGIN sent as BEGIN READ, DEALLOC without effect. A statement without a caller's id that writes, executes or commits is a violation now, so are BEGIN and RESET in a transaction, a transaction of another kind, and a statement that the adapter can't send as one message; random histories with odd texts have DEALLOC.

--- a/tests/line_server.c
+++ b/tests/line_server.c
@@ -149,6 +149,36 @@
                         c->server->name);
 }
 
+/* Checks a statement without a caller's id: none that writes, executes a
+ * prepared statement or commits.
+ */
+static void
+check_own (LineSim *sim, const LineConnection *c, const char *text,
+           const SsStatement *st)
+{
+  bool opens = st->kind == SS_STATEMENT_BEGIN;
+
+  if (st->kind == SS_STATEMENT_WRITE || st->kind == SS_STATEMENT_EXECUTE
+      || st->kind == SS_STATEMENT_COMMIT)
+    line_sim_violation (sim, "statement that nobody sent", "-", text);
+  if (opens && c->status != 'I')
+    line_sim_violation (sim, "BEGIN in a transaction", "-", text);
+}
+
+/* Checks that a statement of S runs in the transaction that S has opened, if it
+ * has one.
+ */
+static void
+check_transaction (LineSim *sim, const LineConnection *c, const LineSession *s,
+                   const char *label)
+{
+  if ((s->status == 'T') != (c->status == 'T'))
+    line_sim_violation (sim, "transaction differs", label, c->server->name);
+  else if (s->status == 'T' && c->is_plain == s->begin_is_read)
+    line_sim_violation (sim, "kind of transaction differs", label,
+                        c->server->name);
+}
+
 /* Checks TEXT, read as ST, and the connection and the server that run it
  * against the state of its session.
  */
@@ -159,6 +189,7 @@
   LineSession *s = &sim->sessions[session_of (label) - 1];
 
   check_text (sim, s, label, text, st);
+  check_transaction (sim, c, s, label);
   if (!has_same_settings (&c->state, &s->state))
     line_sim_violation (sim, "settings differ", label, c->server->name);
   if (st->kind == SS_STATEMENT_EXECUTE)
@@ -168,9 +199,6 @@
                         c->server->name);
   if (s->status == 'T')
     s->first_connection = c->id;
-  if (s->status != 'T' && c->status != 'I')
-    line_sim_violation (sim, "connection has an open transaction", label,
-                        c->server->name);
   if (c->session && c->session != s->id)
     line_sim_violation (sim, "connection is in another session's transaction",
                         label, c->server->name);
@@ -258,6 +286,8 @@
                           text);
       fault = SS_TARGET_FAULT_STATEMENT;
     }
+  if (!label && st.kind != SS_STATEMENT_INVALID)
+    check_own (sim, c, text, &st);
   if (c->status == 'E')
     {
       fault = run_in_failed_transaction (c, &st);
@@ -372,6 +402,9 @@
     }
   if (strcmp (text, "RESET") == 0)
     {
+      if (c->status != 'I')
+        line_sim_violation (sim, "RESET in a transaction", "-",
+                            c->server->name);
       ss_session_state_finish (&c->state);
       return SS_TARGET_FAULT_NONE;
     }
@@ -451,6 +484,23 @@
   return label ? occupy_slot (sim, s) : 1;
 }
 
+/* Checks that the adapter can send the statement of A as one message. */
+static void
+check_message (LineSim *sim, const SsAction *a)
+{
+  const char *label = a->label ? a->label : "-";
+  GByteArray *message = g_byte_array_new ();
+  SsLineWriter w;
+
+  ss_line_writer_init_message (&w, SS_LINE_QUERY);
+  ss_line_writer_add_field (&w, label);
+  ss_line_writer_add_last (&w, a->text);
+  if (!ss_line_writer_put (&w, message))
+    line_sim_violation (sim, "statement is not one message", label, a->text);
+  sim->longest_message_bytes = MAX (sim->longest_message_bytes, message->len);
+  g_byte_array_unref (message);
+}
+
 void
 line_server_query (LineSim *sim, const SsAction *a)
 {
@@ -460,10 +510,7 @@
 
   if (!c)
     return;
-  sim->longest_message_bytes
-      = MAX (sim->longest_message_bytes,
-             strlen ("QUERY  \r\n") + strlen (a->label ? a->label : "-")
-                 + strlen (a->text));
+  check_message (sim, a);
   after_ms = answer_ms (sim, c->server, a->label);
   line_server_replicate (sim);
   scheduled = line_sim_schedule (sim, after_ms, SS_EVENT_TARGET_RESULT);
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -82,6 +82,10 @@
       = sim->now_ms + g_rand_int_range (sim->rand, 0, THINK_TIME_MAX_MS);
   if (ran && s->statement.kind == SS_STATEMENT_SET)
     ss_session_state_set (&s->state, s->statement.name, s->statement.value);
+  if (ran && s->statement.kind == SS_STATEMENT_BEGIN)
+    s->begin_is_read = s->statement.is_read;
+  if (ran && s->statement.kind == SS_STATEMENT_DEALLOCATE)
+    ss_session_state_deallocate (&s->state, s->statement.name);
   if (ran && s->statement.kind == SS_STATEMENT_PREPARE)
     ss_session_state_prepare (&s->state, s->statement.name, s->statement.value,
                               s->statement.is_read);
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -55,6 +55,7 @@
   uint32_t id;          /* from 1 */
   SsSessionState state; /* that its statements must find */
   char status;          /* transaction status: I, T or E */
+  bool begin_is_read;   /* its transaction is BEGIN READ */
   uint32_t statements;  /* sent so far */
   uint32_t remaining;   /* random statements still to send */
   bool awaiting_reply;
--- a/tests/line_texts.c
+++ b/tests/line_texts.c
@@ -107,5 +107,7 @@
     return next_prepare (sim, "PREPARE p READ");
   if (choice == 2 || !ss_session_state_prepared (&s->state, "q"))
     return next_prepare (sim, "PREPARE q WRITE");
+  if (choice == 3 && sim->odd_texts)
+    return g_strdup (g_rand_boolean (sim->rand) ? "DEALLOC p" : "DEALLOC q");
   return next_run (sim, s);
 }
