A shape that is one word keeps its name, whatever its characters

Found by the review: shapes such as q-5, and words of over 48 bytes, worked while two versions run side by side and would have been refused, as only letters, digits and _ kept their name. Now any word of up to 126 bytes does. A statement that the owner refuses as none that a VM may send, or as too large, is not tried again: the next attempt would end in the same way (by reading).

--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -383,6 +383,23 @@
   g_hash_table_remove (node->sessions, &caller);
 }
 
+/* Whether a further attempt may end in another way than for REASON. */
+static bool
+may_pass (SsReason reason)
+{
+  switch (reason)
+    {
+    case SS_REASON_TARGET_ERROR:
+    case SS_REASON_CANCELLED:
+    case SS_REASON_DEADLINE:
+    case SS_REASON_BAD_STATEMENT:
+    case SS_REASON_TOO_LARGE:
+      return false;
+    default:
+      return true;
+    }
+}
+
 bool
 ss_request_may_retry (SsNode *node, SsRequest *r, SsVerdict verdict,
                       SsReason reason, bool sent)
@@ -400,8 +417,7 @@
       || (!r->is_read && !multiplexes_sessions)
       || (ss_route_needs_primary (node, r)
           && (reason == SS_REASON_OVERLOAD || reason == SS_REASON_NO_MAJORITY))
-      || reason == SS_REASON_TARGET_ERROR || reason == SS_REASON_CANCELLED
-      || reason == SS_REASON_DEADLINE || r->tries >= SS_REQUEST_RETRIES_MAX
+      || !may_pass (reason) || r->tries >= SS_REQUEST_RETRIES_MAX
       || node->now_ms >= r->deadline_ms)
     return false;
   if (ss_retry_budget_withdraw (&node->retry_budget))
--- a/src/core/replay.c
+++ b/src/core/replay.c
@@ -6,7 +6,7 @@
 #include "kernel/compare.h"
 
 /* Longest shape that is a part of its name. */
-#define SHORT_SHAPE_MAX_BYTES 48
+#define WORD_MAX_BYTES (SS_REPLAY_NAME_MAX_BYTES - 2)
 
 void
 ss_statement_finish (SsStatement *statement)
@@ -100,14 +100,13 @@
 
 /* Whether SHAPE can be a part of a name as it is. */
 static bool
-is_short_word (const char *shape)
+is_word (const char *shape)
 {
-  size_t bytes = strlen (shape);
+  const char *p = shape;
 
-  return bytes <= SHORT_SHAPE_MAX_BYTES
-         && strspn (shape, "abcdefghijklmnopqrstuvwxyz"
-                           "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_")
-                == bytes;
+  while (*p && *p != ' ' && !g_ascii_iscntrl (*p))
+    p++;
+  return !*p && p - shape <= WORD_MAX_BYTES;
 }
 
 char *
@@ -117,7 +116,7 @@
   char *digest;
   char *name;
 
-  if (is_short_word (shape))
+  if (is_word (shape))
     return g_strconcat (mode, "_", shape, NULL);
   digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, shape, -1);
   name = g_strconcat (mode, "h_", digest, NULL);
--- a/src/core/replay.h
+++ b/src/core/replay.h
@@ -23,7 +23,7 @@
 #define SS_SESSION_STATE_MAX_BYTES (4 * 1024 * 1024)
 
 /* Longest name of a prepared statement at a target. */
-#define SS_REPLAY_NAME_MAX_BYTES 67
+#define SS_REPLAY_NAME_MAX_BYTES 128
 
 typedef struct
 {
@@ -69,9 +69,9 @@
 /* ss_replay_name: returns the name of the shape's prepared statement at
  * targets, to be freed.  It is one word of at most SS_REPLAY_NAME_MAX_BYTES,
  * whatever the shape holds, and differs between two shapes and between READ
- * and WRITE.  A shape that is a short word is a part of its name, so that VMs
- * of earlier versions use the same one; the name of any other shape has its
- * SHA-256 digest.
+ * and WRITE.  A shape that is one word itself is a part of its name, so that
+ * VMs of earlier versions use the same one; the name of any other shape, and of
+ * a very long word, has its SHA-256 digest.
  */
 char *ss_replay_name (const char *shape, bool is_read);
 
