The owner checks ids and values of a statement, too

Found by the review: an id with a space, a text or a value over 1 MiB (an older entry VM accepts up to 2 MiB) passed the owner's check, and were refused only where the message is written, which closes the connection and leaves the caller's write in doubt although nothing was sent. They are refused as not run now.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -601,7 +601,7 @@
       refuse_run (node, from, run, SS_REASON_NOT_OWNER, SS_RETRY_SOON_MS);
       return;
     }
-  if (!ss_run_check (node->dialect, run))
+  if (!ss_run_is_valid (node->dialect, run))
     {
       refuse_text (node, from, run);
       return;
--- a/src/core/run_check.c
+++ b/src/core/run_check.c
@@ -30,8 +30,35 @@
     }
 }
 
+/* Whether the session values of RUN have a name each, in order, so that none is
+ * there twice, and fit in a message.
+ */
+static bool
+check_values (const SsDialect *dialect, const Ss__Peer__Run *run)
+{
+  for (size_t i = 0; i + 1 < run->n_values; i += 2)
+    {
+      const char *name = run->values[i];
+
+      if (i > 0 && strcmp (run->values[i - 2], name) >= 0)
+        return false;
+      if (strlen (name) + strlen (run->values[i + 1]) > dialect->text_max_bytes)
+        return false;
+    }
+  return run->n_values % 2 == 0;
+}
+
+static bool
+check_length (const SsDialect *dialect, const Ss__Peer__Run *run)
+{
+  /* The entry VM may have lengthened the text by the name of the shape. */
+  return strlen (run->label) + run->sql.len
+             <= dialect->text_max_bytes + SS_REPLAY_NAME_MAX_BYTES
+         && strlen (run->shape) <= dialect->text_max_bytes;
+}
+
 bool
-ss_run_check (const SsDialect *dialect, const Ss__Peer__Run *run)
+ss_run_is_valid (const SsDialect *dialect, const Ss__Peer__Run *run)
 {
   SsStatement st;
   char *text;
@@ -39,7 +66,9 @@
 
   if (!ss_dialect_multiplexes_sessions (dialect))
     return true;
-  if (!run->sql.len || memchr (run->sql.data, 0, run->sql.len))
+  if (!run->sql.len || memchr (run->sql.data, 0, run->sql.len)
+      || strpbrk (run->label, " \n") || !check_length (dialect, run)
+      || !check_values (dialect, run))
     return false;
   text = g_strndup ((const char *) run->sql.data, run->sql.len);
   dialect->parse (dialect, text, &st);
--- a/src/core/run_check.h
+++ b/src/core/run_check.h
@@ -11,10 +11,11 @@
 
 #include "proto/peer.pb-c.h"
 
-/* ss_run_check: whether RUN holds one statement that callers may send, which,
- * if it executes a prepared statement, is the one of RUN's shape.  True for all
- * runs of a dialect that does not parse statements.
+/* ss_run_is_valid: whether RUN holds one statement that callers may send,
+ * which, if it executes a prepared statement, is the one of RUN's shape, and
+ * whose id and session values can be sent, too.  True for all runs of a dialect
+ * that does not parse statements.
  */
-bool ss_run_check (const SsDialect *dialect, const Ss__Peer__Run *run);
+bool ss_run_is_valid (const SsDialect *dialect, const Ss__Peer__Run *run);
 
 #endif
--- a/tests/test_statement_text.c
+++ b/tests/test_statement_text.c
@@ -1,6 +1,7 @@
 /* Statements reach servers as callers sent them, whatever bytes they hold. */
 #include <string.h>
 
+#include "core/run_check.h"
 #include "platform/line.h"
 #include "tests/line_expect.h"
 #include "tests/line_sim.h"
@@ -265,6 +266,42 @@
   line_sim_finish (&sim);
 }
 
+typedef struct
+{
+  const char *label;
+  const char *values[5]; /* up to NULL */
+} StateRow;
+
+/* Guards against closed connections: an id or a value that can't be sent. */
+static void
+owner_refuses_other_ids_and_values (void)
+{
+  char *text = g_strnfill (SS_LINE_MAX_BYTES, 'x');
+  const StateRow rows[] = { { "c1 1", { NULL } },
+                            { "c1\n1", { NULL } },
+                            { text, { NULL } },
+                            { "c1-1", { "v", text, NULL } },
+                            { "c1-1", { "v", "1", "v", "2", NULL } },
+                            { "c1-1", { "w", "1", "v", "2", NULL } },
+                            { "c1-1", { "v", "1", "w", NULL } } };
+  LineSim sim;
+
+  line_sim_init (&sim, 1, 2, 8);
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      Ss__Peer__Run run = SS__PEER__RUN__INIT;
+
+      run.sql.data = (uint8_t *) "READ 1a";
+      run.sql.len = strlen ("READ 1a");
+      run.label = (char *) rows[i].label;
+      run.values = (char **) rows[i].values;
+      run.n_values = g_strv_length (run.values);
+      CU_ASSERT (!ss_run_is_valid (sim.node.dialect, &run));
+    }
+  line_sim_finish (&sim);
+  g_free (text);
+}
+
 /* Has the simulation take TEXT for what session 1 sent last. */
 static void
 note_sent (LineSim *sim, const char *text)
@@ -352,6 +389,7 @@
   { "longest texts fit in a message", longest_texts_fit_in_a_message },
   { "state of a session is bounded", state_of_a_session_is_bounded },
   { "bytes of a state are counted", bytes_of_a_state_are_counted },
+  { "owner refuses other ids and values", owner_refuses_other_ids_and_values },
   { "owner refuses other texts", owner_refuses_other_texts },
   { "owner runs texts of earlier versions",
     owner_runs_texts_of_earlier_versions },
