A session costs its connections and owners no more than its statements do

(a) The names are looked up, and a session has at most 1,000 values; SET beyond that is refused as not run. (b) A connection keeps digests of long names and values, and only the names of prepared statements. Beside it: a value that takes the place of another one no longer needs room for both; it was refused near the limit. Evidence: 'number of values is bounded', 'connections keep no long texts' and 'replaced values need no room'.

--- a/src/core/replay.c
+++ b/src/core/replay.c
@@ -5,6 +5,7 @@
 #include "core/statement.h"
 #include "kernel/compare.h"
 
+#define SHA256_HEX_BYTES 64
 /* Longest shape that is a part of its name. */
 #define WORD_MAX_BYTES (SS_REPLAY_NAME_MAX_BYTES - 2)
 
@@ -98,6 +99,21 @@
   return state->prepared && g_hash_table_remove (state->prepared, name);
 }
 
+bool
+ss_session_state_has_room (const SsSessionState *state, const SsStatement *st)
+{
+  bool is_set = st->kind == SS_STATEMENT_SET;
+  const char *current
+      = is_set ? value_of (state, st->name) : shape_of (state, st->name);
+  size_t bytes = state->bytes - entry_bytes (st->name, current);
+
+  if (is_set && !current && state->values
+      && g_tree_nnodes (state->values) >= SS_SESSION_VALUES_MAX)
+    return false;
+  return bytes + entry_bytes (st->name, st->value)
+         <= SS_SESSION_STATE_MAX_BYTES;
+}
+
 /* Whether SHAPE can be a part of a name as it is. */
 static bool
 is_word (const char *shape)
@@ -152,50 +168,70 @@
 
 /* --- replay plans --- */
 
+/* A connection's state has this in place of a long text. */
 typedef struct
 {
-  const char *const *values;
-  bool has_extra;
-} ExtraCheck;
+  char digest[1 + SHA256_HEX_BYTES + 1];
+} Brief;
 
+/* Returns TEXT, or its digest in BRIEF if it is long: a connection serves many
+ * sessions, and must not keep all that they hold.  A digest is longer than any
+ * text that is kept as it is.
+ */
 static const char *
-find_value (const char *const *values, const char *name)
+brief_text (const char *text, Brief *brief)
 {
-  for (size_t i = 0; values && values[i]; i += 2)
-    if (strcmp (values[i], name) == 0)
-      return values[i + 1];
-  return NULL;
+  char *digest;
+
+  if (strlen (text) <= SHA256_HEX_BYTES)
+    return text;
+  digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, text, -1);
+  g_snprintf (brief->digest, sizeof brief->digest, "#%s", digest);
+  g_free (digest);
+  return brief->digest;
 }
 
-static gboolean
-check_extra (gpointer key, gpointer value, gpointer data)
+/* Returns what HELD has for the value NAME, or NULL. */
+static const char *
+held_value (const SsSessionState *held, const char *name)
 {
-  ExtraCheck *e = data;
+  Brief brief;
 
-  (void) value;
-  e->has_extra = find_value (e->values, key) == NULL;
-  return e->has_extra;
+  return value_of (held, brief_text (name, &brief));
 }
 
-/* Whether HELD has a value that the session did not set.  Only a reset removes
- * it.
- */
-static bool
-holds_extra (const SsSessionState *held, const char *const *values)
+static void
+hold_value (SsSessionState *held, const char *name, const char *value)
 {
-  ExtraCheck e = { values, false };
+  Brief brief_name;
+  Brief brief_value;
 
-  if (held->values)
-    g_tree_foreach (held->values, check_extra, &e);
-  return e.has_extra;
+  ss_session_state_set (held, brief_text (name, &brief_name),
+                        brief_text (value, &brief_value));
 }
 
 static bool
 holds_value (const SsSessionState *held, const char *name, const char *value)
 {
-  const char *current = value_of (held, name);
+  const char *current = held_value (held, name);
+  Brief brief;
 
-  return current && strcmp (current, value) == 0;
+  return current && strcmp (current, brief_text (value, &brief)) == 0;
+}
+
+/* Whether HELD has a value that the session did not set.  Only a reset removes
+ * it.
+ */
+static bool
+holds_extra (const SsSessionState *held, const char *const *values)
+{
+  uint32_t known = 0;
+
+  if (!held->values)
+    return false;
+  for (size_t i = 0; values && values[i]; i += 2)
+    known += held_value (held, values[i]) ? 1 : 0;
+  return known < (uint32_t) g_tree_nnodes (held->values);
 }
 
 static bool
@@ -238,7 +274,8 @@
     {
       planned
           = plan_text (out, dialect->prepare (dialect, name, is_read, shape));
-      ss_session_state_prepare (held, name, shape, is_read);
+      /* Only its name matters here. */
+      ss_session_state_prepare (held, name, "", is_read);
     }
   g_free (name);
   return planned;
@@ -262,7 +299,7 @@
         continue;
       if (!plan_text (out, dialect->set (dialect, values[i], values[i + 1])))
         return false;
-      ss_session_state_set (held, values[i], values[i + 1]);
+      hold_value (held, values[i], values[i + 1]);
     }
   return !shape || plan_shape (dialect, held, shape, shape_is_read, out);
 }
--- a/src/core/replay.h
+++ b/src/core/replay.h
@@ -22,6 +22,9 @@
  */
 #define SS_SESSION_STATE_MAX_BYTES (4 * 1024 * 1024)
 
+/* Values of a session: each is compared with what a connection holds. */
+#define SS_SESSION_VALUES_MAX 1000
+
 /* Longest name of a prepared statement at a target. */
 #define SS_REPLAY_NAME_MAX_BYTES 128
 
@@ -66,6 +69,12 @@
 /* ss_shape_summary: summarises SHAPE; all members are 0 for NULL. */
 SsShapeSummary ss_shape_summary (const char *shape);
 
+/* ss_session_state_has_room: whether STATE may take ST, a SET or PREPARE,
+ * within SS_SESSION_STATE_MAX_BYTES and SS_SESSION_VALUES_MAX.
+ */
+bool ss_session_state_has_room (const SsSessionState *state,
+                                const SsStatement *st);
+
 /* ss_replay_name: returns the name of the shape's prepared statement at
  * targets, to be freed.  It is one word of at most SS_REPLAY_NAME_MAX_BYTES,
  * whatever the shape holds, and differs between two shapes and between READ
@@ -82,7 +91,8 @@
                       bool is_read);
 
 /* ss_replay_plan: appends to OUT the statements (to be freed) that bring a
- * connection from the state HELD to VALUES (name, value, ..., NULL) with SHAPE
+ * connection from the state HELD to VALUES (name, value, ..., NULL; each name
+ * once) with SHAPE
  * (NULL: none) prepared, and updates HELD accordingly.  IN_TRANSACTION: a reset
  * is not possible.  Returns false where one would be needed, and where the
  * dialect can't express a value; the connection must not be used then.
--- a/src/core/statement.c
+++ b/src/core/statement.c
@@ -82,18 +82,10 @@
   reply_done (node, s);
 }
 
-/* Whether the state of S may grow by the name and the value of ST. */
-static bool
-has_room (const SsSession *s, const SsStatement *st)
-{
-  return s->state.bytes + strlen (st->name) + strlen (st->value)
-         <= SS_SESSION_STATE_MAX_BYTES;
-}
-
 static void
 set_value (SsNode *node, SsSession *s, const SsStatement *st)
 {
-  if (!has_room (s, st))
+  if (!ss_session_state_has_room (&s->state, st))
     {
       reply_invalid (node, s, SS_REASON_TOO_LARGE);
       return;
@@ -105,7 +97,7 @@
 static void
 prepare (SsNode *node, SsSession *s, const SsStatement *st)
 {
-  if (!has_room (s, st))
+  if (!ss_session_state_has_room (&s->state, st))
     {
       reply_invalid (node, s, SS_REASON_TOO_LARGE);
       return;
--- a/tests/test_statement_text.c
+++ b/tests/test_statement_text.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/run_check.h"
+#include "platform/dialect.h"
 #include "platform/line.h"
 #include "tests/line_expect.h"
 #include "tests/line_sim.h"
@@ -10,6 +11,7 @@
 
 #define HISTORIES 300
 #define STATEMENTS 40
+#define LONG_TEXT_BYTES 100000
 /* Time in which a new primary is found. */
 #define LEAD_FOUND_MS 5000
 
@@ -204,6 +206,80 @@
   CU_ASSERT (state.bytes == 0);
 }
 
+/* Guards against a VM that is busy with one caller: values are compared with
+ * those of each connection.
+ */
+static void
+number_of_values_is_bounded (void)
+{
+  SsSessionState state;
+  SsStatement st = { .kind = SS_STATEMENT_SET, .value = (char *) "1" };
+
+  ss_session_state_init (&state);
+  for (uint32_t i = 0; i <= SS_SESSION_VALUES_MAX; i++)
+    {
+      char *name = g_strdup_printf ("v%u", i);
+
+      st.name = name;
+      CU_ASSERT (ss_session_state_has_room (&state, &st)
+                 == (i < SS_SESSION_VALUES_MAX));
+      if (i < SS_SESSION_VALUES_MAX)
+        ss_session_state_set (&state, name, "1");
+      g_free (name);
+    }
+  st.name = (char *) "v0";
+  CU_ASSERT (ss_session_state_has_room (&state, &st));
+  ss_session_state_finish (&state);
+}
+
+/* A value may take the place of one that is as long. */
+static void
+replaced_values_need_no_room (void)
+{
+  char *value = g_strnfill (SS_SESSION_STATE_MAX_BYTES - 1, 'x');
+  SsStatement st
+      = { .kind = SS_STATEMENT_SET, .name = (char *) "v", .value = value };
+  SsSessionState state;
+
+  ss_session_state_init (&state);
+  CU_ASSERT (ss_session_state_has_room (&state, &st));
+  ss_session_state_set (&state, "v", value);
+  CU_ASSERT (ss_session_state_has_room (&state, &st));
+  st.name = (char *) "w";
+  CU_ASSERT (!ss_session_state_has_room (&state, &st));
+  ss_session_state_finish (&state);
+  g_free (value);
+}
+
+/* Guards against memory without bound: a connection kept the values and shapes
+ * of all sessions that it had served.
+ */
+static void
+connections_keep_no_long_texts (void)
+{
+  const SsDialect *d = ss_dialect_line ();
+  char *text = g_strnfill (LONG_TEXT_BYTES, 'x');
+  const char *const values[] = { "v", text, text, "1", NULL };
+  SsSessionState held;
+  GQueue out = G_QUEUE_INIT;
+
+  ss_session_state_init (&held);
+  CU_ASSERT (ss_replay_plan (d, &held, values, text, true, false, &out));
+  CU_ASSERT (g_queue_get_length (&out) == 3);
+  CU_ASSERT (held.bytes < 1000);
+  g_queue_clear_full (&out, g_free);
+  CU_ASSERT (ss_replay_distance (&held, values) == 0);
+  CU_ASSERT (ss_replay_plan (d, &held, values, text, true, false, &out));
+  CU_ASSERT (g_queue_is_empty (&out));
+  text[LONG_TEXT_BYTES - 1] = 'y';
+  CU_ASSERT (ss_replay_plan (d, &held, values, text, true, false, &out));
+  CU_ASSERT (g_queue_get_length (&out) == 4);
+  CU_ASSERT_STRING_EQUAL (g_queue_peek_head (&out), "RESET");
+  g_queue_clear_full (&out, g_free);
+  ss_session_state_finish (&held);
+  g_free (text);
+}
+
 /* A statement that VM "b" asks the owner of the primary to run for a caller. */
 static void
 deliver_run (LineSim *sim, const char *label, const char *sql,
@@ -389,6 +465,9 @@
   { "longest texts fit in a message", longest_texts_fit_in_a_message },
   { "state of a session is bounded", state_of_a_session_is_bounded },
   { "bytes of a state are counted", bytes_of_a_state_are_counted },
+  { "number of values is bounded", number_of_values_is_bounded },
+  { "replaced values need no room", replaced_values_need_no_room },
+  { "connections keep no long texts", connections_keep_no_long_texts },
   { "owner refuses other ids and values", owner_refuses_other_ids_and_values },
   { "owner refuses other texts", owner_refuses_other_texts },
   { "owner runs texts of earlier versions",
