An object that the JSON parser refuses leaves the others readable

One entry of kind "servers" that jansson refuses (nested beyond 2,048 levels, an integer beyond 64 bits, 1e999, bytes that are no UTF-8, \u0000) made the whole list and each watch unreadable, on all VMs, for as long as it was there: callers' statements went on to draining servers, no VM that started became ready, and the store counted as away. No process ended by it. Cause: one json_loadb for a whole response. Now kernel/json_items.c splits a response into its objects by strings, escapes and depth alone, without recursion or memory of its own, and each object is parsed by itself. Of one that can't be parsed the name and the revision are read alone, so that a server counts as absent; without a revision the store's stands in. A response that can't be split, or is no object, stays an unknown outcome; so does null, 7 or [], which counted as an empty list of all servers before. A page that ends with an odd entry: the list goes on after its name, or after the last one that is named. It ends if that leads nowhere. A target with a member twice is absent: nobody knows which one holds. A revision has to be from 1 to 2^40 - 1; a larger one was cut to that, and no later change of the object would have been taken. A deletion needs a name only.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 CSTD = -std=gnu11
 LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
 
-KERNEL = compare clock verdict counters log settings stream httpd httpc
+KERNEL = compare clock verdict counters log settings json_items stream httpd httpc
 CORE = $(basename $(notdir $(wildcard src/core/*.c)))
 KERNEL_O = $(KERNEL:%=$B/src/kernel/%.o) $B/src/kernel/toml_shim.o
 CORE_O = $(CORE:%=$B/src/core/%.o) $B/proto/peer.pb-c.o
@@ -32,7 +32,7 @@
 UNIT_O = $(patsubst %.c,$B/%.o,$(wildcard tests/test_*.c)) $B/tests/unit.o \
   $(SIM_O) $B/tests/line_sim.o $B/tests/line_sim_platform.o $B/tests/line_texts.o \
   $B/tests/server_reader.o $B/tests/fleet_sim.o $B/tests/fleet_platform.o $B/tests/cache_sim.o $B/tests/line_params.o $B/tests/rate_sim.o $(filter %/line.o %/dialect.o \
-  %/errors.o %/records.o %/responses.o,$(PLATFORM)) $B/src/plugins/metrics.o $B/src/plugins/scram.o $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
+  %/errors.o %/records.o %/responses.o,$(PLATFORM)) $B/src/kernel/json_items.o $B/src/plugins/metrics.o $B/src/plugins/scram.o $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
   platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch]))
 PROGRAMS = $(addprefix $B/,sapphirestaird sapphirectl ss-standin-target \
--- /dev/null
+++ b/tests/test_odd_entries.c
@@ -0,0 +1,550 @@
+/* Responses of the store that hold an odd entry: one by another writer, which
+ * can't be read or says what no server can be.
+ */
+#include <string.h>
+
+#include "core/version.h"
+#include "platform/responses.h"
+#include "tests/unit.h"
+
+#define LEVELS 100000
+#define AT_REV 90
+#define ERA 3
+#define LONG_NAME_BYTES 100000
+
+/* --- responses --- */
+
+typedef struct
+{
+  SsResponse response;
+  SsPage *page; /* NULL: it can't be split */
+  uint32_t log_lines;
+  size_t longest_log_bytes; /* of a subject or a detail */
+  char *last_detail;
+} Reading;
+
+static void
+count_line (void *data, const char *subject, const char *detail)
+{
+  Reading *reading = data;
+
+  reading->log_lines++;
+  reading->longest_log_bytes
+      = MAX (reading->longest_log_bytes, strlen (subject));
+  reading->longest_log_bytes
+      = MAX (reading->longest_log_bytes, strlen (detail));
+  g_free (reading->last_detail);
+  reading->last_detail = g_strdup (detail);
+}
+
+static SsPage *
+new_page (SsPageKind kind, const char *text)
+{
+  GByteArray *body = g_byte_array_new ();
+
+  g_byte_array_append (body, (const guint8 *) text, (guint) strlen (text));
+  return ss_page_new (kind, body);
+}
+
+static void
+reading_init (Reading *reading, SsPageKind page_kind, const char *kind,
+              const char *text)
+{
+  memset (reading, 0, sizeof *reading);
+  ss_response_init (&reading->response, kind, ERA, count_line, reading);
+  reading->page = new_page (page_kind, text);
+  if (reading->page)
+    ss_response_add_page (&reading->response, reading->page);
+}
+
+static void
+reading_finish (Reading *reading)
+{
+  ss_response_finish (&reading->response);
+  g_clear_pointer (&reading->page, ss_page_free);
+  g_free (reading->last_detail);
+}
+
+static const SsObject *
+find_object (const Reading *reading, const char *key)
+{
+  for (guint i = 0; i < reading->response.objects->len; i++)
+    {
+      const SsObject *o
+          = &g_array_index (reading->response.objects, SsObject, i);
+
+      if (strcmp (o->key, key) == 0)
+        return o;
+    }
+  return NULL;
+}
+
+#define ENTRY(name, revision, spec)                                            \
+  "{\"meta\":{\"name\":\"" name "\",\"revision\":" revision "},\"spec\":" spec \
+  ",\"status\":{}}"
+#define GOOD_SPEC(port)                                                        \
+  "{\"service\":\"s\",\"address\":\"10.0.0.1:" port "\",\"zone\":\"z\","       \
+  "\"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\"cold_left_ms\":0,"     \
+  "\"sequence\":7}"
+#define GOOD_1 ENTRY ("i-1", "71", GOOD_SPEC ("81"))
+#define GOOD_2 ENTRY ("i-2", "72", GOOD_SPEC ("82"))
+
+/* Returns a list, or the events of a watch, with ODD before, between or after
+ * two valid entries, to be freed with g_free.
+ */
+static char *
+response_text (SsPageKind kind, const char *odd, uint32_t place)
+{
+  const char *texts[3] = { GOOD_1, GOOD_2, GOOD_2 };
+  const char *before = kind == SS_PAGE_WATCH ? "{\"object\":" : "";
+  const char *after = kind == SS_PAGE_WATCH ? ",\"deleted\":false}" : "";
+
+  texts[2] = place == 2 ? odd : GOOD_2;
+  texts[1] = place == 1 ? odd : place == 2 ? GOOD_2 : GOOD_1;
+  texts[0] = place == 0 ? odd : GOOD_1;
+  return g_strdup_printf (
+      "{\"%s\": [%s%s%s ,\n%s%s%s, %s%s%s],\"has_more\":false,\"at_rev\":%d}\n",
+      kind == SS_PAGE_WATCH ? "events" : "items", before, texts[0], after,
+      before, texts[1], after, before, texts[2], after, AT_REV);
+}
+
+static void
+expect_good (const Reading *reading, const char *key, int64_t revision)
+{
+  const SsObject *o = find_object (reading, key);
+
+  CU_ASSERT_PTR_NOT_NULL (o);
+  CU_ASSERT (o && !o->deleted && o->value);
+  CU_ASSERT (o && o->version == ss_version (ERA, revision));
+}
+
+/* The entry i-odd, if it is named, is reported as deleted, and by one line. */
+static void
+expect_absent (const Reading *reading, bool is_named)
+{
+  const SsObject *odd = find_object (reading, "target/i-odd");
+
+  CU_ASSERT_PTR_NOT_NULL (reading->page);
+  CU_ASSERT (reading->response.objects->len == (is_named ? 3 : 2));
+  expect_good (reading, "target/i-1", 71);
+  expect_good (reading, "target/i-2", 72);
+  CU_ASSERT (!is_named || odd);
+  CU_ASSERT (!odd
+             || (odd->deleted && !odd->value && !odd->value_bytes
+                 && odd->version > 0));
+  CU_ASSERT (reading->log_lines == 1);
+  CU_ASSERT (reading->longest_log_bytes <= SS_RESPONSE_LOG_MAX_BYTES);
+  CU_ASSERT (reading->response.revision == ss_version (ERA, AT_REV));
+}
+
+/* Returns whether all that is expected held for ODD at each place of a list and
+ * of a watch.
+ */
+static void
+check_odd_entry (const char *odd, bool is_named)
+{
+  unsigned failures = CU_get_number_of_failures ();
+
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      SsPageKind kind = i < 3 ? SS_PAGE_LIST : SS_PAGE_WATCH;
+      char *text = response_text (kind, odd, i % 3);
+      Reading reading;
+
+      reading_init (&reading, kind, "servers", text);
+      expect_absent (&reading, is_named);
+      reading_finish (&reading);
+      g_free (text);
+    }
+  if (CU_get_number_of_failures () != failures)
+    g_printerr ("odd entry: %.200s\n", odd);
+}
+
+/* --- entries that the JSON parser refuses --- */
+
+#define ODD(spec) ENTRY ("i-odd", "80", spec)
+#define SPEC_WITH(members)                                                     \
+  "{\"service\":\"s\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\","             \
+  "\"state\":\"ready\"" members "}"
+#define HUGE "99999999999999999999"
+
+static const char *const refused_entries[] = {
+  ODD (SPEC_WITH (",\"slots\":" HUGE)),
+  ODD (SPEC_WITH (",\"born\":" HUGE)),
+  ODD (SPEC_WITH (",\"sequence\":" HUGE)),
+  ODD (SPEC_WITH (",\"cold_left_ms\":1e999")),
+  ODD (SPEC_WITH (",\"cold_left_ms\":-1e999")),
+  ODD (SPEC_WITH (",\"port\":" HUGE)),
+  ODD (SPEC_WITH (",\"version\":\"\xff\xfe\x80\"")),
+  ODD (SPEC_WITH (",\"version\":\"\xc3\"")),
+  ODD (SPEC_WITH (",\"version\":\"a\nb\"")),
+  ODD (SPEC_WITH (",\"version\":\"\\u0000\"")),
+  ODD (SPEC_WITH (",\"version\":\"\\ud800\"")),
+  ODD (SPEC_WITH (",\"version\":\"\\x]}\"")),
+  ODD (SPEC_WITH (",\"ver\xffsion\":1")),
+  ODD (SPEC_WITH (",\"slots\":0x10")),
+  ODD (SPEC_WITH (",\"slots\":-")),
+  ODD (SPEC_WITH (",\"slots\":NaN")),
+  ODD (SPEC_WITH (",\"slots\" 3")),
+  ODD (SPEC_WITH (",\"state\":\"draining\"")),
+  ODD ("\xff\xfe"),
+  "{\"meta\":{\"name\":\"i-odd\",\"revision\":" HUGE "},\"spec\":{}}",
+  "{\"meta\":{\"name\":\"i-odd\",\"revision\":1e999},\"spec\":{}}",
+  "{\"meta\":{\"name\":\"i-odd\",\"revision\":80,\"finalizers\":[\"\xff\"]},"
+  "\"spec\":{}}",
+  "{\"spec\":{\"slots\":" HUGE "},\"meta\":{\"revision\":80,"
+  "\"name\":\"i-odd\"}}",
+};
+
+/* Guards against DRAIN and RECOVER (review/2): an entry that the JSON parser
+ * refuses hid all others of its kind.
+ */
+static void
+refused_entry_leaves_others_in_force (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (refused_entries); i++)
+    check_odd_entry (refused_entries[i], true);
+}
+
+/* Returns LEVELS of OPENING around 1, closed by CLOSING. */
+static char *
+nested (const char *opening, const char *closing)
+{
+  GString *text = g_string_new (NULL);
+
+  for (uint32_t i = 0; i < LEVELS; i++)
+    g_string_append (text, opening);
+  g_string_append_c (text, '1');
+  for (uint32_t i = 0; i < LEVELS; i++)
+    g_string_append (text, closing);
+  return g_string_free (text, FALSE);
+}
+
+static void
+check_nested (const char *value)
+{
+  char *in_spec = g_strdup_printf (ODD (SPEC_WITH (",\"version\":%s")), value);
+  char *as_spec = g_strdup_printf (ODD ("%s"), value);
+  char *in_meta = g_strdup_printf (
+      "{\"meta\":{\"name\":\"i-odd\",\"revision\":80,\"finalizers\":%s},"
+      "\"spec\":{}}",
+      value);
+  char *in_status = g_strdup_printf (
+      "{\"status\":%s,\"meta\":{\"name\":\"i-odd\",\"revision\":80},"
+      "\"spec\":" SPEC_WITH ("") "}",
+      value);
+
+  check_odd_entry (in_spec, true);
+  check_odd_entry (as_spec, true);
+  check_odd_entry (in_meta, true);
+  check_odd_entry (in_status, true);
+  check_odd_entry (value, false);
+  g_free (in_spec);
+  g_free (as_spec);
+  g_free (in_meta);
+  g_free (in_status);
+}
+
+/* Guards against the same, and against a stack that overflows, by an entry that
+ * is very deeply nested.
+ */
+static void
+deeply_nested_entry_leaves_others_in_force (void)
+{
+  char *arrays = nested ("[", "]");
+  char *objects = nested ("{\"a\":", "}");
+  char *mixed = nested ("[{\"]}\\\"\":", "}]");
+
+  check_nested (arrays);
+  check_nested (objects);
+  check_nested (mixed);
+  g_free (arrays);
+  g_free (objects);
+  g_free (mixed);
+}
+
+static const char *const unnamed_entries[] = {
+  "7",
+  "null",
+  "\"i-odd\"",
+  "[]",
+  "{}",
+  "-1e999",
+  "\"\xff\"",
+  "{\"meta\":7,\"spec\":{}}",
+  "{\"meta\":{},\"spec\":" SPEC_WITH ("") "}",
+  ENTRY ("", "80", SPEC_WITH ("")),
+  ENTRY ("\xff\xfe", "80", SPEC_WITH ("")),
+  ENTRY ("a\nb", "80", SPEC_WITH ("")),
+  ENTRY ("\\u0000", "80", SPEC_WITH ("")),
+  "{\"meta\":{\"name\":7,\"revision\":80},\"spec\":" SPEC_WITH ("") "}",
+  "{\"meta\":{\"name\":[\"i-odd\"],\"revision\":80},\"spec\":" SPEC_WITH (
+      "") "}",
+};
+
+/* Guards against an entry without a name that hides others. */
+static void
+unnamed_entry_leaves_others_in_force (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (unnamed_entries); i++)
+    check_odd_entry (unnamed_entries[i], false);
+}
+
+/* Guards against a server that is kept or removed by chance: of a member that
+ * is there twice nobody knows which one holds.
+ */
+static void
+entry_with_doubled_member_is_absent (void)
+{
+  check_odd_entry (ODD (SPEC_WITH (",\"address\":\"10.0.0.8:80\"")), true);
+  check_odd_entry ("{\"meta\":{\"name\":\"i-9\",\"name\":\"i-odd\","
+                   "\"revision\":80},\"spec\":" SPEC_WITH ("") "}",
+                   true);
+}
+
+/* Guards against a store that counts as having answered although its response
+ * was cut off or is no list, and then has no objects.
+ */
+static void
+damaged_response_is_no_list (void)
+{
+  static const char *const bad[] = {
+    "",
+    " ",
+    "null",
+    "[]",
+    "{",
+    "{\"items\":[",
+    "{\"items\":[" GOOD_1 ",",
+    "{\"items\":[" GOOD_1 "]",
+    "{\"items\":[" GOOD_1 "],\"at_rev\":9",
+    "{\"items\":[" GOOD_1 "],\"at_rev\":9}}",
+    "{\"items\":[" GOOD_1 "],\"at_rev\":9} x",
+    "{\"items\":[" GOOD_1 " " GOOD_2 "],\"at_rev\":9}",
+    "{\"items\":[" GOOD_1 ",],\"at_rev\":9}",
+    "{\"items\":[," GOOD_1 "],\"at_rev\":9}",
+    "{\"items\":[" GOOD_1 "}",
+    "{\"items\":[\"",
+    "{\"items\":[\"\\",
+    "{\"items\":[\"\\\"],\"at_rev\":9}",
+    "{\"items\":[{\"a\":[}],\"at_rev\":9}",
+    "{\"items\":[{\"a\":1]],\"at_rev\":9}",
+    "{\"items\" [],\"at_rev\":9}",
+    "{items:[],\"at_rev\":9}",
+    "{\"items\":[],\"at_rev\":" HUGE "}",
+    "{\"items\":[],\"at_rev\":}",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      SsPage *page = new_page (SS_PAGE_LIST, bad[i]);
+
+      CU_ASSERT_PTR_NULL (page);
+      if (page)
+        g_printerr ("damaged response: %s\n", bad[i]);
+      g_clear_pointer (&page, ss_page_free);
+    }
+}
+
+/* Guards against a response that is read past its end, wherever it is cut. */
+static void
+response_is_cut_anywhere (void)
+{
+  char *text = response_text (SS_PAGE_LIST, refused_entries[0], 1);
+  size_t bytes = strlen (text) - strlen ("\n");
+
+  for (size_t i = 0; i <= bytes; i++)
+    {
+      GByteArray *body = g_byte_array_new_take (g_memdup2 (text, i + 1), i);
+      SsPage *page = ss_page_new (SS_PAGE_LIST, body);
+
+      CU_ASSERT ((page != NULL) == (i == bytes));
+      g_clear_pointer (&page, ss_page_free);
+    }
+  g_free (text);
+}
+
+/* --- log lines --- */
+
+/* Guards against a log line as long as another writer likes. */
+static void
+log_lines_are_bounded (void)
+{
+  char *long_text = g_strnfill (LONG_NAME_BYTES, 'x');
+  char *long_name = g_strdup_printf (ENTRY ("%s", "80", "{}"), long_text);
+  char *long_state
+      = g_strdup_printf (ODD ("{\"service\":\"s\",\"zone\":\"z\","
+                              "\"address\":\"10.0.0.9:80\",\"state\":\"%s\"}"),
+                         long_text);
+  const char *const odd[] = { long_name, long_state };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      char *text = response_text (SS_PAGE_LIST, odd[i], 1);
+      Reading reading;
+
+      reading_init (&reading, SS_PAGE_LIST, "servers", text);
+      CU_ASSERT (reading.log_lines == 1);
+      CU_ASSERT (reading.longest_log_bytes <= SS_RESPONSE_LOG_MAX_BYTES);
+      reading_finish (&reading);
+      g_free (text);
+    }
+  g_free (long_text);
+  g_free (long_name);
+  g_free (long_state);
+}
+
+/* Guards against a key of an organisation in the log: the parser quotes what it
+ * can't read.
+ */
+static void
+log_lines_quote_no_key (void)
+{
+  Reading reading;
+
+  reading_init (&reading, SS_PAGE_LIST, "config",
+                "{\"items\":[" ENTRY (
+                    "main", "5",
+                    "{\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"secret\" "
+                    "1]}]}") "],\"at_rev\":9}");
+  CU_ASSERT (reading.log_lines == 1);
+  CU_ASSERT (reading.last_detail && !strstr (reading.last_detail, "secret"));
+  reading_finish (&reading);
+}
+
+/* --- pages of a list --- */
+
+static void
+expect_next (const char *item, const char *after, const char *expected)
+{
+  char *text = g_strdup_printf (
+      "{\"items\":[" GOOD_1 ",%s],\"has_more\":true,\"at_rev\":9}", item);
+  SsPage *page = new_page (SS_PAGE_LIST, text);
+  char *next = page ? ss_page_next_after (page, after) : g_strdup ("(no page)");
+
+  CU_ASSERT (g_strcmp0 (next, expected) == 0);
+  if (g_strcmp0 (next, expected) != 0)
+    g_printerr ("next page of %s: %s\n", item, next ? next : "none");
+  g_free (next);
+  g_clear_pointer (&page, ss_page_free);
+  g_free (text);
+}
+
+/* Guards against a list that stops, or begins again and again, at an odd entry:
+ * all that come after it would be unknown, and count as deleted.
+ */
+static void
+list_goes_on_after_odd_entry (void)
+{
+  SsPage *page;
+
+  expect_next (GOOD_2, NULL, "i-2");
+  for (size_t i = 0; i < G_N_ELEMENTS (refused_entries); i++)
+    expect_next (refused_entries[i], "i-0", "i-odd");
+  expect_next (ENTRY ("\xff\xfe", "8", "{}"), NULL, "\xff\xfe");
+  expect_next (ENTRY ("a \\\"b\\\"", "8", "{}"), NULL, "a \"b\"");
+  /* Without a name the page before it tells where to go on. */
+  for (size_t i = 0; i < 9; i++)
+    expect_next (unnamed_entries[i], "i-0", "i-1");
+  /* An end that can't be told from the beginning of this page is the end. */
+  expect_next ("7", "i-1", NULL);
+  page = new_page (SS_PAGE_LIST,
+                   "{\"items\":[],\"has_more\":true,\"at_rev\":9}");
+  CU_ASSERT_PTR_NULL (ss_page_next_after (page, "i-1"));
+  ss_page_free (page);
+}
+
+/* --- objects of other kinds --- */
+
+static const char *const odd_specs[]
+    = { "7", "[]", "{\"term\":" HUGE "}", "{\"primary\":\"\xff\"}" };
+
+/* Guards against an object that stays although it was deleted, as what it was
+ * can't be read.
+ */
+static void
+deletion_of_unreadable_object_holds (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_specs); i++)
+    {
+      char *text = g_strdup_printf (
+          "{\"events\":[{\"deleted\":true,\"object\":" ENTRY (
+              "g", "5", "%s") "}],\"at_rev\":9}",
+          odd_specs[i]);
+      const SsObject *o;
+      Reading reading;
+
+      reading_init (&reading, SS_PAGE_WATCH, "sapphirestair-vms", text);
+      o = find_object (&reading, "vm/g");
+      CU_ASSERT (o && o->deleted && o->version == ss_version (ERA, 5));
+      CU_ASSERT (reading.log_lines == 0);
+      reading_finish (&reading);
+      g_free (text);
+    }
+}
+
+static bool
+reads_object (const char *kind, const char *text, SsRecord *record)
+{
+  GByteArray *body = g_byte_array_new ();
+  Reading reading;
+  bool is_valid;
+
+  g_byte_array_append (body, (const guint8 *) text, (guint) strlen (text));
+  reading_init (&reading, SS_PAGE_LIST, kind, "{\"items\":[]}");
+  is_valid = ss_response_read_object (&reading.response, record, body);
+  CU_ASSERT (is_valid || !*text || reading.log_lines == 1);
+  reading_finish (&reading);
+  g_byte_array_unref (body);
+  return is_valid;
+}
+
+/* Guards against an answer about one object that is taken for another state of
+ * it, or goes unnoticed, as it can't be read.
+ */
+static void
+single_object_is_read_or_refused (void)
+{
+  static const char *const bad[]
+      = { "",
+          "7",
+          "{}",
+          "{\"meta\":{\"name\":\"g\"",
+          ENTRY ("g", "5", "{\"term\":1e999,\"primary\":\"i-1\"}"),
+          ENTRY ("g", "5", "{\"term\":1,\"primary\":\"\xff\"}"),
+          ENTRY ("g", "5", "7") };
+  SsRecord record;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      CU_ASSERT (!reads_object ("sapphirestair-groups", bad[i], &record));
+      CU_ASSERT_PTR_NULL (record.value);
+      ss_record_finish (&record);
+    }
+  CU_ASSERT (reads_object ("sapphirestair-groups",
+                           ENTRY ("g", "5", "{\"term\":1,\"primary\":\"i-1\"}"),
+                           &record));
+  CU_ASSERT_STRING_EQUAL (record.value, "{\"primary\":\"i-1\",\"term\":1}");
+  CU_ASSERT (record.version == ss_version (ERA, 5));
+  ss_record_finish (&record);
+}
+
+CU_TestInfo test_odd_entries[] = {
+  { "refused entry leaves others in force",
+    refused_entry_leaves_others_in_force },
+  { "deeply nested entry leaves others in force",
+    deeply_nested_entry_leaves_others_in_force },
+  { "unnamed entry leaves others in force",
+    unnamed_entry_leaves_others_in_force },
+  { "entry with doubled member is absent",
+    entry_with_doubled_member_is_absent },
+  { "damaged response is no list", damaged_response_is_no_list },
+  { "response is cut anywhere", response_is_cut_anywhere },
+  { "log lines are bounded", log_lines_are_bounded },
+  { "log lines quote no key", log_lines_quote_no_key },
+  { "list goes on after odd entry", list_goes_on_after_odd_entry },
+  { "deletion of unreadable object holds",
+    deletion_of_unreadable_object_holds },
+  { "single object is read or refused", single_object_is_read_or_refused },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -21,6 +21,7 @@
   X (session)                                                                  \
   X (scram)                                                                    \
   X (discovery)                                                                \
+  X (odd_entries)                                                              \
   X (identity)                                                                 \
   X (line)                                                                     \
   X (statement_text)                                                           \
