An object that can't be read doesn't count as deleted

Beside the reported fault: a group, a VM or the routes whose object can't be read was left out of the response, and a list of all objects without it meant that it is deleted: a VM that asked the others got no group, a VM counted as gone, and its own leases ended. In a watch the same object kept its last content. Now it is reported as there and unreadable (SsObject.unreadable): the last one that could be read stays in force, from a list as from a watch.

--- a/src/core/config_sync.c
+++ b/src/core/config_sync.c
@@ -186,7 +186,8 @@
 bool
 ss_config_sync_adopt (SsNode *node, const SsObject *object)
 {
-  return !defer_deletion (node, object) && adopt_now (node, object);
+  return !object->unreadable && !defer_deletion (node, object)
+         && adopt_now (node, object);
 }
 
 /* --- pushes --- */
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -79,6 +79,10 @@
   bool deleted;
   int64_t sequence; /* the operator's own number of this content, which rises
                        with each change; 0: unknown */
+  /* There is an object under KEY, but its content can't be read: the last one
+   * stays in force.
+   */
+  bool unreadable;
 } SsObject;
 
 /* The watches on the platform: one for all objects, or one for each kind. */
--- a/tests/test_command.c
+++ b/tests/test_command.c
@@ -79,7 +79,8 @@
 static void
 put_object (const char *key, int64_t version, const char *json)
 {
-  SsObject o = { key, version, json, (uint32_t) strlen (json), false, 0 };
+  SsObject o
+      = { key, version, json, (uint32_t) strlen (json), false, 0, false };
   SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
 
   e.platform_objects.outcome = SS_PLATFORM_DONE;
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -13,7 +13,8 @@
 static SsAdoption
 adopt (SsConfig *config, const char *key, int64_t version, const char *json)
 {
-  SsObject o = { key, version, json, (uint32_t) strlen (json), false, 0 };
+  SsObject o
+      = { key, version, json, (uint32_t) strlen (json), false, 0, false };
   char *error;
   SsAdoption result = ss_config_adopt (config, &o, 0, &error);
 
@@ -177,7 +178,7 @@
     {
       const OrganisationRow *row = &organisation_rows[i];
       SsObject o = { "routes/main", 2, row->json, (uint32_t) strlen (row->json),
-                     false,         0 };
+                     false,         0, false };
       const SsOrganisation *a;
       SsConfig c;
       char *error;
@@ -333,7 +334,7 @@
 organisation_objects_hold_keys_by_name (void)
 {
   SsConfig c;
-  SsObject deletion = { "organisation/a", 9, NULL, 0, true, 0 };
+  SsObject deletion = { "organisation/a", 9, NULL, 0, true, 0, false };
   char *error;
   char *first;
   char *second;
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -5,6 +5,7 @@
 
 #include "core/version.h"
 #include "platform/responses.h"
+#include "tests/line_sim.h"
 #include "tests/unit.h"
 
 #define LEVELS 100000
@@ -47,16 +48,23 @@
 }
 
 static void
-reading_init (Reading *reading, SsPageKind page_kind, const char *kind,
-              const char *text)
+reading_init_in_era (Reading *reading, SsPageKind page_kind, const char *kind,
+                     const char *text, int64_t era)
 {
   memset (reading, 0, sizeof *reading);
-  ss_response_init (&reading->response, kind, ERA, count_line, reading);
+  ss_response_init (&reading->response, kind, era, count_line, reading);
   reading->page = new_page (page_kind, text);
   if (reading->page)
     ss_response_add_page (&reading->response, reading->page);
 }
 
+static void
+reading_init (Reading *reading, SsPageKind page_kind, const char *kind,
+              const char *text)
+{
+  reading_init_in_era (reading, page_kind, kind, text, ERA);
+}
+
 static void
 reading_finish (Reading *reading)
 {
@@ -114,7 +122,7 @@
   const SsObject *o = find_object (reading, key);
 
   CU_ASSERT_PTR_NOT_NULL (o);
-  CU_ASSERT (o && !o->deleted && o->value);
+  CU_ASSERT (o && !o->deleted && !o->unreadable && o->value);
   CU_ASSERT (o && o->version == ss_version (ERA, revision));
 }
 
@@ -459,6 +467,40 @@
 static const char *const odd_specs[]
     = { "7", "[]", "{\"term\":" HUGE "}", "{\"primary\":\"\xff\"}" };
 
+/* Guards against a VM or a group that counts as deleted, as its object can't be
+ * read: the last one that could be read stays in force.
+ */
+static void
+unreadable_object_is_not_deleted (void)
+{
+  static const char *const kinds[][2] = { { "sapphirestair-groups", "group/g" },
+                                          { "sapphirestair-vms", "vm/g" },
+                                          { "config", "routes/g" } };
+
+  for (size_t i = 0; i < 3 * G_N_ELEMENTS (odd_specs); i++)
+    {
+      const char *kind = kinds[i % 3][0];
+      char *text = g_strdup_printf (
+          "{\"items\":[" ENTRY ("g", "5", "%s") "],\"at_rev\":9}",
+          odd_specs[i / 3]);
+      const SsObject *o;
+      Reading reading;
+
+      if (i == 3 * 2 + 2)
+        {
+          g_free (text); /* a configuration has no such member */
+          continue;
+        }
+      reading_init (&reading, SS_PAGE_LIST, kind, text);
+      o = find_object (&reading, kinds[i % 3][1]);
+      CU_ASSERT (o && o->unreadable && !o->deleted && !o->value);
+      CU_ASSERT (o && o->version == ss_version (ERA, 5));
+      CU_ASSERT (reading.log_lines == 1);
+      reading_finish (&reading);
+      g_free (text);
+    }
+}
+
 /* Guards against an object that stays although it was deleted, as what it was
  * can't be read.
  */
@@ -529,6 +571,51 @@
   ss_record_finish (&record);
 }
 
+/* Gives the core a complete list of WATCH that is TEXT. */
+static void
+deliver_list (LineSim *sim, SsWatch watch, const char *text)
+{
+  Reading reading;
+  SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS, .era = sim->era };
+
+  reading_init_in_era (&reading, SS_PAGE_LIST, ss_record_watch_kind (watch),
+                       text, sim->era);
+  CU_ASSERT_PTR_NOT_NULL (reading.page);
+  e.platform_objects.outcome = SS_PLATFORM_DONE;
+  e.platform_objects.watch = watch;
+  e.platform_objects.complete = true;
+  e.platform_objects.listed = true;
+  e.platform_objects.revision = reading.response.revision;
+  e.platform_objects.objects
+      = (const SsObject *) (const void *) reading.response.objects->data;
+  e.platform_objects.object_count = reading.response.objects->len;
+  ss_watch_handle_objects (&sim->node, &e);
+  reading_finish (&reading);
+}
+
+/* Guards against a group that counts as deleted in all VMs, as its object can't
+ * be read: a VM that asks them would get none.
+ */
+static void
+core_keeps_group_that_cannot_be_read (void)
+{
+  LineSim sim;
+  const SsStoredObject *stored;
+  uint64_t term;
+
+  line_sim_init (&sim, 1, 2, 8);
+  CU_ASSERT (line_sim_write (&sim, 1000));
+  term = ss_config_group (&sim.node.config, "g")->term;
+  deliver_list (&sim, SS_WATCH_GROUPS,
+                "{\"items\":[" ENTRY ("g", "5000", "7") "],\"at_rev\":6000}");
+  stored = ss_config_object (&sim.node.config, "group/g");
+  CU_ASSERT (stored && !stored->deleted);
+  CU_ASSERT (ss_config_group (&sim.node.config, "g")->term == term);
+  CU_ASSERT_PTR_NOT_NULL (
+      ss_group_primary (ss_config_group (&sim.node.config, "g")));
+  line_sim_finish (&sim);
+}
+
 CU_TestInfo test_odd_entries[] = {
   { "refused entry leaves others in force",
     refused_entry_leaves_others_in_force },
@@ -543,8 +630,11 @@
   { "log lines are bounded", log_lines_are_bounded },
   { "log lines quote no key", log_lines_quote_no_key },
   { "list goes on after odd entry", list_goes_on_after_odd_entry },
+  { "unreadable object is not deleted", unreadable_object_is_not_deleted },
   { "deletion of unreadable object holds",
     deletion_of_unreadable_object_holds },
   { "single object is read or refused", single_object_is_read_or_refused },
+  { "core keeps group that cannot be read",
+    core_keeps_group_that_cannot_be_read },
   CU_TEST_INFO_NULL,
 };
--- a/tests/test_restore.c
+++ b/tests/test_restore.c
@@ -16,8 +16,8 @@
 adopt (SsConfig *config, const char *key, int64_t version, int64_t sequence,
        const char *json)
 {
-  SsObject o
-      = { key, version, json, (uint32_t) strlen (json), false, sequence };
+  SsObject o = { key,   version,  json, (uint32_t) strlen (json),
+                 false, sequence, false };
   char *error;
   SsAdoption result = ss_config_adopt (config, &o, 1, &error);
 
--- a/tests/test_session.c
+++ b/tests/test_session.c
@@ -11,7 +11,7 @@
 static void
 put_object (const char *key, const char *json)
 {
-  SsObject o = { key, 1, json, (uint32_t) strlen (json), false, 0 };
+  SsObject o = { key, 1, json, (uint32_t) strlen (json), false, 0, false };
   SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
 
   e.platform_objects.outcome = SS_PLATFORM_DONE;
