An entry whose name, service or zone is not one word names no server

Beside the reported fault: an entry with a space or a control character in its id, its service or its zone became a server of its group. No message can name it, so that no connection to it was opened; it counted in the group's majority all the same. 'Entry with odd values is absent' (46 entries: addresses, ports, types, missing fields, states, numbers) guards what held already, but for revisions.

--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -310,6 +310,118 @@
                    true);
 }
 
+/* --- entries whose values no server can have --- */
+
+#define SPEC(service, address, zone, state)                                    \
+  ODD ("{\"service\":" service ",\"address\":" address ",\"zone\":" zone       \
+       ",\"state\":" state "}")
+#define ADDRESS(address) SPEC ("\"s\"", address, "\"z\"", "\"ready\"")
+
+static const char *const odd_values[] = {
+  ODD ("7"),
+  ODD ("null"),
+  ODD ("[]"),
+  ODD ("{}"),
+  "{\"meta\":{\"name\":\"i-odd\",\"revision\":80}}",
+  "{\"meta\":{\"name\":\"i-odd\"},\"spec\":" SPEC_WITH ("") "}",
+  ENTRY ("i-odd", "0", SPEC_WITH ("")),
+  ENTRY ("i-odd", "-1", SPEC_WITH ("")),
+  ENTRY ("i-odd", "1.5", SPEC_WITH ("")),
+  ENTRY ("i-odd", "\"80\"", SPEC_WITH ("")),
+  ENTRY ("i-odd", "1099511627776", SPEC_WITH ("")),
+  ENTRY ("i-odd", "9223372036854775807", SPEC_WITH ("")),
+  ADDRESS ("\"\""),
+  ADDRESS ("\":\""),
+  ADDRESS ("\"10.0.0.1\""),
+  ADDRESS ("\"10.0.0.1:\""),
+  ADDRESS ("\"10.0.0.1:0\""),
+  ADDRESS ("\"10.0.0.1:-1\""),
+  ADDRESS ("\"10.0.0.1:65536\""),
+  ADDRESS ("\"10.0.0.1:65616\""),
+  ADDRESS ("\"10.0.0.1:99999999999\""),
+  ADDRESS ("\"10.0.0.1:99999999999999999999\""),
+  ADDRESS ("\"10.0.0.1:1e3\""),
+  ADDRESS ("\"10.0.0.1:+80\""),
+  ADDRESS ("\"10.0.0.1: 80\""),
+  ADDRESS ("\"10.0.0.1:80 \""),
+  ADDRESS ("\"10.0.0.1:80:80\""),
+  ADDRESS ("\"10.0.0.1:0x50\""),
+  ADDRESS ("\"10.0.0.256:80\""),
+  ADDRESS ("\"localhost:80\""),
+  ADDRESS ("\"[::1]:80\""),
+  ADDRESS ("80"),
+  ADDRESS ("null"),
+  ADDRESS ("[\"10.0.0.1:80\"]"),
+  SPEC ("\"s\"", "\"10.0.0.9:80\"", "\"z\"", "\"asleep\""),
+  SPEC ("\"s\"", "\"10.0.0.9:80\"", "\"z\"", "\"READY\""),
+  SPEC ("\"s\"", "\"10.0.0.9:80\"", "\"z\"", "true"),
+  SPEC ("7", "\"10.0.0.9:80\"", "\"z\"", "\"ready\""),
+  SPEC ("\"\"", "\"10.0.0.9:80\"", "\"z\"", "\"ready\""),
+  SPEC ("\"s\"", "\"10.0.0.9:80\"", "{}", "\"ready\""),
+  ODD (SPEC_WITH (",\"slots\":-1")),
+  ODD (SPEC_WITH (",\"slots\":1.5")),
+  ODD (SPEC_WITH (",\"slots\":\"3\"")),
+  ODD (SPEC_WITH (",\"born\":-1")),
+  ODD (SPEC_WITH (",\"born\":1e3")),
+  ODD (SPEC_WITH (",\"born\":true")),
+};
+
+/* Guards against a server at an address that another writer made up, such as
+ * port 80 out of 65616, and against others that are lost with it.
+ */
+static void
+entry_with_odd_values_is_absent (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (odd_values); i++)
+    check_odd_entry (odd_values[i], true);
+}
+
+static const char *const not_one_word[] = {
+  SPEC ("\"s t\"", "\"10.0.0.9:80\"", "\"z\"", "\"ready\""),
+  SPEC ("\" s\"", "\"10.0.0.9:80\"", "\"z\"", "\"ready\""),
+  SPEC ("\"s\\n\"", "\"10.0.0.9:80\"", "\"z\"", "\"ready\""),
+  SPEC ("\"s\\u007f\"", "\"10.0.0.9:80\"", "\"z\"", "\"ready\""),
+  SPEC ("\"s\"", "\"10.0.0.9:80\"", "\"z z\"", "\"ready\""),
+  SPEC ("\"s\"", "\"10.0.0.9:80\"", "\"z\\r\\n\"", "\"ready\""),
+  SPEC ("\"s\"", "\"10.0.0.9:80\"", "\" \"", "\"ready\""),
+};
+
+/* Guards against a server that counts in its service but that no message can
+ * name: no connection to it is ever opened.
+ */
+static void
+entry_that_no_message_can_name_is_absent (void)
+{
+  static const char *const names[][2] = {
+    { "i odd", "target/i odd" },
+    { " ", "target/ " },
+    { "i-odd\\n", "target/i-odd\n" },
+    { "i-odd\\u0001", "target/i-odd\001" },
+    { "i-odd\\u007f", "target/i-odd\177" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (not_one_word); i++)
+    check_odd_entry (not_one_word[i], true);
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      char *odd
+          = g_strdup_printf (ENTRY ("%s", "80", SPEC_WITH ("")), names[i][0]);
+      char *text = response_text (SS_PAGE_LIST, odd, 1);
+      const SsObject *o;
+      Reading reading;
+
+      reading_init (&reading, SS_PAGE_LIST, "servers", text);
+      o = find_object (&reading, names[i][1]);
+      CU_ASSERT (o && o->deleted);
+      CU_ASSERT (reading.log_lines == 1);
+      reading_finish (&reading);
+      g_free (text);
+      g_free (odd);
+    }
+}
+
+/* --- responses that are no list --- */
+
 /* Guards against a store that counts as having answered although its response
  * was cut off or is no list, and then has no objects.
  */
@@ -625,6 +737,9 @@
     unnamed_entry_leaves_others_in_force },
   { "entry with doubled member is absent",
     entry_with_doubled_member_is_absent },
+  { "entry with odd values is absent", entry_with_odd_values_is_absent },
+  { "entry that no message can name is absent",
+    entry_that_no_message_can_name_is_absent },
   { "damaged response is no list", damaged_response_is_no_list },
   { "response is cut anywhere", response_is_cut_anywhere },
   { "log lines are bounded", log_lines_are_bounded },
