--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -2,11 +2,7 @@
 
 #include <string.h>
 
-/* Upper limit of a read kind's staleness: one week. */
-#define STALENESS_MAX_MS (7LL * 24 * 3600 * 1000)
 #define WEIGHT_MAX 1000
-#define SLOTS_MAX 100000
-#define URGENCY_MAX 1000
 
 char *
 ss_parse_text (json_t *json, const char *name, const char *fallback, char **out)
@@ -88,7 +84,7 @@
     int64_t staleness_ms;
 
     if (!error)
-      error = ss_parse_number (kind, "staleness_ms", -1, 0, STALENESS_MAX_MS,
+      error = ss_parse_number (kind, "staleness_ms", -1, 0, SS_STALENESS_MAX_MS,
                                &staleness_ms);
     if (error)
       return error;
@@ -129,7 +125,7 @@
     error = ss_parse_number (json, "timeout_ms", 0, 0, SS_TIMEOUT_MAX_MS,
                              &s->timeout_ms);
   if (!error)
-    error = ss_parse_number (json, "urgency", 0, 0, URGENCY_MAX, &urgency);
+    error = ss_parse_number (json, "urgency", 0, 0, SS_URGENCY_MAX, &urgency);
   if (!error)
     error = ss_parse_number (json, "latency_goal_ms", 0, 0, SS_TIMEOUT_MAX_MS,
                              &s->latency_goal_ms);
@@ -181,7 +177,7 @@
     error = ss_parse_number (json, "max_connections", -1, 4, SS_CONNECTIONS_MAX,
                              &max_connections);
   if (!error)
-    error = ss_parse_number (json, "slots", 0, 0, SLOTS_MAX, &slots);
+    error = ss_parse_number (json, "slots", 0, 0, SS_SLOTS_MAX, &slots);
   if (!error)
     error = ss_parse_number (json, "born_ms", 0, 0, G_MAXINT64, &t->born_ms);
   if (!error)
--- a/src/core/parse.h
+++ b/src/core/parse.h
@@ -13,6 +13,12 @@
 
 /* Upper limit of max_connections for one server. */
 #define SS_CONNECTIONS_MAX 10000
+/* Upper limit of the statements that a server runs at once. */
+#define SS_SLOTS_MAX 100000
+/* Upper limit of a service's urgency. */
+#define SS_URGENCY_MAX 1000
+/* Upper limit of a read kind's staleness: one week. */
+#define SS_STALENESS_MAX_MS (7LL * 24 * 3600 * 1000)
 /* Upper limit of time-outs in objects: 10 minutes. */
 #define SS_TIMEOUT_MAX_MS 600000
 /* Upper limit of an organisation's rate, in operations a second, and burst. */
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -420,6 +420,136 @@
     }
 }
 
+/* --- extremes that the parser accepts --- */
+
+#define INT64_TEXT "9223372036854775807"
+
+/* Returns whether the core takes OBJECT of the store's KIND, or the core's
+ * refusal is foreseen: then it is reported as one that can't be read.
+ */
+static bool
+core_takes_what_is_read (const char *kind, const char *object, bool *is_read)
+{
+  char *text = g_strdup_printf ("{\"items\":[%s],\"at_rev\":90}", object);
+  const SsObject *o;
+  Reading reading;
+  char *refusal = NULL;
+
+  reading_init (&reading, SS_PAGE_LIST, kind, text);
+  o = &g_array_index (reading.response.objects, SsObject, 0);
+  CU_ASSERT (reading.response.objects->len == 1);
+  *is_read = o->value != NULL;
+  if (*is_read)
+    refusal = ss_config_check (o->key, o->value, o->value_bytes);
+  if (refusal)
+    g_printerr ("%s: %s\n", object, refusal);
+  g_free (text);
+  reading_finish (&reading);
+  g_free (refusal);
+  return !refusal;
+}
+
+/* Guards against DRAIN: an entry that the adapter reads and the core refuses
+ * leaves the server in use that had this name before.
+ */
+static void
+server_beyond_limits_of_core_is_absent (void)
+{
+  static const struct
+  {
+    const char *members;
+    bool is_read;
+  } rows[] = {
+    { ",\"slots\":0", true },
+    { ",\"slots\":100000", true },
+    { ",\"slots\":100001", false },
+    { ",\"slots\":2147483648", false },
+    { ",\"slots\":4294967299", false },
+    { ",\"slots\":" INT64_TEXT, false },
+    { ",\"born\":" INT64_TEXT, true },
+    { ",\"sequence\":" INT64_TEXT, true },
+    { ",\"cold_left_ms\":" INT64_TEXT, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      char *odd = g_strdup_printf (
+          ODD ("{\"service\":\"s\",\"address\":\"10.0.0.9:65535\","
+               "\"zone\":\"z\",\"state\":\"ready\"%s}"),
+          rows[i].members);
+      bool is_read;
+
+      CU_ASSERT (core_takes_what_is_read ("servers", odd, &is_read));
+      CU_ASSERT (is_read == rows[i].is_read);
+      if (!rows[i].is_read)
+        check_odd_entry (odd, true);
+      g_free (odd);
+    }
+}
+
+#define ROUTE(members)                                                         \
+  "{\"host\":\"h\",\"service\":\"s\",\"kind\":\"bounded_staleness\"" members "}"
+#define CONFIG(route, service, limits)                                         \
+  ENTRY ("main", "5",                                                          \
+         "{\"version\":4,\"routes\":[" route ",{\"host\":\"other\","           \
+         "\"service\":\"s\",\"kind\":\"primary\"}],\"services\":[{"            \
+         "\"name\":\"s\",\"max_conns\":" service "}],\"limits\":{" limits      \
+         "}}")
+
+/* Guards against CONFIG: a number beyond a limit of the core kept out the whole
+ * configuration, all routes and all later ones with it.
+ */
+static void
+numbers_of_configuration_are_limited (void)
+{
+  static const char *const configs[] = {
+    CONFIG (ROUTE (",\"timeout_ms\":" INT64_TEXT), "21", ""),
+    CONFIG (ROUTE (",\"timeout_ms\":600001"), "21", ""),
+    CONFIG (ROUTE (",\"latency_goal_ms\":" INT64_TEXT), "21", ""),
+    CONFIG (ROUTE (",\"priority\":" INT64_TEXT), "21", ""),
+    CONFIG (ROUTE (",\"priority\":1001"), "21", ""),
+    CONFIG (ROUTE (",\"max_staleness_ms\":" INT64_TEXT), "21", ""),
+    CONFIG (ROUTE (",\"max_staleness_ms\":604800001"), "21", ""),
+    CONFIG (ROUTE (""), INT64_TEXT, ""),
+    CONFIG (ROUTE (""), "10001", ""),
+    CONFIG (ROUTE (""), "21", "\"tx_idle_ms\":" INT64_TEXT),
+    CONFIG (ROUTE (""), "21", "\"tx_idle_ms\":600001"),
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (configs); i++)
+    {
+      bool is_read;
+
+      CU_ASSERT (core_takes_what_is_read ("config", configs[i], &is_read));
+      CU_ASSERT (is_read);
+    }
+}
+
+/* Guards against a configuration that no later one can replace: its number is
+ * compared without its sign.
+ */
+static void
+negative_sequence_is_unknown (void)
+{
+  static const char *const versions[] = { "-1", "\"4\"", "1.5", "null" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      char *text = g_strdup_printf (
+          "{\"items\":[" ENTRY ("main", "5",
+                                "{\"version\":%s}") "],\"at_rev\":9}",
+          versions[i]);
+      const SsObject *o;
+      Reading reading;
+
+      reading_init (&reading, SS_PAGE_LIST, "config", text);
+      o = find_object (&reading, "routes/main");
+      CU_ASSERT (o && o->value && o->sequence == 0);
+      reading_finish (&reading);
+      g_free (text);
+    }
+}
+
 /* --- responses that are no list --- */
 
 /* Guards against a store that counts as having answered although its response
@@ -453,6 +583,8 @@
     "{items:[],\"at_rev\":9}",
     "{\"items\":[],\"at_rev\":" HUGE "}",
     "{\"items\":[],\"at_rev\":}",
+    "{\"items\":[],\"at_rev\":-1}",
+    "{\"items\":[],\"at_rev\":1099511627776}",
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
@@ -740,6 +872,11 @@
   { "entry with odd values is absent", entry_with_odd_values_is_absent },
   { "entry that no message can name is absent",
     entry_that_no_message_can_name_is_absent },
+  { "server beyond limits of core is absent",
+    server_beyond_limits_of_core_is_absent },
+  { "numbers of configuration are limited",
+    numbers_of_configuration_are_limited },
+  { "negative sequence is unknown", negative_sequence_is_unknown },
   { "damaged response is no list", damaged_response_is_no_list },
   { "response is cut anywhere", response_is_cut_anywhere },
   { "log lines are bounded", log_lines_are_bounded },
