The name of an object is escaped in the path of a call

Beside the reported fault: the client of the platform's object API put an object's key into the path as it was. A name with "?", "#", "%", a space or "/../", which an operator can give to a group or an organisation, made another path or query: "group/a?if_version=0&b" a write of "group/a" under another condition, "group/../vm/a" one of "vm/a", as libcurl removes dot segments (seen with curl at a server on loopback). Now the name is escaped, its slashes too, and libcurl sends a path as it is, so that a name of ".." stays one. The adapter of the line interface escaped its names already. The paths are in a module without network (plugins/platform_api.c). Evidence: 'name stays within its path' (odd_entries) fails with the format string of before and passes now. For libcurl's option there is no test.

--- a/src/kernel/httpc.c
+++ b/src/kernel/httpc.c
@@ -190,6 +190,8 @@
   call->easy = easy;
   call->response = g_byte_array_new ();
   curl_easy_setopt (easy, CURLOPT_URL, url);
+  /* A name in the path may be "..". */
+  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, append_response);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, call);
--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -6,10 +6,10 @@
 #include "core/version.h"
 #include "kernel/http_outcome.h"
 #include "kernel/plugin.h"
+#include "plugins/platform_api.h"
 
 #define CALL_TIMEOUT_MS 1500
-#define WATCH_WAIT_MS 8000
-#define WATCH_TIMEOUT_MS (WATCH_WAIT_MS + 2000)
+#define WATCH_TIMEOUT_MS (SS_PLATFORM_API_WAIT_MS + 2000)
 
 typedef struct
 {
@@ -162,29 +162,11 @@
 
 /* --- actions --- */
 
-static char *
-call_path (const SsAction *a)
-{
-  switch (a->kind)
-    {
-    case SS_ACTION_PLATFORM_WATCH:
-      return g_strdup_printf ("v1/watch?since=%" G_GINT64_FORMAT "&wait_ms=%d",
-                              ss_version_revision (a->number), WATCH_WAIT_MS);
-    case SS_ACTION_PLATFORM_VMS:
-      return g_strdup ("v1/vms");
-    case SS_ACTION_PLATFORM_PUT:
-      return g_strdup_printf ("v1/objects/%s?if_version=%" G_GINT64_FORMAT,
-                              a->name, ss_version_revision (a->number));
-    default:
-      return g_strdup_printf ("v1/objects/%s", a->name);
-    }
-}
-
 static char *
 call_url (const SsAction *a)
 {
   const SsSettings *s = platform.runtime->settings;
-  char *path = call_path (a);
+  char *path = ss_platform_api_path (a);
   char *url = g_strdup_printf ("http://%s:%d/%s", s->platform_ip,
                                (int) s->platform_port, path);
 
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -5,6 +5,7 @@
 
 #include "core/version.h"
 #include "platform/responses.h"
+#include "plugins/platform_api.h"
 #include "tests/line_sim.h"
 #include "tests/unit.h"
 
@@ -860,6 +861,37 @@
   line_sim_finish (&sim);
 }
 
+/* --- the object API --- */
+
+/* Guards against a name that becomes another path or a query of the call. */
+static void
+name_stays_within_its_path (void)
+{
+  static const char *const paths[][2] = {
+    { "group/orders-1", "v1/objects/group/orders-1?if_version=5" },
+    { "group/a?if_version=0&b", "v1/objects/group/a%3Fif_version%3D0%26b"
+                                "?if_version=5" },
+    { "group/a#b", "v1/objects/group/a%23b?if_version=5" },
+    { "group/a b\r\nc", "v1/objects/group/a%20b%0D%0Ac?if_version=5" },
+    { "group/a%2Fb", "v1/objects/group/a%252Fb?if_version=5" },
+    { "group/../vm/a", "v1/objects/group/..%2Fvm%2Fa?if_version=5" },
+    { "nokind", "v1/objects/nokind?if_version=5" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      SsAction a = { .kind = SS_ACTION_PLATFORM_PUT, .number = 5 };
+      char *name = g_strdup (paths[i][0]);
+      char *path;
+
+      a.name = name;
+      path = ss_platform_api_path (&a);
+      CU_ASSERT_STRING_EQUAL (path, paths[i][1]);
+      g_free (path);
+      g_free (name);
+    }
+}
+
 CU_TestInfo test_odd_entries[] = {
   { "refused entry leaves others in force",
     refused_entry_leaves_others_in_force },
@@ -888,5 +920,6 @@
   { "single object is read or refused", single_object_is_read_or_refused },
   { "core keeps group that cannot be read",
     core_keeps_group_that_cannot_be_read },
+  { "name stays within its path", name_stays_within_its_path },
   CU_TEST_INFO_NULL,
 };
