The object API's client reads each object by itself

The response is split by kernel/json_items.c and each object parsed alone; one that can't be read is skipped, so that the last one stays in force, with one line a response and config_refused.

--- a/src/plugins/platform_http.c
+++ b/src/plugins/platform_http.c
@@ -35,49 +35,37 @@
 
 /* --- responses --- */
 
-/* Reads OUT from {"key", "version", "value"}; *TEXT owns the value and is to be
- * freed with free.  Returns false if the key or the value is missing.
- */
-static bool
-read_object (json_t *json, int64_t era, SsObject *out, char **text)
+static void
+log_refused (uint32_t count)
 {
-  json_t *value = json_object_get (json, "value");
-
-  out->key = json_string_value (json_object_get (json, "key"));
-  out->version = ss_version (
-      era, json_integer_value (json_object_get (json, "version")));
-  *text = value ? json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
-  out->value = *text;
-  out->value_bytes = *text ? (uint32_t) strlen (*text) : 0;
-  return out->key && *text;
+  char detail[64];
+
+  if (!count)
+    return;
+  platform.runtime->node.counters.values[SS_COUNTER_CONFIG_REFUSED] += count;
+  g_snprintf (detail, sizeof detail, "%u objects can't be read", count);
+  ss_log_write (&platform.runtime->log, SS_EVENT_LOG_CONFIG_INVALID, "subject",
+                "watch", "detail", detail, NULL);
 }
 
 static void
-report_watch (Call *call, SsPlatformOutcome outcome, json_t *json)
+report_watch (Call *call, SsPlatformOutcome outcome,
+              const SsPlatformChanges *changes)
 {
-  json_t *items = json_object_get (json, "items");
-  size_t count = json_array_size (items);
-  SsObject *objects = g_new0 (SsObject, count + 1);
-  char **texts = g_new0 (char *, count + 1);
   SsEvent e
       = { .kind = SS_EVENT_PLATFORM_OBJECTS, .era = ss_http_era (&call->http) };
-  uint32_t valid_count = 0;
 
-  for (size_t i = 0; i < count; i++)
-    if (read_object (json_array_get (items, i), e.era, &objects[valid_count],
-                     &texts[i]))
-      valid_count++;
   e.platform_objects.outcome = outcome;
   e.platform_objects.since = call->since;
-  e.platform_objects.revision = ss_version (
-      e.era, json_integer_value (json_object_get (json, "revision")));
-  e.platform_objects.objects = objects;
-  e.platform_objects.object_count = valid_count;
+  if (outcome == SS_PLATFORM_DONE)
+    {
+      e.platform_objects.revision = changes->revision;
+      e.platform_objects.objects
+          = (const SsObject *) (const void *) changes->objects->data;
+      e.platform_objects.object_count = changes->objects->len;
+      log_refused (changes->refused);
+    }
   ss_runtime_event (platform.runtime, &e);
-  for (uint32_t i = 0; i <= count; i++)
-    free (texts[i]);
-  g_free (texts);
-  g_free (objects);
 }
 
 static void
@@ -99,7 +87,7 @@
     }
   else if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
     {
-      if (!read_object (json, e.era, object, &text))
+      if (!ss_platform_api_read_object (json, e.era, object, &text))
         e.platform_object.outcome = SS_PLATFORM_UNKNOWN;
     }
   object->key = call->key;
@@ -138,22 +126,46 @@
                 call->key ? call->key : "watch", "detail", detail, NULL);
 }
 
+static void
+note_outcome (const Call *call, SsPlatformOutcome outcome)
+{
+  log_span (call, outcome);
+  if (outcome != SS_PLATFORM_DONE)
+    platform.runtime->node.counters.values[SS_COUNTER_PLATFORM_ERRORS]++;
+}
+
+static void
+finish_watch (Call *call, SsPlatformOutcome outcome)
+{
+  SsPlatformChanges changes;
+  bool is_split = ss_platform_changes_init (&changes, call->http.response,
+                                            ss_http_era (&call->http));
+
+  if (outcome == SS_PLATFORM_DONE && !is_split)
+    outcome = SS_PLATFORM_UNKNOWN;
+  note_outcome (call, outcome);
+  report_watch (call, outcome, &changes);
+  ss_platform_changes_finish (&changes);
+}
+
 static void
 finish_call (SsHttpCall *http)
 {
   Call *call = (Call *) http;
   SsPlatformOutcome outcome = ss_http_outcome (http);
-  json_t *json = json_loadb ((const char *) http->response->data,
-                             http->response->len, JSON_DECODE_ANY, NULL);
+  json_t *json;
 
+  if (call->kind == SS_ACTION_PLATFORM_WATCH)
+    {
+      finish_watch (call, outcome);
+      return;
+    }
+  json = json_loadb ((const char *) http->response->data, http->response->len,
+                     JSON_DECODE_ANY, NULL);
   if (outcome == SS_PLATFORM_DONE && !json)
     outcome = SS_PLATFORM_UNKNOWN;
-  log_span (call, outcome);
-  if (outcome != SS_PLATFORM_DONE)
-    platform.runtime->node.counters.values[SS_COUNTER_PLATFORM_ERRORS]++;
-  if (call->kind == SS_ACTION_PLATFORM_WATCH)
-    report_watch (call, outcome, json);
-  else if (call->kind == SS_ACTION_PLATFORM_VMS)
+  note_outcome (call, outcome);
+  if (call->kind == SS_ACTION_PLATFORM_VMS)
     report_vms (call, outcome);
   else
     report_object (call, outcome, json);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -863,6 +863,58 @@
 
 /* --- the object API --- */
 
+static void
+expect_changes (const char *text, uint32_t count, uint32_t refused)
+{
+  GByteArray *body = g_byte_array_new ();
+  SsPlatformChanges changes;
+
+  g_byte_array_append (body, (const guint8 *) text, (guint) strlen (text));
+  CU_ASSERT (ss_platform_changes_init (&changes, body, ERA));
+  CU_ASSERT (changes.objects->len == count);
+  CU_ASSERT (changes.refused == refused);
+  CU_ASSERT (changes.revision == ss_version (ERA, 9));
+  for (guint i = 0; i < changes.objects->len; i++)
+    CU_ASSERT_STRING_EQUAL (g_array_index (changes.objects, SsObject, i).value,
+                            "{\"a\":1}");
+  ss_platform_changes_finish (&changes);
+  g_byte_array_unref (body);
+}
+
+#define API_OBJECT(key) "{\"key\":" key ",\"version\":7,\"value\":{\"a\":1}}"
+
+/* Guards against a VM that follows the object API no longer, as one object in
+ * it can't be read.
+ */
+static void
+unreadable_change_leaves_others_in_force (void)
+{
+  static const char *const odd[] = {
+    "7",
+    "{}",
+    "\"\xff\"",
+    API_OBJECT ("7"),
+    "{\"key\":\"target/t\",\"version\":7}",
+    "{\"key\":\"target/t\",\"version\":7,\"value\":{\"slots\":" HUGE "}}",
+    "{\"key\":\"target/t\",\"version\":" HUGE ",\"value\":{}}",
+    "{\"key\":\"target/t\",\"version\":7,\"value\":\"\xff\"}",
+  };
+  char *deep = nested ("[", "]");
+
+  for (size_t i = 0; i <= G_N_ELEMENTS (odd); i++)
+    {
+      char *text = g_strdup_printf (
+          "{\"revision\":9,\"items\":[" API_OBJECT (
+              "\"target/1\"") ",%s," API_OBJECT ("\"target/2\"") "]}",
+          i < G_N_ELEMENTS (odd) ? odd[i] : deep);
+
+      expect_changes (text, 2, 1);
+      g_free (text);
+    }
+  expect_changes ("{\"revision\":9,\"items\":[]}", 0, 0);
+  g_free (deep);
+}
+
 /* Guards against a name that becomes another path or a query of the call. */
 static void
 name_stays_within_its_path (void)
@@ -920,6 +972,8 @@
   { "single object is read or refused", single_object_is_read_or_refused },
   { "core keeps group that cannot be read",
     core_keeps_group_that_cannot_be_read },
+  { "unreadable change leaves others in force",
+    unreadable_change_leaves_others_in_force },
   { "name stays within its path", name_stays_within_its_path },
   CU_TEST_INFO_NULL,
 };
