--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -617,6 +617,91 @@
   g_free (text);
 }
 
+/* --- random damage --- */
+
+#define DAMAGE_ROUNDS 4000
+#define DAMAGED_BYTES_MAX 6
+
+static const char intact_entry[] = ENTRY ("i-odd", "80", GOOD_SPEC ("80"));
+
+/* Returns a copy of TEXT with some bytes replaced, which are none of brackets,
+ * quotes and backslashes if KEEP_STRUCTURE is set, and do not become one.
+ */
+static char *
+damage (GRand *rand, const char *text, bool keep_structure)
+{
+  char *copy = g_strdup (text);
+  size_t bytes = strlen (copy);
+
+  for (gint32 i = g_rand_int_range (rand, 1, DAMAGED_BYTES_MAX); i > 0; i--)
+    {
+      gint32 at = g_rand_int_range (rand, 0, (gint32) bytes);
+      char byte = (char) g_rand_int_range (rand, 1, 256);
+
+      if (keep_structure
+          && (strchr ("[]{}\"\\", copy[at]) || strchr ("[]{}\"\\", byte)))
+        continue;
+      copy[at] = byte;
+    }
+  return copy;
+}
+
+/* Guards against damage of one entry, of whatever kind, that reaches others. */
+static void
+random_damage_stays_within_its_entry (void)
+{
+  GRand *rand = g_rand_new_with_seed (1);
+
+  for (uint32_t i = 0; i < DAMAGE_ROUNDS; i++)
+    {
+      char *odd = damage (rand, intact_entry, true);
+      SsPageKind kind = i % 2 ? SS_PAGE_LIST : SS_PAGE_WATCH;
+      char *text = response_text (kind, odd, i % 3);
+      Reading reading;
+
+      reading_init (&reading, kind, "servers", text);
+      CU_ASSERT_PTR_NOT_NULL (reading.page);
+      expect_good (&reading, "target/i-1", 71);
+      expect_good (&reading, "target/i-2", 72);
+      reading_finish (&reading);
+      g_free (text);
+      g_free (odd);
+    }
+  g_rand_free (rand);
+}
+
+/* Guards against a response that reads or writes beyond its bytes (by the
+ * sanitizers), and against an object of it without what the core reads.
+ */
+static void
+random_damage_is_read_safely (void)
+{
+  GRand *rand = g_rand_new_with_seed (2);
+
+  for (uint32_t i = 0; i < DAMAGE_ROUNDS; i++)
+    {
+      SsPageKind kind = i % 2 ? SS_PAGE_LIST : SS_PAGE_WATCH;
+      char *whole = response_text (kind, intact_entry, i % 3);
+      char *text = damage (rand, whole, false);
+      Reading reading;
+
+      reading_init (&reading, kind, "servers", text);
+      for (guint j = 0; j < reading.response.objects->len; j++)
+        {
+          const SsObject *o
+              = &g_array_index (reading.response.objects, SsObject, j);
+
+          CU_ASSERT (o->key && (o->deleted || (o->value && o->version > 0)));
+        }
+      if (reading.page)
+        g_free (ss_page_next_after (reading.page, "i-1"));
+      reading_finish (&reading);
+      g_free (text);
+      g_free (whole);
+    }
+  g_rand_free (rand);
+}
+
 /* --- log lines --- */
 
 /* Guards against a log line as long as another writer likes. */
@@ -963,6 +1048,9 @@
   { "negative sequence is unknown", negative_sequence_is_unknown },
   { "damaged response is no list", damaged_response_is_no_list },
   { "response is cut anywhere", response_is_cut_anywhere },
+  { "random damage stays within its entry",
+    random_damage_stays_within_its_entry },
+  { "random damage is read safely", random_damage_is_read_safely },
   { "log lines are bounded", log_lines_are_bounded },
   { "log lines quote no key", log_lines_quote_no_key },
   { "list goes on after odd entry", list_goes_on_after_odd_entry },
