A test of statements' texts against real processes

The stand-in of the independent review cuts texts and keeps neither values nor shapes. Change: ss-world starts six daemons on loopback addresses, among stand-ins of the store, of three servers and of 14 callers. What a server ran for an id is compared with what was sent: text, arguments, shape, mode, values, transaction, signature and rows (UNASKED, PINNED, TWICE, MIXED, REFUSED).

--- a/Makefile
+++ b/Makefile
@@ -33,10 +33,14 @@
   $(SIM_O) $B/tests/line_sim.o $B/tests/line_sim_platform.o $B/tests/line_texts.o \
   $B/tests/server_reader.o $B/tests/fleet_sim.o $B/tests/fleet_platform.o $B/tests/cache_sim.o $B/tests/line_params.o $B/tests/rate_sim.o $(filter %/line.o %/dialect.o \
   %/errors.o %/records.o,$(PLATFORM)) $B/src/plugins/metrics.o $B/src/plugins/scram.o $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
+WORLD_O = $(patsubst %.c,$B/%.o,$(wildcard tests/world/*.c)) \
+  $B/tests/server_reader.o $B/src/core/replay.o $B/src/kernel/compare.o
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
-  platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch]))
+  platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] \
+  tests/world/*.[ch]))
 PROGRAMS = $(addprefix $B/,sapphirestaird sapphirectl ss-standin-target \
-  ss-standin-platform ss-standin-network ss-load ss-scenario ss-property ss-unit ss-bench ss-client ss-soak)
+  ss-standin-platform ss-standin-network ss-load ss-scenario ss-property ss-unit ss-bench ss-client ss-soak \
+  ss-world)
 
 all: packages
 	@$(MAKE) --no-print-directory $(PROGRAMS)
@@ -67,6 +71,8 @@
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-soak: $B/bench/ss_soak.o
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$B/ss-world: $(WORLD_O)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-load: $(LOAD_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 
--- /dev/null
+++ b/tests/world/history.h
@@ -0,0 +1,63 @@
+/* history: what callers sent and got, and what servers ran, for check.
+ *
+ * Both lists only grow.  They are filled by many threads and read when all of
+ * these have ended.
+ */
+#ifndef SS_TESTS_WORLD_HISTORY_H
+#define SS_TESTS_WORLD_HISTORY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum
+{
+  WORLD_NO_ANSWER, /* the connection ended, or nothing came in time */
+  WORLD_DONE,
+  WORLD_ERROR
+} WorldOutcome;
+
+/* A statement as a caller sent it. */
+typedef struct
+{
+  char *id;
+  char *text;
+  uint32_t session;
+  uint32_t transaction; /* 0: none */
+  char *values;         /* acknowledged before it was sent */
+  char *prepared;       /* EXECUTE: what the name stands for; else NULL */
+  WorldOutcome outcome;
+  char *answer; /* the signature, or the code and its text */
+  char *rows;   /* each with a line feed behind it */
+} WorldSent;
+
+/* A statement that a server ran, as it arrived. */
+typedef struct
+{
+  char *id;
+  char *text;
+  uint32_t server;
+  uint32_t connection;
+  uint32_t transaction; /* at the server; 0: none */
+  char *values;
+  char *prepared; /* EXECUTE: what the name stands for there; else NULL */
+  bool is_write;
+  bool committed;
+  char *signature;
+  char *rows;
+} WorldRun;
+
+/* world_history_start: must be called first. */
+void world_history_start (void);
+/* world_history_sent, world_history_ran: append an entry that only ID and TEXT
+ * are set of.  The history owns it, the caller fills in the rest.
+ */
+WorldSent *world_history_sent (const char *id, const char *text);
+WorldRun *world_history_ran (const char *id, const char *text);
+
+/* For check: all entries, and the statement with ID or NULL. */
+const GPtrArray *world_history_all_sent (void);
+const GPtrArray *world_history_all_runs (void);
+const WorldSent *world_history_find (const char *id);
+
+#endif
--- /dev/null
+++ b/tests/world/vms.c
@@ -0,0 +1,243 @@
+#include "tests/world/vms.h"
+
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "tests/world/net.h"
+
+#define GRACE_MS 6000
+#define START_AGAIN_MS 400
+#define PROBE_MS 300
+/* More than all stand-ins have open. */
+#define DESCRIPTORS_MAX 4096
+
+typedef struct
+{
+  pid_t pid; /* 0: not running */
+  char *settings;
+  char *log;
+  int64_t ended_ms;
+  int64_t kill_at_ms; /* 0: no SIGTERM was sent */
+} Vm;
+
+static const char *const vm_names[WORLD_VMS]
+    = { "front-aarhus-hal-1", "front-aarhus-hal-2", "front-koege-hal-1",
+        "front-koege-hal-2",  "front-odense-hal-1", "front-odense-hal-2" };
+static const char *const domains[]
+    = { "aarhus-hal", "koege-hal", "odense-hal" };
+static Vm vms[WORLD_VMS];
+static const char *daemon_path;
+static uint32_t own_ends;
+
+static char *
+seeds_text (void)
+{
+  GString *seeds = g_string_new (NULL);
+
+  for (uint32_t i = 0; i < WORLD_VMS; i += 2)
+    {
+      char *ip = world_vm_ip (i);
+
+      g_string_append_printf (seeds, "%s:%d ", ip, WORLD_SEED_PORT);
+      g_free (ip);
+    }
+  return g_string_free (seeds, FALSE);
+}
+
+/* Returns the settings as deploy/settings.toml.in makes them. */
+static char *
+settings_text (uint32_t vm)
+{
+  char *ip = world_vm_ip (vm);
+  char *store = world_store_ip ();
+  char *promotions = world_promotions_ip ();
+  char *seeds = seeds_text ();
+  char *text = g_strdup_printf (
+      "[vm]\nname = \"%s\"\nfailure_domain = \"%s\"\nip = \"%s\"\n"
+      "interface = \"line\"\ncallers_at = \"%s:%d\"\nready_at = \"%s:%d\"\n"
+      "peer_port = %d\nadmin_port = 9464\ncores = 0.25\ngrace_s = 6\n\n"
+      "[platform]\nat = \"%s:%d\"\npromotions_at = \"%s:%d\"\n"
+      "apply_ms = 3000\ndrain_ms = 7000\n\n"
+      "[peers]\nseeds = \"%s\"\nseed_port = %d\n\n"
+      "[callers]\nidle_timeout_ms = 86400000\nmax = 3500\n\n[rate_limit]\n\n"
+      "[pace]\ntick_asked_ms = 5\ntick_busy_ms = 10\ntick_idle_ms = 25\n"
+      "heartbeat_ms = 250\npoll_idle_ms = 4000\npoll_lagging_ms = 4000\n"
+      "silence_ms = 450\nunreachable_ms = 900\npoll_asked_ms = 10\n"
+      "report_idle_ms = 500\nreport_min_ms = 300\n\n[log]\nlevel = \"info\"\n",
+      vm_names[vm], domains[vm / 2], ip, ip, WORLD_CALLERS_PORT, ip,
+      WORLD_READY_PORT, WORLD_PEER_PORT, store, WORLD_PLATFORM_PORT, promotions,
+      WORLD_PLATFORM_PORT, seeds, WORLD_PEER_PORT);
+
+  g_free (ip);
+  g_free (store);
+  g_free (promotions);
+  g_free (seeds);
+  return text;
+}
+
+/* In the new process: nothing that allocates. */
+static void
+become_daemon (const char *log, char *const *environment)
+{
+  char *const arguments[] = { (char *) daemon_path, NULL };
+  int fd = open (log, O_WRONLY | O_CREAT | O_APPEND, 0644);
+
+  dup2 (fd, STDOUT_FILENO);
+  dup2 (fd, STDERR_FILENO);
+  for (int i = STDERR_FILENO + 1; i < DESCRIPTORS_MAX; i++)
+    close (i);
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  execve (daemon_path, arguments, environment);
+  _exit (127);
+}
+
+static void
+start_daemon (uint32_t vm)
+{
+  Vm *v = &vms[vm];
+  char **environment = g_environ_setenv (
+      g_get_environ (), "SAPPHIRESTAIR_SETTINGS", v->settings, TRUE);
+
+  world_record ("%s starts", vm_names[vm]);
+  v->kill_at_ms = 0;
+  v->pid = fork ();
+  if (v->pid == 0)
+    become_daemon (v->log, environment);
+  g_strfreev (environment);
+}
+
+void
+world_vms_start (const char *folder, const char *daemon)
+{
+  daemon_path = daemon;
+  for (uint32_t i = 0; i < WORLD_VMS; i++)
+    {
+      char *settings = settings_text (i);
+
+      vms[i].settings = g_strdup_printf ("%s/%s.toml", folder, vm_names[i]);
+      vms[i].log = g_strdup_printf ("%s/%s.log", folder, vm_names[i]);
+      g_file_set_contents (vms[i].settings, settings, -1, NULL);
+      g_free (settings);
+      start_daemon (i);
+    }
+}
+
+static bool
+is_ready (uint32_t vm)
+{
+  static const char ask[]
+      = "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+  char *ip = world_vm_ip (vm);
+  int fd = world_connect (ip, WORLD_READY_PORT, PROBE_MS);
+  WorldStream stream;
+  char *line = NULL;
+  bool ready;
+
+  g_free (ip);
+  if (fd < 0)
+    return false;
+  world_stream_init (&stream, fd);
+  if (world_send (fd, ask, sizeof ask - 1))
+    line = world_stream_line (&stream, PROBE_MS);
+  ready = line && strstr (line, " 200 ");
+  g_free (line);
+  world_stream_finish (&stream);
+  return ready;
+}
+
+bool
+world_vms_all_ready (void)
+{
+  for (uint32_t i = 0; i < WORLD_VMS; i++)
+    if (!is_ready (i))
+      return false;
+  return true;
+}
+
+static void
+note_end (Vm *v)
+{
+  v->pid = 0;
+  v->ended_ms = world_now_ms ();
+}
+
+void
+world_vms_kill (uint32_t vm)
+{
+  Vm *v = &vms[vm];
+
+  if (v->pid <= 0)
+    return;
+  world_record ("%s is killed", vm_names[vm]);
+  kill (v->pid, SIGKILL);
+  waitpid (v->pid, NULL, 0);
+  note_end (v);
+}
+
+void
+world_vms_terminate (uint32_t vm)
+{
+  Vm *v = &vms[vm];
+
+  if (v->pid <= 0)
+    return;
+  world_record ("%s gets SIGTERM", vm_names[vm]);
+  kill (v->pid, SIGTERM);
+  v->kill_at_ms = world_now_ms () + GRACE_MS;
+}
+
+static void
+check_end (uint32_t vm)
+{
+  Vm *v = &vms[vm];
+  int status;
+
+  if (waitpid (v->pid, &status, WNOHANG) != v->pid)
+    return;
+  world_record ("%s has ended, status %d%s", vm_names[vm], status,
+                v->kill_at_ms ? "" : ", without being told to");
+  if (!v->kill_at_ms)
+    own_ends++;
+  note_end (v);
+}
+
+static void
+tend_vm (uint32_t vm)
+{
+  Vm *v = &vms[vm];
+  int64_t now = world_now_ms ();
+
+  if (v->pid)
+    check_end (vm);
+  if (v->pid && v->kill_at_ms && now >= v->kill_at_ms)
+    world_vms_kill (vm);
+  if (!v->pid && now >= v->ended_ms + START_AGAIN_MS)
+    start_daemon (vm);
+}
+
+void
+world_vms_tend (void)
+{
+  for (uint32_t i = 0; i < WORLD_VMS; i++)
+    tend_vm (i);
+}
+
+void
+world_vms_stop (void)
+{
+  for (uint32_t i = 0; i < WORLD_VMS; i++)
+    world_vms_kill (i);
+}
+
+uint32_t
+world_vms_own_ends (void)
+{
+  return own_ends;
+}
