--- a/tests/run.sh
+++ b/tests/run.sh
@@ -101,6 +101,23 @@
 p=$(grep -c '^seed [0-9]*: passed$' "$out/soaks")
 record soak "$p" $((SOAK - p))
 
+# Sessions against real processes, whose statements hold any bytes.  The record
+# and the daemons' logs stay in the build folder until the next run.
+for seed in 1 2; do
+  folder="$B/world/$seed"
+  rm -rf "$folder"
+  mkdir -p "$folder"
+  if timeout -k 1 29 "$B/ss-world" "$folder" "$seed" "$B/sapphirestaird" \
+    >"$out/world" 2>&1; then
+    record world 1 0
+    echo "world $seed: passed"
+  else
+    record world 0 1
+    tail -n 20 "$out/world"
+    echo "world $seed: failed, see $folder"
+  fi
+done
+
 [ "$known" -eq 0 ] || cat KNOWN-RED.txt
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
