--- a/tests/test_statement_text.c
+++ b/tests/test_statement_text.c
@@ -378,6 +378,25 @@
   g_free (text);
 }
 
+/* Guards against log lines without bound: an id may be as long as a message. */
+static void
+long_ids_are_cut_in_log_lines (void)
+{
+  char *id = g_strnfill (LONG_TEXT_BYTES, 'x');
+  LineSim sim;
+  SsAction *a;
+
+  line_sim_init (&sim, 1, 2, 8);
+  ss_node_log (&sim.node, SS_EVENT_LOG_TEXT_REFUSED, id, "detail");
+  a = g_queue_pop_tail (&sim.node.actions);
+  CU_ASSERT (a->kind == SS_ACTION_LOG);
+  CU_ASSERT (strlen (a->name) == 256);
+  ss_action_clear (a);
+  g_free (a);
+  line_sim_finish (&sim);
+  g_free (id);
+}
+
 /* Has the simulation take TEXT for what session 1 sent last. */
 static void
 note_sent (LineSim *sim, const char *text)
@@ -469,6 +488,7 @@
   { "replaced values need no room", replaced_values_need_no_room },
   { "connections keep no long texts", connections_keep_no_long_texts },
   { "owner refuses other ids and values", owner_refuses_other_ids_and_values },
+  { "long ids are cut in log lines", long_ids_are_cut_in_log_lines },
   { "owner refuses other texts", owner_refuses_other_texts },
   { "owner runs texts of earlier versions",
     owner_runs_texts_of_earlier_versions },
