A text with an idempotency key can't end the transaction of its record

What callers saw (PostgreSQL interface, sapphirestair.request_id set): - "ROLLBACK; INSERT ..." ran the INSERT again on every repeat of the same id. - "INSERT ...; COMMIT; SELECT" was told as not run though the INSERT was durable; its repeat was acknowledged from an empty record, whatever the rest had done. - "COMMIT; INSERT ..." in a transaction was acknowledged and the INSERT never sent; "COMMIT AND CHAIN" became COMMIT. - "/* c */ COMMIT" went without the id's record; "/* c */ BEGIN" was committed at once, so that what followed ran outside of a transaction.

Cause: step_sql puts the caller's text between its own BEGIN, claim and COMMIT, or in the place of its own COMMIT, after a look at the first letters only.

The documentation had forbidden such texts; nothing checked it.

--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -303,6 +303,21 @@
   return true;
 }
 
+/* Refuses SQL if it can't run under the session's idempotency key.  Returns
+ * whether it was refused.
+ */
+static bool
+refuse_key_text (SsNode *node, SsSession *s, const char *sql)
+{
+  const char *error = s->request_key ? ss_session_sql_key_error (sql) : NULL;
+
+  if (!error)
+    return false;
+  ss_session_clear_request_key (s);
+  ss_session_refuse (node, s, SS_REASON_BAD_SETTING, error);
+  return true;
+}
+
 void
 ss_entry_statement (SsNode *node, uint64_t caller, const char *label,
                     const char *sql)
@@ -333,7 +348,7 @@
   ss_session_sql_parse_setting (&setting, sql);
   if (setting.kind != SS_SETTING_STATEMENT_NONE)
     ss_session_run_setting (node, s, &setting);
-  else
+  else if (!refuse_key_text (node, s, sql))
     ss_entry_dispatch (node, ss_entry_create_request (node, s, sql));
   ss_session_sql_setting_finish (&setting);
 }
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -182,6 +182,19 @@
 /* ss_session_sql_ends_transaction: whether SQL is COMMIT, END, ROLLBACK or
  * ABORT. */
 bool ss_session_sql_ends_transaction (const char *sql);
+/* ss_session_sql_is_commit: whether SQL is one COMMIT or END, without AND
+ * CHAIN.
+ */
+bool ss_session_sql_is_commit (const char *sql);
+/* ss_session_sql_takes_key: whether SQL can be sent with an idempotency key: as
+ * the whole of a transaction, or as the COMMIT of the one that is open.
+ */
+bool ss_session_sql_takes_key (const char *sql, bool in_transaction);
+/* ss_session_sql_key_error: returns why SQL is refused in a session that has an
+ * idempotency key, a static text, or NULL.  A statement that ends its
+ * transaction within the text would leave the key's record behind.
+ */
+const char *ss_session_sql_key_error (const char *sql);
 
 /* --- choice.c: selects the server for a read or a write --- */
 
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -26,10 +26,7 @@
 {
   if (!s->request_key || r->is_read)
     return false;
-  if (s->pinned_vm)
-    return ss_session_sql_begins_with (r->sql, "commit")
-           || ss_session_sql_begins_with (r->sql, "end");
-  return !ss_session_sql_begins_transaction (r->sql);
+  return ss_session_sql_takes_key (r->sql, s->pinned_vm != NULL);
 }
 
 static gboolean
--- a/src/core/session_sql.c
+++ b/src/core/session_sql.c
@@ -5,6 +5,7 @@
 
 #include "core/requests.h"
 #include "core/scanner.h"
+#include "core/sql_text.h"
 
 #define PREFIX "sapphirestair."
 
@@ -113,8 +114,7 @@
 bool
 ss_session_sql_begins_transaction (const char *sql)
 {
-  return ss_session_sql_begins_with (sql, "begin")
-         || ss_session_sql_begins_with (sql, "start");
+  return ss_sql_text_first (sql) == SS_SQL_KIND_BEGIN;
 }
 
 bool
@@ -143,3 +143,39 @@
          || ss_session_sql_begins_with (sql, "rollback")
          || ss_session_sql_begins_with (sql, "abort");
 }
+
+bool
+ss_session_sql_is_commit (const char *sql)
+{
+  SsSqlOutline outline;
+
+  ss_sql_text_outline (sql, &outline);
+  return outline.count == 1 && outline.first == SS_SQL_KIND_COMMIT;
+}
+
+const char *
+ss_session_sql_key_error (const char *sql)
+{
+  SsSqlOutline outline;
+
+  ss_sql_text_outline (sql, &outline);
+  if (!outline.is_closed)
+    return "a statement with sapphirestair.request_id must not leave a quote "
+           "or comment open";
+  if (!outline.controls
+      || (outline.count == 1 && outline.first != SS_SQL_KIND_CONTROL))
+    return NULL;
+  return "with sapphirestair.request_id, BEGIN, COMMIT and ROLLBACK must be "
+         "sent alone and without AND CHAIN";
+}
+
+bool
+ss_session_sql_takes_key (const char *sql, bool in_transaction)
+{
+  SsSqlOutline outline;
+
+  if (in_transaction)
+    return ss_session_sql_is_commit (sql);
+  ss_sql_text_outline (sql, &outline);
+  return outline.is_closed && !outline.controls;
+}
--- /dev/null
+++ b/tests/test_foreign_text.c
@@ -0,0 +1,192 @@
+/* Text of one party that becomes part of a statement, a name or a key of
+ * another: what a caller, a peer or an operator can bring about on the
+ * PostgreSQL interface (docs/incidents/2026-12-prepared-name-ways.md).
+ */
+#include <string.h>
+
+#include "tests/sql_server.h"
+#include "tests/unit.h"
+
+#define SET_ID "SET sapphirestair.request_id = 'order-7'"
+#define INSERT_A "INSERT INTO kv (key, value) VALUES ('a', '1')"
+#define INSERT_B "INSERT INTO kv (key, value) VALUES ('b', '1')"
+
+static void
+expect_ran (SqlServer *sim, const char *sql)
+{
+  const SsAction *reply = sql_server_run (sim, sql);
+
+  CU_ASSERT (reply->verdict == SS_VERDICT_RAN);
+}
+
+static void
+expect_refused (SqlServer *sim, const char *sql, SsReason reason)
+{
+  const SsAction *reply = sql_server_run (sim, sql);
+
+  CU_ASSERT (reply->verdict == SS_VERDICT_NOT_RUN);
+  CU_ASSERT (reply->reason == reason);
+}
+
+/* Guards against a write that runs twice under one idempotency key: its text
+ * ended the transaction that holds the key's record.
+ */
+static void
+text_with_key_cannot_shed_its_record (void)
+{
+  static const char *const texts[]
+      = { "ROLLBACK; " INSERT_A, "SELECT 1; ROLLBACK; " INSERT_A,
+          "/* a */ ROLLBACK; " INSERT_A, "SELECT 1;-- b\nABORT; " INSERT_A,
+          "BEGIN; " INSERT_A "; COMMIT" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      SqlServer sim;
+
+      sql_server_init (&sim);
+      for (int repeat = 0; repeat < 2; repeat++)
+        {
+          expect_ran (&sim, SET_ID);
+          expect_refused (&sim, texts[i], SS_REASON_BAD_SETTING);
+        }
+      CU_ASSERT (sql_server_rows (&sim, "a") <= 1);
+      sql_server_finish (&sim);
+    }
+}
+
+/* Guards against "not run" for a write that its text has committed, and against
+ * an acknowledgement for a part that never ran.
+ */
+static void
+text_with_key_commits_as_a_whole (void)
+{
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  expect_ran (&sim, SET_ID);
+  expect_refused (&sim, INSERT_A "; COMMIT; SELECT nothing FROM nowhere",
+                  SS_REASON_BAD_SETTING);
+  CU_ASSERT (sql_server_rows (&sim, "a") == 0);
+  expect_ran (&sim, SET_ID);
+  expect_ran (&sim, INSERT_A "; " INSERT_B);
+  expect_ran (&sim, SET_ID);
+  expect_ran (&sim, INSERT_A "; " INSERT_B);
+  CU_ASSERT (sql_server_rows (&sim, "a") == 1);
+  CU_ASSERT (sql_server_rows (&sim, "b") == 1);
+  sql_server_finish (&sim);
+}
+
+/* Guards against a COMMIT that takes the place of what the caller sent: the
+ * rest of the text was left out and acknowledged.
+ */
+static void
+text_of_commit_with_key_is_not_replaced (void)
+{
+  static const char *const texts[]
+      = { "COMMIT; " INSERT_B, "COMMIT AND CHAIN", "END; " INSERT_B,
+          "COMMIT PREPARED 'x'", INSERT_B "; COMMIT" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      SqlServer sim;
+
+      sql_server_init (&sim);
+      expect_ran (&sim, SET_ID);
+      expect_ran (&sim, "BEGIN");
+      expect_ran (&sim, INSERT_A);
+      expect_refused (&sim, texts[i], SS_REASON_BAD_SETTING);
+      CU_ASSERT (sim.reply.transaction_status == 'T');
+      CU_ASSERT (sql_server_rows (&sim, "a") == 0);
+      expect_ran (&sim, "COMMIT");
+      CU_ASSERT (sql_server_rows (&sim, "a") == 1);
+      CU_ASSERT (sql_server_rows (&sim, "b") == 0);
+      sql_server_finish (&sim);
+    }
+}
+
+/* Guards against a COMMIT without its record: a comment hid its first word. */
+static void
+commit_behind_a_comment_carries_its_key (void)
+{
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  expect_ran (&sim, SET_ID);
+  expect_ran (&sim, "BEGIN");
+  expect_ran (&sim, INSERT_A);
+  expect_ran (&sim, "/* trace */ COMMIT -- the end");
+  CU_ASSERT (sql_server_sent (&sim, "UPDATE sapphirestair_requests"));
+  CU_ASSERT (sql_server_rows (&sim, "a") == 1);
+  sql_server_finish (&sim);
+}
+
+/* Guards against a transaction that ends with its BEGIN, so that the statements
+ * that follow run outside of it: a comment hid the first word.
+ */
+static void
+begin_behind_a_comment_opens_a_transaction (void)
+{
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  expect_ran (&sim, SET_ID);
+  sql_server_run (&sim, "/* trace */ BEGIN");
+  CU_ASSERT (!sql_server_sent (&sim, "sapphirestair_requests"));
+  CU_ASSERT (sql_server_sent (&sim, "/* trace */ BEGIN"));
+  sql_server_finish (&sim);
+}
+
+static void
+deliver_run (SqlServer *sim, const char *sql, size_t bytes, const char *key)
+{
+  Ss__Peer__Envelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Run run = SS__PEER__RUN__INIT;
+
+  run.request = 1;
+  run.session = 1;
+  run.target = (char *) "t";
+  run.service = (char *) "s";
+  run.sql.data = (uint8_t *) sql;
+  run.sql.len = bytes;
+  run.left_ms = 500;
+  run.request_key = (char *) key;
+  run.keeps = true;
+  e.from = (char *) "b";
+  e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
+  e.run = &run;
+  sql_server_deliver (sim, &e);
+}
+
+/* Guards against text of an entry VM of an earlier version, which sends any
+ * text with a key, and against a text that ends at its zero byte.
+ */
+static void
+owner_checks_text_of_other_vms (void)
+{
+  static const char cut[] = INSERT_A "\0 AND MORE";
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  deliver_run (&sim, "ROLLBACK; " INSERT_A, strlen ("ROLLBACK; " INSERT_A),
+               "k");
+  CU_ASSERT (sql_server_rows (&sim, "a") == 0);
+  deliver_run (&sim, cut, sizeof cut - 1, "");
+  CU_ASSERT (sql_server_rows (&sim, "a") == 0);
+  deliver_run (&sim, INSERT_A, strlen (INSERT_A), "k");
+  CU_ASSERT (sql_server_rows (&sim, "a") == 1);
+  sql_server_finish (&sim);
+}
+
+CU_TestInfo test_foreign_text[] = {
+  { "text with key cannot shed its record",
+    text_with_key_cannot_shed_its_record },
+  { "text with key commits as a whole", text_with_key_commits_as_a_whole },
+  { "text of commit with key is not replaced",
+    text_of_commit_with_key_is_not_replaced },
+  { "commit behind a comment carries its key",
+    commit_behind_a_comment_carries_its_key },
+  { "begin behind a comment opens a transaction",
+    begin_behind_a_comment_opens_a_transaction },
+  { "owner checks text of other vms", owner_checks_text_of_other_vms },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -24,6 +24,7 @@
   X (identity)                                                                 \
   X (line)                                                                     \
   X (statement_text)                                                           \
+  X (foreign_text)                                                             \
   X (staleness)                                                                \
   X (relay)                                                                    \
   X (fleet)                                                                    \
