A lost transaction ends only with a statement that ends it

What callers saw (PostgreSQL interface): after the loss of a transaction, ROLLBACK TO SAVEPOINT, ROLLBACK AND CHAIN and "ROLLBACK; INSERT ..." were answered as run, and the session left its transaction: the INSERT of the text was acknowledged and not run, and the caller's next statements, meant for the transaction, ran and committed one by one. A text that begins with BEGIN READ ONLY was taken for a read whatever followed, and so could be sent again.

Cause: the entry VM looked at the first word of the text only.

Everything else in a lost transaction is refused as transaction_lost and the session stays in it.

--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -270,8 +270,7 @@
 static void
 reply_transaction_lost (SsNode *node, SsSession *s, const char *sql)
 {
-  bool rolls_back = ss_session_sql_begins_with (sql, "rollback")
-                    || ss_session_sql_begins_with (sql, "abort");
+  bool rolls_back = ss_session_sql_is_rollback (sql);
   bool ends = ss_session_sql_ends_transaction (sql);
   bool silent = rolls_back || (ends && !s->loss_unreported);
 
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -175,13 +175,17 @@
 bool ss_session_sql_begins_with (const char *sql, const char *word);
 /* ss_session_sql_begins_transaction: whether SQL is BEGIN or START. */
 bool ss_session_sql_begins_transaction (const char *sql);
-/* ss_session_sql_is_read_only_begin: whether SQL is BEGIN READ ONLY or START
- * TRANSACTION READ ONLY.
+/* ss_session_sql_is_read_only_begin: whether SQL is one BEGIN READ ONLY or
+ * START TRANSACTION READ ONLY.
  */
 bool ss_session_sql_is_read_only_begin (const char *sql);
-/* ss_session_sql_ends_transaction: whether SQL is COMMIT, END, ROLLBACK or
- * ABORT. */
+/* ss_session_sql_ends_transaction: whether SQL is one COMMIT, END, ROLLBACK or
+ * ABORT, without TO and AND CHAIN: no transaction is open after it.
+ */
 bool ss_session_sql_ends_transaction (const char *sql);
+/* ss_session_sql_is_rollback: whether SQL is one ROLLBACK or ABORT, as above.
+ */
+bool ss_session_sql_is_rollback (const char *sql);
 /* ss_session_sql_is_commit: whether SQL is one COMMIT or END, without AND
  * CHAIN.
  */
--- a/src/core/session_sql.c
+++ b/src/core/session_sql.c
@@ -117,40 +117,71 @@
   return ss_sql_text_first (sql) == SS_SQL_KIND_BEGIN;
 }
 
+/* Returns the kind of SQL if it is a single statement. */
+static SsSqlKind
+single_kind (const char *sql)
+{
+  SsSqlOutline outline;
+
+  ss_sql_text_outline (sql, &outline);
+  return outline.count == 1 && outline.is_closed ? outline.first
+                                                 : SS_SQL_KIND_OTHER;
+}
+
+/* Whether the options of a BEGIN, which stand at AT, are READ ONLY and do not
+ * hold READ WRITE.
+ */
+static bool
+are_read_only (const char *at)
+{
+  SsSqlToken token = ss_sql_text_next (&at);
+  bool read_only;
+
+  if (ss_sql_token_is_word (&token, "transaction")
+      || ss_sql_token_is_word (&token, "work"))
+    token = ss_sql_text_next (&at);
+  read_only = ss_sql_token_is_word (&token, "read");
+  token = ss_sql_text_next (&at);
+  read_only = read_only && ss_sql_token_is_word (&token, "only");
+  while (token.kind != SS_SQL_TOKEN_END && token.kind != SS_SQL_TOKEN_OPEN)
+    {
+      read_only = read_only && !ss_sql_token_is_word (&token, "write");
+      token = ss_sql_text_next (&at);
+    }
+  return read_only;
+}
+
 bool
 ss_session_sql_is_read_only_begin (const char *sql)
 {
-  GScanner *s;
-  bool read_only;
+  SsSqlToken token;
 
-  if (!ss_session_sql_begins_transaction (sql))
+  if (single_kind (sql) != SS_SQL_KIND_BEGIN)
     return false;
-  s = ss_scanner_new (sql, "_.");
-  g_scanner_get_next_token (s);
-  if (!ss_scanner_next_is_word (s, "transaction"))
-    ss_scanner_next_is_word (s, "work");
-  read_only = ss_scanner_next_is_word (s, "read")
-              && ss_scanner_next_is_word (s, "only");
-  g_scanner_destroy (s);
-  return read_only;
+  do
+    token = ss_sql_text_next (&sql);
+  while (token.kind != SS_SQL_TOKEN_WORD);
+  return are_read_only (sql);
 }
 
 bool
 ss_session_sql_ends_transaction (const char *sql)
 {
-  return ss_session_sql_begins_with (sql, "commit")
-         || ss_session_sql_begins_with (sql, "end")
-         || ss_session_sql_begins_with (sql, "rollback")
-         || ss_session_sql_begins_with (sql, "abort");
+  SsSqlKind kind = single_kind (sql);
+
+  return kind == SS_SQL_KIND_COMMIT || kind == SS_SQL_KIND_ROLLBACK;
 }
 
 bool
-ss_session_sql_is_commit (const char *sql)
+ss_session_sql_is_rollback (const char *sql)
 {
-  SsSqlOutline outline;
+  return single_kind (sql) == SS_SQL_KIND_ROLLBACK;
+}
 
-  ss_sql_text_outline (sql, &outline);
-  return outline.count == 1 && outline.first == SS_SQL_KIND_COMMIT;
+bool
+ss_session_sql_is_commit (const char *sql)
+{
+  return single_kind (sql) == SS_SQL_KIND_COMMIT;
 }
 
 const char *
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "core/requests.h"
 #include "tests/sql_server.h"
 #include "tests/unit.h"
 
@@ -136,6 +137,52 @@
   sql_server_finish (&sim);
 }
 
+/* Guards against statements that run outside of their transaction: ROLLBACK TO,
+ * or AND CHAIN, was taken for the end of one that is lost.
+ */
+static void
+lost_transaction_ends_only_by_its_end (void)
+{
+  static const char *const texts[]
+      = { "ROLLBACK TO SAVEPOINT p", "ROLLBACK TO p", "ROLLBACK AND CHAIN",
+          "ROLLBACK; " INSERT_B, "COMMIT AND CHAIN" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      SqlServer sim;
+
+      sql_server_init (&sim);
+      expect_ran (&sim, "BEGIN");
+      expect_ran (&sim, INSERT_A);
+      sql_server_lose_transaction (&sim);
+      expect_refused (&sim, INSERT_A, SS_REASON_TRANSACTION_LOST);
+      expect_refused (&sim, texts[i], SS_REASON_TRANSACTION_LOST);
+      CU_ASSERT (sim.reply.transaction_status == 'E');
+      expect_refused (&sim, INSERT_B, SS_REASON_TRANSACTION_LOST);
+      CU_ASSERT (sql_server_rows (&sim, "b") == 0);
+      expect_ran (&sim, "/* end */ ROLLBACK");
+      CU_ASSERT (sim.reply.transaction_status == 'I');
+      expect_ran (&sim, INSERT_B);
+      sql_server_finish (&sim);
+    }
+}
+
+/* Guards against a read-only transaction that a write follows in its text: it
+ * went to a replica, and would be sent again as a read.
+ */
+static void
+read_only_begin_stands_alone (void)
+{
+  CU_ASSERT (ss_session_sql_is_read_only_begin ("/* a */ BEGIN READ ONLY;"));
+  CU_ASSERT (ss_session_sql_is_read_only_begin (
+      "start transaction read only, isolation level serializable"));
+  CU_ASSERT (!ss_session_sql_is_read_only_begin (
+      "BEGIN READ ONLY; ROLLBACK; " INSERT_A));
+  CU_ASSERT (
+      !ss_session_sql_is_read_only_begin ("BEGIN READ ONLY, READ WRITE"));
+  CU_ASSERT (!ss_session_sql_is_read_only_begin ("BEGIN READ/**/ONLY/**/'"));
+}
+
 static void
 deliver_run (SqlServer *sim, const char *sql, size_t bytes, const char *key)
 {
@@ -187,6 +234,9 @@
     commit_behind_a_comment_carries_its_key },
   { "begin behind a comment opens a transaction",
     begin_behind_a_comment_opens_a_transaction },
+  { "lost transaction ends only by its end",
+    lost_transaction_ends_only_by_its_end },
+  { "read-only begin stands alone", read_only_begin_stands_alone },
   { "owner checks text of other vms", owner_checks_text_of_other_vms },
   CU_TEST_INFO_NULL,
 };
