Values of session settings stay as they were sent, or are refused

Cause: values were read as numbers of 64 bits by GScanner; only a first word SET was looked for.

Fix: the value is the text between the quotes, or the characters as they stand; a text in which some statement sets or shows a setting of the proxy must be that one statement, with = or TO, else it is refused as bad_setting. DEFAULT resets.

--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -165,14 +165,14 @@
   char *value; /* NULL: RESET */
 } SsSettingStatement;
 
-/* ss_session_sql_parse_setting: parses SQL where it is SET, RESET or SHOW of
- * sapphirestair.*; else the kind is SS_SETTING_STATEMENT_NONE.
+/* ss_session_sql_parse_setting: parses SQL where a statement of it is SET,
+ * RESET or SHOW of sapphirestair.*; else the kind is SS_SETTING_STATEMENT_NONE.
+ * The kind is SS_SETTING_STATEMENT_MALFORMED if there are other statements, and
+ * for SET LOCAL and quoted names: a server would accept them and do nothing.
  */
 void ss_session_sql_parse_setting (SsSettingStatement *setting,
                                    const char *sql);
 void ss_session_sql_setting_finish (SsSettingStatement *setting);
-/* ss_session_sql_begins_with: whether SQL begins with WORD, in any case. */
-bool ss_session_sql_begins_with (const char *sql, const char *word);
 /* ss_session_sql_begins_transaction: whether SQL is BEGIN or START. */
 bool ss_session_sql_begins_transaction (const char *sql);
 /* ss_session_sql_is_read_only_begin: whether SQL is one BEGIN READ ONLY or
--- a/src/core/session_sql.c
+++ b/src/core/session_sql.c
@@ -1,96 +1,142 @@
 /* session_sql: SET, RESET and SHOW of session settings, which the proxy answers
- * itself, and the first words of other statements.
+ * itself, and what other statements do to their session.
  */
 #include <string.h>
 
 #include "core/requests.h"
-#include "core/scanner.h"
 #include "core/sql_text.h"
 
-#define PREFIX "sapphirestair."
+#define SETTING_WORD "sapphirestair"
+/* Characters of a value that is not quoted. */
+#define BARE_CHARACTERS                                                        \
+  "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:+-"
 
+static bool
+take_word (const char **at, const char *word)
+{
+  const char *next = *at;
+  SsSqlToken token = ss_sql_text_next (&next);
+
+  if (!ss_sql_token_is_word (&token, word))
+    return false;
+  *at = next;
+  return true;
+}
+
+static bool
+take_char (const char **at, char c)
+{
+  const char *next = *at;
+  SsSqlToken token = ss_sql_text_next (&next);
+
+  if (!ss_sql_token_is_char (&token, c))
+    return false;
+  *at = next;
+  return true;
+}
+
+/* Takes sapphirestair.NAME and returns NAME, or NULL. */
 static char *
-take_setting_name (GScanner *s)
+take_setting_name (const char **at)
 {
-  if (g_scanner_peek_next_token (s) != G_TOKEN_IDENTIFIER
-      || g_ascii_strncasecmp (s->next_value.v_identifier, PREFIX,
-                              strlen (PREFIX))
-             != 0)
+  SsSqlToken token;
+
+  if (!take_word (at, SETTING_WORD) || !take_char (at, '.'))
     return NULL;
-  g_scanner_get_next_token (s);
-  return g_ascii_strdown (s->value.v_identifier + strlen (PREFIX), -1);
+  token = ss_sql_text_next (at);
+  return token.kind == SS_SQL_TOKEN_WORD
+             ? g_ascii_strdown (token.text, (gssize) token.bytes)
+             : NULL;
 }
 
+/* Returns what TOKEN quotes: a doubled quote stands for itself. */
 static char *
-take_value (GScanner *s)
+unquote (const SsSqlToken *token)
 {
-  switch (g_scanner_get_next_token (s))
+  GString *value = g_string_new (NULL);
+
+  for (size_t i = 1; i + 1 < token->bytes; i++)
     {
-    case G_TOKEN_STRING:
-      return g_strdup (s->value.v_string);
-    case G_TOKEN_IDENTIFIER:
-      return g_strdup (s->value.v_identifier);
-    case G_TOKEN_INT:
-      return g_strdup_printf ("%" G_GUINT64_FORMAT, s->value.v_int64);
-    default:
-      return g_strdup ("");
+      g_string_append_c (value, token->text[i]);
+      i += token->text[i] == *token->text ? 1 : 0;
     }
+  return g_string_free (value, FALSE);
+}
+
+/* Takes the value as it was sent, to the letter: two texts that differ are two
+ * values.  Returns NULL if there is none.
+ */
+static char *
+take_value (const char **at)
+{
+  const char *next = *at;
+  SsSqlToken token = ss_sql_text_next (&next);
+  size_t bytes;
+
+  if (token.kind == SS_SQL_TOKEN_STRING || token.kind == SS_SQL_TOKEN_NAME)
+    {
+      *at = next;
+      return unquote (&token);
+    }
+  if (token.kind == SS_SQL_TOKEN_END || token.kind == SS_SQL_TOKEN_OPEN)
+    return NULL;
+  bytes = strspn (token.text, BARE_CHARACTERS);
+  *at = token.text + bytes;
+  if (!bytes || g_strstr_len (token.text, (gssize) bytes, "--"))
+    return NULL;
+  return g_strndup (token.text, bytes);
 }
 
 static bool
-at_end (GScanner *s)
+at_end (const char *at)
 {
-  while (g_scanner_peek_next_token (s) == (GTokenType) ';')
-    g_scanner_get_next_token (s);
-  return g_scanner_peek_next_token (s) == G_TOKEN_EOF;
+  while (take_char (&at, ';'))
+    ;
+  return ss_sql_text_next (&at).kind == SS_SQL_TOKEN_END;
 }
 
-static void
-parse_set (SsSettingStatement *setting, GScanner *s)
+/* Parses what follows SET; returns false if it is malformed. */
+static bool
+parse_set (SsSettingStatement *setting, const char **at)
 {
-  ss_scanner_next_is_word (s, "session");
-  setting->name = take_setting_name (s);
-  if (!setting->name)
-    return;
+  take_word (at, "session");
+  setting->name = take_setting_name (at);
+  if (!setting->name || (!take_char (at, '=') && !take_word (at, "to")))
+    return false;
+  if (take_word (at, "default"))
+    return true;
+  setting->value = take_value (at);
+  return setting->value != NULL;
+}
+
+/* Parses a single statement; returns false if it is malformed. */
+static bool
+parse_setting (SsSettingStatement *setting, const char *at)
+{
+  while (take_char (&at, ';'))
+    ;
   setting->kind = SS_SETTING_STATEMENT_SET;
-  if (g_scanner_peek_next_token (s) == (GTokenType) '=')
-    g_scanner_get_next_token (s);
+  if (take_word (&at, "set"))
+    return parse_set (setting, &at) && at_end (at);
+  if (take_word (&at, "show"))
+    setting->kind = SS_SETTING_STATEMENT_SHOW;
   else
-    ss_scanner_next_is_word (s, "to");
-  setting->value = take_value (s);
+    take_word (&at, "reset");
+  setting->name = take_setting_name (&at);
+  return setting->name && at_end (at);
 }
 
 void
 ss_session_sql_parse_setting (SsSettingStatement *setting, const char *sql)
 {
-  GScanner *s;
+  SsSqlOutline outline;
 
   memset (setting, 0, sizeof *setting);
-  /* Most statements are none of these.  Check the first word before the costly
-   * set-up of a scanner.
-   */
-  if (!ss_session_sql_begins_with (sql, "set")
-      && !ss_session_sql_begins_with (sql, "reset")
-      && !ss_session_sql_begins_with (sql, "show"))
+  ss_sql_text_outline (sql, &outline);
+  if (!outline.has_setting)
     return;
-  s = ss_scanner_new (sql, "_.");
-  if (ss_scanner_next_is_word (s, "set"))
-    parse_set (setting, s);
-  else if (ss_scanner_next_is_word (s, "reset"))
-    {
-      setting->name = take_setting_name (s);
-      setting->kind = setting->name ? SS_SETTING_STATEMENT_SET
-                                    : SS_SETTING_STATEMENT_NONE;
-    }
-  else if (ss_scanner_next_is_word (s, "show"))
-    {
-      setting->name = take_setting_name (s);
-      setting->kind = setting->name ? SS_SETTING_STATEMENT_SHOW
-                                    : SS_SETTING_STATEMENT_NONE;
-    }
-  if (setting->name && !at_end (s))
+  if (outline.count != 1 || !outline.is_closed || !parse_setting (setting, sql))
     setting->kind = SS_SETTING_STATEMENT_MALFORMED;
-  g_scanner_destroy (s);
 }
 
 void
@@ -100,17 +146,6 @@
   g_free (setting->value);
 }
 
-bool
-ss_session_sql_begins_with (const char *sql, const char *word)
-{
-  size_t bytes = strlen (word);
-
-  while (g_ascii_isspace (*sql))
-    sql++;
-  return g_ascii_strncasecmp (sql, word, bytes) == 0
-         && !g_ascii_isalnum (sql[bytes]) && sql[bytes] != '_';
-}
-
 bool
 ss_session_sql_begins_transaction (const char *sql)
 {
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -145,7 +145,8 @@
 {
   static const char *const texts[]
       = { "ROLLBACK TO SAVEPOINT p", "ROLLBACK TO p", "ROLLBACK AND CHAIN",
-          "ROLLBACK; " INSERT_B, "COMMIT AND CHAIN" };
+          "ROLLBACK; INSERT INTO kv (key, value) VALUES ('b', '1')",
+          "COMMIT AND CHAIN" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
     {
@@ -183,6 +184,90 @@
   CU_ASSERT (!ss_session_sql_is_read_only_begin ("BEGIN READ/**/ONLY/**/'"));
 }
 
+/* Runs INSERT_A under the id that TEXT sets. */
+static void
+insert_with_id (SqlServer *sim, const char *text)
+{
+  expect_ran (sim, text);
+  expect_ran (sim, INSERT_A);
+}
+
+/* Guards against two ids that become one, so that a write is answered from the
+ * record of another and never runs: numbers beyond 64 bits were cut to one
+ * value, leading zeros and hexadecimal digits were folded.
+ */
+static void
+ids_stay_as_they_were_sent (void)
+{
+  static const char *const ids[] = { "20261206223000123456",
+                                     "20261206223000123457",
+                                     "7",
+                                     "007",
+                                     "0x7",
+                                     "1e5",
+                                     "100000",
+                                     "-7",
+                                     "1.5",
+                                     "1.50" };
+  uint32_t rows = 0;
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    {
+      char *text
+          = g_strdup_printf ("SET sapphirestair.request_id = %s", ids[i]);
+
+      insert_with_id (&sim, text);
+      rows++;
+      CU_ASSERT (sql_server_rows (&sim, "a") == rows);
+      insert_with_id (&sim, text);
+      CU_ASSERT (sql_server_rows (&sim, "a") == rows);
+      g_free (text);
+    }
+  sql_server_finish (&sim);
+}
+
+/* Guards against an id that is acknowledged and not in force, so that a repeat
+ * runs twice: the text went to the server, or its value was dropped.
+ */
+static void
+setting_is_in_force_or_refused (void)
+{
+  static const char *const refused[]
+      = { "SET LOCAL sapphirestair.request_id = 'x'",
+          "SET \"sapphirestair\".request_id = 'x'",
+          "SET \"sapphirestair.request_id\" = 'x'",
+          "SELECT 1; SET sapphirestair.request_id = 'x'",
+          "BEGIN; SET sapphirestair.request_id = 'x'; COMMIT",
+          "SET sapphirestair.request_id = x--y",
+          "SET sapphirestair.request_id = 7abc def",
+          "SET sapphirestair.request_id = ",
+          "SET sapphirestair.request_id = E'x'",
+          "SET sapphirestair.request_id = 'x', 'y'",
+          "SET sapphirestair.request_id = 'x",
+          "SET sapphirestair.request_id FROM CURRENT",
+          "/* x */ SET LOCAL sapphirestair.kind = 'write'" };
+  static const char *const taken[]
+      = { "/* x */ SET sapphirestair.request_id = 'x'",
+          "-- x\nset Session sapphirestair . request_id To x;",
+          "; SET sapphirestair.request_id = x -- y" };
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  for (size_t i = 0; i < G_N_ELEMENTS (refused); i++)
+    expect_refused (&sim, refused[i], SS_REASON_BAD_SETTING);
+  CU_ASSERT (!sql_server_sent (&sim, "request_id"));
+  for (size_t i = 0; i < G_N_ELEMENTS (taken); i++)
+    insert_with_id (&sim, taken[i]);
+  CU_ASSERT (sql_server_rows (&sim, "a") == 1);
+  expect_ran (&sim, "SET sapphirestair.request_id = DEFAULT");
+  expect_ran (&sim, INSERT_A);
+  CU_ASSERT (sql_server_rows (&sim, "a") == 2);
+  CU_ASSERT (!sql_server_sent (&sim, "'DEFAULT'"));
+  sql_server_finish (&sim);
+}
+
 static void
 deliver_run (SqlServer *sim, const char *sql, size_t bytes, const char *key)
 {
@@ -237,6 +322,8 @@
   { "lost transaction ends only by its end",
     lost_transaction_ends_only_by_its_end },
   { "read-only begin stands alone", read_only_begin_stands_alone },
+  { "ids stay as they were sent", ids_stay_as_they_were_sent },
+  { "setting is in force or refused", setting_is_in_force_or_refused },
   { "owner checks text of other vms", owner_checks_text_of_other_vms },
   CU_TEST_INFO_NULL,
 };
