A connection that a caller changed serves no other caller

What callers saw (PostgreSQL interface): connections to servers serve all callers, and SET search_path, SET ROLE, PREPARE, LISTEN or a temporary table of one caller stayed on the connection: statements of others then ran under it, and EXECUTE p could run the text that another caller had prepared as p.

Cause: text of one session became the surroundings of another one's; nothing looked at what a statement leaves behind.

Fix: the server's own command tags, of all statements of a response, tell whether the connection was changed (no reading of callers' text, so comments and several statements don't matter); the owner closes such a connection as soon as it has no transaction.

--- a/src/core/event.h
+++ b/src/core/event.h
@@ -64,6 +64,7 @@
   const char *sqlstate;    /* of the error */
   GBytes *wire;            /* results in the wire format of the callers */
   const char *tag;         /* last command tag */
+  bool changes_session;    /* it changed the connection for what follows */
   SsPosition commit;       /* offset 0: nothing was committed */
   SsPosition applied;      /* the server's position when it answered */
   const char *const *row;  /* cells of the first row, or NULL */
--- a/src/core/job_result.c
+++ b/src/core/job_result.c
@@ -46,7 +46,8 @@
   ss_pool_release_slot (c, node->now_ms - job->started_ms);
   ss_pool_note_held (node, owned, job);
   c->state = SS_CONNECTION_IDLE;
-  if (!owned->active)
+  /* What a caller has set or prepared there is not for the others. */
+  if (!owned->active || c->is_changed)
     ss_pool_close (node, c);
   ss_job_dispatch (node, owned);
 }
@@ -225,6 +226,7 @@
       ss_target_monitor_result (node, c->owned, result);
       return;
     }
+  c->is_changed = c->is_changed || result->changes_session;
   advance_applied (c->owned->target, result->applied);
   c->owned->target->reachable_ms = node->now_ms;
   if (ss_dialect_multiplexes_sessions (node->dialect))
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -48,6 +48,7 @@
   GQueue setup_queue;   /* statements to send before the job's, owned */
   char *last_setup;     /* copy of the last one sent from setup_queue */
   bool rolls_back;      /* a ROLLBACK is outstanding */
+  bool is_changed;      /* a caller's statement changed it for what follows */
   int64_t resend_at_ms; /* when to resend the job's statement; 0: never */
   int64_t sent_ms;      /* when its last statement was sent */
 } SsConnection;
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -186,6 +186,11 @@
 /* ss_session_sql_is_rollback: whether SQL is one ROLLBACK or ABORT, as above.
  */
 bool ss_session_sql_is_rollback (const char *sql);
+/* ss_session_sql_tag_changes_session: whether a statement with the command tag
+ * TAG may change its connection beyond its transaction: settings, prepared
+ * statements, cursors, temporary tables, channels.
+ */
+bool ss_session_sql_tag_changes_session (const char *tag);
 /* ss_session_sql_is_commit: whether SQL is one COMMIT or END, without AND
  * CHAIN.
  */
--- a/src/core/session_sql.c
+++ b/src/core/session_sql.c
@@ -245,3 +245,23 @@
   ss_sql_text_outline (sql, &outline);
   return outline.is_closed && !outline.controls;
 }
+
+bool
+ss_session_sql_tag_changes_session (const char *tag)
+{
+  /* CREATE and SELECT INTO are those of temporary tables, too. */
+  static const char *const words[]
+      = { "SET",     "RESET", "PREPARE", "DEALLOCATE", "DECLARE CURSOR",
+          "LISTEN",  "LOAD",  "DISCARD", "CREATE",     "SELECT INTO",
+          "UNLISTEN" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (words); i++)
+    {
+      size_t bytes = strlen (words[i]);
+
+      if (strncmp (tag, words[i], bytes) == 0
+          && (!tag[bytes] || tag[bytes] == ' '))
+        return true;
+    }
+  return false;
+}
--- a/src/plugins/pqtarget.c
+++ b/src/plugins/pqtarget.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/requests.h"
 #include "kernel/target_connections.h"
 #include "plugins/pgwire.h"
 
@@ -22,6 +23,7 @@
   uint32_t results; /* number received so far */
   uint32_t skip_results;
   bool has_error;
+  bool changes_session;
   char sqlstate[6];
   char *tag;
   SsPosition commit; /* the last commit position that was reported */
@@ -142,6 +144,8 @@
   bool failed = PQresultStatus (r) == PGRES_FATAL_ERROR;
 
   t->results++;
+  t->changes_session = t->changes_session
+                       || ss_session_sql_tag_changes_session (PQcmdStatus (r));
   if (t->results <= t->skip_results && !failed)
     return;
   g_free (t->tag);
@@ -194,6 +198,7 @@
   result.transaction_status = transaction_status (t);
   result.sqlstate = sqlstate;
   result.tag = tag ? tag : "";
+  result.changes_session = t->changes_session;
   result.applied = parameter_position (t, APPLIED_PARAMETER);
   /* The parameter keeps its value after the statement, so only a changed value
    * is a new commit.
@@ -319,6 +324,7 @@
   g_clear_pointer (&t->tag, g_free);
   t->results = 0;
   t->has_error = false;
+  t->changes_session = false;
   t->sqlstate[0] = 0;
   t->skip_results = a->skip_results;
   t->busy = true;
--- a/tests/sql_server.c
+++ b/tests/sql_server.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "proto/peer.pb-c.h"
+#include "core/requests.h"
 #include "tests/unit.h"
 
 #define START_MS 100000
@@ -66,6 +66,25 @@
   deliver (sim, &e);
 }
 
+/* Whether a statement of the response in OUT changes its session. */
+static bool
+changes_session (const GByteArray *out)
+{
+  bool changes = false;
+  uint32_t length;
+
+  for (guint at = 0; at + 5 <= out->len; at += 1 + length)
+    {
+      memcpy (&length, out->data + at + 1, sizeof length);
+      length = GUINT32_FROM_BE (length);
+      if (out->data[at] == 'C')
+        changes = changes
+                  || ss_session_sql_tag_changes_session (
+                      (const char *) out->data + at + 5);
+    }
+  return changes;
+}
+
 static void
 report_result (SqlServer *sim, Connection *c, const SsAction *a)
 {
@@ -73,7 +92,8 @@
   SsTargetResult r = { .ok = !c->sql.failed,
                        .transaction_status = c->sql.status,
                        .sqlstate = c->sql.sqlstate,
-                       .tag = c->sql.tag };
+                       .tag = c->sql.tag,
+                       .changes_session = changes_session (c->out) };
   SsEvent e = { .kind = SS_EVENT_TARGET_RESULT };
 
   r.wire = g_bytes_new (c->out->data, c->out->len);
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -268,6 +268,59 @@
   sql_server_finish (&sim);
 }
 
+static uint64_t
+last_connection (const SqlServer *sim)
+{
+  return g_array_index (sim->sent_on, uint64_t, sim->sent_on->len - 1);
+}
+
+/* Guards against one caller's settings and prepared statements under another
+ * caller's statements: a connection served all after it was changed.
+ */
+static void
+changed_connection_serves_no_one_else (void)
+{
+  static const char *const texts[][3]
+      = { { "SET search_path = elsewhere", NULL },
+          { "SELECT 1; SET search_path = elsewhere; SELECT 1", NULL },
+          { "BEGIN; SET search_path = elsewhere", "COMMIT", NULL } };
+  uint64_t kept;
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      uint64_t changed = 0;
+
+      for (size_t j = 0; texts[i][j]; j++)
+        {
+          expect_ran (&sim, texts[i][j]);
+          changed = last_connection (&sim);
+        }
+      expect_ran (&sim, INSERT_A);
+      CU_ASSERT (last_connection (&sim) != changed);
+    }
+  expect_ran (&sim, "SELECT 1");
+  kept = last_connection (&sim);
+  expect_ran (&sim, "SELECT 1");
+  CU_ASSERT (last_connection (&sim) == kept);
+  sql_server_finish (&sim);
+}
+
+/* Guards as the test above, for tags that the stand-in server does not know. */
+static void
+tags_tell_what_changes_a_session (void)
+{
+  CU_ASSERT (ss_session_sql_tag_changes_session ("PREPARE"));
+  CU_ASSERT (ss_session_sql_tag_changes_session ("DEALLOCATE ALL"));
+  CU_ASSERT (ss_session_sql_tag_changes_session ("CREATE TABLE"));
+  CU_ASSERT (ss_session_sql_tag_changes_session ("LISTEN"));
+  CU_ASSERT (!ss_session_sql_tag_changes_session ("INSERT 0 1"));
+  CU_ASSERT (!ss_session_sql_tag_changes_session ("SELECT 1"));
+  CU_ASSERT (!ss_session_sql_tag_changes_session ("COMMIT"));
+  CU_ASSERT (!ss_session_sql_tag_changes_session (""));
+}
+
 static void
 deliver_run (SqlServer *sim, const char *sql, size_t bytes, const char *key)
 {
@@ -324,6 +377,9 @@
   { "read-only begin stands alone", read_only_begin_stands_alone },
   { "ids stay as they were sent", ids_stay_as_they_were_sent },
   { "setting is in force or refused", setting_is_in_force_or_refused },
+  { "changed connection serves no one else",
+    changed_connection_serves_no_one_else },
+  { "tags tell what changes a session", tags_tell_what_changes_a_session },
   { "owner checks text of other vms", owner_checks_text_of_other_vms },
   CU_TEST_INFO_NULL,
 };
