Texts enter statements as literals and connections as parameters

What could be seen (PostgreSQL interface): the "ip" of a target was any text and stood in a connection string and in sapphirestair_follow('...'): an entry "x user=postgres" chose the user of every connection, a quote ended the literal. The command tag of a server and the idempotency key of another VM stood between quotes as they came; of a key only the entry VM checked the letters. Servers with another client_encoding or standard_conforming_strings = off read callers' text in another way than the proxy announces in its start-up reply.

Cause: format strings.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 PLATFORM = $(patsubst %.c,$B/%.o,$(wildcard platform/*.c))
 PLUGINS = pgserver pqtarget platform_http admin_http metrics peer
 DAEMON_O = $(KERNEL_O) $(CORE_O) $B/src/kernel/plugin.o $B/src/kernel/callers.o $B/src/kernel/target_connections.o $B/src/kernel/http_outcome.o \
-  $(PLUGINS:%=$B/src/plugins/%.o) $B/src/plugins/pgwire.o $B/src/plugins/scram.o \
-  $(PLATFORM) $B/src/daemon/main.o
+  $(PLUGINS:%=$B/src/plugins/%.o) $B/src/plugins/pgwire.o $B/src/plugins/pqparams.o \
+  $B/src/plugins/scram.o $(PLATFORM) $B/src/daemon/main.o
 TARGET_O = $(addprefix $B/standin/,target.o log_receiver.o session.o server.o store.o sql.o) \
   $B/src/kernel/stream.o $B/src/kernel/clock.o $B/src/plugins/pgwire.o
 PLATFORM_O = $(addprefix $B/standin/,platform.o objects.o) $B/src/kernel/compare.o $B/src/kernel/httpd.o
@@ -32,7 +32,7 @@
 UNIT_O = $(patsubst %.c,$B/%.o,$(wildcard tests/test_*.c)) $B/tests/unit.o \
   $(SIM_O) $B/tests/line_sim.o $B/tests/line_sim_platform.o $B/tests/line_texts.o \
   $B/tests/server_reader.o $B/tests/sql_server.o $B/tests/fleet_sim.o $B/tests/fleet_platform.o $B/tests/cache_sim.o $B/tests/line_params.o $B/tests/rate_sim.o $(filter %/line.o %/dialect.o \
-  %/errors.o %/records.o,$(PLATFORM)) $B/src/plugins/metrics.o $B/src/plugins/scram.o $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
+  %/errors.o %/records.o,$(PLATFORM)) $B/src/plugins/metrics.o $B/src/plugins/pqparams.o $B/src/plugins/scram.o $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
   platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch]))
 PROGRAMS = $(addprefix $B/,sapphirestaird sapphirectl ss-standin-target \
--- a/scripts/check-platform.sh
+++ b/scripts/check-platform.sh
@@ -30,4 +30,15 @@
   echo "platform/ formats text of the line protocol; use SsLineWriter" >&2
   exit 1
 fi
+# Statements and connections of the PostgreSQL interface: a text is a literal of
+# append_literal or a value of SsPqParams, never a part of a format string.
+if grep -nE '%s|g_strconcat|g_strjoin' src/core/dialect.c src/plugins/pqtarget.c \
+    src/plugins/pqparams.c; then
+  echo "text is formatted into a statement or a connection" >&2
+  exit 1
+fi
+if grep -n "'%s'" src/core/*.c src/plugins/*.c; then
+  echo "src/ formats text between quotes; use append_literal of dialect.c" >&2
+  exit 1
+fi
 echo "platform: its names appear only in platform/ and deploy/"
--- a/src/core/dialect.c
+++ b/src/core/dialect.c
@@ -4,6 +4,43 @@
 
 #define STATUS_CELLS 9
 
+/* Appends TEXT as a literal, as PQescapeLiteral does: whatever it holds, it
+ * stays one value.
+ */
+static void
+append_literal (GString *sql, const char *text)
+{
+  if (strchr (text, '\\'))
+    g_string_append_c (sql, 'E');
+  g_string_append_c (sql, '\'');
+  for (; *text; text++)
+    {
+      if (*text == '\'' || *text == '\\')
+        g_string_append_c (sql, *text);
+      g_string_append_c (sql, *text);
+    }
+  g_string_append_c (sql, '\'');
+}
+
+static void
+append_number (GString *sql, uint64_t number)
+{
+  g_string_append_printf (sql, "%" G_GUINT64_FORMAT, number);
+}
+
+/* Returns the statement that calls FUNCTION with TERM. */
+static char *
+call_with_term (const char *function, uint64_t term)
+{
+  GString *sql = g_string_new ("SELECT * FROM ");
+
+  g_string_append (sql, function);
+  g_string_append_c (sql, '(');
+  append_number (sql, term);
+  g_string_append_c (sql, ')');
+  return g_string_free (sql, FALSE);
+}
+
 static char *
 sql_status (const SsDialect *dialect)
 {
@@ -16,25 +53,29 @@
 {
   (void) dialect;
   (void) target;
-  return g_strdup_printf (
-      "SELECT * FROM sapphirestair_raise(%" G_GUINT64_FORMAT ")", term);
+  return call_with_term ("sapphirestair_raise", term);
 }
 
 static char *
 sql_promote (const SsDialect *dialect, uint64_t term)
 {
   (void) dialect;
-  return g_strdup_printf (
-      "SELECT * FROM sapphirestair_promote(%" G_GUINT64_FORMAT ")", term);
+  return call_with_term ("sapphirestair_promote", term);
 }
 
 static char *
 sql_follow (const SsDialect *dialect, uint64_t term, const SsTarget *primary)
 {
+  GString *sql = g_string_new ("SELECT * FROM sapphirestair_follow(");
+
   (void) dialect;
-  return g_strdup_printf ("SELECT * FROM sapphirestair_follow("
-                          "%" G_GUINT64_FORMAT ", '%s', '%u')",
-                          term, primary->ip, primary->port);
+  append_number (sql, term);
+  g_string_append (sql, ", ");
+  append_literal (sql, primary->ip);
+  g_string_append (sql, ", '");
+  append_number (sql, primary->port);
+  g_string_append (sql, "')");
+  return g_string_free (sql, FALSE);
 }
 
 static SsServerRole
@@ -80,27 +121,36 @@
 static char *
 sql_claim_key (const SsDialect *dialect, const char *key)
 {
+  GString *sql = g_string_new (
+      "INSERT INTO sapphirestair_requests (id, outcome) VALUES (");
+
   (void) dialect;
-  return g_strdup_printf ("INSERT INTO sapphirestair_requests (id, outcome) "
-                          "VALUES ('%s', '')",
-                          key);
+  append_literal (sql, key);
+  g_string_append (sql, ", '')");
+  return g_string_free (sql, FALSE);
 }
 
 static char *
 sql_record_key (const SsDialect *dialect, const char *key, const char *tag)
 {
+  GString *sql = g_string_new ("UPDATE sapphirestair_requests SET outcome = ");
+
   (void) dialect;
-  return g_strdup_printf ("UPDATE sapphirestair_requests SET outcome = '%s' "
-                          "WHERE id = '%s'",
-                          tag, key);
+  append_literal (sql, tag);
+  g_string_append (sql, " WHERE id = ");
+  append_literal (sql, key);
+  return g_string_free (sql, FALSE);
 }
 
 static char *
 sql_find_key (const SsDialect *dialect, const char *key)
 {
+  GString *sql
+      = g_string_new ("SELECT outcome FROM sapphirestair_requests WHERE id = ");
+
   (void) dialect;
-  return g_strdup_printf (
-      "SELECT outcome FROM sapphirestair_requests WHERE id = '%s'", key);
+  append_literal (sql, key);
+  return g_string_free (sql, FALSE);
 }
 
 const SsDialect *
--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -170,6 +170,8 @@
     error = ss_parse_text (json, "group", NULL, &t->group);
   if (!error)
     error = ss_parse_text (json, "ip", NULL, &t->ip);
+  if (!error && !g_hostname_is_ip_address (t->ip))
+    error = g_strdup ("\"ip\" must be an IP address");
   if (!error)
     error = ss_parse_text (json, "failure_domain", NULL, &t->failure_domain);
   if (!error)
--- a/src/plugins/pqtarget.c
+++ b/src/plugins/pqtarget.c
@@ -7,6 +7,7 @@
 #include "core/requests.h"
 #include "kernel/target_connections.h"
 #include "plugins/pgwire.h"
+#include "plugins/pqparams.h"
 
 #define WIRE_MAX_BYTES (8 * 1024 * 1024)
 #define COMMIT_PARAMETER "sapphirestair.commit"
@@ -300,13 +301,10 @@
 start_connection (SsTargetConnection *connection, const SsAction *a)
 {
   TargetConnection *t = (TargetConnection *) connection;
-  char *conninfo = g_strdup_printf (
-      "hostaddr=%s port=%u dbname=sapphirestair user=sapphirestair "
-      "sslmode=disable gssencmode=disable application_name=sapphirestair",
-      a->text, a->port);
+  SsPqParams params;
 
-  t->pq = PQconnectStart (conninfo);
-  g_free (conninfo);
+  ss_pqparams_fill (&params, a->text, a->port);
+  t->pq = PQconnectStartParams (params.names, params.values, 0);
   ev_io_init (&t->io, on_io, -1, EV_READ);
   t->io.data = t;
   if (PQstatus (t->pq) == CONNECTION_BAD)
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -2,9 +2,12 @@
  * another: what a caller, a peer or an operator can bring about on the
  * PostgreSQL interface (docs/incidents/2026-12-prepared-name-ways.md).
  */
+#include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "core/requests.h"
+#include "plugins/pqparams.h"
 #include "tests/sql_server.h"
 #include "tests/unit.h"
 
@@ -268,6 +271,87 @@
   sql_server_finish (&sim);
 }
 
+static void
+expect_text (char *made, const char *expected)
+{
+  CU_ASSERT_STRING_EQUAL (made, expected);
+  g_free (made);
+}
+
+/* Guards against a statement of a server's or a peer's own making: its text
+ * ended the literal that it was put into.
+ */
+static void
+literals_hold_any_text (void)
+{
+  const SsDialect *d = ss_dialect_sql ();
+  SsTarget t = { .ip = (char *) "x', '0'); --", .port = 5432 };
+
+  expect_text (d->claim_key (d, "k'); DROP TABLE kv; --"),
+               "INSERT INTO sapphirestair_requests (id, outcome) "
+               "VALUES ('k''); DROP TABLE kv; --', '')");
+  expect_text (d->find_key (d, "' OR '1'='1"),
+               "SELECT outcome FROM sapphirestair_requests "
+               "WHERE id = ''' OR ''1''=''1'");
+  expect_text (d->record_key (d, "k", "it's \\"),
+               "UPDATE sapphirestair_requests SET outcome = E'it''s \\\\' "
+               "WHERE id = 'k'");
+  expect_text (d->follow (d, 3, &t), "SELECT * FROM sapphirestair_follow(3, "
+                                     "'x'', ''0''); --', '5432')");
+}
+
+/* Guards against an address of the configuration that becomes other parameters
+ * of a connection or a statement.
+ */
+static void
+address_of_a_target_is_an_address (void)
+{
+  static const char *const refused[]
+      = { "10.0.0.1 user=postgres", "10.0.0.1', '1'); --", "",
+          "host.example",           "10.0.0.1\nport=1",    " 10.0.0.1" };
+  static const char *const taken[] = { "10.0.0.1", "fd00::1" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (refused) + G_N_ELEMENTS (taken); i++)
+    {
+      bool is_refused = i < G_N_ELEMENTS (refused);
+      const char *ip
+          = is_refused ? refused[i] : taken[i - G_N_ELEMENTS (refused)];
+      json_t *json
+          = json_pack ("{s:s, s:s, s:i, s:s, s:i}", "group", "g", "ip", ip,
+                       "port", 1, "failure_domain", "d", "max_connections", 8);
+      char *text = json_dumps (json, JSON_COMPACT);
+      char *error
+          = ss_config_check ("target/t", text, (uint32_t) strlen (text));
+
+      CU_ASSERT ((error != NULL) == is_refused);
+      g_free (error);
+      free (text);
+      json_decref (json);
+    }
+}
+
+/* Guards against a target's address that becomes other parameters of its
+ * connection, and against a server that reads quotes in another way than the
+ * proxy tells its callers.
+ */
+static void
+parameters_of_a_connection_are_values (void)
+{
+  static const char address[] = "10.0.0.1 user=postgres";
+  SsPqParams p;
+  uint32_t i = 0;
+
+  ss_pqparams_fill (&p, address, 5432);
+  CU_ASSERT_STRING_EQUAL (p.names[0], "hostaddr");
+  CU_ASSERT_STRING_EQUAL (p.values[0], address);
+  CU_ASSERT_STRING_EQUAL (p.names[1], "port");
+  CU_ASSERT_STRING_EQUAL (p.values[1], "5432");
+  while (p.names[i] && strcmp (p.names[i], "options") != 0)
+    i++;
+  CU_ASSERT_FATAL (p.names[i] != NULL);
+  CU_ASSERT (strstr (p.values[i], "standard_conforming_strings=on") != NULL);
+}
+
 static uint64_t
 last_connection (const SqlServer *sim)
 {
@@ -380,6 +464,10 @@
   { "changed connection serves no one else",
     changed_connection_serves_no_one_else },
   { "tags tell what changes a session", tags_tell_what_changes_a_session },
+  { "literals hold any text", literals_hold_any_text },
+  { "address of a target is an address", address_of_a_target_is_an_address },
+  { "parameters of a connection are values",
+    parameters_of_a_connection_are_values },
   { "owner checks text of other vms", owner_checks_text_of_other_vms },
   CU_TEST_INFO_NULL,
 };
