Settings at start are split and named as the server does it

What callers saw (PostgreSQL interface): with options='-c SAPPHIRESTAIR.request_id=x', with a tab between two words, or as the 17th setting, a setting was left out without a word: the session had no idempotency key and a repeat ran twice. A value with a space ("slow\ report") was cut at the space.

Cause: options were split at single spaces, names compared with their case.

Fix: white space separates, a backslash keeps the next character, names have no case; more than 16 settings are refused.

--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -10,6 +10,11 @@
 
 /* --- session.c --- */
 
+/* ss_session_setting_name: returns what follows "sapphirestair.", in any case,
+ * in the name PARAMETER of a start-up message, or NULL if it is no setting of
+ * the proxy.
+ */
+const char *ss_session_setting_name (const char *parameter);
 /* ss_session_set: sets NAME to VALUE, or resets it where VALUE is NULL.
  * Returns NULL, or a static error message.
  */
--- a/src/core/session.c
+++ b/src/core/session.c
@@ -4,6 +4,17 @@
 
 #define KEY_MAX_BYTES 64
 
+#define PREFIX "sapphirestair."
+
+const char *
+ss_session_setting_name (const char *parameter)
+{
+  size_t bytes = strlen (PREFIX);
+
+  return g_ascii_strncasecmp (parameter, PREFIX, bytes) == 0 ? parameter + bytes
+                                                             : NULL;
+}
+
 static bool
 is_request_key (const char *text)
 {
@@ -115,7 +126,7 @@
 ss_session_set (SsNode *node, SsSession *s, const char *name, const char *value)
 {
   for (size_t i = 0; i < G_N_ELEMENTS (setting_rows); i++)
-    if (strcmp (name, setting_rows[i].name) == 0)
+    if (g_ascii_strcasecmp (name, setting_rows[i].name) == 0)
       return setting_rows[i].set (node, s, value);
   return "unknown session setting; must be token, kind, deadline_ms, "
          "request_id or traceparent";
--- a/src/plugins/pgserver.c
+++ b/src/plugins/pgserver.c
@@ -2,12 +2,12 @@
 #include <string.h>
 #include <sys/random.h>
 
+#include "core/entry.h"
 #include "core/identity.h"
 #include "kernel/callers.h"
 #include "plugins/pgwire.h"
 #include "plugins/scram.h"
 
-#define SETTING_PREFIX "sapphirestair."
 #define SETTINGS_MAX 16
 #define NONCE_BYTES 18
 #define SERVER_VERSION "15.0 (sapphirestair)"
@@ -77,17 +77,23 @@
   const char *pairs[SETTINGS_MAX * 2 + 1]; /* name, value, ..., NULL */
   char *copies[SETTINGS_MAX * 2];
   uint32_t count;
+  bool has_too_many;
 } Settings;
 
 static void
 add_setting (void *data, const char *name, const char *value)
 {
   Settings *s = data;
+  const char *setting = ss_session_setting_name (name);
 
-  if (!g_str_has_prefix (name, SETTING_PREFIX)
-      || s->count + 2 > SETTINGS_MAX * 2)
+  if (!setting)
     return;
-  s->copies[s->count] = g_strdup (name + strlen (SETTING_PREFIX));
+  if (s->count + 2 > SETTINGS_MAX * 2)
+    {
+      s->has_too_many = true;
+      return;
+    }
+  s->copies[s->count] = g_strdup (setting);
   s->copies[s->count + 1] = g_strdup (value);
   s->pairs[s->count] = s->copies[s->count];
   s->pairs[s->count + 1] = s->copies[s->count + 1];
@@ -136,13 +142,18 @@
   Settings settings;
 
   collect_settings (&settings, m);
-  c->base.state = SS_CALLER_OPENING;
   e.caller_open.caller = c->base.id;
   e.caller_open.service = service_of (m);
   e.caller_open.user = user_of (m);
   e.caller_open.key = credential;
   e.caller_open.settings = settings.pairs;
-  ss_runtime_event (callers.runtime, &e);
+  if (settings.has_too_many)
+    refuse (c, "22023", "too many sapphirestair settings");
+  else
+    {
+      c->base.state = SS_CALLER_OPENING;
+      ss_runtime_event (callers.runtime, &e);
+    }
   for (uint32_t i = 0; i < settings.count; i++)
     g_free (settings.copies[i]);
 }
--- a/src/plugins/pgwire.c
+++ b/src/plugins/pgwire.c
@@ -191,13 +191,47 @@
   return NULL;
 }
 
+/* Takes the word at AT and moves AT behind it.  A backslash keeps the character
+ * that follows it, also white space.
+ */
+static char *
+take_option (const char **at)
+{
+  GString *word = g_string_new (NULL);
+
+  while (**at && !g_ascii_isspace (**at))
+    {
+      if (**at == '\\' && (*at)[1])
+        (*at)++;
+      g_string_append_c (word, *(*at)++);
+    }
+  return g_string_free (word, FALSE);
+}
+
+/* Splits OPTIONS as PostgreSQL's server does; free with g_strfreev. */
+static char **
+split_options (const char *options)
+{
+  GPtrArray *words = g_ptr_array_new ();
+
+  while (*options)
+    {
+      if (g_ascii_isspace (*options))
+        options++;
+      else
+        g_ptr_array_add (words, take_option (&options));
+    }
+  g_ptr_array_add (words, NULL);
+  return (char **) g_ptr_array_free (words, FALSE);
+}
+
 void
 ss_pgwire_parse_options (const char *options,
                          void (*found) (void *data, const char *name,
                                         const char *value),
                          void *data)
 {
-  char **words = g_strsplit (options, " ", -1);
+  char **words = split_options (options);
 
   for (uint32_t i = 0; words[i]; i++)
     {
--- a/tests/sql_server.c
+++ b/tests/sql_server.c
@@ -187,6 +187,7 @@
   SsEvent e = { .kind = SS_EVENT_PLATFORM_OBJECTS };
 
   e.platform_objects.outcome = SS_PLATFORM_DONE;
+  e.platform_objects.since = sim->node.watches[SS_WATCH_ALL].since;
   e.platform_objects.revision = sim->version;
   e.platform_objects.objects = &o;
   e.platform_objects.object_count = 1;
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -6,7 +6,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "core/requests.h"
+#include "core/command.h"
+#include "core/entry.h"
+#include "plugins/metrics.h"
+#include "plugins/pgwire.h"
 #include "plugins/pqparams.h"
 #include "tests/sql_server.h"
 #include "tests/unit.h"
@@ -352,6 +355,69 @@
   CU_ASSERT (strstr (p.values[i], "standard_conforming_strings=on") != NULL);
 }
 
+static void
+add_option (void *data, const char *name, const char *value)
+{
+  g_string_append_printf (data, "[%s][%s]", name, value);
+}
+
+static void
+expect_options (const char *options, const char *expected)
+{
+  GString *found = g_string_new (NULL);
+
+  ss_pgwire_parse_options (options, add_option, found);
+  CU_ASSERT_STRING_EQUAL (found->str, expected);
+  g_string_free (found, TRUE);
+}
+
+/* Guards against settings at start that are not in force, or are cut: options
+ * are split at white space, and a backslash keeps the next character.
+ */
+static void
+options_at_start_are_read_as_the_server_does (void)
+{
+  expect_options ("-c a.b=1 --c=2 -cd=3", "[a.b][1][c][2][d][3]");
+  expect_options ("-c\ta.b=1\n-c  c=2 ", "[a.b][1][c][2]");
+  expect_options ("-c a.kind=slow\\ report", "[a.kind][slow report]");
+  expect_options ("-c a=x\\\\y -c b=c=d", "[a][x\\y][b][c=d]");
+  expect_options ("", "");
+  expect_options ("\\", "");
+  CU_ASSERT (g_strcmp0 (ss_session_setting_name ("Sapphirestair.Request_ID"),
+                        "Request_ID")
+             == 0);
+  CU_ASSERT (ss_session_setting_name ("sapphirestair") == NULL);
+  CU_ASSERT (ss_session_setting_name ("search_path") == NULL);
+}
+
+static void
+open_with (SqlServer *sim, const char *name, const char *value)
+{
+  const char *settings[] = { name, value, NULL };
+  SsEvent e = { .kind = SS_EVENT_CALLER_OPEN };
+
+  e.caller_open.caller = 2;
+  e.caller_open.service = "s";
+  e.caller_open.settings = settings;
+  ss_node_on_event (&sim->node, &e, sim->now_ms);
+}
+
+/* Guards as the test above: names of settings have no case. */
+static void
+names_of_settings_have_no_case (void)
+{
+  int64_t caller = 2;
+  const SsSession *s;
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  open_with (&sim, "Request_ID", "order-7");
+  s = g_hash_table_lookup (sim.node.sessions, &caller);
+  CU_ASSERT_FATAL (s != NULL);
+  CU_ASSERT (g_strcmp0 (s->request_key, "order-7") == 0);
+  sql_server_finish (&sim);
+}
+
 static uint64_t
 last_connection (const SqlServer *sim)
 {
@@ -468,6 +534,9 @@
   { "address of a target is an address", address_of_a_target_is_an_address },
   { "parameters of a connection are values",
     parameters_of_a_connection_are_values },
+  { "options at start are read as the server does",
+    options_at_start_are_read_as_the_server_does },
+  { "names of settings have no case", names_of_settings_have_no_case },
   { "owner checks text of other vms", owner_checks_text_of_other_vms },
   CU_TEST_INFO_NULL,
 };
