Names are escaped in all labels of the metrics

What operators would see: a target or routes object with a quote, a backslash or a line feed in its name ended its label or its line, so that the whole page was refused by its reader or had lines that nobody counted.

Cause: "%s{target=\"%s\"}"; only the names of organisations were escaped.

Evidence: suite foreign_text, "names in metrics stay labels" failed before (3 of 3 checks), passes now.

Fix: every label is written by add_label.

--- a/src/plugins/metrics.c
+++ b/src/plugins/metrics.c
@@ -76,30 +76,47 @@
 #define WAITED_METRIC "sapphirestair_organisation_waited_ms_total"
 #define WORST_METRIC "sapphirestair_organisation_worst_tenth_served"
 
-/* Appends the labels of S, without braces: its name, escaped, or that it is the
- * rest.
+/* Appends the label NAME with the value TEXT, escaped: it holds names that
+ * others chose.
  */
 static void
-add_organisation (GString *out, const SsOrganisationStat *s)
+add_label (GString *out, const char *name, const char *text)
 {
-  if (!s->name)
-    {
-      g_string_append (out, "rest=\"true\"");
-      return;
-    }
-  g_string_append (out, "organisation=\"");
-  for (const char *c = s->name; *c; c++)
+  g_string_append (out, name);
+  g_string_append (out, "=\"");
+  for (; *text; text++)
     {
-      if (*c == '\\' || *c == '"')
+      if (*text == '\\' || *text == '"')
         g_string_append_c (out, '\\');
-      if (*c == '\n')
+      if (*text == '\n')
         g_string_append (out, "\\n");
       else
-        g_string_append_c (out, *c);
+        g_string_append_c (out, *text);
     }
   g_string_append_c (out, '"');
 }
 
+/* Begins a line of the metric NAME with one label. */
+static void
+begin_labelled (GString *out, const char *name, const char *label,
+                const char *text)
+{
+  g_string_append (out, name);
+  g_string_append_c (out, '{');
+  add_label (out, label, text);
+  g_string_append (out, "} ");
+}
+
+/* Appends the labels of S, without braces: its name, or that it is the rest. */
+static void
+add_organisation (GString *out, const SsOrganisationStat *s)
+{
+  if (s->name)
+    add_label (out, "organisation", s->name);
+  else
+    add_label (out, "rest", "true");
+}
+
 /* Adds one line of the metric NAME; LABEL may be NULL. */
 static void
 add_stat (GString *out, const char *name, const SsOrganisationStat *s,
@@ -231,10 +248,11 @@
 {
   const RouteGauge *g = data;
 
-  if (g_str_has_prefix (key, ss_watch_prefix (SS_WATCH_ROUTES)))
-    g_string_append_printf (g->out, "%s{key=\"%s\"} %" G_GINT64_FORMAT "\n",
-                            g->name, (const char *) key,
-                            g->value (g->node, value));
+  if (!g_str_has_prefix (key, ss_watch_prefix (SS_WATCH_ROUTES)))
+    return FALSE;
+  begin_labelled (g->out, g->name, "key", key);
+  g_string_append_printf (g->out, "%" G_GINT64_FORMAT "\n",
+                          g->value (g->node, value));
   return FALSE;
 }
 
@@ -329,8 +347,8 @@
 
   if (!owned->active)
     return FALSE;
-  g_string_append_printf (g->out, "%s{target=\"%s\"} %.3f\n", g->name,
-                          (const char *) key, g->value (g->node, owned));
+  begin_labelled (g->out, g->name, "target", key);
+  g_string_append_printf (g->out, "%.3f\n", g->value (g->node, owned));
   return --g->left == 0;
 }
 
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -418,6 +418,30 @@
   sql_server_finish (&sim);
 }
 
+/* Guards against a name of the configuration that adds lines or labels to the
+ * metrics.
+ */
+static void
+names_in_metrics_stay_labels (void)
+{
+  char *text;
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  sim.node.params.learn_speed = true;
+  sql_server_put (&sim, "target/q\"\\\nx 1",
+                  "{\"group\":\"g\",\"ip\":\"10.0.0.3\",\"port\":5432,"
+                  "\"failure_domain\":\"d\",\"max_connections\":8}");
+  sql_server_run (&sim, "SELECT 1");
+  sql_server_put (&sim, "routes/r\"s", "{}");
+  text = ss_metrics_text (&sim.node);
+  CU_ASSERT (strstr (text, "{target=\"q\\\"\\\\\\nx 1\"}") != NULL);
+  CU_ASSERT (strstr (text, "{key=\"routes/r\\\"s\"}") != NULL);
+  CU_ASSERT (strstr (text, "\nx 1") == NULL);
+  g_free (text);
+  sql_server_finish (&sim);
+}
+
 static uint64_t
 last_connection (const SqlServer *sim)
 {
@@ -537,6 +561,7 @@
   { "options at start are read as the server does",
     options_at_start_are_read_as_the_server_does },
   { "names of settings have no case", names_of_settings_have_no_case },
+  { "names in metrics stay labels", names_in_metrics_stay_labels },
   { "owner checks text of other vms", owner_checks_text_of_other_vms },
   CU_TEST_INFO_NULL,
 };
