Members of an entry are compared as whole words

What operators would see: an entry with a member "term primary" was accepted and nothing read it; members are checked so that a misspelt one is refused.

Cause: the name was looked for within the joined text of all names.

Evidence: suite foreign_text, "members of entries are whole words" failed before, passes now.

Fix: the list is split into words, and words are compared.

--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -55,6 +55,16 @@
   return NULL;
 }
 
+static bool
+is_word_of (const char *words, const char *word)
+{
+  char **list = g_strsplit (words, " ", -1);
+  bool found = *word && g_strv_contains ((const char *const *) list, word);
+
+  g_strfreev (list);
+  return found;
+}
+
 char *
 ss_parse_check_keys (json_t *json, const char *allowed)
 {
@@ -63,11 +73,7 @@
 
   json_object_foreach (json, key, value)
   {
-    char *word = g_strdup_printf (" %s ", key);
-    bool known = strstr (allowed, word) != NULL;
-
-    g_free (word);
-    if (!known)
+    if (!is_word_of (allowed, key))
       return g_strdup_printf ("unknown member \"%s\"; allowed are%s", key,
                               allowed);
   }
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -442,6 +442,20 @@
   sql_server_finish (&sim);
 }
 
+/* Guards against an entry with a member that nothing reads: its name was looked
+ * for in the joined text of all names.
+ */
+static void
+members_of_entries_are_whole_words (void)
+{
+  static const char entry[]
+      = "{\"term\":1,\"primary\":\"t\",\"term primary\":1}";
+  char *error = ss_config_check ("group/g", entry, sizeof entry - 1);
+
+  CU_ASSERT (error != NULL);
+  g_free (error);
+}
+
 static uint64_t
 last_connection (const SqlServer *sim)
 {
@@ -562,6 +576,7 @@
     options_at_start_are_read_as_the_server_does },
   { "names of settings have no case", names_of_settings_have_no_case },
   { "names in metrics stay labels", names_in_metrics_stay_labels },
+  { "members of entries are whole words", members_of_entries_are_whole_words },
   { "owner checks text of other vms", owner_checks_text_of_other_vms },
   CU_TEST_INFO_NULL,
 };
