A number of an operator's command is taken as it is, or refused

Cause: the scanner cuts numbers to 64 bits; the sign was applied afterwards.

Fix: a number or term of more than 63 bits is refused as a syntax error.

--- a/src/core/command.c
+++ b/src/core/command.c
@@ -133,6 +133,8 @@
   GTokenType type = g_scanner_peek_next_token (p->scanner);
   const GTokenValue *v = &p->scanner->next_value;
 
+  if (type == G_TOKEN_INT && v->v_int64 > G_MAXINT64)
+    return set_error (p, "a number of at most 63 bits");
   if (type == G_TOKEN_INT)
     *value = json_integer (negative ? -(json_int_t) v->v_int64
                                     : (json_int_t) v->v_int64);
@@ -211,7 +213,8 @@
 {
   const GTokenValue *v = &p->scanner->next_value;
 
-  if (g_scanner_peek_next_token (p->scanner) != G_TOKEN_INT || v->v_int64 == 0)
+  if (g_scanner_peek_next_token (p->scanner) != G_TOKEN_INT || v->v_int64 == 0
+      || v->v_int64 > G_MAXINT64)
     return set_error (p, "a term, from 1");
   *term = v->v_int64;
   g_scanner_get_next_token (p->scanner);
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -456,6 +456,26 @@
   g_free (error);
 }
 
+/* Guards against a number of an operator that becomes another one. */
+static void
+numbers_of_commands_are_not_cut (void)
+{
+  static const char *const refused[]
+      = { "set service s weight = -18446744073709551615",
+          "set service s weight = 18446744073709551617",
+          "promote group g if term 18446744073709551617" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (refused); i++)
+    {
+      SsCommand c;
+      char *error = ss_command_init (&c, refused[i]);
+
+      CU_ASSERT (error != NULL);
+      g_free (error);
+      ss_command_finish (&c);
+    }
+}
+
 static uint64_t
 last_connection (const SqlServer *sim)
 {
@@ -577,6 +597,7 @@
   { "names of settings have no case", names_of_settings_have_no_case },
   { "names in metrics stay labels", names_in_metrics_stay_labels },
   { "members of entries are whole words", members_of_entries_are_whole_words },
+  { "numbers of commands are not cut", numbers_of_commands_are_not_cut },
   { "owner checks text of other vms", owner_checks_text_of_other_vms },
   CU_TEST_INFO_NULL,
 };
