--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "ctl/progress.h"
+
 #define VERSION "0.2.0"
 #define DEFAULT_ADDRESS "127.0.0.1:7200"
 #define CALL_TIMEOUT_MS 15000L
@@ -224,21 +226,6 @@
   return code;
 }
 
-/* Returns the query that shows COMMAND's progress, or NULL. */
-static char *
-progress_query (const char *command)
-{
-  char **words = g_strsplit (command, " ", 4);
-  char *query = NULL;
-
-  if (g_strv_length (words) == 3 && strcmp (words[0], "drain") == 0)
-    query = g_strdup_printf ("show targets where name = '%s'", words[2]);
-  if (g_strv_length (words) == 3 && strcmp (words[0], "stop") == 0)
-    query = g_strdup_printf ("show vms where vm = '%s'", words[2]);
-  g_strfreev (words);
-  return query;
-}
-
 /* Returns whether R, the response to a progress query, shows that the command
  * is done: a stopped VM has no row, and a drained target has no statements
  * left.
@@ -258,7 +245,7 @@
 static ExitCode
 wait_for (const char *command)
 {
-  char *query = progress_query (command);
+  char *query = ss_progress_query (command);
   int64_t deadline_us
       = g_get_monotonic_time () + WAIT_TIMEOUT_S * G_USEC_PER_SEC;
   ExitCode code = EXIT_DONE;
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -7,7 +7,9 @@
 #include <string.h>
 
 #include "core/command.h"
+
 #include "core/entry.h"
+#include "ctl/progress.h"
 #include "plugins/metrics.h"
 #include "plugins/pgwire.h"
 #include "plugins/pqparams.h"
@@ -413,8 +415,7 @@
   sql_server_init (&sim);
   open_with (&sim, "Request_ID", "order-7");
   s = g_hash_table_lookup (sim.node.sessions, &caller);
-  CU_ASSERT_FATAL (s != NULL);
-  CU_ASSERT (g_strcmp0 (s->request_key, "order-7") == 0);
+  CU_ASSERT (s && g_strcmp0 (s->request_key, "order-7") == 0);
   sql_server_finish (&sim);
 }
 
@@ -476,6 +477,38 @@
     }
 }
 
+/* COMMAND names NAME, however it is written: the query must ask for it. */
+static void
+expect_progress (const char *command, const char *name)
+{
+  char *query = ss_progress_query (command);
+  SsCommand c = { 0 };
+  char *error = query ? ss_command_init (&c, query) : NULL;
+
+  CU_ASSERT (query != NULL && error == NULL && c.condition_count == 1);
+  if (c.condition_count == 1)
+    CU_ASSERT_STRING_EQUAL (c.conditions[0].text, name);
+  ss_command_finish (&c);
+  g_free (error);
+  g_free (query);
+}
+
+/* Guards against a target that is reported as drained while it is not: the
+ * query asked for another name, or none was sent.
+ */
+static void
+progress_is_asked_for_the_name_of_the_command (void)
+{
+  expect_progress ("drain target t1", "t1");
+  expect_progress ("drain target t1;", "t1");
+  expect_progress ("DRAIN  Target\tt1", "t1");
+  expect_progress ("drain target 't 1'", "t 1");
+  expect_progress ("drain target \"it's \\\\ \\\"\"", "it's \\ \"");
+  expect_progress ("stop vm 'a' ;", "a");
+  CU_ASSERT (ss_progress_query ("undrain target t1") == NULL);
+  CU_ASSERT (ss_progress_query ("drain target") == NULL);
+}
+
 static uint64_t
 last_connection (const SqlServer *sim)
 {
@@ -598,6 +631,8 @@
   { "names in metrics stay labels", names_in_metrics_stay_labels },
   { "members of entries are whole words", members_of_entries_are_whole_words },
   { "numbers of commands are not cut", numbers_of_commands_are_not_cut },
+  { "progress is asked for the name of the command",
+    progress_is_asked_for_the_name_of_the_command },
   { "owner checks text of other vms", owner_checks_text_of_other_vms },
   CU_TEST_INFO_NULL,
 };
