sapphirectl reads a line of any length as one command

What operators would see: a line of more than 4095 bytes on standard input was cut, and its end sent as a command of its own, also the end of a comment.

Cause: a buffer of 4096 bytes.

Evidence: tests/scenario/long-command.scn ("# ...show counters" in one line) failed before, passes now.

Fix: getline.

--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -291,7 +291,8 @@
 run_lines (void)
 {
   bool prompts = isatty (STDIN_FILENO);
-  char line[4096];
+  char *line = NULL;
+  size_t line_bytes = 0;
   ExitCode code = EXIT_DONE;
 
   for (;;)
@@ -301,7 +302,7 @@
           fputs ("sapphirestair> ", stdout);
           fflush (stdout);
         }
-      if (!fgets (line, sizeof line, stdin))
+      if (getline (&line, &line_bytes, stdin) < 0)
         break;
       g_strstrip (line);
       if (!*line || *line == '#')
@@ -312,6 +313,7 @@
       if (code != EXIT_DONE && !prompts)
         break;
     }
+  free (line);
   return code;
 }
 
