A failing test: organisations share their idempotency keys

What callers can see (PostgreSQL interface): a write with a request_id that another organisation has used is acknowledged with that one's outcome and never runs.

Cause: the id of the record in sapphirestair_requests is the caller's text alone; two different values become the same key.

Evidence: build/ss-unit foreign_key fails: organisations do not share keys: sql_server_rows (&sim, "b") == 1

--- /dev/null
+++ b/tests/test_foreign_key.c
@@ -0,0 +1,53 @@
+/* Idempotency keys of different organisations, on the PostgreSQL interface.
+ * Red: see KNOWN-RED.txt.
+ */
+#include <string.h>
+
+#include "tests/sql_server.h"
+#include "tests/unit.h"
+
+static void
+run_for (SqlServer *sim, const char *organisation, uint64_t request,
+         const char *sql)
+{
+  Ss__Peer__Envelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Run run = SS__PEER__RUN__INIT;
+
+  run.request = request;
+  run.session = request;
+  run.target = (char *) "t";
+  run.service = (char *) "s";
+  run.sql.data = (uint8_t *) sql;
+  run.sql.len = strlen (sql);
+  run.left_ms = 500;
+  run.request_key = (char *) "order-7";
+  run.organisation = (char *) organisation;
+  run.keeps = true;
+  e.from = (char *) "b";
+  e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
+  e.run = &run;
+  sql_server_deliver (sim, &e);
+}
+
+/* Guards against a write that is answered from the record of another
+ * organisation, which chose the same idempotency key, and never runs.
+ */
+static void
+organisations_do_not_share_keys (void)
+{
+  SqlServer sim;
+
+  sql_server_init (&sim);
+  run_for (&sim, "alpha", 1, "INSERT INTO kv (key, value) VALUES ('a', '1')");
+  run_for (&sim, "beta", 2, "INSERT INTO kv (key, value) VALUES ('b', '1')");
+  CU_ASSERT (sql_server_rows (&sim, "a") == 1);
+  CU_ASSERT (sql_server_rows (&sim, "b") == 1);
+  run_for (&sim, "alpha", 3, "INSERT INTO kv (key, value) VALUES ('a', '1')");
+  CU_ASSERT (sql_server_rows (&sim, "a") == 1);
+  sql_server_finish (&sim);
+}
+
+CU_TestInfo test_foreign_key[] = {
+  { "organisations do not share keys", organisations_do_not_share_keys },
+  CU_TEST_INFO_NULL,
+};
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -8,6 +8,7 @@
 #define RED_SUITES(X)                                                          \
   X (rate_backlog)                                                             \
   X (far_owner)                                                                \
+  X (foreign_key)                                                              \
   X (duty_calls)
 
 #define SUITES(X)                                                              \
