COPY is refused, and does not stop the VM

Cause: COPY changes what the bytes of a connection mean. libpq then returns PGRES_COPY_IN or PGRES_COPY_OUT for ever, and pqtarget read results until none was left.

The stand-in server has both forms of COPY for it.

Fix: pqtarget ends a COPY FROM STDIN at the target, which then reports its error, and drops the rows of a COPY TO STDOUT and answers 0A000; the connection stays in use.

--- a/src/core/session_sql.c
+++ b/src/core/session_sql.c
@@ -153,7 +153,7 @@
 }
 
 /* Returns the kind of SQL if it is a single statement. */
-static SsSqlKind
+static SsSqlTextKind
 single_kind (const char *sql)
 {
   SsSqlOutline outline;
@@ -202,7 +202,7 @@
 bool
 ss_session_sql_ends_transaction (const char *sql)
 {
-  SsSqlKind kind = single_kind (sql);
+  SsSqlTextKind kind = single_kind (sql);
 
   return kind == SS_SQL_KIND_COMMIT || kind == SS_SQL_KIND_ROLLBACK;
 }
--- a/src/core/sql_text.c
+++ b/src/core/sql_text.c
@@ -224,8 +224,8 @@
 /* Returns KIND if the statement whose first word stands before AT says no more
  * than that word: WORK, TRANSACTION and AND NO CHAIN mean nothing.
  */
-static SsSqlKind
-end_kind (const char *at, SsSqlKind kind)
+static SsSqlTextKind
+end_kind (const char *at, SsSqlTextKind kind)
 {
   SsSqlToken token = ss_sql_text_next (&at);
 
@@ -258,7 +258,7 @@
   return ss_sql_token_is_word (token, SETTING_WORD);
 }
 
-static SsSqlKind
+static SsSqlTextKind
 setting_kind (const char *at)
 {
   SsSqlToken token = ss_sql_text_next (&at);
@@ -271,7 +271,7 @@
 /* Returns the kind of the statement whose first token is FIRST and stands
  * before AT.
  */
-static SsSqlKind
+static SsSqlTextKind
 kind_of (const SsSqlToken *first, const char *at)
 {
   SsSqlToken second;
@@ -322,7 +322,7 @@
   return token.kind != SS_SQL_TOKEN_OPEN;
 }
 
-SsSqlKind
+SsSqlTextKind
 ss_sql_text_first (const char *text)
 {
   SsSqlToken first = next_statement (&text);
@@ -331,7 +331,7 @@
 }
 
 static void
-add_statement (SsSqlOutline *outline, SsSqlKind kind)
+add_statement (SsSqlOutline *outline, SsSqlTextKind kind)
 {
   if (!outline->count++)
     outline->first = kind;
--- a/src/core/sql_text.h
+++ b/src/core/sql_text.h
@@ -41,15 +41,15 @@
   SS_SQL_KIND_CONTROL,  /* ends a transaction in another way: AND CHAIN, or
                            PREPARE TRANSACTION and what follows it */
   SS_SQL_KIND_SETTING   /* SET, RESET or SHOW of a setting of the proxy */
-} SsSqlKind;
+} SsSqlTextKind;
 
 typedef struct
 {
-  uint32_t count;   /* of statements that are not empty */
-  SsSqlKind first;  /* of the first statement */
-  bool controls;    /* a statement begins or ends a transaction */
-  bool has_setting; /* a statement has the kind SS_SQL_KIND_SETTING */
-  bool is_closed;   /* no quote or comment is left open */
+  uint32_t count;      /* of statements that are not empty */
+  SsSqlTextKind first; /* of the first statement */
+  bool controls;       /* a statement begins or ends a transaction */
+  bool has_setting;    /* a statement has the kind SS_SQL_KIND_SETTING */
+  bool is_closed;      /* no quote or comment is left open */
 } SsSqlOutline;
 
 /* ss_sql_text_next: returns the next token and moves AT behind it. */
@@ -61,7 +61,7 @@
 /* ss_sql_text_first: returns the kind of the first statement that is not
  * empty.
  */
-SsSqlKind ss_sql_text_first (const char *text);
+SsSqlTextKind ss_sql_text_first (const char *text);
 void ss_sql_text_outline (const char *text, SsSqlOutline *outline);
 
 #endif
--- a/src/plugins/pqtarget.c
+++ b/src/plugins/pqtarget.c
@@ -25,6 +25,7 @@
   uint32_t skip_results;
   bool has_error;
   bool changes_session;
+  bool copies_out; /* the target sends the rows of a COPY */
   char sqlstate[6];
   char *tag;
   SsPosition commit; /* the last commit position that was reported */
@@ -67,6 +68,15 @@
   ev_io_start (targets.runtime->loop, &t->io);
 }
 
+/* Sends what libpq has queued, and waits for the rest. */
+static void
+flush (TargetConnection *t)
+{
+  int left = PQflush (t->pq);
+
+  set_io_events (t, left == 1 ? EV_READ | EV_WRITE : EV_READ);
+}
+
 /* --- responses --- */
 
 static void
@@ -84,6 +94,57 @@
                    PQresultErrorField (r, PG_DIAG_MESSAGE_HINT));
 }
 
+/* --- COPY, which the proxy does not pass on --- */
+
+static void
+put_unsupported (TargetConnection *t)
+{
+  t->has_error = true;
+  /* The error is the last result that the caller gets. */
+  t->skip_results = G_MAXUINT32;
+  g_strlcpy (t->sqlstate, "0A000", sizeof t->sqlstate);
+  ss_pgwire_error (t->base.wire, "ERROR", t->sqlstate,
+                   "COPY TO STDOUT is not supported", NULL,
+                   "Use SELECT instead.");
+}
+
+/* Drops the rows of a COPY that have arrived.  Returns false if more are to
+ * come.
+ */
+static bool
+drop_copied (TargetConnection *t)
+{
+  char *row = NULL;
+  int bytes;
+
+  while ((bytes = PQgetCopyData (t->pq, &row, 1)) > 0)
+    PQfreemem (row);
+  t->copies_out = bytes == 0;
+  return !t->copies_out;
+}
+
+/* Begins a COPY if R is the first result of one: the target's next results come
+ * after it.  The target reports the error of a COPY FROM STDIN itself.  Returns
+ * false if R is of another kind.
+ */
+static bool
+begin_copy (TargetConnection *t, const PGresult *r)
+{
+  switch (PQresultStatus (r))
+    {
+    case PGRES_COPY_IN:
+      PQputCopyEnd (t->pq, "COPY FROM STDIN is not supported");
+      flush (t);
+      return true;
+    case PGRES_COPY_OUT:
+      put_unsupported (t);
+      t->copies_out = true;
+      return true;
+    default:
+      return false;
+    }
+}
+
 static void
 put_rows (TargetConnection *t, const PGresult *r)
 {
@@ -224,6 +285,8 @@
     }
   while (t->busy && !PQisBusy (t->pq))
     {
+      if (t->copies_out && !drop_copied (t))
+        return;
       r = PQgetResult (t->pq);
       if (!r)
         {
@@ -233,7 +296,7 @@
             report_result (t);
           return;
         }
-      if (PQstatus (t->pq) != CONNECTION_BAD)
+      if (PQstatus (t->pq) != CONNECTION_BAD && !begin_copy (t, r))
         handle_result (t, r);
       PQclear (r);
     }
@@ -241,14 +304,6 @@
     report_closed (t);
 }
 
-static void
-flush (TargetConnection *t)
-{
-  int left = PQflush (t->pq);
-
-  set_io_events (t, left == 1 ? EV_READ | EV_WRITE : EV_READ);
-}
-
 static void
 poll_connect (TargetConnection *t)
 {
@@ -323,6 +378,7 @@
   t->results = 0;
   t->has_error = false;
   t->changes_session = false;
+  t->copies_out = false;
   t->sqlstate[0] = 0;
   t->skip_results = a->skip_results;
   t->busy = true;
--- a/standin/session.c
+++ b/standin/session.c
@@ -447,6 +447,42 @@
   return true;
 }
 
+/* The formats of a COPY: text, and no columns. */
+#define COPY_FORMAT_BYTES 3
+#define COPY_ROW "row\n"
+
+/* Sends COPY_ROW, which stands for the rows of a table, or waits for some. */
+static void
+run_copy (SsSqlSession *c, const SsSql *q)
+{
+  static const uint8_t in[] = { 'G', 0, 0, 0, 4 + COPY_FORMAT_BYTES, 0, 0, 0 };
+  static const uint8_t begin[]
+      = { 'H', 0, 0, 0, 4 + COPY_FORMAT_BYTES, 0, 0, 0 };
+  static const uint8_t row[] = { 'd', 0, 0, 0, 4 + sizeof COPY_ROW - 1 };
+  static const uint8_t end[] = { 'c', 0, 0, 0, 4 };
+
+  c->waits_for_copy = q->kind == SS_SQL_COPY_IN;
+  if (c->waits_for_copy)
+    {
+      g_byte_array_append (out (c), in, sizeof in);
+      return;
+    }
+  g_byte_array_append (out (c), begin, sizeof begin);
+  g_byte_array_append (out (c), row, sizeof row);
+  g_byte_array_append (out (c), (const uint8_t *) COPY_ROW,
+                       sizeof COPY_ROW - 1);
+  g_byte_array_append (out (c), end, sizeof end);
+  complete (c, "COPY 1");
+}
+
+void
+ss_sql_session_end_copy (SsSqlSession *c)
+{
+  c->waits_for_copy = false;
+  ss_sql_session_fail (c, "57014", "COPY from stdin failed");
+  ss_sql_session_put_ready (c);
+}
+
 static bool
 is_ignored (const SsSqlSession *c, const SsSql *q)
 {
@@ -506,6 +542,10 @@
       }
     case SS_SQL_CALL:
       return run_call (c, q);
+    case SS_SQL_COPY_IN:
+    case SS_SQL_COPY_OUT:
+      run_copy (c, q);
+      return !c->waits_for_copy;
     case SS_SQL_INVALID:
     default:
       ss_sql_session_fail (c, "42601",
@@ -576,7 +616,7 @@
     commit (c);
   if (c->status == 'I' && !ok)
     g_ptr_array_set_size (c->ops, 0);
-  if (!c->waits_for_log)
+  if (!c->waits_for_log && !c->waits_for_copy)
     ss_sql_session_put_ready (c);
 }
 
--- a/standin/session.h
+++ b/standin/session.h
@@ -24,6 +24,7 @@
   bool is_replication;
   /* request of a replica for the log */
   bool waits_for_log;
+  bool waits_for_copy;   /* for the client's end of a COPY FROM STDIN */
   int64_t log_due_ms;    /* time by which it is answered */
   uint64_t log_position; /* the last entry that the replica has */
   uint64_t log_term;     /* of that entry */
@@ -55,6 +56,10 @@
  * partitioned, or if there are no new entries and the wait has not EXPIRED.
  */
 bool ss_sql_session_answer_log (SsSqlSession *session, bool expired);
+/* ss_sql_session_end_copy: ends COPY FROM STDIN with an error, and appends
+ * ReadyForQuery.
+ */
+void ss_sql_session_end_copy (SsSqlSession *session);
 /* ss_sql_session_put_ready: ends the response to a message: appends the changed
  * positions as ParameterStatus messages, and ReadyForQuery.
  */
--- a/standin/sql.c
+++ b/standin/sql.c
@@ -165,6 +165,17 @@
     q->read_only = true;
 }
 
+static bool
+parse_copy (SsSql *q, GScanner *s)
+{
+  q->name = take_name (s);
+  q->kind = take_word (s, "from") ? SS_SQL_COPY_IN : SS_SQL_COPY_OUT;
+  if (q->kind == SS_SQL_COPY_OUT && !take_word (s, "to"))
+    return false;
+  return q->name
+         && take_word (s, q->kind == SS_SQL_COPY_IN ? "stdin" : "stdout");
+}
+
 static void
 parse (SsSql *q, GScanner *s)
 {
@@ -195,6 +206,8 @@
       q->kind = SS_SQL_SELECT;
       ok = parse_select (q, s);
     }
+  else if (take_word (s, "copy"))
+    ok = parse_copy (q, s);
   if (!ok)
     q->kind = SS_SQL_INVALID;
 }
--- a/standin/sql.h
+++ b/standin/sql.h
@@ -20,6 +20,8 @@
   SS_SQL_UPDATE,
   SS_SQL_SELECT,
   SS_SQL_SELECT_NUMBER,
+  SS_SQL_COPY_IN,  /* COPY table FROM STDIN */
+  SS_SQL_COPY_OUT, /* COPY table TO STDOUT */
   SS_SQL_CALL
 } SsSqlKind;
 
--- a/standin/target.c
+++ b/standin/target.c
@@ -192,6 +192,18 @@
     }
 }
 
+/* Handles a message of COPY, which is the first one of the input. */
+static void
+handle_copy (Client *c)
+{
+  uint8_t type = c->stream.input->data[0];
+
+  if (!c->sql.waits_for_copy || (type != 'f' && type != 'c'))
+    return;
+  c->sql.out = out (c);
+  ss_sql_session_end_copy (&c->sql);
+}
+
 /* Returns false if it has freed the client. */
 static bool
 handle_message (Client *c, const SsPgwireMessage *m)
@@ -219,6 +231,7 @@
         run_query (c, m->text);
       break;
     case SS_PGWIRE_IGNORED:
+      handle_copy (c);
       break;
     case SS_PGWIRE_SYNC:
       put_ready (c);
