--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 PLATFORM = $(patsubst %.c,$B/%.o,$(wildcard platform/*.c))
 PLUGINS = pgserver pqtarget platform_http admin_http metrics peer
 DAEMON_O = $(KERNEL_O) $(CORE_O) $B/src/kernel/plugin.o $B/src/kernel/callers.o $B/src/kernel/target_connections.o $B/src/kernel/http_outcome.o \
-  $(PLUGINS:%=$B/src/plugins/%.o) $B/src/plugins/pgwire.o $B/src/plugins/scram.o $B/src/plugins/platform_api.o \
+  $(PLUGINS:%=$B/src/plugins/%.o) $B/src/plugins/pgwire.o $B/src/plugins/pqparams.o $B/src/plugins/scram.o $B/src/plugins/platform_api.o \
   $(PLATFORM) $B/src/daemon/main.o
 TARGET_O = $(addprefix $B/standin/,target.o log_receiver.o session.o server.o store.o sql.o) \
   $B/src/kernel/stream.o $B/src/kernel/clock.o $B/src/plugins/pgwire.o
@@ -31,10 +31,10 @@
   $B/src/plugins/pgwire.o
 UNIT_O = $(patsubst %.c,$B/%.o,$(wildcard tests/test_*.c)) $(SIM_O) \
   $(addprefix $B/tests/,unit.o line_sim.o line_sim_platform.o line_server.o \
-  line_expect.o line_texts.o line_params.o server_reader.o fleet_sim.o \
+  line_expect.o line_texts.o line_params.o server_reader.o sql_server.o fleet_sim.o \
   fleet_platform.o cache_sim.o rate_sim.o) \
   $(addprefix $B/platform/,line.o dialect.o errors.o records.o responses.o) \
-  $(addprefix $B/src/plugins/,metrics.o scram.o platform_api.o) \
+  $(addprefix $B/src/plugins/,metrics.o pqparams.o scram.o platform_api.o) $B/src/ctl/progress.o \
   $(addprefix $B/src/kernel/,json_items.o settings.o toml_shim.o)
 WORLD_O = $(patsubst %.c,$B/%.o,$(wildcard tests/world/*.c)) \
   $B/tests/server_reader.o $B/src/core/replay.o $B/src/kernel/compare.o
@@ -54,7 +54,7 @@
 
 $B/sapphirestaird: $(DAEMON_O)
 	$(CXX) $(SAN) -o $@ $^ $(LIBS)
-$B/sapphirectl: $B/src/ctl/main.o
+$B/sapphirectl: $B/src/ctl/main.o $B/src/ctl/progress.o $B/src/core/scanner.o
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-standin-target: $(TARGET_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
--- a/src/core/entry.c
+++ b/src/core/entry.c
@@ -270,8 +270,7 @@
 static void
 reply_transaction_lost (SsNode *node, SsSession *s, const char *sql)
 {
-  bool rolls_back = ss_session_sql_begins_with (sql, "rollback")
-                    || ss_session_sql_begins_with (sql, "abort");
+  bool rolls_back = ss_session_sql_is_rollback (sql);
   bool ends = ss_session_sql_ends_transaction (sql);
   bool silent = rolls_back || (ends && !s->loss_unreported);
 
@@ -303,6 +302,21 @@
   return true;
 }
 
+/* Refuses SQL if it can't run under the session's idempotency key.  Returns
+ * whether it was refused.
+ */
+static bool
+refuse_key_text (SsNode *node, SsSession *s, const char *sql)
+{
+  const char *error = s->request_key ? ss_session_sql_key_error (sql) : NULL;
+
+  if (!error)
+    return false;
+  ss_session_clear_request_key (s);
+  ss_session_refuse (node, s, SS_REASON_BAD_SETTING, error);
+  return true;
+}
+
 void
 ss_entry_statement (SsNode *node, uint64_t caller, const char *label,
                     const char *sql)
@@ -333,7 +347,7 @@
   ss_session_sql_parse_setting (&setting, sql);
   if (setting.kind != SS_SETTING_STATEMENT_NONE)
     ss_session_run_setting (node, s, &setting);
-  else
+  else if (!refuse_key_text (node, s, sql))
     ss_entry_dispatch (node, ss_entry_create_request (node, s, sql));
   ss_session_sql_setting_finish (&setting);
 }
--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -51,6 +51,16 @@
   return NULL;
 }
 
+static bool
+is_word_of (const char *words, const char *word)
+{
+  char **list = g_strsplit (words, " ", -1);
+  bool found = *word && g_strv_contains ((const char *const *) list, word);
+
+  g_strfreev (list);
+  return found;
+}
+
 char *
 ss_parse_check_keys (json_t *json, const char *allowed)
 {
@@ -59,11 +69,7 @@
 
   json_object_foreach (json, key, value)
   {
-    char *word = g_strdup_printf (" %s ", key);
-    bool known = strstr (allowed, word) != NULL;
-
-    g_free (word);
-    if (!known)
+    if (!is_word_of (allowed, key))
       return g_strdup_printf ("unknown member \"%s\"; allowed are%s", key,
                               allowed);
   }
@@ -166,6 +172,8 @@
     error = ss_parse_text (json, "group", NULL, &t->group);
   if (!error)
     error = ss_parse_text (json, "ip", NULL, &t->ip);
+  if (!error && !g_hostname_is_ip_address (t->ip))
+    error = g_strdup ("\"ip\" must be an IP address");
   if (!error)
     error = ss_parse_text (json, "failure_domain", NULL, &t->failure_domain);
   if (!error)
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -165,23 +165,49 @@
   char *value; /* NULL: RESET */
 } SsSettingStatement;
 
-/* ss_session_sql_parse_setting: parses SQL where it is SET, RESET or SHOW of
- * sapphirestair.*; else the kind is SS_SETTING_STATEMENT_NONE.
+/* ss_session_sql_parse_setting: parses SQL where a statement of it is SET,
+ * RESET or SHOW of sapphirestair.*; else the kind is SS_SETTING_STATEMENT_NONE.
+ * The kind is SS_SETTING_STATEMENT_MALFORMED if there are other statements, and
+ * for SET LOCAL and quoted names: a server would accept them and do nothing.
  */
 void ss_session_sql_parse_setting (SsSettingStatement *setting,
                                    const char *sql);
 void ss_session_sql_setting_finish (SsSettingStatement *setting);
-/* ss_session_sql_begins_with: whether SQL begins with WORD, in any case. */
-bool ss_session_sql_begins_with (const char *sql, const char *word);
 /* ss_session_sql_begins_transaction: whether SQL is BEGIN or START. */
 bool ss_session_sql_begins_transaction (const char *sql);
-/* ss_session_sql_is_read_only_begin: whether SQL is BEGIN READ ONLY or START
- * TRANSACTION READ ONLY.
+/* ss_session_sql_controls_transaction: whether a statement of SQL begins or
+ * ends a transaction.
+ */
+bool ss_session_sql_controls_transaction (const char *sql);
+/* ss_session_sql_is_read_only_begin: whether SQL is one BEGIN READ ONLY or
+ * START TRANSACTION READ ONLY.
  */
 bool ss_session_sql_is_read_only_begin (const char *sql);
-/* ss_session_sql_ends_transaction: whether SQL is COMMIT, END, ROLLBACK or
- * ABORT. */
+/* ss_session_sql_ends_transaction: whether SQL is one COMMIT, END, ROLLBACK or
+ * ABORT, without TO and AND CHAIN: no transaction is open after it.
+ */
 bool ss_session_sql_ends_transaction (const char *sql);
+/* ss_session_sql_is_rollback: whether SQL is one ROLLBACK or ABORT, as above.
+ */
+bool ss_session_sql_is_rollback (const char *sql);
+/* ss_session_sql_tag_changes_session: whether a statement with the command tag
+ * TAG may change its connection beyond its transaction: settings, prepared
+ * statements, cursors, temporary tables, channels.
+ */
+bool ss_session_sql_tag_changes_session (const char *tag);
+/* ss_session_sql_is_commit: whether SQL is one COMMIT or END, without AND
+ * CHAIN.
+ */
+bool ss_session_sql_is_commit (const char *sql);
+/* ss_session_sql_takes_key: whether SQL can be sent with an idempotency key: as
+ * the whole of a transaction, or as the COMMIT of the one that is open.
+ */
+bool ss_session_sql_takes_key (const char *sql, bool in_transaction);
+/* ss_session_sql_key_error: returns why SQL is refused in a session that has an
+ * idempotency key, a static text, or NULL.  A statement that ends its
+ * transaction within the text would leave the key's record behind.
+ */
+const char *ss_session_sql_key_error (const char *sql);
 
 /* --- choice.c: selects the server for a read or a write --- */
 
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -26,10 +26,7 @@
 {
   if (!s->request_key || r->is_read)
     return false;
-  if (s->pinned_vm)
-    return ss_session_sql_begins_with (r->sql, "commit")
-           || ss_session_sql_begins_with (r->sql, "end");
-  return !ss_session_sql_begins_transaction (r->sql);
+  return ss_session_sql_takes_key (r->sql, s->pinned_vm != NULL);
 }
 
 static gboolean
@@ -325,7 +322,7 @@
       kind = *kind && strcmp (kind, "write") != 0 ? kind : "session";
     }
   else if (strcmp (kind, "write") != 0 && *kind)
-    r->is_read = !ss_session_sql_begins_transaction (r->sql);
+    r->is_read = !ss_session_sql_controls_transaction (r->sql);
   if (!r->is_read)
     return true;
   return set_freshness (r, service, kind);
--- a/src/plugins/pqtarget.c
+++ b/src/plugins/pqtarget.c
@@ -4,8 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/requests.h"
 #include "kernel/target_connections.h"
 #include "plugins/pgwire.h"
+#include "plugins/pqparams.h"
 
 #define WIRE_MAX_BYTES (8 * 1024 * 1024)
 #define COMMIT_PARAMETER "sapphirestair.commit"
@@ -22,6 +24,9 @@
   uint32_t results; /* number received so far */
   uint32_t skip_results;
   bool has_error;
+  bool changes_session;
+  bool copies_out; /* the target sends the rows of a COPY */
+  bool copied_out; /* the caller gets its error, and no result after that */
   char sqlstate[6];
   char *tag;
   SsPosition commit; /* the last commit position that was reported */
@@ -64,6 +69,15 @@
   ev_io_start (targets.runtime->loop, &t->io);
 }
 
+/* Sends what libpq has queued, and waits for the rest. */
+static void
+flush (TargetConnection *t)
+{
+  int left = PQflush (t->pq);
+
+  set_io_events (t, left == 1 ? EV_READ | EV_WRITE : EV_READ);
+}
+
 /* --- responses --- */
 
 static void
@@ -81,6 +95,56 @@
                    PQresultErrorField (r, PG_DIAG_MESSAGE_HINT));
 }
 
+/* --- COPY, which the proxy does not pass on --- */
+
+static void
+put_unsupported (TargetConnection *t)
+{
+  t->has_error = true;
+  t->copied_out = true;
+  g_strlcpy (t->sqlstate, "0A000", sizeof t->sqlstate);
+  ss_pgwire_error (t->base.wire, "ERROR", t->sqlstate,
+                   "COPY TO STDOUT is not supported", NULL,
+                   "Use SELECT instead.");
+}
+
+/* Drops the rows of a COPY that have arrived.  Returns false if more are to
+ * come.
+ */
+static bool
+drop_copied (TargetConnection *t)
+{
+  char *row = NULL;
+  int bytes;
+
+  while ((bytes = PQgetCopyData (t->pq, &row, 1)) > 0)
+    PQfreemem (row);
+  t->copies_out = bytes == 0;
+  return !t->copies_out;
+}
+
+/* Begins a COPY if R is the first result of one: the target's next results come
+ * after it.  The target reports the error of a COPY FROM STDIN itself.  Returns
+ * false if R is of another kind.
+ */
+static bool
+begin_copy (TargetConnection *t, const PGresult *r)
+{
+  switch (PQresultStatus (r))
+    {
+    case PGRES_COPY_IN:
+      PQputCopyEnd (t->pq, "COPY FROM STDIN is not supported");
+      flush (t);
+      return true;
+    case PGRES_COPY_OUT:
+      put_unsupported (t);
+      t->copies_out = true;
+      return true;
+    default:
+      return false;
+    }
+}
+
 static void
 put_rows (TargetConnection *t, const PGresult *r)
 {
@@ -144,6 +208,10 @@
   t->results++;
   if (t->results <= t->skip_results && !failed)
     return;
+  t->changes_session = t->changes_session
+                       || ss_session_sql_tag_changes_session (PQcmdStatus (r));
+  if (t->copied_out && !failed)
+    return;
   g_free (t->tag);
   t->tag = g_strdup (PQcmdStatus (r));
   put_result (t, r);
@@ -194,6 +262,7 @@
   result.transaction_status = transaction_status (t);
   result.sqlstate = sqlstate;
   result.tag = tag ? tag : "";
+  result.changes_session = t->changes_session;
   result.applied = parameter_position (t, APPLIED_PARAMETER);
   /* The parameter keeps its value after the statement, so only a changed value
    * is a new commit.
@@ -218,6 +287,8 @@
     }
   while (t->busy && !PQisBusy (t->pq))
     {
+      if (t->copies_out && !drop_copied (t))
+        return;
       r = PQgetResult (t->pq);
       if (!r)
         {
@@ -227,7 +298,7 @@
             report_result (t);
           return;
         }
-      if (PQstatus (t->pq) != CONNECTION_BAD)
+      if (PQstatus (t->pq) != CONNECTION_BAD && !begin_copy (t, r))
         handle_result (t, r);
       PQclear (r);
     }
@@ -235,14 +306,6 @@
     report_closed (t);
 }
 
-static void
-flush (TargetConnection *t)
-{
-  int left = PQflush (t->pq);
-
-  set_io_events (t, left == 1 ? EV_READ | EV_WRITE : EV_READ);
-}
-
 static void
 poll_connect (TargetConnection *t)
 {
@@ -295,13 +358,10 @@
 start_connection (SsTargetConnection *connection, const SsAction *a)
 {
   TargetConnection *t = (TargetConnection *) connection;
-  char *conninfo = g_strdup_printf (
-      "hostaddr=%s port=%u dbname=sapphirestair user=sapphirestair "
-      "sslmode=disable gssencmode=disable application_name=sapphirestair",
-      a->text, a->port);
+  SsPqParams params;
 
-  t->pq = PQconnectStart (conninfo);
-  g_free (conninfo);
+  ss_pqparams_fill (&params, a->text, a->port);
+  t->pq = PQconnectStartParams (params.names, params.values, 0);
   ev_io_init (&t->io, on_io, -1, EV_READ);
   t->io.data = t;
   if (PQstatus (t->pq) == CONNECTION_BAD)
@@ -319,6 +379,9 @@
   g_clear_pointer (&t->tag, g_free);
   t->results = 0;
   t->has_error = false;
+  t->changes_session = false;
+  t->copies_out = false;
+  t->copied_out = false;
   t->sqlstate[0] = 0;
   t->skip_results = a->skip_results;
   t->busy = true;
--- a/standin/sql.c
+++ b/standin/sql.c
@@ -165,6 +165,17 @@
     q->read_only = true;
 }
 
+static bool
+parse_copy (SsSql *q, GScanner *s)
+{
+  q->name = take_name (s);
+  q->kind = take_word (s, "from") ? SS_SQL_COPY_IN : SS_SQL_COPY_OUT;
+  if (q->kind == SS_SQL_COPY_OUT && !take_word (s, "to"))
+    return false;
+  return q->name
+         && take_word (s, q->kind == SS_SQL_COPY_IN ? "stdin" : "stdout");
+}
+
 static void
 parse (SsSql *q, GScanner *s)
 {
@@ -179,7 +190,11 @@
   else if (take_word (s, "rollback") || take_word (s, "abort"))
     q->kind = SS_SQL_ROLLBACK;
   else if (take_word (s, "set"))
-    q->kind = SS_SQL_SET;
+    {
+      q->kind = SS_SQL_SET;
+      q->read_only = take_word (s, "transaction") && take_word (s, "read")
+                     && take_word (s, "only");
+    }
   else if (take_word (s, "insert"))
     {
       q->kind = SS_SQL_INSERT;
@@ -195,6 +210,8 @@
       q->kind = SS_SQL_SELECT;
       ok = parse_select (q, s);
     }
+  else if (take_word (s, "copy"))
+    ok = parse_copy (q, s);
   if (!ok)
     q->kind = SS_SQL_INVALID;
 }
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -8,6 +8,7 @@
 #define RED_SUITES(X)                                                          \
   X (rate_backlog)                                                             \
   X (far_owner)                                                                \
+  X (foreign_key)                                                              \
   X (duty_calls)
 
 #define SUITES(X)                                                              \
@@ -25,6 +26,7 @@
   X (identity)                                                                 \
   X (line)                                                                     \
   X (statement_text)                                                           \
+  X (foreign_text)                                                             \
   X (staleness)                                                                \
   X (relay)                                                                    \
   X (fleet)                                                                    \
