--- a/src/core/job.c
+++ b/src/core/job.c
@@ -107,19 +107,6 @@
   ss_job_free (job);
 }
 
-/* A text that is run as a read may be tried again elsewhere, so the target
- * holds it to that.  BEGIN READ ONLY says so itself.
- */
-static char *
-plain_sql (const SsJob *job, uint32_t *skip_results)
-{
-  if (!job->is_read || job->pinned
-      || ss_session_sql_begins_transaction (job->sql))
-    return g_strdup (job->sql);
-  *skip_results = 1;
-  return g_strconcat ("SET TRANSACTION READ ONLY; ", job->sql, NULL);
-}
-
 static char *
 step_sql (SsNode *node, const SsJob *job, uint32_t *skip_results)
 {
@@ -156,7 +143,7 @@
       break;
     case SS_STEP_PLAIN:
     default:
-      sql = plain_sql (job, skip_results);
+      sql = g_strdup (job->sql);
       break;
     }
   g_free (first);
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -175,10 +175,6 @@
 void ss_session_sql_setting_finish (SsSettingStatement *setting);
 /* ss_session_sql_begins_transaction: whether SQL is BEGIN or START. */
 bool ss_session_sql_begins_transaction (const char *sql);
-/* ss_session_sql_controls_transaction: whether a statement of SQL begins or
- * ends a transaction.
- */
-bool ss_session_sql_controls_transaction (const char *sql);
 /* ss_session_sql_is_read_only_begin: whether SQL is one BEGIN READ ONLY or
  * START TRANSACTION READ ONLY.
  */
--- a/src/core/route.c
+++ b/src/core/route.c
@@ -322,7 +322,7 @@
       kind = *kind && strcmp (kind, "write") != 0 ? kind : "session";
     }
   else if (strcmp (kind, "write") != 0 && *kind)
-    r->is_read = !ss_session_sql_controls_transaction (r->sql);
+    r->is_read = !ss_session_sql_begins_transaction (r->sql);
   if (!r->is_read)
     return true;
   return set_freshness (r, service, kind);
--- a/src/core/session_sql.c
+++ b/src/core/session_sql.c
@@ -152,15 +152,6 @@
   return ss_sql_text_first (sql) == SS_SQL_KIND_BEGIN;
 }
 
-bool
-ss_session_sql_controls_transaction (const char *sql)
-{
-  SsSqlOutline outline;
-
-  ss_sql_text_outline (sql, &outline);
-  return outline.controls;
-}
-
 /* Returns the kind of SQL if it is a single statement. */
 static SsSqlTextKind
 single_kind (const char *sql)
--- a/src/plugins/pqtarget.c
+++ b/src/plugins/pqtarget.c
@@ -26,7 +26,6 @@
   bool has_error;
   bool changes_session;
   bool copies_out; /* the target sends the rows of a COPY */
-  bool copied_out; /* the caller gets its error, and no result after that */
   char sqlstate[6];
   char *tag;
   SsPosition commit; /* the last commit position that was reported */
@@ -101,7 +100,8 @@
 put_unsupported (TargetConnection *t)
 {
   t->has_error = true;
-  t->copied_out = true;
+  /* The error is the last result that the caller gets. */
+  t->skip_results = G_MAXUINT32;
   g_strlcpy (t->sqlstate, "0A000", sizeof t->sqlstate);
   ss_pgwire_error (t->base.wire, "ERROR", t->sqlstate,
                    "COPY TO STDOUT is not supported", NULL,
@@ -206,11 +206,9 @@
   bool failed = PQresultStatus (r) == PGRES_FATAL_ERROR;
 
   t->results++;
-  if (t->results <= t->skip_results && !failed)
-    return;
   t->changes_session = t->changes_session
                        || ss_session_sql_tag_changes_session (PQcmdStatus (r));
-  if (t->copied_out && !failed)
+  if (t->results <= t->skip_results && !failed)
     return;
   g_free (t->tag);
   t->tag = g_strdup (PQcmdStatus (r));
@@ -381,7 +379,6 @@
   t->has_error = false;
   t->changes_session = false;
   t->copies_out = false;
-  t->copied_out = false;
   t->sqlstate[0] = 0;
   t->skip_results = a->skip_results;
   t->busy = true;
