A transaction lost between two statements is told as lost

Callers saw: a VM dies while their transaction is idle, and their next statement gets MALFORMED (transaction_failed), which promises nothing, in place of ABORTED (transaction_lost): they may not repeat the operation, and it is lost. Cause: the loss is noted in the session, and only the SQL side looked at it. The first statement after the loss is now refused as transaction_lost, further ones as before; both leave a log line, which there was none of. Evidence: suite line, 'loss between statements is told' failed before.

--- a/src/core/statement.c
+++ b/src/core/statement.c
@@ -22,6 +22,23 @@
 {
   if (s->status == 'T')
     ss_session_lose_transaction (node, s);
+  s->loss_unreported = false;
+  ss_session_reply (node, s, SS_VERDICT_NOT_RUN, reason, 0);
+}
+
+/* Refuses a statement of a transaction that was lost since the last one.  The
+ * first refusal tells that nothing of the transaction is kept.
+ */
+static void
+refuse_in_failed_transaction (SsNode *node, SsSession *s, const char *label)
+{
+  SsReason reason = s->loss_unreported ? SS_REASON_TRANSACTION_LOST
+                                       : SS_REASON_TRANSACTION_FAILED;
+
+  s->loss_unreported = false;
+  ss_node_log (node, SS_EVENT_LOG_REQUEST_NOT_RUN, label,
+               "service=%s session=%" G_GUINT64_FORMAT " reason=%s", s->service,
+               s->id, ss_reason_name (reason));
   ss_session_reply (node, s, SS_VERDICT_NOT_RUN, reason, 0);
 }
 
@@ -29,12 +46,12 @@
  * accepted, and both roll back.
  */
 static void
-run_in_failed_transaction (SsNode *node, SsSession *s, const SsStatement *st)
+run_in_failed_transaction (SsNode *node, SsSession *s, const char *label,
+                           const SsStatement *st)
 {
   if (st->kind != SS_STATEMENT_COMMIT && st->kind != SS_STATEMENT_ROLLBACK)
     {
-      ss_session_reply (node, s, SS_VERDICT_NOT_RUN,
-                        SS_REASON_TRANSACTION_FAILED, 0);
+      refuse_in_failed_transaction (node, s, label);
       return;
     }
   if (s->pinned_vm)
@@ -209,7 +226,7 @@
   node->dialect->parse (node->dialect, text, &st);
   if (s->status == 'E')
     {
-      run_in_failed_transaction (node, s, &st);
+      run_in_failed_transaction (node, s, label, &st);
       ss_statement_finish (&st);
       return;
     }
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -514,6 +514,32 @@
   line_sim_finish (&sim);
 }
 
+/* Guards against lost operations: a transaction that was lost between two
+ * statements, as the VM that ran it died, was told as failed by the caller's
+ * own statement, which promises nothing; a caller may only repeat what it is
+ * told was not kept.
+ */
+static void
+loss_between_statements_is_told (void)
+{
+  LineSim sim;
+  LineSession *s = &sim.sessions[0];
+
+  line_sim_init (&sim, 5, 2, 8);
+  CU_ASSERT (line_sim_execute (&sim, 1, "BEGIN"));
+  CU_ASSERT (line_sim_execute (&sim, 1, "READ 1a"));
+  ss_pending_vm_lost (&sim.node, sim.node.params.vm);
+  CU_ASSERT (line_sim_execute (&sim, 1, "READ 1a"));
+  CU_ASSERT (s->verdict == SS_VERDICT_NOT_RUN && s->status == 'E');
+  CU_ASSERT (s->reason == SS_REASON_TRANSACTION_LOST);
+  CU_ASSERT (line_sim_execute (&sim, 1, "READ 1a"));
+  CU_ASSERT (s->reason == SS_REASON_TRANSACTION_FAILED && s->status == 'E');
+  CU_ASSERT (line_sim_execute (&sim, 1, "ROLLBACK"));
+  CU_ASSERT (s->verdict == SS_VERDICT_RAN && s->status == 'I');
+  line_expect_no_violations (&sim, 5);
+  line_sim_finish (&sim);
+}
+
 /* A target's own error does not tell whether the statement has run. */
 static void
 target_error_may_have_run (void)
@@ -834,6 +860,7 @@
     transactions_of_a_session_stay_separate },
   { "lost transaction ends with next statement",
     lost_transaction_ends_with_next_statement },
+  { "loss between statements is told", loss_between_statements_is_told },
   { "target error may have run", target_error_may_have_run },
   { "unprepared write is retried", unprepared_write_is_retried },
   { "delayed report makes no position younger",
