Suite targets: connections to servers, run over a real socket

The suite runs the plug-in as it is, with a real event loop, against a listener of the test on 127.0.0.1 (a port that the kernel chooses). The harness stands where the core does: it has ss_plugin_register and ss_runtime_event, passes actions and records events; every wait is bounded by 5 s.

--- /dev/null
+++ b/tests/target_harness.c
@@ -0,0 +1,353 @@
+#include "tests/target_harness.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "kernel/stream.h"
+
+#define SERVER_IP "127.0.0.1"
+#define WAIT_MAX_S 5.0
+#define SETTLE_S 0.01
+#define TURNS 4
+#define READ_BYTES 65536
+
+/* --- the functions of kernel/plugin.c --- */
+
+static const SsPlugin *plugins[SS_PLUGINS_MAX];
+static uint32_t plugin_count;
+
+void
+ss_plugin_register (const SsPlugin *plugin)
+{
+  g_assert (plugin_count < SS_PLUGINS_MAX);
+  plugins[plugin_count++] = plugin;
+}
+
+static const SsPlugin *
+find_plugin (const char *name)
+{
+  for (uint32_t i = 0; i < plugin_count; i++)
+    if (strcmp (plugins[i]->name, name) == 0)
+      return plugins[i];
+  g_assert_not_reached ();
+}
+
+static void
+forget_result (TargetHarness *h)
+{
+  g_clear_pointer (&h->result.wire, g_bytes_unref);
+  g_clear_pointer (&h->row, g_free);
+}
+
+static void
+record_result (TargetHarness *h, const SsTargetResult *result)
+{
+  GString *row = g_string_new (NULL);
+
+  forget_result (h);
+  h->results++;
+  h->result = *result;
+  g_bytes_ref (h->result.wire);
+  for (uint32_t i = 0; i < result->row_cells; i++)
+    {
+      g_string_append (row, result->row[i]);
+      g_string_append_c (row, '|');
+    }
+  h->row = g_string_free (row, FALSE);
+}
+
+static void
+record_closed (TargetHarness *h, const SsEvent *event)
+{
+  h->closed++;
+  h->refused = event->target.refused;
+  h->is_wrong_server = event->target.is_wrong_server;
+  g_free (h->sqlstate);
+  h->sqlstate = g_strdup (event->target.sqlstate);
+}
+
+void
+ss_runtime_event (SsRuntime *runtime, const SsEvent *event)
+{
+  TargetHarness *h = (TargetHarness *) runtime;
+
+  if (event->kind == SS_EVENT_TARGET_READY)
+    h->ready++;
+  else if (event->kind == SS_EVENT_TARGET_CLOSED)
+    record_closed (h, event);
+  else if (event->kind == SS_EVENT_TARGET_RESULT)
+    record_result (h, event->target_result.result);
+  if (h->on_event)
+    h->on_event (h, event);
+}
+
+/* --- the server --- */
+
+static void
+on_readable (struct ev_loop *loop, ev_io *w, int events)
+{
+  TargetHarness *h = w->data;
+  static uint8_t chunk[READ_BYTES];
+  ssize_t got = recv (w->fd, chunk, sizeof chunk, 0);
+
+  (void) events;
+  if (got > 0)
+    {
+      g_byte_array_append (h->received, chunk, (guint) got);
+      return;
+    }
+  if (got < 0 && errno == EAGAIN)
+    return;
+  ev_io_stop (loop, w);
+  h->ended++;
+}
+
+static void
+on_accept (struct ev_loop *loop, ev_io *w, int events)
+{
+  TargetHarness *h = w->data;
+  int fd = ss_stream_accept (w->fd, NULL);
+
+  (void) events;
+  if (fd < 0)
+    return;
+  target_harness_hang_up (h);
+  h->accepted++;
+  ev_io_set (&h->server_io, fd, EV_READ);
+  ev_io_start (loop, &h->server_io);
+}
+
+static void
+start_server (TargetHarness *h)
+{
+  struct sockaddr_in address;
+  socklen_t address_bytes = sizeof address;
+  int fd = ss_stream_listen (SERVER_IP, 0);
+
+  g_assert (fd >= 0);
+  if (getsockname (fd, (struct sockaddr *) &address, &address_bytes) < 0)
+    g_assert_not_reached ();
+  h->port = ntohs (address.sin_port);
+  ev_io_init (&h->accept_io, on_accept, fd, EV_READ);
+  h->accept_io.data = h;
+  ev_io_start (h->runtime.loop, &h->accept_io);
+  ev_io_init (&h->server_io, on_readable, -1, EV_READ);
+  h->server_io.data = h;
+}
+
+void
+target_harness_hang_up (TargetHarness *h)
+{
+  ev_io_stop (h->runtime.loop, &h->server_io);
+  if (h->server_io.fd >= 0)
+    close (h->server_io.fd);
+  ev_io_set (&h->server_io, -1, EV_READ);
+}
+
+void
+target_harness_stop_listening (TargetHarness *h)
+{
+  ev_io_stop (h->runtime.loop, &h->accept_io);
+  if (h->accept_io.fd >= 0)
+    close (h->accept_io.fd);
+  ev_io_set (&h->accept_io, -1, EV_READ);
+}
+
+/* --- the loop --- */
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *w, int events)
+{
+  TargetHarness *h = w->data;
+
+  (void) loop;
+  (void) events;
+  h->expired = 1;
+}
+
+static void
+start_timer (TargetHarness *h, double seconds)
+{
+  h->expired = 0;
+  ev_now_update (h->runtime.loop);
+  ev_timer_stop (h->runtime.loop, &h->timer);
+  ev_timer_set (&h->timer, seconds, 0);
+  ev_timer_start (h->runtime.loop, &h->timer);
+}
+
+bool
+target_harness_wait (TargetHarness *h, const uint32_t *count, uint32_t value)
+{
+  start_timer (h, WAIT_MAX_S);
+  while (*count < value && !h->expired)
+    ev_run (h->runtime.loop, EVRUN_ONCE);
+  ev_timer_stop (h->runtime.loop, &h->timer);
+  return *count >= value;
+}
+
+void
+target_harness_turn (TargetHarness *h)
+{
+  for (uint32_t i = 0; i < TURNS; i++)
+    ev_run (h->runtime.loop, EVRUN_NOWAIT);
+}
+
+void
+target_harness_settle (TargetHarness *h)
+{
+  start_timer (h, SETTLE_S);
+  while (!h->expired)
+    ev_run (h->runtime.loop, EVRUN_ONCE);
+  target_harness_turn (h);
+}
+
+bool
+target_harness_send (TargetHarness *h, const void *data, size_t bytes)
+{
+  const uint8_t *rest = data;
+
+  start_timer (h, WAIT_MAX_S);
+  while (bytes && !h->expired)
+    {
+      ssize_t sent = send (h->server_io.fd, rest, bytes, MSG_NOSIGNAL);
+
+      if (sent < 0 && errno != EAGAIN)
+        break;
+      if (sent > 0)
+        {
+          rest += sent;
+          bytes -= (size_t) sent;
+        }
+      if (bytes)
+        ev_run (h->runtime.loop, EVRUN_NOWAIT);
+    }
+  ev_timer_stop (h->runtime.loop, &h->timer);
+  return bytes == 0;
+}
+
+bool
+target_harness_send_text (TargetHarness *h, const char *text)
+{
+  return target_harness_send (h, text, strlen (text));
+}
+
+/* --- actions --- */
+
+void
+target_harness_connect (TargetHarness *h, const char *group,
+                        const char *organisation, const char *server)
+{
+  SsAction a = { .kind = SS_ACTION_TARGET_CONNECT, .id = TARGET_HARNESS_ID };
+
+  a.label = g_strdup (group);
+  a.organisation = g_strdup (organisation);
+  a.name = g_strdup (server);
+  a.text = g_strdup (SERVER_IP);
+  a.port = h->port;
+  h->plugin->on_action (&h->runtime, &a);
+  ss_action_clear (&a);
+}
+
+void
+target_harness_open (TargetHarness *h)
+{
+  target_harness_connect (h, "shop", "acme", "i-1");
+  target_harness_wait (h, &h->received->len, strlen (TARGET_HARNESS_CONNECT));
+  target_harness_send_text (h, "READY I 3.1\r\n");
+  target_harness_wait (h, &h->ready, 1);
+  g_byte_array_set_size (h->received, 0);
+}
+
+void
+target_harness_query (TargetHarness *h, const char *label, const char *text)
+{
+  SsAction a = { .kind = SS_ACTION_TARGET_QUERY, .id = TARGET_HARNESS_ID };
+
+  a.label = g_strdup (label);
+  a.text = g_strdup (text);
+  a.want_row = true;
+  h->plugin->on_action (&h->runtime, &a);
+  ss_action_clear (&a);
+}
+
+void
+target_harness_close (TargetHarness *h)
+{
+  SsAction a = { .kind = SS_ACTION_TARGET_CLOSE, .id = TARGET_HARNESS_ID };
+
+  h->plugin->on_action (&h->runtime, &a);
+}
+
+/* --- the log --- */
+
+static void
+capture_log (TargetHarness *h)
+{
+  FILE *file = tmpfile ();
+
+  g_assert (file);
+  fflush (stdout);
+  h->stdout_fd = dup (STDOUT_FILENO);
+  h->log_fd = dup (fileno (file));
+  dup2 (h->log_fd, STDOUT_FILENO);
+  (void) fclose (file);
+}
+
+static void
+release_log (TargetHarness *h)
+{
+  fflush (stdout);
+  dup2 (h->stdout_fd, STDOUT_FILENO);
+  close (h->stdout_fd);
+  close (h->log_fd);
+}
+
+bool
+target_harness_has_logged (const TargetHarness *h, const char *text)
+{
+  off_t bytes = lseek (h->log_fd, 0, SEEK_END);
+  char *log = g_malloc0 ((gsize) bytes + 1);
+  bool found = pread (h->log_fd, log, (size_t) bytes, 0) == bytes
+               && strstr (log, text) != NULL;
+
+  g_free (log);
+  return found;
+}
+
+/* --- start and end --- */
+
+void
+target_harness_init (TargetHarness *h)
+{
+  memset (h, 0, sizeof *h);
+  capture_log (h);
+  h->settings.ip = SERVER_IP;
+  h->runtime.settings = &h->settings;
+  h->runtime.loop = ev_loop_new (EVFLAG_AUTO);
+  h->runtime.log.vm = "vm-1";
+  h->runtime.log.min_level = SS_LOG_INFO;
+  h->received = g_byte_array_new ();
+  ev_timer_init (&h->timer, on_timer, 0, 0);
+  h->timer.data = h;
+  start_server (h);
+  h->plugin = find_plugin ("targets");
+  h->plugin->init (&h->runtime);
+}
+
+void
+target_harness_finish (TargetHarness *h)
+{
+  h->plugin->finish (&h->runtime);
+  ev_timer_stop (h->runtime.loop, &h->timer);
+  target_harness_hang_up (h);
+  target_harness_stop_listening (h);
+  ev_loop_destroy (h->runtime.loop);
+  g_byte_array_unref (h->received);
+  forget_result (h);
+  g_free (h->sqlstate);
+  release_log (h);
+}
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -35,6 +35,7 @@
   X (restore_lease)                                                            \
   X (placement)                                                                \
   X (platform)                                                                 \
+  X (targets)                                                                  \
   X (command)                                                                  \
   X (settings)                                                                 \
   X (pgwire)                                                                   \
