A name that is not one word is no refused connection

Callers could see a healthy primary replaced. Since a connection whose CONNECT could not be written was reported with "refused", as no connection had been started yet and the first state of the enum is the one of connecting. The core takes a refused connection for a crashed server: suspicion.c promotes another one earlier (the suite does not run a promotion).

--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -113,6 +113,21 @@
     expect_no_connect ("shop", "acme", no_names[i]);
 }
 
+/* Guards against the replacement of a healthy primary: a name that was not sent
+ * was reported like a refused connection, which counts as a crash.
+ */
+static void
+name_that_is_no_word_is_no_refused_connection (void)
+{
+  TargetHarness h;
+
+  target_harness_init (&h);
+  target_harness_connect (&h, "a b", "acme", "i-1");
+  expect_closed_without_result (&h);
+  CU_ASSERT (!h.refused);
+  target_harness_finish (&h);
+}
+
 /* Guards against an event for a connection that the core has closed. */
 static void
 close_before_a_reported_failure_is_the_last_event (void)
@@ -834,6 +849,8 @@
     organisation_that_is_no_word_is_not_sent },
   { "server id that is no word is not sent",
     server_id_that_is_no_word_is_not_sent },
+  { "name that is no word is no refused connection",
+    name_that_is_no_word_is_no_refused_connection },
   { "close before a reported failure is the last event",
     close_before_a_reported_failure_is_the_last_event },
   { "connect names service organisation and server",
