--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -382,7 +382,8 @@
   target_harness_finish (&h);
 }
 
-/* Guards against MIXED: the caller got other bytes than the server sent.
+/* Guards against MIXED: the caller got other bytes than the server sent.  An
+ * empty text lost its space: "ROW \r\n" became "ROW\r\n".
  */
 static void
 responses_are_passed_on_unchanged (void)
@@ -390,7 +391,9 @@
   static const char *const responses[]
       = { "COMPLETE -\r\n",
           "COMPLETE\r\n",
+          "COMPLETE \r\n",
           "ROW\r\nCOMPLETE -\r\n",
+          "ROW \r\nCOMPLETE -\r\n",
           "ROW  \r\nCOMPLETE -\r\n",
           "ROW  a  b  \r\nCOMPLETE  x  y \r\n",
           "ROW a\r\r\nCOMPLETE -\r\n",
