READY needs a state

A READY without a state, or with one that is none of I, T and E, was returned as a result. Without one it counted as I: a connection whose transaction may be open went back to the pool, and the statement of another session on it would have become part of that transaction (MIXED, PINNED). The same READY in answer to CONNECT made the connection usable.

--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -552,6 +552,22 @@
   expect_refused_responses (responses, G_N_ELEMENTS (responses));
 }
 
+/* Guards against a transaction of one session that another one gets: a READY
+ * without a state counted as one outside a transaction.
+ */
+static void
+ready_without_a_valid_state_is_no_result (void)
+{
+  static const char *const responses[]
+      = { "COMPLETE -\r\nREADY\r\n",        "COMPLETE -\r\nREADY \r\n",
+          "COMPLETE -\r\nREADY X 3.1\r\n",  "COMPLETE -\r\nREADY i 3.1\r\n",
+          "COMPLETE -\r\nREADY II 3.1\r\n", "COMPLETE -\r\nREADY I3.1\r\n",
+          "COMPLETE -\r\nREADY 3.1 I\r\n",  "COMPLETE -\r\nREADY - 3.1\r\n",
+          "COMPLETE -\r\nREADY \t 3.1\r\n", "ERROR FAILED\r\nREADY\r\n" };
+
+  expect_refused_responses (responses, G_N_ELEMENTS (responses));
+}
+
 /* Guards against MIXED: a line feed in a text ended the message. */
 static void
 line_feed_alone_is_no_result (void)
@@ -698,6 +714,22 @@
     }
 }
 
+/* Guards against a transaction of another session on a new connection. */
+static void
+connect_without_a_valid_state_is_refused (void)
+{
+  static const char *const answers[]
+      = { "READY\r\n", "READY X 3.1\r\n", "READY II -\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      TargetHarness h;
+
+      expect_refused_greeting (&h, answers[i]);
+      target_harness_finish (&h);
+    }
+}
+
 /* --- connections that are closed at any time --- */
 
 static void
@@ -877,6 +909,8 @@
   { "error ends with its response", error_ends_with_its_response },
   { "unexpected message is no result", unexpected_message_is_no_result },
   { "ready before complete is no result", ready_before_complete_is_no_result },
+  { "ready without a valid state is no result",
+    ready_without_a_valid_state_is_no_result },
   { "line feed alone is no result", line_feed_alone_is_no_result },
   { "line over 1 mib is no result", line_over_1_mib_is_no_result },
   { "end within a response is no result", end_within_a_response_is_no_result },
@@ -886,6 +920,8 @@
     statement_within_a_result_is_answered },
   { "refusals of connect are told apart", refusals_of_connect_are_told_apart },
   { "other answer to connect is refused", other_answer_to_connect_is_refused },
+  { "connect without a valid state is refused",
+    connect_without_a_valid_state_is_refused },
   { "close within a result is the last event",
     close_within_a_result_is_the_last_event },
   { "close within a close does nothing", close_within_a_close_does_nothing },
