--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -568,6 +568,21 @@
   expect_refused_responses (responses, G_N_ELEMENTS (responses));
 }
 
+/* Guards against MIXED: after COMPLETE or ERROR, only READY is left of a
+ * response.
+ */
+static void
+message_after_complete_is_no_result (void)
+{
+  static const char *const responses[]
+      = { "COMPLETE -\r\nROW a\r\nREADY I -\r\n",
+          "COMPLETE -\r\nCOMPLETE -\r\nREADY I -\r\n",
+          "COMPLETE -\r\nERROR BUSY\r\nREADY I -\r\n",
+          "ERROR BUSY\r\nCOMPLETE -\r\nREADY I -\r\n" };
+
+  expect_refused_responses (responses, G_N_ELEMENTS (responses));
+}
+
 /* Guards against MIXED: a line feed in a text ended the message. */
 static void
 line_feed_alone_is_no_result (void)
@@ -633,6 +648,33 @@
 
 /* --- messages when none is due --- */
 
+/* Guards against MIXED: what a server sends unasked, whole or in part, became
+ * the response to the next statement.
+ */
+static void
+message_when_none_is_due_is_no_result (void)
+{
+  static const char *const messages[] = { "ROW a\r\n",
+                                          "COMPLETE -\r\nREADY I -\r\n",
+                                          "READY I -\r\n",
+                                          "ERROR BUSY\r\n",
+                                          "\n",
+                                          "ROW a",
+                                          "R" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (messages); i++)
+    {
+      TargetHarness h;
+
+      target_harness_init (&h);
+      target_harness_open (&h);
+      target_harness_send_text (&h, messages[i]);
+      expect_closed_without_result (&h);
+      CU_ASSERT (h.ended == 1);
+      target_harness_finish (&h);
+    }
+}
+
 static void
 query_on_result (TargetHarness *h, const SsEvent *event)
 {
@@ -640,6 +682,26 @@
     target_harness_query (h, "a2", "READ 1a");
 }
 
+/* Guards against MIXED: what follows a response at once became the response to
+ * the statement that the core sent meanwhile.
+ */
+static void
+message_after_ready_is_no_result_of_the_next (void)
+{
+  TargetHarness h;
+
+  open_and_query (&h, "READ 1a");
+  h.on_event = query_on_result;
+  target_harness_send_text (&h,
+                            RESPONSE "ROW late\r\nCOMPLETE -\r\nREADY I -\r\n");
+  CU_ASSERT (target_harness_wait (&h, &h.closed, 1));
+  target_harness_settle (&h);
+  CU_ASSERT (h.results == 1);
+  CU_ASSERT (h.closed == 1);
+  expect_wire_text (&h, RESPONSE_WIRE);
+  target_harness_finish (&h);
+}
+
 /* Guards against a connection that is lost as its next statement is sent within
  * the event of a result.
  */
@@ -911,11 +973,17 @@
   { "ready before complete is no result", ready_before_complete_is_no_result },
   { "ready without a valid state is no result",
     ready_without_a_valid_state_is_no_result },
+  { "message after complete is no result",
+    message_after_complete_is_no_result },
   { "line feed alone is no result", line_feed_alone_is_no_result },
   { "line over 1 mib is no result", line_over_1_mib_is_no_result },
   { "end within a response is no result", end_within_a_response_is_no_result },
   { "response before the end is a result",
     response_before_the_end_is_a_result },
+  { "message when none is due is no result",
+    message_when_none_is_due_is_no_result },
+  { "message after ready is no result of the next",
+    message_after_ready_is_no_result_of_the_next },
   { "statement within a result is answered",
     statement_within_a_result_is_answered },
   { "refusals of connect are told apart", refusals_of_connect_are_told_apart },
