A response over 8 MiB closes its connection

A response had no limit: a server that never ends one took memory without limit, and a reply over 24 MiB makes the VM of the caller close its connection to the owner (FRAME_MAX_BYTES in src/plugins/peer.c), with the statements of all other callers on it.

A response of exactly 8 MiB is passed on.

--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -8,6 +8,8 @@
 #include "tests/unit.h"
 
 #define MIB (1024U * 1024U)
+/* A response may have no more bytes than this. */
+#define RESPONSE_MAX_BYTES (8U * MIB)
 /* An answer of any use to a caller, with cells that are easily changed. */
 #define RESPONSE                                                               \
   "ROW a  b \r\nROW\r\nROW  \r\nCOMPLETE 7.1f3 c\r\nREADY I 3.1209\r\n"
@@ -792,6 +794,72 @@
     }
 }
 
+/* --- responses that never end --- */
+
+/* Guards against the loss of all connections between two VMs, and against
+ * memory without limit: a response had no limit, and the VM of the caller
+ * closes the connection on a message over 24 MiB.
+ */
+static void
+response_over_8_mib_is_no_result (void)
+{
+  char *row = row_of (MIB);
+  uint32_t sent = 0;
+  TargetHarness h;
+
+  open_and_query (&h, "READ 1a");
+  while (sent < 3 * RESPONSE_MAX_BYTES && target_harness_send_text (&h, row))
+    {
+      sent += MIB;
+      target_harness_turn (&h);
+    }
+  CU_ASSERT (sent < 2 * RESPONSE_MAX_BYTES);
+  expect_closed_without_result (&h);
+  CU_ASSERT (!h.refused);
+  CU_ASSERT (target_harness_has_logged (&h, "8 MiB"));
+  target_harness_finish (&h);
+  g_free (row);
+}
+
+/* Guards against the same with rows that are short. */
+static void
+response_of_many_short_rows_is_no_result (void)
+{
+  char *row = row_of (1024);
+  GString *rows = g_string_new (NULL);
+  TargetHarness h;
+
+  for (uint32_t i = 0; i < RESPONSE_MAX_BYTES / 1024; i++)
+    g_string_append (rows, row);
+  open_and_query (&h, "READ 1a");
+  target_harness_send (&h, rows->str, rows->len);
+  target_harness_send_text (&h, "COMPLETE -\r\nREADY I -\r\n");
+  expect_closed_without_result (&h);
+  target_harness_finish (&h);
+  g_string_free (rows, TRUE);
+  g_free (row);
+}
+
+/* Guards against a lower limit than the stated one. */
+static void
+response_of_8_mib_is_a_result (void)
+{
+  static const char end[] = "COMPLETE -\r\n";
+  char *row = row_of (1024);
+  char *last = row_of (1024 - (uint32_t) strlen (end));
+  GString *rows = g_string_new (NULL);
+
+  for (uint32_t i = 1; i < RESPONSE_MAX_BYTES / 1024; i++)
+    g_string_append (rows, row);
+  g_string_append (rows, last);
+  g_string_append (rows, end);
+  CU_ASSERT (rows->len == RESPONSE_MAX_BYTES);
+  expect_passed_on (rows->str, rows->len);
+  g_string_free (rows, TRUE);
+  g_free (row);
+  g_free (last);
+}
+
 /* --- connections that are closed at any time --- */
 
 static void
@@ -990,6 +1058,10 @@
   { "other answer to connect is refused", other_answer_to_connect_is_refused },
   { "connect without a valid state is refused",
     connect_without_a_valid_state_is_refused },
+  { "response over 8 mib is no result", response_over_8_mib_is_no_result },
+  { "response of many short rows is no result",
+    response_of_many_short_rows_is_no_result },
+  { "response of 8 mib is a result", response_of_8_mib_is_a_result },
   { "close within a result is the last event",
     close_within_a_result_is_the_last_event },
   { "close within a close does nothing", close_within_a_close_does_nothing },
