--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 UNIT_O = $(patsubst %.c,$B/%.o,$(wildcard tests/test_*.c)) $B/tests/unit.o \
   $(SIM_O) $B/tests/line_sim.o $B/tests/line_sim_platform.o $B/tests/line_server.o $B/tests/line_expect.o $B/tests/line_texts.o \
   $B/tests/server_reader.o $B/tests/fleet_sim.o $B/tests/fleet_platform.o $B/tests/cache_sim.o $B/tests/line_params.o $B/tests/rate_sim.o $B/tests/target_harness.o $(filter %/line.o %/dialect.o \
-  %/errors.o %/records.o %/targets.o,$(PLATFORM)) $B/src/kernel/target_connections.o $B/src/kernel/stream.o $B/src/plugins/metrics.o $B/src/plugins/scram.o $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
+  %/errors.o %/records.o %/targets.o %/callers.o,$(PLATFORM)) $B/src/kernel/target_connections.o $B/src/kernel/callers.o $B/src/kernel/stream.o $B/src/plugins/metrics.o $B/src/plugins/scram.o $B/src/kernel/settings.o $B/src/kernel/toml_shim.o
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
   platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch]))
 PROGRAMS = $(addprefix $B/,sapphirestaird sapphirectl ss-standin-target \
--- a/tests/target_harness.c
+++ b/tests/target_harness.c
@@ -11,6 +11,7 @@
 
 #define SERVER_IP "127.0.0.1"
 #define WAIT_MAX_S 5.0
+#define CALLER_TIMEOUT_MS 60000
 #define SETTLE_S 0.01
 #define TURNS 4
 #define READ_BYTES 65536
@@ -70,6 +71,20 @@
   h->sqlstate = g_strdup (event->target.sqlstate);
 }
 
+static void
+record_caller (TargetHarness *h, const SsEvent *event)
+{
+  if (event->kind == SS_EVENT_CALLER_OPEN)
+    {
+      h->caller = event->caller_open.caller;
+      h->callers_opened++;
+    }
+  else if (event->kind == SS_EVENT_CALLER_STATEMENT)
+    h->statements++;
+  else if (event->kind == SS_EVENT_CALLER_CLOSE)
+    h->callers_closed++;
+}
+
 void
 ss_runtime_event (SsRuntime *runtime, const SsEvent *event)
 {
@@ -81,6 +96,8 @@
     record_closed (h, event);
   else if (event->kind == SS_EVENT_TARGET_RESULT)
     record_result (h, event->target_result.result);
+  else
+    record_caller (h, event);
   if (h->on_event)
     h->on_event (h, event);
 }
@@ -282,6 +299,21 @@
   h->plugin->on_action (&h->runtime, &a);
 }
 
+void
+target_harness_reply (TargetHarness *h, SsVerdict verdict,
+                      char transaction_status, const char *wire,
+                      const char *text)
+{
+  SsAction a = { .kind = SS_ACTION_CALLER_REPLY, .id = h->caller };
+
+  a.verdict = verdict;
+  a.transaction_status = transaction_status;
+  a.bytes = wire ? g_bytes_new (wire, strlen (wire)) : NULL;
+  a.text = g_strdup (text);
+  h->plugin->on_action (&h->runtime, &a);
+  ss_action_clear (&a);
+}
+
 /* --- the log --- */
 
 static void
@@ -320,13 +352,17 @@
 
 /* --- start and end --- */
 
-void
-target_harness_init (TargetHarness *h)
+static void
+start (TargetHarness *h)
 {
   memset (h, 0, sizeof *h);
   capture_log (h);
   h->settings.ip = SERVER_IP;
+  h->settings.max_callers = 1;
+  h->settings.startup_timeout_ms = CALLER_TIMEOUT_MS;
+  h->settings.idle_timeout_ms = CALLER_TIMEOUT_MS;
   h->runtime.settings = &h->settings;
+  h->runtime.clock = ss_clock_monotonic ();
   h->runtime.loop = ev_loop_new (EVFLAG_AUTO);
   h->runtime.log.vm = "vm-1";
   h->runtime.log.min_level = SS_LOG_INFO;
@@ -334,8 +370,36 @@
   ev_timer_init (&h->timer, on_timer, 0, 0);
   h->timer.data = h;
   start_server (h);
-  h->plugin = find_plugin ("targets");
-  h->plugin->init (&h->runtime);
+}
+
+static void
+start_plugin (TargetHarness *h, const char *name)
+{
+  char *error;
+
+  h->plugin = find_plugin (name);
+  error = h->plugin->init (&h->runtime);
+  g_assert_null (error);
+}
+
+void
+target_harness_init (TargetHarness *h)
+{
+  start (h);
+  start_plugin (h, "targets");
+}
+
+/* The port is one that the kernel has just chosen for the server. */
+void
+target_harness_init_callers (TargetHarness *h)
+{
+  start (h);
+  target_harness_stop_listening (h);
+  h->settings.caller_port = h->port;
+  start_plugin (h, "callers");
+  ev_io_set (&h->server_io, ss_stream_connect (NULL, SERVER_IP, h->port),
+             EV_READ);
+  ev_io_start (h->runtime.loop, &h->server_io);
 }
 
 void
--- a/tests/target_harness.h
+++ b/tests/target_harness.h
@@ -1,5 +1,6 @@
 /* target_harness: runs the plug-in for targets of the line protocol with a real
- * event loop, against a server of the test on 127.0.0.1.
+ * event loop, against a server of the test on 127.0.0.1.  It runs the plug-in
+ * for callers, too, with a caller of the test in place of the server.
  *
  * The harness takes the place of the core: it passes actions to the plug-in and
  * records the events that come back.  It has the functions of kernel/plugin.c
@@ -42,6 +43,10 @@
   char *sqlstate;        /* of the last TARGET_CLOSED */
   SsTargetResult result; /* the last one; its row and sqlstate are not kept */
   char *row;             /* cells of the last result, each with '|' after it */
+  uint64_t caller;       /* the one caller, as in actions and events */
+  uint32_t callers_opened;
+  uint32_t statements;
+  uint32_t callers_closed;
   /* Optional: what the core does while it handles EVENT. */
   void (*on_event) (TargetHarness *h, const SsEvent *event);
 
@@ -50,6 +55,10 @@
 };
 
 void target_harness_init (TargetHarness *h);
+/* target_harness_init_callers: runs the plug-in for callers and connects a
+ * caller, whose end of the connection takes the place of the server's.
+ */
+void target_harness_init_callers (TargetHarness *h);
 void target_harness_finish (TargetHarness *h);
 
 /* target_harness_connect: has the plug-in connect; GROUP, ORGANISATION (NULL:
@@ -67,6 +76,13 @@
 /* target_harness_close: has the plug-in close the connection. */
 void target_harness_close (TargetHarness *h);
 
+/* target_harness_reply: has the plug-in answer the caller; WIRE and TEXT may be
+ * NULL.
+ */
+void target_harness_reply (TargetHarness *h, SsVerdict verdict,
+                           char transaction_status, const char *wire,
+                           const char *text);
+
 /* target_harness_send: sends BYTES of DATA from the server, and runs the loop
  * only while the socket takes no more; returns false if the connection is
  * closed.
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -36,6 +36,7 @@
   X (placement)                                                                \
   X (platform)                                                                 \
   X (targets)                                                                  \
+  X (callers)                                                                  \
   X (command)                                                                  \
   X (settings)                                                                 \
   X (pgwire)                                                                   \
