--- a/Makefile
+++ b/Makefile
@@ -31,11 +31,13 @@
   $B/src/plugins/pgwire.o
 UNIT_O = $(patsubst %.c,$B/%.o,$(wildcard tests/test_*.c)) $(SIM_O) \
   $(addprefix $B/tests/,unit.o line_sim.o line_sim_platform.o line_server.o \
-  line_expect.o line_texts.o line_params.o server_reader.o sql_server.o fleet_sim.o \
-  fleet_platform.o cache_sim.o rate_sim.o) \
-  $(addprefix $B/platform/,line.o dialect.o errors.o records.o responses.o) \
-  $(addprefix $B/src/plugins/,metrics.o pqparams.o scram.o platform_api.o) $B/src/ctl/progress.o \
-  $(addprefix $B/src/kernel/,json_items.o settings.o toml_shim.o)
+  line_expect.o line_texts.o line_params.o server_reader.o sql_server.o \
+  target_harness.o fleet_sim.o fleet_platform.o cache_sim.o rate_sim.o) \
+  $(addprefix $B/platform/,line.o dialect.o errors.o records.o responses.o \
+  targets.o callers.o) \
+  $(addprefix $B/src/plugins/,metrics.o pqparams.o scram.o platform_api.o) \
+  $(addprefix $B/src/kernel/,json_items.o settings.o toml_shim.o callers.o \
+  target_connections.o stream.o) $B/src/ctl/progress.o
 WORLD_O = $(patsubst %.c,$B/%.o,$(wildcard tests/world/*.c)) \
   $B/tests/server_reader.o $B/src/core/replay.o $B/src/kernel/compare.o
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -38,6 +38,8 @@
   X (restore_lease)                                                            \
   X (placement)                                                                \
   X (platform)                                                                 \
+  X (targets)                                                                  \
+  X (callers)                                                                  \
   X (command)                                                                  \
   X (settings)                                                                 \
   X (pgwire)                                                                   \
