The port of a refused connection stays reserved in the tests

"refused connection is reported" failed in 2 of 40 runs of suite targets (and 2 of 60 runs of targets and callers before, not traced one by one): the port of the listener that the test had closed was free, so the kernel could give it to the connection itself, which then connected to itself, or to another process. A bound socket that does not listen holds the port now, for suite callers too.

--- a/tests/target_harness.c
+++ b/tests/target_harness.c
@@ -138,17 +138,24 @@
   ev_io_start (loop, &h->server_io);
 }
 
-static void
-start_server (TargetHarness *h)
+static uint16_t
+port_of (int fd)
 {
   struct sockaddr_in address;
   socklen_t address_bytes = sizeof address;
-  int fd = ss_stream_listen (SERVER_IP, 0);
 
-  g_assert (fd >= 0);
   if (getsockname (fd, (struct sockaddr *) &address, &address_bytes) < 0)
     g_assert_not_reached ();
-  h->port = ntohs (address.sin_port);
+  return ntohs (address.sin_port);
+}
+
+static void
+start_server (TargetHarness *h)
+{
+  int fd = ss_stream_listen (SERVER_IP, 0);
+
+  g_assert (fd >= 0);
+  h->port = port_of (fd);
   ev_io_init (&h->accept_io, on_accept, fd, EV_READ);
   h->accept_io.data = h;
   ev_io_start (h->runtime.loop, &h->accept_io);
@@ -165,8 +172,8 @@
   ev_io_set (&h->server_io, -1, EV_READ);
 }
 
-void
-target_harness_stop_listening (TargetHarness *h)
+static void
+stop_server (TargetHarness *h)
 {
   ev_io_stop (h->runtime.loop, &h->accept_io);
   if (h->accept_io.fd >= 0)
@@ -174,6 +181,34 @@
   ev_io_set (&h->accept_io, -1, EV_READ);
 }
 
+/* Binds a socket that does not listen.  Without it the kernel may give the port
+ * to another process, or to the connection itself, which then connects to
+ * itself.
+ */
+static int
+reserve_port (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int one = 1;
+
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (bind (fd, (struct sockaddr *) &address, sizeof address) < 0)
+    g_assert_not_reached ();
+  return fd;
+}
+
+void
+target_harness_refuse_connections (TargetHarness *h)
+{
+  int fd = reserve_port ();
+
+  stop_server (h);
+  h->port = port_of (fd);
+  ev_io_set (&h->accept_io, fd, EV_READ);
+}
+
 /* --- the loop --- */
 
 static void
@@ -389,12 +424,13 @@
   start_plugin (h, "targets");
 }
 
-/* The port is one that the kernel has just chosen for the server. */
+/* Listening on the reserved port is allowed, as both sockets have SO_REUSEADDR.
+ */
 void
 target_harness_init_callers (TargetHarness *h)
 {
   start (h);
-  target_harness_stop_listening (h);
+  target_harness_refuse_connections (h);
   h->settings.caller_port = h->port;
   start_plugin (h, "callers");
   ev_io_set (&h->server_io, ss_stream_connect (NULL, SERVER_IP, h->port),
@@ -408,7 +444,7 @@
   h->plugin->finish (&h->runtime);
   ev_timer_stop (h->runtime.loop, &h->timer);
   target_harness_hang_up (h);
-  target_harness_stop_listening (h);
+  stop_server (h);
   ev_loop_destroy (h->runtime.loop);
   g_byte_array_unref (h->received);
   forget_result (h);
--- a/tests/target_harness.h
+++ b/tests/target_harness.h
@@ -91,8 +91,8 @@
 bool target_harness_send_text (TargetHarness *h, const char *text);
 /* target_harness_hang_up: closes the connection at the server. */
 void target_harness_hang_up (TargetHarness *h);
-/* target_harness_stop_listening: connections are refused from now on. */
-void target_harness_stop_listening (TargetHarness *h);
+/* target_harness_refuse_connections: connections are refused from now on. */
+void target_harness_refuse_connections (TargetHarness *h);
 
 /* target_harness_wait: runs the loop until COUNT is at least VALUE; returns
  * false if that takes too long.
--- a/tests/test_targets.c
+++ b/tests/test_targets.c
@@ -984,7 +984,7 @@
   TargetHarness h;
 
   target_harness_init (&h);
-  target_harness_stop_listening (&h);
+  target_harness_refuse_connections (&h);
   target_harness_connect (&h, "shop", "acme", "i-1");
   CU_ASSERT (h.closed == 0);
   expect_closed_without_result (&h);
