--- a/src/core/replay.h
+++ b/src/core/replay.h
@@ -92,10 +92,11 @@
 
 /* ss_replay_plan: appends to OUT the statements (to be freed) that bring a
  * connection from the state HELD to VALUES (name, value, ..., NULL; each name
- * once) with SHAPE
- * (NULL: none) prepared, and updates HELD accordingly.  IN_TRANSACTION: a reset
- * is not possible.  Returns false where one would be needed, and where the
- * dialect can't express a value; the connection must not be used then.
+ * once) with SHAPE (NULL: none) prepared, and updates HELD accordingly.
+ * IN_TRANSACTION: a reset is not possible.  Returns false where one would be
+ * needed, and where the dialect can't express a value; the connection must not
+ * be used then.  HELD keeps digests of long names and values, and of prepared
+ * statements only the names.
  */
 bool ss_replay_plan (const SsDialect *dialect, SsSessionState *held,
                      const char *const *values, const char *shape,
