One rule for a word, and one way to shorten a text

The same check stood three times: names in messages (platform/line.c), shapes that are a part of a name (core/replay.c), names of organisations (core/parse.c); the cut of a log line's text twice (core/message.c, platform/responses.c). Both are functions of kernel/text now. No behaviour: an empty shape, which no statement can have, would get a digest.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 CSTD = -std=gnu11
 LIBS = $(shell pkg-config --libs $(PKGS)) -lev -lm
 
-KERNEL = compare clock verdict counters log settings json_items stream httpd httpc
+KERNEL = compare text clock verdict counters log settings json_items stream httpd httpc
 CORE = $(basename $(notdir $(wildcard src/core/*.c)))
 KERNEL_O = $(KERNEL:%=$B/src/kernel/%.o) $B/src/kernel/toml_shim.o
 CORE_O = $(CORE:%=$B/src/core/%.o) $B/proto/peer.pb-c.o
@@ -27,7 +27,7 @@
 SIM_O = $(addprefix $B/tests/,sim.o sim_target.o sim_platform.o \
   sim_callers.o) $B/bench/ledger.o $(CORE_O) \
   $(addprefix $B/standin/,session.o server.o store.o sql.o) \
-  $(addprefix $B/src/kernel/,compare.o clock.o verdict.o counters.o log.o) \
+  $(addprefix $B/src/kernel/,compare.o text.o clock.o verdict.o counters.o log.o) \
   $B/src/plugins/pgwire.o
 UNIT_O = $(patsubst %.c,$B/%.o,$(wildcard tests/test_*.c)) $(SIM_O) \
   $(addprefix $B/tests/,unit.o line_sim.o line_sim_platform.o line_server.o \
@@ -39,7 +39,8 @@
   $(addprefix $B/src/kernel/,json_items.o settings.o toml_shim.o callers.o \
   target_connections.o stream.o) $B/src/ctl/progress.o
 WORLD_O = $(patsubst %.c,$B/%.o,$(wildcard tests/world/*.c)) \
-  $B/tests/server_reader.o $B/src/core/replay.o $B/src/kernel/compare.o
+  $B/tests/server_reader.o $B/src/core/replay.o \
+  $(addprefix $B/src/kernel/,compare.o text.o)
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
   platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] \
   tests/world/*.[ch]))
--- a/src/core/message.c
+++ b/src/core/message.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/message.h"
+#include "kernel/text.h"
 
 const char *
 ss_watch_prefix (SsWatch watch)
@@ -44,18 +45,12 @@
 /* Longest subject of a line: a caller's id may have 1 MiB. */
 #define LOG_SUBJECT_MAX_BYTES 256
 
-/* Returns the beginning of SUBJECT, without a part of a character at its end.
- */
 static char *
-shorten_subject (const char *subject)
+copy_subject (const char *subject)
 {
-  size_t bytes = subject ? strlen (subject) : 0;
-  const char *end;
-
-  if (bytes <= LOG_SUBJECT_MAX_BYTES)
-    return g_strdup (subject);
-  g_utf8_validate (subject, LOG_SUBJECT_MAX_BYTES, &end);
-  return g_strndup (subject, (gsize) (end - subject));
+  return subject && strlen (subject) > LOG_SUBJECT_MAX_BYTES
+             ? ss_text_shorten (subject, LOG_SUBJECT_MAX_BYTES)
+             : g_strdup (subject);
 }
 
 /* Whether a line of EVENT may be written now.  Sets *LEFT_OUT to the number of
@@ -97,7 +92,7 @@
     return;
   a = ss_node_push (node, SS_ACTION_LOG);
   a->log_event = event;
-  a->name = shorten_subject (subject);
+  a->name = copy_subject (subject);
   va_start (args, format);
   text = g_strdup_vprintf (format, args);
   va_end (args);
--- a/src/core/parse.c
+++ b/src/core/parse.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "kernel/text.h"
+
 #define WEIGHT_MAX 1000
 
 char *
@@ -217,10 +219,9 @@
 {
   size_t bytes = strlen (name);
 
-  for (size_t i = 0; i < bytes; i++)
-    if ((unsigned char) name[i] <= ' ' || name[i] == 0x7f)
-      return g_strdup ("the name of an organisation must not contain spaces or "
-                       "control characters");
+  if (bytes && !ss_text_is_word (name))
+    return g_strdup ("the name of an organisation must not contain spaces or "
+                     "control characters");
   if (bytes == 0 || bytes > SS_ORGANISATION_NAME_MAX_BYTES)
     return g_strdup_printf (
         "the name of an organisation must have 1 to %d bytes",
--- a/src/core/replay.c
+++ b/src/core/replay.c
@@ -4,6 +4,7 @@
 
 #include "core/statement.h"
 #include "kernel/compare.h"
+#include "kernel/text.h"
 
 #define SHA256_HEX_BYTES 64
 /* Longest shape that is a part of its name. */
@@ -116,13 +117,9 @@
 
 /* Whether SHAPE can be a part of a name as it is. */
 static bool
-is_word (const char *shape)
+is_short_word (const char *shape)
 {
-  const char *p = shape;
-
-  while (*p && *p != ' ' && !g_ascii_iscntrl (*p))
-    p++;
-  return !*p && p - shape <= WORD_MAX_BYTES;
+  return ss_text_is_word (shape) && strlen (shape) <= WORD_MAX_BYTES;
 }
 
 char *
@@ -132,7 +129,7 @@
   char *digest;
   char *name;
 
-  if (is_word (shape))
+  if (is_short_word (shape))
     return g_strconcat (mode, "_", shape, NULL);
   digest = g_compute_checksum_for_string (G_CHECKSUM_SHA256, shape, -1);
   name = g_strconcat (mode, "h_", digest, NULL);
--- a/tests/test_statement_text.c
+++ b/tests/test_statement_text.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "core/run_check.h"
+#include "kernel/text.h"
 #include "platform/dialect.h"
 #include "platform/line.h"
 #include "tests/line_expect.h"
@@ -445,7 +446,7 @@
     {
       char *name = ss_replay_name (shapes[i / 2], i % 2 == 0);
 
-      CU_ASSERT (ss_line_is_name (name));
+      CU_ASSERT (ss_text_is_word (name));
       CU_ASSERT (strlen (name) <= SS_REPLAY_NAME_MAX_BYTES);
       CU_ASSERT (g_hash_table_add (names, name));
     }
