The owner's check of a run's text stands in one place

job.c asked run_check first and then did the PostgreSQL side of the same question itself, with the search for a zero byte a second time. ss_run_is_valid answers for both dialects. No behaviour.

--- a/src/core/job.c
+++ b/src/core/job.c
@@ -577,30 +577,6 @@
     refuse_overflow (node, owned);
 }
 
-/* Whether the target can run the text of RUN as it stands.  An idempotency key
- * is recorded in the transaction of its text, so the text must not end that
- * one: an entry VM of an earlier version does not check it.
- */
-static bool
-check_text (SsNode *node, const Ss__Peer__Run *run)
-{
-  char *text;
-  bool valid;
-
-  if (!ss_run_is_valid (node->dialect, run))
-    return false;
-  if (ss_dialect_multiplexes_sessions (node->dialect))
-    return true;
-  if (run->sql.len && memchr (run->sql.data, 0, run->sql.len))
-    return false;
-  if (!*run->request_key)
-    return true;
-  text = g_strndup ((const char *) run->sql.data, run->sql.len);
-  valid = ss_session_sql_takes_key (text, run->pinned);
-  g_free (text);
-  return valid;
-}
-
 static void
 refuse_text (SsNode *node, const char *from, const Ss__Peer__Run *run)
 {
@@ -625,7 +601,7 @@
       refuse_run (node, from, run, SS_REASON_NOT_OWNER, SS_RETRY_SOON_MS);
       return;
     }
-  if (!check_text (node, run))
+  if (!ss_run_is_valid (node->dialect, run))
     {
       refuse_text (node, from, run);
       return;
--- a/src/core/run_check.c
+++ b/src/core/run_check.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/replay.h"
+#include "core/requests.h"
 
 static bool
 executes_shape (const SsStatement *st, const Ss__Peer__Run *run)
@@ -57,23 +58,41 @@
          && strlen (run->shape) <= dialect->text_max_bytes;
 }
 
-bool
-ss_run_is_valid (const SsDialect *dialect, const Ss__Peer__Run *run)
+static bool
+check_line (const SsDialect *dialect, const char *text,
+            const Ss__Peer__Run *run)
 {
   SsStatement st;
-  char *text;
   bool valid;
 
-  if (!ss_dialect_multiplexes_sessions (dialect))
-    return true;
-  if (!run->sql.len || memchr (run->sql.data, 0, run->sql.len)
-      || strpbrk (run->label, " \n") || !check_length (dialect, run)
+  if (strpbrk (run->label, " \n") || !check_length (dialect, run)
       || !check_values (dialect, run))
     return false;
-  text = g_strndup ((const char *) run->sql.data, run->sql.len);
   dialect->parse (dialect, text, &st);
   valid = check_statement (&st, run);
   ss_statement_finish (&st);
+  return valid;
+}
+
+static bool
+check_sql (const char *text, const Ss__Peer__Run *run)
+{
+  return !*run->request_key || ss_session_sql_takes_key (text, run->pinned);
+}
+
+bool
+ss_run_is_valid (const SsDialect *dialect, const Ss__Peer__Run *run)
+{
+  bool multiplexes_sessions = ss_dialect_multiplexes_sessions (dialect);
+  char *text;
+  bool valid;
+
+  if (run->sql.len ? memchr (run->sql.data, 0, run->sql.len) != NULL
+                   : multiplexes_sessions)
+    return false;
+  text = g_strndup ((const char *) run->sql.data, run->sql.len);
+  valid = multiplexes_sessions ? check_line (dialect, text, run)
+                               : check_sql (text, run);
   g_free (text);
   return valid;
 }
--- a/src/core/run_check.h
+++ b/src/core/run_check.h
@@ -11,10 +11,13 @@
 
 #include "proto/peer.pb-c.h"
 
-/* ss_run_is_valid: whether RUN holds one statement that callers may send,
- * which, if it executes a prepared statement, is the one of RUN's shape, and
- * whose id and session values can be sent, too.  True for all runs of a dialect
- * that does not parse statements.
+/* ss_run_is_valid: whether the target can run the text of RUN as it stands.
+ *
+ * Where DIALECT parses statements, it has to be one that callers may send,
+ * which, if it executes a prepared statement, executes the one of RUN's shape,
+ * and the id and the session values must be such that they can be sent.
+ * Elsewhere it must have no zero byte, and with an idempotency key, which is
+ * recorded in the transaction of the text, it must not end that one.
  */
 bool ss_run_is_valid (const SsDialect *dialect, const Ss__Peer__Run *run);
 
