A shape is named and summarised where it changes, not for each statement

The owner made the name of a shape (a digest of up to 1 MiB, for a long one) and its summary for each statement, only to learn that there was nothing to log; the entry VM made the summary again for each request's log line, also for lines that are not written. ss_replay_plan now says whether it prepares the shape, and the summary is made at PREPARE. No behaviour, but that nothing is counted as prepared where the plan is impossible.

--- a/src/core/multiplex.c
+++ b/src/core/multiplex.c
@@ -82,15 +82,13 @@
   ss_owner_speed_started (node, c);
 }
 
-/* Counts and logs that the shape of C's job has to be prepared. */
+/* Counts and logs that the shape of C's job is prepared. */
 static void
 note_prepare (SsNode *node, const SsConnection *c)
 {
   const SsJob *job = c->job;
   SsShapeSummary shape = ss_shape_summary (job->shape);
 
-  if (!job->shape || ss_replay_holds (&c->held, job->shape, job->shape_is_read))
-    return;
   ss_node_count (node, SS_COUNTER_PREPARES);
   ss_node_log (node, SS_EVENT_LOG_STATEMENT_PREPARED,
                job->label ? job->label : job->trace,
@@ -103,16 +101,18 @@
 {
   SsJob *job = c->job;
   char *begin;
+  SsReplayPlan plan = ss_replay_plan (
+      node->dialect, &c->held, (const char *const *) job->values, job->shape,
+      job->shape_is_read, job->pinned, &c->setup_queue);
 
-  note_prepare (node, c);
-  if (!ss_replay_plan (node->dialect, &c->held,
-                       (const char *const *) job->values, job->shape,
-                       job->shape_is_read, job->pinned, &c->setup_queue))
+  if (plan == SS_REPLAY_IMPOSSIBLE)
     {
       job->step = SS_STEP_SETUP;
       ss_job_give_up (node, c, SS_REASON_TRANSACTION_LOST);
       return;
     }
+  if (plan == SS_REPLAY_PREPARES)
+    note_prepare (node, c);
   if (job->begins)
     {
       begin = node->dialect->begin (node->dialect, job->transaction_is_read);
--- a/src/core/replay.c
+++ b/src/core/replay.c
@@ -62,6 +62,32 @@
   g_tree_replace (state->values, g_strdup (name), g_strdup (value));
 }
 
+static uint32_t
+count_words (const char *text)
+{
+  uint32_t words = 0;
+
+  for (text += strspn (text, " "); *text; text += strspn (text, " "))
+    {
+      words++;
+      text += strcspn (text, " ");
+    }
+  return words;
+}
+
+SsShapeSummary
+ss_shape_summary (const char *shape)
+{
+  SsShapeSummary summary = { 0, 0, 0 };
+
+  if (!shape)
+    return summary;
+  summary.bytes = (uint32_t) strlen (shape);
+  summary.words = count_words (shape);
+  summary.hash = g_str_hash (shape);
+  return summary;
+}
+
 static void
 free_prepared (gpointer data)
 {
@@ -71,7 +97,7 @@
   g_free (p);
 }
 
-void
+const SsPrepared *
 ss_session_state_prepare (SsSessionState *state, const char *name,
                           const char *shape, bool is_read)
 {
@@ -79,12 +105,14 @@
 
   p->shape = g_strdup (shape);
   p->is_read = is_read;
+  p->summary = ss_shape_summary (shape);
   if (!state->prepared)
     state->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                              free_prepared);
   state->bytes -= entry_bytes (name, shape_of (state, name));
   state->bytes += entry_bytes (name, shape);
   g_hash_table_replace (state->prepared, g_strdup (name), p);
+  return p;
 }
 
 const SsPrepared *
@@ -137,32 +165,6 @@
   return name;
 }
 
-static uint32_t
-count_words (const char *text)
-{
-  uint32_t words = 0;
-
-  for (text += strspn (text, " "); *text; text += strspn (text, " "))
-    {
-      words++;
-      text += strcspn (text, " ");
-    }
-  return words;
-}
-
-SsShapeSummary
-ss_shape_summary (const char *shape)
-{
-  SsShapeSummary summary = { 0, 0, 0 };
-
-  if (!shape)
-    return summary;
-  summary.bytes = (uint32_t) strlen (shape);
-  summary.words = count_words (shape);
-  summary.hash = g_str_hash (shape);
-  return summary;
-}
-
 /* --- replay plans --- */
 
 /* A connection's state has this in place of a long text. */
@@ -241,16 +243,6 @@
          && g_hash_table_size (held->prepared) >= SS_REPLAY_PREPARED_MAX;
 }
 
-bool
-ss_replay_holds (const SsSessionState *held, const char *shape, bool is_read)
-{
-  char *name = ss_replay_name (shape, is_read);
-  bool holds = ss_session_state_prepared (held, name) != NULL;
-
-  g_free (name);
-  return holds;
-}
-
 /* Adds TEXT to OUT, which takes ownership.  Returns false if it is NULL. */
 static bool
 plan_text (GQueue *out, char *text)
@@ -260,25 +252,26 @@
   return text != NULL;
 }
 
-static bool
+static SsReplayPlan
 plan_shape (const SsDialect *dialect, SsSessionState *held, const char *shape,
             bool is_read, GQueue *out)
 {
   char *name = ss_replay_name (shape, is_read);
-  bool planned = true;
+  SsReplayPlan plan = SS_REPLAY_PLANNED;
 
   if (!ss_session_state_prepared (held, name))
     {
-      planned
-          = plan_text (out, dialect->prepare (dialect, name, is_read, shape));
+      char *text = dialect->prepare (dialect, name, is_read, shape);
+
+      plan = plan_text (out, text) ? SS_REPLAY_PREPARES : SS_REPLAY_IMPOSSIBLE;
       /* Only its name matters here. */
       ss_session_state_prepare (held, name, "", is_read);
     }
   g_free (name);
-  return planned;
+  return plan;
 }
 
-bool
+SsReplayPlan
 ss_replay_plan (const SsDialect *dialect, SsSessionState *held,
                 const char *const *values, const char *shape,
                 bool shape_is_read, bool in_transaction, GQueue *out)
@@ -286,7 +279,7 @@
   if (needs_reset (held, values, shape, in_transaction))
     {
       if (in_transaction)
-        return false;
+        return SS_REPLAY_IMPOSSIBLE;
       g_queue_push_tail (out, dialect->reset (dialect));
       ss_session_state_finish (held);
     }
@@ -295,10 +288,11 @@
       if (holds_value (held, values[i], values[i + 1]))
         continue;
       if (!plan_text (out, dialect->set (dialect, values[i], values[i + 1])))
-        return false;
+        return SS_REPLAY_IMPOSSIBLE;
       hold_value (held, values[i], values[i + 1]);
     }
-  return !shape || plan_shape (dialect, held, shape, shape_is_read, out);
+  return shape ? plan_shape (dialect, held, shape, shape_is_read, out)
+               : SS_REPLAY_PLANNED;
 }
 
 uint32_t
--- a/src/core/replay.h
+++ b/src/core/replay.h
@@ -28,10 +28,24 @@
 /* Longest name of a prepared statement at a target. */
 #define SS_REPLAY_NAME_MAX_BYTES 128
 
+/* What log lines say of a shape instead of its text: two shapes with the same
+ * hash are alike, and one of several words has spaces.
+ */
+typedef struct
+{
+  uint32_t bytes;
+  uint32_t words;
+  uint32_t hash;
+} SsShapeSummary;
+
+#define SS_SHAPE_FORMAT "shape_bytes=%u shape_words=%u shape_hash=%08x"
+#define SS_SHAPE_ARGS(summary) (summary).bytes, (summary).words, (summary).hash
+
 typedef struct
 {
   char *shape; /* text from PREPARE that says what the statement does */
   bool is_read;
+  SsShapeSummary summary;
 } SsPrepared;
 
 typedef struct
@@ -45,27 +59,16 @@
 void ss_session_state_finish (SsSessionState *state);
 void ss_session_state_set (SsSessionState *state, const char *name,
                            const char *value);
-void ss_session_state_prepare (SsSessionState *state, const char *name,
-                               const char *shape, bool is_read);
+/* ss_session_state_prepare: returns what NAME stands for now. */
+const SsPrepared *ss_session_state_prepare (SsSessionState *state,
+                                            const char *name, const char *shape,
+                                            bool is_read);
 /* ss_session_state_prepared: returns NULL where NAME is not prepared. */
 const SsPrepared *ss_session_state_prepared (const SsSessionState *state,
                                              const char *name);
 /* ss_session_state_deallocate: returns false where NAME is not prepared. */
 bool ss_session_state_deallocate (SsSessionState *state, const char *name);
 
-/* What log lines say of a shape instead of its text: two shapes with the same
- * hash are alike, and one of several words has spaces.
- */
-typedef struct
-{
-  uint32_t bytes;
-  uint32_t words;
-  uint32_t hash;
-} SsShapeSummary;
-
-#define SS_SHAPE_FORMAT "shape_bytes=%u shape_words=%u shape_hash=%08x"
-#define SS_SHAPE_ARGS(summary) (summary).bytes, (summary).words, (summary).hash
-
 /* ss_shape_summary: summarises SHAPE; all members are 0 for NULL. */
 SsShapeSummary ss_shape_summary (const char *shape);
 
@@ -84,23 +87,24 @@
  */
 char *ss_replay_name (const char *shape, bool is_read);
 
-/* ss_replay_holds: whether the shape is prepared on a connection in the state
- * HELD.
- */
-bool ss_replay_holds (const SsSessionState *held, const char *shape,
-                      bool is_read);
+typedef enum
+{
+  SS_REPLAY_IMPOSSIBLE, /* the connection must not be used for it */
+  SS_REPLAY_PLANNED,
+  SS_REPLAY_PREPARES /* planned, and the shape has to be prepared */
+} SsReplayPlan;
 
 /* ss_replay_plan: appends to OUT the statements (to be freed) that bring a
  * connection from the state HELD to VALUES (name, value, ..., NULL; each name
  * once) with SHAPE (NULL: none) prepared, and updates HELD accordingly.
- * IN_TRANSACTION: a reset is not possible.  Returns false where one would be
- * needed, and where the dialect can't express a value; the connection must not
- * be used then.  HELD keeps digests of long names and values, and of prepared
- * statements only the names.
+ * IN_TRANSACTION: a reset is not possible.  Returns SS_REPLAY_IMPOSSIBLE where
+ * one would be needed, and where the dialect can't express a value.  HELD keeps
+ * digests of long names and values, and of prepared statements only the names.
  */
-bool ss_replay_plan (const SsDialect *dialect, SsSessionState *held,
-                     const char *const *values, const char *shape,
-                     bool shape_is_read, bool in_transaction, GQueue *out);
+SsReplayPlan ss_replay_plan (const SsDialect *dialect, SsSessionState *held,
+                             const char *const *values, const char *shape,
+                             bool shape_is_read, bool in_transaction,
+                             GQueue *out);
 
 /* ss_replay_distance: returns how many statements ss_replay_plan would list for
  * VALUES without a shape.
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -82,7 +82,6 @@
   const SsTarget *t
       = r->target ? ss_config_target (&node->config, r->target) : NULL;
   const SsGroup *group = ss_session_group (node, r->session);
-  SsShapeSummary shape = ss_shape_summary (r->shape);
 
   ss_node_log (
       node, events[verdict], r->label ? r->label : r->trace,
@@ -100,7 +99,7 @@
       group ? group->primary : "-", r->floor.term, r->floor.offset, r->is_read,
       r->begins, r->keeps, r->wait, r->tries, node->now_ms - r->started_ms,
       r->organisation ? r->organisation : "-", r->text_bytes, strlen (r->sql),
-      SS_SHAPE_ARGS (shape));
+      SS_SHAPE_ARGS (r->shape_summary));
 }
 
 static void
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -69,6 +69,7 @@
   uint32_t text_bytes; /* of the text that the caller sent */
   char *shape; /* SsPrepared.shape of the prepared statement that it executes;
                   NULL: none */
+  SsShapeSummary shape_summary;
   bool shape_is_read;
   bool begins;  /* BEGIN is sent before it */
   bool keeps;   /* its effect may be durable: COMMIT of a transaction that may
--- a/src/core/statement.c
+++ b/src/core/statement.c
@@ -114,14 +114,16 @@
 static void
 prepare (SsNode *node, SsSession *s, const SsStatement *st)
 {
+  const SsPrepared *p;
+
   if (!ss_session_state_has_room (&s->state, st))
     {
       reply_invalid (node, s, SS_REASON_TOO_LARGE);
       return;
     }
-  if (ss_shape_summary (st->value).words > 1)
+  p = ss_session_state_prepare (&s->state, st->name, st->value, st->is_read);
+  if (p->summary.words > 1)
     ss_node_count (node, SS_COUNTER_SHAPES_OF_WORDS);
-  ss_session_state_prepare (&s->state, st->name, st->value, st->is_read);
   reply_done (node, s);
 }
 
@@ -199,6 +201,7 @@
   if (p)
     {
       r->shape = g_strdup (p->shape);
+      r->shape_summary = p->summary;
       r->shape_is_read = p->is_read;
       g_free (r->sql);
       r->sql = sql;
