Texts that begin with a statement of no kind are not read to their end

Whether a text is one BEGIN, COMMIT or ROLLBACK was found by splitting all of it, for each statement of a session with a read kind; its first word tells for nearly all. The word of our settings stood in three files. No behaviour.

--- a/src/core/session.c
+++ b/src/core/session.c
@@ -1,10 +1,11 @@
 #include <string.h>
 
 #include "core/entry.h"
+#include "core/sql_text.h"
 
 #define KEY_MAX_BYTES 64
 
-#define PREFIX "sapphirestair."
+#define PREFIX SS_SQL_SETTING_WORD "."
 
 const char *
 ss_session_setting_name (const char *parameter)
--- a/src/core/session_sql.c
+++ b/src/core/session_sql.c
@@ -6,7 +6,6 @@
 #include "core/requests.h"
 #include "core/sql_text.h"
 
-#define SETTING_WORD "sapphirestair"
 /* Characters of a value that is not quoted. */
 #define BARE_CHARACTERS                                                        \
   "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_.:+-"
@@ -41,7 +40,7 @@
 {
   SsSqlToken token;
 
-  if (!take_word (at, SETTING_WORD) || !take_char (at, '.'))
+  if (!take_word (at, SS_SQL_SETTING_WORD) || !take_char (at, '.'))
     return NULL;
   token = ss_sql_text_next (at);
   return token.kind == SS_SQL_TOKEN_WORD
@@ -152,12 +151,16 @@
   return ss_sql_text_first (sql) == SS_SQL_KIND_BEGIN;
 }
 
-/* Returns the kind of SQL if it is a single statement. */
+/* Returns the kind of SQL if it is a single statement.  Most texts begin with
+ * one of no kind, and are not read to their end.
+ */
 static SsSqlTextKind
 single_kind (const char *sql)
 {
   SsSqlOutline outline;
 
+  if (ss_sql_text_first (sql) == SS_SQL_KIND_OTHER)
+    return SS_SQL_KIND_OTHER;
   ss_sql_text_outline (sql, &outline);
   return outline.count == 1 && outline.is_closed ? outline.first
                                                  : SS_SQL_KIND_OTHER;
--- a/src/core/sql_text.c
+++ b/src/core/sql_text.c
@@ -2,9 +2,6 @@
 
 #include <string.h>
 
-/* The names of the proxy's settings begin with this word and a dot. */
-#define SETTING_WORD "sapphirestair"
-
 /* --- tokens --- */
 
 static bool
@@ -251,11 +248,12 @@
 static bool
 names_setting (const SsSqlToken *token)
 {
-  size_t bytes = strlen (SETTING_WORD);
+  size_t bytes = strlen (SS_SQL_SETTING_WORD);
 
   if (token->kind == SS_SQL_TOKEN_NAME)
-    return g_ascii_strncasecmp (token->text + 1, SETTING_WORD, bytes) == 0;
-  return ss_sql_token_is_word (token, SETTING_WORD);
+    return g_ascii_strncasecmp (token->text + 1, SS_SQL_SETTING_WORD, bytes)
+           == 0;
+  return ss_sql_token_is_word (token, SS_SQL_SETTING_WORD);
 }
 
 static SsSqlTextKind
--- a/src/core/sql_text.h
+++ b/src/core/sql_text.h
@@ -13,6 +13,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* The names of the proxy's settings begin with this word and a dot. */
+#define SS_SQL_SETTING_WORD "sapphirestair"
+
 typedef enum
 {
   SS_SQL_TOKEN_END,
