--- a/src/kernel/target_connections.h
+++ b/src/kernel/target_connections.h
@@ -17,6 +17,11 @@
 
 typedef struct SsTargetConnections SsTargetConnections;
 
+/* Longest response that is passed on: a reply to another VM must fit into a
+ * message.
+ */
+#define SS_TARGET_RESPONSE_MAX_BYTES (8 * 1024 * 1024)
+
 /* Base struct of a plug-in's connection, its first member; freed with g_free.
  */
 typedef struct
--- a/src/plugins/pqtarget.c
+++ b/src/plugins/pqtarget.c
@@ -9,7 +9,6 @@
 #include "plugins/pgwire.h"
 #include "plugins/pqparams.h"
 
-#define WIRE_MAX_BYTES (8 * 1024 * 1024)
 #define COMMIT_PARAMETER "sapphirestair.commit"
 #define APPLIED_PARAMETER "sapphirestair.applied"
 
@@ -213,7 +212,7 @@
   g_free (t->tag);
   t->tag = g_strdup (PQcmdStatus (r));
   put_result (t, r);
-  if (t->base.wire->len <= WIRE_MAX_BYTES)
+  if (t->base.wire->len <= SS_TARGET_RESPONSE_MAX_BYTES)
     return;
   g_byte_array_set_size (t->base.wire, 0);
   t->has_error = true;
