Tests: runs of another VM and answers that are too long are made once

The suites foreign_text and foreign_key built the same message, two tests of suite callers had the same body.

--- a/tests/sql_server.c
+++ b/tests/sql_server.c
@@ -284,8 +284,8 @@
   return &sim->reply;
 }
 
-void
-sql_server_deliver (SqlServer *sim, const Ss__Peer__Envelope *message)
+static void
+deliver_message (SqlServer *sim, const Ss__Peer__Envelope *message)
 {
   size_t bytes = ss__peer__envelope__get_packed_size (message);
   uint8_t *data = g_malloc (bytes);
@@ -299,6 +299,28 @@
   g_free (data);
 }
 
+void
+sql_server_deliver_run (SqlServer *sim, const SqlRun *run)
+{
+  Ss__Peer__Envelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Run message = SS__PEER__RUN__INIT;
+
+  message.request = run->id;
+  message.session = run->id;
+  message.target = (char *) "t";
+  message.service = (char *) "s";
+  message.sql.data = (uint8_t *) run->sql;
+  message.sql.len = run->bytes;
+  message.left_ms = 500;
+  message.request_key = (char *) run->key;
+  message.organisation = (char *) run->organisation;
+  message.keeps = true;
+  e.from = (char *) "b";
+  e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
+  e.run = &message;
+  deliver_message (sim, &e);
+}
+
 uint32_t
 sql_server_rows (const SqlServer *sim, const char *key)
 {
--- a/tests/sql_server.h
+++ b/tests/sql_server.h
@@ -34,8 +34,18 @@
  * is borrowed until the next call.
  */
 const SsAction *sql_server_run (SqlServer *sim, const char *sql);
-/* sql_server_deliver: has the core take MESSAGE from another VM. */
-void sql_server_deliver (SqlServer *sim, const Ss__Peer__Envelope *message);
+/* A write that another VM asks the core to run. */
+typedef struct
+{
+  uint64_t id; /* of the request and of its session */
+  const char *sql;
+  size_t bytes;
+  const char *key;          /* idempotency key; "": none */
+  const char *organisation; /* "": none */
+} SqlRun;
+
+/* sql_server_deliver_run: has the core take RUN from another VM. */
+void sql_server_deliver_run (SqlServer *sim, const SqlRun *run);
 /* sql_server_rows: how many values the server has under KEY of table kv. */
 uint32_t sql_server_rows (const SqlServer *sim, const char *key);
 /* sql_server_sent: whether a text that holds PART was sent to the server. */
--- a/tests/test_callers.c
+++ b/tests/test_callers.c
@@ -82,36 +82,40 @@
   target_harness_finish (&h);
 }
 
+/* Answers with an ERROR that is too long for a message. */
+static void
+expect_closed_by_long_error (TargetHarness *h)
+{
+  char *text = g_strnfill (SS_LINE_MAX_BYTES, 'x');
+
+  target_harness_reply (h, SS_VERDICT_NOT_RUN, 'I', NULL, text);
+  expect_closed (h);
+  expect_received (h, "");
+  g_free (text);
+}
+
 /* Guards against a failure that looks like the success of nothing: an ERROR
  * that is too long was left out, and READY was sent without it.
  */
 static void
 caller_without_error_is_closed (void)
 {
-  char *text = g_strnfill (SS_LINE_MAX_BYTES, 'x');
   TargetHarness h;
 
   open_and_query (&h);
-  target_harness_reply (&h, SS_VERDICT_NOT_RUN, 'I', NULL, text);
-  expect_closed (&h);
-  expect_received (&h, "");
+  expect_closed_by_long_error (&h);
   target_harness_finish (&h);
-  g_free (text);
 }
 
 /* Guards against the same in answer to CONNECT. */
 static void
 caller_without_answer_to_connect_is_closed (void)
 {
-  char *text = g_strnfill (SS_LINE_MAX_BYTES, 'x');
   TargetHarness h;
 
   open_caller (&h);
-  target_harness_reply (&h, SS_VERDICT_NOT_RUN, 'I', NULL, text);
-  expect_closed (&h);
-  expect_received (&h, "");
+  expect_closed_by_long_error (&h);
   target_harness_finish (&h);
-  g_free (text);
 }
 
 CU_TestInfo test_callers[] = {
--- a/tests/test_foreign_key.c
+++ b/tests/test_foreign_key.c
@@ -11,23 +11,9 @@
 run_for (SqlServer *sim, const char *organisation, uint64_t request,
          const char *sql)
 {
-  Ss__Peer__Envelope e = SS__PEER__ENVELOPE__INIT;
-  Ss__Peer__Run run = SS__PEER__RUN__INIT;
+  SqlRun run = { request, sql, strlen (sql), "order-7", organisation };
 
-  run.request = request;
-  run.session = request;
-  run.target = (char *) "t";
-  run.service = (char *) "s";
-  run.sql.data = (uint8_t *) sql;
-  run.sql.len = strlen (sql);
-  run.left_ms = 500;
-  run.request_key = (char *) "order-7";
-  run.organisation = (char *) organisation;
-  run.keeps = true;
-  e.from = (char *) "b";
-  e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
-  e.run = &run;
-  sql_server_deliver (sim, &e);
+  sql_server_deliver_run (sim, &run);
 }
 
 /* Guards against a write that is answered from the record of another
--- a/tests/test_foreign_text.c
+++ b/tests/test_foreign_text.c
@@ -565,22 +565,9 @@
 static void
 deliver_run (SqlServer *sim, const char *sql, size_t bytes, const char *key)
 {
-  Ss__Peer__Envelope e = SS__PEER__ENVELOPE__INIT;
-  Ss__Peer__Run run = SS__PEER__RUN__INIT;
-
-  run.request = 1;
-  run.session = 1;
-  run.target = (char *) "t";
-  run.service = (char *) "s";
-  run.sql.data = (uint8_t *) sql;
-  run.sql.len = bytes;
-  run.left_ms = 500;
-  run.request_key = (char *) key;
-  run.keeps = true;
-  e.from = (char *) "b";
-  e.body_case = SS__PEER__ENVELOPE__BODY_RUN;
-  e.run = &run;
-  sql_server_deliver (sim, &e);
+  SqlRun run = { 1, sql, bytes, key, "" };
+
+  sql_server_deliver_run (sim, &run);
 }
 
 /* Guards against text of an entry VM of an earlier version, which sends any
