--- a/src/core/entry.h
+++ b/src/core/entry.h
@@ -59,7 +59,7 @@
 /* ss_entry_dispatch: classifies and routes R. */
 void ss_entry_dispatch (SsNode *node, SsRequest *r);
 
-/* --- request.c; ss_request_may_retry, _retry and _cancel are in entry.c --- */
+/* --- request.c --- */
 
 SsGroup *ss_session_group (SsNode *node, const SsSession *s);
 /* ss_session_identity: returns the user name where the service tells callers
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -285,3 +285,84 @@
                  " left_ms=%" G_GINT64_FORMAT,
                  wait_ms, r->deadline_ms - node->now_ms);
 }
+
+/* --- further attempts --- */
+
+/* Whether a further attempt may end in another way than for REASON. */
+static bool
+may_pass (SsReason reason)
+{
+  switch (reason)
+    {
+    case SS_REASON_TARGET_ERROR:
+    case SS_REASON_CANCELLED:
+    case SS_REASON_DEADLINE:
+    case SS_REASON_BAD_STATEMENT:
+    case SS_REASON_TOO_LARGE:
+      return false;
+    default:
+      return true;
+    }
+}
+
+bool
+ss_request_may_retry (SsNode *node, SsRequest *r, SsVerdict verdict,
+                      SsReason reason, bool sent)
+{
+  bool is_safe = verdict == SS_VERDICT_NOT_RUN
+                 || (verdict == SS_VERDICT_MAY_HAVE_RUN && r->is_read);
+  bool multiplexes_sessions = ss_dialect_multiplexes_sessions (node->dialect);
+
+  /* A transaction stays on the connection that ran its first statement.  A
+   * write is retried only where the dialect multiplexes sessions.  A statement
+   * for the primary is not retried while that is overloaded or lacks a
+   * majority: it would return to the same queue at once.
+   */
+  if (!is_safe || r->session->pinned_vm || (r->begins && sent)
+      || (!r->is_read && !multiplexes_sessions)
+      || (ss_route_needs_primary (node, r)
+          && (reason == SS_REASON_OVERLOAD || reason == SS_REASON_NO_MAJORITY))
+      || !may_pass (reason) || r->tries >= SS_REQUEST_RETRIES_MAX
+      || node->now_ms >= r->deadline_ms)
+    return false;
+  if (ss_retry_budget_withdraw (&node->retry_budget))
+    {
+      if (sent || verdict == SS_VERDICT_MAY_HAVE_RUN)
+        ss_rate_limit_spend (r);
+      return true;
+    }
+  ss_node_count (node, SS_COUNTER_RETRIES_REFUSED);
+  return false;
+}
+
+void
+ss_request_retry (SsNode *node, SsRequest *r, SsReason reason,
+                  uint32_t retry_after_ms)
+{
+  ss_node_count (node, SS_COUNTER_RETRIES);
+  ss_node_log (node, SS_EVENT_LOG_REQUEST_RETRIED,
+               r->label ? r->label : r->trace,
+               "target=%s owner=%s reason=%s tries=%u ms=%" G_GINT64_FORMAT,
+               r->target, r->vm, ss_reason_name (reason), r->tries + 1,
+               node->now_ms - r->started_ms);
+  r->tried[r->tries++] = g_strdup (r->target);
+  r->refusal = reason;
+  r->retry_after_ms = retry_after_ms;
+  ss_request_end_attempt (node, r);
+  if (!r->is_read && reason == SS_REASON_NO_PRIMARY)
+    ss_route_await_primary (node, r);
+  else
+    ss_route (node, r);
+}
+
+void
+ss_request_cancel (SsNode *node, const SsRequest *r)
+{
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__Cancel cancel = SS__PEER__CANCEL__INIT;
+
+  cancel.request = r->id;
+  e.body_case = SS__PEER__ENVELOPE__BODY_CANCEL;
+  e.cancel = &cancel;
+  ss_node_send (node, r->vm, &e);
+}
