--- a/review/standin-2/split.c
+++ b/review/standin-2/split.c
@@ -1,7 +1,10 @@
-/* split: one failure domain and the platform are partitioned from the other
- * failure domains.
+/* split: a small deployment of real daemons among stand-ins.
  *
- *   split FOLDER DAEMON NETWORK TROUBLE
+ *   split FOLDER DAEMON NETWORK TROUBLE [slow]
+ *
+ * Without "slow", one failure domain and the platform are partitioned from the
+ * other failure domains.  With it, a daemon gets SIGTERM while a caller is in
+ * the middle of reading a long answer (see run_slow).
  *
  * Six daemons in three zones, one service with a server in each zone.  Every
  * connection between daemons, and from a daemon to a server or the platform,
@@ -11,7 +14,7 @@
  * after three silent intervals.  Callers of a database of kind "primary" write
  * and read in all zones, each through a ready machine of its own zone.
  *
- * Exit status: 1 if a read ran on a log that lacks a commit that was
+ * Exit status of the partition: 1 if a read ran on a log that lacks a commit that was
  * acknowledged before the read was sent, 0 if none did, 2 if the run did not
  * take place.
  */
@@ -21,6 +24,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -45,6 +49,22 @@
 #define AFTER_MS 4000
 #define NETWORK_PORT 9000
 
+/* Of the slow reader. */
+#define BIG_ROWS 3000
+#define BIG_ROW_BYTES 1000
+#define WINDOW_BYTES 16384
+#define READ_FIRST_BYTES 100000
+#define TERM_AFTER_MS 100
+#define READ_ON_AFTER_MS 2700
+#define ROUTE_TIMEOUT_MS 3000
+#define GRACE_MS 6000
+#define SLOW_VM 0
+/* The daemon looks at its callers once a second from its start on.  The time of
+ * the query in that second makes the runs alike.
+ */
+#define LOOK_MS 1000
+#define QUERY_AT_MS 750
+
 /* The zone with the platform and server 2 is the one that is cut off. */
 #define CUT_ZONE 2
 
@@ -108,8 +128,18 @@
 static int64_t promoted_ms;
 static bool in_rotation[WORLD_VMS];
 static pid_t children[WORLD_VMS + 1];
+static int64_t spawned_ms[WORLD_VMS + 1];
 static char prefix[32]; /* "127.N." */
 
+/* The same configuration with a longer timeout of the route. */
+static const char slow_config_json[]
+    = "{\"version\":7,\"routes\":[{\"name\":\"r-2\",\"host\":\"" DATABASE
+      "\",\"path_prefix\":\"/\",\"kind\":\"primary\",\"timeout_ms\":3000,"
+      "\"latency_goal_ms\":400,\"priority\":1,\"service\":\"" WORLD_SERVICE
+      "\",\"max_attempts\":2}],\"services\":[{\"name\":\"" WORLD_SERVICE
+      "\",\"health_path\":\"/health\",\"max_conns\":21,\"protocol\":\"h1\","
+      "\"tls\":false,\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3000}}";
+
 static int64_t
 now_us (void)
 {
@@ -346,6 +376,17 @@
       g_string_append_printf (out, "COMPLETE 7.%s\r\n", id);
       return;
     }
+  if (g_str_has_prefix (text, "READ big"))
+    {
+      char *row = g_strnfill (BIG_ROW_BYTES, 'r');
+
+      world_record ("%s runs %s, a long answer", ids[i], id);
+      for (uint32_t j = 0; j < BIG_ROWS; j++)
+        g_string_append_printf (out, "ROW %s\r\n", row);
+      g_string_append_printf (out, "COMPLETE 7.%s\r\n", id);
+      g_free (row);
+      return;
+    }
   if (g_str_has_prefix (text, "READ "))
     {
       Run *run = g_new0 (Run, 1);
@@ -430,6 +471,7 @@
       g_get_environ (), "SAPPHIRESTAIR_SETTINGS", settings, TRUE);
   int fd = open (log, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
 
+  spawned_ms[child] = world_now_ms ();
   children[child] = fork ();
   if (children[child] == 0)
     {
@@ -812,12 +854,12 @@
   return true;
 }
 
-static int
-run (const char *folder, const char *daemon, const char *network, bool trouble)
+/* Returns whether all daemons are ready. */
+static bool
+start_all (const char *folder, const char *daemon, const char *network,
+           const char *config)
 {
-  guint calm;
-
-  world_store_put ("config", "main", config_json);
+  world_store_put ("config", "main", config);
   start_network (folder, network);
   world_sleep_ms (200);
   for (uint32_t i = 0; i < WORLD_VMS; i++)
@@ -826,9 +868,100 @@
     g_thread_unref (g_thread_new ("probe", probe, GUINT_TO_POINTER (i)));
   while (!all_ready () && world_now_ms () < START_LIMIT_MS)
     world_sleep_ms (100);
-  if (!all_ready ())
-    return 2;
   world_sleep_ms (2000);
+  return all_ready ();
+}
+
+/* Reads from FD up to LIMIT bytes, or to the end if that is 0.  Keeps the last
+ * bytes in TAIL.  Returns the number of bytes.
+ */
+static size_t
+drain (int fd, size_t limit, GString *tail)
+{
+  char bytes[8192];
+  size_t sum = 0;
+  ssize_t got = 1;
+
+  while ((!limit || sum < limit)
+         && (got = recv (fd, bytes, sizeof bytes, 0)) > 0)
+    {
+      sum += (size_t) got;
+      g_string_append_len (tail, bytes, got);
+      if (tail->len > 400)
+        g_string_erase (tail, 0, (gssize) tail->len - 200);
+      if (strstr (tail->str, "\r\nREADY "))
+        return sum;
+    }
+  return sum;
+}
+
+/* A caller reads the beginning of a long answer and pauses, as one on a slow
+ * link does; its machine gets SIGTERM meanwhile.  It reads on well before the
+ * grace period and the route's timeout end, and must get the whole answer.
+ */
+static int
+run_slow (bool trouble)
+{
+  static const char query[] = "QUERY big1 READ big\r\n";
+  char *ip = world_vm_ip (SLOW_VM);
+  int fd = world_connect_receiving (ip, WORLD_CALLERS_PORT, 500, WINDOW_BYTES);
+  GString *tail = g_string_new (NULL);
+  WorldStream stream;
+  int64_t sent_ms;
+  int64_t end_ms;
+  size_t bytes;
+  bool whole;
+  char *line;
+
+  g_free (ip);
+  if (fd < 0)
+    return 2;
+  world_stream_init (&stream, fd);
+  world_send (fd, "CONNECT " DATABASE " u3f1\r\n",
+              strlen ("CONNECT " DATABASE " u3f1\r\n"));
+  line = world_stream_line (&stream, 2000);
+  if (!line || !g_str_has_prefix (line, "READY"))
+    return 2;
+  world_sleep_ms (LOOK_MS
+                  - (world_now_ms () - spawned_ms[SLOW_VM] + LOOK_MS
+                     - QUERY_AT_MS)
+                        % LOOK_MS);
+  sent_ms = world_now_ms ();
+  world_record ("the caller sends %.*s", (int) strlen (query) - 2, query);
+  world_send (fd, query, strlen (query));
+  bytes = drain (fd, READ_FIRST_BYTES, tail);
+  if (bytes < READ_FIRST_BYTES)
+    return 2;
+  world_record ("the caller has read %zu bytes and pauses", bytes);
+  world_sleep_ms (sent_ms + TERM_AFTER_MS - world_now_ms ());
+  if (trouble)
+    {
+      world_record ("%s gets SIGTERM", vm_names[SLOW_VM]);
+      kill (children[SLOW_VM], SIGTERM);
+    }
+  world_sleep_ms (sent_ms + READ_ON_AFTER_MS - world_now_ms ());
+  world_record ("the caller reads on");
+  bytes += drain (fd, 0, tail);
+  end_ms = world_now_ms ();
+  whole = strstr (tail->str, "COMPLETE 7.big1\r\nREADY ") != NULL;
+  world_record ("after %zu bytes and %" G_GINT64_FORMAT
+                " ms the answer is %s; of %d bytes of rows; its last bytes: ...%s",
+                bytes, end_ms - sent_ms, whole ? "whole" : "cut off",
+                BIG_ROWS * BIG_ROW_BYTES,
+                tail->str + (tail->len > 60 ? tail->len - 60 : 0));
+  printf ("bytes=%zu ms=%" G_GINT64_FORMAT " whole=%d\n", bytes,
+          end_ms - sent_ms, whole);
+  if (!whole && end_ms - sent_ms >= ROUTE_TIMEOUT_MS)
+    return 2;
+  world_sleep_ms (sent_ms + TERM_AFTER_MS + GRACE_MS - world_now_ms ());
+  return whole ? 0 : 1;
+}
+
+static int
+run_split (bool trouble)
+{
+  guint calm;
+
   for (uint32_t i = 0; i < CALLERS; i++)
     g_thread_unref (g_thread_new ("caller", call, GUINT_TO_POINTER (i)));
   world_sleep_ms (CALM_MS);
@@ -852,8 +985,10 @@
 {
   char *first;
   int status;
+  bool slow;
+  bool trouble;
 
-  if (argc != 5)
+  if (argc != 5 && argc != 6)
     return 2;
   signal (SIGPIPE, SIG_IGN);
   commits = g_ptr_array_new ();
@@ -865,7 +1000,13 @@
   g_snprintf (prefix, sizeof prefix, "%.*s", (int) (strlen (first) - 4), first);
   if (!world_store_start () || !start_servers ())
     return 2;
-  status = run (argv[1], argv[2], argv[3], strcmp (argv[4], "0") != 0);
+  slow = argc == 6 && strcmp (argv[5], "slow") == 0;
+  trouble = strcmp (argv[4], "0") != 0;
+  if (!start_all (argv[1], argv[2], argv[3],
+                  slow ? slow_config_json : config_json))
+    status = 2;
+  else
+    status = slow ? run_slow (trouble) : run_split (trouble);
   end_children ();
   world_record ("exit status %d", status);
   world_net_finish ();
