--- a/review/standin-2/split.c
+++ b/review/standin-2/split.c
@@ -1010,5 +1010,6 @@
   end_children ();
   world_record ("exit status %d", status);
   world_net_finish ();
+  fflush (stdout);
   _exit (status);
 }
