--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -7,9 +7,9 @@
 cd "$(dirname "$0")/.."
 MEMBERSHIP="members roles rank relay relay_views isolation peers watch config
   config_order config_store era config_sync directory parse settling backoff
-  subscribers fanout platform_calls"
+  subscribers fanout platform_calls voters voter_change contact"
 PROMOTION="promote suspicion coordinator term_raise lease lease_keeper placement
-  predict duty"
+  predict duty voter_coordinator"
 UPWARD="config_sync.c:owned.h isolation.c:owned.h isolation.c:promotion.h
   watch.c:owned.h watch.c:promotion.h
   coordinator.c:owned.h lease.c:owned.h promote.c:internal.h"
--- a/src/core/config.c
+++ b/src/core/config.c
@@ -8,6 +8,7 @@
 #include "core/identity.h"
 #include "core/parse.h"
 #include "core/version.h"
+#include "core/voters.h"
 #include "kernel/compare.h"
 
 const char *
@@ -110,6 +111,8 @@
       = g_tree_new_full (ss_compare_strings, NULL, NULL, target_free);
   config->groups
       = g_tree_new_full (ss_compare_strings, NULL, NULL, ss_group_free);
+  config->voters
+      = g_tree_new_full (ss_compare_strings, NULL, NULL, ss_voters_free);
   config->targets_by_group
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_targets);
   config->max_connections
@@ -131,6 +134,7 @@
   g_hash_table_destroy (config->targets_by_group);
   g_tree_destroy (config->targets);
   g_tree_destroy (config->groups);
+  g_tree_destroy (config->voters);
   g_hash_table_destroy (config->max_connections);
   clear_organisations (config);
 }
@@ -140,7 +144,7 @@
 attach_servers (const SsConfig *c, SsGroup *group)
 {
   const GPtrArray *targets
-      = group ? g_hash_table_lookup (c->targets_by_group, group->name) : NULL;
+      = group ? ss_config_group_targets (c, group->name) : NULL;
 
   if (!group)
     return;
@@ -156,6 +160,7 @@
       if (strcmp (t->name, group->primary) == 0)
         group->primary_server = t;
     }
+  ss_group_count_voters (group, ss_config_voters (c, group->name), targets);
 }
 
 static gint
@@ -336,6 +341,20 @@
   return NULL;
 }
 
+static char *
+adopt_voters (SsConfig *c, const char *group, int64_t version, json_t *json)
+{
+  char *error;
+  SsVoters *v = ss_voters_parse (group, json, &error);
+
+  if (!v)
+    return error;
+  v->version = version;
+  g_tree_replace (c->voters, v->group, v);
+  attach_servers (c, ss_config_group (c, group));
+  return NULL;
+}
+
 static void
 ensure_group (SsConfig *c, const char *name)
 {
@@ -672,6 +691,8 @@
     error = adopt_target (c, strchr (key, '/') + 1, version, json, now_ms);
   else if (g_str_has_prefix (key, "group/"))
     error = adopt_group (c, strchr (key, '/') + 1, version, json, now_ms);
+  else if (g_str_has_prefix (key, SS_VOTERS_PREFIX))
+    error = adopt_voters (c, strchr (key, '/') + 1, version, json);
   else if (g_str_has_prefix (key, "organisation/"))
     error = adopt_organisation_object (c, strchr (key, '/') + 1, json);
   json_decref (json);
@@ -765,6 +786,18 @@
   return config->keys ? g_hash_table_lookup (config->keys, digest) : NULL;
 }
 
+const SsVoters *
+ss_config_voters (const SsConfig *config, const char *group)
+{
+  return g_tree_lookup (config->voters, group);
+}
+
+const GPtrArray *
+ss_config_group_targets (const SsConfig *config, const char *group)
+{
+  return g_hash_table_lookup (config->targets_by_group, group);
+}
+
 const SsStoredObject *
 ss_config_object (const SsConfig *config, const char *key)
 {
@@ -819,12 +852,6 @@
   return search.staleness_ms;
 }
 
-uint32_t
-ss_group_majority (const SsGroup *group)
-{
-  return group->server_count / 2 + 1;
-}
-
 SsTarget *
 ss_group_primary (const SsGroup *group)
 {
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -1,8 +1,8 @@
 /* config: the configuration in force, built from platform objects.
  *
  * An object is adopted only if it is newer than the stored one
- * (config_order.h).  Keys are service/NAME, target/NAME, group/NAME and
- * organisation/NAME.
+ * (config_order.h).  Keys are service/NAME, target/NAME, group/NAME,
+ * voters/NAME and organisation/NAME.
  * routes/NAME replaces all services at once and declares the groups.  Objects
  * under other keys are stored and forwarded uninterpreted.
  */
@@ -128,6 +128,15 @@
                             known by their digests only */
 } SsOrganisation;
 
+/* The voters of a group in one set (voters.h). */
+typedef struct
+{
+  uint32_t count;  /* with those that are not listed; 0: there is no such set */
+  uint32_t listed; /* bit set of SsGroup.servers: those that are */
+} SsVoterCount;
+
+typedef struct SsVoters SsVoters;
+
 typedef struct
 {
   char *name;
@@ -145,7 +154,9 @@
   SsTarget *servers[SS_CONFIG_SERVERS_MAX];
   uint32_t server_count;
   SsTarget
-      *primary_server; /* of servers, the one that primary names; or NULL */
+      *primary_server;  /* of servers, the one that primary names; or NULL */
+  SsVoterCount current; /* the voters in force */
+  SsVoterCount former;  /* those before a change that has not ended */
 } SsGroup;
 
 typedef struct
@@ -155,6 +166,7 @@
   GTree *targets;
   GHashTable *targets_by_group; /* group -> GPtrArray of SsTarget (borrowed) */
   GTree *groups;
+  GTree *voters;               /* group -> SsVoters */
   GHashTable *max_connections; /* group -> limit for each of its servers */
   GTree *organisations; /* name -> SsOrganisation; NULL: callers need no key */
   GHashTable *keys;     /* digest of a key -> SsOrganisation (borrowed); NULL if
@@ -213,6 +225,15 @@
 SsOrganisation *ss_config_organisation (const SsConfig *config,
                                         const char *name);
 SsOrganisation *ss_config_key (const SsConfig *config, const char *digest);
+/* ss_config_voters: returns the voters of GROUP, or NULL: the servers that the
+ * platform lists.
+ */
+const SsVoters *ss_config_voters (const SsConfig *config, const char *group);
+/* ss_config_group_targets: returns all known targets of GROUP, removed ones
+ * too; NULL: there are none.
+ */
+const GPtrArray *ss_config_group_targets (const SsConfig *config,
+                                          const char *group);
 const SsStoredObject *ss_config_object (const SsConfig *config,
                                         const char *key);
 
@@ -234,8 +255,6 @@
 
 /* ss_group_free: frees GROUP, an SsGroup. */
 void ss_group_free (gpointer group);
-/* ss_group_majority: returns the number of servers in a majority. */
-uint32_t ss_group_majority (const SsGroup *group);
 /* ss_group_primary: returns the configured primary, or NULL. */
 SsTarget *ss_group_primary (const SsGroup *group);
 
--- a/src/core/config_order.c
+++ b/src/core/config_order.c
@@ -5,6 +5,7 @@
 #include "core/config_store.h"
 #include "core/parse.h"
 #include "core/version.h"
+#include "core/voters.h"
 
 /* Whether the content under KEY stays in force when a restored store no longer
  * has it: the operator or the VMs write it again.
@@ -32,6 +33,22 @@
   return rank;
 }
 
+/* Returns the generation of voters; 0: OBJECT is not valid. */
+static uint64_t
+voters_generation (const SsObject *object)
+{
+  json_t *json = json_loadb (object->value, object->value_bytes, 0, NULL);
+  char *error = NULL;
+  SsVoters *v = ss_voters_parse ("", json, &error);
+  uint64_t generation = v ? v->generation : 0;
+
+  g_free (error);
+  if (v)
+    ss_voters_free (v);
+  json_decref (json);
+  return generation;
+}
+
 static int
 compare_numbers (uint64_t before, uint64_t after)
 {
@@ -57,10 +74,14 @@
 {
   SsObject before = ss_stored_object_view (stored);
 
-  if (stored->deleted || object->deleted
-      || !g_str_has_prefix (object->key, "group/"))
+  if (stored->deleted || object->deleted)
     return 0;
-  return compare_numbers (group_rank (&before), group_rank (object));
+  if (g_str_has_prefix (object->key, "group/"))
+    return compare_numbers (group_rank (&before), group_rank (object));
+  if (g_str_has_prefix (object->key, SS_VOTERS_PREFIX))
+    return compare_numbers (voters_generation (&before),
+                            voters_generation (object));
+  return 0;
 }
 
 /* A deletion carries the version of the object that it deletes. */
--- a/src/core/config_store.c
+++ b/src/core/config_store.c
@@ -89,6 +89,12 @@
   return NULL;
 }
 
+static bool
+is_lost (const SsStoredObject *o)
+{
+  return !o->deleted && (o->seen_version != o->version || o->seen_deleted);
+}
+
 /* Updates since when the platform has lost the content of O, a group's object.
  */
 static void
@@ -100,7 +106,7 @@
 
   if (!g)
     return;
-  if (o->deleted || (o->seen_version == o->version && !o->seen_deleted))
+  if (!is_lost (o))
     g->lost_ms = 0;
   else if (!g->lost_ms)
     g->lost_ms = now_ms;
@@ -155,6 +161,14 @@
   return o && !o->seen_deleted ? o->seen_version : 0;
 }
 
+bool
+ss_config_is_lost (const SsConfig *config, const char *key)
+{
+  const SsStoredObject *o = ss_config_object (config, key);
+
+  return o && is_lost (o);
+}
+
 void
 ss_config_record_absent (SsConfig *config, const char *key, int64_t now_ms)
 {
--- a/src/core/config_store.h
+++ b/src/core/config_store.h
@@ -39,6 +39,10 @@
  * expect at the platform; 0: there is no such object.
  */
 int64_t ss_config_expected_version (const SsConfig *config, const char *key);
+/* ss_config_is_lost: whether the platform, restored from a copy, holds older
+ * content of KEY than this VM, or none.
+ */
+bool ss_config_is_lost (const SsConfig *config, const char *key);
 /* ss_config_record_absent: records that the platform has no object KEY. */
 void ss_config_record_absent (SsConfig *config, const char *key,
                               int64_t now_ms);
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -240,6 +240,13 @@
   p->replica_position_ms = node->now_ms;
 }
 
+void
+ss_coordinator_poll_servers (SsNode *node, const SsGroup *group)
+{
+  for (uint32_t i = 0; i < group->server_count; i++)
+    ss_quorum_request_status (node, group->servers[i]);
+}
+
 bool
 ss_coordinator_is_primary_suspect (SsNode *node, const SsPromotion *p,
                                    const SsGroup *group)
--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -11,9 +11,15 @@
 /* Interval between attempts to write this VM's object. */
 #define WRITE_INTERVAL_MS 1000
 /* A VM that has been silent for this long does not return at its address: its
- * object is deleted.
+ * object is marked as silent.
  */
 #define DEAD_MS 30000
+/* How long an object stays marked before it is deleted.  Until then the VM may
+ * rely on voters that it knew, without the platform.  The margin covers the
+ * time until a VM sees the change of its own object, and the drift of clocks.
+ */
+#define SILENT_MS (SS_RELIANCE_MS + RELIANCE_MARGIN_MS)
+#define RELIANCE_MARGIN_MS (60 * 1000)
 #define PREFIX "vm/"
 #define COORDINATOR_SUBJECT "directory"
 
@@ -109,12 +115,19 @@
   json_decref (json);
 }
 
-static bool
-lists_lease (const SsStoredObject *o, const char *group)
+static json_t *
+load_value (const SsStoredObject *o)
 {
   gsize bytes;
   const char *text = g_bytes_get_data (o->value, &bytes);
-  json_t *json = json_loadb (text, bytes, 0, NULL);
+
+  return json_loadb (text, bytes, 0, NULL);
+}
+
+static bool
+lists_lease (const SsStoredObject *o, const char *group)
+{
+  json_t *json = load_value (o);
   json_t *item;
   size_t i;
   bool found = false;
@@ -130,9 +143,9 @@
 typedef struct
 {
   const char *self;
-  const char *group;
-  GHashTable *released;
-  bool found_holder;
+  const char *group;    /* a lease on which is looked for; NULL: any VM */
+  GHashTable *released; /* VMs to pass over */
+  bool found;
 } HolderSearch;
 
 static gboolean
@@ -146,9 +159,9 @@
     return FALSE;
   vm = (const char *) key + strlen (PREFIX);
   if (strcmp (vm, h->self) == 0 || g_hash_table_contains (h->released, vm)
-      || !lists_lease (o, h->group))
+      || (h->group && !lists_lease (o, h->group)))
     return FALSE;
-  h->found_holder = true;
+  h->found = true;
   return TRUE;
 }
 
@@ -159,7 +172,24 @@
   HolderSearch h = { node->params.vm, group, released, false };
 
   g_tree_foreach (node->config.objects, find_holder, &h);
-  return h.found_holder;
+  return h.found;
+}
+
+bool
+ss_directory_has_other (const SsNode *node, GHashTable *passed_over)
+{
+  HolderSearch h = { node->params.vm, NULL, passed_over, false };
+
+  g_tree_foreach (node->config.objects, find_holder, &h);
+  return h.found;
+}
+
+bool
+ss_directory_lists_self (const SsNode *node)
+{
+  const SsStoredObject *o = stored_vm (node, node->params.vm);
+
+  return o && !o->deleted;
 }
 
 /* Has VM, which the platform answers, write this VM's object.  The version that
@@ -237,9 +267,34 @@
   g_free (key);
 }
 
-/* Deletes the objects of VMs that have been dead for DEAD_MS. */
+static bool
+is_marked_silent (json_t *value)
+{
+  return json_is_true (json_object_get (value, "silent"));
+}
+
+/* Marks the object of VM, which has no lease any longer. */
+static void
+mark_silent (SsNode *node, const char *vm, const SsStoredObject *o)
+{
+  json_t *value = load_value (o);
+  char *key = g_strconcat (PREFIX, vm, NULL);
+  char *text;
+
+  if (json_is_object (value) && !is_marked_silent (value))
+    {
+      json_object_set_new (value, "leases", json_array ());
+      json_object_set_new (value, "silent", json_true ());
+      text = json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS);
+      ss_platform_put (node, ++node->next_call, key, text, o->version);
+      free (text);
+    }
+  g_free (key);
+  json_decref (value);
+}
+
 static void
-delete_dead_vms (SsNode *node)
+mark_silent_vms (SsNode *node)
 {
   GPtrArray *dead = g_ptr_array_new ();
 
@@ -250,11 +305,50 @@
       const SsStoredObject *o = stored_vm (node, m->vm);
 
       if (o && !o->deleted)
-        delete_vm_object (node, m->vm, o->version);
+        mark_silent (node, m->vm, o);
     }
   g_ptr_array_free (dead, TRUE);
 }
 
+typedef struct
+{
+  const SsNode *node;
+  GPtrArray *found; /* of SsStoredObject */
+} SilentSearch;
+
+static gboolean
+collect_expired (gpointer key, gpointer value, gpointer data)
+{
+  SilentSearch *s = data;
+  const SsStoredObject *o = value;
+  json_t *json;
+
+  if (o->deleted || !g_str_has_prefix (key, PREFIX)
+      || s->node->now_ms - o->adopted_ms < SILENT_MS)
+    return FALSE;
+  json = load_value (o);
+  if (is_marked_silent (json))
+    g_ptr_array_add (s->found, (gpointer) o);
+  json_decref (json);
+  return FALSE;
+}
+
+/* Deletes the objects that have been marked for SILENT_MS. */
+static void
+delete_silent_vms (SsNode *node)
+{
+  SilentSearch s = { node, g_ptr_array_new () };
+
+  g_tree_foreach (node->config.objects, collect_expired, &s);
+  for (guint i = 0; i < s.found->len; i++)
+    {
+      const SsStoredObject *o = g_ptr_array_index (s.found, i);
+
+      ss_platform_delete (node, ++node->next_call, o->key, o->version);
+    }
+  g_ptr_array_free (s.found, TRUE);
+}
+
 void
 ss_directory_apply (SsNode *node, const SsObject *object)
 {
@@ -283,7 +377,12 @@
   port = json_integer_value (json_object_get (json, "peer_port"));
   capacity = json_integer_value (json_object_get (json, "capacity_millicores"));
   capacity = CLAMP (capacity, 0, G_MAXUINT32);
-  if (domain && ip && port > 0 && port <= 65535)
+  if (is_marked_silent (json))
+    {
+      if (m)
+        ss_members_set_listed (&node->members, m, false);
+    }
+  else if (domain && ip && port > 0 && port <= 65535)
     {
       m = ss_peers_add_member (node, vm, domain, ip, (uint16_t) port);
       ss_members_set_listed (&node->members, m, true);
@@ -351,5 +450,8 @@
   write_own (node);
   coordinator = ss_roles_coordinator (&node->members, COORDINATOR_SUBJECT);
   if (coordinator && strcmp (coordinator, node->params.vm) == 0)
-    delete_dead_vms (node);
+    {
+      mark_silent_vms (node);
+      delete_silent_vms (node);
+    }
 }
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -92,7 +92,8 @@
   X (ROUTES, "routes/")                                                        \
   X (TARGETS, "target/")                                                       \
   X (GROUPS, "group/")                                                         \
-  X (VMS, "vm/")
+  X (VMS, "vm/")                                                               \
+  X (VOTERS, "voters/")
 
 typedef enum
 {
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -10,7 +10,7 @@
  * (ss_lease_is_released).  VMs renew their leases through one of them, the
  * keeper (lease_keeper.h), or list the groups themselves if it does not answer.
  * If the platform answers none of the VMs that a VM hears, that VM asks a
- * majority of the servers instead (quorum.c).
+ * majority of the voters instead (quorum.c, voters.h).
  */
 #include <string.h>
 
@@ -18,6 +18,7 @@
 #include "core/owned.h"
 #include "core/promotion.h"
 #include "core/version.h"
+#include "core/voters.h"
 
 #define KEEPER_SUBJECT "leases"
 /* Bound on the clock drift between two VMs during a lease. */
@@ -33,24 +34,28 @@
 
 /* --- listing the holders that a claim waits for --- */
 
+static void
+begin_one (SsVmListState *list, bool *wanted)
+{
+  if (*list != SS_VM_LIST_WANTED)
+    return;
+  *list = SS_VM_LIST_REQUESTED;
+  *wanted = true;
+}
+
 static gboolean
 begin_listing (gpointer key, gpointer value, gpointer data)
 {
   SsPromotion *p = value;
 
   (void) key;
-  if (p->vm_list != SS_VM_LIST_WANTED)
-    return FALSE;
-  p->vm_list = SS_VM_LIST_REQUESTED;
-  *(bool *) data = true;
+  begin_one (&p->vm_list, data);
+  begin_one (&p->agreement.vm_list, data);
   return FALSE;
 }
 
-/* At most one list request is outstanding.  A claim needs a list that was
- * requested after it took effect.
- */
-static void
-list_vms (SsNode *node)
+void
+ss_lease_list_wanted (SsNode *node)
 {
   bool wanted = false;
 
@@ -74,10 +79,13 @@
 end_listing (gpointer key, gpointer value, gpointer data)
 {
   SsPromotion *p = value;
+  SsVmListState state = *(SsVmListState *) data;
 
   (void) key;
   if (p->vm_list == SS_VM_LIST_REQUESTED)
-    p->vm_list = *(SsVmListState *) data;
+    p->vm_list = state;
+  if (p->agreement.vm_list == SS_VM_LIST_REQUESTED)
+    p->agreement.vm_list = state;
   return FALSE;
 }
 
@@ -157,6 +165,19 @@
   return !s.found;
 }
 
+bool
+ss_lease_is_confirmed_by (const SsNode *node, const SsGroup *group,
+                          uint32_t servers)
+{
+  if (!ss_lease_may_ask_servers (node)
+      || !ss_group_is_majority (group, servers))
+    return false;
+  if (!node->dialect->platform_promotes)
+    return true;
+  return ss_directory_lists_self (node)
+         && (ss_contact_is_recent (node) || ss_group_is_all (group, servers));
+}
+
 const char *
 ss_lease_keeper (const SsNode *node)
 {
@@ -312,6 +333,7 @@
 
   if (!node->dialect->platform_promotes)
     return;
+  ss_contact_tick (node);
   note_listed_groups (node);
   if (ss_lease_keeper_is_due (&node->lease_keeper, node->now_ms))
     request_group_list (node);
@@ -448,7 +470,7 @@
 {
   Release r = { node, p };
 
-  list_vms (node);
+  ss_lease_list_wanted (node);
   g_tree_foreach (node->members.by_name, ask_member, &r);
 }
 
@@ -459,7 +481,7 @@
     p->released = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_hash_table_remove_all (p->released);
   p->vm_list = SS_VM_LIST_WANTED;
-  list_vms (node);
+  ss_lease_list_wanted (node);
 }
 
 void
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -73,6 +73,24 @@
                                const char *failure_domain, const char *ip,
                                uint16_t port);
 
+/* --- contact.c: contact with the platform --- */
+
+/* How long after its last contact with the platform a VM relies on a majority
+ * of the voters that it knows.
+ */
+#define SS_RELIANCE_MS (10 * 60 * 1000)
+
+/* ss_contact_tick: records whether the platform answers this VM or one that
+ * hears it.
+ */
+void ss_contact_tick (SsNode *node);
+/* ss_contact_learn: records that MEMBER had contact AGE_MS milliseconds ago, if
+ * it hears this VM.  A VM that starts knows of no contact of its own.
+ */
+void ss_contact_learn (SsNode *node, const SsMember *member, uint32_t age_ms);
+/* ss_contact_is_recent: whether the last contact was within SS_RELIANCE_MS. */
+bool ss_contact_is_recent (const SsNode *node);
+
 /* --- watch.c: watches on the platform --- */
 
 /* ss_watch_handle_objects: handles the response to a watch or list request. */
@@ -149,6 +167,14 @@
  */
 bool ss_directory_has_holder (const SsNode *node, const char *group,
                               GHashTable *released);
+/* ss_directory_has_other: whether the platform lists another VM that is not in
+ * PASSED_OVER.
+ */
+bool ss_directory_has_other (const SsNode *node, GHashTable *passed_over);
+/* ss_directory_lists_self: whether this VM knows its own object: a change of
+ * voters then waits for this VM.
+ */
+bool ss_directory_lists_self (const SsNode *node);
 /* ss_directory_deregister: deletes this VM's object, on shutdown. */
 void ss_directory_deregister (SsNode *node);
 
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -24,6 +24,7 @@
   g_free (p->chosen);
   g_hash_table_destroy (p->raised_positions);
   g_clear_pointer (&p->released, g_hash_table_destroy);
+  g_clear_pointer (&p->agreement.adopted, g_hash_table_destroy);
   g_free (p);
 }
 
@@ -200,6 +201,12 @@
     case SS__PEER__ENVELOPE__BODY_DIRECTORY_ASK:
       ss_directory_handle_ask (node, e->from, e->directory_ask);
       break;
+    case SS__PEER__ENVELOPE__BODY_VOTERS_ASK:
+      ss_voter_coordinator_handle_ask (node, e->from, e->voters_ask);
+      break;
+    case SS__PEER__ENVELOPE__BODY_VOTERS_REPLY:
+      ss_voter_coordinator_handle_reply (node, e->from, e->voters_reply);
+      break;
     case SS__PEER__ENVELOPE__BODY_LEASE_REPLY:
       ss_lease_handle_reply (node, e->lease_reply);
       break;
@@ -481,6 +488,9 @@
       ss_promote_handle_object (node, e->platform_object.call,
                                 e->platform_object.outcome,
                                 &e->platform_object.object);
+      ss_voter_coordinator_handle_object (node, e->platform_object.call,
+                                          e->platform_object.outcome,
+                                          &e->platform_object.object);
       ss_admin_handle_object (node, e->platform_object.call,
                               e->platform_object.outcome,
                               &e->platform_object.object);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -208,6 +208,8 @@
   int64_t vms_due_ms;
   GBytes *vms_json; /* the platform's last list of VMs, as JSON */
   bool platform_down;
+  int64_t platform_contact_ms; /* when the platform last answered this VM or one
+                                  that it hears; 0: unknown */
 } SsNode;
 
 void ss_node_init (SsNode *node, const SsNodeParams *params, int64_t now_ms);
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -154,6 +154,10 @@
   heartbeat.ready = node->ready;
   heartbeat.capacity_millicores = node->params.capacity_millicores;
   heartbeat.platform_up = ss_watch_is_active (node) && !node->platform_down;
+  if (node->platform_contact_ms)
+    heartbeat.contact_age_ms
+        = (uint32_t) MIN (node->now_ms - node->platform_contact_ms, G_MAXINT32)
+          + 1;
   e.body_case = SS__PEER__ENVELOPE__BODY_HEARTBEAT;
   e.heartbeat = &heartbeat;
   if (node->members.relayed)
@@ -206,6 +210,8 @@
   ss_members_record_heartbeat (&node->members, m, heartbeat->leaving,
                                heartbeat->heard, heartbeat->n_heard,
                                node->now_ms);
+  if (heartbeat->contact_age_ms)
+    ss_contact_learn (node, m, heartbeat->contact_age_ms - 1);
   ss_members_set_capacity (&node->members, m, heartbeat->capacity_millicores);
   ss_members_set_platform_up (&node->members, m, heartbeat->platform_up);
   if (node->members.relayed && ss_members_is_in_domain (&node->members, m))
--- a/src/core/platform_calls.c
+++ b/src/core/platform_calls.c
@@ -64,7 +64,7 @@
 ss_platform_objects_name (SsWatch watch)
 {
   static const char *const names[]
-      = { "other", "routes", "targets", "groups", "vms" };
+      = { "other", "routes", "targets", "groups", "vms", "voters" };
 
   G_STATIC_ASSERT (G_N_ELEMENTS (names) == SS_WATCH_COUNT);
   return names[watch];
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -7,6 +7,7 @@
 
 #include "core/config_store.h"
 #include "core/internal.h"
+#include "core/voters.h"
 
 /* VMs with a rank below this start promotions of the group. */
 #define COORDINATOR_RANKS 3
@@ -243,6 +244,14 @@
   return primary && primary->draining && group->server_count > 1;
 }
 
+/* Whether so few voters are listed that no promotion can raise enough of them.
+ */
+static bool
+lacks_voters (const SsGroup *group)
+{
+  return !ss_group_is_blocking (group, (1U << group->server_count) - 1);
+}
+
 /* As tick_idle, where the platform carries out promotions. */
 static void
 tick_idle_platform (SsNode *node, SsPromotion *p, SsGroup *group)
@@ -257,6 +266,8 @@
     p->requested = true;
   else if (!p->requested && !ss_coordinator_is_primary_suspect (node, p, group))
     return;
+  if (lacks_voters (group))
+    return;
   if (!p->requested)
     ss_node_log (node, SS_EVENT_LOG_SUSPECT, p->group,
                  "primary=%s down_ms=%" G_GINT64_FORMAT, group->primary,
@@ -499,8 +510,10 @@
       const char *name = g_ptr_array_index (names, i);
       SsGroup *group = ss_config_group (&node->config, name);
 
-      if (group && group->server_count)
-        tick_one (node, ss_promote_get (node, name), group);
+      if (!group || !group->server_count)
+        continue;
+      tick_one (node, ss_promote_get (node, name), group);
+      ss_voter_coordinator_tick (node, ss_promote_get (node, name), group);
     }
   g_ptr_array_free (names, TRUE);
 }
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -13,7 +13,9 @@
 
 /* --- promote.c: promotions --- */
 
-/* State of the list of VMs that a claim needs to find the lease holders. */
+/* State of the list of VMs that a claim needs to find the lease holders, and a
+ * change of voters to know who has to adopt it.
+ */
 typedef enum
 {
   SS_VM_LIST_NONE,
@@ -22,6 +24,21 @@
   SS_VM_LIST_RECEIVED
 } SsVmListState;
 
+/* The coordinator's progress with the voters of a group. */
+typedef struct
+{
+  uint64_t call;          /* the outstanding write of the voters; 0: none */
+  int64_t call_ms;        /* when it was sent */
+  int64_t version;        /* of the voters whose adoption is asked for */
+  SsVmListState vm_list;  /* requested since this VM adopted that version */
+  GHashTable *adopted;    /* VMs that have adopted it */
+  int64_t asked_ms;       /* when the others were last asked */
+  int64_t adopted_ms;     /* since when all have; 0: not yet */
+  SsPosition mark;        /* the primary's position after that; 0: not known */
+  int64_t short_since_ms; /* since when too few servers of the set before are
+                             listed for a promotion; 0: enough are */
+} SsVoterAgreement;
+
 /* Steps of a promotion:
  *
  *   IDLE        none is running
@@ -91,6 +108,7 @@
   GHashTable *released;        /* VMs that have adopted the claim */
   SsVmListState vm_list;       /* since the claim */
   SsPlacement placement;       /* of the group's primary */
+  SsVoterAgreement agreement;
 } SsPromotion;
 
 /* Key of the duty object: the VM that wrote it last may call the platform to
@@ -180,6 +198,24 @@
 void ss_term_raise_tick (SsNode *node, SsPromotion *promotion,
                          const SsGroup *group);
 
+/* --- voter_coordinator.c: changes of the voters of a group --- */
+
+/* ss_voter_coordinator_tick: changes the voters of GROUP if that is due, or
+ * goes on with a change.  Only the coordinator does.
+ */
+void ss_voter_coordinator_tick (SsNode *node, SsPromotion *promotion,
+                                const SsGroup *group);
+/* ss_voter_coordinator_handle_object: handles the result of platform call CALL
+ * if OBJECT is a group's voters.
+ */
+void ss_voter_coordinator_handle_object (SsNode *node, uint64_t call,
+                                         SsPlatformOutcome outcome,
+                                         const SsObject *object);
+void ss_voter_coordinator_handle_ask (SsNode *node, const char *from,
+                                      const Ss__Peer__VotersAsk *ask);
+void ss_voter_coordinator_handle_reply (SsNode *node, const char *from,
+                                        const Ss__Peer__VotersReply *reply);
+
 /* --- lease.c: use of a primary without asking its servers --- */
 
 /* Length of a lease, in milliseconds from the request that the platform
@@ -200,12 +236,18 @@
 void ss_lease_tick (SsNode *node);
 /* ss_lease_hurry: renews this VM's leases now, unless that is under way. */
 void ss_lease_hurry (SsNode *node);
-/* ss_lease_may_ask_servers: whether a majority of the servers may confirm the
- * primary in place of a lease.  With promotions by the platform, this requires
- * that the platform answers neither this VM nor any VM that it hears: none of
- * them can then start a promotion.
+/* ss_lease_may_ask_servers: whether the servers may confirm the primary in
+ * place of a lease.  With promotions by the platform, this requires that the
+ * platform answers neither this VM nor any VM that it hears.
  */
 bool ss_lease_may_ask_servers (const SsNode *node);
+/* ss_lease_is_confirmed_by: whether SERVERS, a bit set of group->servers that
+ * showed no later term, confirm the primary in place of a lease: a majority of
+ * the voters for SS_RELIANCE_MS after the last contact with the platform, and
+ * all of them at any time.
+ */
+bool ss_lease_is_confirmed_by (const SsNode *node, const SsGroup *group,
+                               uint32_t servers);
 void ss_lease_handle_ask (SsNode *node, const char *from,
                           const Ss__Peer__LeaseAsk *ask);
 void ss_lease_handle_reply (SsNode *node, const Ss__Peer__LeaseReply *reply);
@@ -217,6 +259,11 @@
  * request is outstanding.
  */
 void ss_lease_list_vms (SsNode *node);
+/* ss_lease_list_wanted: requests that list for the claims and changes of voters
+ * that want one.  At most one request is outstanding: they need one that was
+ * sent after they took effect.
+ */
+void ss_lease_list_wanted (SsNode *node);
 /* ss_lease_begin_release: starts the release of all leases on the previous
  * primary, after a claim took effect.
  */
@@ -269,6 +316,8 @@
  * unreachable. */
 void ss_coordinator_poll_replicas (SsNode *node, SsPromotion *promotion,
                                    const SsGroup *group);
+/* ss_coordinator_poll_servers: polls all servers of GROUP. */
+void ss_coordinator_poll_servers (SsNode *node, const SsGroup *group);
 /* ss_coordinator_is_primary_suspect: whether the primary of GROUP is considered
  * failed, or the group has been without one for too long.
  */
--- a/src/core/quorum.c
+++ b/src/core/quorum.c
@@ -9,6 +9,7 @@
 
 #include "core/owner.h"
 #include "core/promotion.h"
+#include "core/voters.h"
 
 #define STATUS_RETRY_MS 100
 /* Weight of a new sample in mean_hold_ms. */
@@ -79,17 +80,26 @@
   return owned->unreplicated.offset || owned->waiters.length;
 }
 
+/* Returns the servers that have COMMIT, as a bit set of group->servers: the
+ * primary that committed it, and the replicas that have replicated it.
+ */
+static uint32_t
+holders (const SsGroup *group, const SsOwnedTarget *owned, SsPosition commit)
+{
+  uint32_t servers = 0;
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    if (group->servers[i] == owned->target
+        || has_replicated (group->servers[i], commit))
+      servers |= 1U << i;
+  return servers;
+}
+
 static bool
 has_majority (const SsGroup *group, const SsOwnedTarget *owned,
               SsPosition commit)
 {
-  uint32_t replicated_count = 1; /* the primary that committed it */
-
-  for (uint32_t i = 0; i < group->server_count; i++)
-    if (group->servers[i] != owned->target
-        && has_replicated (group->servers[i], commit))
-      replicated_count++;
-  return replicated_count >= ss_group_majority (group);
+  return ss_group_is_majority (group, holders (group, owned, commit));
 }
 
 static bool
@@ -125,12 +135,18 @@
     }
 }
 
-/* Whether no later primary can have taken over yet. */
+/* Whether COMMIT is acknowledged: a majority has it, and no later primary can
+ * have taken over without one of its servers.
+ */
 static bool
-is_primary_valid (SsNode *node, const SsGroup *group)
+is_replicated (SsNode *node, const SsGroup *group, const SsOwnedTarget *owned,
+               SsPosition commit)
 {
-  return !node->dialect->platform_promotes || ss_lease_holds (node, group)
-         || ss_lease_may_ask_servers (node);
+  uint32_t servers = holders (group, owned, commit);
+
+  return ss_group_is_majority (group, servers)
+         && (!node->dialect->platform_promotes || ss_lease_holds (node, group)
+             || ss_lease_is_confirmed_by (node, group, servers));
 }
 
 /* Updates whether commits are stalled.  If one commit waits longer than
@@ -180,8 +196,7 @@
   for (GList *l = owned->waiters.head; l; l = next)
     {
       SsJob *job = l->data;
-      bool replicated = has_majority (group, owned, job->commit)
-                        && is_primary_valid (node, group);
+      bool replicated = is_replicated (node, group, owned, job->commit);
       bool superseded = is_superseded (group, owned, job->commit);
 
       next = l->next;
@@ -452,19 +467,12 @@
     start_round (node, owned, group);
 }
 
-static uint32_t
-count_bits (uint32_t bits)
-{
-  return (uint32_t) __builtin_popcount (bits);
-}
-
 /* Ends the round if the primary is confirmed. */
 static void
 check_round (SsNode *node, SsOwnedTarget *owned, const SsGroup *group)
 {
   SsConfirmationRound *r = &owned->round;
-  bool by_servers = count_bits (r->confirmed) >= ss_group_majority (group)
-                    && ss_lease_may_ask_servers (node);
+  bool by_servers = ss_lease_is_confirmed_by (node, group, r->confirmed);
 
   if (!r->has_position || (!by_servers && !ss_lease_holds (node, group)))
     return;
--- a/src/core/suspicion.c
+++ b/src/core/suspicion.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/promotion.h"
+#include "core/voters.h"
 
 /* A crash shows by refused connections and by replicas that hear nothing from
  * the primary.
@@ -63,7 +64,7 @@
 static bool
 is_overtaken (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
-  uint32_t later = 0;
+  uint32_t left = (1U << group->server_count) - 1;
 
   for (uint32_t i = 0; i < group->server_count; i++)
     {
@@ -71,9 +72,9 @@
 
       if (t->state.reachable && node->now_ms - t->reachable_ms < FRESH_REPORT_MS
           && t->state.shown_term > group->term)
-        later++;
+        left &= ~(1U << i);
     }
-  if (group->server_count - later >= ss_group_majority (group))
+  if (ss_group_is_majority (group, left))
     p->overtaken_ms = 0;
   else if (!p->overtaken_ms)
     p->overtaken_ms = node->now_ms;
--- a/src/core/term_raise.c
+++ b/src/core/term_raise.c
@@ -5,6 +5,7 @@
 
 #include "core/membership.h"
 #include "core/promotion.h"
+#include "core/voters.h"
 
 /* Retry interval of raise requests. */
 #define RAISE_RETRY_MS 150
@@ -40,15 +41,6 @@
              || strcmp (p->replaced_primary, t->name) != 0);
 }
 
-/* Returns how many candidates must have raised their term so that every
- * majority that may have acknowledged a write contains one of them.
- */
-static uint32_t
-candidates_needed (const SsGroup *group)
-{
-  return group->server_count - ss_group_majority (group) + 1;
-}
-
 /* Returns the log position of TARGET when its term was raised, or NULL if it
  * was not raised.
  */
@@ -82,12 +74,11 @@
 }
 
 /* Whether the best candidate is at or past the position of every raised server
- * and enough servers are raised.  It then has every write that a majority may
- * have acknowledged.
+ * and enough servers are RAISED, a bit set of group->servers.  It then has
+ * every write that a majority may have acknowledged.
  */
 static bool
-covers_majority (const SsPromotion *p, const SsGroup *group,
-                 uint32_t raised_count)
+covers_majority (const SsPromotion *p, const SsGroup *group, uint32_t raised)
 {
   const SsTarget *best = best_candidate (p, group);
   SsPosition highest = { 0, 0 };
@@ -99,7 +90,7 @@
       if (held)
         highest = ss_position_max (highest, *held);
     }
-  return best && raised_count >= candidates_needed (group)
+  return best && ss_group_is_blocking (group, raised)
          && ss_position_compare (*raised_position (p, best), highest) >= 0;
 }
 
@@ -131,8 +122,9 @@
 void
 ss_term_raise_tick (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
-  uint32_t raised_count = 0;
-  uint32_t candidates = 0;
+  uint32_t all = (1U << group->server_count) - 1;
+  uint32_t raised = 0;     /* bit sets of group->servers */
+  uint32_t candidates = 0; /* those of them that may become primary */
 
   /* Lets the old primary's last writes reach its replicas first. */
   if (p->replaced_primary && node->dialect->platform_promotes
@@ -142,17 +134,18 @@
     {
       if (!raised_position (p, group->servers[i]))
         continue;
-      raised_count++;
-      candidates += is_candidate (p, group->servers[i]) ? 1 : 0;
+      raised |= 1U << i;
+      if (is_candidate (p, group->servers[i]))
+        candidates |= 1U << i;
     }
-  if ((candidates >= candidates_needed (group)
-       || (node->dialect->platform_promotes
-           && covers_majority (p, group, raised_count)))
-      && !p->quorum_ms)
+  if (!ss_group_is_blocking (group, candidates)
+      && !(node->dialect->platform_promotes
+           && covers_majority (p, group, raised)))
+    p->quorum_ms = 0; /* the voters may have changed meanwhile */
+  else if (!p->quorum_ms)
     p->quorum_ms = node->now_ms;
   if (p->quorum_ms && candidates && is_released (node, p)
-      && (raised_count == group->server_count
-          || node->now_ms - p->quorum_ms >= RAISE_GRACE_MS))
+      && (raised == all || node->now_ms - p->quorum_ms >= RAISE_GRACE_MS))
     {
       choose_primary (node, p, group);
       return;
--- /dev/null
+++ b/src/core/voter_coordinator.c
@@ -0,0 +1,294 @@
+/* voter_coordinator: the coordinator's writes of a group's voters, and the VMs'
+ * adoption of them.  What is due is decided by voter_change.c.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/config_store.h"
+#include "core/membership.h"
+#include "core/promotion.h"
+#include "core/version.h"
+#include "core/voter_change.h"
+
+/* Uptime from which this VM changes voters: before, not all servers and VMs may
+ * be known.
+ */
+#define MIN_UPTIME_MS 3000
+/* A write without a response is repeated after this time. */
+#define CALL_TIMEOUT_MS 2000
+/* Interval at which VMs are asked and servers are polled during a change. */
+#define ASK_INTERVAL_MS 200
+/* How long too few servers of the set before must be listed until what only
+ * they may hold is given up.
+ */
+#define SHORT_MS 1000
+
+static char *
+voters_key (const char *group)
+{
+  return g_strconcat (SS_VOTERS_PREFIX, group, NULL);
+}
+
+/* --- adoption by the VMs --- */
+
+typedef struct
+{
+  SsNode *node;
+  const SsVoters *voters;
+  const SsVoterAgreement *agreement;
+} AskContext;
+
+static gboolean
+ask_member (gpointer key, gpointer value, gpointer data)
+{
+  AskContext *c = data;
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__VotersAsk ask = SS__PEER__VOTERS_ASK__INIT;
+
+  (void) value;
+  if (strcmp (key, c->node->params.vm) == 0
+      || g_hash_table_contains (c->agreement->adopted, key))
+    return FALSE;
+  ask.group = c->voters->group;
+  ask.version = c->voters->version;
+  e.body_case = SS__PEER__ENVELOPE__BODY_VOTERS_ASK;
+  e.voters_ask = &ask;
+  ss_node_send (c->node, key, &e);
+  return FALSE;
+}
+
+void
+ss_voter_coordinator_handle_ask (SsNode *node, const char *from,
+                                 const Ss__Peer__VotersAsk *ask)
+{
+  const SsVoters *v = ss_config_voters (&node->config, ask->group);
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__VotersReply reply = SS__PEER__VOTERS_REPLY__INIT;
+
+  if (!v || v->version < ask->version)
+    return;
+  reply.group = ask->group;
+  reply.version = ask->version;
+  e.body_case = SS__PEER__ENVELOPE__BODY_VOTERS_REPLY;
+  e.voters_reply = &reply;
+  ss_node_send (node, from, &e);
+}
+
+void
+ss_voter_coordinator_handle_reply (SsNode *node, const char *from,
+                                   const Ss__Peer__VotersReply *reply)
+{
+  SsPromotion *p = g_tree_lookup (node->promotions, reply->group);
+
+  if (p && p->agreement.adopted && p->agreement.version == reply->version)
+    g_hash_table_add (p->agreement.adopted, g_strdup (from));
+}
+
+static void
+begin_agreement (SsNode *node, SsVoterAgreement *a, const SsVoters *v)
+{
+  if (!a->adopted)
+    a->adopted = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_hash_table_remove_all (a->adopted);
+  a->version = v->version;
+  a->vm_list = SS_VM_LIST_WANTED;
+  a->asked_ms = 0;
+  a->adopted_ms = 0;
+  a->mark = (SsPosition){ 0, 0 };
+  a->short_since_ms = 0;
+  ss_lease_list_wanted (node);
+}
+
+/* Asks the VMs that have not adopted the change; once all have, polls the
+ * servers.
+ */
+static void
+ask (SsNode *node, SsVoterAgreement *a, const SsVoters *v, const SsGroup *group)
+{
+  AskContext c = { node, v, a };
+
+  if (node->now_ms - a->asked_ms < ASK_INTERVAL_MS)
+    return;
+  a->asked_ms = node->now_ms;
+  ss_lease_list_wanted (node);
+  if (a->adopted_ms)
+    ss_coordinator_poll_servers (node, group);
+  else
+    g_tree_foreach (node->members.by_name, ask_member, &c);
+}
+
+/* Records the position of the primary, once it was asked for after all VMs had
+ * adopted the change: it covers what they acknowledged before.
+ */
+static void
+update_mark (SsVoterAgreement *a, const SsGroup *group)
+{
+  const SsTarget *primary = ss_group_primary (group);
+
+  if (a->mark.term || !primary || primary->state_ms <= a->adopted_ms
+      || primary->state.role != SS_SERVER_PRIMARY
+      || primary->state.follow_term < group->term)
+    return;
+  a->mark = primary->state.held;
+}
+
+static void
+update_agreement (SsNode *node, SsVoterAgreement *a, const SsVoters *v,
+                  const SsGroup *group)
+{
+  if (a->version != v->version)
+    begin_agreement (node, a, v);
+  if (!a->adopted_ms && a->vm_list == SS_VM_LIST_RECEIVED
+      && !ss_directory_has_other (node, a->adopted))
+    {
+      a->adopted_ms = node->now_ms;
+      a->asked_ms = 0;
+    }
+  ask (node, a, v, group);
+  if (!a->adopted_ms)
+    return;
+  update_mark (a, group);
+  if (ss_group_has_former (group))
+    a->short_since_ms = 0;
+  else if (!a->short_since_ms)
+    a->short_since_ms = node->now_ms;
+}
+
+/* --- writes --- */
+
+static void
+write_voters (SsNode *node, SsVoterAgreement *a, const SsVoters *next)
+{
+  char *key = voters_key (next->group);
+  char *text = ss_voters_text (next);
+
+  a->call = ++node->next_call;
+  a->call_ms = node->now_ms;
+  ss_platform_put (node, a->call, key, text,
+                   ss_config_expected_version (&node->config, key));
+  free (text);
+  g_free (key);
+}
+
+static void
+log_step (SsNode *node, SsVoterStep step, const SsVoters *next,
+          const SsVoterAgreement *a)
+{
+  SsLogEvent event = step == SS_VOTER_STEP_BEGIN  ? SS_EVENT_LOG_VOTERS_CHANGED
+                     : step == SS_VOTER_STEP_LOST ? SS_EVENT_LOG_VOTERS_LOST
+                                                  : SS_EVENT_LOG_VOTERS_SETTLED;
+  GString *names = g_string_new (NULL);
+
+  for (guint i = 0; i < next->current->len; i++)
+    g_string_append_printf (
+        names, "%s%s", i ? "," : "",
+        ((const SsVoter *) g_ptr_array_index (next->current, i))->name);
+  ss_node_log (node, event, next->group,
+               "generation=%" G_GUINT64_FORMAT " voters=%s former=%u"
+               " adopted=%u mark=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+               next->generation, names->str, next->former->len,
+               a->adopted ? g_hash_table_size (a->adopted) : 0, a->mark.term,
+               a->mark.offset);
+  g_string_free (names, TRUE);
+}
+
+/* Writes the voters again that the platform, restored from a copy, has lost. */
+static bool
+rewrite (SsNode *node, SsVoterAgreement *a, const SsVoters *v)
+{
+  char *key = voters_key (v->group);
+  bool lost = ss_config_is_lost (&node->config, key);
+  SsVoters *next;
+
+  g_free (key);
+  if (!lost)
+    return false;
+  next = ss_voters_new (v->group);
+  next->generation = v->generation + 1;
+  g_ptr_array_unref (next->current);
+  g_ptr_array_unref (next->former);
+  next->current = ss_voters_set_copy (v->current);
+  next->former = ss_voters_set_copy (v->former);
+  write_voters (node, a, next);
+  ss_voters_free (next);
+  return true;
+}
+
+/* Whether no other VM's promotion runs: it counts the voters that it knows. */
+static bool
+is_undisturbed (const SsPromotion *p, const SsGroup *group)
+{
+  if (*group->primary)
+    return p->step == SS_PROMOTE_IDLE;
+  return (p->step == SS_PROMOTE_IDLE || p->step == SS_PROMOTE_RAISE)
+         && strcmp (group->operation, p->operation) == 0;
+}
+
+static bool
+may_change (const SsNode *node, const SsPromotion *p, const SsGroup *group)
+{
+  return node->dialect->platform_promotes && node->coordinates
+         && !node->stopping && !node->platform_down && group->version
+         && node->now_ms - node->started_ms >= MIN_UPTIME_MS
+         && node->watches[SS_WATCH_TARGETS].complete
+         && node->watches[SS_WATCH_VOTERS].complete
+         && ss_directory_lists_self (node) && is_undisturbed (p, group);
+}
+
+void
+ss_voter_coordinator_tick (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  SsVoterAgreement *a = &p->agreement;
+  const SsVoters *v = ss_config_voters (&node->config, group->name);
+  SsVoterView view
+      = { .voters = v,
+          .group = group,
+          .targets = ss_config_group_targets (&node->config, group->name) };
+  SsVoters *next;
+  SsVoterStep step;
+
+  if (!may_change (node, p, group)
+      || (a->call && node->now_ms - a->call_ms < CALL_TIMEOUT_MS)
+      || (v && rewrite (node, a, v)))
+    return;
+  if (v && v->former->len)
+    update_agreement (node, a, v, group);
+  view.is_adopted = a->adopted_ms != 0;
+  view.is_replicated = a->mark.term && ss_voter_change_holds (group, a->mark);
+  view.is_short
+      = a->short_since_ms && node->now_ms - a->short_since_ms >= SHORT_MS;
+  step = ss_voter_change_next (&view, &next);
+  if (step == SS_VOTER_STEP_NONE)
+    return;
+  log_step (node, step, next, a);
+  write_voters (node, a, next);
+  ss_voters_free (next);
+}
+
+static gboolean
+end_call (gpointer key, gpointer value, gpointer data)
+{
+  SsPromotion *p = value;
+
+  (void) key;
+  if (p->agreement.call != *(uint64_t *) data)
+    return FALSE;
+  p->agreement.call = 0;
+  return TRUE;
+}
+
+void
+ss_voter_coordinator_handle_object (SsNode *node, uint64_t call,
+                                    SsPlatformOutcome outcome,
+                                    const SsObject *object)
+{
+  if (!object->key || !g_str_has_prefix (object->key, SS_VOTERS_PREFIX))
+    return;
+  if (outcome == SS_PLATFORM_DONE || outcome == SS_PLATFORM_CONFLICT)
+    ss_config_sync_publish (node, object);
+  if (outcome == SS_PLATFORM_ABSENT)
+    ss_config_record_absent (&node->config, object->key, node->now_ms);
+  /* Without an answer the write may still take effect: it is repeated later. */
+  if (outcome != SS_PLATFORM_UNKNOWN)
+    g_tree_foreach (node->promotions, end_call, &call);
+}
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -84,6 +84,10 @@
      "primary moves, as its replicas lag or receive nothing")                  \
   X (PRIMARY_REWRITTEN, 508, WARNING,                                          \
      "primary named again, as the platform's store has lost it")               \
+  X (VOTERS_CHANGED, 509, INFO, "servers that count for majorities change")    \
+  X (VOTERS_SETTLED, 510, INFO, "change of the servers that count has ended")  \
+  X (VOTERS_LOST, 511, ERROR,                                                  \
+     "too few servers are left: commits that only the others had are lost")    \
   X (CALLER_REFUSED, 600, WARNING, "caller refused")                           \
   X (REQUEST_RAN, 601, INFO, "request answered")                               \
   X (REQUEST_NOT_RUN, 602, INFO, "request refused without being run")          \
--- a/tests/fleet_platform.c
+++ b/tests/fleet_platform.c
@@ -70,7 +70,7 @@
       {
         FleetVm *vm = &sim->vms[i];
 
-        if (!vm->up || !vm->watch_since[j]
+        if (!vm->up || !vm->watch_since[j] || vm->store != FLEET_STORE_SERVES
             || !g_str_has_prefix (key, ss_watch_prefix ((SsWatch) j)))
           continue;
         send_objects (sim, vm, (SsWatch) j, vm->watch_since[j], false);
@@ -94,13 +94,30 @@
   return false;
 }
 
+/* A watch of a VM that the store no longer reaches ends without an answer. */
+static void
+end_watch (FleetSim *sim, FleetVm *vm, SsWatch watch)
+{
+  Scheduled *s;
+
+  if (vm->store == FLEET_STORE_SERVES)
+    {
+      send_objects (sim, vm, watch, vm->watch_since[watch], false);
+      return;
+    }
+  s = fleet_schedule (sim, vm, STORE_MS, SS_EVENT_PLATFORM_OBJECTS);
+  s->event.platform_objects.watch = watch;
+  s->event.platform_objects.outcome = SS_PLATFORM_UNKNOWN;
+  s->event.platform_objects.since = vm->watch_since[watch];
+}
+
 void
 fleet_expire_watches (FleetSim *sim, FleetVm *vm)
 {
   for (uint32_t j = 0; j < SS_WATCH_COUNT; j++)
     if (vm->watch_since[j] && sim->now_ms >= vm->watch_until_ms[j])
       {
-        send_objects (sim, vm, (SsWatch) j, vm->watch_since[j], false);
+        end_watch (sim, vm, (SsWatch) j);
         vm->watch_since[j] = 0;
       }
 }
@@ -314,7 +331,8 @@
   record_call (sim, vm, chosen->group, a->number);
   for (uint32_t i = 0; i < FLEET_SERVERS; i++)
     {
-      FleetServer *other = &sim->servers[chosen->group * FLEET_SERVERS + i];
+      const FleetServer *other
+          = &sim->servers[chosen->group * FLEET_SERVERS + i];
 
       chosen->term = MAX (chosen->term, other->term);
     }
@@ -323,6 +341,9 @@
     {
       FleetServer *other = &sim->servers[chosen->group * FLEET_SERVERS + i];
 
+      if (other->partition != chosen->partition)
+        continue;
+      g_queue_clear_full (&other->receives, g_free);
       other->role = other == chosen ? SS_SERVER_PRIMARY : SS_SERVER_REPLICA;
       other->term = chosen->term;
       other->barred_term = 0;
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -13,6 +13,8 @@
 #define STATEMENT_MS 10
 /* How long a server keeps a connection whose VM has lost power. */
 #define LINGER_MS 3000
+/* A primary that reaches a later one becomes its replica after this time. */
+#define STEP_DOWN_MS 1000
 
 typedef struct
 {
@@ -76,6 +78,8 @@
   Connection *c;
 
   server->connects++;
+  if (server->partition != vm->partition)
+    return;
   if (g_rand_int_range (sim->rand, 0, 1000) < (gint32) sim->fail_permille)
     {
       s = fleet_schedule (sim, vm, 2, SS_EVENT_TARGET_CLOSED);
@@ -169,6 +173,10 @@
     server->barred_term = 0;
   else if (g_str_has_prefix (text, "PAUSE "))
     server->barred_term = g_ascii_strtoull (text + strlen ("PAUSE "), NULL, 10);
+  else if (g_str_has_prefix (text, "STEPDOWN ")
+           && g_ascii_strtoull (text + strlen ("STEPDOWN "), NULL, 10)
+                  > server->term)
+    server->role = SS_SERVER_REPLICA;
 }
 
 /* Whether C was opened for the organisation whose name starts LABEL. */
@@ -202,6 +210,7 @@
       e = g_new (FleetEntry, 1);
       e->position = server->position;
       e->due_ms = sim->now_ms + sim->replicate_ms;
+      e->source = (uint32_t) (server - sim->servers);
       g_queue_push_tail (&group[i].receives, e);
     }
 }
@@ -211,14 +220,48 @@
 {
   FleetEntry *e;
 
-  while ((e = g_queue_peek_head (&server->receives))
-         && e->due_ms <= sim->now_ms)
+  while ((e = g_queue_peek_head (&server->receives)) && e->due_ms <= sim->now_ms
+         && sim->servers[e->source].partition == server->partition
+         && server->barred_term <= e->position.term)
     {
       server->position = e->position;
       g_free (g_queue_pop_head (&server->receives));
     }
 }
 
+static void
+follow (FleetServer *server, const FleetServer *primary)
+{
+  server->role = SS_SERVER_REPLICA;
+  server->term = primary->term;
+  server->position = primary->position;
+  server->overtaken_ms = 0;
+  g_queue_clear_full (&server->receives, g_free);
+}
+
+/* Has SERVER follow a primary of a later term that it reaches: a replica at
+ * once, a primary after some time.
+ */
+static void
+step_down (FleetSim *sim, FleetServer *server)
+{
+  const FleetServer *group = &sim->servers[server->group * FLEET_SERVERS];
+  const FleetServer *later = NULL;
+
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    if (group[i].role == SS_SERVER_PRIMARY && group[i].term > server->term
+        && group[i].partition == server->partition && !group[i].down)
+      later = &group[i];
+  if (!later || server->down)
+    server->overtaken_ms = 0;
+  else if (server->role != SS_SERVER_PRIMARY)
+    follow (server, later);
+  else if (!server->overtaken_ms)
+    server->overtaken_ms = sim->now_ms;
+  else if (sim->now_ms - server->overtaken_ms >= STEP_DOWN_MS)
+    follow (server, later);
+}
+
 /* Whether TEXT commits a write at a connection with STATUS. */
 static bool
 commits (const char *text, char status)
@@ -253,7 +296,8 @@
   Connection *c = g_hash_table_lookup (sim->connections, &key);
   Scheduled *s;
 
-  if (!c || c->server->down || c->closes_ms)
+  if (!c || c->server->down || c->closes_ms
+      || c->server->partition != vm->partition)
     return;
   if (a->label && !is_own (a->label, c))
     sim->foreign++;
@@ -440,7 +484,10 @@
       while ((s = g_queue_pop_head (&due)))
         deliver (sim, s);
       for (uint32_t j = 0; j < sim->group_count * FLEET_SERVERS; j++)
-        replicate (sim, &sim->servers[j]);
+        {
+          replicate (sim, &sim->servers[j]);
+          step_down (sim, &sim->servers[j]);
+        }
       for (uint32_t j = 0; j < sim->vm_count; j++)
         {
           tick_vm (sim, &sim->vms[j]);
@@ -573,6 +620,42 @@
   put_target (sim, index, draining);
 }
 
+void
+fleet_list_target (FleetSim *sim, uint32_t index)
+{
+  put_target (sim, index, false);
+}
+
+static bool
+is_inside (const char *domain, uint32_t domains)
+{
+  return (domains >> (uint32_t) (domain[1] - '0') & 1) != 0;
+}
+
+void
+fleet_cut (FleetSim *sim, uint32_t domains, bool store_inside)
+{
+  for (uint32_t i = 0; i < sim->vm_count; i++)
+    {
+      FleetVm *vm = &sim->vms[i];
+      bool inside = is_inside (vm->domain, domains);
+
+      vm->partition = inside ? 1 : 0;
+      vm->store = domains && inside != store_inside ? FLEET_STORE_SILENT
+                                                    : FLEET_STORE_SERVES;
+    }
+  for (uint32_t i = 0; i < sim->group_count * FLEET_SERVERS; i++)
+    sim->servers[i].partition = is_inside (sim->servers[i].domain, domains);
+}
+
+const char *
+fleet_object (FleetSim *sim, const char *key)
+{
+  const Stored *s = g_hash_table_lookup (sim->objects, key);
+
+  return s ? s->value : NULL;
+}
+
 void
 fleet_remove_target (FleetSim *sim, uint32_t index)
 {
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -34,7 +34,7 @@
   uint32_t incarnation;
   int64_t clock_offset_ms; /* of its clock to the simulation's */
   int64_t paused_until_ms; /* events wait until then */
-  uint32_t partition;      /* reaches VMs of the same partition only */
+  uint32_t partition;      /* reaches VMs and servers of the same one only */
   FleetStoreMode store;
   int64_t call_ms; /* way of a promotion call to the platform */
   int64_t watch_since[SS_WATCH_COUNT]; /* outstanding watches; 0: none */
@@ -70,6 +70,7 @@
 {
   SsPosition position;
   int64_t due_ms;
+  uint32_t source; /* index of the primary */
 } FleetEntry;
 
 typedef struct
@@ -82,6 +83,8 @@
   uint64_t barred_term;
   SsPosition position;
   bool down;
+  uint32_t partition;   /* reaches VMs and servers of the same one only */
+  int64_t overtaken_ms; /* since when, as a primary, it reaches a later one */
   uint32_t connections; /* open, with those of VMs that lost power */
   uint32_t connects;    /* attempts */
   uint32_t over_cap;    /* of them, refused as too many were open */
@@ -177,6 +180,8 @@
 void fleet_drain (FleetSim *sim, uint32_t index, bool draining);
 /* fleet_remove_target: removes the server INDEX from the configuration. */
 void fleet_remove_target (FleetSim *sim, uint32_t index);
+/* fleet_list_target: lists the server INDEX again. */
+void fleet_list_target (FleetSim *sim, uint32_t index);
 /* fleet_owned: returns how many connections to the server INDEX its owners
  * have, with control connections.
  */
@@ -192,6 +197,13 @@
 void fleet_terminate (FleetSim *sim, uint32_t vm);
 /* fleet_find: returns the VM NAME, or NULL. */
 FleetVm *fleet_find (FleetSim *sim, const char *name);
+/* fleet_cut: separates the failure domains whose bit is set in DOMAINS, and
+ * their servers, from the others; the store answers VMs of these domains if
+ * STORE_INSIDE, or else the others.  0: heals the cut.
+ */
+void fleet_cut (FleetSim *sim, uint32_t domains, bool store_inside);
+/* fleet_object: returns the value of the store's object KEY, or NULL. */
+const char *fleet_object (FleetSim *sim, const char *key);
 /* fleet_primary: returns the primary that the store names for GROUP, or "". */
 const char *fleet_primary (FleetSim *sim, uint32_t group);
 /* fleet_group: returns GROUP as VM knows it, or NULL. */
--- a/tests/line_params.c
+++ b/tests/line_params.c
@@ -20,7 +20,8 @@
                             .cross_domain_owners = true,
                             .dialect = ss_dialect_line () };
   params->watches = 1U << SS_WATCH_ROUTES | 1U << SS_WATCH_TARGETS
-                    | 1U << SS_WATCH_GROUPS | 1U << SS_WATCH_VMS;
+                    | 1U << SS_WATCH_GROUPS | 1U << SS_WATCH_VMS
+                    | 1U << SS_WATCH_VOTERS;
   params->timing.tick_asked_ms = 5;
   params->timing.poll_idle_ms = 4000;
   params->timing.poll_lagging_ms = 4000;
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -1,6 +1,7 @@
 /* Adoption of platform objects into the configuration. */
 #include <string.h>
 
+#include "core/voters.h"
 #include "core/config.h"
 #include "core/config_store.h"
 #include "core/identity.h"
@@ -74,7 +75,9 @@
   adopt (&c, "group/g", 2, "{\"term\":3,\"primary\":\"t2\"}");
   adopt (&c, "target/t2", 3, TARGET_JSON);
   g = ss_config_group (&c, "g");
-  CU_ASSERT (g->server_count == 2 && ss_group_majority (g) == 2);
+  CU_ASSERT (g->server_count == 2);
+  CU_ASSERT (ss_group_is_majority (g, 3));
+  CU_ASSERT (!ss_group_is_majority (g, 1) && !ss_group_is_majority (g, 2));
   CU_ASSERT_PTR_EQUAL (ss_group_primary (g), ss_config_target (&c, "t2"));
   ss_config_finish (&c);
 }
--- /dev/null
+++ b/tests/test_split.c
@@ -0,0 +1,369 @@
+/* Failure domains that are separated from each other, with and without the
+ * platform: two sides must not serve the same group.
+ */
+#include <string.h>
+
+#include "tests/fleet_sim.h"
+#include "tests/unit.h"
+
+#define VMS 6 /* one in each failure domain; servers are in the first three */
+/* Silence after which the store removes a server's entry. */
+#define LAPSE_MS 3600
+#define CUT_MS 12000
+#define HEAL_MS 6000
+#define STEP_MS 250 /* between the writes of a VM */
+/* Longest time without a primary after two of three servers are lost: the lapse
+ * of their entries, the delay of its effect and a promotion.
+ */
+#define LONE_MAX_MS 12000
+/* Time until a VM's object is marked as silent, and until it is deleted. */
+#define SILENT_AFTER_MS 32000
+#define DELETED_AFTER_MS (12 * 60 * 1000)
+
+/* Failure domains 2 and 5, with server 2. */
+#define LAST_ZONE (1U << 2 | 1U << 5)
+/* Failure domain 0, with the primary, server 0. */
+#define FIRST_ZONE (1U << 0 | 1U << 3)
+
+typedef struct
+{
+  FleetSim sim;
+  uint64_t callers[VMS];
+  uint32_t acked[VMS]; /* writes, by VM */
+  uint32_t writes;     /* sent */
+} Split;
+
+static Split *running;
+
+static void
+note_reply (uint32_t vm, const SsAction *a)
+{
+  if (a->kind == SS_ACTION_CALLER_REPLY && a->verdict == SS_VERDICT_RAN)
+    running->acked[vm]++;
+}
+
+static Split *
+split_new (uint32_t seed)
+{
+  Split *s = g_new0 (Split, 1);
+
+  running = s;
+  fleet_init (&s->sim, seed, VMS, 1);
+  s->sim.replicate_ms = 20;
+  for (uint32_t i = 0; i < VMS; i++)
+    s->callers[i] = fleet_connect (&s->sim, i, 0, 0);
+  fleet_advance (&s->sim, 1000);
+  s->sim.observer.caller = note_reply;
+  return s;
+}
+
+static void
+split_free (Split *s)
+{
+  fleet_finish (&s->sim);
+  g_free (s);
+}
+
+/* Lets MS pass while each VM in the bit set VMS gets writes. */
+static void
+write_for (Split *s, int64_t ms, uint32_t vms)
+{
+  int64_t until_ms = s->sim.now_ms + ms;
+
+  while (s->sim.now_ms < until_ms)
+    {
+      for (uint32_t i = 0; i < VMS; i++)
+        if (s->sim.vms[i].up && vms >> i & 1)
+          {
+            fleet_send (&s->sim, i, s->callers[i], 0, "WRITE 1a x");
+            s->writes++;
+          }
+      fleet_advance (&s->sim, STEP_MS);
+    }
+}
+
+#define ALL_VMS ((1U << VMS) - 1)
+
+/* Removes the entries of the servers that the store no longer reaches. */
+static void
+lapse (Split *s, uint32_t servers)
+{
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    if (servers >> i & 1)
+      fleet_remove_target (&s->sim, i);
+}
+
+static void
+list (Split *s)
+{
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    fleet_list_target (&s->sim, i);
+}
+
+static uint32_t
+sum_acked (const Split *s, uint32_t vms)
+{
+  uint32_t sum = 0;
+
+  for (uint32_t i = 0; i < VMS; i++)
+    sum += vms >> i & 1 ? s->acked[i] : 0;
+  return sum;
+}
+
+static const FleetServer *
+leader (const Split *s)
+{
+  const FleetServer *found = NULL;
+
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    if (s->sim.servers[i].role == SS_SERVER_PRIMARY
+        && (!found || s->sim.servers[i].term > found->term))
+      found = &s->sim.servers[i];
+  return found;
+}
+
+/* Whether the primary's log has as many commits as were acknowledged. */
+static bool
+has_all_acked (const Split *s)
+{
+  return leader (s)->position.offset >= sum_acked (s, ALL_VMS);
+}
+
+/* Guards against STALE (review/6): the failure domain of a replica has the
+ * platform, the entries of the other servers lapse there, and both sides had a
+ * primary.  The side without the platform serves all the while.
+ */
+static void
+replica_with_platform (void)
+{
+  for (uint32_t seed = 1; seed <= 3; seed++)
+    {
+      Split *s = split_new (seed);
+      uint32_t before;
+
+      write_for (s, 2000, ALL_VMS);
+      CU_ASSERT (sum_acked (s, ALL_VMS) + VMS >= s->writes);
+      before = sum_acked (s, ALL_VMS & ~LAST_ZONE);
+      fleet_cut (&s->sim, LAST_ZONE, true);
+      write_for (s, LAPSE_MS, ALL_VMS);
+      lapse (s, 1 | 2);
+      write_for (s, CUT_MS - LAPSE_MS, ALL_VMS);
+      CU_ASSERT (s->sim.promotions == 0);
+      /* Four VMs for 12 s; the first second finds out that the platform is
+       * away.
+       */
+      CU_ASSERT (sum_acked (s, ALL_VMS & ~LAST_ZONE) - before
+                 >= 4 * (CUT_MS - 3000) / STEP_MS);
+      fleet_cut (&s->sim, 0, false);
+      list (s);
+      fleet_advance (&s->sim, HEAL_MS);
+      CU_ASSERT (has_all_acked (s));
+      before = sum_acked (s, LAST_ZONE);
+      write_for (s, 1000, ALL_VMS);
+      CU_ASSERT (sum_acked (s, LAST_ZONE) > before);
+      CU_ASSERT (has_all_acked (s));
+      split_free (s);
+    }
+}
+
+/* Guards against a loss of acknowledged commits where the cut heals for a
+ * moment and comes back.
+ */
+static void
+cut_twice (void)
+{
+  Split *s = split_new (4);
+
+  write_for (s, 2000, ALL_VMS);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      fleet_cut (&s->sim, LAST_ZONE, true);
+      write_for (s, LAPSE_MS, ALL_VMS);
+      lapse (s, 1 | 2);
+      write_for (s, 6000 - LAPSE_MS, ALL_VMS);
+      fleet_cut (&s->sim, 0, false);
+      list (s);
+      write_for (s, 2500, ALL_VMS);
+    }
+  fleet_advance (&s->sim, HEAL_MS);
+  CU_ASSERT (has_all_acked (s));
+  split_free (s);
+}
+
+/* Guards against commits that only the primary holds: it is cut off with the
+ * platform from both replicas, whose entries lapse.
+ */
+static void
+primary_with_platform (void)
+{
+  Split *s = split_new (5);
+  uint32_t before;
+
+  write_for (s, 2000, ALL_VMS);
+  fleet_cut (&s->sim, FIRST_ZONE, true);
+  fleet_advance (&s->sim, LAPSE_MS);
+  lapse (s, 2 | 4);
+  before = sum_acked (s, ALL_VMS);
+  write_for (s, CUT_MS - LAPSE_MS, ALL_VMS);
+  CU_ASSERT (s->sim.promotions == 0);
+  CU_ASSERT (sum_acked (s, ALL_VMS) == before);
+  fleet_cut (&s->sim, 0, false);
+  list (s);
+  fleet_advance (&s->sim, HEAL_MS);
+  CU_ASSERT (has_all_acked (s));
+  write_for (s, 1000, ALL_VMS);
+  CU_ASSERT (sum_acked (s, ALL_VMS) > before);
+  split_free (s);
+}
+
+/* Guards against refusals of what can be served: nobody can promote while the
+ * platform is away, alone or with one server.
+ */
+static void
+platform_away (void)
+{
+  for (uint32_t down = 0; down <= 1; down++)
+    {
+      Split *s = split_new (6 + down);
+      uint32_t before;
+
+      write_for (s, 2000, ALL_VMS);
+      for (uint32_t i = 0; i < VMS; i++)
+        s->sim.vms[i].store = FLEET_STORE_SILENT;
+      s->sim.servers[2].down = down != 0;
+      write_for (s, 3000, ALL_VMS);
+      before = sum_acked (s, ALL_VMS);
+      write_for (s, CUT_MS, ALL_VMS);
+      CU_ASSERT (sum_acked (s, ALL_VMS) - before + VMS
+                 >= VMS * CUT_MS / STEP_MS);
+      split_free (s);
+    }
+}
+
+/* Guards against a majority that is relied on for ever without the platform:
+ * the other side no longer waits for this VM then.  All servers confirm at any
+ * time.
+ */
+static void
+reliance_ends (void)
+{
+  Split *s = split_new (8);
+  uint32_t before;
+
+  for (uint32_t i = 0; i < VMS; i++)
+    s->sim.vms[i].store = FLEET_STORE_SILENT;
+  fleet_advance (&s->sim, 3000);
+  for (uint32_t i = 0; i < VMS; i++)
+    s->sim.vms[i].node.platform_contact_ms -= SS_RELIANCE_MS;
+  before = sum_acked (s, ALL_VMS);
+  write_for (s, 2000, ALL_VMS);
+  CU_ASSERT (sum_acked (s, ALL_VMS) > before);
+  s->sim.servers[2].down = true;
+  fleet_advance (&s->sim, 3000);
+  before = sum_acked (s, ALL_VMS);
+  write_for (s, 2000, ALL_VMS);
+  CU_ASSERT (sum_acked (s, ALL_VMS) == before);
+  split_free (s);
+}
+
+/* Guards against a group that stays without a primary: two of three servers are
+ * gone, and all VMs are in touch with each other.
+ */
+static void
+lone_survivor_is_promoted (void)
+{
+  Split *s = split_new (9);
+  uint32_t before;
+
+  write_for (s, 2000, ALL_VMS);
+  s->sim.servers[0].down = true;
+  s->sim.servers[1].down = true;
+  fleet_advance (&s->sim, LAPSE_MS);
+  lapse (s, 1 | 2);
+  fleet_advance (&s->sim, LONE_MAX_MS - LAPSE_MS);
+  CU_ASSERT (s->sim.promotions == 1);
+  before = sum_acked (s, ALL_VMS);
+  write_for (s, 1000, ALL_VMS);
+  CU_ASSERT (sum_acked (s, ALL_VMS) > before);
+  split_free (s);
+}
+
+/* Guards against two sides: the lone survivor waits for a VM that may confirm
+ * the others, until that VM can no longer rely on them.
+ */
+static void
+lone_survivor_waits_for_silent_vm (void)
+{
+  Split *s = split_new (10);
+
+  write_for (s, 2000, ALL_VMS);
+  s->sim.servers[0].down = true;
+  s->sim.servers[1].down = true;
+  fleet_stop (&s->sim, 4);
+  fleet_advance (&s->sim, LAPSE_MS);
+  lapse (s, 1 | 2);
+  fleet_advance (&s->sim, SILENT_AFTER_MS);
+  CU_ASSERT (s->sim.promotions == 0);
+  CU_ASSERT (strstr (fleet_object (&s->sim, "vm/vm004"), "\"silent\":true")
+             != NULL);
+  fleet_advance (&s->sim, DELETED_AFTER_MS);
+  CU_ASSERT (!fleet_object (&s->sim, "vm/vm004"));
+  CU_ASSERT (s->sim.promotions == 1);
+  split_free (s);
+}
+
+/* Guards against a returning VM that stays marked: it takes roles again. */
+static void
+silent_vm_returns (void)
+{
+  Split *s = split_new (11);
+
+  fleet_stop (&s->sim, 4);
+  fleet_advance (&s->sim, SILENT_AFTER_MS);
+  CU_ASSERT (strstr (fleet_object (&s->sim, "vm/vm004"), "\"silent\":true")
+             != NULL);
+  fleet_start (&s->sim, 4);
+  fleet_advance (&s->sim, 5000);
+  CU_ASSERT (!strstr (fleet_object (&s->sim, "vm/vm004"), "silent"));
+  split_free (s);
+}
+
+/* Guards against a change of voters that never ends: a server is lost and
+ * another one joins.
+ */
+static void
+voters_follow_servers (void)
+{
+  Split *s = split_new (12);
+  const char *voters;
+
+  write_for (s, 2000, ALL_VMS);
+  voters = fleet_object (&s->sim, "voters/g0");
+  CU_ASSERT_FATAL (voters != NULL);
+  CU_ASSERT (strstr (voters, "\"t2\"") && strstr (voters, "\"former\":[]"));
+  s->sim.servers[2].down = true;
+  lapse (s, 4);
+  write_for (s, 6000, ALL_VMS);
+  voters = fleet_object (&s->sim, "voters/g0");
+  CU_ASSERT (!strstr (voters, "\"t2\"") && strstr (voters, "\"former\":[]"));
+  s->sim.servers[2].down = false;
+  list (s);
+  write_for (s, 6000, ALL_VMS);
+  voters = fleet_object (&s->sim, "voters/g0");
+  CU_ASSERT (strstr (voters, "\"t2\"") && strstr (voters, "\"former\":[]"));
+  CU_ASSERT (has_all_acked (s));
+  split_free (s);
+}
+
+CU_TestInfo test_split[] = {
+  { "replica's domain with the platform", replica_with_platform },
+  { "a cut that comes back", cut_twice },
+  { "primary's domain with the platform", primary_with_platform },
+  { "platform away, alone or with a server", platform_away },
+  { "reliance on a majority ends", reliance_ends },
+  { "lone survivor is promoted", lone_survivor_is_promoted },
+  { "lone survivor waits for a silent VM", lone_survivor_waits_for_silent_vm },
+  { "silent VM returns", silent_vm_returns },
+  { "voters follow the servers", voters_follow_servers },
+  CU_TEST_INFO_NULL,
+};
