--- a/tests/unit.h
+++ b/tests/unit.h
@@ -33,6 +33,7 @@
   X (fanout)                                                                   \
   X (lease_keeper)                                                             \
   X (duty)                                                                     \
+  X (voters)                                                                   \
   X (split)                                                                    \
   X (owner_release)                                                            \
   X (failover)                                                                 \
