--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -78,7 +78,7 @@
   Connection *c;
 
   server->connects++;
-  if (server->partition != vm->partition)
+  if (server->partition != vm->server_partition)
     return;
   if (g_rand_int_range (sim->rand, 0, 1000) < (gint32) sim->fail_permille)
     {
@@ -301,7 +301,7 @@
   Scheduled *s;
 
   if (!c || c->server->down || c->closes_ms
-      || c->server->partition != vm->partition)
+      || c->server->partition != vm->server_partition)
     return;
   if (a->label && !is_own (a->label, c))
     sim->foreign++;
@@ -650,6 +650,7 @@
       bool inside = is_inside (vm->domain, domains);
 
       vm->partition = inside ? 1 : 0;
+      vm->server_partition = vm->partition;
       vm->store = domains && inside != store_inside ? FLEET_STORE_SILENT
                                                     : FLEET_STORE_SERVES;
     }
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -32,9 +32,10 @@
   SsNode node;
   bool up;
   uint32_t incarnation;
-  int64_t clock_offset_ms; /* of its clock to the simulation's */
-  int64_t paused_until_ms; /* events wait until then */
-  uint32_t partition;      /* reaches VMs and servers of the same one only */
+  int64_t clock_offset_ms;   /* of its clock to the simulation's */
+  int64_t paused_until_ms;   /* events wait until then */
+  uint32_t partition;        /* reaches VMs of the same partition only */
+  uint32_t server_partition; /* reaches servers of the same one only */
   FleetStoreMode store;
   int64_t call_ms; /* way of a promotion call to the platform */
   int64_t watch_since[SS_WATCH_COUNT]; /* outstanding watches; 0: none */
@@ -83,7 +84,7 @@
   uint64_t barred_term;
   SsPosition position;
   bool down;
-  uint32_t partition;   /* reaches VMs and servers of the same one only */
+  uint32_t partition;   /* reaches servers of the same one only */
   int64_t overtaken_ms; /* since when, as a primary, it reaches a later one */
   uint32_t connections; /* open, with those of VMs that lost power */
   uint32_t connects;    /* attempts */
