--- a/src/core/tables.c
+++ b/src/core/tables.c
@@ -77,7 +77,7 @@
 
   return json_pack (
       "{s:s, s:s, s:s, s:s, s:b, s:s, s:I, s:s, s:s, s:I, s:I, s:i, s:i, "
-      "s:i, s:i, s:b, s:I, s:I, s:I}",
+      "s:i, s:i, s:b, s:b, s:I, s:I, s:I}",
       "name", t->name, "group", t->group, "failure_domain", t->failure_domain,
       "owner_vm", owner ? owner : "", "reachable", s->reachable, "role",
       ss_server_role_text (s->role), "term", (json_int_t) s->shown_term, "held",
@@ -89,7 +89,7 @@
       "max_connections", (int) t->max_connections, "queued",
       owned ? (int) ss_queue_length (&owned->queue) : 0, "running",
       owned ? (int) (owned->queue.running[0] + owned->queue.running[1]) : 0,
-      "draining", t->draining, "version",
+      "draining", t->draining, "listed", !t->unlisted, "version",
       (json_int_t) ss_version_revision (t->version), "era",
       (json_int_t) ss_version_era (t->version), "age_ms",
       (json_int_t) (t->state_ms ? node->now_ms - t->state_ms : -1));
@@ -118,10 +118,12 @@
   for (uint32_t i = 0; i < g->server_count; i++)
     reachable += g->servers[i]->state.reachable ? 1 : 0;
   add_row (r,
-           json_pack ("{s:s, s:I, s:s, s:i, s:i, s:b, s:s, s:I, s:I}", "name",
-                      g->name, "term", (json_int_t) g->term, "primary",
+           json_pack ("{s:s, s:I, s:s, s:i, s:i, s:i, s:i, s:b, s:s, s:I, s:I}",
+                      "name", g->name, "term", (json_int_t) g->term, "primary",
                       g->primary, "servers", (int) g->server_count,
-                      "reachable_servers", (int) reachable, "promotion_running",
+                      "reachable_servers", (int) reachable, "voters",
+                      (int) g->current.count, "former_voters",
+                      (int) g->former.count, "promotion_running",
                       p->step != SS_PROMOTE_IDLE, "operation", g->operation,
                       "version", (json_int_t) ss_version_revision (g->version),
                       "era", (json_int_t) ss_version_era (g->version)));
--- a/tests/test_split.c
+++ b/tests/test_split.c
@@ -375,6 +375,44 @@
   split_free (s);
 }
 
+#define MANY_VMS 24
+
+/* Guards against a change of voters that does not end where relays report on
+ * the VMs, and against two sides there.
+ */
+static void
+many_vms (void)
+{
+  FleetSim *sim = g_new0 (FleetSim, 1);
+  const char *voters;
+
+  fleet_init (sim, 13, MANY_VMS, 2);
+  fleet_advance (sim, 2000);
+  sim->servers[2].down = true;
+  fleet_remove_target (sim, 2);
+  fleet_advance (sim, 8000);
+  voters = fleet_object (sim, "voters/g0");
+  CU_ASSERT_FATAL (voters != NULL);
+  CU_ASSERT (!strstr (voters, "\"t2\"") && strstr (voters, "\"former\":[]"));
+  fleet_cut (sim, LAST_ZONE, true);
+  fleet_advance (sim, LAPSE_MS);
+  fleet_remove_target (sim, 3);
+  fleet_remove_target (sim, 4);
+  fleet_advance (sim, CUT_MS - LAPSE_MS);
+  CU_ASSERT (sim->promotions == 0);
+  voters = fleet_object (sim, "voters/g1");
+  CU_ASSERT (strstr (voters, "\"former\":[{") != NULL);
+  fleet_cut (sim, 0, false);
+  fleet_list_target (sim, 3);
+  fleet_list_target (sim, 4);
+  fleet_advance (sim, HEAL_MS);
+  voters = fleet_object (sim, "voters/g1");
+  CU_ASSERT (strstr (voters, "\"t3\"") && strstr (voters, "\"former\":[]"));
+  CU_ASSERT (*fleet_primary (sim, 1));
+  fleet_finish (sim);
+  g_free (sim);
+}
+
 /* --- seeded histories --- */
 
 #define RANDOM_SEEDS 60
@@ -563,6 +601,7 @@
   { "lone survivor waits for a silent VM", lone_survivor_waits_for_silent_vm },
   { "silent VM returns", silent_vm_returns },
   { "voters follow the servers", voters_follow_servers },
+  { "many VMs", many_vms },
   { "seeded histories of cuts", random_cuts },
   CU_TEST_INFO_NULL,
 };
--- a/tests/test_voters.c
+++ b/tests/test_voters.c
@@ -195,7 +195,7 @@
   other.name = targets[0].name;
   other.born_ms = 1;
   ss_group_count_voters (&g, v, known);
-  CU_ASSERT (g.current.count == 2);
+  CU_ASSERT (g.current.count == 2 && g.current.listed == 6);
   other.version = INT64_C (1) << 40; /* of another era: a copy's */
   ss_group_count_voters (&g, v, known);
   CU_ASSERT (g.current.count == 3);
