Changes of voters wait for every VM that may confirm by servers

Found by reading the argument against the code. (1) A VM that registered after the coordinator had listed the VMs could hold voters from before a change that ended without it: it confirms by servers only once it knows the voters up to its registration, which it reads anew then. (2) A VM between the count of raised servers and the naming of the primary agreed to a change: it does not now. (3) The coordinator built its sets for each group in each tick: it compares bits first, every 50 ms.

Tests: 'unlisted VM does not confirm', 'promoting VM does not agree' (suite split).

--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -111,6 +111,10 @@
     g_hash_table_insert (node->leases, g_strdup (group ? group : ""), copy);
   }
   node->leases_version = object->version;
+  if (object->deleted)
+    node->listed_version = 0;
+  else if (!node->listed_version || !same_era)
+    node->listed_version = object->version;
   g_hash_table_destroy (before);
   json_decref (json);
 }
@@ -184,14 +188,6 @@
   return h.found;
 }
 
-bool
-ss_directory_lists_self (const SsNode *node)
-{
-  const SsStoredObject *o = stored_vm (node, node->params.vm);
-
-  return o && !o->deleted;
-}
-
 /* Has VM, which the platform answers, write this VM's object.  The version that
  * VALUE is based on goes with it: a request that is delayed then can't replace
  * a later value.
@@ -438,6 +434,17 @@
     node->directory_due_ms = node->now_ms;
 }
 
+/* A VM that has just been listed reads the voters, since it was not asked about
+ * changes before.
+ */
+static void
+read_voters (SsNode *node)
+{
+  if (node->dialect->platform_promotes && node->listed_version
+      && !node->platform_down && !ss_watch_knows_voters (node))
+    ss_node_push (node, SS_ACTION_PLATFORM_LIST)->id = SS_WATCH_VOTERS;
+}
+
 void
 ss_directory_tick (SsNode *node)
 {
@@ -448,6 +455,7 @@
     return;
   node->directory_due_ms = node->now_ms + WRITE_INTERVAL_MS;
   write_own (node);
+  read_voters (node);
   coordinator = ss_roles_coordinator (&node->members, COORDINATOR_SUBJECT);
   if (coordinator && strcmp (coordinator, node->params.vm) == 0)
     {
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -165,18 +165,6 @@
   return !s.found;
 }
 
-/* Whether a change of the voters of GROUP waits for this VM, and this VM knows
- * the last one that it has adopted: after a start it may know the group from a
- * peer and not yet its voters.
- */
-static bool
-takes_part (const SsNode *node, const SsGroup *group)
-{
-  return ss_directory_lists_self (node)
-         && (node->watches[SS_WATCH_VOTERS].complete
-             || ss_config_voters (&node->config, group->name));
-}
-
 bool
 ss_lease_is_confirmed_by (const SsNode *node, const SsGroup *group,
                           uint32_t servers)
@@ -186,7 +174,7 @@
     return false;
   if (!node->dialect->platform_promotes)
     return true;
-  return takes_part (node, group)
+  return ss_watch_knows_voters (node)
          && (ss_contact_is_recent (node) || ss_group_is_all (group, servers));
 }
 
--- a/src/core/membership.h
+++ b/src/core/membership.h
@@ -100,6 +100,11 @@
 /* ss_watch_is_active: whether this VM watches the platform itself. */
 bool ss_watch_is_active (SsNode *node);
 
+/* ss_watch_knows_voters: whether the platform lists this VM, and this VM knows
+ * all changes of voters that began before.  Later ones wait for it.
+ */
+bool ss_watch_knows_voters (const SsNode *node);
+
 /* --- era.c: returns of the platform's store from a copy --- */
 
 /* ss_era_observe: records that the store is in ERA, as SOURCE shows: the
@@ -171,10 +176,6 @@
  * PASSED_OVER.
  */
 bool ss_directory_has_other (const SsNode *node, GHashTable *passed_over);
-/* ss_directory_lists_self: whether this VM knows its own object: a change of
- * voters then waits for this VM.
- */
-bool ss_directory_lists_self (const SsNode *node);
 /* ss_directory_deregister: deletes this VM's object, on shutdown. */
 void ss_directory_deregister (SsNode *node);
 
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -191,7 +191,11 @@
                              VM's object */
   GHashTable *leases; /* group -> since when this VM's object lists a lease on
                          its primary, in ms */
-  int64_t leases_version;         /* of the object that leases is read from */
+  int64_t leases_version; /* of the object that leases is read from */
+  int64_t listed_version; /* since which the platform lists this VM; 0: it does
+                             not */
+  int64_t
+      voters_version; /* up to which an explicit list has shown the voters */
   int64_t leases_renewed_version; /* the one of the last request for leases */
   bool vm_list_outstanding;       /* a list request for the objects vm/NAME is
                                      outstanding */
--- a/src/core/platform_calls.c
+++ b/src/core/platform_calls.c
@@ -12,6 +12,20 @@
   return SS_WATCH_ALL;
 }
 
+static SsPlatformPurpose
+list_purpose (SsWatch objects)
+{
+  switch (objects)
+    {
+    case SS_WATCH_VMS:
+      return SS_PLATFORM_PURPOSE_CLAIM;
+    case SS_WATCH_VOTERS:
+      return SS_PLATFORM_PURPOSE_START;
+    default:
+      return SS_PLATFORM_PURPOSE_LEASE;
+    }
+}
+
 void
 ss_platform_calls_count (SsPlatformCalls *calls, const SsAction *a)
 {
@@ -27,8 +41,7 @@
       break;
     case SS_ACTION_PLATFORM_LIST:
       objects = (SsWatch) a->id;
-      purpose = objects == SS_WATCH_VMS ? SS_PLATFORM_PURPOSE_CLAIM
-                                        : SS_PLATFORM_PURPOSE_LEASE;
+      purpose = list_purpose (objects);
       break;
     case SS_ACTION_PLATFORM_GET:
       purpose = SS_PLATFORM_PURPOSE_READ;
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -27,6 +27,7 @@
 /* The coordinator's progress with the voters of a group. */
 typedef struct
 {
+  int64_t due_ms;         /* when the coordinator next looks at the voters */
   uint64_t call;          /* the outstanding write of the voters; 0: none */
   int64_t call_ms;        /* when it was sent */
   int64_t version;        /* of the voters whose adoption is asked for */
--- a/src/core/voter_change.c
+++ b/src/core/voter_change.c
@@ -53,13 +53,28 @@
   return next;
 }
 
+/* Whether the voters are the servers of VIEW, and no change is under way. */
+static bool
+is_settled (const SsVoterView *view)
+{
+  const SsVoterCount *current = &view->group->current;
+
+  return view->voters && !view->voters->former->len
+         && view->voters->current->len == current->count
+         && current->listed == view->servers
+         && current->count == (uint32_t) __builtin_popcount (view->servers);
+}
+
 SsVoterStep
 ss_voter_change_next (const SsVoterView *view, SsVoters **next)
 {
   const SsVoters *v = view->voters;
-  GPtrArray *servers = ss_voters_set_of (view->group, view->servers);
+  GPtrArray *servers;
 
   *next = NULL;
+  if (is_settled (view))
+    return SS_VOTER_STEP_NONE;
+  servers = ss_voters_set_of (view->group, view->servers);
   if (servers->len && (!v || !ss_voters_set_is_equal (v->current, servers)))
     {
       *next = begin (view, servers);
--- a/src/core/voter_coordinator.c
+++ b/src/core/voter_coordinator.c
@@ -14,6 +14,8 @@
  * be known.
  */
 #define MIN_UPTIME_MS 3000
+/* Interval at which the coordinator looks at the voters of a group. */
+#define INTERVAL_MS 50
 /* A write without a response is repeated after this time. */
 #define CALL_TIMEOUT_MS 2000
 /* Interval at which VMs are asked and servers are polled during a change. */
@@ -59,6 +61,25 @@
   return FALSE;
 }
 
+/* Whether this VM has counted the voters of P's group and promotes a server: a
+ * change must not end meanwhile.
+ */
+static bool
+has_counted (const SsPromotion *p)
+{
+  switch (p ? p->step : SS_PROMOTE_IDLE)
+    {
+    case SS_PROMOTE_DUTY:
+    case SS_PROMOTE_CALL:
+    case SS_PROMOTE_LEAD:
+    case SS_PROMOTE_NAME:
+    case SS_PROMOTE_NAME_READ:
+      return true;
+    default:
+      return false;
+    }
+}
+
 void
 ss_voter_coordinator_handle_ask (SsNode *node, const char *from,
                                  const Ss__Peer__VotersAsk *ask)
@@ -67,7 +88,8 @@
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__VotersReply reply = SS__PEER__VOTERS_REPLY__INIT;
 
-  if (!v || v->version < ask->version)
+  if (!v || v->version < ask->version
+      || has_counted (g_tree_lookup (node->promotions, ask->group)))
     return;
   reply.group = ask->group;
   reply.version = ask->version;
@@ -262,8 +284,8 @@
          && !node->stopping && !node->platform_down && group->version
          && node->now_ms - node->started_ms >= MIN_UPTIME_MS
          && node->watches[SS_WATCH_TARGETS].complete
-         && node->watches[SS_WATCH_VOTERS].complete
-         && ss_directory_lists_self (node) && is_undisturbed (p, group);
+         && node->watches[SS_WATCH_VOTERS].complete && node->listed_version
+         && is_undisturbed (p, group);
 }
 
 /* Returns the servers that are listed or seen to live, as a bit set. */
@@ -297,6 +319,9 @@
   SsVoters *next;
   SsVoterStep step;
 
+  if (node->now_ms < a->due_ms)
+    return;
+  a->due_ms = node->now_ms + INTERVAL_MS;
   if (!may_change (node, p, group)
       || (a->call && node->now_ms - a->call_ms < CALL_TIMEOUT_MS)
       || (v && rewrite (node, a, v)))
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -149,6 +149,9 @@
     {
       adopted = adopt_all (node, e);
       adopted = delete_unlisted (node, e) || adopted;
+      if (e->platform_objects.watch == SS_WATCH_VOTERS)
+        node->voters_version
+            = MAX (node->voters_version, e->platform_objects.revision);
     }
   if (adopted)
     ss_owner_update (node);
@@ -332,6 +335,16 @@
   node->probe.due_ms = node->now_ms + PROBE_TIMEOUT_MS;
 }
 
+bool
+ss_watch_knows_voters (const SsNode *node)
+{
+  int64_t known
+      = MAX (node->voters_version, node->watches[SS_WATCH_VOTERS].revision);
+
+  return node->listed_version
+         && MAX (known, node->config.revision) >= node->listed_version;
+}
+
 void
 ss_watch_tick (SsNode *node)
 {
--- a/tests/test_split.c
+++ b/tests/test_split.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "core/voters.h"
 #include "tests/fleet_sim.h"
 #include "tests/unit.h"
 
@@ -286,6 +287,54 @@
   split_free (s);
 }
 
+/* Guards against two sides: a change of voters does not wait for a VM that the
+ * platform does not list, so that VM must not confirm by servers.
+ */
+static void
+unlisted_vm_does_not_confirm (void)
+{
+  Split *s = split_new (14);
+  uint32_t before;
+
+  for (uint32_t i = 0; i < VMS; i++)
+    s->sim.vms[i].store = FLEET_STORE_SILENT;
+  fleet_advance (&s->sim, 3000);
+  for (uint32_t i = 0; i < VMS; i++)
+    s->sim.vms[i].node.listed_version = 0;
+  before = sum_acked (s, ALL_VMS);
+  write_for (s, 2000, ALL_VMS);
+  CU_ASSERT (sum_acked (s, ALL_VMS) == before);
+  /* Listed, but at a version that its knowledge of the voters is older than. */
+  for (uint32_t i = 0; i < VMS; i++)
+    s->sim.vms[i].node.listed_version = s->sim.version + 100;
+  write_for (s, 2000, ALL_VMS);
+  CU_ASSERT (sum_acked (s, ALL_VMS) == before);
+  split_free (s);
+}
+
+/* Guards against a change that ends while a VM promotes a server with the
+ * voters that it counted before.
+ */
+static void
+promoting_vm_does_not_agree (void)
+{
+  Split *s = split_new (15);
+  SsNode *node = &s->sim.vms[0].node;
+  SsPromotion *p = ss_promote_get (node, "g0");
+  Ss__Peer__VotersAsk ask = SS__PEER__VOTERS_ASK__INIT;
+  guint before = g_queue_get_length (&node->actions);
+
+  ask.group = (char *) "g0";
+  ask.version = ss_config_voters (&node->config, "g0")->version;
+  p->step = SS_PROMOTE_DUTY;
+  ss_voter_coordinator_handle_ask (node, "vm001", &ask);
+  CU_ASSERT (g_queue_get_length (&node->actions) == before);
+  p->step = SS_PROMOTE_IDLE;
+  ss_voter_coordinator_handle_ask (node, "vm001", &ask);
+  CU_ASSERT (g_queue_get_length (&node->actions) == before + 1);
+  split_free (s);
+}
+
 /* Guards against a group that stays without a primary: two of three servers are
  * gone, and all VMs are in touch with each other.
  */
@@ -597,6 +646,8 @@
   { "primary's domain with the platform", primary_with_platform },
   { "platform away, alone or with a server", platform_away },
   { "reliance on a majority ends", reliance_ends },
+  { "unlisted VM does not confirm", unlisted_vm_does_not_confirm },
+  { "promoting VM does not agree", promoting_vm_does_not_agree },
   { "lone survivor is promoted", lone_survivor_is_promoted },
   { "lone survivor waits for a silent VM", lone_survivor_waits_for_silent_vm },
   { "silent VM returns", silent_vm_returns },
