--- a/src/core/voter_change.h
+++ b/src/core/voter_change.h
@@ -1,9 +1,8 @@
 /* voter_change: how the voters of a group change (docs/design/voters.md).
  *
- * The coordinator of promotions makes the servers that the platform lists, or
- * that are seen to live, the voters.  The set before stays in force beside the
- * new one until every VM has adopted the change and the new set holds what the
- * old one acknowledged.
+ * The coordinator of promotions makes the servers that live the voters.  The
+ * set before stays in force beside the new one until every VM has adopted the
+ * change and the new set holds what the old one acknowledged.
  */
 #ifndef SS_VOTER_CHANGE_H
 #define SS_VOTER_CHANGE_H
@@ -24,7 +23,7 @@
   const SsVoters *voters;   /* NULL: none are known */
   const SsGroup *group;     /* counted with voters */
   const GPtrArray *targets; /* all known ones of the group, or NULL */
-  uint32_t servers; /* bit set of group->servers: listed, or seen to live */
+  uint32_t servers; /* bit set of group->servers: those that are to be voters */
   /* Of a change that has not ended: */
   bool is_adopted;    /* every listed VM has adopted it */
   bool is_replicated; /* a majority of the new set holds the primary's position,
--- a/src/core/voter_coordinator.c
+++ b/src/core/voter_coordinator.c
@@ -288,9 +288,12 @@
          && is_undisturbed (p, group);
 }
 
-/* Returns the servers that are listed or seen to live, as a bit set. */
+/* Returns the servers that are to be voters, as a bit set: those that are seen
+ * to live, and voters that are listed.  An entry alone makes no voter: nobody
+ * may run there.
+ */
 static uint32_t
-present_servers (const SsNode *node, const SsGroup *group)
+voters_to_be (const SsNode *node, const SsVoters *v, const SsGroup *group)
 {
   uint32_t servers = 0;
 
@@ -300,7 +303,7 @@
       bool lives = t->state.reachable
                    && node->now_ms - t->reachable_ms < FRESH_REPORT_MS;
 
-      if (!t->unlisted || lives)
+      if (lives || (!t->unlisted && v && ss_voters_contain (v, t)))
         servers |= 1U << i;
     }
   return servers;
@@ -315,7 +318,7 @@
       = { .voters = v,
           .group = group,
           .targets = ss_config_group_targets (&node->config, group->name),
-          .servers = present_servers (node, group) };
+          .servers = voters_to_be (node, v, group) };
   SsVoters *next;
   SsVoterStep step;
 
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -77,6 +77,13 @@
   Scheduled *s;
   Connection *c;
 
+  if (!server) /* nobody runs there */
+    {
+      fleet_schedule (sim, vm, 2, SS_EVENT_TARGET_CLOSED)
+          ->event.target.connection
+          = a->id;
+      return;
+    }
   server->connects++;
   if (server->partition != vm->server_partition)
     return;
@@ -629,6 +636,20 @@
   put_target (sim, index, draining);
 }
 
+void
+fleet_list_stranger (FleetSim *sim, const char *name, uint32_t group)
+{
+  char *key = g_strconcat ("target/", name, NULL);
+  char *value
+      = g_strdup_printf ("{\"group\":\"g%u\",\"ip\":\"10.9.0.1\",\"port\":%u,"
+                         "\"failure_domain\":\"d0\",\"slots\":4}",
+                         group, 1 + g_str_hash (name) % 60000);
+
+  fleet_store_put (sim, key, value);
+  g_free (value);
+  g_free (key);
+}
+
 void
 fleet_list_target (FleetSim *sim, uint32_t index)
 {
--- a/tests/test_split.c
+++ b/tests/test_split.c
@@ -424,6 +424,38 @@
   split_free (s);
 }
 
+/* Guards against a group without a majority (review/5): four entries appear
+ * where no server runs, and all VMs start again.
+ */
+static void
+strangers_are_no_voters (void)
+{
+  static const char *const strangers[] = { "x1", "x2", "x3", "x4" };
+  Split *s = split_new (16);
+  uint32_t before;
+
+  write_for (s, 2000, ALL_VMS);
+  for (size_t i = 0; i < G_N_ELEMENTS (strangers); i++)
+    fleet_list_stranger (&s->sim, strangers[i], 0);
+  write_for (s, 3000, ALL_VMS);
+  before = sum_acked (s, ALL_VMS);
+  write_for (s, 2000, ALL_VMS);
+  CU_ASSERT (sum_acked (s, ALL_VMS) - before + VMS >= VMS * 2000 / STEP_MS);
+  for (uint32_t i = 0; i < VMS; i++)
+    fleet_stop (&s->sim, i);
+  for (uint32_t i = 0; i < VMS; i++)
+    {
+      fleet_start (&s->sim, i);
+      s->is_closed[i] = true;
+    }
+  write_for (s, 12000, ALL_VMS);
+  before = sum_acked (s, ALL_VMS);
+  write_for (s, 2000, ALL_VMS);
+  CU_ASSERT (sum_acked (s, ALL_VMS) - before + VMS >= VMS * 2000 / STEP_MS);
+  CU_ASSERT (!strstr (fleet_object (&s->sim, "voters/g0"), "\"x1\""));
+  split_free (s);
+}
+
 #define MANY_VMS 24
 
 /* Guards against a change of voters that does not end where relays report on
@@ -652,6 +684,7 @@
   { "lone survivor waits for a silent VM", lone_survivor_waits_for_silent_vm },
   { "silent VM returns", silent_vm_returns },
   { "voters follow the servers", voters_follow_servers },
+  { "entries where no server runs", strangers_are_no_voters },
   { "many VMs", many_vms },
   { "seeded histories of cuts", random_cuts },
   CU_TEST_INFO_NULL,
