--- a/bench/deploy.h
+++ b/bench/deploy.h
@@ -149,12 +149,19 @@
  */
 bool ss_deploy_set_link_faults (SsDeploy *deploy, uint32_t vm,
                                 const char *json);
-/* ss_deploy_partition_domain: partitions DOMAIN from the other failure domains
- * and the platform, or heals the partition.  It separates VMs and stops the
- * replication of the domain's targets; connections between VMs and targets are
- * not affected.  Only one failure domain can be partitioned at a time.
+typedef enum
+{
+  SS_PARTITION_NONE,
+  SS_PARTITION_ALONE,        /* the platform is on the other side */
+  SS_PARTITION_WITH_PLATFORM /* the platform is on the domain's side */
+} SsPartition;
+
+/* ss_deploy_partition_domain: partitions DOMAIN from the other failure domains,
+ * or heals the partition.  It separates VMs, also from the platform, and stops
+ * the replication of the domain's targets; connections between VMs and targets
+ * are not affected.  Only one failure domain can be partitioned at a time.
  */
 bool ss_deploy_partition_domain (SsDeploy *deploy, const char *domain,
-                                 bool partitioned);
+                                 SsPartition partition);
 
 #endif
--- a/bench/deploy_control.c
+++ b/bench/deploy_control.c
@@ -151,28 +151,44 @@
   return ok;
 }
 
-bool
-ss_deploy_partition_domain (SsDeploy *deploy, const char *domain,
-                            bool partitioned)
+/* Returns a JSON object that cuts off the VMs inside DOMAIN, or those outside
+ * of it; free with g_free.
+ */
+static char *
+cut_json (const SsDeploy *deploy, const char *domain, bool inside)
 {
   GString *json = g_string_new ("{\"cut_ips\":[");
   bool first = true;
-  bool ok;
 
-  for (uint32_t i = 0; partitioned && i < deploy->vm_count; i++)
+  for (uint32_t i = 0; i < deploy->vm_count; i++)
     {
-      if (strcmp (deploy->vms[i].failure_domain, domain) != 0)
+      if ((strcmp (deploy->vms[i].failure_domain, domain) == 0) != inside)
         continue;
       g_string_append_printf (json, "%s\"%s\"", first ? "" : ",",
                               deploy->vms[i].ip);
       first = false;
     }
   g_string_append (json, "]}");
-  ok = ss_deploy_control_platform (deploy, json->str)
-       && post_network (deploy, "/cut", json->str);
+  return g_string_free (json, FALSE);
+}
+
+bool
+ss_deploy_partition_domain (SsDeploy *deploy, const char *domain,
+                            SsPartition partition)
+{
+  bool partitioned = partition != SS_PARTITION_NONE;
+  char *network = partitioned ? cut_json (deploy, domain, true)
+                              : g_strdup ("{\"cut_ips\":[]}");
+  char *platform = partition == SS_PARTITION_WITH_PLATFORM
+                       ? cut_json (deploy, domain, false)
+                       : g_strdup (network);
+  bool ok = ss_deploy_control_platform (deploy, platform)
+            && post_network (deploy, "/cut", network);
+
   for (uint32_t i = 0; ok && i < deploy->target_count; i++)
     if (strcmp (deploy->targets[i].failure_domain, domain) == 0)
       ok = ss_deploy_control_target (&deploy->targets[i], "cut", partitioned);
-  g_string_free (json, TRUE);
+  g_free (platform);
+  g_free (network);
   return ok;
 }
--- a/bench/ss_scenario.c
+++ b/bench/ss_scenario.c
@@ -233,13 +233,18 @@
   return true;
 }
 
+/* "cut DOMAIN [with-platform]", "heal DOMAIN" */
 static bool
 do_partition (Run *run, char **argv)
 {
-  bool partitioned = strcmp (argv[0], "cut") == 0;
+  SsPartition partition = SS_PARTITION_NONE;
 
+  if (strcmp (argv[0], "cut") == 0)
+    partition = argv[1] && g_strcmp0 (argv[2], "with-platform") == 0
+                    ? SS_PARTITION_WITH_PLATFORM
+                    : SS_PARTITION_ALONE;
   if (!argv[1]
-      || !ss_deploy_partition_domain (&run->deploy, argv[1], partitioned))
+      || !ss_deploy_partition_domain (&run->deploy, argv[1], partition))
     return fail (run, "can't %s the failure domain", argv[0]);
   return true;
 }
--- a/bench/ss_soak.c
+++ b/bench/ss_soak.c
@@ -189,6 +189,14 @@
   add_line (window->soak, window->until_ms, "heal %s", domains[window->index]);
 }
 
+static void
+domain_partitioned_with_platform (const FaultWindow *window)
+{
+  add_line (window->soak, window->at_ms, "cut %s with-platform",
+            domains[window->index]);
+  add_line (window->soak, window->until_ms, "heal %s", domains[window->index]);
+}
+
 static void
 link_fault (const FaultWindow *window, const char *json)
 {
@@ -292,6 +300,7 @@
   { RESOURCE_TARGET, 1, target_drained },
   { RESOURCE_GROUP, 2, promotion_ordered },
   { RESOURCE_DOMAIN, 3, domain_partitioned },
+  { RESOURCE_DOMAIN, 3, domain_partitioned_with_platform },
   { RESOURCE_LINK, 2, link_delayed },
   { RESOURCE_LINK, 2, link_silent_in },
   { RESOURCE_LINK, 2, link_silent_out },
--- a/tests/test_split.c
+++ b/tests/test_split.c
@@ -121,6 +121,24 @@
     fleet_list_target (&s->sim, i);
 }
 
+/* Whether the store's object KEY contains TEXT. */
+static bool
+object_has (FleetSim *sim, const char *key, const char *text)
+{
+  const char *value = fleet_object (sim, key);
+
+  return value && strstr (value, text);
+}
+
+/* Whether the voters of group 0 are settled, with the server t2 or without it.
+ */
+static bool
+are_settled (FleetSim *sim, bool with_t2)
+{
+  return object_has (sim, "voters/g0", "\"t2\"") == with_t2
+         && object_has (sim, "voters/g0", "\"former\":[]");
+}
+
 static uint32_t
 sum_acked (const Split *s, uint32_t vms)
 {
@@ -373,8 +391,7 @@
   lapse (s, 1 | 2);
   fleet_advance (&s->sim, SILENT_AFTER_MS);
   CU_ASSERT (s->sim.promotions == 0);
-  CU_ASSERT (strstr (fleet_object (&s->sim, "vm/vm004"), "\"silent\":true")
-             != NULL);
+  CU_ASSERT (object_has (&s->sim, "vm/vm004", "\"silent\":true"));
   fleet_advance (&s->sim, DELETED_AFTER_MS);
   CU_ASSERT (!fleet_object (&s->sim, "vm/vm004"));
   CU_ASSERT (s->sim.promotions == 1);
@@ -389,11 +406,11 @@
 
   fleet_stop (&s->sim, 4);
   fleet_advance (&s->sim, SILENT_AFTER_MS);
-  CU_ASSERT (strstr (fleet_object (&s->sim, "vm/vm004"), "\"silent\":true")
-             != NULL);
+  CU_ASSERT (object_has (&s->sim, "vm/vm004", "\"silent\":true"));
   fleet_start (&s->sim, 4);
   fleet_advance (&s->sim, 5000);
-  CU_ASSERT (!strstr (fleet_object (&s->sim, "vm/vm004"), "silent"));
+  CU_ASSERT (fleet_object (&s->sim, "vm/vm004") != NULL);
+  CU_ASSERT (!object_has (&s->sim, "vm/vm004", "silent"));
   split_free (s);
 }
 
@@ -404,22 +421,17 @@
 voters_follow_servers (void)
 {
   Split *s = split_new (12);
-  const char *voters;
 
   write_for (s, 2000, ALL_VMS);
-  voters = fleet_object (&s->sim, "voters/g0");
-  CU_ASSERT_FATAL (voters != NULL);
-  CU_ASSERT (strstr (voters, "\"t2\"") && strstr (voters, "\"former\":[]"));
+  CU_ASSERT (are_settled (&s->sim, true));
   s->sim.servers[2].down = true;
   lapse (s, 4);
   write_for (s, 6000, ALL_VMS);
-  voters = fleet_object (&s->sim, "voters/g0");
-  CU_ASSERT (!strstr (voters, "\"t2\"") && strstr (voters, "\"former\":[]"));
+  CU_ASSERT (are_settled (&s->sim, false));
   s->sim.servers[2].down = false;
   list (s);
   write_for (s, 6000, ALL_VMS);
-  voters = fleet_object (&s->sim, "voters/g0");
-  CU_ASSERT (strstr (voters, "\"t2\"") && strstr (voters, "\"former\":[]"));
+  CU_ASSERT (are_settled (&s->sim, true));
   CU_ASSERT (has_all_acked (s));
   split_free (s);
 }
@@ -452,7 +464,8 @@
   before = sum_acked (s, ALL_VMS);
   write_for (s, 2000, ALL_VMS);
   CU_ASSERT (sum_acked (s, ALL_VMS) - before + VMS >= VMS * 2000 / STEP_MS);
-  CU_ASSERT (!strstr (fleet_object (&s->sim, "voters/g0"), "\"x1\""));
+  CU_ASSERT (fleet_object (&s->sim, "voters/g0") != NULL);
+  CU_ASSERT (!object_has (&s->sim, "voters/g0", "\"x1\""));
   split_free (s);
 }
 
@@ -465,30 +478,26 @@
 many_vms (void)
 {
   FleetSim *sim = g_new0 (FleetSim, 1);
-  const char *voters;
 
   fleet_init (sim, 13, MANY_VMS, 2);
   fleet_advance (sim, 2000);
   sim->servers[2].down = true;
   fleet_remove_target (sim, 2);
   fleet_advance (sim, 8000);
-  voters = fleet_object (sim, "voters/g0");
-  CU_ASSERT_FATAL (voters != NULL);
-  CU_ASSERT (!strstr (voters, "\"t2\"") && strstr (voters, "\"former\":[]"));
+  CU_ASSERT (are_settled (sim, false));
   fleet_cut (sim, LAST_ZONE, true);
   fleet_advance (sim, LAPSE_MS);
   fleet_remove_target (sim, 3);
   fleet_remove_target (sim, 4);
   fleet_advance (sim, CUT_MS - LAPSE_MS);
   CU_ASSERT (sim->promotions == 0);
-  voters = fleet_object (sim, "voters/g1");
-  CU_ASSERT (strstr (voters, "\"former\":[{") != NULL);
+  CU_ASSERT (object_has (sim, "voters/g1", "\"former\":[{"));
   fleet_cut (sim, 0, false);
   fleet_list_target (sim, 3);
   fleet_list_target (sim, 4);
   fleet_advance (sim, HEAL_MS);
-  voters = fleet_object (sim, "voters/g1");
-  CU_ASSERT (strstr (voters, "\"t3\"") && strstr (voters, "\"former\":[]"));
+  CU_ASSERT (object_has (sim, "voters/g1", "\"t3\""));
+  CU_ASSERT (object_has (sim, "voters/g1", "\"former\":[]"));
   CU_ASSERT (*fleet_primary (sim, 1));
   fleet_finish (sim);
   g_free (sim);
