Voters cost fewer calls to the store

Change: a VM reads the voters once it is listed, watches wait for 25 s, and the first voters wait until all listed servers are seen to live, 8 s at most.

--- a/src/core/voter_coordinator.c
+++ b/src/core/voter_coordinator.c
@@ -14,6 +14,10 @@
  * be known.
  */
 #define MIN_UPTIME_MS 3000
+/* Uptime from which the first voters are written even if a listed server has
+ * not been seen to live.
+ */
+#define FIRST_VOTERS_MS 8000
 /* Interval at which the coordinator looks at the voters of a group. */
 #define INTERVAL_MS 50
 /* A write without a response is repeated after this time. */
@@ -309,6 +313,14 @@
   return servers;
 }
 
+/* Whether the first voters of GROUP are to wait for servers that start. */
+static bool
+waits_for_servers (const SsNode *node, const SsGroup *group, uint32_t servers)
+{
+  return servers != (1U << group->server_count) - 1
+         && node->now_ms - node->started_ms < FIRST_VOTERS_MS;
+}
+
 void
 ss_voter_coordinator_tick (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
@@ -327,7 +339,8 @@
   a->due_ms = node->now_ms + INTERVAL_MS;
   if (!may_change (node, p, group)
       || (a->call && node->now_ms - a->call_ms < CALL_TIMEOUT_MS)
-      || (v && rewrite (node, a, v)))
+      || (v ? rewrite (node, a, v)
+            : waits_for_servers (node, group, view.servers)))
     return;
   if (v && v->former->len)
     update_agreement (node, a, v, group, view.servers);
--- a/src/core/watch.c
+++ b/src/core/watch.c
@@ -16,6 +16,12 @@
 #define PROBE_WAIT_MS 1
 #define PROBE_TIMEOUT_MS 1500
 #define WATCH_WAIT_MS 8000
+/* Voters seldom change, and the VM that changes them tells all others. */
+#define VOTERS_WAIT_MS 25000
+/* A VM reads the voters once it is listed, so that it knows the changes that
+ * were begun without it, or this long after its start.
+ */
+#define VOTERS_AFTER_MS 1000
 /* Delay before the next watch of VMs or targets.  Many of these change their
  * objects at the same time, especially at start-up: the delay batches the
  * changes into one response.
@@ -307,6 +313,8 @@
       return (uint32_t) node->params.apply_ms * 6 / 10;
     case SS_WATCH_TARGETS:
       return (uint32_t) node->params.drain_ms / 2;
+    case SS_WATCH_VOTERS:
+      return VOTERS_WAIT_MS;
     default:
       return WATCH_WAIT_MS;
     }
@@ -328,6 +336,14 @@
   return !is_probing (node) || node->now_ms >= node->probe.due_ms;
 }
 
+/* Whether the first list of WATCH is to wait. */
+static bool
+is_early (const SsNode *node, uint32_t watch)
+{
+  return watch == SS_WATCH_VOTERS && !node->listed_version
+         && node->now_ms - node->started_ms < VOTERS_AFTER_MS;
+}
+
 static void
 begin_probe (SsNode *node, SsWatchState *watch)
 {
@@ -358,7 +374,7 @@
 
       if (!(node->params.watches & (1U << i)) || watch->watching
           || node->now_ms < watch->due_ms || (watch->complete && !is_watching)
-          || !may_watch (node))
+          || !may_watch (node) || is_early (node, i))
         continue;
       if (ss_watch_is_single (node))
         watch->revision = ss_era_is_current (node, node->config.revision)
