--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -637,7 +637,7 @@
 }
 
 void
-fleet_list_stranger (FleetSim *sim, const char *name, uint32_t group)
+fleet_list_empty_address (FleetSim *sim, const char *name, uint32_t group)
 {
   char *key = g_strconcat ("target/", name, NULL);
   char *value
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -183,8 +183,9 @@
 void fleet_remove_target (FleetSim *sim, uint32_t index);
 /* fleet_list_target: lists the server INDEX again. */
 void fleet_list_target (FleetSim *sim, uint32_t index);
-/* fleet_list_stranger: lists an entry NAME of GROUP where no server runs. */
-void fleet_list_stranger (FleetSim *sim, const char *name, uint32_t group);
+/* fleet_list_empty_address: lists an entry NAME of GROUP where no server runs.
+ */
+void fleet_list_empty_address (FleetSim *sim, const char *name, uint32_t group);
 /* fleet_owned: returns how many connections to the server INDEX its owners
  * have, with control connections.
  */
--- a/tests/test_split.c
+++ b/tests/test_split.c
@@ -440,15 +440,15 @@
  * where no server runs, and all VMs start again.
  */
 static void
-strangers_are_no_voters (void)
+empty_addresses_are_no_voters (void)
 {
-  static const char *const strangers[] = { "x1", "x2", "x3", "x4" };
+  static const char *const entries[] = { "x1", "x2", "x3", "x4" };
   Split *s = split_new (16);
   uint32_t before;
 
   write_for (s, 2000, ALL_VMS);
-  for (size_t i = 0; i < G_N_ELEMENTS (strangers); i++)
-    fleet_list_stranger (&s->sim, strangers[i], 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (entries); i++)
+    fleet_list_empty_address (&s->sim, entries[i], 0);
   write_for (s, 3000, ALL_VMS);
   before = sum_acked (s, ALL_VMS);
   write_for (s, 2000, ALL_VMS);
@@ -693,7 +693,7 @@
   { "lone survivor waits for a silent VM", lone_survivor_waits_for_silent_vm },
   { "silent VM returns", silent_vm_returns },
   { "voters follow the servers", voters_follow_servers },
-  { "entries where no server runs", strangers_are_no_voters },
+  { "entries where no server runs", empty_addresses_are_no_voters },
   { "many VMs", many_vms },
   { "seeded histories of cuts", random_cuts },
   CU_TEST_INFO_NULL,
