Voters: one way to ask all other VMs, one test of a fresh report, sets taken as they are

What the change had written again or worked out more than once: - the loop that asks all other VMs for an agreement stood in lease.c and voter_coordinator.c, and skipped this VM as ss_peers_visit does: both call ss_peers_ask - whether a server's owner has reported lately: coordinator.c had it (ss_coordinator_sees now) - the voters to be were counted in every tick before it was known that the coordinator looks at all - sets were made empty and replaced: ss_voters_new takes them; a rewrite borrows them - three tests silenced the store by loops of their own

--- a/src/core/config.h
+++ b/src/core/config.h
@@ -75,8 +75,8 @@
   bool draining;
   bool is_finishing; /* this VM has given it up, but statements still run or
                         wait there */
-  bool unlisted;     /* deleted at the platform, but a voter: it may live.  It
-                        drains     until it is no voter */
+  bool unlisted;     /* deleted at the platform, but a voter: it may live, and
+                        drains until it is no voter */
   bool removed;      /* deleted; kept because pointers to it remain */
   uint32_t incarnation; /* changes with born_ms and the address: another server
                            process has the name */
--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -135,8 +135,8 @@
   return term;
 }
 
-static bool
-is_fresh (SsNode *node, const SsTarget *t)
+bool
+ss_coordinator_sees (const SsNode *node, const SsTarget *t)
 {
   return t->state.reachable && node->now_ms - t->reachable_ms < FRESH_REPORT_MS;
 }
@@ -153,7 +153,7 @@
     {
       const SsTarget *t = group->servers[i];
 
-      if (t->state.role != SS_SERVER_PRIMARY || !is_fresh (node, t))
+      if (t->state.role != SS_SERVER_PRIMARY || !ss_coordinator_sees (node, t))
         continue;
       if (!leader || t->state.follow_term > leader->state.follow_term)
         leader = t;
@@ -302,7 +302,7 @@
 view_replica (SsNode *node, const SsPlacement *placement, const SsTarget *t,
               SsPlacementView *view)
 {
-  if (t->draining || !is_fresh (node, t))
+  if (t->draining || !ss_coordinator_sees (node, t))
     return;
   view->candidates++;
   view->lag_ms = MIN (view->lag_ms, t->state.lag_ms);
@@ -316,7 +316,7 @@
   const SsTarget *primary = ss_group_primary (group);
   SsPlacementView view = { .lag_ms = G_MAXUINT32 };
 
-  if (!primary || !is_fresh (node, primary))
+  if (!primary || !ss_coordinator_sees (node, primary))
     return false;
   ss_placement_sample (&p->placement, primary->state.held, node->now_ms);
   view_primary (node, primary, &view);
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -16,6 +16,7 @@
 
 #include "core/membership.h"
 #include "core/owned.h"
+#include "core/peers.h"
 #include "core/promotion.h"
 #include "core/version.h"
 #include "core/voters.h"
@@ -440,38 +441,18 @@
          && !ss_directory_has_holder (node, p->group, p->released);
 }
 
-typedef struct
-{
-  SsNode *node;
-  SsPromotion *promotion;
-} Release;
-
-static gboolean
-ask_member (gpointer key, gpointer value, gpointer data)
+void
+ss_lease_ask_release (SsNode *node, SsPromotion *p)
 {
-  Release *r = data;
   SsEnvelope e = SS__PEER__ENVELOPE__INIT;
   Ss__Peer__ClaimAsk ask = SS__PEER__CLAIM_ASK__INIT;
 
-  (void) value;
-  if (strcmp (key, r->node->params.vm) == 0
-      || g_hash_table_contains (r->promotion->released, key))
-    return FALSE;
-  ask.group = r->promotion->group;
-  ask.version = r->promotion->version;
+  ss_lease_list_wanted (node);
+  ask.group = p->group;
+  ask.version = p->version;
   e.body_case = SS__PEER__ENVELOPE__BODY_CLAIM_ASK;
   e.claim_ask = &ask;
-  ss_node_send (r->node, key, &e);
-  return FALSE;
-}
-
-void
-ss_lease_ask_release (SsNode *node, SsPromotion *p)
-{
-  Release r = { node, p };
-
-  ss_lease_list_wanted (node);
-  g_tree_foreach (node->members.by_name, ask_member, &r);
+  ss_peers_ask (node, &e, p->released);
 }
 
 void
--- a/src/core/peers.c
+++ b/src/core/peers.c
@@ -53,6 +53,29 @@
   g_tree_foreach (node->members.by_name, visit_peer, &v);
 }
 
+typedef struct
+{
+  SsEnvelope *envelope;
+  GHashTable *answered;
+} AskContext;
+
+static void
+ask_peer (SsNode *node, SsMember *member, void *data)
+{
+  const AskContext *c = data;
+
+  if (!g_hash_table_contains (c->answered, member->vm))
+    ss_node_send (node, member->vm, c->envelope);
+}
+
+void
+ss_peers_ask (SsNode *node, SsEnvelope *envelope, GHashTable *answered)
+{
+  AskContext c = { envelope, answered };
+
+  ss_peers_visit (node, ask_peer, &c);
+}
+
 /* --- peers' addresses --- */
 
 static void
--- a/src/core/peers.h
+++ b/src/core/peers.h
@@ -14,6 +14,9 @@
 bool ss_peers_is_self (const SsNode *node, const char *vm);
 /* ss_peers_visit: calls VISIT for every other known VM. */
 void ss_peers_visit (SsNode *node, SsPeerVisitor visit, void *data);
+/* ss_peers_ask: sends ENVELOPE to every other known VM that is not in ANSWERED.
+ */
+void ss_peers_ask (SsNode *node, SsEnvelope *envelope, GHashTable *answered);
 
 /* --- watch.c --- */
 
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -515,11 +515,13 @@
     {
       const char *name = g_ptr_array_index (names, i);
       SsGroup *group = ss_config_group (&node->config, name);
+      SsPromotion *p;
 
       if (!group || !group->server_count)
         continue;
-      tick_one (node, ss_promote_get (node, name), group);
-      ss_voter_coordinator_tick (node, ss_promote_get (node, name), group);
+      p = ss_promote_get (node, name);
+      tick_one (node, p, group);
+      ss_voter_coordinator_tick (node, p, group);
     }
   g_ptr_array_free (names, TRUE);
 }
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -318,6 +318,10 @@
  * unreachable. */
 void ss_coordinator_poll_replicas (SsNode *node, SsPromotion *promotion,
                                    const SsGroup *group);
+/* ss_coordinator_sees: whether the owner of TARGET has lately reported that it
+ * answers.
+ */
+bool ss_coordinator_sees (const SsNode *node, const SsTarget *target);
 /* ss_coordinator_poll_servers: polls all servers of GROUP. */
 void ss_coordinator_poll_servers (SsNode *node, const SsGroup *group);
 /* ss_coordinator_is_primary_suspect: whether the primary of GROUP is considered
--- a/src/core/voter_change.c
+++ b/src/core/voter_change.c
@@ -1,14 +1,5 @@
 #include "core/voter_change.h"
 
-static SsVoters *
-next_generation (const SsVoterView *view)
-{
-  SsVoters *next = ss_voters_new (view->group->name);
-
-  next->generation = view->voters ? view->voters->generation + 1 : 1;
-  return next;
-}
-
 /* Returns the set that was last in force alone, without the voters that have
  * ended.
  */
@@ -29,28 +20,21 @@
 static SsVoters *
 begin (const SsVoterView *view, GPtrArray *servers)
 {
-  SsVoters *next = next_generation (view);
-  GPtrArray *before = view->voters ? last_alone (view) : NULL;
+  const SsVoters *v = view->voters;
+  GPtrArray *before = v ? last_alone (view) : NULL;
 
-  g_ptr_array_unref (next->current);
-  next->current = servers;
-  if (before && !ss_voters_set_is_equal (before, servers))
-    {
-      g_ptr_array_unref (next->former);
-      next->former = g_ptr_array_ref (before);
-    }
-  g_clear_pointer (&before, g_ptr_array_unref);
-  return next;
+  /* A change back ends the change at once. */
+  if (before && ss_voters_set_is_equal (before, servers))
+    g_clear_pointer (&before, g_ptr_array_unref);
+  return ss_voters_new (view->group->name, v ? v->generation + 1 : 1, servers,
+                        before);
 }
 
 static SsVoters *
-end (const SsVoterView *view)
+end (const SsVoters *v)
 {
-  SsVoters *next = next_generation (view);
-
-  g_ptr_array_unref (next->current);
-  next->current = ss_voters_set_copy (view->voters->current);
-  return next;
+  return ss_voters_new (v->group, v->generation + 1,
+                        ss_voters_set_copy (v->current), NULL);
 }
 
 /* Whether the voters are the servers of VIEW, and no change is under way. */
@@ -85,7 +69,7 @@
     return SS_VOTER_STEP_NONE;
   if (view->group->former.count && !view->is_replicated && !view->is_short)
     return SS_VOTER_STEP_NONE;
-  *next = end (view);
+  *next = end (v);
   return view->group->former.count && !view->is_replicated ? SS_VOTER_STEP_LOST
                                                            : SS_VOTER_STEP_END;
 }
--- a/src/core/voter_coordinator.c
+++ b/src/core/voter_coordinator.c
@@ -5,9 +5,8 @@
 #include <string.h>
 
 #include "core/config_store.h"
-#include "core/membership.h"
+#include "core/peers.h"
 #include "core/promotion.h"
-#include "core/version.h"
 #include "core/voter_change.h"
 
 /* Uptime from which this VM changes voters: before, not all servers and VMs may
@@ -28,8 +27,6 @@
  * until all VMs are asked whether to give up what only the others may hold.
  */
 #define SHORT_MS 1000
-/* A server is seen to live if its owner has reported so within this time. */
-#define FRESH_REPORT_MS 1500
 
 static char *
 voters_key (const char *group)
@@ -39,32 +36,6 @@
 
 /* --- adoption by the VMs --- */
 
-typedef struct
-{
-  SsNode *node;
-  const SsVoters *voters;
-  const SsVoterAgreement *agreement;
-} AskContext;
-
-static gboolean
-ask_member (gpointer key, gpointer value, gpointer data)
-{
-  AskContext *c = data;
-  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
-  Ss__Peer__VotersAsk ask = SS__PEER__VOTERS_ASK__INIT;
-
-  (void) value;
-  if (strcmp (key, c->node->params.vm) == 0
-      || g_hash_table_contains (c->agreement->adopted, key))
-    return FALSE;
-  ask.group = c->voters->group;
-  ask.version = c->voters->version;
-  e.body_case = SS__PEER__ENVELOPE__BODY_VOTERS_ASK;
-  e.voters_ask = &ask;
-  ss_node_send (c->node, key, &e);
-  return FALSE;
-}
-
 /* Whether this VM has counted the voters of P's group and promotes a server: a
  * change must not end meanwhile.
  */
@@ -146,13 +117,18 @@
 static void
 ask (SsNode *node, SsVoterAgreement *a, const SsVoters *v, const SsGroup *group)
 {
-  AskContext c = { node, v, a };
+  SsEnvelope e = SS__PEER__ENVELOPE__INIT;
+  Ss__Peer__VotersAsk ask = SS__PEER__VOTERS_ASK__INIT;
 
   if (node->now_ms - a->asked_ms < ASK_INTERVAL_MS)
     return;
   a->asked_ms = node->now_ms;
   ss_lease_list_wanted (node);
-  g_tree_foreach (node->members.by_name, ask_member, &c);
+  ask.group = v->group;
+  ask.version = v->version;
+  e.body_case = SS__PEER__ENVELOPE__BODY_VOTERS_ASK;
+  e.voters_ask = &ask;
+  ss_peers_ask (node, &e, a->adopted);
   if (a->adopted_ms)
     ss_coordinator_poll_servers (node, group);
 }
@@ -255,19 +231,13 @@
 {
   char *key = voters_key (v->group);
   bool lost = ss_config_is_lost (&node->config, key);
-  SsVoters *next;
+  SsVoters next = *v; /* borrows the sets */
 
   g_free (key);
   if (!lost)
     return false;
-  next = ss_voters_new (v->group);
-  next->generation = v->generation + 1;
-  g_ptr_array_unref (next->current);
-  g_ptr_array_unref (next->former);
-  next->current = ss_voters_set_copy (v->current);
-  next->former = ss_voters_set_copy (v->former);
-  write_voters (node, a, next);
-  ss_voters_free (next);
+  next.generation++;
+  write_voters (node, a, &next);
   return true;
 }
 
@@ -304,10 +274,9 @@
   for (uint32_t i = 0; i < group->server_count; i++)
     {
       const SsTarget *t = group->servers[i];
-      bool lives = t->state.reachable
-                   && node->now_ms - t->reachable_ms < FRESH_REPORT_MS;
 
-      if (lives || (!t->unlisted && v && ss_voters_contain (v, t)))
+      if (ss_coordinator_sees (node, t)
+          || (!t->unlisted && v && ss_voters_contain (v, t)))
         servers |= 1U << i;
     }
   return servers;
@@ -326,11 +295,7 @@
 {
   SsVoterAgreement *a = &p->agreement;
   const SsVoters *v = ss_config_voters (&node->config, group->name);
-  SsVoterView view
-      = { .voters = v,
-          .group = group,
-          .targets = ss_config_group_targets (&node->config, group->name),
-          .servers = voters_to_be (node, v, group) };
+  SsVoterView view = { .voters = v, .group = group };
   SsVoters *next;
   SsVoterStep step;
 
@@ -339,8 +304,11 @@
   a->due_ms = node->now_ms + INTERVAL_MS;
   if (!may_change (node, p, group)
       || (a->call && node->now_ms - a->call_ms < CALL_TIMEOUT_MS)
-      || (v ? rewrite (node, a, v)
-            : waits_for_servers (node, group, view.servers)))
+      || (v && rewrite (node, a, v)))
+    return;
+  view.targets = ss_config_group_targets (&node->config, group->name);
+  view.servers = voters_to_be (node, v, group);
+  if (!v && waits_for_servers (node, group, view.servers))
     return;
   if (v && v->former->len)
     update_agreement (node, a, v, group, view.servers);
--- a/src/core/voters.c
+++ b/src/core/voters.c
@@ -34,13 +34,15 @@
 }
 
 SsVoters *
-ss_voters_new (const char *group)
+ss_voters_new (const char *group, uint64_t generation, GPtrArray *current,
+               GPtrArray *former)
 {
   SsVoters *v = g_new0 (SsVoters, 1);
 
   v->group = g_strdup (group);
-  v->current = set_new ();
-  v->former = set_new ();
+  v->generation = generation;
+  v->current = current;
+  v->former = former ? former : set_new ();
   return v;
 }
 
@@ -97,7 +99,7 @@
 SsVoters *
 ss_voters_parse (const char *group, json_t *json, char **error)
 {
-  SsVoters *v = ss_voters_new (group);
+  SsVoters *v = ss_voters_new (group, 0, set_new (), NULL);
   int64_t generation = 0;
 
   *error = ss_parse_check_keys (json, " generation current former ");
--- a/src/core/voters.h
+++ b/src/core/voters.h
@@ -30,8 +30,11 @@
   GPtrArray *former;   /* of SsVoter; counts beside current; empty: no change */
 };
 
-/* ss_voters_new: returns voters of GROUP with two empty sets. */
-SsVoters *ss_voters_new (const char *group);
+/* ss_voters_new: returns voters of GROUP; takes ownership of the sets.  FORMER
+ * may be NULL: an empty set.
+ */
+SsVoters *ss_voters_new (const char *group, uint64_t generation,
+                         GPtrArray *current, GPtrArray *former);
 void ss_voters_free (gpointer voters);
 /* ss_voters_parse: returns the voters of GROUP that JSON describes; NULL with
  * *ERROR, to be freed, if it is invalid.
--- a/tests/test_split.c
+++ b/tests/test_split.c
@@ -105,6 +105,14 @@
 
 #define ALL_VMS ((1U << VMS) - 1)
 
+/* From now on the store answers no VM. */
+static void
+silence_store (Split *s)
+{
+  for (uint32_t i = 0; i < VMS; i++)
+    s->sim.vms[i].store = FLEET_STORE_SILENT;
+}
+
 /* Removes the entries of the servers that the store no longer reaches. */
 static void
 lapse (Split *s, uint32_t servers)
@@ -267,8 +275,7 @@
       uint32_t before;
 
       write_for (s, 2000, ALL_VMS);
-      for (uint32_t i = 0; i < VMS; i++)
-        s->sim.vms[i].store = FLEET_STORE_SILENT;
+      silence_store (s);
       s->sim.servers[2].down = down != 0;
       write_for (s, 3000, ALL_VMS);
       before = sum_acked (s, ALL_VMS);
@@ -289,8 +296,7 @@
   Split *s = split_new (8);
   uint32_t before;
 
-  for (uint32_t i = 0; i < VMS; i++)
-    s->sim.vms[i].store = FLEET_STORE_SILENT;
+  silence_store (s);
   fleet_advance (&s->sim, 3000);
   for (uint32_t i = 0; i < VMS; i++)
     s->sim.vms[i].node.platform_contact_ms -= SS_RELIANCE_MS;
@@ -314,8 +320,7 @@
   Split *s = split_new (14);
   uint32_t before;
 
-  for (uint32_t i = 0; i < VMS; i++)
-    s->sim.vms[i].store = FLEET_STORE_SILENT;
+  silence_store (s);
   fleet_advance (&s->sim, 3000);
   for (uint32_t i = 0; i < VMS; i++)
     s->sim.vms[i].node.listed_version = 0;
--- a/tests/test_voters.c
+++ b/tests/test_voters.c
@@ -55,13 +55,8 @@
 static SsVoters *
 voters_new (uint32_t current, uint32_t former)
 {
-  SsVoters *v = ss_voters_new ("g");
+  SsVoters *v = ss_voters_new ("g", 1, voters_of (current), voters_of (former));
 
-  g_ptr_array_unref (v->current);
-  g_ptr_array_unref (v->former);
-  v->current = voters_of (current);
-  v->former = voters_of (former);
-  v->generation = 1;
   v->version = 1;
   return v;
 }
