A world of real processes with servers that replicate: ss-cluster

Change: six daemons among stand-ins of the store, of three groups of three servers with logs, terms, PAUSE, STEPDOWN and promotions as the pages say, and of callers of all three kinds of route with transactions. Judged: STALE, LOST, ONE, TWICE, from what callers and servers saw.

--- a/Makefile
+++ b/Makefile
@@ -42,12 +42,15 @@
 WORLD_O = $(patsubst %.c,$B/%.o,$(wildcard tests/world/*.c)) \
   $B/tests/server_reader.o $B/src/core/replay.o \
   $(addprefix $B/src/kernel/,compare.o text.o)
+CLUSTER_O = $(patsubst %.c,$B/%.o,$(wildcard tests/cluster/*.c)) \
+  $(addprefix $B/tests/,server_reader.o world/net.o world/store.o \
+  world/vms.o) $B/src/core/replay.o $(addprefix $B/src/kernel/,compare.o text.o)
 SOURCES = $(filter-out proto/%,$(wildcard src/*/*.[ch] src/*/*.cc \
   platform/*.[ch] standin/*.[ch] bench/*.[ch] tests/*.[ch] \
-  tests/world/*.[ch]))
+  tests/world/*.[ch] tests/cluster/*.[ch]))
 PROGRAMS = $(addprefix $B/,sapphirestaird sapphirectl ss-standin-target \
   ss-standin-platform ss-standin-network ss-load ss-scenario ss-property ss-unit ss-bench ss-client ss-soak \
-  ss-world)
+  ss-world ss-cluster)
 
 all: packages
 	@$(MAKE) --no-print-directory $(PROGRAMS)
@@ -80,6 +83,8 @@
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-world: $(WORLD_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
+$B/ss-cluster: $(CLUSTER_O)
+	$(CC) $(SAN) -o $@ $^ $(LIBS)
 $B/ss-load: $(LOAD_O)
 	$(CC) $(SAN) -o $@ $^ $(LIBS)
 
--- a/tests/world/net.c
+++ b/tests/world/net.c
@@ -52,6 +52,12 @@
     g_usleep ((gulong) ms * 1000);
 }
 
+double
+world_seconds (int64_t monotonic_us)
+{
+  return (double) (monotonic_us - start_ms * 1000) / 1e6;
+}
+
 /* --- the record --- */
 
 /* A thread of its own writes the record: a slow disk holds up nobody else. */
@@ -138,6 +144,12 @@
   return address (1 + vm / 2, 10 + vm % 2);
 }
 
+char *
+world_vm_relay_ip (uint32_t vm)
+{
+  return address (81 + vm / 2, 10 + vm % 2);
+}
+
 char *
 world_server_ip (uint32_t server)
 {
--- a/tests/world/net.h
+++ b/tests/world/net.h
@@ -29,6 +29,10 @@
 /* world_now_ms: milliseconds since world_net_start. */
 int64_t world_now_ms (void);
 void world_sleep_ms (int64_t ms);
+/* world_seconds: seconds since world_net_start at MONOTONIC_US, a
+ * g_get_monotonic_time.
+ */
+double world_seconds (int64_t monotonic_us);
 
 /* world_record: adds a line to the record. */
 void world_record (const char *format, ...) G_GNUC_PRINTF (1, 2);
@@ -39,6 +43,8 @@
 
 /* The addresses, to be freed. */
 char *world_vm_ip (uint32_t vm);
+/* world_vm_relay_ip: where other VMs reach VM if a relay stands between. */
+char *world_vm_relay_ip (uint32_t vm);
 char *world_server_ip (uint32_t server);
 char *world_store_ip (void);
 char *world_promotions_ip (void);
--- a/tests/world/store.c
+++ b/tests/world/store.c
@@ -2,6 +2,7 @@
 
 #include <jansson.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "tests/world/net.h"
 #include "tests/world/servers.h"
@@ -36,6 +37,9 @@
   json_t *answer;
 } Call;
 
+#define LATE_MS 1500
+
+static const WorldStoreLinks *links;
 static GMutex lock;
 static GCond changed;
 static GTree *objects; /* kind and name -> Object */
@@ -357,6 +361,36 @@
   return sent;
 }
 
+static WorldCallFate
+find_fate (const WorldStream *stream, const Call *call)
+{
+  return links ? links->fate (stream->fd, call->method, call->path)
+               : WORLD_CALL_SERVED;
+}
+
+/* Returns false if the connection ends. */
+static bool
+carry_out (WorldStream *stream, Call *call)
+{
+  WorldCallFate fate = find_fate (stream, call);
+  int status = 503;
+
+  if (links && !links->await (stream->fd, false))
+    return false;
+  if (fate == WORLD_CALL_LATE)
+    {
+      shutdown (stream->fd, SHUT_RDWR);
+      world_sleep_ms (LATE_MS);
+    }
+  if (fate != WORLD_CALL_REFUSED)
+    status = handle_call (call);
+  world_sleep_ms (ANSWER_MS);
+  if (fate == WORLD_CALL_LATE || fate == WORLD_CALL_UNANSWERED
+      || (links && !links->await (stream->fd, true)))
+    return false;
+  return send_answer (stream->fd, call, status);
+}
+
 static bool
 serve_call (WorldStream *stream, const char *first_line)
 {
@@ -364,12 +398,7 @@
   bool sent = false;
 
   if (read_call (stream, first_line, &call))
-    {
-      int status = handle_call (&call);
-
-      world_sleep_ms (ANSWER_MS);
-      sent = send_answer (stream->fd, &call, status);
-    }
+    sent = carry_out (stream, &call);
   g_free (call.method);
   g_free (call.path);
   json_decref (call.body);
@@ -423,6 +452,12 @@
   g_free (o);
 }
 
+void
+world_store_set_links (const WorldStoreLinks *wanted)
+{
+  links = wanted;
+}
+
 bool
 world_store_start (void)
 {
--- a/tests/world/vms.c
+++ b/tests/world/vms.c
@@ -26,6 +26,7 @@
   char *log;
   int64_t started_ms;
   int64_t ended_ms;
+  int64_t away_ms;    /* how long it stays away once it has ended */
   int64_t kill_at_ms; /* 0: no SIGTERM was sent */
   guint stop;         /* its last one; valid if kill_at_ms */
   gint boot;
@@ -41,6 +42,7 @@
 static const char *daemon_path;
 static uint32_t own_ends;
 static uint32_t grace_seconds;
+static bool use_relays;
 static GArray *stops;
 static GPtrArray *log_threads;
 
@@ -53,6 +55,19 @@
   int to_fd;
 } LogCopy;
 
+void
+world_vms_use_relays (void)
+{
+  use_relays = true;
+}
+
+/* Returns the address at which other VMs reach VM, to be freed. */
+static char *
+advertised_ip (uint32_t vm)
+{
+  return use_relays ? world_vm_relay_ip (vm) : world_vm_ip (vm);
+}
+
 static char *
 seeds_text (void)
 {
@@ -60,7 +75,7 @@
 
   for (uint32_t i = 0; i < WORLD_VMS; i += 2)
     {
-      char *ip = world_vm_ip (i);
+      char *ip = advertised_ip (i);
 
       g_string_append_printf (seeds, "%s:%d ", ip, WORLD_SEED_PORT);
       g_free (ip);
@@ -75,11 +90,13 @@
 settings_text (uint32_t vm, uint32_t kind)
 {
   char *ip = world_vm_ip (vm);
+  char *advertised = advertised_ip (vm);
   char *store = world_store_ip ();
   char *promotions = world_promotions_ip ();
   char *seeds = seeds_text ();
   char *text = g_strdup_printf (
       "[vm]\nname = \"%s\"\nfailure_domain = \"%s\"\nip = \"%s\"\n"
+      "advertised_ip = \"%s\"\n"
       "interface = \"line\"\ncallers_at = \"%s:%d\"\nready_at = \"%s:%d\"\n"
       "peer_port = %d\nadmin_port = 9464\ncores = 0.25\ngrace_s = %u\n\n"
       "[platform]\nat = \"%s:%d\"\npromotions_at = \"%s:%d\"\n"
@@ -90,12 +107,13 @@
       "heartbeat_ms = 250\npoll_idle_ms = 4000\npoll_lagging_ms = 4000\n"
       "silence_ms = 450\nunreachable_ms = 900\npoll_asked_ms = 10\n"
       "report_idle_ms = %u\nreport_min_ms = 300\n\n[log]\nlevel = \"info\"\n",
-      vm_names[vm], domains[vm / 2], ip, ip, WORLD_CALLERS_PORT, ip,
+      vm_names[vm], domains[vm / 2], ip, advertised, ip, WORLD_CALLERS_PORT, ip,
       WORLD_READY_PORT, WORLD_PEER_PORT, grace_seconds, store,
       WORLD_PLATFORM_PORT, promotions, WORLD_PLATFORM_PORT, seeds,
       WORLD_PEER_PORT, 3500 - kind % 3, 500 + kind % 7);
 
   g_free (ip);
+  g_free (advertised);
   g_free (store);
   g_free (promotions);
   g_free (seeds);
@@ -165,6 +183,7 @@
 
   world_record ("%s starts", vm_names[vm]);
   v->kill_at_ms = 0;
+  v->away_ms = START_AGAIN_MS;
   v->started_ms = world_now_ms ();
   v->pid = fork ();
   if (v->pid == 0)
@@ -192,8 +211,8 @@
     }
 }
 
-static bool
-is_ready (uint32_t vm)
+bool
+world_vms_is_ready (uint32_t vm)
 {
   static const char ask[]
       = "GET /v1/readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
@@ -219,7 +238,7 @@
 world_vms_all_ready (void)
 {
   for (uint32_t i = 0; i < WORLD_VMS; i++)
-    if (!is_ready (i))
+    if (!world_vms_is_ready (i))
       return false;
   return true;
 }
@@ -288,6 +307,34 @@
   note_end (v, status, true);
 }
 
+void
+world_vms_kill_for (uint32_t vm, int64_t away_ms)
+{
+  world_vms_kill (vm);
+  vms[vm].away_ms = away_ms;
+}
+
+static void
+send_signal (uint32_t vm, int number, const char *what)
+{
+  if (vms[vm].pid <= 0)
+    return;
+  world_record ("%s %s", vm_names[vm], what);
+  kill (vms[vm].pid, number);
+}
+
+void
+world_vms_freeze (uint32_t vm)
+{
+  send_signal (vm, SIGSTOP, "freezes");
+}
+
+void
+world_vms_thaw (uint32_t vm)
+{
+  send_signal (vm, SIGCONT, "goes on");
+}
+
 void
 world_vms_terminate (uint32_t vm)
 {
@@ -330,7 +377,7 @@
     check_end (vm);
   if (v->pid && v->kill_at_ms && now >= v->kill_at_ms)
     world_vms_kill (vm);
-  if (!v->pid && now >= v->ended_ms + START_AGAIN_MS)
+  if (!v->pid && now >= v->ended_ms + v->away_ms)
     start_daemon (vm);
 }
 
--- a/tests/world/vms.h
+++ b/tests/world/vms.h
@@ -19,6 +19,10 @@
   bool killed;    /* by SIGKILL, after the grace period */
 } WorldStop;
 
+/* world_vms_use_relays: other VMs reach each VM at its relay's address.  To be
+ * called before the start.
+ */
+void world_vms_use_relays (void);
 /* world_vms_start: starts a daemon on each VM, whose grace period is GRACE_S;
  * settings and logs are in FOLDER.  To be called by the thread that lives until
  * world_vms_stop.
@@ -37,10 +41,19 @@
 /* world_vms_change_settings: writes another settings file; KIND chooses which.
  */
 void world_vms_change_settings (uint32_t vm, uint32_t kind);
+/* world_vms_is_ready: whether it answers the platform's probe with 200. */
+bool world_vms_is_ready (uint32_t vm);
 /* world_vms_all_ready: whether all answer the platform's probe with 200. */
 bool world_vms_all_ready (void);
 /* world_vms_kill: ends a daemon with SIGKILL; tend starts it again. */
 void world_vms_kill (uint32_t vm);
+/* world_vms_kill_for: as world_vms_kill; it is started again after AWAY_MS. */
+void world_vms_kill_for (uint32_t vm, int64_t away_ms);
+/* world_vms_freeze, world_vms_thaw: stop a daemon between any two instructions,
+ * and let it go on.
+ */
+void world_vms_freeze (uint32_t vm);
+void world_vms_thaw (uint32_t vm);
 /* world_vms_terminate: sends SIGTERM, and tend SIGKILL after the grace period.
  */
 void world_vms_terminate (uint32_t vm);
