Tests that fail: leases that promotions do not wait for, states older than asked for

- lease_holders: a VM gives a group up in its object before it gives up its lease, and a later leader is named without the end of the leases on the one before.

Known red until their fixes.

--- a/tests/fleet_platform.c
+++ b/tests/fleet_platform.c
@@ -230,8 +230,8 @@
   g_free (w);
 }
 
-void
-fleet_execute_late_writes (FleetSim *sim)
+static void
+execute_late_writes (FleetSim *sim)
 {
   for (GList *l = sim->late_writes.head, *next; l; l = next)
     {
@@ -260,10 +260,11 @@
 }
 
 static bool
-is_promotion_write (const SsAction *a)
+may_write_fail (const FleetWriteFaults *f, const SsAction *a)
 {
   return strcmp (a->name, SS_PROMOTE_DUTY_KEY) == 0
-         || g_str_has_prefix (a->name, "group/");
+         || g_str_has_prefix (a->name, "group/")
+         || (f->vm_objects && g_str_has_prefix (a->name, "vm/"));
 }
 
 static void
@@ -283,7 +284,7 @@
 {
   const FleetWriteFaults *f = &sim->write_faults;
   bool matches = a->number == stored_version (sim, a->name);
-  bool may_fail = is_promotion_write (a);
+  bool may_fail = may_write_fail (f, a);
 
   if (may_fail && draw (sim, f->pause_permille))
     vm->paused_until_ms = sim->now_ms + draw_ms (sim, f->pause_max_ms);
@@ -320,15 +321,24 @@
   g_array_append_val (sim->calls, call);
 }
 
-static void
-promote (FleetSim *sim, FleetVm *vm, const SsAction *a)
+/* Whether SERVER leads the latest term of its group. */
+static bool
+is_leader (const FleetSim *sim, const FleetServer *server)
 {
-  Scheduled *s
-      = fleet_schedule (sim, vm, PROMOTION_MS, SS_EVENT_PLATFORM_PROMOTED);
-  FleetServer *chosen = fleet_find_server (sim, a->text);
+  for (uint32_t i = 0; i < FLEET_SERVERS; i++)
+    if (sim->servers[server->group * FLEET_SERVERS + i].term > server->term)
+      return false;
+  return server->role == SS_SERVER_PRIMARY;
+}
 
-  sim->promotions++;
-  record_call (sim, vm, chosen->group, a->number);
+/* Has CHOSEN lead the next term of its group.  For the present primary nothing
+ * changes.
+ */
+static void
+lead (FleetSim *sim, FleetServer *chosen)
+{
+  if (is_leader (sim, chosen))
+    return;
   for (uint32_t i = 0; i < FLEET_SERVERS; i++)
     {
       const FleetServer *other
@@ -349,6 +359,64 @@
       other->barred_term = 0;
       other->position = chosen->position;
     }
+}
+
+/* A promotion call that is not answered and carried out later. */
+typedef struct
+{
+  int64_t due_ms;
+  FleetServer *chosen;
+} LateCall;
+
+static void
+execute_late_calls (FleetSim *sim)
+{
+  for (GList *l = sim->late_calls.head, *next; l; l = next)
+    {
+      LateCall *c = l->data;
+
+      next = l->next;
+      if (sim->now_ms < c->due_ms)
+        continue;
+      lead (sim, c->chosen);
+      g_queue_delete_link (&sim->late_calls, l);
+      g_free (c);
+    }
+}
+
+void
+fleet_execute_late (FleetSim *sim)
+{
+  execute_late_writes (sim);
+  execute_late_calls (sim);
+}
+
+static void
+promote_late (FleetSim *sim, FleetServer *chosen)
+{
+  LateCall *c = g_new0 (LateCall, 1);
+
+  c->due_ms = sim->now_ms + draw_ms (sim, sim->write_faults.call_late_max_ms);
+  c->chosen = chosen;
+  g_queue_push_tail (&sim->late_calls, c);
+}
+
+static void
+promote (FleetSim *sim, FleetVm *vm, const SsAction *a)
+{
+  FleetServer *chosen = fleet_find_server (sim, a->text);
+  Scheduled *s;
+
+  sim->promotions++;
+  record_call (sim, vm, chosen->group, a->number);
+  if (draw (sim, sim->write_faults.call_late_permille))
+    {
+      promote_late (sim, chosen);
+      fail_object_call (sim, vm, a, SS_PLATFORM_UNKNOWN);
+      return;
+    }
+  lead (sim, chosen);
+  s = fleet_schedule (sim, vm, PROMOTION_MS, SS_EVENT_PLATFORM_PROMOTED);
   s->event.platform_object.call = a->id;
   s->event.platform_object.outcome = SS_PLATFORM_DONE;
 }
@@ -411,6 +479,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, stored_free);
   sim->calls = g_array_new (FALSE, FALSE, sizeof (FleetCall));
   g_queue_init (&sim->late_writes);
+  g_queue_init (&sim->late_calls);
 }
 
 void
@@ -419,4 +488,5 @@
   g_hash_table_destroy (sim->objects);
   g_array_unref (sim->calls);
   g_queue_clear_full (&sim->late_writes, late_write_free);
+  g_queue_clear_full (&sim->late_calls, g_free);
 }
--- a/tests/fleet_sim.c
+++ b/tests/fleet_sim.c
@@ -494,7 +494,7 @@
       Scheduled *s;
 
       sim->now_ms++;
-      fleet_execute_late_writes (sim);
+      fleet_execute_late (sim);
       due = sim->schedule[sim->now_ms % SLOTS];
       g_queue_init (&sim->schedule[sim->now_ms % SLOTS]);
       while ((s = g_queue_pop_head (&due)))
@@ -883,6 +883,22 @@
   return ss_config_group (&sim->vms[vm].node.config, name);
 }
 
+bool
+fleet_lease_holds (FleetSim *sim, uint32_t vm, uint32_t group)
+{
+  FleetVm *v = &sim->vms[vm];
+  SsGroup *g = fleet_group (sim, vm, group);
+  int64_t before_ms = v->node.now_ms;
+  bool holds;
+
+  if (!v->up || !g)
+    return false;
+  v->node.now_ms = sim->now_ms + v->clock_offset_ms;
+  holds = ss_lease_holds (&v->node, g);
+  v->node.now_ms = before_ms;
+  return holds;
+}
+
 const char *
 fleet_primary (FleetSim *sim, uint32_t group)
 {
--- a/tests/fleet_sim.h
+++ b/tests/fleet_sim.h
@@ -50,11 +50,15 @@
  */
 typedef struct
 {
+  bool vm_objects;         /* also of the writes of VMs' objects */
   uint32_t pause_permille; /* the VM is paused before it gets the answer */
   int64_t pause_max_ms;
   uint32_t lost_permille; /* the answer is lost */
   uint32_t late_permille; /* so is it, and the write is executed later */
   int64_t late_max_ms;
+  /* Of promotion calls: not answered, and carried out later. */
+  uint32_t call_late_permille;
+  int64_t call_late_max_ms;
 } FleetWriteFaults;
 
 /* A promotion call as the platform gets it. */
@@ -130,6 +134,7 @@
   GArray *calls; /* of FleetCall, in the order that they were sent */
   FleetWriteFaults write_faults;
   GQueue late_writes;  /* of LateWrite */
+  GQueue late_calls;   /* of LateCall */
   char *organisations; /* member of the routes, JSON; NULL: none */
   const char *key;     /* of callers opened from now on; NULL: none */
   /* Replies to callers. */
@@ -212,6 +217,10 @@
 const char *fleet_primary (FleetSim *sim, uint32_t group);
 /* fleet_group: returns GROUP as VM knows it, or NULL. */
 SsGroup *fleet_group (FleetSim *sim, uint32_t vm, uint32_t group);
+/* fleet_lease_holds: whether VM relies on a lease on the primary of GROUP that
+ * it knows, now by its own clock.
+ */
+bool fleet_lease_holds (FleetSim *sim, uint32_t vm, uint32_t group);
 /* fleet_calls: returns how many calls on the platform for PURPOSE all VMs that
  * are up have made since their start.
  */
--- a/tests/fleet_sim_internal.h
+++ b/tests/fleet_sim_internal.h
@@ -48,7 +48,7 @@
 void fleet_call_platform (FleetSim *sim, FleetVm *vm, const SsAction *a);
 /* fleet_expire_watches: answers the watches of VM whose time is over. */
 void fleet_expire_watches (FleetSim *sim, FleetVm *vm);
-/* fleet_execute_late_writes: executes the writes that are due. */
-void fleet_execute_late_writes (FleetSim *sim);
+/* fleet_execute_late: executes the writes and promotion calls that are due. */
+void fleet_execute_late (FleetSim *sim);
 
 #endif
--- a/tests/line_sim.c
+++ b/tests/line_sim.c
@@ -137,6 +137,15 @@
   sim->replied_position = ss_position_unpack (reply->mark);
 }
 
+static void
+record_status_report (LineSim *sim, const Ss__Peer__StatusReport *report)
+{
+  if (!report->ask)
+    return;
+  sim->status_replies++;
+  sim->replied_shown_term = report->state->shown_term;
+}
+
 static void
 record_peer_message (LineSim *sim, const SsAction *a)
 {
@@ -146,6 +155,8 @@
 
   if (e->body_case == SS__PEER__ENVELOPE__BODY_LEASE_ASK)
     sim->lease_nonce = e->lease_ask->nonce;
+  if (e->body_case == SS__PEER__ENVELOPE__BODY_STATUS_REPORT)
+    record_status_report (sim, e->status_report);
   if (e->body_case == SS__PEER__ENVELOPE__BODY_CONFIG_PULL)
     sim->config_pulls++;
   if (e->body_case == SS__PEER__ENVELOPE__BODY_RATE_ASK)
--- a/tests/line_sim.h
+++ b/tests/line_sim.h
@@ -111,6 +111,8 @@
   uint32_t position_replies;   /* confirmed positions sent to VM "b" */
   uint32_t position_age_ms;    /* age of the last one */
   SsPosition replied_position; /* and the position itself */
+  uint32_t status_replies;     /* sent to requests of VM "b" */
+  uint64_t replied_shown_term; /* that the last one tells */
   /* Probability of injected faults, per mille. */
   uint32_t busy_permille; /* a server answers BUSY */
   uint32_t lost_permille; /* the connection closes instead of the answer */
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -9,7 +9,9 @@
   X (rate_backlog)                                                             \
   X (far_owner)                                                                \
   X (foreign_key)                                                              \
-  X (duty_calls)
+  X (duty_calls)                                                               \
+  X (lease_holders)                                                            \
+  X (status_request)
 
 #define SUITES(X)                                                              \
   X (position)                                                                 \
