Logs tell on what an owner relied, and for which statements

Change: PRIMARY_RELIED when the owner of a primary relies on another basis or term, with the age of each server's state; STATEMENT_RELIED for the last 16 statements that it let through before it knew of a later term, by their ids; LEASES_LISTED for what this VM's object lists; PROMOTION_RAISED names the raised servers.

--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -83,6 +83,23 @@
   return ss_stored_object_is_equal (o, &own);
 }
 
+/* Logs the groups in LEASES, whose keys are their names. */
+static void
+log_leases (SsNode *node, SsLogEvent event, GHashTable *leases)
+{
+  GList *names
+      = g_list_sort (g_hash_table_get_keys (leases), (GCompareFunc) strcmp);
+  GString *text = g_string_new (NULL);
+
+  for (GList *l = names; l; l = l->next)
+    g_string_append_printf (text, " %s", (const char *) l->data);
+  ss_node_log (
+      node, event, node->params.vm, "version=" SS_VERSION_FORMAT " groups=%u%s",
+      SS_VERSION_ARGS (node->leases_version), g_list_length (names), text->str);
+  g_string_free (text, TRUE);
+  g_list_free (names);
+}
+
 /* Updates node->leases from this VM's object; none if it is deleted.  Groups
  * that it named before in the same era keep their start time.
  */
@@ -111,6 +128,7 @@
     g_hash_table_insert (node->leases, g_strdup (group ? group : ""), copy);
   }
   node->leases_version = object->version;
+  log_leases (node, SS_EVENT_LOG_LEASES_LISTED, node->leases);
   if (object->deleted)
     node->listed_version = 0;
   else if (!node->listed_version || !same_era)
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -10,6 +10,7 @@
 #include "core/connection_cache.h"
 #include "core/message.h"
 #include "core/queue.h"
+#include "core/reliance.h"
 #include "core/replay.h"
 #include "core/requests.h"
 #include "core/server_speed.h"
@@ -200,6 +201,7 @@
   int64_t replica_requested_ms[SS_CONFIG_SERVERS_MAX];
   SsPosition replica_wanted[SS_CONFIG_SERVERS_MAX]; /* that it asked for */
   SsConfirmationRound round;
+  SsReliance reliance; /* of the statements that it let through */
 };
 
 void ss_owner_init (SsNode *node);
--- a/src/core/owner.c
+++ b/src/core/owner.c
@@ -17,6 +17,10 @@
  */
 #define ROLLBACK_TIMEOUT_MS 2000
 #define TOO_MANY_CONNECTIONS "53300"
+/* Statements let through in this time before a later term is known are logged:
+ * longer than a lease and a promotion.
+ */
+#define RELIED_LOGGED_MS 10000
 
 static void
 free_status_request (gpointer data)
@@ -288,6 +292,26 @@
     }
 }
 
+/* Logs the latest statements that were let through in an earlier term: those
+ * that are stale if the term began before.
+ */
+static void
+log_relied (SsNode *node, SsOwnedTarget *owned, const SsGroup *group)
+{
+  int64_t since_ms = node->now_ms - RELIED_LOGGED_MS;
+  SsReliedStatement s;
+
+  while (ss_reliance_take (&owned->reliance, group->term, since_ms, &s))
+    ss_node_log (node, SS_EVENT_LOG_STATEMENT_RELIED, s.label,
+                 "target=%s term=%" G_GUINT64_FORMAT
+                 " later_term=%" G_GUINT64_FORMAT
+                 " basis=%s before_ms=%" G_GINT64_FORMAT
+                 " basis_age_ms=%" G_GINT64_FORMAT,
+                 owned->target->name, s.term, group->term,
+                 ss_reliance_basis_name (s.basis), node->now_ms - s.at_ms,
+                 s.at_ms - s.confirmed_ms);
+}
+
 static void
 check_term (SsNode *node, SsOwnedTarget *owned)
 {
@@ -295,6 +319,7 @@
 
   if (!group || group->term == owned->group_term)
     return;
+  log_relied (node, owned, group);
   if (owned->group_term && strcmp (group->primary, owned->target->name) != 0)
     end_superseded (node, owned);
   owned->group_term = group->term;
--- a/src/core/quorum.c
+++ b/src/core/quorum.c
@@ -9,6 +9,7 @@
 
 #include "core/owner.h"
 #include "core/promotion.h"
+#include "core/version.h"
 #include "core/voters.h"
 
 #define STATUS_RETRY_MS 100
@@ -288,6 +289,52 @@
     start_round (node, owned, group);
 }
 
+/* Logs on what this VM relies for OWNED from now on.  The round's servers are
+ * those that have shown no later term.
+ */
+static void
+log_basis (SsNode *node, const SsOwnedTarget *owned, const SsGroup *group,
+           int64_t confirmed_ms)
+{
+  const SsVoters *voters = ss_config_voters (&node->config, group->name);
+  GString *servers = g_string_new (NULL);
+
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      const SsTarget *t = group->servers[i];
+
+      g_string_append_printf (
+          servers, " %s=%" G_GUINT64_FORMAT "/%" G_GINT64_FORMAT "ms%s",
+          t->name, t->state.shown_term, node->now_ms - t->state_ms,
+          owned->round.confirmed >> i & 1 ? "/counted" : "");
+    }
+  ss_node_log (
+      node, SS_EVENT_LOG_PRIMARY_RELIED, owned->target->name,
+      "group=%s term=%" G_GUINT64_FORMAT " basis=%s age_ms=%" G_GINT64_FORMAT
+      " group_version=" SS_VERSION_FORMAT " voters=%" G_GUINT64_FORMAT "%s",
+      group->name, group->term, ss_reliance_basis_name (owned->reliance.basis),
+      node->now_ms - confirmed_ms, SS_VERSION_ARGS (group->version),
+      voters ? voters->generation : 0, servers->str);
+  g_string_free (servers, TRUE);
+}
+
+/* JOB may run: the primary is confirmed, under a lease or by the round. */
+static void
+let_through (SsNode *node, SsOwnedTarget *owned, const SsGroup *group,
+             SsJob *job)
+{
+  bool has_lease = group && ss_lease_holds (node, group);
+  int64_t confirmed_ms
+      = has_lease ? group->confirmed_ms : owned->round.started_ms;
+
+  if (group
+      && ss_reliance_note (&owned->reliance, job->label,
+                           has_lease ? SS_RELIANCE_LEASE : SS_RELIANCE_SERVERS,
+                           group->term, confirmed_ms, node->now_ms))
+    log_basis (node, owned, group, confirmed_ms);
+  ss_job_queue (node, owned, job);
+}
+
 /* Queues the jobs that arrived before the round began if it was CONFIRMED, and
  * refuses them otherwise.
  */
@@ -305,7 +352,7 @@
         continue;
       g_queue_delete_link (&owned->unconfirmed, l);
       if (confirmed)
-        ss_job_queue (node, owned, job);
+        let_through (node, owned, ss_owned_group (node, owned), job);
       else
         ss_job_answer (node, job, SS_VERDICT_NOT_RUN, SS_REASON_NO_MARK,
                        SS_RETRY_PROMOTION_MS);
@@ -320,7 +367,7 @@
 
   if (!group || ss_lease_holds (node, group))
     {
-      ss_job_queue (node, owned, job);
+      let_through (node, owned, group, job);
       return;
     }
   g_queue_push_tail (&owned->unconfirmed, job);
--- a/src/core/term_raise.c
+++ b/src/core/term_raise.c
@@ -98,12 +98,25 @@
 choose_primary (SsNode *node, SsPromotion *p, const SsGroup *group)
 {
   const SsTarget *best = best_candidate (p, group);
+  GString *raised = g_string_new (NULL);
 
   g_free (p->chosen);
   p->chosen = g_strdup (best->name);
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      const SsPosition *held = raised_position (p, group->servers[i]);
+
+      if (held)
+        g_string_append_printf (
+            raised, " %s=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT,
+            group->servers[i]->name, held->term, held->offset);
+    }
   ss_node_log (node, SS_EVENT_LOG_PROMOTION_RAISED, p->group,
-               "term=%" G_GUINT64_FORMAT " chosen=%s ms=%" G_GINT64_FORMAT,
-               p->term, p->chosen, node->now_ms - p->started_ms);
+               "term=%" G_GUINT64_FORMAT " chosen=%s ms=%" G_GINT64_FORMAT
+               " servers=%u%s",
+               p->term, p->chosen, node->now_ms - p->started_ms,
+               group->server_count, raised->str);
+  g_string_free (raised, TRUE);
   if (node->dialect->platform_promotes)
     {
       ss_coordinator_call_platform (node, p);
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -88,6 +88,14 @@
   X (VOTERS_SETTLED, 510, INFO, "change of the servers that count has ended")  \
   X (VOTERS_LOST, 511, ERROR,                                                  \
      "too few servers are left: commits that only the others had are lost")    \
+  X (PRIMARY_RELIED, 512, INFO,                                                \
+     "statements run at a primary on another basis or in another term")        \
+  X (STATEMENT_RELIED, 513, INFO,                                              \
+     "statement let through before a later term was known")                    \
+  X (LEASES_LISTED, 514, INFO,                                                 \
+     "groups that this vm's object lists, so that promotions wait for it")     \
+  X (LEASES_GIVEN_UP, 515, INFO,                                               \
+     "leases given up before this vm's object stops listing them")             \
   X (CALLER_REFUSED, 600, WARNING, "caller refused")                           \
   X (REQUEST_RAN, 601, INFO, "request answered")                               \
   X (REQUEST_NOT_RUN, 602, INFO, "request refused without being run")          \
