A server's role and terms come from a poll that began after the question

What callers saw: STALE. Without the platform, an owner confirms its primary by a majority of the servers; it may be superseded.

Cause: two ways by which the answer to a statement stands for a poll. A request for a server's state names the poll that may answer it by a number that rises when a poll begins, and is looked at on each answer of a statement, too: the state told is then the one before. And an answer to a statement that was sent after a poll had begun marks the state as newer than that poll, whose role and terms are then dropped: on a busy server, where STATUS waits for a slot like all others, all of them, for as long as it is busy. Class: data whose parts are of different age, under one time.

Change: a request is answered once a poll that began after it has told the state; a poll is always adopted, with the positions of later answers.

--- a/src/core/multiplex.c
+++ b/src/core/multiplex.c
@@ -270,12 +270,16 @@
 ss_multiplex_note_position (SsNode *node, const SsConnection *c,
                             const SsTargetResult *result)
 {
-  SsTarget *t = c->owned->target;
+  SsOwnedTarget *owned = c->owned;
+  SsTarget *t = owned->target;
 
   t->state_ms = MAX (t->state_ms, c->sent_ms);
-  ss_quorum_note_position (node, c->owned, c->sent_ms, result->applied);
-  if (c->owned->status_requests->len)
-    ss_target_monitor_answer_requests (node, c->owned);
+  if (c->sent_ms >= owned->polled_ms)
+    owned->applied_since_poll
+        = ss_position_max (owned->applied_since_poll, result->applied);
+  ss_quorum_note_position (node, owned, c->sent_ms, result->applied);
+  if (owned->status_requests->len)
+    ss_target_monitor_answer_requests (node, owned);
 }
 
 void
--- a/src/core/owned.h
+++ b/src/core/owned.h
@@ -119,7 +119,8 @@
   uint64_t request_id; /* repeated in the reply */
   char **identities;   /* callers to return floors for; may be NULL */
   SsPosition held;     /* position that the log must contain; offset 0: none */
-  uint64_t poll;       /* answered by this poll or a later one */
+  uint64_t poll;       /* answered by this poll or a later one, once it has
+                          told the state */
   int64_t poll_ms;     /* earliest time of a poll for it */
   int64_t expires_ms;
 } SsStatusRequest;
@@ -171,10 +172,13 @@
   int64_t control_after_ms;
   SsBackoff control_backoff; /* of its connection attempts */
   int64_t control_started_ms;
-  uint64_t poll; /* sequence number of the last poll */
+  uint64_t poll;          /* sequence number of the last poll that began */
+  uint64_t answered_poll; /* of the last one that has told the state */
   int64_t poll_due_ms;
-  int64_t polled_ms;   /* when the last poll began */
-  uint64_t raise_term; /* 0: no raise is requested */
+  int64_t polled_ms;             /* when the last poll began */
+  SsPosition applied_since_poll; /* highest one in the answers to statements
+                                    that were sent since then */
+  uint64_t raise_term;           /* 0: no raise is requested */
   GPtrArray *raise_requesters;
   GPtrArray *status_requests;
   GHashTable *subscribers; /* subscribers.h */
--- a/src/core/target_monitor.c
+++ b/src/core/target_monitor.c
@@ -117,7 +117,7 @@
                          && s->held.offset >= r->held.offset)
                      || s->shown_term > r->held.term;
 
-      if (owned->poll < r->poll)
+      if (owned->answered_poll < r->poll)
         continue;
       if (r->held.offset && !settled && node->now_ms < r->expires_ms)
         continue;
@@ -153,6 +153,7 @@
 {
   owned->poll++;
   owned->polled_ms = node->now_ms;
+  owned->applied_since_poll = (SsPosition){ 0, 0 };
   start_statement (node, owned, SS_CONTROL_POLL,
                    node->dialect->status (node->dialect));
 }
@@ -257,6 +258,23 @@
                t->state.held.offset);
 }
 
+/* Takes STATE, as the last poll has told it.  Answers to statements that were
+ * sent after that poll began are newer, but tell positions only: they must not
+ * displace its role and terms.
+ */
+static void
+adopt_poll (SsOwnedTarget *owned, const SsServerState *state)
+{
+  SsTarget *t = owned->target;
+  SsPosition since_poll = owned->applied_since_poll;
+
+  t->state = *state;
+  t->state.applied = ss_position_max (state->applied, since_poll);
+  t->state.held = ss_position_max (state->held, since_poll);
+  t->state_ms = MAX (t->state_ms, owned->polled_ms);
+  owned->answered_poll = owned->poll;
+}
+
 static void
 handle_poll (SsNode *node, SsOwnedTarget *owned, const SsTargetResult *result)
 {
@@ -272,8 +290,7 @@
                                       result->row_cells, &state))
     return;
   state.reachable = true;
-  ss_node_update_state (node, t, &state,
-                        (uint32_t) (node->now_ms - owned->control_started_ms));
+  adopt_poll (owned, &state);
   log_role (node, t, &old);
   if (owned->raise_term && state.shown_term >= owned->raise_term)
     send_raise_replies (node, owned, state.shown_term == owned->raise_term);
--- a/tests/cluster/faults.c
+++ b/tests/cluster/faults.c
@@ -242,6 +242,19 @@
        (f->dice >> 5 & ALL_VMS) | (f->dice >> 20 & 1 ? PLATFORM : 0));
 }
 
+/* A primary and VMs of its zone lose the other VMs and the platform; the other
+ * servers are reached from both sides.
+ */
+static void
+cut_primary_side (Fault *f)
+{
+  uint32_t primary = pick_primary (f);
+  uint32_t zone = cluster_servers_zone (primary);
+  uint32_t vms = f->dice >> 20 & 1 ? 3U : 1U << (f->dice >> 21 & 1);
+
+  cut (f, server_bit (primary) | vms << 2 * zone, ALL_VMS | PLATFORM);
+}
+
 static void
 cut_platform (Fault *f)
 {
@@ -322,6 +335,32 @@
   cluster_servers_slow (f->server, 1);
 }
 
+/* Sets how slow the replicas of the fault's group are. */
+static void
+set_replicas_slow (const Fault *f, uint32_t factor)
+{
+  uint32_t first = f->server * CLUSTER_REPLICAS;
+
+  for (uint32_t i = first; i < first + CLUSTER_REPLICAS; i++)
+    if (factor == 1 || i != cluster_servers_primary (f->server))
+      cluster_servers_slow (i, factor);
+}
+
+static void
+slow_replicas (Fault *f)
+{
+  f->server = f->dice / 100 % CLUSTER_GROUPS;
+  world_record ("the replicas of %s are slow",
+                cluster_servers_service (f->server));
+  set_replicas_slow (f, SLOW_FACTOR);
+}
+
+static void
+end_slow_replicas (Fault *f)
+{
+  set_replicas_slow (f, 1);
+}
+
 static void
 lag_server (Fault *f)
 {
@@ -480,11 +519,13 @@
   { "cut_zone", 500, 10000, cut_zone, heal, NULL },
   { "cut_primary_replicas", 500, 8000, cut_primary_replicas, heal, NULL },
   { "cut_primary_vms", 500, 8000, cut_primary_vms, heal, NULL },
+  { "cut_primary_side", 2000, 9000, cut_primary_side, heal, NULL },
   { "cut_platform", 500, 9000, cut_platform, heal, NULL },
   { "store_busy", 500, 8000, store_busy, end_store_busy, NULL },
   { "store_slow", 500, 8000, store_slow, end_store_slow, NULL },
   { "store_lossy", 500, 8000, store_lossy, end_store_lossy, NULL },
   { "slow_server", 500, 6000, slow_server, end_slow, NULL },
+  { "slow_replicas", 1000, 8000, slow_replicas, end_slow_replicas, NULL },
   { "lag_server", 500, 8000, lag_server, end_lag, NULL },
   { "replace", DRAIN_MS, DRAIN_MS + 1000, replace_server, end_server, NULL },
 };
--- a/tests/test_status_request.c
+++ b/tests/test_status_request.c
@@ -37,25 +37,37 @@
       line_sim_send (sim, i, "READ 1a");
 }
 
+/* Asks for the server's state and returns the term that the answer tells. */
+static uint64_t
+shown_term (LineSim *sim, uint64_t ask)
+{
+  uint32_t replies = sim->status_replies;
+
+  ask_status (sim, ask);
+  for (uint32_t i = 0; i < ANSWER_LIMIT_MS && sim->status_replies == replies;
+       i++)
+    line_sim_advance (sim, 1);
+  CU_ASSERT (sim->status_replies == replies + 1);
+  return sim->replied_shown_term;
+}
+
 /* Raises the term of the server unknown to the core, asks for its state while
  * reads run there, and returns the term that the answer tells.
  */
 static uint64_t
 ask_after_raise (LineSim *sim, uint64_t term)
 {
-  uint32_t replies;
+  uint64_t shown;
 
   send_reads (sim);
   line_sim_advance (sim, PAUSE_MS);
   send_reads (sim);
   sim->servers[SERVER].barred_term = term;
-  replies = sim->status_replies;
-  ask_status (sim, term);
-  for (uint32_t i = 0; i < ANSWER_LIMIT_MS && sim->status_replies == replies;
-       i++)
-    line_sim_advance (sim, 1);
-  CU_ASSERT (sim->status_replies == replies + 1);
-  return sim->replied_shown_term;
+  shown = shown_term (sim, term);
+  /* So that the core does not resume it in the next round. */
+  sim->servers[SERVER].barred_term = 0;
+  shown_term (sim, term);
+  return shown;
 }
 
 /* Guards against STALE: a request for a server's state was answered from a
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -10,8 +10,7 @@
   X (far_owner)                                                                \
   X (foreign_key)                                                              \
   X (duty_calls)                                                               \
-  X (lease_holders)                                                            \
-  X (status_request)
+  X (lease_holders)
 
 #define SUITES(X)                                                              \
   X (position)                                                                 \
@@ -30,6 +29,7 @@
   X (statement_text)                                                           \
   X (foreign_text)                                                             \
   X (staleness)                                                                \
+  X (status_request)                                                           \
   X (relay)                                                                    \
   X (fleet)                                                                    \
   X (fanout)                                                                   \
