A VM gives a lease up before its object stops listing it

What callers saw: STALE, and commits acknowledged by a superseded primary.

Cause: a promotion waits for the VMs whose objects list the group. A VM that had lost a primary to another owner wrote its object without the group and relied on the lease until it had adopted that write: with a lost answer, a pause, or a write by another VM in its place up to the lease's time. If it got the primary back meanwhile (the VM that took it over was lost again), its view still listed the group, so it wrote nothing, renewed the lease and relied on it while promotions did not wait for it; a write carried out late did the same later on, also one of the VM's life before. A VM that the coordinator does not hear for 30 s had its leases taken out of its object by the coordinator, whether or not it heard others. Class: a right is handed back in the store before its holder has let go of it.

Leases that a write leaves out are given up before it is sent, and taken again only from an object of a later version than that write was based on, written in this life of the VM; each give-up changes the object's content, so that there is one. A mark of silence keeps the leases: a promotion then waits for their time.

--- a/src/core/directory.c
+++ b/src/core/directory.c
@@ -26,7 +26,7 @@
 typedef struct
 {
   SsNode *node;
-  json_t *leases;
+  GPtrArray *groups; /* names */
 } LeasesContext;
 
 static gboolean
@@ -37,26 +37,38 @@
 
   /* A commit that waits at a former owner is acknowledged under its lease. */
   if (primary && (ss_node_is_owner (l->node, primary) || primary->is_finishing))
-    json_array_append_new (l->leases, json_string (key));
+    g_ptr_array_add (l->groups, key);
   return FALSE;
 }
 
-/* Returns the value of this VM's object: its address, and the groups whose
+/* Returns the names of the groups whose primaries this VM needs leases on. */
+static GPtrArray *
+needed_leases (SsNode *node)
+{
+  LeasesContext l = { node, g_ptr_array_new () };
+
+  if (node->dialect->platform_promotes)
+    g_tree_foreach (node->config.groups, add_lease, &l);
+  return l.groups;
+}
+
+/* Returns the value of this VM's object: its address, and GROUPS, those whose
  * primaries it may hold leases on.  Free with free ().
  */
 static char *
-own_value (SsNode *node)
+own_value (const SsNode *node, const GPtrArray *groups)
 {
-  LeasesContext l = { node, json_array () };
+  json_t *leases = json_array ();
   json_t *json;
   char *text;
 
-  if (node->dialect->platform_promotes)
-    g_tree_foreach (node->config.groups, add_lease, &l);
-  json = json_pack ("{s:s, s:s, s:i, s:o}", "failure_domain",
+  for (guint i = 0; i < groups->len; i++)
+    json_array_append_new (leases, json_string (g_ptr_array_index (groups, i)));
+  json = json_pack ("{s:s, s:s, s:i, s:o, s:s, s:I}", "failure_domain",
                     node->params.failure_domain, "ip", node->params.ip,
-                    "peer_port", (int) node->params.peer_port, "leases",
-                    l.leases);
+                    "peer_port", (int) node->params.peer_port, "leases", leases,
+                    "life", node->lease_listing.life, "stamp",
+                    (json_int_t) node->lease_listing.stamp);
   if (node->params.capacity_millicores)
     json_object_set_new (json, "capacity_millicores",
                          json_integer (node->params.capacity_millicores));
@@ -83,58 +95,50 @@
   return ss_stored_object_is_equal (o, &own);
 }
 
-/* Logs the groups in LEASES, whose keys are their names. */
+/* Logs the groups that this VM may hold leases on, as EVENT. */
 static void
-log_leases (SsNode *node, SsLogEvent event, GHashTable *leases)
+log_leases (SsNode *node, SsLogEvent event)
 {
   GList *names
-      = g_list_sort (g_hash_table_get_keys (leases), (GCompareFunc) strcmp);
+      = g_list_sort (g_hash_table_get_keys (node->lease_listing.since_ms),
+                     (GCompareFunc) strcmp);
   GString *text = g_string_new (NULL);
 
   for (GList *l = names; l; l = l->next)
     g_string_append_printf (text, " %s", (const char *) l->data);
-  ss_node_log (
-      node, event, node->params.vm, "version=" SS_VERSION_FORMAT " groups=%u%s",
-      SS_VERSION_ARGS (node->leases_version), g_list_length (names), text->str);
+  ss_node_log (node, event, node->params.vm,
+               "version=" SS_VERSION_FORMAT " groups=%u%s",
+               SS_VERSION_ARGS (node->lease_listing.version),
+               g_list_length (names), text->str);
   g_string_free (text, TRUE);
   g_list_free (names);
 }
 
-/* Updates node->leases from this VM's object; none if it is deleted.  Groups
- * that it named before in the same era keep their start time.
- */
+/* Adopts what this VM's object lists. */
 static void
 update_leases (SsNode *node, const SsObject *object)
 {
-  json_t *json = object->deleted
-                     ? NULL
-                     : json_loadb (object->value, object->value_bytes, 0, NULL);
-  json_t *item;
-  size_t i;
-  GHashTable *before = node->leases;
-  bool same_era = ss_version_era (node->leases_version)
+  bool same_era = ss_version_era (node->lease_listing.version)
                   == ss_version_era (object->version);
 
-  node->leases
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  json_array_foreach (json_object_get (json, "leases"), i, item)
-  {
-    const char *group = json_string_value (item);
-    const int64_t *since_ms
-        = group && same_era ? g_hash_table_lookup (before, group) : NULL;
-    int64_t *copy = g_new (int64_t, 1);
-
-    *copy = since_ms ? *since_ms : node->now_ms;
-    g_hash_table_insert (node->leases, g_strdup (group ? group : ""), copy);
-  }
-  node->leases_version = object->version;
-  log_leases (node, SS_EVENT_LOG_LEASES_LISTED, node->leases);
+  ss_lease_listing_adopt (&node->lease_listing,
+                          object->deleted ? NULL : object->value,
+                          object->value_bytes, object->version, node->now_ms);
+  log_leases (node, SS_EVENT_LOG_LEASES_LISTED);
   if (object->deleted)
     node->listed_version = 0;
   else if (!node->listed_version || !same_era)
     node->listed_version = object->version;
-  g_hash_table_destroy (before);
-  json_decref (json);
+}
+
+/* Gives up the leases on all groups but GROUPS, before a write of this VM's
+ * object that is based on VERSION lists these only.
+ */
+static void
+give_up_leases (SsNode *node, const GPtrArray *groups, int64_t version)
+{
+  if (ss_lease_listing_give_up (&node->lease_listing, groups, version))
+    log_leases (node, SS_EVENT_LOG_LEASES_GIVEN_UP);
 }
 
 static json_t *
@@ -238,10 +242,13 @@
 {
   const SsStoredObject *o = stored_vm (node, node->params.vm);
   const char *other = find_other (node);
-  char *value = own_value (node);
   char *key = g_strconcat (PREFIX, node->params.vm, NULL);
   int64_t version = ss_config_expected_version (&node->config, key);
+  GPtrArray *groups = needed_leases (node);
+  char *value;
 
+  give_up_leases (node, groups, version);
+  value = own_value (node, groups);
   if (is_up_to_date (o, value))
     goto done;
   if (node->directory_refused && other)
@@ -251,6 +258,7 @@
   /* If the other VM does not succeed, the next write is this VM's own. */
   node->directory_refused = false;
 done:
+  g_ptr_array_free (groups, TRUE);
   g_free (key);
   free (value);
 }
@@ -287,7 +295,10 @@
   return json_is_true (json_object_get (value, "silent"));
 }
 
-/* Marks the object of VM, which has no lease any longer. */
+/* Marks the object of VM as silent.  It still lists the leases: the VM may be
+ * silent to this one only, and rely on them until it has adopted another
+ * object.
+ */
 static void
 mark_silent (SsNode *node, const char *vm, const SsStoredObject *o)
 {
@@ -297,7 +308,6 @@
 
   if (json_is_object (value) && !is_marked_silent (value))
     {
-      json_object_set_new (value, "leases", json_array ());
       json_object_set_new (value, "silent", json_true ());
       text = json_dumps (value, JSON_COMPACT | JSON_SORT_KEYS);
       ss_platform_put (node, ++node->next_call, key, text, o->version);
@@ -415,9 +425,14 @@
 ss_directory_deregister (SsNode *node)
 {
   const SsStoredObject *o = stored_vm (node, node->params.vm);
+  GPtrArray *none;
 
-  if (node->watches[SS_WATCH_VMS].complete && o && !o->deleted)
-    delete_vm_object (node, node->params.vm, o->version);
+  if (!node->watches[SS_WATCH_VMS].complete || !o || o->deleted)
+    return;
+  none = g_ptr_array_new ();
+  give_up_leases (node, none, o->version);
+  g_ptr_array_free (none, TRUE);
+  delete_vm_object (node, node->params.vm, o->version);
 }
 
 /* Adopts the object that the platform returned.  After a conflict, schedules
--- a/src/core/lease.c
+++ b/src/core/lease.c
@@ -29,7 +29,7 @@
 ss_lease_holds (const SsNode *node, const SsGroup *group)
 {
   return group->version && *group->primary && group->confirmed_ms
-         && g_hash_table_contains (node->leases, group->name)
+         && ss_lease_listing_since (&node->lease_listing, group->name)
          && node->now_ms - group->confirmed_ms < SS_LEASE_MS;
 }
 
@@ -124,7 +124,7 @@
     return FALSE;
   group = ss_config_group (&o->node->config, owned->target->group);
   if (!group || ss_group_primary (group) != owned->target
-      || !g_hash_table_contains (o->node->leases, group->name))
+      || !ss_lease_listing_since (&o->node->lease_listing, group->name))
     return FALSE;
   g_ptr_array_add (o->groups, group->name);
   o->holds_all = o->holds_all && ss_lease_holds (o->node, group);
@@ -320,10 +320,10 @@
 static void
 note_listed_groups (SsNode *node)
 {
-  if (node->leases_version == node->leases_renewed_version
+  if (node->lease_listing.version == node->leases_renewed_version
       || node->renewal.asked || node->lease_list_outstanding)
     return;
-  node->leases_renewed_version = node->leases_version;
+  node->leases_renewed_version = node->lease_listing.version;
   ss_lease_hurry (node);
 }
 
@@ -356,11 +356,12 @@
                int64_t requested_ms)
 {
   SsGroup *group = ss_config_group (&node->config, name);
-  const int64_t *since_ms = g_hash_table_lookup (node->leases, name);
+  const int64_t *since_ms = ss_lease_listing_since (&node->lease_listing, name);
 
   if (!group || !since_ms || *since_ms > requested_ms
       || group->version != version
-      || ss_version_era (node->leases_version) != ss_version_era (version))
+      || ss_version_era (node->lease_listing.version)
+             != ss_version_era (version))
     return;
   group->confirmed_ms = MAX (group->confirmed_ms, requested_ms);
   if (ss_lease_holds (node, group))
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -31,6 +31,8 @@
 void
 ss_node_init (SsNode *node, const SsNodeParams *params, int64_t now_ms)
 {
+  uint64_t life;
+
   memset (node, 0, sizeof *node);
   node->params = *params;
   ss_timing_fill_defaults (&node->params.timing);
@@ -49,8 +51,9 @@
    */
   node->next_request = (uint64_t) g_rand_int (node->rand) << 32;
   node->next_status_request = (uint64_t) g_rand_int (node->rand) << 32;
-  ss_duty_init (&node->duty,
-                node->next_request | node->next_status_request >> 32);
+  life = node->next_request | node->next_status_request >> 32;
+  ss_duty_init (&node->duty, life);
+  ss_lease_listing_init (&node->lease_listing, life);
   g_queue_init (&node->actions);
   g_queue_init (&node->local);
   g_queue_init (&node->lost_vms);
@@ -65,8 +68,6 @@
   node->pending_deletions
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_lease_keeper_init (&node->lease_keeper);
-  node->leases
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ss_relay_init (node);
   ss_fanout_init (&node->fanout);
   ss_subscription_init (node);
@@ -104,7 +105,7 @@
   g_queue_clear_full (&node->lost_vms, g_free);
   g_tree_destroy (node->confirmed_positions);
   g_hash_table_destroy (node->pending_deletions);
-  g_hash_table_destroy (node->leases);
+  ss_lease_listing_finish (&node->lease_listing);
   ss_lease_keeper_finish (&node->lease_keeper);
   g_tree_destroy (node->promotions);
   ss_organisation_stats_finish (&node->organisation_stats);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -21,6 +21,7 @@
 #include "core/event.h"
 #include "core/fanout.h"
 #include "core/lease_keeper.h"
+#include "core/lease_listing.h"
 #include "core/roles.h"
 #include "core/organisation_stats.h"
 #include "core/platform_calls.h"
@@ -189,9 +190,7 @@
   int64_t directory_due_ms;
   bool directory_refused; /* the platform did not answer the last write of this
                              VM's object */
-  GHashTable *leases; /* group -> since when this VM's object lists a lease on
-                         its primary, in ms */
-  int64_t leases_version; /* of the object that leases is read from */
+  SsLeaseListing lease_listing; /* what this VM's object lists */
   int64_t listed_version; /* since which the platform lists this VM; 0: it does
                              not */
   int64_t
