A later leader is named once the leases on the primary before are over

What callers saw: STALE, for up to the time of a lease.

Cause: a server that leads a later term than the group's object says was named by one write, without the claim that has VMs release their leases. It leads without a claim that holds where a promotion call takes effect late: the VM that sent it froze, or was cut off with the call on its way, and another VM's promotion ended meanwhile. From its name on, its commits are acknowledged, while an owner of the primary before relies on its lease. Class: one of several ways to the same right leaves out the step that makes it safe.

Change: an adoption claims the group's object, too, waits until the leases are released or over, and then names the server that leads. Where the object names no primary, as after a coordinator that was lost during its promotion, it waits without a claim.

--- a/src/core/coordinator.c
+++ b/src/core/coordinator.c
@@ -26,6 +26,8 @@
  */
 #define REPLICA_POLL_MS 200
 #define RECEIVING_TIMEOUT_MS 450
+/* Interval at which VMs are asked whether they have released their leases. */
+#define RELEASE_RETRY_MS 150
 /* A report older than this is stale. */
 #define FRESH_REPORT_MS 1500
 /* Uptime of this VM from which a primary without a target entry counts as lost:
@@ -161,14 +163,53 @@
   return leader;
 }
 
-/* Writes the name of a server that leads already to the group's object. */
 static void
-name_primary (SsNode *node, SsPromotion *p, const char *primary)
+choose (SsPromotion *p, const char *primary)
 {
   g_free (p->chosen);
   p->chosen = g_strdup (primary);
+}
+
+/* Writes the name of the chosen server, which leads already, to the group's
+ * object.
+ */
+static void
+name_chosen (SsNode *node, SsPromotion *p)
+{
   ss_promote_enter (node, p, SS_PROMOTE_ADOPT);
-  ss_promote_write_group (node, p, primary);
+  ss_promote_write_group (node, p, p->chosen);
+}
+
+/* A server may lead without a claim that holds: a call on the platform may take
+ * effect late.  As in a promotion, leases on the primary before must be over
+ * before the object names another one.
+ */
+static void
+begin_adoption (SsNode *node, SsPromotion *p, const SsGroup *group)
+{
+  p->adopts = true;
+  if (*group->primary)
+    {
+      ss_promote_enter (node, p, SS_PROMOTE_CLAIM);
+      ss_promote_write_group (node, p, "");
+      return;
+    }
+  ss_promote_enter (node, p, SS_PROMOTE_RAISE);
+  ss_lease_begin_release (node, p);
+}
+
+void
+ss_coordinator_tick_adoption (SsNode *node, SsPromotion *p)
+{
+  if (ss_lease_is_released (node, p))
+    {
+      name_chosen (node, p);
+      return;
+    }
+  if (node->now_ms - p->asked_ms < RELEASE_RETRY_MS)
+    return;
+  p->asked_ms = node->now_ms;
+  ss_lease_ask_release (node, p);
 }
 
 bool
@@ -186,7 +227,11 @@
                "term=%" G_GUINT64_FORMAT
                " primary=%s before=%s/%" G_GUINT64_FORMAT,
                p->term, leader->name, group->primary, group->term);
-  name_primary (node, p, leader->name);
+  choose (p, leader->name);
+  if (group->version)
+    begin_adoption (node, p, group);
+  else
+    name_chosen (node, p);
   return true;
 }
 
@@ -206,7 +251,8 @@
                " at_platform=" SS_VERSION_FORMAT,
                p->term, group->primary, SS_VERSION_ARGS (group->version),
                SS_VERSION_ARGS (p->version));
-  name_primary (node, p, group->primary);
+  choose (p, group->primary);
+  name_chosen (node, p);
   return true;
 }
 
--- a/src/core/promote.c
+++ b/src/core/promote.c
@@ -166,6 +166,7 @@
   p->version = ss_config_expected_version (&node->config, key);
   p->era = node->era;
   p->claim_lost = false;
+  p->adopts = false;
   p->started_ms = node->now_ms;
   g_snprintf (p->operation, sizeof p->operation,
               "%s%s-%" G_GUINT64_FORMAT "-%08x", node->params.vm, kind,
--- a/src/core/promotion.h
+++ b/src/core/promotion.h
@@ -44,11 +44,11 @@
 /* Steps of a promotion:
  *
  *   IDLE        none is running
- *   ADOPT       names a server that already leads a later term
- *   CLAIM       writes the claim to the group's object
- *   CLAIM_READ  reads whether a claim with a lost response took effect
- *   RAISE       raises the servers' terms and has leases released
- *   DUTY        writes the duty object to get a fencing token
+ *   ADOPT       names a server that already leads a later term, once the leases
+ * on the primary before are released CLAIM       writes the claim to the
+ * group's object CLAIM_READ  reads whether a claim with a lost response took
+ * effect RAISE       raises the servers' terms, unless one leads already, and
+ * has leases released DUTY        writes the duty object to get a fencing token
  *   CALL        the platform is called to promote the chosen server
  *   LEAD        waits until the chosen server leads the term
  *   NAME        writes the primary's name to the group's object
@@ -90,6 +90,7 @@
   int64_t version;    /* of the group's object that the next write expects */
   int64_t era;        /* of the platform's store when it started */
   bool claim_lost;    /* the platform may have lost the claim */
+  bool adopts;        /* the chosen server leads already */
   char operation[96]; /* unique id, stored in the group's object */
   char *requested_server; /* server that an operator requests, or NULL */
   char *replaced_primary; /* primary to be replaced, never chosen; or NULL */
@@ -339,6 +340,10 @@
  * server. */
 void ss_coordinator_call_platform (SsNode *node, SsPromotion *promotion);
 void ss_coordinator_tick (SsNode *node, SsPromotion *promotion);
+/* ss_coordinator_tick_adoption: names the server that leads already once the
+ * leases on the primary before are released.
+ */
+void ss_coordinator_tick_adoption (SsNode *node, SsPromotion *promotion);
 /* ss_coordinator_handle_duty: handles the result of a read or write of the duty
  * object. */
 void ss_coordinator_handle_duty (SsNode *node, uint64_t call,
--- a/src/core/term_raise.c
+++ b/src/core/term_raise.c
@@ -139,6 +139,11 @@
   uint32_t raised = 0;     /* bit sets of group->servers */
   uint32_t candidates = 0; /* those of them that may become primary */
 
+  if (p->adopts)
+    {
+      ss_coordinator_tick_adoption (node, p);
+      return;
+    }
   /* Lets the old primary's last writes reach its replicas first. */
   if (p->replaced_primary && node->dialect->platform_promotes
       && node->now_ms - p->since_ms < HANDOVER_MS)
@@ -182,7 +187,7 @@
   SsServerState state;
   SsPosition *held;
 
-  if (!p || p->step != SS_PROMOTE_RAISE || reply->term != p->term
+  if (!p || p->step != SS_PROMOTE_RAISE || p->adopts || reply->term != p->term
       || !reply->state)
     {
       ss_node_count (node, SS_COUNTER_LATE_ANSWERS);
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -46,7 +46,7 @@
 fi
 
 # Unit tests that KNOWN-RED.txt lists, each suite a test of its own.
-for suite in rate_backlog far_owner duty_calls foreign_key lease_holders; do
+for suite in rate_backlog far_owner duty_calls foreign_key; do
   "$B/ss-unit" "$suite" >"$out/$suite" 2>&1
   f=$(sed -n 's/^unit: .*passed, \([0-9]*\) failed$/\1/p' "$out/$suite")
   p=$(sed -n 's/^unit: \([0-9]*\) passed.*/\1/p' "$out/$suite")
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -9,8 +9,7 @@
   X (rate_backlog)                                                             \
   X (far_owner)                                                                \
   X (foreign_key)                                                              \
-  X (duty_calls)                                                               \
-  X (lease_holders)
+  X (duty_calls)
 
 #define SUITES(X)                                                              \
   X (position)                                                                 \
@@ -35,6 +34,7 @@
   X (fanout)                                                                   \
   X (lease_keeper)                                                             \
   X (duty)                                                                     \
+  X (lease_holders)                                                            \
   X (voters)                                                                   \
   X (split)                                                                    \
   X (owner_release)                                                            \
