Answers to an earlier life of a VM match none of its asks

Cause: asks for leases and for confirmed positions were numbered from 1 in each life of a VM. The reply to an ask of the life before, on its way while the VM started again, counted as the reply to a later one, and extended the lease, or gave a position, from that one's time.

Change: both count from a number drawn at the start, as requests and status requests do.

Measured: suite line, 'asks of two lives differ', fails before.

--- a/src/core/confirmed.c
+++ b/src/core/confirmed.c
@@ -20,6 +20,7 @@
     return confirmed;
   confirmed = g_new0 (SsConfirmedPositions, 1);
   confirmed->group = g_strdup (group);
+  confirmed->last_seq = node->first_sequence;
   confirmed->identities = g_ptr_array_new_with_free_func (g_free);
   confirmed->floors
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/src/core/node.c
+++ b/src/core/node.c
@@ -52,6 +52,8 @@
   node->next_request = (uint64_t) g_rand_int (node->rand) << 32;
   node->next_status_request = (uint64_t) g_rand_int (node->rand) << 32;
   life = node->next_request | node->next_status_request >> 32;
+  node->lease_nonce = life;
+  node->first_sequence = life;
   ss_duty_init (&node->duty, life);
   ss_lease_listing_init (&node->lease_listing, life);
   g_queue_init (&node->actions);
--- a/src/core/node.h
+++ b/src/core/node.h
@@ -138,6 +138,8 @@
   uint64_t next_request;
   uint32_t status_waiters;    /* requests waiting for a first state report */
   GTree *confirmed_positions; /* group -> SsConfirmedPositions */
+  uint64_t first_sequence;    /* that their requests count from; random, as an
+                                 answer to an earlier life of this VM may arrive */
 
   SsRateLimiter rate_limiter;
   uint64_t rate_hash;       /* config.hash that its limits are from */
@@ -205,7 +207,8 @@
   SsLeaseKeeper lease_keeper;
   bool
       lease_list_outstanding; /* a list request for the groups is outstanding */
-  uint64_t lease_nonce;       /* of the last ask */
+  uint64_t lease_nonce;       /* of the last ask; starts at random, as an answer
+                                 to an earlier life of this VM may arrive */
   int64_t lease_asked_ms;     /* when it was sent */
   bool vms_requested;         /* a request for vms_json is outstanding */
   int64_t vms_due_ms;
--- a/tests/test_line.c
+++ b/tests/test_line.c
@@ -838,7 +838,40 @@
   line_sim_finish (&sim);
 }
 
+/* Has a VM that started with SEED ask a peer for its lease, and returns the
+ * number of that ask.
+ */
+static uint64_t
+first_lease_ask (uint32_t seed)
+{
+  LineSim sim;
+  uint64_t nonce;
+
+  line_sim_init (&sim, seed, 2, 8);
+  sim.platform_down = true;
+  for (uint32_t i = 0; i < 12 && !sim.lease_nonce; i++)
+    {
+      receive_heartbeat (&sim, true);
+      line_sim_advance (&sim, 250);
+    }
+  nonce = sim.lease_nonce;
+  line_sim_finish (&sim);
+  return nonce;
+}
+
+/* Guards against STALE: a reply to an ask of a VM's life before, whose asks
+ * were numbered from 1 as well, counted as the reply to one that was sent
+ * later.
+ */
+static void
+asks_of_two_lives_differ (void)
+{
+  CU_ASSERT (first_lease_ask (1) != 0);
+  CU_ASSERT (first_lease_ask (1) != first_lease_ask (2));
+}
+
 CU_TestInfo test_line[] = {
+  { "asks of two lives differ", asks_of_two_lives_differ },
   { "interleaved sessions stay isolated", interleaved_sessions_stay_isolated },
   { "first statement is not repeated", first_statement_is_not_repeated },
   { "read with lost answer is retried", read_with_lost_answer_is_retried },
