--- a/tests/cluster/faults.c
+++ b/tests/cluster/faults.c
@@ -17,6 +17,7 @@
 #define BLINK_MIN_MS 100
 #define BLINK_MAX_MS 2000
 #define SLOW_FACTOR 25
+#define STATUS_DELAY_MS 700
 #define LAG_FACTOR 50
 #define STORE_SLOW_MS 250
 /* Of the writes, in hundredths. */
@@ -51,6 +52,7 @@
   bool is_cut;       /* of a link that comes and goes */
   int64_t change_ms; /* when it does so next */
   GRand *rand;
+  Fault *second; /* another cut at the same time; owned */
 };
 
 /* Bit sets of VMs. */
@@ -255,6 +257,20 @@
   cut (f, server_bit (primary) | vms << 2 * zone, ALL_VMS | PLATFORM);
 }
 
+/* Servers of a group lose the platform only: their entries lapse. */
+static void
+cut_servers_platform (Fault *f)
+{
+  uint32_t first = f->dice / 100 % CLUSTER_GROUPS * CLUSTER_REPLICAS;
+  uint32_t spared = f->dice >> 20 & 3;
+  uint32_t servers = 0;
+
+  for (uint32_t i = 0; i < CLUSTER_REPLICAS; i++)
+    if (i != spared)
+      servers |= server_bit (first + i);
+  cut (f, servers, PLATFORM);
+}
+
 static void
 cut_platform (Fault *f)
 {
@@ -335,15 +351,18 @@
   cluster_servers_slow (f->server, 1);
 }
 
-/* Sets how slow the replicas of the fault's group are. */
+/* Calls CHANGE with the replicas of the fault's group, or with all its servers.
+ */
 static void
-set_replicas_slow (const Fault *f, uint32_t factor)
+change_group (const Fault *f, bool all,
+              void (*change) (uint32_t server, uint32_t value), uint32_t value)
 {
   uint32_t first = f->server * CLUSTER_REPLICAS;
+  uint32_t primary = cluster_servers_primary (f->server);
 
   for (uint32_t i = first; i < first + CLUSTER_REPLICAS; i++)
-    if (factor == 1 || i != cluster_servers_primary (f->server))
-      cluster_servers_slow (i, factor);
+    if (all || i != primary)
+      change (i, value);
 }
 
 static void
@@ -352,13 +371,54 @@
   f->server = f->dice / 100 % CLUSTER_GROUPS;
   world_record ("the replicas of %s are slow",
                 cluster_servers_service (f->server));
-  set_replicas_slow (f, SLOW_FACTOR);
+  change_group (f, false, cluster_servers_slow, SLOW_FACTOR);
 }
 
 static void
 end_slow_replicas (Fault *f)
 {
-  set_replicas_slow (f, 1);
+  change_group (f, true, cluster_servers_slow, 1);
+}
+
+static void
+begin_status_delay (Fault *f)
+{
+  f->server = f->dice / 100 % CLUSTER_GROUPS;
+  world_record ("STATUS is late at %s", cluster_servers_service (f->server));
+  change_group (f, false, cluster_servers_delay_status, STATUS_DELAY_MS);
+}
+
+static void
+end_status_delay (Fault *f)
+{
+  change_group (f, true, cluster_servers_delay_status, 0);
+}
+
+/* As cut_primary_side, and the primary loses its replicas, too, while STATUS is
+ * late in the group.
+ */
+static void
+begin_late_status_side (Fault *f)
+{
+  uint32_t primary = pick_primary (f);
+  uint32_t zone = cluster_servers_zone (primary);
+
+  f->server = cluster_servers_group (primary);
+  f->second = g_new0 (Fault, 1);
+  f->second->dice = f->dice;
+  cut (f, 3U << 2 * zone, ALL_VMS | PLATFORM);
+  cut (f->second, server_bit (primary),
+       (ALL_VMS & ~(3U << 2 * zone)) | ALL_SERVERS | PLATFORM);
+  change_group (f, false, cluster_servers_delay_status, STATUS_DELAY_MS);
+}
+
+static void
+end_late_status_side (Fault *f)
+{
+  change_group (f, true, cluster_servers_delay_status, 0);
+  heal (f);
+  heal (f->second);
+  g_free (f->second);
 }
 
 static void
@@ -520,12 +580,16 @@
   { "cut_primary_replicas", 500, 8000, cut_primary_replicas, heal, NULL },
   { "cut_primary_vms", 500, 8000, cut_primary_vms, heal, NULL },
   { "cut_primary_side", 2000, 9000, cut_primary_side, heal, NULL },
+  { "cut_servers_platform", 4000, 12000, cut_servers_platform, heal, NULL },
   { "cut_platform", 500, 9000, cut_platform, heal, NULL },
   { "store_busy", 500, 8000, store_busy, end_store_busy, NULL },
   { "store_slow", 500, 8000, store_slow, end_store_slow, NULL },
   { "store_lossy", 500, 8000, store_lossy, end_store_lossy, NULL },
   { "slow_server", 500, 6000, slow_server, end_slow, NULL },
   { "slow_replicas", 1000, 8000, slow_replicas, end_slow_replicas, NULL },
+  { "delay_status", 1000, 9000, begin_status_delay, end_status_delay, NULL },
+  { "late_status_side", 4000, 9000, begin_late_status_side,
+    end_late_status_side, NULL },
   { "lag_server", 500, 8000, lag_server, end_lag, NULL },
   { "replace", DRAIN_MS, DRAIN_MS + 1000, replace_server, end_server, NULL },
 };
--- a/tests/cluster/main.c
+++ b/tests/cluster/main.c
@@ -128,12 +128,13 @@
   printf ("{\"reads\": %u, \"answered\": %u, \"refused\": %u, \"commits\": %u, "
           "\"promotions\": %u, \"stale_primary\": %u, \"stale_own\": %u, "
           "\"stale_bounded\": %u, \"stale_commits\": %u, \"lost\": %u, "
-          "\"twice\": %u, \"two_primaries\": %u, \"own_ends\": %u}\n",
+          "\"twice\": %u, \"two_primaries\": %u, \"own_ends\": %u, "
+          "\"broken\": %u}\n",
           v.reads, v.answered, v.refused, v.commits,
           cluster_servers_promotions (), v.stale[CLUSTER_PRIMARY],
           v.stale[CLUSTER_OWN_WRITES], v.stale[CLUSTER_BOUNDED],
           v.stale_commits, v.lost, v.twice, v.two_primaries,
-          world_vms_own_ends ());
+          world_vms_own_ends (), broken);
   if (v.reads < READS_MIN)
     return 2;
   return broken ? 1 : 0;
--- a/tests/cluster/server_session.c
+++ b/tests/cluster/server_session.c
@@ -27,6 +27,7 @@
   int64_t term;         /* of a transaction's server at its BEGIN */
   uint32_t writes;      /* of the transaction */
   GHashTable *prepared; /* names whose statement writes */
+  int64_t hold_ms;      /* for which the present answer is held back */
 } Session;
 
 /* A request of the session, and its answer. */
@@ -287,6 +288,7 @@
     return;
   answer_status (s, r);
   cluster_servers_work (s->server, STATUS_MS);
+  s->hold_ms = s->server->status_delay_ms;
 }
 
 /* Returns false if TEXT is another statement. */
@@ -429,6 +431,8 @@
 {
   bool lost = s->connected && cluster_servers_random (1000) < LOST_PERMILLE;
 
+  world_sleep_ms (s->hold_ms);
+  s->hold_ms = 0;
   return !lost
          && cluster_links_await (CLUSTER_NODE_SERVER (s->server->number),
                                  CLUSTER_NODE_VM (s->vm), UNREACHABLE_MS)
--- a/tests/cluster/servers.c
+++ b/tests/cluster/servers.c
@@ -463,6 +463,14 @@
   g_mutex_unlock (&cluster_servers_lock);
 }
 
+void
+cluster_servers_delay_status (uint32_t server, uint32_t ms)
+{
+  g_mutex_lock (&cluster_servers_lock);
+  servers[server].status_delay_ms = ms;
+  g_mutex_unlock (&cluster_servers_lock);
+}
+
 void
 cluster_servers_lag (uint32_t server, uint32_t factor)
 {
--- a/tests/cluster/servers.h
+++ b/tests/cluster/servers.h
@@ -33,6 +33,10 @@
 void cluster_servers_return (uint32_t server);
 /* cluster_servers_slow: statements take FACTOR times as long. */
 void cluster_servers_slow (uint32_t server, uint32_t factor);
+/* cluster_servers_delay_status: STATUS takes MS more than other statements, as
+ * on a connection that loses packets.
+ */
+void cluster_servers_delay_status (uint32_t server, uint32_t ms);
 /* cluster_servers_lag: a replica applies FACTOR times as late. */
 void cluster_servers_lag (uint32_t server, uint32_t factor);
 /* cluster_servers_replace: a new server with the log of SERVER's group comes,
--- a/tests/cluster/servers_internal.h
+++ b/tests/cluster/servers_internal.h
@@ -27,6 +27,7 @@
   int64_t later_ms;     /* since when it reaches a later primary; 0: not */
   int64_t busy_ms;      /* until when it rolls back */
   int64_t heartbeat_ms; /* when its entry was last written */
+  int64_t status_delay_ms;
   uint32_t lag_factor;
   uint32_t slow_factor;
   uint32_t running;
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -148,6 +148,29 @@
   fi
 done
 
+# Servers that replicate, in series of faults, judged by the rules.
+for seed in 1 2 3; do
+  rm -rf "$B/cluster/$seed"
+  mkdir -p "$B/cluster/$seed"
+  (
+    timeout -k 1 100 "$B/ss-cluster" "$B/cluster/$seed" "$seed" \
+      "$B/sapphirestaird" >"$out/cluster.$seed" 2>&1
+    echo $? >"$out/cluster-status.$seed"
+  ) &
+done
+wait
+for seed in 1 2 3; do
+  tail -n 1 "$out/cluster.$seed"
+  if [ "$(cat "$out/cluster-status.$seed")" -eq 0 ]; then
+    record cluster 1 0
+    echo "cluster $seed: passed"
+  else
+    record cluster 0 1
+    grep -E 'STALE|LOST|ONE|TWICE' "$B/cluster/$seed/record.txt" | head -n 20
+    echo "cluster $seed: failed, see $B/cluster/$seed"
+  fi
+done
+
 [ "$known" -eq 0 ] || cat KNOWN-RED.txt
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -35,6 +35,8 @@
   X (lease_keeper)                                                             \
   X (duty)                                                                     \
   X (lease_holders)                                                            \
+  X (lease_listing)                                                            \
+  X (reliance)                                                                 \
   X (voters)                                                                   \
   X (split)                                                                    \
   X (owner_release)                                                            \
