--- a/scripts/check-layers.sh
+++ b/scripts/check-layers.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 MEMBERSHIP="members roles rank relay relay_views isolation peers watch config
   config_order config_store era config_sync directory parse settling backoff
-  subscribers fanout platform_calls voters voter_change contact"
+  subscribers fanout platform_calls voters voter_change contact lease_listing"
 PROMOTION="promote suspicion coordinator term_raise lease lease_keeper placement
   predict duty voter_coordinator"
 UPWARD="config_sync.c:owned.h isolation.c:owned.h isolation.c:promotion.h
--- a/tests/cluster/faults.c
+++ b/tests/cluster/faults.c
@@ -63,6 +63,9 @@
 #define PROMOTER_NONE (-1)
 #define PROMOTER_WANTED (-2)
 static gint promoter = PROMOTER_NONE;
+/* A group whose object is written and whose owner is to be cut off; as above.
+ */
+static gint written_group = PROMOTER_NONE;
 static GRand *store_rand;
 static GMutex store_lock;
 static GArray *faults;
@@ -177,6 +180,41 @@
   g_atomic_int_set (&promoter, PROMOTER_NONE);
 }
 
+/* The VMs of a primary's zone are cut off while a write of its group's object
+ * is on its way, so that they do not hear of it.
+ */
+static void
+begin_cut_owner (Fault *f)
+{
+  (void) f;
+  g_atomic_int_compare_and_exchange (&written_group, PROMOTER_NONE,
+                                     PROMOTER_WANTED);
+}
+
+static void
+tick_cut_owner (Fault *f)
+{
+  gint group = g_atomic_int_get (&written_group);
+  uint32_t zone;
+
+  if (f->is_cut || group < 0)
+    return;
+  zone = cluster_servers_zone (cluster_servers_primary ((uint32_t) group));
+  f->is_cut = true;
+  cut (f, 3U << 2 * zone, ALL_VMS | PLATFORM);
+  f->at_ms = world_now_ms ();
+  g_atomic_int_set (&written_group, PROMOTER_NONE);
+}
+
+static void
+end_cut_owner (Fault *f)
+{
+  g_atomic_int_compare_and_exchange (&written_group, PROMOTER_WANTED,
+                                     PROMOTER_NONE);
+  if (f->is_cut)
+    heal (f);
+}
+
 static void
 end_cut_promoter (Fault *f)
 {
@@ -436,14 +474,25 @@
 }
 
 static void
-replace_server (Fault *f)
+replace (Fault *f, uint32_t server)
 {
-  f->server = f->dice >> 20 & 1 ? pick_primary (f)
-                                : f->dice / 100 % CLUSTER_FIRST_SERVERS;
-  if (!cluster_servers_replace (f->server))
+  f->server = server;
+  if (!cluster_servers_replace (server))
     f->ended = true;
 }
 
+static void
+replace_primary (Fault *f)
+{
+  replace (f, pick_primary (f));
+}
+
+static void
+replace_server (Fault *f)
+{
+  replace (f, f->dice / 100 % CLUSTER_FIRST_SERVERS);
+}
+
 static void
 end_server (Fault *f)
 {
@@ -505,6 +554,29 @@
     world_sleep_ms (1);
 }
 
+/* Returns the group whose object PATH is, or -1. */
+static gint
+find_group (const char *path)
+{
+  for (uint32_t i = 0; i < CLUSTER_GROUPS; i++)
+    if (strstr (path, "-groups/")
+        && g_str_has_suffix (path, cluster_servers_service (i)))
+      return (gint) i;
+  return -1;
+}
+
+/* Lets the thread of the faults cut off the owner of GROUP's primary. */
+static void
+catch_write (gint group)
+{
+  if (group < 0
+      || !g_atomic_int_compare_and_exchange (&written_group, PROMOTER_WANTED,
+                                             group))
+    return;
+  while (g_atomic_int_get (&written_group) == group)
+    world_sleep_ms (1);
+}
+
 static WorldCallFate
 find_fate (int fd, const char *method, const char *path)
 {
@@ -514,6 +586,8 @@
 
   if (strcmp (path, "/promotions") == 0)
     catch_promoter (vm);
+  if (strcmp (method, "PUT") == 0)
+    catch_write (find_group (path));
 
   if (vm >= 0 && g_atomic_int_get (&busy_for) & 1 << vm)
     return WORLD_CALL_REFUSED;
@@ -573,6 +647,7 @@
   { "blink", 2000, 12000, begin_blink, end_blink, tick_blink },
   { "cut_promoter", 3000, 9000, begin_cut_promoter, end_cut_promoter,
     tick_cut_promoter },
+  { "cut_owner", 1500, 4000, begin_cut_owner, end_cut_owner, tick_cut_owner },
   { "cut_vm_off", 500, 9000, cut_vm_off, heal, NULL },
   { "cut_vm_platform", 500, 9000, cut_vm_platform, heal, NULL },
   { "cut_vm_servers", 500, 9000, cut_vm_servers, heal, NULL },
@@ -592,6 +667,8 @@
     end_late_status_side, NULL },
   { "lag_server", 500, 8000, lag_server, end_lag, NULL },
   { "replace", DRAIN_MS, DRAIN_MS + 1000, replace_server, end_server, NULL },
+  { "replace_primary", DRAIN_MS, DRAIN_MS + 1000, replace_primary, end_server,
+    NULL },
 };
 
 /* Returns the kinds that ONLY names, or NULL. */
--- a/tests/cluster/links.h
+++ b/tests/cluster/links.h
@@ -19,7 +19,7 @@
 #define CLUSTER_REPLICAS 3
 /* The servers at the start, and those that replace one of them. */
 #define CLUSTER_FIRST_SERVERS (CLUSTER_GROUPS * CLUSTER_REPLICAS)
-#define CLUSTER_SERVERS (CLUSTER_FIRST_SERVERS + 4)
+#define CLUSTER_SERVERS (CLUSTER_FIRST_SERVERS + 12)
 
 #define CLUSTER_NODE_VM(vm) (vm)
 #define CLUSTER_NODE_SERVER(server) (WORLD_VMS + (server))
