--- a/src/core/quorum.c
+++ b/src/core/quorum.c
@@ -311,7 +311,8 @@
   ss_node_log (
       node, SS_EVENT_LOG_PRIMARY_RELIED, owned->target->name,
       "group=%s term=%" G_GUINT64_FORMAT " basis=%s age_ms=%" G_GINT64_FORMAT
-      " group_version=" SS_VERSION_FORMAT " voters=%" G_GUINT64_FORMAT "%s",
+      " group_version=" SS_VERSION_FORMAT
+      " voters_generation=%" G_GUINT64_FORMAT "%s",
       group->name, group->term, ss_reliance_basis_name (owned->reliance.basis),
       node->now_ms - confirmed_ms, SS_VERSION_ARGS (group->version),
       voters ? voters->generation : 0, servers->str);
