--- a/tests/cluster/servers.c
+++ b/tests/cluster/servers.c
@@ -325,14 +325,23 @@
   return number;
 }
 
+/* A promote ends PAUSE, also at a replica that does not reach the server. */
+static void
+resume_group (uint32_t group)
+{
+  for (uint32_t i = 0; i < server_count; i++)
+    if (servers[i].group == group)
+      servers[i].barred_term = 0;
+}
+
 static void
 lead (ClusterServer *s)
 {
   s->term = latest_term (s->group) + 1;
   s->is_primary = true;
-  s->barred_term = 0;
   s->later_ms = 0;
   s->applied = s->received;
+  resume_group (s->group);
   promotions++;
   cluster_history_leads (s->group, s->term, s->received);
   world_record ("%s leads term %" G_GINT64_FORMAT
